The thin whole path as separate processes

An npm workspace with the decisions (core), the daemon, the command-line tool, the stand-ins and the bench. npm start takes a manifest, one summary from prefill to decode and one registration through three daemons.

--- /dev/null
+++ b/packages/cli/src/commands/submit_manifest.ts
@@ -0,0 +1,31 @@
+/** `teaselvalve manifest submit` */
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import type { SubmissionOutcome } from "@teaselvalve/core";
+import { command, positional, string } from "cmd-ts";
+import { callAdmin, connectionArgs, EXIT_CODES } from "../shared/client.ts";
+
+/** Submits a manifest. */
+export const submitManifest = command({
+  name: "submit",
+  description: "Submits a manifest",
+  args: {
+    ...connectionArgs,
+    file: positional({ type: string, displayName: "file" }),
+  },
+  async handler(args) {
+    const manifest: unknown = JSON.parse(readFileSync(args.file, "utf8"));
+    const answer = await callAdmin(args, "/admin/manifests", manifest);
+    const outcome = answer.body as SubmissionOutcome;
+    if (outcome.kind === "accepted") {
+      process.stdout.write(
+        `Accepted as version ${outcome.version}, held by ${outcome.holders} VMs\n`,
+      );
+      return;
+    }
+    process.stderr.write(`${JSON.stringify(outcome)}\n`);
+    process.exitCode = outcome.kind === "conflict"
+      ? EXIT_CODES.conflict
+      : EXIT_CODES.failed;
+  },
+});
--- /dev/null
+++ b/packages/cli/src/mod.ts
@@ -0,0 +1,2 @@
+/** The command-line tool has no library face. */
+export {};
--- /dev/null
+++ b/packages/core/src/configuration/store.ts
@@ -0,0 +1,98 @@
+/** Reads and writes the configuration in the platform's services. */
+import { err, ok, type Result } from "neverthrow";
+import type { Json, PlatformPort, StoreFailure } from "../ports/platform.ts";
+import { digest } from "../shared/hash.ts";
+import type { Digest } from "../shared/ids.ts";
+import {
+  type Configuration,
+  type ConfigurationHead,
+  type Scope,
+  type ScopeBodies,
+  SCOPES,
+} from "./types.ts";
+
+/** The table that holds the head and the submissions. */
+export const CONFIGURATION_TABLE = "configuration";
+/** The key of the head's row. */
+export const HEAD_KEY = "head";
+
+/** A head with the version of its row. */
+export interface HeadRow {
+  readonly head: ConfigurationHead;
+  /** Version of the row; 0 when there is none yet. */
+  readonly rowVersion: number;
+}
+
+/** Bodies of a deployment that has not been configured yet. */
+export function emptyBodies(): ScopeBodies {
+  return {
+    deployment: undefined as never,
+    workspaces: [],
+    endpoints: [],
+    roles: [],
+  };
+}
+
+/** Reads the head's row. */
+export async function readHead(
+  platform: PlatformPort,
+): Promise<Result<HeadRow, StoreFailure>> {
+  const row = await platform.read(CONFIGURATION_TABLE, HEAD_KEY);
+  return row.map((found) =>
+    found === null ? { head: { version: 0, scopes: {} }, rowVersion: 0 } : {
+      head: found.value as unknown as ConfigurationHead,
+      rowVersion: found.version,
+    }
+  );
+}
+
+/** Stores a scope's body under its digest. */
+export async function putBody(
+  platform: PlatformPort,
+  body: unknown,
+): Promise<Result<Digest, StoreFailure>> {
+  const text = JSON.stringify(body);
+  const name = digest(text);
+  const stored = await platform.putObject(`configuration/${name}`, text);
+  return stored.map(() => name);
+}
+
+/** Fetches the bodies of a head, taking unchanged ones from what is held. */
+export async function fetchBodies(
+  platform: PlatformPort,
+  options: { head: ConfigurationHead; held: Configuration | null },
+): Promise<Result<Configuration, StoreFailure>> {
+  const { head, held } = options;
+  const bodies = emptyBodies();
+  for (const scope of SCOPES) {
+    const wanted = head.scopes[scope];
+    if (!wanted) continue;
+    const fetched = held?.head.scopes[scope]?.digest === wanted.digest
+      ? ok(held.bodies[scope])
+      : await fetchBody(platform, wanted.digest);
+    if (fetched.isErr()) return err(fetched.error);
+    setBody(bodies, scope, fetched.value);
+  }
+  return ok({ head, bodies });
+}
+
+/** Gives the head as a value for its row. */
+export function headValue(head: ConfigurationHead): Json {
+  return head as unknown as Json;
+}
+
+async function fetchBody(
+  platform: PlatformPort,
+  name: Digest,
+): Promise<Result<unknown, StoreFailure>> {
+  const text = await platform.getObject(`configuration/${name}`);
+  if (text.isErr()) return err(text.error);
+  if (text.value === null) {
+    return err({ kind: "unknown", detail: `No body ${name}` });
+  }
+  return ok(JSON.parse(text.value));
+}
+
+function setBody(bodies: ScopeBodies, scope: Scope, body: unknown): void {
+  (bodies as Record<Scope, unknown>)[scope] = body;
+}
--- /dev/null
+++ b/packages/core/src/grants/app.ts
@@ -0,0 +1,29 @@
+/** Peer methods of grants. */
+import { type App, createApp } from "../shared/app.ts";
+import type { GrantId, ModelName, RequestKey } from "../shared/ids.ts";
+import type { GrantAnswer, GrantProgress, GrantRequest } from "./types.ts";
+
+/** Peer methods of grants. */
+export interface GrantsHandlers {
+  /** Answers when the request is granted or refused, which may take its whole first-token time. */
+  "grants/request": (request: GrantRequest) => Promise<GrantAnswer>;
+  "grants/progress": (
+    params: {
+      model: ModelName;
+      grant: GrantId;
+      key: RequestKey;
+      progress: GrantProgress;
+    },
+  ) => { known: boolean };
+  /** Drops a request that still waits. */
+  "grants/withdraw": (
+    params: { model: ModelName; key: RequestKey },
+  ) => { known: boolean };
+}
+
+/** Lists the peer methods of grants. */
+export function createGrantsApp(
+  handlers: GrantsHandlers,
+): App<GrantsHandlers> {
+  return createApp<GrantsHandlers>(handlers);
+}
--- /dev/null
+++ b/packages/core/src/membership/app.ts
@@ -0,0 +1,41 @@
+/** Peer methods of membership. */
+import { type App, createApp } from "../shared/app.ts";
+import type { Incarnation, VmId } from "../shared/ids.ts";
+import type { Member } from "./types.ts";
+
+/** What a probe carries, both ways. */
+export interface Probe {
+  readonly from: VmId;
+  readonly incarnation: Incarnation;
+  readonly leaving: boolean;
+  readonly configurationVersion: number;
+  /** News of a few other VMs. */
+  readonly news: readonly Member[];
+}
+
+/** Peer methods of membership. */
+export interface MembershipHandlers {
+  "membership/probe": (probe: Probe) => Probe;
+  /** Probes a third VM on behalf of the caller. */
+  "membership/probe-indirect": (
+    params: { target: VmId },
+  ) => Promise<{ reached: boolean }>;
+}
+
+/** What the handlers need. */
+export interface MembershipAppOptions {
+  answerProbe: (probe: Probe) => Probe;
+  probeFor: (target: VmId) => Promise<boolean>;
+}
+
+/** Lists the peer methods of membership. */
+export function createMembershipApp(
+  options: MembershipAppOptions,
+): App<MembershipHandlers> {
+  return createApp<MembershipHandlers>({
+    "membership/probe": options.answerProbe,
+    "membership/probe-indirect": async ({ target }) => ({
+      reached: await options.probeFor(target),
+    }),
+  });
+}
--- /dev/null
+++ b/packages/core/src/peers/types.ts
@@ -0,0 +1,14 @@
+/** Every method that one VM may call at another. */
+import type { ConfigurationHandlers } from "../configuration/app.ts";
+import type { MembershipHandlers } from "../membership/app.ts";
+import type { SummariesHandlers } from "../summaries/app.ts";
+import type { GrantsHandlers } from "../grants/app.ts";
+import type { CallsHandlers } from "../calls/app.ts";
+
+/** Methods of the peer interface, by name. */
+export type PeerHandlers =
+  & ConfigurationHandlers
+  & MembershipHandlers
+  & SummariesHandlers
+  & GrantsHandlers
+  & CallsHandlers;
--- /dev/null
+++ b/packages/core/src/shared/observe.ts
@@ -0,0 +1,38 @@
+/** What a VM tells of itself: log events and counters. */
+
+/** The value of one log field. */
+export type LogValue = string | number | boolean | undefined;
+
+/** One event, written out as one line of key=value pairs. */
+export interface LogEvent {
+  readonly event: string;
+  readonly level?: "debug" | "info" | "warn" | "error";
+  readonly [field: string]: LogValue;
+}
+
+/** Counters that the daemon exports. */
+export type CounterName =
+  | "refusals"
+  | "retries"
+  | "stale_answers"
+  | "cancels"
+  | "claims"
+  | "store_failures"
+  | "prefills_wasted"
+  | "configuration_changes"
+  | "suspicions"
+  | "convictions"
+  | "orders";
+
+/** Receives events and counts; both are cheap and never fail. */
+export interface Observer {
+  log(event: LogEvent): void;
+  /** Adds one to a counter, under the given reason. */
+  count(counter: CounterName, reason: string): void;
+}
+
+/** An observer that keeps nothing. */
+export const SILENT_OBSERVER: Observer = {
+  log() {},
+  count() {},
+};
--- /dev/null
+++ b/packages/core/src/vm/types.ts
@@ -0,0 +1,30 @@
+/** What a VM is built from, and the faces that it shows. */
+import type { EnginePort } from "../ports/engines.ts";
+import type { PeerPort } from "../ports/peers.ts";
+import type { PlatformPort } from "../ports/platform.ts";
+import type { ServicePort } from "../ports/services.ts";
+import type { VmIdentity } from "../membership/types.ts";
+import type { Observer } from "../shared/observe.ts";
+
+/** The outside as a VM reaches it. */
+export interface VmPorts {
+  readonly platform: PlatformPort;
+  readonly engines: EnginePort;
+  readonly services: ServicePort;
+  readonly peers: PeerPort;
+}
+
+/** What every task of a VM is given. */
+export interface VmContext {
+  readonly identity: VmIdentity;
+  readonly ports: VmPorts;
+  readonly observer: Observer;
+  /** A number from 0 up to 1; seeded in tests. */
+  readonly random: () => number;
+}
+
+/** A part of a VM that is started and stopped with it. */
+export interface VmTask {
+  start(): Promise<void> | void;
+  stop(): Promise<void> | void;
+}
--- /dev/null
+++ b/packages/core/src/vm/vm.ts
@@ -0,0 +1,70 @@
+/** Puts the tasks of one VM together. */
+import { createCallsApp } from "../calls/app.ts";
+import { CallsTask } from "../calls/task.ts";
+import { createConfigurationApp } from "../configuration/app.ts";
+import { ConfigurationTask } from "../configuration/task.ts";
+import { createGrantsApp } from "../grants/app.ts";
+import { GrantsHome } from "../grants/home.ts";
+import { createMembershipApp } from "../membership/app.ts";
+import { MembershipTask } from "../membership/task.ts";
+import type { PeerHandlers } from "../peers/types.ts";
+import { createSummariesApp } from "../summaries/app.ts";
+import { SummariesHome } from "../summaries/home.ts";
+import { SummariesTask } from "../summaries/task.ts";
+import type { VmContext } from "./types.ts";
+
+/** One entry VM: its tasks and the methods that its peers may call. */
+export class Vm {
+  readonly context: VmContext;
+  readonly membership: MembershipTask;
+  readonly configuration: ConfigurationTask;
+  readonly calls: CallsTask;
+  readonly summaries: SummariesTask;
+  readonly peerHandlers: PeerHandlers;
+
+  constructor(context: VmContext) {
+    this.context = context;
+    const configuration: ConfigurationTask = new ConfigurationTask(context, {
+      members: () => this.membership.members(),
+    });
+    const membership = new MembershipTask(context, {
+      configurationVersion: () => configuration.version(),
+    });
+    const home = new SummariesHome();
+    const grants = new GrantsHome(context, { configuration });
+    this.configuration = configuration;
+    this.membership = membership;
+    this.calls = new CallsTask(context, { configuration });
+    this.summaries = new SummariesTask(context, { configuration, membership });
+    this.peerHandlers = {
+      ...createMembershipApp({
+        answerProbe: (probe) => membership.answerProbe(probe),
+        probeFor: (target) => membership.probeFor(target),
+      }).handlers,
+      ...createConfigurationApp({
+        current: () => configuration.current(),
+        readUpTo: () => configuration.poll(),
+      }).handlers,
+      ...createCallsApp({
+        awaitOutcome: () => this.calls.awaitOutcome(),
+      }).handlers,
+      ...createGrantsApp(grants.handlers).handlers,
+      ...createSummariesApp({
+        "summaries/register": (params) => home.register(params),
+        "summaries/hand-over": () => Promise.resolve({ registration: null }),
+      }).handlers,
+    };
+  }
+
+  /** Starts the tasks, what others depend on first. */
+  async start(): Promise<void> {
+    await this.membership.start();
+    await this.configuration.start();
+  }
+
+  /** Stops the tasks in reverse order. */
+  stop(): void {
+    this.configuration.stop();
+    this.membership.stop();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/callers/context.ts
@@ -0,0 +1,13 @@
+/** What the handlers of the caller interface are given. */
+import type { Observer, Refusal, Vm } from "@teaselvalve/core";
+import type { Principal } from "./authenticate.ts";
+
+/** What one request's handler needs. */
+export interface CallerContext {
+  readonly vm: Vm;
+  readonly observer: Observer;
+  readonly bodyLimitBytes: number;
+  readonly principal: Principal;
+  /** Answers with a refusal and counts it. */
+  readonly refuse: (refusal: Refusal) => void;
+}
--- /dev/null
+++ b/packages/daemon/src/callers/services.ts
@@ -0,0 +1,38 @@
+/** Calls to plain services. */
+import { asId, type RequestId, type ServiceName } from "@teaselvalve/core";
+import { type Exchange, header, readBody } from "../http/exchange.ts";
+import type { CallerContext } from "./context.ts";
+import { deadlineOf } from "./handler.ts";
+
+const PREFIX = "/v1/services/";
+
+/** Answers `/v1/services/NAME/...`. */
+export async function handleServiceCall(
+  exchange: Exchange,
+  context: CallerContext,
+): Promise<void> {
+  const { incoming, response, url } = exchange;
+  const body = await readBody(incoming, context.bodyLimitBytes);
+  if (body.isErr()) return context.refuse(body.error);
+  const [name = "", ...rest] = url.pathname.slice(PREFIX.length).split("/");
+  const key = header(incoming, "idempotency-key");
+  const { deployment } = context.vm.configuration.current()!.bodies;
+  const verdict = await context.vm.calls.submit({
+    workspace: context.principal.workspace.id,
+    caller: context.principal.caller,
+    request: key === undefined ? null : asId<RequestId>(key),
+    service: asId<ServiceName>(name),
+    method: incoming.method ?? "GET",
+    path: `/${rest.join("/")}${url.search}`,
+    contentType: header(incoming, "content-type") ?? "",
+    body: body.value,
+    deadlineAtMs: deadlineOf(exchange, deployment.summaryTimeoutMs),
+  });
+  if (verdict.isErr()) return context.refuse(verdict.error);
+  const answer = verdict.value;
+  response.writeHead(answer.status, {
+    "content-type": answer.contentType,
+    ...(answer.replayed ? { "idempotency-replayed": "true" } : {}),
+  });
+  response.end(answer.body);
+}
--- /dev/null
+++ b/packages/daemon/src/services/port.ts
@@ -0,0 +1,31 @@
+/** The service port over HTTP; every call takes a fresh connection. */
+import type { ServicePort } from "@teaselvalve/core";
+import { callHttp, createFreshAgent } from "../http/calls.ts";
+
+/** Connects to plain services. */
+export function createServicePort(): ServicePort {
+  const agent = createFreshAgent();
+  return {
+    async call(endpoint, request, { timeoutMs }) {
+      const hasBody = request.method !== "GET" && request.method !== "HEAD";
+      const answer = await callHttp(agent, {
+        method: request.method,
+        address: endpoint.address,
+        path: request.path,
+        headers: {
+          ...(request.contentType
+            ? { "content-type": request.contentType }
+            : {}),
+          ...(request.key ? { "idempotency-key": request.key } : {}),
+        },
+        body: hasBody ? request.body : undefined,
+        timeoutMs,
+      });
+      return answer.map(({ status, contentType, text }) => ({
+        status,
+        contentType,
+        body: text,
+      }));
+    },
+  };
+}
--- /dev/null
+++ b/packages/fakes/src/engines/answer.ts
@@ -0,0 +1,43 @@
+/** The text that a fake model generates: a function of the prompt alone. */
+import { hashNumber, type Prompt } from "@teaselvalve/core";
+
+const VOCABULARY = 4_096;
+const MIN_LENGTH = 16;
+const LENGTH_SPREAD = 48;
+const LENGTH_MARK = /\[length=(\d+)\]/;
+const CRASH_MARK = "[crash]";
+
+/** Decides how many tokens a prompt's answer has. */
+export type LengthOf = (prompt: Prompt) => number;
+
+/** Takes the length from a `[length=N]` mark, or else from a hash of the prompt. */
+export const lengthFromPrompt: LengthOf = (prompt) => {
+  const mark = LENGTH_MARK.exec(prompt.text);
+  if (mark) return Number(mark[1]);
+  return MIN_LENGTH + hashNumber(prompt.text) % LENGTH_SPREAD;
+};
+
+/** True for a prompt that crashes each engine that decodes it. */
+export function crashesEngine(prompt: Prompt): boolean {
+  return prompt.text.includes(CRASH_MARK);
+}
+
+/** Gives one token of an answer. */
+export function tokenAt(seed: number, offset: number): string {
+  return ` t${(seed + offset * 7_919) % VOCABULARY}`;
+}
+
+/** Gives the seed of a prompt's answer. */
+export function answerSeed(prompt: Prompt): number {
+  return hashNumber(prompt.text) % VOCABULARY;
+}
+
+/** Gives a whole answer, as a correct run returns it. */
+export function expectedAnswer(prompt: Prompt, totalTokens: number): string {
+  const seed = answerSeed(prompt);
+  let text = "";
+  for (let offset = 0; offset < totalTokens; offset += 1) {
+    text += tokenAt(seed, offset);
+  }
+  return text;
+}
--- /dev/null
+++ b/packages/fakes/src/engines/engine_base.ts
@@ -0,0 +1,151 @@
+/** What prefill and decode engines have in common: lagging reports, tombstones, orders, crashes. */
+import type {
+  EndpointId,
+  EngineOrder,
+  EngineRejection,
+  HeldRun,
+  LoadReport,
+  StreamId,
+} from "@teaselvalve/core";
+import type { EngineFigures } from "./figures.ts";
+
+/** Options of a fake engine. */
+export interface FakeEngineOptions {
+  id: EndpointId;
+  models: string[];
+  figures: EngineFigures;
+  random: () => number;
+  /** Whether an order with an old fencing number is refused. */
+  checksFencing?: boolean;
+  /** Told of each order that took effect. */
+  onOrder?: (order: EngineOrder) => void;
+  /** Told when a marked prompt crashes the engine. */
+  onCrash?: () => void;
+}
+
+/** State that both roles of engine share. */
+export abstract class FakeEngine {
+  readonly id: EndpointId;
+  readonly figures: EngineFigures;
+  protected readonly random: () => number;
+  protected readonly tombstones = new Set<StreamId>();
+  protected state: "live" | "leaving" = "live";
+  protected models: string[];
+  #options: FakeEngineOptions;
+  #up = true;
+  #boots = 1;
+  #fencingNumber = 0;
+  #snapshots: { readonly takenAtMs: number; readonly report: LoadReport }[] =
+    [];
+  #reportTimer: ReturnType<typeof setInterval> | undefined;
+  #reportsFrozen = false;
+
+  constructor(options: FakeEngineOptions) {
+    this.#options = options;
+    this.id = options.id;
+    this.figures = options.figures;
+    this.random = options.random;
+    this.models = options.models;
+  }
+
+  abstract readonly role: "prefill" | "decode";
+  /** All that the engine holds memory for. */
+  abstract heldRuns(): HeldRun[];
+  /** Drops everything, as a crash does. */
+  protected abstract dropAll(): void;
+  protected abstract queuedTokens(): number;
+
+  /** False while the engine's process is gone. */
+  get up(): boolean {
+    return this.#up;
+  }
+
+  /** Starts taking load reports. */
+  open(): void {
+    this.#takeSnapshot();
+    const [intervalMs] = this.figures.reportAgeMs;
+    this.#reportTimer = setInterval(() => this.#takeSnapshot(), intervalMs);
+  }
+
+  /** Ends timers, so that a process can exit. */
+  close(): void {
+    clearInterval(this.#reportTimer);
+    this.dropAll();
+  }
+
+  /** Crashes the engine; it holds nothing afterwards and answers nobody. */
+  crash(): void {
+    if (!this.#up) return;
+    this.#up = false;
+    this.dropAll();
+    this.tombstones.clear();
+    this.#options.onCrash?.();
+  }
+
+  /** Brings a crashed engine back, empty. */
+  restart(): void {
+    if (this.#up) return;
+    this.#up = true;
+    this.#boots += 1;
+    this.#snapshots = [];
+    this.#takeSnapshot();
+  }
+
+  /** Announces that the engine will leave. */
+  leave(): void {
+    this.state = "leaving";
+  }
+
+  /** Keeps reports as they are, or lets them go on. */
+  freezeReports(frozen: boolean): void {
+    this.#reportsFrozen = frozen;
+  }
+
+  /** The newest report that is old enough to have arrived. */
+  report(): LoadReport {
+    const nowMs = performance.now();
+    const [leastMs, mostMs] = this.figures.reportAgeMs;
+    const oldestMs = nowMs - leastMs - this.random() * (mostMs - leastMs);
+    const found =
+      this.#snapshots.findLast((one) => one.takenAtMs <= oldestMs) ??
+        this.#snapshots[0]!;
+    return { ...found.report, ageMs: nowMs - found.takenAtMs };
+  }
+
+  /** Carries out an order, unless its fencing number is old and checked. */
+  order(order: EngineOrder): EngineRejection | null {
+    const checks = this.#options.checksFencing ?? true;
+    if (checks && order.fencingNumber < this.#fencingNumber) return "fenced";
+    this.#fencingNumber = Math.max(this.#fencingNumber, order.fencingNumber);
+    if (order.model) this.models = [order.model];
+    this.#options.onOrder?.(order);
+    return null;
+  }
+
+  #takeSnapshot(): void {
+    if (this.#reportsFrozen || !this.#up) return;
+    this.#snapshots.push({
+      takenAtMs: performance.now(),
+      report: this.#currentReport(),
+    });
+    const keep = Math.ceil(
+      this.figures.reportAgeMs[1] / this.figures.reportAgeMs[0],
+    ) + 2;
+    while (this.#snapshots.length > keep) this.#snapshots.shift();
+  }
+
+  #currentReport(): LoadReport {
+    return {
+      endpoint: this.id,
+      boot: `${this.id}-${this.#boots}`,
+      ageMs: 0,
+      state: this.state,
+      role: this.role,
+      models: [...this.models],
+      slots: this.figures.decodeSlots,
+      memoryPieces: this.figures.memoryPieces,
+      runs: this.heldRuns(),
+      queuedTokens: this.queuedTokens(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/engines/server.ts
@@ -0,0 +1,149 @@
+/** Fake engines as processes. `docs/engine-protocol.md` describes what they speak. */
+import type { Server, ServerResponse } from "node:http";
+import type {
+  AttachOrder,
+  DecodeOrder,
+  EngineFailure,
+  EngineOrder,
+  PrefillOrder,
+  StreamEvent,
+  StreamId,
+} from "@teaselvalve/core";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type JsonAnswer,
+  type JsonRequest,
+  listenJson,
+  type ListenOptions,
+} from "../http/json_server.ts";
+import { FakeDecodeEngine } from "./decode_engine.ts";
+import type { AnyFakeEngine } from "./port.ts";
+import { type ExportedCache, FakePrefillEngine } from "./prefill_engine.ts";
+
+const REJECTED_STATUS = 409;
+
+/** Serves a fake engine. */
+export function serveEngine(
+  engine: AnyFakeEngine,
+  options: ListenOptions,
+): Promise<Server> {
+  return listenJson((request) => {
+    if (!engine.up) {
+      request.response.destroy();
+      return null;
+    }
+    return answerRequest(engine, request);
+  }, options);
+}
+
+async function answerRequest(
+  engine: AnyFakeEngine,
+  request: JsonRequest,
+): Promise<JsonAnswer> {
+  const { method, path, query, body } = request;
+  const run = /^\/v1\/runs\/([^/]+)$/.exec(path)?.[1] as StreamId | undefined;
+  if (run && method === "DELETE") {
+    engine.cancel(run);
+    return { status: 200, body: null };
+  }
+  if (path === "/v1/report") return { status: 200, body: engine.report() };
+  if (path === "/v1/orders" && method === "POST") {
+    const code = engine.order(JSON.parse(body) as EngineOrder);
+    return code ? rejected({ kind: "rejected", code }) : done(null);
+  }
+  return engine instanceof FakePrefillEngine
+    ? await answerPrefill(engine, request)
+    : answerDecode(engine, { request, run, query });
+}
+
+async function answerPrefill(
+  engine: FakePrefillEngine,
+  request: JsonRequest,
+): Promise<JsonAnswer> {
+  const { path, query, body } = request;
+  if (path === "/v1/cache-events") {
+    return done(engine.cacheEvents(Number(query.get("after"))));
+  }
+  if (path === "/v1/prefill") {
+    const order = JSON.parse(body) as PrefillOrder;
+    return answerResult(await engine.prefill(order));
+  }
+  const transfer = /^\/v1\/exports\/([^/]+)\/transfer$/.exec(path)?.[1];
+  if (transfer) {
+    return answerResult(await engine.transfer(transfer as StreamId));
+  }
+  return { status: 404, body: null };
+}
+
+function answerDecode(
+  engine: FakeDecodeEngine,
+  options: {
+    request: JsonRequest;
+    run: StreamId | undefined;
+    query: URLSearchParams;
+  },
+): JsonAnswer {
+  const { request, run, query } = options;
+  const { path, method, body, response } = request;
+  if (path === "/v1/runs" && method === "POST") {
+    const order = JSON.parse(body) as DecodeOrder;
+    const sink = openEvents(response);
+    const attachment = engine.startRun(order, {
+      sink,
+      source: (stream) => transferFrom(order.from.address, stream),
+    });
+    response.once("close", () => attachment.detach());
+    return null;
+  }
+  if (run && method === "GET") {
+    const order: AttachOrder = {
+      stream: run,
+      owner: JSON.parse(query.get("owner")!),
+      offset: Number(query.get("offset")),
+      epoch: Number(query.get("epoch")),
+    };
+    const attachment = engine.attach(order, openEvents(response));
+    response.once("close", () => attachment.detach());
+    return null;
+  }
+  return { status: 404, body: null };
+}
+
+function openEvents(response: ServerResponse): (event: StreamEvent) => void {
+  response.writeHead(200, { "content-type": "text/event-stream" });
+  response.flushHeaders();
+  return (event) => {
+    response.write(`data: ${JSON.stringify(event)}\n\n`);
+    if (event.kind === "end" || event.kind === "failed") response.end();
+  };
+}
+
+async function transferFrom(
+  address: string,
+  stream: StreamId,
+): Promise<Result<ExportedCache, EngineFailure>> {
+  try {
+    const response = await fetch(
+      `http://${address}/v1/exports/${stream}/transfer`,
+      { method: "POST" },
+    );
+    const answer = await response.json();
+    return response.ok
+      ? ok(answer as ExportedCache)
+      : err(answer as EngineFailure);
+  } catch {
+    return err({ kind: "lost" });
+  }
+}
+
+function answerResult<T>(result: Result<T, EngineFailure>): JsonAnswer {
+  return result.isOk() ? done(result.value) : rejected(result.error);
+}
+
+function done(body: unknown): JsonAnswer {
+  return { status: 200, body };
+}
+
+function rejected(failure: EngineFailure): JsonAnswer {
+  return { status: REJECTED_STATUS, body: failure };
+}
--- /dev/null
+++ b/packages/fakes/src/platform/platform.ts
@@ -0,0 +1,137 @@
+/** A fake platform: a transactional table, an object store and a lagging list of VMs. */
+import type {
+  Json,
+  ListedVm,
+  Row,
+  RowWrite,
+  TransactionOutcome,
+} from "@teaselvalve/core";
+
+/** Options of {@link FakePlatform}. */
+export interface FakePlatformOptions {
+  /** How far the list of VMs lags. */
+  listLagMs?: number;
+}
+
+interface ListChange {
+  readonly atMs: number;
+  readonly vm: ListedVm | null;
+  readonly id: string;
+}
+
+/** Counts of what the platform was asked, for measurements. */
+export interface PlatformUsage {
+  transactions: number;
+  rowsWritten: number;
+  reads: number;
+}
+
+/** Keeps rows, objects and VMs in memory. Every method takes effect at once. */
+export class FakePlatform {
+  readonly usage: PlatformUsage = { transactions: 0, rowsWritten: 0, reads: 0 };
+  #rows = new Map<string, Row>();
+  #versions = new Map<string, number>();
+  #objects = new Map<string, string>();
+  #listChanges: ListChange[] = [];
+  #listLagMs: number;
+
+  constructor(options: FakePlatformOptions = {}) {
+    this.#listLagMs = options.listLagMs ?? 2_000;
+  }
+
+  /** Commits all writes, or none when an expectation fails. */
+  transact(writes: readonly RowWrite[]): TransactionOutcome {
+    this.usage.transactions += 1;
+    const conflicts = writes.flatMap((write, index) => {
+      const row = this.#rows.get(rowName(write)) ?? null;
+      return meets(write, row) ? [] : [{ index, row }];
+    });
+    if (conflicts.length > 0) return { kind: "conflict", conflicts };
+    for (const write of writes) this.#write(write);
+    this.usage.rowsWritten += writes.length;
+    return { kind: "committed" };
+  }
+
+  /** Reads one row. */
+  read(table: string, key: string): Row | null {
+    this.usage.reads += 1;
+    return this.#rows.get(rowName({ table, key })) ?? null;
+  }
+
+  /** Reads rows by key prefix, in the order of their keys. */
+  scan(
+    table: string,
+    prefix: string,
+    options: { limit: number; after?: string },
+  ): Row[] {
+    this.usage.reads += 1;
+    const after = options.after ?? "";
+    return [...this.#rows.values()]
+      .filter((row) =>
+        row.table === table && row.key.startsWith(prefix) && row.key > after
+      )
+      .sort((a, b) => (a.key < b.key ? -1 : 1))
+      .slice(0, options.limit);
+  }
+
+  /** Stores an object. */
+  putObject(name: string, body: string): void {
+    this.#objects.set(name, body);
+  }
+
+  /** Fetches an object. */
+  getObject(name: string): string | null {
+    return this.#objects.get(name) ?? null;
+  }
+
+  /** Puts a VM on the list, or changes its entry. */
+  listVm(vm: ListedVm): void {
+    this.#listChanges.push({ atMs: performance.now(), vm, id: vm.id });
+  }
+
+  /** Takes a VM off the list. */
+  unlistVm(id: string): void {
+    this.#listChanges.push({ atMs: performance.now(), vm: null, id });
+  }
+
+  /** The list as it was a while ago. */
+  listVms(): ListedVm[] {
+    const untilMs = performance.now() - this.#listLagMs;
+    const seen = new Map<string, ListedVm>();
+    for (const change of this.#listChanges) {
+      if (change.atMs > untilMs) break;
+      if (change.vm) seen.set(change.id, change.vm);
+      else seen.delete(change.id);
+    }
+    return [...seen.values()];
+  }
+
+  #write(write: RowWrite): void {
+    const name = rowName(write);
+    const version = (this.#versions.get(name) ?? 0) + 1;
+    this.#versions.set(name, version);
+    if (write.value === null) {
+      this.#rows.delete(name);
+      return;
+    }
+    const { table, key } = write;
+    // A copy, as a real store keeps none of its client's objects.
+    const value = JSON.parse(JSON.stringify(write.value)) as Json;
+    this.#rows.set(name, { table, key, version, value });
+  }
+}
+
+function rowName(row: { table: string; key: string }): string {
+  return `${row.table}\n${row.key}`;
+}
+
+function meets(write: RowWrite, row: Row | null): boolean {
+  switch (write.expect.kind) {
+    case "any":
+      return true;
+    case "absent":
+      return row === null;
+    case "version":
+      return row?.version === write.expect.version;
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/platform/server.ts
@@ -0,0 +1,83 @@
+/** The fake platform as a process. */
+import type { Server } from "node:http";
+import type { ListedVm, RowWrite } from "@teaselvalve/core";
+import {
+  type JsonAnswer,
+  type JsonRequest,
+  listenJson,
+  type ListenOptions,
+} from "../http/json_server.ts";
+import { type PlatformFaults } from "./faults.ts";
+import type { FakePlatform } from "./platform.ts";
+
+/** Options of {@link servePlatform}. */
+export interface ServePlatformOptions extends ListenOptions {
+  faults: PlatformFaults;
+}
+
+/** Serves a fake platform. `POST /faults` turns its switches. */
+export function servePlatform(
+  platform: FakePlatform,
+  options: ServePlatformOptions,
+): Promise<Server> {
+  const { faults } = options;
+  return listenJson(async (request) => {
+    if (request.path === "/faults") {
+      Object.assign(faults, JSON.parse(request.body));
+      return { status: 200, body: faults };
+    }
+    if (request.path === "/usage") return { status: 200, body: platform.usage };
+    if (faults.delayMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, faults.delayMs));
+    }
+    // A down platform leaves its clients to their time limits.
+    if (faults.down) return null;
+    const answer = answerRequest(platform, request);
+    const writes = request.path === "/transact" || request.method === "PUT";
+    if (!writes || faults.loseReplies === 0) return answer;
+    faults.loseReplies -= 1;
+    request.response.destroy();
+    return null;
+  }, options);
+}
+
+function answerRequest(
+  platform: FakePlatform,
+  request: JsonRequest,
+): JsonAnswer {
+  const { method, path, query, body } = request;
+  if (path === "/transact") {
+    const writes = JSON.parse(body) as RowWrite[];
+    return { status: 200, body: platform.transact(writes) };
+  }
+  if (path === "/rows") {
+    const row = platform.read(query.get("table")!, query.get("key")!);
+    return { status: 200, body: row };
+  }
+  if (path === "/scan") {
+    const rows = platform.scan(query.get("table")!, query.get("prefix") ?? "", {
+      limit: Number(query.get("limit")),
+      after: query.get("after") ?? undefined,
+    });
+    return { status: 200, body: rows };
+  }
+  if (path === "/vms" && method === "GET") {
+    return { status: 200, body: platform.listVms() };
+  }
+  if (path === "/vms" && method === "POST") {
+    platform.listVm(JSON.parse(body) as ListedVm);
+    return { status: 200, body: null };
+  }
+  if (path === "/vms" && method === "DELETE") {
+    platform.unlistVm(query.get("id")!);
+    return { status: 200, body: null };
+  }
+  if (path === "/objects" && method === "PUT") {
+    platform.putObject(query.get("name")!, body);
+    return { status: 200, body: null };
+  }
+  if (path === "/objects") {
+    return { status: 200, body: platform.getObject(query.get("name")!) };
+  }
+  return { status: 404, body: null };
+}
--- /dev/null
+++ b/packages/fakes/src/services/plain_service.ts
@@ -0,0 +1,40 @@
+/** A plain service that records each run of each call. */
+import type { ServiceAnswer, ServiceRequest } from "@teaselvalve/core";
+
+/** Options of {@link PlainService}. */
+export interface PlainServiceOptions {
+  /** How long a call takes. */
+  spendMs?: number;
+}
+
+/** Runs every call that arrives; it does not look for repeats itself. */
+export class PlainService {
+  readonly runs: ServiceRequest[] = [];
+  #spendMs: number;
+
+  constructor(options: PlainServiceOptions = {}) {
+    this.#spendMs = options.spendMs ?? 20;
+  }
+
+  /** Counts the runs of one key. */
+  runsOf(key: string): number {
+    return this.runs.filter((run) => run.key === key).length;
+  }
+
+  /** Runs a call; the effect takes place at once, the answer comes later. */
+  call(request: ServiceRequest): Promise<ServiceAnswer> {
+    this.runs.push(request);
+    const number = this.runs.length;
+    return new Promise((resolve) =>
+      setTimeout(
+        () =>
+          resolve({
+            status: 201,
+            contentType: "application/json",
+            body: JSON.stringify({ registered: request.key, number }),
+          }),
+        this.#spendMs,
+      )
+    );
+  }
+}
--- /dev/null
+++ b/scripts/build.js
@@ -0,0 +1,25 @@
+// Bundles each program into one file, so that the daemon starts fast and needs no loader process.
+import { build } from "esbuild";
+
+const PROGRAMS = {
+  "packages/daemon/dist/teaselvalved": "packages/daemon/src/main.ts",
+  "packages/cli/dist/teaselvalve": "packages/cli/src/main.ts",
+  "packages/fakes/dist/fakes": "packages/fakes/src/main.ts",
+  "packages/bench/dist/demo": "packages/bench/src/demo/main.ts",
+};
+
+await build({
+  entryPoints: PROGRAMS,
+  outdir: ".",
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "esm",
+  sourcemap: true,
+  logLevel: "warning",
+  external: ["dtrace-provider", "moment", "mv", "safe-json-stringify"],
+  banner: {
+    js:
+      'import { createRequire as teaselvalveCreateRequire } from "node:module"; const require = teaselvalveCreateRequire(import.meta.url);',
+  },
+});
