--- /dev/null
+++ b/packages/bench/src/fuzz/domains/mod.ts
@@ -0,0 +1,6 @@
+/** All domains of the fuzzer. */
+import type { FuzzDomain } from "../frame.ts";
+import { TIME_DOMAIN } from "./time.ts";
+
+/** All domains of the fuzzer. */
+export const DOMAINS: readonly FuzzDomain[] = [TIME_DOMAIN];
--- /dev/null
+++ b/packages/bench/src/fuzz/domains/time.ts
@@ -0,0 +1,18 @@
+/** Lets time pass between other commands. */
+import fc from "fast-check";
+import type { FuzzCommand, FuzzDomain } from "../frame.ts";
+
+/** The passing of time. */
+export const TIME_DOMAIN: FuzzDomain = {
+  name: "time",
+  createPart: () => null,
+  commands: [
+    fc.integer({ min: 1, max: 3_000 }).map((ms): FuzzCommand => ({
+      check: () => true,
+      run: (_model, world) => world.advance(ms),
+      toString: () => `advance(${ms})`,
+    })),
+  ],
+  checks: [],
+  mutants: [],
+};
--- /dev/null
+++ b/packages/bench/src/world/caller.ts
@@ -0,0 +1,91 @@
+/** Callers as the world sees them: what each connection asked for and got. */
+import type {
+  CallRequest,
+  CallVerdict,
+  SummaryEvent,
+  SummaryRequest,
+} from "@teaselvalve/core";
+
+/** A caller's connection that waits for a call to a plain service. */
+export class CallerCall {
+  readonly request: CallRequest;
+  readonly vm: string;
+  readonly askedAtMs = Date.now();
+  verdict: CallVerdict | undefined;
+  answeredAtMs: number | undefined;
+  /** The connection broke before an answer. */
+  lost = false;
+  /** Verdicts that came after the first; there must be none. */
+  extra = 0;
+
+  constructor(request: CallRequest, vm: string) {
+    this.request = request;
+    this.vm = vm;
+  }
+
+  /** Takes a verdict. */
+  receive(verdict: CallVerdict): void {
+    if (this.verdict) this.extra += 1;
+    this.verdict ??= verdict;
+    this.answeredAtMs ??= Date.now();
+  }
+
+  /** The connection broke. */
+  lose(): void {
+    this.lost = this.verdict === undefined;
+  }
+}
+
+/** A caller's connection that receives a summary. */
+export class CallerSummary {
+  readonly request: SummaryRequest;
+  readonly vm: string;
+  readonly askedAtMs = Date.now();
+  /** Text received, from the offset that was asked for. */
+  text = "";
+  /** Offset of the next token expected. */
+  nextOffset: number;
+  firstTokenAtMs: number | undefined;
+  endedAtMs: number | undefined;
+  last: Exclude<SummaryEvent, { kind: "tokens" }> | undefined;
+  /** Events that came after the last, or out of order; there must be none. */
+  faults: string[] = [];
+  lost = false;
+  left = false;
+  onLeave: () => void = () => {};
+
+  constructor(request: SummaryRequest, vm: string) {
+    this.request = request;
+    this.vm = vm;
+    this.nextOffset = request.fromOffset;
+  }
+
+  /** Takes an event. */
+  receive(event: SummaryEvent): void {
+    if (this.left) return;
+    if (this.last) this.faults.push(`${event.kind} after ${this.last.kind}`);
+    if (event.kind !== "tokens") {
+      this.last = event;
+      this.endedAtMs = Date.now();
+      return;
+    }
+    if (event.offset !== this.nextOffset) {
+      this.faults.push(`Offset ${event.offset}, expected ${this.nextOffset}`);
+    }
+    this.firstTokenAtMs ??= Date.now();
+    this.nextOffset = event.offset + event.texts.length;
+    this.text += event.texts.join("");
+  }
+
+  /** The connection broke. */
+  lose(): void {
+    this.lost = this.last === undefined;
+  }
+
+  /** The caller closes its connection. */
+  leave(): void {
+    if (this.last || this.lost || this.left) return;
+    this.left = true;
+    this.onLeave();
+  }
+}
--- a/packages/fakes/src/engines/port.ts
+++ b/packages/fakes/src/engines/port.ts
@@ -56,7 +56,9 @@
     open: (engine: FakeDecodeEngine, sink: StreamSink) => Attachment,
   ): Attachment {
     const engine = find(endpoint);
-    const connection = network.connectStream(from, endpoint.address);
+    const connection = network.connect(from, endpoint.address, {
+      own: true,
+    });
     if (!connection || !(engine instanceof FakeDecodeEngine) || !engine.up) {
       queueMicrotask(() =>
         how.sink({ kind: "failed", failure: { kind: "notSent" } })
@@ -65,6 +67,9 @@
     }
     let far: Attachment | undefined;
     let detached = false;
+    connection.onBroken.add(() => {
+      if (!detached) how.sink({ kind: "failed", failure: { kind: "lost" } });
+    });
     const relay = (event: StreamEvent) =>
       network.reply(connection, () => {
         if (!detached) how.sink(event);
--- a/packages/fakes/src/network/network.ts
+++ b/packages/fakes/src/network/network.ts
@@ -9,6 +9,8 @@
   readonly to: Host;
   /** True once something on the way has lost track of it: nothing arrives any more. */
   silent: boolean;
+  /** Told at the opener's end when the far end's process is gone. */
+  readonly onBroken: Set<() => void>;
 }
 
 /** Options of {@link FakeNetwork}. */
@@ -17,12 +19,16 @@
   latencyMs: (from: Host, to: Host) => number;
   /** Runs an action on behalf of a host. */
   runOn?: (host: Host, action: () => void) => void;
+  /** Runs an action on behalf of no host, so that no fault of a host touches its timers. */
+  runDetached?: (action: () => void) => void;
 }
 
 /** Options of {@link FakeNetwork.connect}. */
 export interface ConnectOptions {
   /** Takes a new connection in place of the kept one. */
   fresh?: boolean;
+  /** Takes a connection of its own, as a stream does. */
+  own?: boolean;
 }
 
 /** Delivers messages between hosts by timers. */
@@ -32,21 +38,24 @@
   #frozen = new Map<Host, (() => void)[]>();
   #cuts = new Set<string>();
   #kept = new Map<string, Connection>();
-  #streams = new Set<Connection>();
+  #open = new Set<Connection>();
 
   constructor(options: FakeNetworkOptions) {
-    this.#options = { runOn: (_host, action) => action(), ...options };
+    this.#options = {
+      runOn: (_host, action) => action(),
+      runDetached: (action) => action(),
+      ...options,
+    };
   }
 
-  /** Kills a host, or brings it up; connections to it break. */
+  /** Kills a host's process, or brings it up; its connections break. */
   setUp(host: Host, up: boolean): void {
     if (up) this.#down.delete(host);
     else this.#down.add(host);
     this.#frozen.delete(host);
-    for (const [name, connection] of this.#kept) {
-      if (connection.from === host || connection.to === host) {
-        this.#kept.delete(name);
-      }
+    for (const connection of [...this.#open]) {
+      if (connection.from === host) this.close(connection);
+      else if (connection.to === host) this.#break(connection);
     }
   }
 
@@ -64,7 +73,7 @@
   thaw(host: Host): void {
     const waiting = this.#frozen.get(host) ?? [];
     this.#frozen.delete(host);
-    for (const action of waiting) this.#options.runOn(host, action);
+    for (const action of waiting) this.runOrHold(host, action);
   }
 
   /** Whether a host is frozen. */
@@ -72,6 +81,14 @@
     return this.#frozen.has(host);
   }
 
+  /** Runs an action on a host, later if it is frozen, never if it is down. */
+  runOrHold(host: Host, action: () => void): void {
+    if (!this.isUp(host)) return;
+    const waiting = this.#frozen.get(host);
+    if (waiting) waiting.push(action);
+    else this.#options.runOn(host, action);
+  }
+
   /** Cuts the path between two hosts, both ways. */
   cut(a: Host, b: Host): void {
     this.#cuts.add(pairName(a, b));
@@ -84,7 +101,7 @@
 
   /** Makes all connections open between two hosts silent; new ones work. */
   silence(a: Host, b: Host): void {
-    for (const connection of [...this.#kept.values(), ...this.#streams]) {
+    for (const connection of this.#open) {
       const joins = pairName(connection.from, connection.to) === pairName(a, b);
       if (joins) connection.silent = true;
     }
@@ -97,26 +114,24 @@
     options: ConnectOptions = {},
   ): Connection | null {
     if (!this.isUp(to) && !this.#cuts.has(pairName(from, to))) return null;
-    const name = `${from}\n${to}`;
+    const name = connectionName(from, to);
     const kept = this.#kept.get(name);
-    if (kept && !options.fresh) return kept;
-    const connection: Connection = { from, to, silent: false };
-    this.#kept.set(name, connection);
-    return connection;
-  }
-
-  /** Opens a connection of its own for a stream; null when it is refused at once. */
-  connectStream(from: Host, to: Host): Connection | null {
-    if (!this.isUp(to) && !this.#cuts.has(pairName(from, to))) return null;
-    const connection: Connection = { from, to, silent: false };
-    this.#streams.add(connection);
+    if (kept && !options.fresh && !options.own) return kept;
+    const connection: Connection = {
+      from,
+      to,
+      silent: false,
+      onBroken: new Set(),
+    };
+    this.#open.add(connection);
+    if (!options.own) this.#kept.set(name, connection);
     return connection;
   }
 
   /** Closes a connection; a later call opens a new one. */
   close(connection: Connection): void {
-    this.#streams.delete(connection);
-    const name = `${connection.from}\n${connection.to}`;
+    this.#open.delete(connection);
+    const name = connectionName(connection.from, connection.to);
     if (this.#kept.get(name) === connection) this.#kept.delete(name);
   }
 
@@ -136,12 +151,23 @@
   ): void {
     const { from, to } = connection;
     if (this.#blocked(connection)) return;
-    setTimeout(() => {
+    this.#later(this.#options.latencyMs(from, to), () => {
       if (this.#blocked(connection)) return;
-      const waiting = this.#frozen.get(message.to);
-      if (waiting) waiting.push(message.action);
-      else this.#options.runOn(message.to, message.action);
-    }, this.#options.latencyMs(from, to));
+      this.runOrHold(message.to, message.action);
+    });
+  }
+
+  #break(connection: Connection): void {
+    this.close(connection);
+    const { from, to, silent, onBroken } = connection;
+    if (silent || this.#cuts.has(pairName(from, to))) return;
+    this.#later(this.#options.latencyMs(from, to), () => {
+      for (const told of [...onBroken]) this.runOrHold(from, told);
+    });
+  }
+
+  #later(waitMs: number, action: () => void): void {
+    this.#options.runDetached(() => setTimeout(action, waitMs));
   }
 
   #blocked(connection: Connection): boolean {
@@ -151,6 +177,10 @@
   }
 }
 
+function connectionName(from: Host, to: Host): string {
+  return `${from}\n${to}`;
+}
+
 function pairName(a: Host, b: Host): string {
-  return a < b ? `${a}\n${b}` : `${b}\n${a}`;
+  return a < b ? connectionName(a, b) : connectionName(b, a);
 }
--- a/packages/fakes/src/network/peer_port.ts
+++ b/packages/fakes/src/network/peer_port.ts
@@ -1,6 +1,6 @@
 /** The peer port between VMs in the same process. */
-import type { PeerHandlers, PeerPort } from "@teaselvalve/core";
-import { err } from "neverthrow";
+import type { PeerFailure, PeerHandlers, PeerPort } from "@teaselvalve/core";
+import { err, ok, type Result } from "neverthrow";
 import type { FakeNetwork, Host } from "./network.ts";
 import { sendRequest } from "./request.ts";
 
@@ -8,26 +8,37 @@
 export interface FakePeerPortOptions {
   network: FakeNetwork;
   from: Host;
-  /** Handlers of the VMs that are up, by peer address; the address is the VM's host on the network. */
+  /** Handlers of the VMs, by peer address; the address is the VM's host on the network. */
   handlers: ReadonlyMap<string, PeerHandlers>;
 }
 
 /** Gives one VM's way to its peers, itself included. */
 export function createFakePeerPort(options: FakePeerPortOptions): PeerPort {
   return {
-    call(peer, method, { params, timeoutMs, fresh }) {
+    async call(peer, method, { params, timeoutMs, fresh }) {
       const handlers = options.handlers.get(peer.peerAddress);
-      if (!handlers) return Promise.resolve(err({ kind: "notSent" }));
-      const handler = handlers[method] as (params: unknown) => unknown;
-      return sendRequest(options.network, {
+      if (!handlers) return err({ kind: "notSent" });
+      const answer = await sendRequest(options.network, {
         from: options.from,
         to: peer.peerAddress,
         timeoutMs,
         fresh,
-        // Both ends get copies, as they would over a socket.
-        effect: async () =>
-          structuredClone(await handler(structuredClone(params))) as never,
+        effect: () => handle(handlers, { method, params }),
       });
+      return answer.andThen((result) => result) as never;
     },
   };
 }
+
+async function handle(
+  handlers: PeerHandlers,
+  call: { method: keyof PeerHandlers; params: unknown },
+): Promise<Result<unknown, PeerFailure>> {
+  const handler = handlers[call.method] as (params: unknown) => unknown;
+  try {
+    // Both ends get copies, as they would over a socket.
+    return ok(structuredClone(await handler(structuredClone(call.params))));
+  } catch (error) {
+    return err({ kind: "refused", message: String(error) });
+  }
+}
--- a/packages/fakes/src/network/request.ts
+++ b/packages/fakes/src/network/request.ts
@@ -1,6 +1,6 @@
 /** Requests over the fake network, with the failures that a real one would show. */
 import { err, ok, type Result } from "neverthrow";
-import type { Connection, FakeNetwork, Host } from "./network.ts";
+import type { FakeNetwork, Host } from "./network.ts";
 
 /** How a request failed on its way. */
 export type RequestFailure =
@@ -14,7 +14,7 @@
   to: Host;
   timeoutMs: number;
   fresh?: boolean;
-  /** Carried out at the far end. */
+  /** Carried out at the far end. A promise that never resolves is an answer that never comes. */
   effect: () => Promise<T> | T;
 }
 
@@ -23,36 +23,25 @@
   network: FakeNetwork,
   options: RequestOptions<T>,
 ): Promise<Result<T, RequestFailure>> {
-  const { from, to } = options;
+  const { from, to, effect } = options;
   const connection = network.connect(from, to, { fresh: options.fresh });
   if (!connection) return Promise.resolve(err({ kind: "notSent" }));
   return new Promise((resolve) => {
+    const end = (result: Result<T, RequestFailure>) => {
+      clearTimeout(timer);
+      connection.onBroken.delete(broken);
+      resolve(result);
+    };
+    const broken = () => end(err({ kind: "lost" }));
     const timer = setTimeout(() => {
       network.close(connection);
-      resolve(err({ kind: "timeout" }));
+      end(err({ kind: "timeout" }));
     }, Math.max(0, options.timeoutMs));
+    connection.onBroken.add(broken);
     network.send(connection, () => {
-      void answer(network, { connection, effect: options.effect, resolve })
-        .finally(() => clearTimeout(timer));
+      void Promise.resolve(effect()).then((value) =>
+        network.reply(connection, () => end(ok(value)))
+      );
     });
   });
 }
-
-interface AnswerOptions<T> {
-  connection: Connection;
-  effect: () => Promise<T> | T;
-  resolve: (result: Result<T, RequestFailure>) => void;
-}
-
-async function answer<T>(
-  network: FakeNetwork,
-  options: AnswerOptions<T>,
-): Promise<void> {
-  const value = await options.effect();
-  await new Promise<void>((replied) =>
-    network.reply(options.connection, () => {
-      options.resolve(ok(value));
-      replied();
-    })
-  );
-}
--- a/packages/fakes/src/platform/faults.ts
+++ b/packages/fakes/src/platform/faults.ts
@@ -1,12 +1,10 @@
-/** Faults of the platform as its clients see them, for fakes in process and as processes. */
-import { err, ok, type Result } from "neverthrow";
-import type { StoreFailure } from "@teaselvalve/core";
+/** Switches that tests turn to make the platform fail. */
 
-/** Switches that tests turn. */
+/** Faults of the platform as its clients see them. */
 export interface PlatformFaults {
-  /** Answers nothing and takes nothing. */
+  /** Takes nothing and answers nothing. */
   down: boolean;
-  /** Added to every call. */
+  /** Added before and again after the effect of every call. */
   delayMs: number;
   /** How many of the next writes take effect but lose their reply. */
   loseReplies: number;
@@ -17,40 +15,24 @@
   return { down: false, delayMs: 0, loseReplies: 0 };
 }
 
-/** Options of {@link callWithFaults}. */
-export interface FaultyCallOptions {
-  faults: PlatformFaults;
-  writes: boolean;
-  latencyMs: number;
-  timeoutMs: number;
-}
-
-/** Carries a call out through the faults; the effect takes place half-way. */
-export async function callWithFaults<T>(
-  effect: () => T,
-  options: FaultyCallOptions,
-): Promise<Result<T, StoreFailure>> {
-  const { faults, latencyMs, timeoutMs } = options;
-  const oneWayMs = (latencyMs + faults.delayMs) / 2;
-  if (oneWayMs >= timeoutMs) {
-    void wait(oneWayMs).then(() => faults.down || effect());
-    return await failAfter(timeoutMs);
-  }
-  await wait(oneWayMs);
-  if (faults.down) return await failAfter(timeoutMs - oneWayMs);
-  const answer = effect();
-  if (options.writes && faults.loseReplies > 0) {
+/** Carries a call out through the faults; an answer that is lost never comes. */
+export async function answerThroughFaults<T>(
+  faults: PlatformFaults,
+  call: { effect: () => T; writes: boolean },
+): Promise<T> {
+  if (faults.delayMs > 0) await wait(faults.delayMs);
+  if (faults.down) return await never();
+  const answer = call.effect();
+  if (call.writes && faults.loseReplies > 0) {
     faults.loseReplies -= 1;
-    return await failAfter(timeoutMs - oneWayMs);
+    return await never();
   }
-  if (oneWayMs * 2 >= timeoutMs) return await failAfter(timeoutMs - oneWayMs);
-  await wait(oneWayMs);
-  return ok(answer);
+  if (faults.delayMs > 0) await wait(faults.delayMs);
+  return answer;
 }
 
-async function failAfter<T>(ms: number): Promise<Result<T, StoreFailure>> {
-  await wait(ms);
-  return err({ kind: "unknown", detail: "No answer in time" });
+function never<T>(): Promise<T> {
+  return new Promise(() => {});
 }
 
 function wait(ms: number): Promise<void> {
--- a/packages/fakes/src/platform/port.ts
+++ b/packages/fakes/src/platform/port.ts
@@ -1,15 +1,25 @@
 /** The platform port over a fake platform in the same process. */
-import type { PlatformPort } from "@teaselvalve/core";
-import { callWithFaults, type PlatformFaults } from "./faults.ts";
+import type {
+  PlatformPort,
+  StoreCallOptions,
+  StoreFailure,
+} from "@teaselvalve/core";
+import type { Result } from "neverthrow";
+import type { FakeNetwork, Host } from "../network/network.ts";
+import { sendRequest } from "../network/request.ts";
+import { answerThroughFaults, type PlatformFaults } from "./faults.ts";
 import type { FakePlatform } from "./platform.ts";
 
+/** The platform's host on the network. */
+export const PLATFORM_HOST: Host = "platform";
+
 const DEFAULT_TIMEOUT_MS = 1_000;
 
 /** Options of {@link createFakePlatformPort}. */
 export interface FakePlatformPortOptions {
+  network: FakeNetwork;
+  from: Host;
   faults: PlatformFaults;
-  /** There and back. */
-  latencyMs?: number;
 }
 
 /** Gives one VM's way to a fake platform. */
@@ -17,47 +27,34 @@
   platform: FakePlatform,
   options: FakePlatformPortOptions,
 ): PlatformPort {
-  const call = <T>(
+  async function call<T>(
     effect: () => T,
-    how: { writes: boolean; timeoutMs: number | undefined },
-  ) =>
-    callWithFaults(effect, {
-      faults: options.faults,
-      writes: how.writes,
-      latencyMs: options.latencyMs ?? 4,
-      timeoutMs: how.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+    how: { writes: boolean; options: StoreCallOptions | undefined },
+  ): Promise<Result<T, StoreFailure>> {
+    const answer = await sendRequest(options.network, {
+      from: options.from,
+      to: PLATFORM_HOST,
+      timeoutMs: how.options?.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+      effect: () =>
+        answerThroughFaults(options.faults, { effect, writes: how.writes }),
     });
-  const reading = { writes: false, timeoutMs: undefined };
+    return answer.mapErr(({ kind }) => ({
+      kind: kind === "notSent" ? "notSent" : "unknown",
+      detail: kind,
+    }));
+  }
+  const read = <T>(effect: () => T, how: StoreCallOptions | undefined) =>
+    call(effect, { writes: false, options: how });
+  const write = <T>(effect: () => T, how: StoreCallOptions | undefined) =>
+    call(effect, { writes: true, options: how });
   return {
-    transact: (writes, how) =>
-      call(() => platform.transact(writes), {
-        writes: true,
-        timeoutMs: how?.timeoutMs,
-      }),
-    read: (table, key, how) =>
-      call(() => platform.read(table, key), {
-        ...reading,
-        timeoutMs: how?.timeoutMs,
-      }),
+    transact: (writes, how) => write(() => platform.transact(writes), how),
+    read: (table, key, how) => read(() => platform.read(table, key), how),
     scan: (table, prefix, how) =>
-      call(() => platform.scan(table, prefix, how), {
-        ...reading,
-        timeoutMs: how.timeoutMs,
-      }),
+      read(() => platform.scan(table, prefix, how), how),
     putObject: (name, body, how) =>
-      call(() => platform.putObject(name, body), {
-        writes: true,
-        timeoutMs: how?.timeoutMs,
-      }),
-    getObject: (name, how) =>
-      call(() => platform.getObject(name), {
-        ...reading,
-        timeoutMs: how?.timeoutMs,
-      }),
-    listVms: (how) =>
-      call(() => platform.listVms(), {
-        ...reading,
-        timeoutMs: how?.timeoutMs,
-      }),
+      write(() => platform.putObject(name, body), how),
+    getObject: (name, how) => read(() => platform.getObject(name), how),
+    listVms: (how) => read(() => platform.listVms(), how),
   };
 }
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -6,6 +6,7 @@
   "packages/cli/dist/teaselvalve": "packages/cli/src/main.ts",
   "packages/fakes/dist/fakes": "packages/fakes/src/main.ts",
   "packages/bench/dist/demo": "packages/bench/src/demo/main.ts",
+  "packages/bench/dist/fuzz": "packages/bench/src/fuzz/main.ts",
 };
 
 await build({
