Configuration: commands apart from queries, changes from a cursor, one commit a submission

Cause: the stub committed the head alone, so a repeat of a submission whose reply was lost was applied twice, conflicts showed no difference, and a VM fetched whole bodies. Change: one transaction on head, history and submission row; checks between scopes; changes as stored objects; an xstate machine for what a VM holds; acceptance told after two VMs of other data centres hold it; peers are told and asked; tokens are found by an index.

--- a/packages/core/src/configuration/app.ts
+++ b/packages/core/src/configuration/app.ts
@@ -1,23 +1,46 @@
 /** Peer methods of configuration. */
 import { type App, createApp } from "../shared/app.ts";
-import type { Configuration } from "./types.ts";
+import type { VmId } from "../shared/ids.ts";
+import type { Configuration, ConfigurationChange } from "./types.ts";
+
+/** A peer that holds a version. */
+export interface VersionHolder {
+  readonly id: VmId;
+  readonly peerAddress: string;
+}
+
+/** What a VM answers to a cursor. */
+export type FetchAnswer =
+  /** Holds nothing newer than the cursor. */
+  | { readonly kind: "current"; readonly version: number }
+  | {
+    readonly kind: "changes";
+    readonly changes: readonly ConfigurationChange[];
+    /** Whether to ask again with the version of the last change. */
+    readonly more: boolean;
+  }
+  | { readonly kind: "snapshot"; readonly configuration: Configuration };
 
 /** Peer methods of configuration. */
 export interface ConfigurationHandlers {
-  /** Answers the configuration in force when it is newer than `after`, else null. */
-  "configuration/fetch": (
-    params: { after: number },
-  ) => { configuration: Configuration | null };
-  /** Asks the VM to read up to a version; answers the version it then holds. */
+  /** Answers what follows the version that the asker holds; 0 asks for a snapshot. */
+  "configuration/fetch": (params: { after: number }) => FetchAnswer;
+  /** Tells of a newer version; the told VM fetches it from the teller. */
+  "configuration/notice": (
+    params: { version: number; holder: VersionHolder },
+  ) => { version: number };
+  /** Asks the VM to hold a version; answers the version that it then holds. */
   "configuration/hold": (
-    params: { version: number },
+    params: { version: number; holder: VersionHolder },
   ) => Promise<{ version: number }>;
 }
 
 /** What the handlers need. */
 export interface ConfigurationAppOptions {
-  current: () => Configuration | null;
-  readUpTo: (version: number) => Promise<number>;
+  answerFetch: (after: number) => FetchAnswer;
+  version: () => number;
+  noticeVersion: (version: number, from: VersionHolder) => void;
+  holdVersion: (version: number, from: VersionHolder) => Promise<number>;
 }
 
 /** Lists the peer methods of configuration. */
@@ -25,13 +48,13 @@
   options: ConfigurationAppOptions,
 ): App<ConfigurationHandlers> {
   return createApp<ConfigurationHandlers>({
-    "configuration/fetch": ({ after }) => {
-      const current = options.current();
-      const newer = current !== null && current.head.version > after;
-      return { configuration: newer ? current : null };
+    "configuration/fetch": ({ after }) => options.answerFetch(after),
+    "configuration/notice": ({ version, holder }) => {
+      options.noticeVersion(version, holder);
+      return { version: options.version() };
     },
-    "configuration/hold": async ({ version }) => ({
-      version: await options.readUpTo(version),
+    "configuration/hold": async ({ version, holder }) => ({
+      version: await options.holdVersion(version, holder),
     }),
   });
 }
--- /dev/null
+++ b/packages/core/src/configuration/commands/submit.ts
@@ -0,0 +1,341 @@
+/** Accepts a manifest: one transaction on the head, the submission's row and the history. */
+import { err, ok, type Result } from "neverthrow";
+import type { PlatformPort, RowWrite } from "../../ports/platform.ts";
+import { digest } from "../../shared/hash.ts";
+import type { Digest, VmId } from "../../shared/ids.ts";
+import {
+  bodyDigest,
+  canonicalBody,
+  compareScope,
+  describeDifference,
+} from "../difference.ts";
+import {
+  CONFIGURATION_TABLE,
+  emptyBodies,
+  fetchBody,
+  HEAD_KEY,
+  type HeadRow,
+  historyKey,
+  putBody,
+  readHead,
+  readHistoryEntry,
+  readSubmission,
+  rowValue,
+  submissionKey,
+} from "../store.ts";
+import {
+  type Configuration,
+  type ConfigurationChange,
+  type ConfigurationHead,
+  type HistoryEntry,
+  type Manifest,
+  type ManifestError,
+  type Scope,
+  type ScopeBodies,
+  type ScopeChange,
+  type ScopeConflict,
+  type ScopeHead,
+  SCOPES,
+  type SubmissionOutcome,
+  type SubmissionRow,
+} from "../types.ts";
+import { checkScopes, parseManifest } from "./validate.ts";
+
+/** How long a commit of unknown outcome is repeated. */
+const COMMIT_LIMIT_MS = 6_000;
+const REPEAT_WAIT_MS = 200;
+const RETRY_AFTER_MS = 1_000;
+const UNAVAILABLE = {
+  kind: "unavailable",
+  retryAfterMs: RETRY_AFTER_MS,
+} as const;
+
+/** Parts of accepting a manifest that a test can leave out. */
+export interface SubmitPolicies {
+  /** Writes a row for the submission with the head. */
+  keepsSubmissionRow: boolean;
+  /** Compares the version that each scope was based on. */
+  checksBaseVersions: boolean;
+}
+
+/** What accepting a manifest needs. */
+export interface SubmitOptions {
+  platform: PlatformPort;
+  vm: VmId;
+  policies: SubmitPolicies;
+  /** Brings the configuration in force up to a head; null when it can't be read. */
+  catchUp: (row: HeadRow) => Promise<Configuration | null>;
+}
+
+/** A manifest that was committed, by this call or an earlier one. */
+export interface Committed {
+  readonly kind: "committed";
+  readonly version: number;
+  /** What this call made; null where an earlier one did. */
+  readonly made: {
+    readonly configuration: Configuration;
+    readonly change: ConfigurationChange;
+  } | null;
+}
+
+type Refused = Exclude<
+  SubmissionOutcome,
+  { kind: "accepted" } | { kind: "pending" }
+>;
+
+/** What an attempt came to. */
+export type CommitOutcome = Committed | Refused;
+
+interface Draft {
+  readonly manifest: Manifest;
+  readonly manifestDigest: Digest;
+  readonly row: HeadRow;
+  readonly configuration: Configuration;
+  readonly change: ConfigurationChange;
+}
+
+/** Checks and commits a manifest; the same submission id again gives the first outcome. */
+export async function commitManifest(
+  submission: unknown,
+  options: SubmitOptions,
+): Promise<CommitOutcome> {
+  const parsed = parseManifest(submission);
+  if (parsed.isErr()) return invalid(parsed.error);
+  const manifest = parsed.value;
+  const manifestDigest = digest(JSON.stringify(manifest));
+  const { platform, policies } = options;
+  const untilMs = performance.now() + COMMIT_LIMIT_MS;
+  while (performance.now() < untilMs) {
+    if (policies.keepsSubmissionRow) {
+      const earlier = await readSubmission(platform, manifest.submissionId);
+      if (earlier.isErr()) return UNAVAILABLE;
+      if (earlier.value) return repeated(earlier.value, manifestDigest);
+    }
+    const draft = await draftChange({ manifest, manifestDigest }, options);
+    if (draft.isErr()) return draft.error;
+    const outcome = await commit(draft.value, { ...options, untilMs });
+    if (outcome !== "head-moved") return outcome;
+  }
+  return UNAVAILABLE;
+}
+
+async function draftChange(
+  submitted: { manifest: Manifest; manifestDigest: Digest },
+  options: SubmitOptions,
+): Promise<Result<Draft, Refused>> {
+  const { platform, policies } = options;
+  const { manifest } = submitted;
+  const row = await readHead(platform);
+  if (row.isErr()) return err(UNAVAILABLE);
+  const held = await options.catchUp(row.value);
+  if (row.value.rowVersion > 0 && !held) return err(UNAVAILABLE);
+  const before = held?.bodies ?? emptyBodies();
+  if (policies.checksBaseVersions) {
+    const conflicts = await findConflicts(manifest, {
+      platform,
+      head: row.value.head,
+      before,
+    });
+    if (conflicts.length > 0) return err({ kind: "conflict", conflicts });
+  }
+  const after = { ...before } as ScopeBodies;
+  for (const scope of SCOPES) {
+    const body = manifest.scopes[scope]?.body;
+    if (body !== undefined) setScope(after, scope, body);
+  }
+  const errors = checkScopes({ manifest, before, after });
+  if (errors.length > 0) return err(invalid(errors));
+  for (const scope of SCOPES) {
+    if (!manifest.scopes[scope]) continue;
+    setScope(after, scope, canonicalBody(scope, after[scope]));
+  }
+  const change = await storeChange(manifest, {
+    platform,
+    head: row.value.head,
+    before,
+    after,
+  });
+  if (!change) return err(UNAVAILABLE);
+  return ok({
+    ...submitted,
+    row: row.value,
+    change,
+    configuration: { head: change.head, bodies: after },
+  });
+}
+
+async function storeChange(
+  manifest: Manifest,
+  options: {
+    platform: PlatformPort;
+    head: ConfigurationHead;
+    before: ScopeBodies;
+    after: ScopeBodies;
+  },
+): Promise<ConfigurationChange | null> {
+  const { platform, before, after } = options;
+  const version = options.head.version + 1;
+  const heads: Partial<Record<Scope, ScopeHead>> = { ...options.head.scopes };
+  const changes: Partial<Record<Scope, ScopeChange>> = {};
+  for (const scope of SCOPES) {
+    if (!manifest.scopes[scope]) continue;
+    const body = after[scope];
+    const name = bodyDigest(body);
+    if (heads[scope]?.digest !== name) {
+      const stored = await putBody(platform, body);
+      if (stored.isErr()) return null;
+    }
+    heads[scope] = { version, digest: name };
+    changes[scope] = compareScope(scope, {
+      before: before[scope],
+      after: body,
+    });
+  }
+  const stored = await putBody(platform, changes);
+  if (stored.isErr()) return null;
+  const head = { version, scopes: heads, change: stored.value };
+  return { head, scopes: changes };
+}
+
+/** Commits a draft. A lost reply is resolved by the same transaction with the same expectation. */
+async function commit(
+  draft: Draft,
+  options: SubmitOptions & { untilMs: number },
+): Promise<CommitOutcome | "head-moved"> {
+  const { platform, policies, untilMs } = options;
+  const writes = writesOf(draft, options);
+  let sent = false;
+  while (performance.now() < untilMs) {
+    const outcome = await platform.transact(writes);
+    if (outcome.isErr()) {
+      sent ||= outcome.error.kind === "unknown";
+      await wait(REPEAT_WAIT_MS);
+      continue;
+    }
+    if (outcome.value.kind === "committed") {
+      const { configuration, change } = draft;
+      const version = change.head.version;
+      return { kind: "committed", version, made: { configuration, change } };
+    }
+    // The head never returns to the expected version, so an earlier try that is still under way can't commit.
+    if (!policies.keepsSubmissionRow) return "head-moved";
+    const earlier = outcome.value.conflicts.find(({ index }) =>
+      writes[index]!.key === submissionKey(draft.manifest.submissionId)
+    );
+    return earlier?.row
+      ? repeated(
+        earlier.row.value as unknown as SubmissionRow,
+        draft.manifestDigest,
+      )
+      : "head-moved";
+  }
+  return sent ? { kind: "unknown", retryAfterMs: RETRY_AFTER_MS } : UNAVAILABLE;
+}
+
+function writesOf(draft: Draft, options: SubmitOptions): RowWrite[] {
+  const { manifest, manifestDigest, change, row } = draft;
+  const { version } = change.head;
+  const entry: HistoryEntry = {
+    version,
+    submissionId: manifest.submissionId,
+    acceptedAtMs: Date.now(),
+    vm: options.vm,
+    changed: SCOPES.filter((scope) => manifest.scopes[scope] !== undefined),
+    head: change.head,
+  };
+  const table = CONFIGURATION_TABLE;
+  const absent = { kind: "absent" } as const;
+  const writes: RowWrite[] = [
+    {
+      table,
+      key: HEAD_KEY,
+      expect: row.rowVersion === 0
+        ? absent
+        : { kind: "version", version: row.rowVersion },
+      value: rowValue(change.head),
+    },
+    {
+      table,
+      key: historyKey(version),
+      expect: absent,
+      value: rowValue(entry),
+    },
+  ];
+  if (!options.policies.keepsSubmissionRow) return writes;
+  return [...writes, {
+    table,
+    key: submissionKey(manifest.submissionId),
+    expect: absent,
+    value: rowValue({ version, manifestDigest }),
+  }];
+}
+
+async function findConflicts(
+  manifest: Manifest,
+  options: {
+    platform: PlatformPort;
+    head: ConfigurationHead;
+    before: ScopeBodies;
+  },
+): Promise<ScopeConflict[]> {
+  const conflicts: ScopeConflict[] = [];
+  for (const scope of SCOPES) {
+    const basedOn = manifest.scopes[scope]?.basedOn;
+    const current = options.head.scopes[scope]?.version ?? 0;
+    if (basedOn === undefined || basedOn === current) continue;
+    const difference = await describeOverwritten(scope, {
+      ...options,
+      basedOn,
+    });
+    conflicts.push({ scope, basedOn, current, difference });
+  }
+  return conflicts;
+}
+
+/** Describes what others changed in a scope since the version that a manifest was made from. */
+async function describeOverwritten(
+  scope: Scope,
+  options: { platform: PlatformPort; basedOn: number; before: ScopeBodies },
+): Promise<string[]> {
+  const { platform, basedOn, before } = options;
+  if (basedOn === 0) {
+    return describeDifference(scope, {
+      before: emptyBodies()[scope],
+      after: before[scope],
+    });
+  }
+  const entry = await readHistoryEntry(platform, basedOn);
+  const base = entry.isOk() ? entry.value?.head.scopes[scope] : undefined;
+  if (!base) return [`The scope has no version ${basedOn}`];
+  const body = await fetchBody(platform, base.digest);
+  if (body.isErr()) return [`Version ${basedOn} can't be read now`];
+  return describeDifference(scope, {
+    before: body.value,
+    after: before[scope],
+  });
+}
+
+function repeated(row: SubmissionRow, manifestDigest: Digest): CommitOutcome {
+  if (row.manifestDigest === manifestDigest) {
+    return { kind: "committed", version: row.version, made: null };
+  }
+  return invalid([{
+    path: "submissionId",
+    message:
+      `Another manifest was accepted under this id, as version ${row.version}`,
+  }]);
+}
+
+function invalid(
+  errors: readonly ManifestError[],
+): { kind: "invalid"; errors: readonly ManifestError[] } {
+  return { kind: "invalid", errors };
+}
+
+function setScope(bodies: ScopeBodies, scope: Scope, body: unknown): void {
+  (bodies as unknown as Record<Scope, unknown>)[scope] = body;
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/core/src/configuration/queries/show.ts
@@ -0,0 +1,18 @@
+/** Shows the configuration as it was at a version. */
+import { err, ok, type Result } from "neverthrow";
+import type { PlatformPort, StoreFailure } from "../../ports/platform.ts";
+import { fetchBodies, readHistoryEntry } from "../store.ts";
+import type { Configuration } from "../types.ts";
+
+/** Reads the configuration of one version; null where there never was one. */
+export async function showVersion(
+  platform: PlatformPort,
+  options: { version: number; held: Configuration | null },
+): Promise<Result<Configuration | null, StoreFailure>> {
+  const { version, held } = options;
+  if (held?.head.version === version) return ok(held);
+  const entry = await readHistoryEntry(platform, version);
+  if (entry.isErr()) return err(entry.error);
+  if (!entry.value) return ok(null);
+  return await fetchBodies(platform, { head: entry.value.head, held });
+}
--- a/packages/core/src/configuration/store.ts
+++ b/packages/core/src/configuration/store.ts
@@ -5,10 +5,13 @@
 import type { Digest } from "../shared/ids.ts";
 import {
   type Configuration,
+  type ConfigurationChange,
   type ConfigurationHead,
+  type HistoryEntry,
   type Scope,
   type ScopeBodies,
   SCOPES,
+  type SubmissionRow,
 } from "./types.ts";
 
 /** The table that holds the head and the submissions. */
@@ -16,6 +19,19 @@
 /** The key of the head's row. */
 export const HEAD_KEY = "head";
 
+const HISTORY_PREFIX = "history/";
+const VERSION_DIGITS = 12;
+
+/** The key of a version's history row; keys sort by version. */
+export function historyKey(version: number): string {
+  return HISTORY_PREFIX + String(version).padStart(VERSION_DIGITS, "0");
+}
+
+/** The key of a submission's row. */
+export function submissionKey(submissionId: string): string {
+  return `submission/${submissionId}`;
+}
+
 /** A head with the version of its row. */
 export interface HeadRow {
   readonly head: ConfigurationHead;
@@ -76,12 +92,56 @@
   return ok({ head, bodies });
 }
 
-/** Gives the head as a value for its row. */
-export function headValue(head: ConfigurationHead): Json {
-  return head as unknown as Json;
+/** Reads the row of a submission; null where none was committed yet. */
+export async function readSubmission(
+  platform: PlatformPort,
+  submissionId: string,
+): Promise<Result<SubmissionRow | null, StoreFailure>> {
+  const row = await platform.read(
+    CONFIGURATION_TABLE,
+    submissionKey(submissionId),
+  );
+  return row.map((found) => found && found.value as unknown as SubmissionRow);
 }
 
-async function fetchBody(
+/** Reads up to `limit` history entries after a version, oldest first. */
+export async function readHistory(
+  platform: PlatformPort,
+  options: { after: number; limit: number },
+): Promise<Result<HistoryEntry[], StoreFailure>> {
+  const rows = await platform.scan(CONFIGURATION_TABLE, HISTORY_PREFIX, {
+    limit: options.limit,
+    after: historyKey(options.after),
+  });
+  return rows.map((found) =>
+    found.map((row) => row.value as unknown as HistoryEntry)
+  );
+}
+
+/** Reads the history entry of one version; null where there is none. */
+export async function readHistoryEntry(
+  platform: PlatformPort,
+  version: number,
+): Promise<Result<HistoryEntry | null, StoreFailure>> {
+  const row = await platform.read(CONFIGURATION_TABLE, historyKey(version));
+  return row.map((found) => found && found.value as unknown as HistoryEntry);
+}
+
+/** Fetches the change that a head names. */
+export async function fetchChange(
+  platform: PlatformPort,
+  head: ConfigurationHead,
+): Promise<Result<ConfigurationChange, StoreFailure>> {
+  if (!head.change) return err({ kind: "unknown", detail: "No change" });
+  const scopes = await fetchBody(platform, head.change);
+  return scopes.map((found) => ({
+    head,
+    scopes: found as ConfigurationChange["scopes"],
+  }));
+}
+
+/** Fetches a stored object by its digest. */
+export async function fetchBody(
   platform: PlatformPort,
   name: Digest,
 ): Promise<Result<unknown, StoreFailure>> {
@@ -93,6 +153,13 @@
   return ok(JSON.parse(text.value));
 }
 
+/** Gives a value of this domain as a value for a row. */
+export function rowValue(
+  value: ConfigurationHead | HistoryEntry | SubmissionRow,
+): Json {
+  return value as unknown as Json;
+}
+
 function setBody(bodies: ScopeBodies, scope: Scope, body: unknown): void {
   (bodies as Record<Scope, unknown>)[scope] = body;
 }
--- a/packages/core/src/configuration/task.ts
+++ b/packages/core/src/configuration/task.ts
@@ -1,54 +1,99 @@
-/** Holds the configuration in force: polls the head, accepts manifests, answers peers. */
-import { z } from "zod";
-import type { RowWrite } from "../ports/platform.ts";
+/** Holds the configuration in force: polls the head, accepts manifests, exchanges changes with peers. */
+import type { Result } from "neverthrow";
 import type { Member } from "../membership/types.ts";
+import type { StoreFailure } from "../ports/platform.ts";
+import type { Digest } from "../shared/ids.ts";
+import { type Effect, MachineTask } from "../shared/machine_task.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
+import type { FetchAnswer, VersionHolder } from "./app.ts";
+import { ChangeLog } from "./change_log.ts";
 import {
-  CONFIGURATION_TABLE,
-  fetchBodies,
-  HEAD_KEY,
-  headValue,
-  putBody,
-  readHead,
-} from "./store.ts";
+  commitManifest,
+  type Committed,
+  type SubmitPolicies,
+} from "./commands/submit.ts";
+import { askPeer, fetchNewer } from "./fetch.ts";
+import { spreadToHolders } from "./holders.ts";
 import {
-  type Configuration,
-  type ConfigurationHead,
-  type Manifest,
-  ManifestSchema,
-  type ScopeHead,
-  SCOPES,
-  type SubmissionOutcome,
+  type ConfigurationSource,
+  type HoldingEffect,
+  holdingMachine,
+  type IsNewer,
+} from "./machine.ts";
+import { diffVersions, type VersionDifference } from "./queries/diff.ts";
+import { listHistory } from "./queries/history.ts";
+import { showVersion } from "./queries/show.ts";
+import { type HeadRow, readHead } from "./store.ts";
+import { findToken, type TokenEntry } from "./token_index.ts";
+import type {
+  Configuration,
+  ConfigurationChange,
+  HistoryEntry,
+  SubmissionOutcome,
 } from "./types.ts";
 
 const POLL_INTERVAL_MS = 1_000;
-const HOLD_TIMEOUT_MS = 2_000;
+const HOLD_WAIT_MS = 1_200;
+const CATCH_UP_MS = 3_000;
+const NOTICE_TIMEOUT_MS = 1_000;
+const RETRY_AFTER_MS = 1_000;
+/** Peers that are told at once of a version put in force. */
+const NOTICED_PEERS = 4;
+/** Peers asked in place of a head that can't be read. */
+const ASKED_PEERS = 2;
+/** Peers that a VM without a configuration hears before it takes the highest. */
+const START_PEERS = 3;
 
 /** Reads the configuration in force. */
 export interface ConfigurationView {
   current(): Configuration | null;
 }
 
+/** Parts that a test can leave out or replace. */
+export interface ConfigurationPolicies extends SubmitPolicies {
+  isNewer: IsNewer;
+  /** Fetches whole snapshots only, to measure against. */
+  snapshotsOnly: boolean;
+}
+
 /** Options of {@link ConfigurationTask}. */
 export interface ConfigurationTaskOptions {
   members: () => readonly Member[];
+  policies?: Partial<ConfigurationPolicies>;
 }
 
+const DEFAULT_POLICIES: ConfigurationPolicies = {
+  keepsSubmissionRow: true,
+  checksBaseVersions: true,
+  isNewer: (offered, inForce) => offered > inForce,
+  snapshotsOnly: false,
+};
+
 /** Owns the configuration in force on this VM. */
 export class ConfigurationTask implements ConfigurationView, VmTask {
   #context: VmContext;
   #options: ConfigurationTaskOptions;
+  #policies: ConfigurationPolicies;
+  #holding: MachineTask<typeof holdingMachine>;
   #current: Configuration | null = null;
+  #log = new ChangeLog();
+  #waiters = new Set<() => void>();
   #timer: ReturnType<typeof setInterval> | undefined;
+  #polling: Promise<void> | null = null;
 
   constructor(context: VmContext, options: ConfigurationTaskOptions) {
     this.#context = context;
     this.#options = options;
+    this.#policies = { ...DEFAULT_POLICIES, ...options.policies };
+    this.#holding = new MachineTask(holdingMachine, {
+      input: { isNewer: this.#policies.isNewer },
+      perform: (effect) => this.#perform(effect),
+    });
   }
 
   async start(): Promise<void> {
+    this.#timer = setInterval(() => void this.poll(), POLL_INTERVAL_MS);
     await this.poll();
-    this.#timer = setInterval(() => this.poll(), POLL_INTERVAL_MS);
   }
 
   stop(): void {
@@ -64,110 +109,266 @@
     return this.#current?.head.version ?? 0;
   }
 
-  /** Reads the head and puts a newer configuration in force. */
+  /** Finds the token with a digest in the configuration in force. */
+  findToken(hash: Digest): TokenEntry | undefined {
+    return this.#current ? findToken(this.#current, hash) : undefined;
+  }
+
+  /** Reads the head and puts a newer configuration in force; asks peers when it can't be read. */
   async poll(): Promise<number> {
-    const { platform } = this.#context.ports;
-    const row = await readHead(platform);
-    if (row.isErr() || row.value.head.version <= this.version()) {
-      return this.version();
-    }
-    const { head } = row.value;
-    const fetched = await fetchBodies(platform, { head, held: this.#current });
-    if (fetched.isOk()) this.#adopt(fetched.value);
+    this.#polling ??= this.#pollOnce().finally(() => (this.#polling = null));
+    await this.#polling;
     return this.version();
   }
 
+  /** Told by membership that a peer holds another version. */
+  noticeVersion(version: number, from: VersionHolder): void {
+    this.#holding.send({
+      type: "noticed",
+      version,
+      source: { kind: "peer", id: from.id, peerAddress: from.peerAddress },
+    });
+  }
+
+  /** Holds a version before it answers, where a peer can give it in time. */
+  async holdVersion(version: number, from: VersionHolder): Promise<number> {
+    this.noticeVersion(version, from);
+    await this.#waitForVersion(version, HOLD_WAIT_MS);
+    return this.version();
+  }
+
+  /** Answers what follows a version. */
+  answerFetch(after: number): FetchAnswer {
+    const current = this.#current;
+    if (!current || !this.#policies.isNewer(current.head.version, after)) {
+      return { kind: "current", version: this.version() };
+    }
+    const batch = after > 0 ? this.#log.after(after) : null;
+    return batch && batch.changes.length > 0
+      ? { kind: "changes", ...batch }
+      : { kind: "snapshot", configuration: current };
+  }
+
   /** Checks, commits and spreads a manifest. */
   async submit(submission: unknown): Promise<SubmissionOutcome> {
-    const parsed = ManifestSchema.safeParse(submission);
-    if (!parsed.success) {
-      return { kind: "invalid", errors: listErrors(parsed.error) };
+    const { platform } = this.#context.ports;
+    const outcome = await commitManifest(submission, {
+      platform,
+      vm: this.#context.identity.id,
+      policies: this.#policies,
+      catchUp: (row) => this.#catchUp(row),
+    });
+    this.#context.observer.count("configuration_changes", outcome.kind);
+    if (outcome.kind !== "committed") return outcome;
+    return await this.#spread(outcome);
+  }
+
+  /** Lists accepted versions, newest first. */
+  history(
+    options: { limit: number },
+  ): Promise<Result<HistoryEntry[], StoreFailure>> {
+    return listHistory(this.#context.ports.platform, options);
+  }
+
+  /** Reads the configuration of one version; null where there never was one. */
+  show(version: number): Promise<Result<Configuration | null, StoreFailure>> {
+    const { platform } = this.#context.ports;
+    return showVersion(platform, { version, held: this.#current });
+  }
+
+  /** Describes the difference between two versions. */
+  diff(
+    options: { from: number; to: number },
+  ): Promise<Result<VersionDifference | null, StoreFailure>> {
+    const { platform } = this.#context.ports;
+    return diffVersions(platform, { ...options, held: this.#current });
+  }
+
+  async #spread(committed: Committed): Promise<SubmissionOutcome> {
+    const { version, made } = committed;
+    if (made) {
+      this.#holding.send({
+        type: "obtained",
+        configuration: made.configuration,
+        changes: [made.change],
+      });
+    } else {
+      await this.poll();
+      await this.#waitForVersion(version, CATCH_UP_MS);
+    }
+    if (this.version() < version) {
+      const retryAfterMs = RETRY_AFTER_MS;
+      return { kind: "pending", version, holders: 0, retryAfterMs };
     }
-    const manifest = parsed.data;
+    const { identity, ports } = this.#context;
+    const { enough, holders, dataCentres } = await spreadToHolders({
+      version,
+      self: { ...identity, state: "live" },
+      members: this.#options.members,
+      peers: ports.peers,
+    });
+    return enough
+      ? { kind: "accepted", version, holders, holderDataCentres: dataCentres }
+      : { kind: "pending", version, holders, retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  async #catchUp(row: HeadRow): Promise<Configuration | null> {
+    const { version } = row.head;
+    if (this.version() < version) {
+      this.#noticePlatform(version);
+      await this.#waitForVersion(version, CATCH_UP_MS);
+    }
+    return this.version() === version ? this.#current : null;
+  }
+
+  async #pollOnce(): Promise<void> {
     const row = await readHead(this.#context.ports.platform);
-    if (row.isErr()) return { kind: "unavailable", retryAfterMs: 1_000 };
-    const conflicts = findConflicts(manifest, row.value.head);
-    if (conflicts.length > 0) return { kind: "conflict", conflicts };
-    const head = await this.#storeBodies(manifest, row.value.head);
-    if (!head) return { kind: "unavailable", retryAfterMs: 1_000 };
-    const write: RowWrite = {
-      table: CONFIGURATION_TABLE,
-      key: HEAD_KEY,
-      expect: row.value.rowVersion === 0
-        ? { kind: "absent" }
-        : { kind: "version", version: row.value.rowVersion },
-      value: headValue(head),
-    };
-    const outcome = await this.#context.ports.platform.transact([write]);
-    if (outcome.isErr()) return { kind: "unknown", retryAfterMs: 1_000 };
-    if (outcome.value.kind === "conflict") return this.submit(submission);
-    await this.poll();
-    return {
-      kind: "accepted",
-      version: head.version,
-      holders: await this.#countHolders(head.version),
-    };
-  }
-
-  async #storeBodies(
-    manifest: Manifest,
-    before: ConfigurationHead,
-  ): Promise<ConfigurationHead | null> {
-    const version = before.version + 1;
-    const scopes: Record<string, ScopeHead | undefined> = { ...before.scopes };
-    for (const scope of SCOPES) {
-      const change = manifest.scopes[scope];
-      if (!change) continue;
-      const name = await putBody(this.#context.ports.platform, change.body);
-      if (name.isErr()) return null;
-      scopes[scope] = { version, digest: name.value };
+    if (row.isOk()) {
+      const { version } = row.value.head;
+      this.#noticePlatform(version);
+      if (version > this.version()) {
+        await this.#waitForVersion(version, CATCH_UP_MS);
+      }
+      return;
     }
-    return { version, scopes };
+    this.#context.observer.count("store_failures", "configuration-head");
+    if (this.#current) return await this.#askPeers(ASKED_PEERS);
+    await this.#takeHighestOfPeers();
+  }
+
+  async #askPeers(count: number): Promise<void> {
+    await Promise.all(
+      this.#drawPeers(count).map(async (peer) => {
+        const answer = await askPeer(peer, {
+          peers: this.#context.ports.peers,
+          after: this.version(),
+        });
+        const newer = answer?.kind === "changes"
+          ? answer.changes.at(-1)!.head.version
+          : answer?.kind === "snapshot"
+          ? answer.configuration.head.version
+          : 0;
+        this.noticeVersion(newer, peer);
+      }),
+    );
   }
 
-  async #countHolders(version: number): Promise<number> {
-    const others = this.#options.members().filter((member) =>
-      member.state === "live" && member.id !== this.#context.identity.id
-    ).slice(0, 2);
+  // A version that was accepted is held by several VMs, and one of many asked knows a recent one.
+  async #takeHighestOfPeers(): Promise<void> {
+    const peers = this.#drawPeers(Infinity);
     const answers = await Promise.all(
-      others.map((member) =>
-        this.#context.ports.peers.call(member, "configuration/hold", {
-          params: { version },
-          timeoutMs: HOLD_TIMEOUT_MS,
-        })
+      peers.map((peer) =>
+        askPeer(peer, { peers: this.#context.ports.peers, after: 0 })
       ),
     );
-    const held = answers.filter((answer) =>
-      answer.isOk() && answer.value.version >= version
+    const held = answers.flatMap((answer) =>
+      answer?.kind === "snapshot" ? [answer.configuration] : []
     );
-    return held.length + 1;
+    const heard = answers.filter((answer) => answer !== null).length;
+    if (heard < Math.min(START_PEERS, peers.length)) return;
+    const [highest] = held.sort((a, b) => b.head.version - a.head.version);
+    if (!highest || this.#current) return;
+    this.#context.observer.log({
+      event: "configuration-from-peers",
+      level: "warn",
+      version: highest.head.version,
+      peers: heard,
+    });
+    this.#holding.send({
+      type: "obtained",
+      configuration: highest,
+      changes: [],
+    });
+  }
+
+  #noticePlatform(version: number): void {
+    this.#holding.send({
+      type: "noticed",
+      version,
+      source: { kind: "platform" },
+    });
   }
 
-  #adopt(configuration: Configuration): void {
-    if (configuration.head.version <= this.version()) return;
+  #perform(effect: Effect): void {
+    const { type, params } = effect as HoldingEffect;
+    switch (type) {
+      case "fetch":
+        void this.#fetch(params.source);
+        break;
+      case "putInForce":
+        this.#putInForce(params);
+        break;
+    }
+  }
+
+  async #fetch(source: ConfigurationSource): Promise<void> {
+    const { platform, peers } = this.#context.ports;
+    const fetched = await fetchNewer(source, {
+      platform,
+      peers,
+      held: this.#current,
+      snapshotsOnly: this.#policies.snapshotsOnly,
+    });
+    this.#holding.send(
+      fetched.isOk()
+        ? { type: "obtained", ...fetched.value, source }
+        : { type: "failed", source },
+    );
+  }
+
+  #putInForce(params: {
+    configuration: Configuration;
+    changes: readonly ConfigurationChange[];
+  }): void {
+    const { configuration, changes } = params;
+    const { observer } = this.#context;
     this.#current = configuration;
-    this.#context.observer.count("configuration_changes", "adopted");
-    this.#context.observer.log({
+    if (changes.length === 0) this.#log.clear();
+    for (const change of changes) this.#log.add(change);
+    observer.count("configuration_changes", "in-force");
+    observer.log({
       event: "configuration-in-force",
       version: configuration.head.version,
     });
+    for (const waiter of [...this.#waiters]) waiter();
+    this.#tellPeers();
   }
-}
 
-function listErrors(
-  error: z.ZodError,
-): { path: string; message: string }[] {
-  return error.issues.map((issue) => ({
-    path: issue.path.join("."),
-    message: issue.message,
-  }));
-}
+  /** Tells a few peers at once, so that a version spreads faster than by probes alone. */
+  #tellPeers(): void {
+    const { id, peerAddress } = this.#context.identity;
+    for (const peer of this.#drawPeers(NOTICED_PEERS)) {
+      void this.#context.ports.peers.call(peer, "configuration/notice", {
+        params: { version: this.version(), holder: { id, peerAddress } },
+        timeoutMs: NOTICE_TIMEOUT_MS,
+      });
+    }
+  }
 
-function findConflicts(manifest: Manifest, head: ConfigurationHead) {
-  return SCOPES.flatMap((scope) => {
-    const basedOn = manifest.scopes[scope]?.basedOn;
-    const current = head.scopes[scope]?.version ?? 0;
-    if (basedOn === undefined || basedOn === current) return [];
-    return [{ scope, basedOn, current, difference: [] }];
-  });
+  #drawPeers(count: number): Member[] {
+    const peers = this.#options.members().filter((member) =>
+      member.id !== this.#context.identity.id && member.state !== "dead"
+    );
+    return peers
+      .map((peer) => ({ peer, place: this.#context.random() }))
+      .sort((a, b) => a.place - b.place)
+      .slice(0, count)
+      .map(({ peer }) => peer);
+  }
+
+  #waitForVersion(version: number, limitMs: number): Promise<void> {
+    if (this.version() >= version) return Promise.resolve();
+    return new Promise((resolve) => {
+      const end = () => {
+        clearTimeout(timer);
+        this.#waiters.delete(check);
+        resolve();
+      };
+      const check = () => {
+        if (this.version() >= version) end();
+      };
+      const timer = setTimeout(end, limitMs);
+      this.#waiters.add(check);
+    });
+  }
 }
--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -7,6 +7,7 @@
   EndpointId,
   ModelName,
   ServiceName,
+  VmId,
   WorkspaceId,
 } from "../shared/ids.ts";
 
@@ -39,9 +40,11 @@
   adoptionMs: z.number().int().min(0).default(2_000),
   callRetentionMs: z.number().int().min(60_000).default(86_400_000),
   summaryTimeoutMs: z.number().int().min(1_000).default(120_000),
+  /** How often replicas may be ordered to load weights, over all models. */
+  modelLoadsPerMinute: z.number().positive().max(6_000).default(6),
   retryBudgetShare: z.number().min(0).max(1).default(0.1),
   convictionMs: z.number().int().min(1_000).default(3_600_000),
-  services: z.array(ServiceSchema).default([]),
+  services: z.array(ServiceSchema).max(500).default([]),
 });
 
 /** A caller's token, kept as a hash. */
@@ -64,8 +67,8 @@
   id: name<WorkspaceId>(),
   weight: z.number().positive().default(1),
   priority: z.number().int().min(0).max(9).default(5),
-  models: z.array(name<ModelName>()).optional(),
-  tokens: z.array(TokenSchema).default([]),
+  models: z.array(name<ModelName>()).max(500).optional(),
+  tokens: z.array(TokenSchema).max(500).default([]),
   quota: QuotaSchema.default({}),
 });
 
@@ -73,7 +76,7 @@
 export const EndpointSchema = z.strictObject({
   id: name<EndpointId>(),
   kind: z.enum(["prefill", "decode", "service"]),
-  address: z.string().min(1),
+  address: z.string().min(1).max(255),
   dataCentre: name<DataCentre>(),
   model: name<ModelName>().optional(),
   service: name<ServiceName>().optional(),
@@ -82,8 +85,8 @@
   state: z.enum(["live", "leaving"]).default("live"),
   /** Whether the engine refuses orders with an old fencing number. */
   checksFencing: z.boolean().default(true),
-  adapters: z.array(z.string()).default([]),
-  modelVersion: z.string().optional(),
+  adapters: z.array(z.string().max(200)).max(100).default([]),
+  modelVersion: z.string().max(200).optional(),
 });
 
 /** What a token of the administration interface may do. */
@@ -92,7 +95,7 @@
   name: name<string>(),
   role: z.enum(["reader", "operator", "administrator"]),
   /** The workspaces that an operator may change; ignored for other roles. */
-  workspaces: z.array(name<WorkspaceId>()).default([]),
+  workspaces: z.array(name<WorkspaceId>()).max(20_000).default([]),
 });
 
 /** The body of each scope. */
@@ -115,6 +118,8 @@
 export type Scope = (typeof SCOPES)[number];
 /** Settings of the whole deployment. */
 export type Deployment = z.infer<typeof DeploymentSchema>;
+/** A caller's token. */
+export type Token = z.infer<typeof TokenSchema>;
 /** A tenant. */
 export type Workspace = z.infer<typeof WorkspaceSchema>;
 /** A back end. */
@@ -167,6 +172,57 @@
   /** Rises by one with each accepted manifest. */
   readonly version: number;
   readonly scopes: { readonly [S in Scope]?: ScopeHead };
+  /** Names the object that holds the change from the version before. */
+  readonly change?: Digest;
+}
+
+/** What one accepted manifest changed in one scope. */
+export type ScopeChange =
+  | { readonly kind: "whole"; readonly body: unknown }
+  | {
+    readonly kind: "items";
+    /** Items that are new or differ, in whole. */
+    readonly put: readonly unknown[];
+    readonly removed: readonly string[];
+  };
+
+/** What one accepted manifest changed. */
+export interface ConfigurationChange {
+  /** The head that it made; its version is one above the version before. */
+  readonly head: ConfigurationHead;
+  readonly scopes: { readonly [S in Scope]?: ScopeChange };
+}
+
+/** One line of the history of accepted manifests. */
+export interface HistoryEntry {
+  readonly version: number;
+  readonly submissionId: string;
+  /** On the accepting VM's wall clock. */
+  readonly acceptedAtMs: number;
+  readonly vm: VmId;
+  readonly changed: readonly Scope[];
+  readonly head: ConfigurationHead;
+}
+
+/** The row that makes a repeated submission give its first outcome. */
+export interface SubmissionRow {
+  readonly version: number;
+  readonly manifestDigest: Digest;
+}
+
+/** One thing wrong with a manifest. */
+export interface ManifestError {
+  readonly path: string;
+  readonly message: string;
+}
+
+/** A scope that was changed since the version that a manifest was made from. */
+export interface ScopeConflict {
+  readonly scope: Scope;
+  readonly basedOn: number;
+  readonly current: number;
+  /** What the submission would have overwritten, one line each. */
+  readonly difference: readonly string[];
 }
 
 /** A configuration as a VM holds it. */
@@ -182,23 +238,17 @@
     readonly version: number;
     /** VMs that hold it, the accepting one included. */
     readonly holders: number;
+    /** Data centres of those VMs. */
+    readonly holderDataCentres: number;
   }
+  | { readonly kind: "conflict"; readonly conflicts: readonly ScopeConflict[] }
+  | { readonly kind: "invalid"; readonly errors: readonly ManifestError[] }
   | {
-    readonly kind: "conflict";
-    readonly conflicts: readonly {
-      readonly scope: Scope;
-      readonly basedOn: number;
-      readonly current: number;
-      /** What the submission would have overwritten, one line each. */
-      readonly difference: readonly string[];
-    }[];
-  }
-  | {
-    readonly kind: "invalid";
-    readonly errors: readonly {
-      readonly path: string;
-      readonly message: string;
-    }[];
+    /** Committed, but too few VMs hold it yet; submitting the same id again tells. */
+    readonly kind: "pending";
+    readonly version: number;
+    readonly holders: number;
+    readonly retryAfterMs: number;
   }
   | {
     /** The commit's outcome isn't known; submitting the same id again tells it. */
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -1,4 +1,5 @@
 /** What a VM is built from, and the faces that it shows. */
+import type { ConfigurationPolicies } from "../configuration/task.ts";
 import type { EnginePort } from "../ports/engines.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
@@ -23,6 +24,11 @@
   readonly random: () => number;
 }
 
+/** Parts of a VM's behaviour that a test can leave out or replace, by domain. */
+export interface VmPolicies {
+  readonly configuration?: Partial<ConfigurationPolicies>;
+}
+
 /** A part of a VM that is started and stopped with it. */
 export interface VmTask {
   start(): Promise<void> | void;
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -11,7 +11,7 @@
 import { createSummariesApp } from "../summaries/app.ts";
 import { SummariesHome } from "../summaries/home.ts";
 import { SummariesTask } from "../summaries/task.ts";
-import type { VmContext } from "./types.ts";
+import type { VmContext, VmPolicies } from "./types.ts";
 
 /** One entry VM: its tasks and the methods that its peers may call. */
 export class Vm {
@@ -22,10 +22,11 @@
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
 
-  constructor(context: VmContext) {
+  constructor(context: VmContext, policies: VmPolicies = {}) {
     this.context = context;
     const configuration: ConfigurationTask = new ConfigurationTask(context, {
       members: () => this.membership.members(),
+      policies: policies.configuration,
     });
     const membership = new MembershipTask(context, {
       configurationVersion: () => configuration.version(),
@@ -42,8 +43,12 @@
         probeFor: (target) => membership.probeFor(target),
       }).handlers,
       ...createConfigurationApp({
-        current: () => configuration.current(),
-        readUpTo: () => configuration.poll(),
+        answerFetch: (after) => configuration.answerFetch(after),
+        version: () => configuration.version(),
+        noticeVersion: (version, from) =>
+          configuration.noticeVersion(version, from),
+        holdVersion: (version, from) =>
+          configuration.holdVersion(version, from),
       }).handlers,
       ...createCallsApp({
         awaitOutcome: () => this.calls.awaitOutcome(),
--- a/packages/daemon/src/admin/handler.ts
+++ b/packages/daemon/src/admin/handler.ts
@@ -23,6 +23,7 @@
   accepted: 200,
   conflict: 409,
   invalid: 422,
+  pending: 202,
   unknown: 504,
   unavailable: 503,
 };
