--- /dev/null
+++ b/packages/bench/src/configuration_world_test.ts
@@ -0,0 +1,227 @@
+import { asId, type SubmissionOutcome, type Vm } from "@teaselvalve/core";
+import { afterEach, expect, test } from "vitest";
+import { World, type WorldOptions } from "./world/world.ts";
+
+const IN_FORCE_LIMIT_MS = 4_000;
+
+let world: World;
+
+afterEach(() => world?.close());
+
+async function create(options: Partial<WorldOptions> = {}): Promise<void> {
+  world = await World.create({ seed: 7, vms: 6, ...options });
+}
+
+function versions(): number[] {
+  return [...world.vms.values()].map((vm) => vm.configuration.version());
+}
+
+function firstVm(): Vm {
+  return [...world.vms.values()][0]!;
+}
+
+function workspaces(
+  submissionId: string,
+  options: { ids: string[]; basedOn?: number },
+) {
+  const { ids, basedOn = 1 } = options;
+  const body = ids.map((id) => ({ id }));
+  return { submissionId, scopes: { workspaces: { basedOn, body } } };
+}
+
+async function submit(
+  vm: string,
+  manifest: unknown,
+  waitMs = 2_000,
+): Promise<SubmissionOutcome> {
+  const outcome = world.submitManifest(vm, manifest);
+  await world.advance(waitMs);
+  return await outcome as SubmissionOutcome;
+}
+
+test("An accepted manifest is held in other data centres and is in force everywhere", async () => {
+  await create();
+  const outcome = world.submitManifest(
+    "vm-2",
+    workspaces("second", { ids: ["lenders"] }),
+  );
+  await world.advance(500);
+  expect(await outcome).toMatchObject({ kind: "accepted", version: 2 });
+  expect(await outcome).toMatchObject({ holderDataCentres: 3 });
+  await world.advance(1_500);
+  expect(versions()).toEqual([2, 2, 2, 2, 2, 2]);
+});
+
+test("Disjoint scopes both go in; of two on the same scope the later sees what it would overwrite", async () => {
+  await create();
+  const deployment = {
+    submissionId: "targets",
+    scopes: {
+      deployment: {
+        basedOn: 1,
+        body: {
+          name: "world",
+          firstTokenTargetMs: 500,
+          services: [{ name: "kirjaamo" }],
+        },
+      },
+    },
+  };
+  const outcomes = [
+    world.submitManifest("vm-1", deployment),
+    world.submitManifest(
+      "vm-2",
+      workspaces("a", { ids: ["lenders", "clinics"] }),
+    ),
+    world.submitManifest("vm-3", workspaces("b", { ids: ["offices"] })),
+  ];
+  await world.advance(4_000);
+  const [first, ...others] = await Promise.all(
+    outcomes,
+  ) as SubmissionOutcome[];
+  expect(first!.kind).toBe("accepted");
+  expect(others.map((one) => one.kind).sort()).toEqual([
+    "accepted",
+    "conflict",
+  ]);
+  const conflict = others.find((one) => one.kind === "conflict")!;
+  expect(JSON.stringify(conflict)).toMatch(/[-+] workspaces\.\w+: /);
+  expect(new Set(versions())).toEqual(new Set([3]));
+});
+
+test("A repeated submission whose reply was lost is applied once", async () => {
+  await create();
+  const manifest = workspaces("lost", { ids: ["clinics"] });
+  const platform = world.platform;
+  const transact = platform.transact.bind(platform);
+  let lost = 0;
+  platform.transact = (writes) => {
+    const outcome = transact(writes);
+    if (lost < 1) world.platformFaults.loseReplies = 1;
+    lost += 1;
+    return outcome;
+  };
+  const first = await submit("vm-1", manifest, 5_000);
+  const again = await submit("vm-4", manifest);
+  expect(first).toMatchObject({ kind: "accepted", version: 2 });
+  expect(again).toMatchObject({ kind: "accepted", version: 2 });
+  expect(lost).toBe(2);
+  expect(new Set(versions())).toEqual(new Set([2]));
+  const other = await submit("vm-4", workspaces("lost", { ids: ["other"] }));
+  expect(other).toMatchObject({ kind: "invalid" });
+});
+
+test("A platform outage right after acceptance doesn't stop the spread", async () => {
+  await create();
+  const outcome = world.submitManifest(
+    "vm-1",
+    workspaces("second", { ids: ["lenders"] }),
+  ).then((told) => {
+    world.platformFaults.down = true;
+    return told;
+  });
+  await world.advance(200);
+  expect(await outcome).toMatchObject({ kind: "accepted" });
+  await world.advance(IN_FORCE_LIMIT_MS - 200);
+  expect(versions()).toEqual([2, 2, 2, 2, 2, 2]);
+});
+
+test("With the platform down a new VM takes the highest of its peers", async () => {
+  await create();
+  await submit("vm-1", workspaces("second", { ids: ["lenders"] }));
+  world.platformFaults.down = true;
+  const joined = world.addVm();
+  // The platform's list was read before it went down.
+  joined.membership.members = () => firstVm().membership.members();
+  await world.advance(IN_FORCE_LIMIT_MS);
+  expect(joined.configuration.version()).toBe(2);
+});
+
+test("A data centre that was cut off has the configuration soon after it is back", async () => {
+  await create();
+  const inside = ["vm-3", "vm-6"];
+  const outside = ["vm-1", "vm-2", "vm-4", "vm-5", "platform"];
+  const paths = inside.flatMap((a) => outside.map((b) => [a, b] as const));
+  for (const [a, b] of paths) world.network.cut(a, b);
+  const outcome = await submit(
+    "vm-1",
+    workspaces("second", { ids: ["lenders"] }),
+    12_000,
+  );
+  expect(["accepted", "pending"]).toContain(outcome.kind);
+  expect(versions()).toEqual([2, 2, 1, 2, 2, 1]);
+  for (const [a, b] of paths) world.network.heal(a, b);
+  await world.advance(IN_FORCE_LIMIT_MS);
+  expect(versions()).toEqual([2, 2, 2, 2, 2, 2]);
+});
+
+test("History, show and diff tell of versions; going back is a new version", async () => {
+  await create({ vms: 3 });
+  await submit("vm-1", workspaces("second", { ids: ["lenders"] }));
+  const back = workspaces("third", { ids: ["offices", "lenders"], basedOn: 2 });
+  expect(await submit("vm-2", back)).toMatchObject({ version: 3 });
+  const { configuration } = firstVm();
+  const [history, first, difference, missing] = await readAll([
+    configuration.history({ limit: 2 }),
+    configuration.show(1),
+    configuration.diff({ from: 1, to: 2 }),
+    configuration.show(9),
+  ]);
+  expect(history).toMatchObject([{ version: 3, submissionId: "third" }, {
+    version: 2,
+    changed: ["workspaces"],
+  }]);
+  expect(first).toMatchObject({ head: { version: 1 } });
+  const now = configuration.current()!.bodies.workspaces;
+  expect(first).toMatchObject({ bodies: { workspaces: now } });
+  expect(difference).toMatchObject({
+    lines: [expect.stringMatching(/^- workspaces\.offices: /)],
+  });
+  expect(missing).toBeNull();
+});
+
+test("A VM far behind gets changes from its cursor, or a snapshot when they are gone", async () => {
+  await create({ vms: 3 });
+  await submit("vm-1", workspaces("second", { ids: ["lenders"] }));
+  const { configuration } = firstVm();
+  expect(configuration.answerFetch(1)).toMatchObject({
+    kind: "changes",
+    more: false,
+    changes: [{ head: { version: 2 } }],
+  });
+  expect(configuration.answerFetch(2)).toMatchObject({ kind: "current" });
+  expect(configuration.answerFetch(0)).toMatchObject({ kind: "snapshot" });
+  const joined = world.addVm();
+  await world.advance(2_000);
+  await submit("vm-1", workspaces("third", { ids: ["offices"], basedOn: 2 }));
+  expect(joined.configuration.answerFetch(1)).toMatchObject({
+    kind: "snapshot",
+  });
+  expect(joined.configuration.answerFetch(2)).toMatchObject({
+    kind: "changes",
+  });
+});
+
+test("Tokens are found by their hash in the configuration in force", async () => {
+  await create({ vms: 3 });
+  const hash = "a".repeat(64);
+  const body = [{ id: "lenders", tokens: [{ hash, caller: "lender-1" }] }];
+  await submit("vm-1", {
+    submissionId: "second",
+    scopes: { workspaces: { basedOn: 1, body } },
+  });
+  const { configuration } = firstVm();
+  expect(configuration.findToken(asId(hash))).toMatchObject({
+    workspace: { id: "lenders" },
+    token: { caller: "lender-1" },
+  });
+  expect(configuration.findToken(asId("b".repeat(64)))).toBeUndefined();
+});
+
+async function readAll(
+  reads: readonly Promise<{ _unsafeUnwrap(): unknown }>[],
+): Promise<unknown[]> {
+  const all = Promise.all(reads);
+  await world.advance(1_000);
+  return (await all).map((one) => one._unsafeUnwrap());
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -15,6 +15,7 @@
 export * from "./configuration/types.ts";
 export * from "./configuration/store.ts";
 export * from "./configuration/task.ts";
+export * from "./configuration/schema.ts";
 export * from "./configuration/app.ts";
 export * from "./configuration/difference.ts";
 export * from "./configuration/machine.ts";
