--- /dev/null
+++ b/packages/bench/src/fuzz/domains/configuration_test.ts
@@ -0,0 +1,25 @@
+import { expect, test } from "vitest";
+import { runFuzz } from "../run.ts";
+import { CONFIGURATION_DOMAIN } from "./configuration.ts";
+import { FAULTS_DOMAIN } from "./faults.ts";
+import { TIME_DOMAIN } from "./time.ts";
+
+// Configuration twice, so that about half of the commands are its own.
+const domains = [
+  TIME_DOMAIN,
+  FAULTS_DOMAIN,
+  CONFIGURATION_DOMAIN,
+  CONFIGURATION_DOMAIN,
+];
+
+test("Random manifests under faults break no rule of configuration", async () => {
+  const report = await runFuzz({ domains, seed: 5_001, runs: 40 });
+  expect(report.findings).toEqual([]);
+});
+
+for (const { name, createVm } of CONFIGURATION_DOMAIN.mutants) {
+  test(`The fuzzer notices a VM with ${name}`, async () => {
+    const report = await runFuzz({ domains, seed: 5_002, runs: 200, createVm });
+    expect(report.failed).toBe(true);
+  });
+}
--- a/packages/core/src/configuration/commands/submit.ts
+++ b/packages/core/src/configuration/commands/submit.ts
@@ -63,7 +63,7 @@
   platform: PlatformPort;
   vm: VmId;
   policies: SubmitPolicies;
-  /** Brings the configuration in force up to a head; null when it can't be read. */
+  /** Brings the configuration in force up to a head, where it can be read, and gives it. */
   catchUp: (row: HeadRow) => Promise<Configuration | null>;
 }
 
@@ -106,12 +106,22 @@
   const { platform, policies } = options;
   const untilMs = performance.now() + COMMIT_LIMIT_MS;
   while (performance.now() < untilMs) {
+    // The head goes first: a submission that isn't there afterwards had no part in that head.
+    const row = await readHead(platform);
+    if (row.isErr()) return UNAVAILABLE;
     if (policies.keepsSubmissionRow) {
       const earlier = await readSubmission(platform, manifest.submissionId);
       if (earlier.isErr()) return UNAVAILABLE;
       if (earlier.value) return repeated(earlier.value, manifestDigest);
     }
-    const draft = await draftChange({ manifest, manifestDigest }, options);
+    const held = await options.catchUp(row.value);
+    const heldVersion = held?.head.version ?? 0;
+    if (heldVersion < row.value.head.version) return UNAVAILABLE;
+    if (heldVersion > row.value.head.version) continue;
+    const draft = await draftChange(
+      { manifest, manifestDigest, row: row.value, held },
+      options,
+    );
     if (draft.isErr()) return draft.error;
     const outcome = await commit(draft.value, { ...options, untilMs });
     if (outcome !== "head-moved") return outcome;
@@ -120,20 +130,21 @@
 }
 
 async function draftChange(
-  submitted: { manifest: Manifest; manifestDigest: Digest },
+  submitted: {
+    manifest: Manifest;
+    manifestDigest: Digest;
+    row: HeadRow;
+    held: Configuration | null;
+  },
   options: SubmitOptions,
 ): Promise<Result<Draft, Refused>> {
   const { platform, policies } = options;
-  const { manifest } = submitted;
-  const row = await readHead(platform);
-  if (row.isErr()) return err(UNAVAILABLE);
-  const held = await options.catchUp(row.value);
-  if (row.value.rowVersion > 0 && !held) return err(UNAVAILABLE);
+  const { manifest, row, held } = submitted;
   const before = held?.bodies ?? emptyBodies();
   if (policies.checksBaseVersions) {
     const conflicts = await findConflicts(manifest, {
       platform,
-      head: row.value.head,
+      head: row.head,
       before,
     });
     if (conflicts.length > 0) return err({ kind: "conflict", conflicts });
@@ -151,14 +162,13 @@
   }
   const change = await storeChange(manifest, {
     platform,
-    head: row.value.head,
+    head: row.head,
     before,
     after,
   });
   if (!change) return err(UNAVAILABLE);
   return ok({
     ...submitted,
-    row: row.value,
     change,
     configuration: { head: change.head, bodies: after },
   });
--- /dev/null
+++ b/packages/core/src/configuration/machine_test.ts
@@ -0,0 +1,50 @@
+import { expect, test } from "vitest";
+import { type Effect, MachineTask } from "../shared/machine_task.ts";
+import { type HoldingEvent, holdingMachine } from "./machine.ts";
+import { emptyBodies } from "./store.ts";
+
+const PLATFORM = { kind: "platform" } as const;
+
+function peer(id: string) {
+  return { kind: "peer", id, peerAddress: id } as const;
+}
+
+function obtained(version: number, source = PLATFORM): HoldingEvent {
+  const head = { version, scopes: {} };
+  const configuration = { head, bodies: emptyBodies() };
+  return { type: "obtained", configuration, changes: [], source };
+}
+
+function create() {
+  const effects: Effect[] = [];
+  const machine = new MachineTask(holdingMachine, {
+    input: { isNewer: (offered, inForce) => offered > inForce },
+    perform: (effect) => effects.push(effect),
+  });
+  return { machine, effects };
+}
+
+test("A lower version that arrives late isn't put in force", () => {
+  const { machine, effects } = create();
+  machine.send({ type: "noticed", version: 5, source: PLATFORM });
+  machine.send(obtained(6));
+  machine.send(obtained(5));
+  const types = effects.map((effect) => effect.type);
+  expect(types).toEqual(["fetch", "putInForce"]);
+  expect(machine.snapshot.context.version).toBe(6);
+});
+
+test("A second source is asked beside a slow first one, and the last when both fail", () => {
+  const { machine, effects } = create();
+  machine.send({ type: "noticed", version: 5, source: PLATFORM });
+  machine.send({ type: "noticed", version: 5, source: peer("vm-2") });
+  machine.send({ type: "noticed", version: 5, source: peer("vm-3") });
+  expect(effects).toMatchObject([{ params: { source: PLATFORM } }, {
+    params: { source: peer("vm-2") },
+  }]);
+  machine.send({ type: "failed", source: PLATFORM });
+  machine.send({ type: "failed", source: peer("vm-2") });
+  expect(effects.at(-1)).toMatchObject({ params: { source: peer("vm-3") } });
+  machine.send({ type: "failed", source: peer("vm-3") });
+  expect(machine.snapshot.value).toBe("idle");
+});
--- a/packages/core/src/configuration/task.ts
+++ b/packages/core/src/configuration/task.ts
@@ -218,7 +218,7 @@
       this.#noticePlatform(version);
       await this.#waitForVersion(version, CATCH_UP_MS);
     }
-    return this.version() === version ? this.#current : null;
+    return this.#current;
   }
 
   async #pollOnce(): Promise<void> {
--- a/packages/fakes/src/network/network.ts
+++ b/packages/fakes/src/network/network.ts
@@ -99,6 +99,11 @@
     this.#cuts.delete(pairName(a, b));
   }
 
+  /** Whether the path between two hosts is cut. */
+  isCut(a: Host, b: Host): boolean {
+    return this.#cuts.has(pairName(a, b));
+  }
+
   /** Makes all connections open between two hosts silent; new ones work. */
   silence(a: Host, b: Host): void {
     for (const connection of this.#open) {
