Frame of the administration interface and of the tool

Cause: the interface was one switch and the tool two commands; manifests, calls and summaries need a place to plug in. Change: routes in typed maps, queries apart from commands, least role by route; principals from the manifest's roles and the first administrator's token; vms, endpoints with load, calls, summaries list and cancel, addresses, configuration, metrics. The tool prints tables or JSON, fails without stack traces and with documented exit codes. Peers get summaries/cancel.

--- /dev/null
+++ b/packages/cli/src/commands/cancel_summary.ts
@@ -0,0 +1,30 @@
+/** `teaselvalve summaries cancel` */
+import type { CancelOutcome } from "@teaselvalve/daemon";
+import { command, positional, string } from "cmd-ts";
+import { commandAdmin, connectionArgs } from "../shared/client.ts";
+import { outputArgs, printJson, printLine } from "../shared/output.ts";
+
+/** Cancels a running summary. */
+export const cancelSummary = command({
+  name: "cancel",
+  description: "Cancels a running summary; its caller is told",
+  args: {
+    ...connectionArgs,
+    ...outputArgs,
+    key: positional({ type: string, displayName: "workspace/request" }),
+  },
+  examples: [{
+    description: "Cancels summary-1 of the workspace lenders",
+    command:
+      "teaselvalve summaries cancel lenders/summary-1 --vm 127.0.0.1:7010 --token-file admin-token",
+  }],
+  async handler(args) {
+    const key = encodeURIComponent(args.key);
+    const outcome = await commandAdmin<CancelOutcome>(
+      args,
+      `/admin/summaries/${key}/cancel`,
+    );
+    if (args.json) return printJson(outcome);
+    printLine(`Cancelled ${outcome.key} at ${outcome.vm}`);
+  },
+});
--- a/packages/cli/src/commands/submit_manifest.ts
+++ b/packages/cli/src/commands/submit_manifest.ts
@@ -1,9 +1,13 @@
 /** `teaselvalve manifest submit` */
-import { readFileSync } from "node:fs";
 import process from "node:process";
 import type { SubmissionOutcome } from "@teaselvalve/core";
 import { command, positional, string } from "cmd-ts";
-import { callAdmin, connectionArgs, EXIT_CODES } from "../shared/client.ts";
+import {
+  callAdmin,
+  connectionArgs,
+  EXIT_CODES,
+  readNamedFile,
+} from "../shared/client.ts";
 
 /** Submits a manifest. */
 export const submitManifest = command({
@@ -14,7 +18,7 @@
     file: positional({ type: string, displayName: "file" }),
   },
   async handler(args) {
-    const manifest: unknown = JSON.parse(readFileSync(args.file, "utf8"));
+    const manifest: unknown = JSON.parse(readNamedFile(args.file));
     const answer = await callAdmin(args, "/admin/manifests", manifest);
     const outcome = answer.body as SubmissionOutcome;
     if (outcome.kind === "accepted") {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,17 +1,21 @@
 /** The operators' command-line tool. */
 import process from "node:process";
-import { run, subcommands } from "cmd-ts";
-import { submitManifest } from "./commands/submit_manifest.ts";
-import { vms } from "./queries/vms.ts";
+import { runSafely } from "cmd-ts";
+import { program } from "./program.ts";
+import { EXIT_CODES, ToolFailure } from "./shared/failure.ts";
 
-const manifest = subcommands({
-  name: "manifest",
-  cmds: { submit: submitManifest },
-});
-
-const program = subcommands({
-  name: "teaselvalve",
-  cmds: { manifest, vms },
-});
-
-await run(program, process.argv.slice(2));
+try {
+  const result = await runSafely(program, process.argv.slice(2));
+  if (result._tag === "error") {
+    // The library ends usage errors and help alike through an exit.
+    const { message, into } = result.error.config;
+    process[into].write(`${message}\n`);
+    process.exitCode = into === "stdout" ? EXIT_CODES.done : EXIT_CODES.usage;
+  }
+} catch (error) {
+  const failure = error instanceof ToolFailure
+    ? error
+    : new ToolFailure((error as Error).message ?? String(error));
+  process.stderr.write(`${failure.message}\n`);
+  process.exitCode = failure.exitCode;
+}
--- /dev/null
+++ b/packages/cli/src/program.ts
@@ -0,0 +1,33 @@
+/** The tool's commands, and how it ends. */
+import { type runSafely, subcommands } from "cmd-ts";
+import { cancelSummary } from "./commands/cancel_summary.ts";
+import { manifest } from "./manifest.ts";
+import { addresses } from "./queries/addresses.ts";
+import { calls } from "./queries/calls.ts";
+import { configuration } from "./queries/configuration.ts";
+import { endpoints } from "./queries/endpoints.ts";
+import { metrics } from "./queries/metrics.ts";
+import { listSummaries } from "./queries/summaries.ts";
+import { vms } from "./queries/vms.ts";
+
+const summaries = subcommands({
+  name: "summaries",
+  description: "Summaries that run",
+  cmds: { list: listSummaries, cancel: cancelSummary },
+});
+
+/** Every command of the tool. */
+export const program: Parameters<typeof runSafely>[0] = subcommands({
+  name: "teaselvalve",
+  description: "Operates a teaselvalve deployment through any of its VMs",
+  cmds: {
+    manifest,
+    vms,
+    endpoints,
+    calls,
+    summaries,
+    addresses,
+    configuration,
+    metrics,
+  },
+});
--- /dev/null
+++ b/packages/cli/src/queries/summaries.ts
@@ -0,0 +1,30 @@
+/** `teaselvalve summaries list` */
+import type { SummaryStatus } from "@teaselvalve/daemon";
+import { command } from "cmd-ts";
+import { connectionArgs, queryAdmin } from "../shared/client.ts";
+import { outputArgs, printRows } from "../shared/output.ts";
+
+/** Lists the summaries that engines hold memory for. */
+export const listSummaries = command({
+  name: "list",
+  description: "Lists the summaries that engines report to hold memory for",
+  args: { ...connectionArgs, ...outputArgs },
+  examples: [{
+    description: "What runs now, by engine",
+    command:
+      "teaselvalve summaries list --vm 127.0.0.1:7010 --token-file admin-token",
+  }],
+  async handler(args) {
+    const runs = await queryAdmin<SummaryStatus[]>(args, "/admin/summaries");
+    printRows(runs, {
+      json: args.json,
+      columns: [
+        { title: "SUMMARY", value: (run) => run.key },
+        { title: "ENDPOINT", value: (run) => run.endpoint },
+        { title: "OWNER", value: (run) => run.owner },
+        { title: "TOKENS", value: (run) => run.generatedTokens },
+        { title: "PIECES", value: (run) => run.memoryPieces },
+      ],
+    });
+  },
+});
--- a/packages/cli/src/queries/vms.ts
+++ b/packages/cli/src/queries/vms.ts
@@ -1,13 +1,30 @@
 /** `teaselvalve vms` */
+import type { Member } from "@teaselvalve/core";
 import { command } from "cmd-ts";
-import { callAdmin, connectionArgs, printJson } from "../shared/client.ts";
+import { connectionArgs, queryAdmin } from "../shared/client.ts";
+import { outputArgs, printRows } from "../shared/output.ts";
 
 /** Lists the VMs in view. */
 export const vms = command({
   name: "vms",
-  description: "Lists the VMs in view",
-  args: connectionArgs,
+  description: "Lists the VMs that the asked VM knows, with their state",
+  args: { ...connectionArgs, ...outputArgs },
+  examples: [{
+    description: "Every VM as one of them sees it",
+    command: "teaselvalve vms --vm 127.0.0.1:7010 --token-file admin-token",
+  }],
   async handler(args) {
-    printJson((await callAdmin(args, "/admin/vms")).body);
+    const members = await queryAdmin<Member[]>(args, "/admin/vms");
+    printRows(members, {
+      json: args.json,
+      columns: [
+        { title: "VM", value: (member) => member.id },
+        { title: "STATE", value: (member) => member.state },
+        { title: "DATA CENTRE", value: (member) => member.dataCentre },
+        { title: "REGION", value: (member) => member.region },
+        { title: "CALLERS", value: (member) => member.callerAddress },
+        { title: "PEERS", value: (member) => member.peerAddress },
+      ],
+    });
   },
 });
--- a/packages/core/src/shared/verdict.ts
+++ b/packages/core/src/shared/verdict.ts
@@ -6,6 +6,7 @@
   "bad-request",
   "body-too-large",
   "unauthenticated",
+  "forbidden",
   "not-found",
   "unknown-model",
   "model-not-allowed",
@@ -40,6 +41,7 @@
   "engine-crashed",
   "deadline-passed",
   "slow-reader",
+  "cancelled",
   "cut-by-stop",
 ] as const;
 
--- a/packages/core/src/summaries/app.ts
+++ b/packages/core/src/summaries/app.ts
@@ -18,6 +18,8 @@
   "summaries/hand-over": (
     params: { key: RequestKey; epoch: number },
   ) => Promise<{ registration: Registration | null }>;
+  /** Cancels a summary that this VM owns, on an operator's order; its caller is refused. */
+  "summaries/cancel": (params: { key: RequestKey }) => { known: boolean };
 }
 
 /** Lists the peer methods of summaries. */
--- a/packages/core/src/summaries/task.ts
+++ b/packages/core/src/summaries/task.ts
@@ -8,6 +8,7 @@
 import {
   asId,
   type EndpointId,
+  type RequestKey,
   requestKey,
   type StreamId,
 } from "../shared/ids.ts";
@@ -36,6 +37,7 @@
   #context: VmContext;
   #options: SummariesTaskOptions;
   #started = 0;
+  #runs = new Map<RequestKey, SummaryRun>();
 
   constructor(context: VmContext, options: SummariesTaskOptions) {
     this.#context = context;
@@ -45,7 +47,8 @@
   /** Starts a summary, or attaches to one that runs. */
   submit(request: SummaryRequest, sink: SummarySink): SummaryHandle {
     const key = requestKey(request.workspace, request.request);
-    const run = new SummaryRun(request, sink);
+    const run = new SummaryRun(request, sink, () => this.#runs.delete(key));
+    this.#runs.set(key, run);
     this.#run(run).catch((error) => {
       this.#context.observer.log({
         event: "summary-error",
@@ -63,6 +66,15 @@
     };
   }
 
+  /** Cancels a summary on an operator's order; false when this VM does not own it. */
+  cancel(key: RequestKey): boolean {
+    const run = this.#runs.get(key);
+    if (!run) return false;
+    run.refuse(mayHaveRun("cancelled"));
+    run.cancel();
+    return true;
+  }
+
   async #run(run: SummaryRun): Promise<void> {
     const { request } = run;
     const key = requestKey(request.workspace, request.request);
@@ -176,14 +188,21 @@
   attachment: Attachment | undefined;
   #finished = false;
   #sink: SummarySink;
+  #onEnd: () => void;
 
-  constructor(readonly request: SummaryRequest, sink: SummarySink) {
+  constructor(
+    readonly request: SummaryRequest,
+    sink: SummarySink,
+    onEnd: () => void,
+  ) {
     this.#sink = sink;
+    this.#onEnd = onEnd;
   }
 
   send(event: Parameters<SummarySink>[0]): void {
     if (this.#finished) return;
     this.#finished = event.kind !== "tokens";
+    if (this.#finished) this.#onEnd();
     this.#sink(event);
   }
 
@@ -193,6 +212,7 @@
 
   cancel(): void {
     this.#finished = true;
+    this.#onEnd();
     this.attachment?.detach();
   }
 
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -52,6 +52,9 @@
       ...createSummariesApp({
         "summaries/register": (params) => home.register(params),
         "summaries/hand-over": () => Promise.resolve({ registration: null }),
+        "summaries/cancel": ({ key }) => ({
+          known: this.summaries.cancel(key),
+        }),
       }).handlers,
     };
   }
--- /dev/null
+++ b/packages/daemon/src/admin/commands/summaries.ts
@@ -0,0 +1,78 @@
+/** Commands on running summaries. */
+import {
+  type Member,
+  notRun,
+  type RequestKey,
+  workspaceOf,
+} from "@teaselvalve/core";
+import { err, ok } from "neverthrow";
+import {
+  type AdminContext,
+  type AdminRoutes,
+  mayChangeWorkspace,
+} from "../types.ts";
+import { listSummaries } from "../queries/summaries.ts";
+
+const CANCEL_TIMEOUT_MS = 2_000;
+
+/** What became of a cancellation. */
+export interface CancelOutcome {
+  readonly key: RequestKey;
+  /** The VM that cancelled it. */
+  readonly vm: string;
+}
+
+/** Bodies that these commands answer. */
+export interface SummaryCommands {
+  "POST /admin/summaries/:key/cancel": CancelOutcome;
+}
+
+/** Lists these commands. */
+export function createSummaryCommands(
+  context: AdminContext,
+): AdminRoutes<SummaryCommands> {
+  return {
+    "POST /admin/summaries/:key/cancel": {
+      least: "operator",
+      async handle({ params, principal }) {
+        const key = params.key as RequestKey;
+        if (!mayChangeWorkspace(principal, workspaceOf(key))) {
+          return err(notRun("forbidden"));
+        }
+        for (const owner of await findOwners(context, key)) {
+          if (await cancelAt(context, { owner, key })) {
+            return ok({ body: { key, vm: owner.id } });
+          }
+        }
+        return err(notRun("not-found"));
+      },
+    },
+  };
+}
+
+/** Finds the VMs that may own a summary, those that the engines name first. */
+async function findOwners(
+  context: AdminContext,
+  key: RequestKey,
+): Promise<Member[]> {
+  const { membership } = context.vm;
+  const listed = await listSummaries(context);
+  const named = listed.filter((run) => run.key === key)
+    .map((run) => membership.member(run.owner))
+    .filter((member) => member !== undefined);
+  // A load report may be too old to list the run, so this VM is asked as well.
+  const own = membership.member(membership.self.id);
+  return [...new Set(own ? [...named, own] : named)];
+}
+
+async function cancelAt(
+  { vm }: AdminContext,
+  options: { owner: Member; key: RequestKey },
+): Promise<boolean> {
+  const answer = await vm.context.ports.peers.call(
+    options.owner,
+    "summaries/cancel",
+    { params: { key: options.key }, timeoutMs: CANCEL_TIMEOUT_MS },
+  );
+  return answer.isOk() && answer.value.known;
+}
--- a/packages/daemon/src/admin/handler.ts
+++ b/packages/daemon/src/admin/handler.ts
@@ -1,59 +1,88 @@
 /** The administration interface. */
-import { notRun, type Vm } from "@teaselvalve/core";
+import { digest, notRun, type Refusal } from "@teaselvalve/core";
 import {
   bearerToken,
   type Exchange,
   parseJson,
   readBody,
   sendJson,
+  sendText,
 } from "../http/exchange.ts";
 import { sendProblem } from "../http/problem.ts";
-import type { Metrics } from "../observe/metrics.ts";
-import { sameSecret } from "../peers/server.ts";
+import { listAdminRoutes } from "./app.ts";
+import { authenticateAdmin } from "./authenticate.ts";
+import { createRouter } from "./router.ts";
+import {
+  type AdminContext,
+  type AdminPrincipal,
+  configurationOf,
+  includesRole,
+} from "./types.ts";
 
 /** What the administration interface needs. */
-export interface AdminHandlerOptions {
-  vm: Vm;
-  metrics: Metrics;
+export interface AdminHandlerOptions extends AdminContext {
+  /** The first administrator's token. */
   adminToken: string;
   bodyLimitBytes: number;
 }
 
-const OUTCOME_STATUS = {
-  accepted: 200,
-  conflict: 409,
-  invalid: 422,
-  unknown: 504,
-  unavailable: 503,
-};
-
 /** Answers operators. */
 export function createAdminHandler(options: AdminHandlerOptions) {
-  const { vm, metrics } = options;
-  return async ({ incoming, response, url }: Exchange): Promise<void> => {
+  const router = createRouter(listAdminRoutes(options));
+  const firstTokenHash = digest(options.adminToken);
+  const { metrics, observer } = options;
+  return async (exchange: Exchange): Promise<void> => {
+    const { incoming, response, url } = exchange;
+    const refuse = (refusal: Refusal) => {
+      observer.count("refusals", refusal.reason);
+      sendProblem(response, refusal);
+    };
     if (url.pathname === "/metrics") {
-      response.setHeader("content-type", metrics.registry.contentType);
-      response.end(await metrics.registry.metrics());
-      return;
+      const text = await metrics.registry.metrics();
+      return sendText(response, text, metrics.registry.contentType);
     }
-    if (!sameSecret(bearerToken(incoming) ?? "", options.adminToken)) {
-      return sendProblem(response, notRun("unauthenticated"));
-    }
-    const route = `${incoming.method} ${url.pathname}`;
-    switch (route) {
-      case "POST /admin/manifests": {
-        const body = await readBody(incoming, options.bodyLimitBytes);
-        const json = body.andThen(parseJson);
-        if (json.isErr()) return sendProblem(response, json.error);
-        const outcome = await vm.configuration.submit(json.value);
-        return sendJson(response, outcome, OUTCOME_STATUS[outcome.kind]);
-      }
-      case "GET /admin/configuration":
-        return sendJson(response, vm.configuration.current());
-      case "GET /admin/vms":
-        return sendJson(response, vm.membership.members());
-      default:
-        return sendProblem(response, notRun("not-found"));
+    const principal = authenticateAdmin(bearerToken(incoming), {
+      configuration: configurationOf(options),
+      firstTokenHash,
+    });
+    if (!principal) return refuse(notRun("unauthenticated"));
+    const matched = router(incoming.method ?? "GET", url.pathname);
+    if (!matched) return refuse(notRun("not-found"));
+    const { route, params } = matched;
+    if (!includesRole(principal.role, route.least)) {
+      return refuse(notRun("forbidden"));
     }
+    const body = await readJson(exchange, options.bodyLimitBytes);
+    if (body.isErr()) return refuse(body.error);
+    const verdict = await route.handle({
+      principal,
+      params,
+      query: url.searchParams,
+      body: body.value,
+    });
+    if (incoming.method !== "GET") logCommand(options, { exchange, principal });
+    if (verdict.isErr()) return refuse(verdict.error);
+    sendJson(response, verdict.value.body, verdict.value.status);
   };
 }
+
+async function readJson(exchange: Exchange, limitBytes: number) {
+  const body = await readBody(exchange.incoming, limitBytes);
+  return body.andThen((text) =>
+    text === "" ? body.map(() => undefined as unknown) : parseJson(text)
+  );
+}
+
+function logCommand(
+  { observer }: AdminContext,
+  details: { exchange: Exchange; principal: AdminPrincipal },
+): void {
+  const { exchange, principal } = details;
+  observer.log({
+    event: "admin-command",
+    request: exchange.id,
+    by: principal.name,
+    method: exchange.incoming.method,
+    path: exchange.url.pathname,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/admin/queries/directory.ts
@@ -0,0 +1,46 @@
+/** Queries of VMs and of the addresses that callers are told. */
+import {
+  type AddressAnswer,
+  type DataCentre,
+  listAddresses,
+  type Member,
+  notRun,
+} from "@teaselvalve/core";
+import { err, ok } from "neverthrow";
+import {
+  type AdminContext,
+  type AdminRoutes,
+  configurationOf,
+} from "../types.ts";
+
+/** Bodies that these queries answer. */
+export interface DirectoryQueries {
+  "GET /admin/vms": readonly Member[];
+  "GET /admin/addresses": AddressAnswer;
+}
+
+/** Lists these queries. */
+export function createDirectoryQueries(
+  context: AdminContext,
+): AdminRoutes<DirectoryQueries> {
+  return {
+    "GET /admin/vms": {
+      least: "reader",
+      handle: () => ok({ body: context.vm.membership.members() }),
+    },
+    "GET /admin/addresses": {
+      least: "reader",
+      handle({ query }) {
+        const configuration = configurationOf(context);
+        if (!configuration) return err(notRun("no-configuration"));
+        const dataCentre = query.get("data_centre") as DataCentre | null;
+        const answer = listAddresses(context.vm.membership, {
+          dataCentre: dataCentre ?? undefined,
+          spreadBy: query.get("spread_by") ?? "",
+          ttlMs: configuration.bodies.deployment.addressTtlMs,
+        });
+        return ok({ body: answer });
+      },
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/admin/queries/endpoints.ts
@@ -0,0 +1,90 @@
+/** Queries of endpoints with their load. */
+import type {
+  DataCentre,
+  Endpoint,
+  EndpointId,
+  LoadReport,
+} from "@teaselvalve/core";
+import { ok } from "neverthrow";
+import { readLoads } from "../load.ts";
+import {
+  type AdminContext,
+  type AdminRoutes,
+  configurationOf,
+} from "../types.ts";
+
+/** An endpoint's load, from its newest report. */
+export interface EndpointLoad {
+  readonly ageMs: number;
+  readonly state: LoadReport["state"];
+  readonly usedSlots: number;
+  readonly slots: number;
+  readonly usedPieces: number;
+  readonly memoryPieces: number;
+  readonly queuedTokens: number;
+}
+
+/** One endpoint as operators see it. */
+export interface EndpointStatus {
+  readonly id: EndpointId;
+  readonly kind: Endpoint["kind"];
+  readonly address: string;
+  readonly dataCentre: DataCentre;
+  /** The model or the plain service. */
+  readonly serves: string;
+  readonly state: Endpoint["state"];
+  /** Null for plain services, which report none, and for engines that did not answer. */
+  readonly load: EndpointLoad | null;
+}
+
+/** Bodies that these queries answer. */
+export interface EndpointQueries {
+  "GET /admin/endpoints": readonly EndpointStatus[];
+}
+
+/** Lists these queries. */
+export function createEndpointQueries(
+  context: AdminContext,
+): AdminRoutes<EndpointQueries> {
+  return {
+    "GET /admin/endpoints": {
+      least: "reader",
+      async handle() {
+        const endpoints = configurationOf(context)?.bodies.endpoints ?? [];
+        const loads = await readLoads(context, endpoints);
+        const body = endpoints.map((endpoint) =>
+          toStatus(endpoint, loads.get(endpoint.id))
+        );
+        return ok({ body });
+      },
+    },
+  };
+}
+
+function toStatus(
+  endpoint: Endpoint,
+  report: LoadReport | undefined,
+): EndpointStatus {
+  const { id, kind, address, dataCentre, state } = endpoint;
+  return {
+    id,
+    kind,
+    address,
+    dataCentre,
+    serves: endpoint.model ?? endpoint.service ?? "",
+    state,
+    load: report ? toLoad(report) : null,
+  };
+}
+
+function toLoad(report: LoadReport): EndpointLoad {
+  return {
+    ageMs: Math.round(report.ageMs),
+    state: report.state,
+    usedSlots: report.runs.length,
+    slots: report.slots,
+    usedPieces: report.runs.reduce((sum, run) => sum + run.memoryPieces, 0),
+    memoryPieces: report.memoryPieces,
+    queuedTokens: report.queuedTokens,
+  };
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -60,6 +60,7 @@
       handle: createAdminHandler({
         vm,
         metrics,
+        observer,
         adminToken: secrets.adminToken,
         bodyLimitBytes: bodyLimitBytes * 16,
       }),
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -9,6 +9,8 @@
   readonly incoming: IncomingMessage;
   readonly response: ServerResponse;
   readonly url: URL;
+  /** Names the request in log lines. */
+  readonly id: string;
 }
 
 /** Reads a request's body as text, up to a limit. */
@@ -45,6 +47,16 @@
   response.end(JSON.stringify(body));
 }
 
+/** Answers with text. */
+export function sendText(
+  response: ServerResponse,
+  text: string,
+  contentType: string,
+): void {
+  response.writeHead(200, { "content-type": contentType });
+  response.end(text);
+}
+
 /** Reads one header. */
 export function header(
   incoming: IncomingMessage,
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -6,6 +6,7 @@
   "bad-request": 400,
   "body-too-large": 413,
   "unauthenticated": 401,
+  "forbidden": 403,
   "not-found": 404,
   "unknown-model": 404,
   "model-not-allowed": 403,
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -1,4 +1,5 @@
 /** An HTTP server as a part of the daemon. */
+import { randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import { notRun, type Observer } from "@teaselvalve/core";
 import type { Part } from "../lifecycle/manager.ts";
@@ -18,12 +19,14 @@
 /** Serves one interface. */
 export function createHttpPart(options: HttpPartOptions): Part {
   const server: Server = createServer((incoming, response) => {
+    const id = randomUUID();
     const url = new URL(incoming.url ?? "/", "http://vm");
-    Promise.resolve(options.handle({ incoming, response, url })).catch(
+    Promise.resolve(options.handle({ incoming, response, url, id })).catch(
       (error) => {
         options.observer.log({
           event: "request-error",
           level: "error",
+          request: id,
           interface: options.name,
           message: String(error),
         });
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -1,4 +1,9 @@
 /** The daemon, for tests and experiments that run it in process. */
+export type * from "./admin/commands/summaries.ts";
+export type * from "./admin/queries/calls.ts";
+export type * from "./admin/queries/endpoints.ts";
+export type * from "./admin/queries/metrics.ts";
+export type * from "./admin/queries/summaries.ts";
 export * from "./daemon.ts";
 export * from "./http/calls.ts";
 export * from "./lifecycle/manager.ts";
