Settings checked as a whole, limits of the interfaces, outgoing calls that never repeat

Cause: settings stopped at some errors, TLS was missing; a body over the limit reset its connection instead of being refused, a target such as // ended the process, an error in a handler was told as not run; EHOSTUNREACH on a used connection counted as not sent, a timeout left other silent connections in use. Change: every settings error at once with files and TLS; limits for headers, slow senders, slow readers, idle connections; refusals on broken requests; mayHaveRun(internal-error); notSent only from the connect call or before the connection stood; a fresh client for each fresh call and stream; kept agents retired after a timeout; streams time out by their own clock.

--- a/packages/core/src/shared/verdict.ts
+++ b/packages/core/src/shared/verdict.ts
@@ -5,6 +5,8 @@
 export const NOT_RUN_REASONS = [
   "bad-request",
   "body-too-large",
+  "headers-too-large",
+  "request-timeout",
   "unauthenticated",
   "forbidden",
   "not-found",
@@ -41,6 +43,7 @@
   "engine-crashed",
   "deadline-passed",
   "slow-reader",
+  "internal-error",
   "cancelled",
   "cut-by-stop",
 ] as const;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,13 +12,10 @@
 import { createPeerHandler } from "./peers/server.ts";
 import { createPlatformPort } from "./platform/port.ts";
 import { createServicePort } from "./services/port.ts";
-import type { Secrets } from "./settings/load.ts";
-import type { Settings } from "./settings/schema.ts";
+import type { LoadedSettings } from "./settings/load.ts";
 
 /** What a daemon is made from. */
-export interface DaemonOptions {
-  settings: Settings;
-  secrets: Secrets;
+export interface DaemonOptions extends LoadedSettings {
   log: Log;
 }
 
@@ -30,47 +27,58 @@
 
 /** Creates a daemon. */
 export function createDaemon(options: DaemonOptions): Daemon {
-  const { settings, secrets, log } = options;
+  const { settings, secrets, tls, log } = options;
   const metrics = new Metrics();
   const observer: Observer = {
     log,
     count: (counter, reason) => metrics.count(counter, reason),
   };
-  const vm = createVm({ settings, secrets, observer });
+  const vm = createVm({ ...options, observer });
   const manager = new LifecycleManager(observer);
   const { listen, limits } = settings;
-  const common = { observer, connections: limits.connections };
+  const common = { observer, limits };
   const bodyLimitBytes = limits.bodyBytes;
-  const parts = [
-    createHttpPart({
-      ...common,
-      name: "peers",
-      address: listen.peers,
-      handle: createPeerHandler({
-        handlers: vm.peerHandlers,
-        secret: secrets.peerSecret,
-        bodyLimitBytes: bodyLimitBytes * 16,
-      }),
-    }),
-    { name: "vm", start: () => vm.start(), stop: () => vm.stop() },
-    createHttpPart({
-      ...common,
-      name: "admin",
-      address: listen.admin,
-      handle: createAdminHandler({
-        vm,
-        metrics,
-        observer,
-        adminToken: secrets.adminToken,
-        bodyLimitBytes: bodyLimitBytes * 16,
-      }),
+  const peers = createHttpPart({
+    ...common,
+    name: "peers",
+    address: listen.peers,
+    tls: tls.peers,
+    requestLevel: "debug",
+    handle: createPeerHandler({
+      handlers: vm.peerHandlers,
+      secret: secrets.peerSecret,
+      bodyLimitBytes: bodyLimitBytes * 16,
     }),
-    createHttpPart({
-      ...common,
-      name: "callers",
-      address: listen.callers,
-      handle: createCallerHandler({ vm, observer, bodyLimitBytes }),
+  });
+  const admin = createHttpPart({
+    ...common,
+    name: "admin",
+    address: listen.admin,
+    tls: tls.admin,
+    requestLevel: "info",
+    handle: createAdminHandler({
+      vm,
+      metrics,
+      observer,
+      adminToken: secrets.adminToken,
+      bodyLimitBytes: bodyLimitBytes * 16,
     }),
+  });
+  const callers = createHttpPart({
+    ...common,
+    name: "callers",
+    address: listen.callers,
+    tls: tls.callers,
+    requestLevel: "info",
+    stopTimeoutMs: limits.stopTimeoutMs,
+    handle: createCallerHandler({ vm, observer, bodyLimitBytes }),
+  });
+  metrics.watchInterfaces([peers, admin, callers]);
+  const parts = [
+    peers,
+    { name: "vm", start: () => vm.start(), stop: () => vm.stop() },
+    admin,
+    callers,
   ];
   return {
     start: () => manager.start(parts),
@@ -78,12 +86,8 @@
   };
 }
 
-function createVm(options: {
-  settings: Settings;
-  secrets: Secrets;
-  observer: Observer;
-}): Vm {
-  const { settings, secrets, observer } = options;
+function createVm(options: LoadedSettings & { observer: Observer }): Vm {
+  const { settings, secrets, tls, observer } = options;
   const vm: Vm = new Vm({
     identity: {
       ...settings.vm,
@@ -97,6 +101,7 @@
       services: createServicePort(),
       peers: createPeerPort({
         secret: secrets.peerSecret,
+        tls: tls.peers,
         own: {
           peerAddress: settings.listen.peers,
           handlers: () => vm.peerHandlers,
--- /dev/null
+++ b/packages/daemon/src/engines/attachment_test.ts
@@ -0,0 +1,174 @@
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { asId, type EndpointId, type StreamEvent } from "@teaselvalve/core";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { deferred } from "../testing/deferred.ts";
+import { freePort } from "../testing/ports.ts";
+import { HttpAttachment } from "./attachment.ts";
+
+let server: Server;
+let address: string;
+let answer: (response: ServerResponse, incoming: IncomingMessage) => void;
+let seen: number;
+
+beforeEach(async () => {
+  seen = 0;
+  server = createServer((incoming, response) => {
+    seen += 1;
+    answer(response, incoming);
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+});
+
+afterEach(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+function attach(options: { timeoutMs?: number; at?: string } = {}) {
+  const events: StreamEvent[] = [];
+  const ended = deferred();
+  const attachment = new HttpAttachment({
+    method: "POST",
+    path: "/v1/runs",
+    body: {},
+    timeoutMs: options.timeoutMs ?? 2_000,
+    sink(event) {
+      events.push(event);
+      if (event.kind === "end" || event.kind === "failed") ended.resolve();
+    },
+  });
+  void attachment.run({
+    id: asId<EndpointId>("decode-1"),
+    address: options.at ?? address,
+  });
+  return { attachment, events, ended: ended.promise };
+}
+
+function send(response: ServerResponse, event: StreamEvent): void {
+  response.write(`data: ${JSON.stringify(event)}\n\n`);
+}
+
+const TOKENS: StreamEvent = { kind: "tokens", offset: 0, texts: [" ä"] };
+const END: StreamEvent = { kind: "end", totalTokens: 1, finish: "stop" };
+
+test("relays events and nothing after the end", async () => {
+  answer = (response) => {
+    response.writeHead(200);
+    for (const event of [TOKENS, END, TOKENS]) send(response, event);
+  };
+  const { events, ended } = attach();
+  await ended;
+  expect(events).toEqual([TOKENS, END]);
+});
+
+test("a refused connection proves that nothing was sent", async () => {
+  const at = `127.0.0.1:${await freePort()}`;
+  const { events, ended } = attach({ at });
+  await ended;
+  expect(events).toEqual([{ kind: "failed", failure: { kind: "notSent" } }]);
+});
+
+test("a connection that breaks is lost, and not opened again", async () => {
+  answer = (response) => {
+    response.writeHead(200);
+    send(response, TOKENS);
+    setImmediate(() => response.destroy());
+  };
+  const { events, ended } = attach();
+  await ended;
+  expect(events.at(-1)).toEqual({ kind: "failed", failure: { kind: "lost" } });
+  expect(seen).toBe(1);
+});
+
+test("a rejection is passed on", async () => {
+  const failure = { kind: "rejected", code: "full" } as const;
+  answer = (response) => {
+    response.writeHead(409);
+    response.end(JSON.stringify(failure));
+  };
+  const { events, ended } = attach();
+  await ended;
+  expect(events).toEqual([{ kind: "failed", failure }]);
+});
+
+test("an event that is no JSON loses the stream", async () => {
+  answer = (response) => response.end("data: {\n\n");
+  const { events, ended } = attach();
+  await ended;
+  expect(events).toEqual([{ kind: "failed", failure: { kind: "lost" } }]);
+});
+
+test.each(["before the headers", "between events"])(
+  "silence %s times out and closes the connection",
+  async (when) => {
+    const closed = deferred();
+    answer = (response, incoming) => {
+      incoming.socket.once("close", closed.resolve);
+      if (when === "between events") {
+        response.writeHead(200);
+        send(response, TOKENS);
+      }
+    };
+    const { events, ended } = attach({ timeoutMs: 100 });
+    await ended;
+    expect(events.at(-1)).toEqual({
+      kind: "failed",
+      failure: { kind: "timeout" },
+    });
+    await closed.promise;
+  },
+);
+
+test("a detached stream closes its connection and emits nothing", async () => {
+  const closed = deferred();
+  const arrived = deferred();
+  answer = (_response, incoming) => {
+    incoming.socket.once("close", closed.resolve);
+    arrived.resolve();
+  };
+  const { attachment, events } = attach();
+  await arrived.promise;
+  attachment.detach();
+  await closed.promise;
+  expect(events).toEqual([]);
+});
+
+test("a pause holds the engine back and is no silence", async () => {
+  const stuck = deferred();
+  let sentBytes = 0;
+  const text = "x".repeat(1_048_576);
+  answer = (response) => {
+    response.writeHead(200);
+    const fill = () => {
+      while (!response.writableNeedDrain && sentBytes < 64 * 1_048_576) {
+        send(response, { kind: "tokens", offset: 0, texts: [text] });
+        sentBytes += text.length;
+      }
+      const socket = response.socket!;
+      const before = socket.bytesWritten - socket.writableLength;
+      setTimeout(() => {
+        const now = socket.bytesWritten - socket.writableLength;
+        if (now === before && response.writableNeedDrain) stuck.resolve();
+        else fill();
+      }, 50);
+    };
+    fill();
+  };
+  const { attachment, events } = attach({ timeoutMs: 400 });
+  attachment.pause();
+  await stuck.promise;
+  expect(events).toEqual([]);
+  expect(sentBytes).toBeLessThan(16 * 1_048_576);
+  attachment.resume();
+  await expect.poll(() => events.length).toBeGreaterThan(3);
+  attachment.detach();
+});
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -1,7 +1,7 @@
 /** One HTTP request with its response, and helpers to read and answer it. */
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { notRun, type Refusal } from "@teaselvalve/core";
+import { type LogValue, notRun, type Refusal } from "@teaselvalve/core";
 import { err, ok, type Result } from "neverthrow";
 
 /** A request under way. */
@@ -9,23 +9,47 @@
   readonly incoming: IncomingMessage;
   readonly response: ServerResponse;
   readonly url: URL;
-  /** Names the request in log lines. */
+  /** Names the request in log lines and in the `request-id` header. */
   readonly id: string;
+  /** What the request's log line carries besides; handlers add to it. */
+  readonly fields: Record<string, LogValue>;
 }
 
 /** Reads a request's body as text, up to a limit. */
-export async function readBody(
+export function readBody(
   incoming: IncomingMessage,
   limitBytes: number,
 ): Promise<Result<string, Refusal>> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of incoming) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > limitBytes) return err(notRun("body-too-large"));
-    chunks.push(chunk);
+  const tooLarge = notRun("body-too-large", {
+    detail: `The body may have ${limitBytes} bytes`,
+  });
+  if (Number(incoming.headers["content-length"] ?? 0) > limitBytes) {
+    return Promise.resolve(err(tooLarge));
   }
-  return ok(Buffer.concat(chunks).toString("utf8"));
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    // Leaves the connection whole, unlike a loop over the stream, so that the refusal arrives.
+    const end = (result: Result<string, Refusal>) => {
+      incoming.removeAllListeners("data");
+      incoming.resume();
+      resolve(result);
+    };
+    incoming.on("data", (chunk: Buffer) => {
+      sizeBytes += chunk.length;
+      if (sizeBytes > limitBytes) return end(err(tooLarge));
+      chunks.push(chunk);
+    });
+    incoming.once("end", () => {
+      end(ok(Buffer.concat(chunks).toString("utf8")));
+    });
+    incoming.once("close", () => {
+      end(err(notRun("bad-request", { detail: "The body ended early" })));
+    });
+    incoming.once("error", () => {
+      end(err(notRun("bad-request", { detail: "The body ended early" })));
+    });
+  });
 }
 
 /** Parses JSON text. */
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -1,10 +1,13 @@
 /** Refusals as `application/problem+json`. */
-import type { ServerResponse } from "node:http";
+import { Buffer } from "node:buffer";
+import { type ServerResponse, STATUS_CODES } from "node:http";
 import type { NotRunReason, Refusal } from "@teaselvalve/core";
 
 const STATUS_BY_REASON: Partial<Record<NotRunReason, number>> = {
   "bad-request": 400,
   "body-too-large": 413,
+  "headers-too-large": 431,
+  "request-timeout": 408,
   "unauthenticated": 401,
   "forbidden": 403,
   "not-found": 404,
@@ -20,6 +23,8 @@
 };
 const NOT_RUN_STATUS = 503;
 const MAY_HAVE_RUN_STATUS = 504;
+const INTERNAL_ERROR_STATUS = 500;
+const PROBLEM_TYPE = "application/problem+json";
 
 /** A refusal as callers see it. */
 export interface ProblemBody {
@@ -36,6 +41,8 @@
 export function problemOf(refusal: Refusal): ProblemBody {
   const status = refusal.kind === "notRun"
     ? STATUS_BY_REASON[refusal.reason] ?? NOT_RUN_STATUS
+    : refusal.reason === "internal-error"
+    ? INTERNAL_ERROR_STATUS
     : MAY_HAVE_RUN_STATUS;
   return {
     type: `urn:teaselvalve:refusal:${refusal.reason}`,
@@ -54,12 +61,27 @@
 export function sendProblem(response: ServerResponse, refusal: Refusal): void {
   const problem = problemOf(refusal);
   const headers: Record<string, string> = {
-    "content-type": "application/problem+json",
+    "content-type": PROBLEM_TYPE,
   };
   if (refusal.kind === "notRun") {
     const seconds = Math.max(1, Math.ceil(refusal.retryAfterMs / 1_000));
     headers["retry-after"] = String(seconds);
   }
+  // The refusal may come after the caller has gone or the answer has begun.
+  if (response.headersSent || response.destroyed) return;
   response.writeHead(problem.status, headers);
   response.end(JSON.stringify(problem));
 }
+
+/** Formats a refusal for a connection on which no request could be read. */
+export function formatRawProblem(refusal: Refusal, status: number): string {
+  const body = JSON.stringify({ ...problemOf(refusal), status });
+  return [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+    `Content-Type: ${PROBLEM_TYPE}`,
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    "Connection: close",
+    "",
+    body,
+  ].join("\r\n");
+}
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -1,10 +1,26 @@
 /** An HTTP server as a part of the daemon. */
 import { randomUUID } from "node:crypto";
-import { createServer, type Server } from "node:http";
-import { notRun, type Observer } from "@teaselvalve/core";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { Socket } from "node:net";
+import {
+  mayHaveRun,
+  notRun,
+  type Observer,
+  type Refusal,
+} from "@teaselvalve/core";
 import type { Part } from "../lifecycle/manager.ts";
+import type { TlsFiles } from "../settings/load.ts";
+import type { Limits } from "../settings/schema.ts";
+import { ConnectionSweep } from "./connection_sweep.ts";
 import type { Exchange } from "./exchange.ts";
-import { sendProblem } from "./problem.ts";
+import { formatRawProblem, sendProblem } from "./problem.ts";
 
 /** Options of {@link createHttpPart}. */
 export interface HttpPartOptions {
@@ -13,47 +29,270 @@
   address: string;
   handle: (exchange: Exchange) => Promise<void> | void;
   observer: Observer;
-  connections: number;
+  limits: Limits;
+  /** Plain when absent. */
+  tls?: TlsFiles | undefined;
+  /** Level of the line that each answered request is logged with. */
+  requestLevel: "debug" | "info";
+  stopTimeoutMs?: number;
 }
 
+/** What an interface has under way. */
+export interface Activity {
+  readonly connections: number;
+  readonly requests: number;
+  /** Answers that have begun and not ended. */
+  readonly streams: number;
+}
+
+/** A part that serves one interface. */
+export interface HttpPart extends Part {
+  activity(): Activity;
+}
+
+// Callers that arrive together fill Node's usual queue of 511.
+const LISTEN_BACKLOG = 4_096;
+const CHECK_INTERVAL_MS = 1_000;
+// Connections over the limit that are told so; what comes on top is dropped unanswered.
+const REFUSED_CONNECTIONS = 100;
+
 /** Serves one interface. */
-export function createHttpPart(options: HttpPartOptions): Part {
-  const server: Server = createServer((incoming, response) => {
-    const id = randomUUID();
-    const url = new URL(incoming.url ?? "/", "http://vm");
-    Promise.resolve(options.handle({ incoming, response, url, id })).catch(
-      (error) => {
-        options.observer.log({
-          event: "request-error",
-          level: "error",
-          request: id,
-          interface: options.name,
-          message: String(error),
-        });
-        if (response.headersSent) response.destroy();
-        else sendProblem(response, notRun("bad-request"));
-      },
-    );
-  });
-  server.maxConnections = options.connections;
-  const [host, port] = splitAddress(options.address);
+export function createHttpPart(options: HttpPartOptions): HttpPart {
+  const http = new HttpInterface(options);
   return {
     name: options.name,
-    start: () =>
-      new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, host, resolve);
-      }),
-    stop: () =>
-      new Promise<void>((resolve) => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
-      }),
+    stopTimeoutMs: options.stopTimeoutMs,
+    start: () => http.listen(),
+    stop: () => http.close(),
+    abort: () => http.abort(),
+    activity: () => http.activity(),
   };
 }
 
+/** Owns the sockets of one interface. */
+class HttpInterface {
+  #options: HttpPartOptions;
+  #server: Server;
+  #sweep: ConnectionSweep;
+  #responses = new Set<ServerResponse>();
+  #closing = false;
+
+  constructor(options: HttpPartOptions) {
+    this.#options = options;
+    const { limits, observer } = options;
+    this.#server = createNodeServer(options, (incoming, response) => {
+      void this.#answer(incoming, response);
+    });
+    this.#sweep = new ConnectionSweep({
+      stalledMs: limits.slowReaderMs,
+      onStalled: () => observer.count("refusals", "slow-reader"),
+    });
+    this.#server.maxConnections = limits.connections + REFUSED_CONNECTIONS;
+    // One more than allowed, so that the excess shows.
+    this.#server.maxHeadersCount = limits.headerCount + 1;
+    this.#server.on("connection", (socket) => this.#admit(socket));
+    this.#server.on(
+      "drop",
+      () => observer.count("refusals", "too-many-connections"),
+    );
+    this.#server.on("clientError", (error, socket) => {
+      this.#refuseSocket(socket as Socket, refusalOf(error));
+    });
+  }
+
+  listen(): Promise<void> {
+    const [host, port] = splitAddress(this.#options.address);
+    this.#sweep.start();
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen({ port, host, backlog: LISTEN_BACKLOG }, resolve);
+    });
+  }
+
+  /** Takes nothing new and waits for the requests under way. */
+  close(): Promise<void> {
+    this.#closing = true;
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        this.#sweep.stop();
+        resolve();
+      });
+      this.#server.closeIdleConnections();
+    });
+  }
+
+  abort(): void {
+    this.#sweep.stop();
+    this.#server.closeAllConnections();
+  }
+
+  activity(): Activity {
+    const responses = [...this.#responses];
+    return {
+      connections: this.#sweep.size,
+      requests: responses.length,
+      streams: responses.filter((response) => response.headersSent).length,
+    };
+  }
+
+  #admit(socket: Socket): void {
+    if (this.#sweep.size < this.#options.limits.connections) {
+      this.#sweep.add(socket);
+      return;
+    }
+    socket.on("error", () => {});
+    // Under TLS the other side could not read an answer before its handshake.
+    if (this.#options.tls) {
+      this.#options.observer.count("refusals", "too-many-connections");
+      socket.destroy();
+    } else {
+      this.#refuseSocket(socket, {
+        refusal: notRun("too-many-connections"),
+        status: 503,
+      });
+    }
+  }
+
+  async #answer(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const id = randomUUID();
+    const startedMs = performance.now();
+    response.setHeader("request-id", id);
+    if (this.#closing) response.setHeader("connection", "close");
+    // A connection that breaks shows as the response's close.
+    incoming.on("error", () => {});
+    response.on("error", () => {});
+    this.#responses.add(response);
+    const url = parseUrl(incoming.url);
+    const exchange = url &&
+      { incoming, response, url, id, fields: {} } satisfies Exchange;
+    response.once("close", () => {
+      this.#responses.delete(response);
+      this.#logRequest(exchange, { incoming, response, id, startedMs });
+    });
+    const refusal = this.#checkHeaders(incoming);
+    if (refusal) return this.#refuse(response, refusal);
+    if (!exchange) {
+      const detail = "The path is malformed";
+      return this.#refuse(response, notRun("bad-request", { detail }));
+    }
+    try {
+      await this.#options.handle(exchange);
+    } catch (error) {
+      this.#fail(exchange, error);
+    }
+  }
+
+  #checkHeaders(incoming: IncomingMessage): Refusal | null {
+    const { headerCount } = this.#options.limits;
+    return Object.keys(incoming.headersDistinct).length > headerCount ||
+        incoming.rawHeaders.length / 2 > headerCount
+      ? notRun("headers-too-large")
+      : null;
+  }
+
+  #refuse(response: ServerResponse, refusal: Refusal): void {
+    this.#options.observer.count("refusals", refusal.reason);
+    sendProblem(response, refusal);
+  }
+
+  #fail(exchange: Exchange, error: unknown): void {
+    const { observer, name } = this.#options;
+    observer.log({
+      event: "request-error",
+      level: "error",
+      request: exchange.id,
+      interface: name,
+      message: String(error),
+    });
+    // What the handler did before it failed is not known here.
+    if (exchange.response.headersSent) exchange.response.destroy();
+    else this.#refuse(exchange.response, mayHaveRun("internal-error"));
+  }
+
+  #refuseSocket(socket: Socket, problem: RawProblem): void {
+    this.#options.observer.count("refusals", problem.refusal.reason);
+    if (!socket.writable) return void socket.destroy();
+    socket.end(formatRawProblem(problem.refusal, problem.status), () => {
+      socket.destroy();
+    });
+  }
+
+  #logRequest(
+    exchange: Exchange | null,
+    details: {
+      incoming: IncomingMessage;
+      response: ServerResponse;
+      id: string;
+      startedMs: number;
+    },
+  ): void {
+    const { incoming, response, id, startedMs } = details;
+    this.#options.observer.log({
+      event: "request",
+      level: this.#options.requestLevel,
+      request: id,
+      interface: this.#options.name,
+      method: incoming.method,
+      path: exchange?.url.pathname,
+      status: response.headersSent ? response.statusCode : undefined,
+      complete: response.writableFinished,
+      durationMs: Math.round(performance.now() - startedMs),
+      ...exchange?.fields,
+    });
+  }
+}
+
+interface RawProblem {
+  refusal: Refusal;
+  status: number;
+}
+
 /** Splits `host:port`. */
 export function splitAddress(address: string): [string, number] {
   const at = address.lastIndexOf(":");
   return [address.slice(0, at), Number(address.slice(at + 1))];
 }
+
+function createNodeServer(
+  { limits, tls }: HttpPartOptions,
+  listener: (incoming: IncomingMessage, response: ServerResponse) => void,
+): Server {
+  const common: ServerOptions = {
+    maxHeaderSize: limits.headerBytes,
+    headersTimeout: Math.min(limits.headersMs, limits.requestMs),
+    requestTimeout: limits.requestMs,
+    keepAliveTimeout: limits.idleMs,
+    connectionsCheckingInterval: Math.min(CHECK_INTERVAL_MS, limits.headersMs),
+  };
+  if (!tls) return createServer(common, listener);
+  return createTlsServer({
+    ...common,
+    cert: tls.certificate,
+    key: tls.key,
+    ca: tls.authorities,
+    requestCert: tls.requireClientCertificate,
+    rejectUnauthorized: tls.requireClientCertificate,
+    handshakeTimeout: limits.headersMs,
+  }, listener);
+}
+
+function parseUrl(target: string | undefined): URL | null {
+  const base = "http://vm";
+  return URL.canParse(target ?? "/", base)
+    ? new URL(target ?? "/", base)
+    : null;
+}
+
+function refusalOf(error: Error): RawProblem {
+  const { code } = error as { code?: string };
+  if (code === "HPE_HEADER_OVERFLOW") {
+    return { refusal: notRun("headers-too-large"), status: 431 };
+  }
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
+    return { refusal: notRun("request-timeout"), status: 408 };
+  }
+  return { refusal: notRun("bad-request"), status: 400 };
+}
--- a/packages/daemon/src/lifecycle/manager.ts
+++ b/packages/daemon/src/lifecycle/manager.ts
@@ -6,10 +6,13 @@
   readonly name: string;
   start(): Promise<void> | void;
   stop(): Promise<void> | void;
-  /** Limit for stopping. */
-  readonly stopTimeoutMs?: number;
+  /** Ends at once what a stop left running at its limit. */
+  abort?(): void;
+  readonly startTimeoutMs?: number | undefined;
+  readonly stopTimeoutMs?: number | undefined;
 }
 
+const DEFAULT_START_TIMEOUT_MS = 10_000;
 const DEFAULT_STOP_TIMEOUT_MS = 5_000;
 
 /** Owns the start and the clean-up of the daemon's parts. */
@@ -24,13 +27,14 @@
   /** Starts parts in order. If one fails, those that were started are stopped. */
   async start(parts: readonly Part[]): Promise<void> {
     for (const part of parts) {
+      // A part that failed halfway may hold something, so it is stopped as well.
+      this.#started.push(part);
       try {
-        await part.start();
+        await this.#start(part);
       } catch (error) {
         await this.stop();
         throw error;
       }
-      this.#started.push(part);
       this.#observer.log({ event: "part-started", part: part.name });
     }
   }
@@ -43,7 +47,9 @@
       part = this.#started.pop()
     ) {
       const limitMs = part.stopTimeoutMs ?? DEFAULT_STOP_TIMEOUT_MS;
-      const stopped = await endsWithin(part.stop(), limitMs);
+      const stopped = await endsWithin(() => part.stop(), limitMs)
+        .catch(() => false);
+      if (!stopped) part.abort?.();
       this.#observer.log({
         event: stopped ? "part-stopped" : "part-stop-timeout",
         level: stopped ? "info" : "warn",
@@ -51,18 +57,30 @@
       });
     }
   }
+
+  async #start(part: Part): Promise<void> {
+    const limitMs = part.startTimeoutMs ?? DEFAULT_START_TIMEOUT_MS;
+    if (await endsWithin(() => part.start(), limitMs)) return;
+    throw new Error(`${part.name} did not start within ${limitMs} ms`);
+  }
 }
 
+/** Answers whether some work ended within a limit; its failure is thrown. */
 async function endsWithin(
-  work: Promise<void> | void,
+  work: () => Promise<void> | void,
   limitMs: number,
 ): Promise<boolean> {
   let timer: ReturnType<typeof setTimeout> | undefined;
   const limit = new Promise<boolean>((resolve) => {
     timer = setTimeout(() => resolve(false), limitMs);
   });
-  const done = Promise.resolve(work).then(() => true, () => false);
-  const stopped = await Promise.race([done, limit]);
-  clearTimeout(timer);
-  return stopped;
+  const done = (async () => {
+    await work();
+    return true;
+  })();
+  try {
+    return await Promise.race([done, limit]);
+  } finally {
+    clearTimeout(timer);
+  }
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,12 +3,9 @@
 import { command, flag, option, run, string } from "cmd-ts";
 import { createDaemon } from "./daemon.ts";
 import { createLog } from "./observe/log.ts";
-import {
-  loadSecrets,
-  loadSettings,
-  type SettingsError,
-} from "./settings/load.ts";
+import { loadSettings, type SettingsError } from "./settings/load.ts";
 
+const EXIT_START_FAILED = 1;
 const EXIT_BAD_SETTINGS = 2;
 
 const program = command({
@@ -26,29 +23,26 @@
     }),
   },
   async handler(args) {
-    const settings = loadSettings(args.settings);
-    if (settings.isErr()) return exitWithErrors(settings.error);
-    const secrets = loadSecrets(settings.value);
-    if (secrets.isErr()) return exitWithErrors(secrets.error);
+    const loaded = loadSettings(args.settings);
+    if (loaded.isErr()) return exitWithErrors(loaded.error);
+    const { settings } = loaded.value;
     if (args.checkSettings) {
       process.stdout.write("Settings are fine\n");
       return;
     }
-    const log = createLog({
-      vm: settings.value.vm.id,
-      level: settings.value.log.level,
-    });
-    const daemon = createDaemon({
-      settings: settings.value,
-      secrets: secrets.value,
-      log,
-    });
+    const log = createLog({ vm: settings.vm.id, level: settings.log.level });
+    const daemon = createDaemon({ ...loaded.value, log });
     const stop = () => {
       void daemon.stop().then(() => process.exit(0));
     };
     process.once("SIGTERM", stop);
     process.once("SIGINT", stop);
-    await daemon.start();
+    try {
+      await daemon.start();
+    } catch (error) {
+      log({ event: "start-failed", level: "error", message: String(error) });
+      process.exit(EXIT_START_FAILED);
+    }
     log({ event: "daemon-ready" });
   },
 });
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -1,6 +1,7 @@
 /** Counters and gauges of one daemon. */
 import type { CounterName } from "@teaselvalve/core";
-import { collectDefaultMetrics, Counter, Registry } from "prom-client";
+import { collectDefaultMetrics, Counter, Gauge, Registry } from "prom-client";
+import type { HttpPart } from "../http/server.ts";
 
 const HELP: Record<CounterName, string> = {
   refusals: "Requests refused, by verdict and reason",
@@ -17,6 +18,18 @@
   orders: "Orders to engines, by outcome",
 };
 
+const GAUGES = {
+  connections: { help: "Open connections, by interface", field: "connections" },
+  requests_in_progress: {
+    help: "Requests that have no complete answer yet, by interface",
+    field: "requests",
+  },
+  streams: {
+    help: "Answers that have begun and not ended, by interface",
+    field: "streams",
+  },
+} as const;
+
 /** Owns a daemon's registry of metrics. */
 export class Metrics {
   readonly registry = new Registry();
@@ -37,6 +50,23 @@
     }
   }
 
+  /** Shows what interfaces have under way, read at each scrape. */
+  watchInterfaces(parts: readonly HttpPart[]): void {
+    for (const [name, { help, field }] of Object.entries(GAUGES)) {
+      new Gauge({
+        name: `teaselvalve_${name}`,
+        help,
+        labelNames: ["interface"],
+        registers: [this.registry],
+        collect() {
+          for (const part of parts) {
+            this.set({ interface: part.name }, part.activity()[field]);
+          }
+        },
+      });
+    }
+  }
+
   /** Adds one to a counter under a reason. */
   count(counter: CounterName, reason: string): void {
     this.#counters.get(counter)?.inc({ reason });
--- a/packages/daemon/src/peers/port.ts
+++ b/packages/daemon/src/peers/port.ts
@@ -1,31 +1,36 @@
 /** The peer port: json-rpc-2.0 over kept HTTP connections. */
-import type { PeerHandlers, PeerPort } from "@teaselvalve/core";
+import type { PeerFailure, PeerHandlers, PeerPort } from "@teaselvalve/core";
 import { createJSONRPCRequest, type JSONRPCResponse } from "json-rpc-2.0";
-import { err, ok } from "neverthrow";
-import { callHttp, createFreshAgent, createKeptAgent } from "../http/calls.ts";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type CallTls,
+  createFreshCaller,
+  createKeptCaller,
+} from "../http/calls.ts";
+import { tryParseJson } from "../http/json.ts";
 
 /** Options of {@link createPeerPort}. */
 export interface PeerPortOptions {
   secret: string;
+  /** Plain when absent. */
+  tls?: CallTls | undefined;
   /** This VM's own peer address and handlers; calls to it take no socket. */
   own: { peerAddress: string; handlers: () => PeerHandlers };
 }
 
 /** Connects to the other VMs. */
 export function createPeerPort(options: PeerPortOptions): PeerPort {
-  const kept = createKeptAgent();
-  const fresh = createFreshAgent();
+  const kept = createKeptCaller({ tls: options.tls });
+  const fresh = createFreshCaller({ tls: options.tls });
   let lastId = 0;
   return {
     async call(peer, method, { params, timeoutMs, fresh: wantsFresh }) {
       if (peer.peerAddress === options.own.peerAddress) {
-        const handler = options.own.handlers()[method] as (
-          params: unknown,
-        ) => unknown;
-        return ok((await handler(params)) as never);
+        return await callOwn(options.own.handlers(), { method, params });
       }
       lastId += 1;
-      const answer = await callHttp(wantsFresh ? fresh : kept, {
+      const caller = wantsFresh ? fresh : kept;
+      const answer = await caller.call({
         method: "POST",
         address: peer.peerAddress,
         path: "/",
@@ -38,10 +43,23 @@
         const message = `Status ${answer.value.status}`;
         return err({ kind: "refused", message });
       }
-      const reply = JSON.parse(answer.value.text) as JSONRPCResponse;
+      const reply = tryParseJson<JSONRPCResponse>(answer.value.text);
+      if (!reply) return err({ kind: "lost" });
       return reply.error
         ? err({ kind: "refused", message: reply.error.message })
         : ok(reply.result as never);
     },
   };
 }
+
+async function callOwn(
+  handlers: PeerHandlers,
+  call: { method: keyof PeerHandlers; params: unknown },
+): Promise<Result<never, PeerFailure>> {
+  const handler = handlers[call.method] as (params: unknown) => unknown;
+  try {
+    return ok((await handler(call.params)) as never);
+  } catch (error) {
+    return err({ kind: "refused", message: String(error) });
+  }
+}
--- a/packages/daemon/src/platform/port.ts
+++ b/packages/daemon/src/platform/port.ts
@@ -5,7 +5,8 @@
   StoreFailure,
 } from "@teaselvalve/core";
 import { err, ok, type Result } from "neverthrow";
-import { callHttp, createKeptAgent } from "../http/calls.ts";
+import { createKeptCaller } from "../http/calls.ts";
+import { tryParseJson } from "../http/json.ts";
 
 /** Options of {@link createPlatformPort}. */
 export interface PlatformPortOptions {
@@ -22,12 +23,12 @@
 
 /** Connects to the platform's services. */
 export function createPlatformPort(options: PlatformPortOptions): PlatformPort {
-  const agent = createKeptAgent();
+  const kept = createKeptCaller();
 
   async function call<T>(
     request: PlatformCall,
   ): Promise<Result<T, StoreFailure>> {
-    const answer = await callHttp(agent, {
+    const answer = await kept.call({
       method: request.method,
       address: options.address,
       path: request.path,
@@ -41,7 +42,10 @@
     if (answer.value.status !== 200) {
       return err({ kind: "unknown", detail: `Status ${answer.value.status}` });
     }
-    return ok(JSON.parse(answer.value.text) as T);
+    const value = tryParseJson<T>(answer.value.text);
+    return value === undefined
+      ? err({ kind: "unknown", detail: "The answer is not JSON" })
+      : ok(value);
   }
 
   return {
--- a/packages/daemon/src/services/port.ts
+++ b/packages/daemon/src/services/port.ts
@@ -1,14 +1,14 @@
 /** The service port over HTTP; every call takes a fresh connection. */
 import type { ServicePort } from "@teaselvalve/core";
-import { callHttp, createFreshAgent } from "../http/calls.ts";
+import { createFreshCaller } from "../http/calls.ts";
 
 /** Connects to plain services. */
 export function createServicePort(): ServicePort {
-  const agent = createFreshAgent();
+  const fresh = createFreshCaller();
   return {
     async call(endpoint, request, { timeoutMs }) {
       const hasBody = request.method !== "GET" && request.method !== "HEAD";
-      const answer = await callHttp(agent, {
+      const answer = await fresh.call({
         method: request.method,
         address: endpoint.address,
         path: request.path,
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -1,11 +1,17 @@
-/** The daemon's settings, as an INI file gives them. */
+/** The daemon's settings, as an INI file gives them. `docs/operators/settings.md` lists them. */
 import type { DataCentre, Region, VmId } from "@teaselvalve/core";
 import { z } from "zod";
 
-const address = z.string().regex(
-  /^[^\s:]+:\d{1,5}$/,
-  "Expected host:port",
-);
+const MAX_PORT = 65_535;
+
+const address = z.string()
+  .regex(/^[^\s:]+:\d{1,5}$/, { error: "Expected host:port", abort: true })
+  .refine((text) => {
+    const port = Number(text.slice(text.indexOf(":") + 1));
+    return port > 0 && port <= MAX_PORT;
+  }, `Expected a port from 1 to ${MAX_PORT}`);
+
+const file = z.string().min(1, "Expected the name of a file");
 
 function label<T extends string>() {
   return z.string().regex(
@@ -14,6 +20,26 @@
   ).transform((text) => text as T);
 }
 
+function wholeNumber(options: { min: number; default: number }) {
+  return z.string("Expected a whole number")
+    .regex(/^\d{1,15}$/, "Expected a whole number")
+    .transform(Number)
+    .refine(
+      (value) => value >= options.min,
+      `Expected at least ${options.min}`,
+    )
+    .default(options.default);
+}
+
+const TlsSchema = z.strictObject({
+  /** The interface's certificate with its chain, in PEM. */
+  certificateFile: file,
+  keyFile: file,
+  /** Authorities that the other side's certificate must come from, in PEM. */
+  caFile: file.optional(),
+  requireClientCertificate: z.boolean("Expected true or false").default(false),
+});
+
 /** Sections and keys of the settings file. */
 export const SettingsSchema = z.strictObject({
   vm: z.strictObject({
@@ -31,23 +57,47 @@
   }),
   platform: z.strictObject({
     address,
-    timeoutMs: z.coerce.number().int().min(10).default(1_000),
+    timeoutMs: wholeNumber({ min: 10, default: 1_000 }),
   }),
   secrets: z.strictObject({
     /** File that holds the secret shared by the deployment's VMs. */
-    peerSecretFile: z.string().min(1),
-    /** File that holds the first administrator's token, used until a manifest names roles. */
-    adminTokenFile: z.string().min(1),
+    peerSecretFile: file,
+    /** File that holds the first administrator's token, which is valid beside the manifest's roles. */
+    adminTokenFile: file,
   }),
+  /** Interfaces without a section of their own are plain. */
+  tls: z.strictObject({
+    callers: TlsSchema.optional(),
+    admin: TlsSchema.optional(),
+    peers: TlsSchema.optional(),
+  }).prefault({}),
   limits: z.strictObject({
-    bodyBytes: z.coerce.number().int().min(1_024).default(1_048_576),
-    connections: z.coerce.number().int().min(10).default(10_000),
-    stopTimeoutMs: z.coerce.number().int().min(1_000).default(120_000),
+    bodyBytes: wholeNumber({ min: 1_024, default: 1_048_576 }),
+    headerBytes: wholeNumber({ min: 1_024, default: 16_384 }),
+    headerCount: wholeNumber({ min: 10, default: 100 }),
+    /** Open connections of one interface. */
+    connections: wholeNumber({ min: 10, default: 10_000 }),
+    /** How long a kept connection may stay without a request. */
+    idleMs: wholeNumber({ min: 100, default: 30_000 }),
+    /** How long a request's headers may take to arrive. */
+    headersMs: wholeNumber({ min: 100, default: 10_000 }),
+    /** How long a whole request may take to arrive. */
+    requestMs: wholeNumber({ min: 100, default: 60_000 }),
+    /** How long a caller may take nothing of an answer that waits for it. */
+    slowReaderMs: wholeNumber({ min: 100, default: 15_000 }),
+    stopTimeoutMs: wholeNumber({ min: 1_000, default: 120_000 }),
   }).prefault({}),
   log: z.strictObject({
-    level: z.enum(["debug", "info", "warn", "error"]).default("info"),
+    level: z.enum(
+      ["debug", "info", "warn", "error"],
+      "Expected debug, info, warn or error",
+    ).default("info"),
   }).prefault({}),
 });
 
 /** Checked settings. */
 export type Settings = z.infer<typeof SettingsSchema>;
+/** TLS settings of one interface. */
+export type TlsSettings = z.infer<typeof TlsSchema>;
+/** Limits of the interfaces. */
+export type Limits = Settings["limits"];
