--- /dev/null
+++ b/packages/bench/src/scenarios/main.ts
@@ -0,0 +1,32 @@
+/** `npm run scenarios`: runs every scenario, and each again without the mechanisms that it names. */
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { command, optional, positional, run, string } from "cmd-ts";
+import { SCENARIO_FOLDER } from "./folder.ts";
+import { proveScenario } from "./prove_scenario.ts";
+
+const program = command({
+  name: "scenarios",
+  args: { only: positional({ type: optional(string), displayName: "name" }) },
+  async handler({ only }) {
+    const files = readdirSync(SCENARIO_FOLDER)
+      .filter((file) => file.endsWith(".scenario") && file.includes(only ?? ""))
+      .sort();
+    let failed = 0;
+    for (const file of files) {
+      const text = readFileSync(join(SCENARIO_FOLDER, file), "utf8");
+      const proof = await proveScenario(text);
+      const outcome = proof.problems.length === 0 ? "passed" : "FAILED";
+      process.stdout.write(`${outcome}  ${file}: ${proof.title}\n`);
+      for (const problem of proof.problems) {
+        process.stdout.write(`        ${problem}\n`);
+      }
+      if (proof.problems.length > 0) failed += 1;
+    }
+    process.stdout.write(`${files.length - failed} passed, ${failed} failed\n`);
+    process.exitCode = failed > 0 ? 1 : 0;
+  },
+});
+
+await run(program, process.argv.slice(2));
--- /dev/null
+++ b/packages/bench/src/scenarios/scenarios_test.ts
@@ -0,0 +1,14 @@
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { expect, test } from "vitest";
+import { SCENARIO_FOLDER } from "./folder.ts";
+import { proveScenario } from "./prove_scenario.ts";
+
+const files = readdirSync(SCENARIO_FOLDER).filter((file) =>
+  file.endsWith(".scenario")
+);
+
+test.each(files)("%s", async (file) => {
+  const text = readFileSync(join(SCENARIO_FOLDER, file), "utf8");
+  expect((await proveScenario(text)).problems).toEqual([]);
+});
--- /dev/null
+++ b/packages/bench/src/scenarios/types.ts
@@ -0,0 +1,84 @@
+/** What the grammar makes of a scenario's lines. */
+
+/** Options of a request that a caller sends. */
+export type SendOption =
+  | { readonly kind: "tokens"; readonly tokens: number }
+  | { readonly kind: "offset"; readonly offset: number }
+  | { readonly kind: "body"; readonly body: string }
+  | { readonly kind: "within"; readonly ms: number }
+  | { readonly kind: "crashes" };
+
+/** Something that must hold at its place in a scenario. */
+export type Expectation =
+  | {
+    readonly kind: "ran";
+    readonly key: string;
+    readonly count: number;
+    readonly atMost: boolean;
+  }
+  | { readonly kind: "answered"; readonly caller: string }
+  | { readonly kind: "unanswered"; readonly caller: string }
+  | { readonly kind: "tokens"; readonly caller: string }
+  | {
+    readonly kind: "refused";
+    readonly caller: string;
+    readonly verdict: "notRun" | "mayHaveRun";
+    readonly reason: string | null;
+  }
+  | { readonly kind: "nothingHeld" }
+  | { readonly kind: "crashed"; readonly count: number }
+  | { readonly kind: "noNewWork"; readonly engine: string }
+  | {
+    readonly kind: "manifest";
+    readonly id: string;
+    readonly outcome: "accepted" | "conflict";
+  }
+  | { readonly kind: "inForce"; readonly version: number };
+
+/** One line of a scenario. */
+export type Statement =
+  | { readonly kind: "title"; readonly title: string }
+  /** The scenario must fail when the named mutant takes a mechanism away. */
+  | { readonly kind: "without"; readonly mutant: string }
+  | { readonly kind: "seed"; readonly seed: number }
+  | {
+    readonly kind: "send";
+    readonly caller: string;
+    readonly what: "filing" | "summary";
+    readonly key: string;
+    readonly vm: string;
+    readonly options: readonly SendOption[];
+  }
+  | { readonly kind: "leave"; readonly caller: string }
+  | { readonly kind: "dies"; readonly vm: string }
+  | { readonly kind: "replaced"; readonly vm: string }
+  | { readonly kind: "freezes"; readonly vm: string; readonly ms: number }
+  | { readonly kind: "stops"; readonly vm: string }
+  | { readonly kind: "cut"; readonly a: string; readonly b: string }
+  | { readonly kind: "heal"; readonly a: string; readonly b: string }
+  | { readonly kind: "silent"; readonly a: string; readonly b: string }
+  | {
+    readonly kind: "platform";
+    readonly state: "down" | "up" | "slow" | "loses";
+    readonly ms?: number;
+    readonly count?: number;
+  }
+  | { readonly kind: "crashes"; readonly engine: string }
+  | { readonly kind: "restarts"; readonly engine: string }
+  | { readonly kind: "leavesPool"; readonly engine: string }
+  | {
+    readonly kind: "stall";
+    readonly engine: string;
+    readonly stalled: boolean;
+  }
+  | { readonly kind: "reportsStop"; readonly engine: string }
+  | {
+    readonly kind: "manifest";
+    readonly operator: string;
+    readonly id: string;
+    readonly vm: string;
+    readonly scope: string;
+    readonly basedOn: number;
+  }
+  | { readonly kind: "wait"; readonly ms: number }
+  | { readonly kind: "expect"; readonly expectation: Expectation };
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -74,6 +74,8 @@
   /** VMs that are up, frozen ones included. */
   readonly vms = new Map<string, Vm>();
   readonly random: () => number;
+  /** How often a marked prompt or a test has crashed an engine. */
+  engineCrashes = 0;
   #handlers = new Map<string, PeerHandlers>();
   #options: WorldOptions;
   #vmsCreated = 0;
@@ -178,6 +180,15 @@
     this.platform.unlistVm(name);
   }
 
+  /** Begins a planned stop of a VM; its process ends once the stop is done. */
+  stopVm(name: Host): void {
+    const vm = this.vms.get(name);
+    if (!vm) return;
+    this.timers.runOn(name, () => {
+      void Promise.resolve(vm.stop()).then(() => this.killVm(name));
+    });
+  }
+
   /** Crashes an engine, as a kill of its process does. */
   crashEngine(address: Host): void {
     this.engines.get(address)?.crash();
@@ -290,7 +301,10 @@
       models: [MODEL],
       figures: this.#options.figures ?? TODAY_FIGURES,
       random: this.random,
-      onCrash: () => this.network.setUp(name, false),
+      onCrash: () => {
+        this.engineCrashes += 1;
+        this.network.setUp(name, false);
+      },
     };
     const engine = role === "prefill"
       ? new FakePrefillEngine(options)
--- a/packages/fakes/src/engines/decode_engine.ts
+++ b/packages/fakes/src/engines/decode_engine.ts
@@ -66,6 +66,7 @@
 
   /** Imports a prefill's result and decodes it, attached at offset 0 and epoch 1. */
   startRun(order: DecodeOrder, options: StartOptions): Attachment {
+    this.ordersSeen += 1;
     const rejection = this.#rejection(order);
     if (rejection) {
       options.sink({ kind: "failed", failure: rejection });
--- a/packages/fakes/src/engines/engine_base.ts
+++ b/packages/fakes/src/engines/engine_base.ts
@@ -27,6 +27,8 @@
 export abstract class FakeEngine {
   readonly id: EndpointId;
   readonly figures: EngineFigures;
+  /** How many prefills or runs were ordered here, refused ones included. */
+  ordersSeen = 0;
   protected readonly random: () => number;
   protected readonly tombstones = new Set<StreamId>();
   protected state: "live" | "leaving" = "live";
--- a/packages/fakes/src/engines/prefill_engine.ts
+++ b/packages/fakes/src/engines/prefill_engine.ts
@@ -64,6 +64,7 @@
 
   /** Queues a prefill; resolves when its result is exported. */
   prefill(order: PrefillOrder): Promise<Result<PrefillResult, EngineFailure>> {
+    this.ordersSeen += 1;
     if (!this.up) return Promise.resolve(err({ kind: "notSent" }));
     if (this.state === "leaving") return rejected("leaving");
     if (this.tombstones.has(order.stream)) return rejected("cancelled");
