Suspect book and retry budget

Change: each run of a body asks the hash's home first. A body that never finished may run twice at a time; after a crash it runs alone; a crash while alone convicts. Convictions are rows, news goes to all VMs of the region.

--- /dev/null
+++ b/packages/core/src/suspects/app.ts
@@ -0,0 +1,22 @@
+/** Peer methods of suspects. */
+import { type App, createApp } from "../shared/app.ts";
+import type { Admission, RunEnding, SuspectNews, SuspectRun } from "./types.ts";
+
+/** Peer methods of suspects. */
+export interface SuspectsHandlers {
+  /** Asks a hash's home whether a run may start. */
+  "suspects/admit": (params: { run: SuspectRun }) => Admission;
+  /** Tells a hash's home of runs that go on, after it became home. */
+  "suspects/resume": (params: { runs: readonly SuspectRun[] }) => null;
+  /** Tells a hash's home how a run ended. */
+  "suspects/end": (params: { run: SuspectRun; ending: RunEnding }) => null;
+  /** Tells any VM what became known of some hashes. */
+  "suspects/spread": (params: { news: readonly SuspectNews[] }) => null;
+}
+
+/** Lists the peer methods of suspects. */
+export function createSuspectsApp(
+  handlers: SuspectsHandlers,
+): App<SuspectsHandlers> {
+  return createApp<SuspectsHandlers>(handlers);
+}
--- /dev/null
+++ b/packages/core/src/suspects/book.ts
@@ -0,0 +1,290 @@
+/** Asks before each run whether a request may run, and tells what became of it. */
+import type { Member, MembershipView } from "../membership/types.ts";
+import type { EndpointId, WorkspaceId } from "../shared/ids.ts";
+import { asId } from "../shared/ids.ts";
+import { digest } from "../shared/hash.ts";
+import type { VmContext, VmTask } from "../vm/types.ts";
+import type { SuspectsHandlers } from "./app.ts";
+import { readConvictions, writeConviction } from "./convictions.ts";
+import { SuspectsHome } from "./home.ts";
+import type {
+  Admission,
+  RunEnding,
+  SuspectHash,
+  SuspectNews,
+  SuspectRun,
+  SuspectRunId,
+} from "./types.ts";
+
+const ADMIT_TIMEOUT_MS = 250;
+const TELL_TIMEOUT_MS = 1_000;
+const TELL_ATTEMPTS = 5;
+const UPKEEP_INTERVAL_MS = 1_000;
+const READ_INTERVAL_MS = 10_000;
+const BUSY_RETRY_MS = 500;
+
+/** Options of {@link SuspectBook}. */
+export interface SuspectBookOptions {
+  membership: MembershipView;
+  /** How long suspicions and convictions last. */
+  convictionMs: () => number;
+}
+
+interface HeldRun {
+  readonly run: SuspectRun;
+  home: string;
+  readonly endpoints: Set<EndpointId>;
+}
+
+/** Hashes a request as callers send it again under new keys. */
+export function suspectHash(
+  workspace: WorkspaceId,
+  body: string,
+): SuspectHash {
+  return asId(digest(`${workspace}\n${body}`));
+}
+
+/** Owns the runs of this VM and what it knows of suspects. */
+export class SuspectBook implements VmTask {
+  readonly handlers: SuspectsHandlers;
+  #context: VmContext;
+  #options: SuspectBookOptions;
+  #home: SuspectsHome;
+  #held = new Map<SuspectRunId, HeldRun>();
+  #unwritten = new Map<SuspectHash, SuspectNews>();
+  #runsCounted = 0;
+  #view = "";
+  #timers: ReturnType<typeof setInterval>[] = [];
+
+  constructor(context: VmContext, options: SuspectBookOptions) {
+    this.#context = context;
+    this.#options = options;
+    this.#home = new SuspectsHome({
+      ...options,
+      onNews: (news) => {
+        this.#countNews(news);
+        void this.#announce(news);
+      },
+    });
+    this.handlers = {
+      "suspects/admit": ({ run }) => this.#home.admit(run),
+      "suspects/resume": ({ runs }) => {
+        this.#home.resume(runs);
+        return null;
+      },
+      "suspects/end": ({ run, ending }) => {
+        this.#home.end(run, ending);
+        return null;
+      },
+      "suspects/spread": ({ news }) => {
+        for (const one of news) this.#home.learn(one);
+        return null;
+      },
+    };
+  }
+
+  /** Learns the convictions and keeps them up to date. */
+  async start(): Promise<void> {
+    this.#timers = [
+      setInterval(() => void this.#keepUp(), UPKEEP_INTERVAL_MS),
+      setInterval(() => void this.#readConvictions(), READ_INTERVAL_MS),
+    ];
+    await this.#readConvictions();
+  }
+
+  stop(): void {
+    for (const timer of this.#timers) clearInterval(timer);
+  }
+
+  /** Asks the hash's home whether the request may run. */
+  async admit(hash: SuspectHash): Promise<Admission> {
+    if (this.#home.standingOf(hash) === "convicted") {
+      return this.#convicted(hash);
+    }
+    const { identity, ports } = this.#context;
+    this.#runsCounted += 1;
+    const run: SuspectRun = {
+      id: asId(`${identity.incarnation}-u${this.#runsCounted}`),
+      hash,
+      vm: identity.id,
+      incarnation: identity.incarnation,
+      alone: false,
+    };
+    const home = this.#homeOf(hash);
+    const answer = await ports.peers.call(home, "suspects/admit", {
+      params: { run },
+      timeoutMs: ADMIT_TIMEOUT_MS,
+    });
+    const admission = answer.isOk() ? answer.value : this.#decideAlone(run);
+    if (admission.kind === "clear" || admission.kind === "alone") {
+      this.#held.set(run.id, {
+        run: admission.run,
+        home: home.id,
+        endpoints: new Set(),
+      });
+    }
+    return admission;
+  }
+
+  /** Notes that a run was started at a replica. */
+  started(run: SuspectRun, endpoint: EndpointId): void {
+    this.#held.get(run.id)?.endpoints.add(endpoint);
+  }
+
+  /** Notes that a replica crashed while it held the run. */
+  crashed(run: SuspectRun, endpoint: EndpointId): void {
+    if (!this.#held.has(run.id)) return;
+    this.#context.observer.count(
+      "suspicions",
+      run.alone ? "crashed-alone" : "crashed-in-flight",
+    );
+    this.#end(run, { kind: "crashed", endpoint });
+  }
+
+  /** Notes that a run gave its whole answer. */
+  finished(run: SuspectRun): void {
+    this.#end(run, { kind: "finished" });
+  }
+
+  /** Notes that a run ended without proof: it was cancelled or never started. */
+  released(run: SuspectRun): void {
+    this.#end(run, { kind: "released" });
+  }
+
+  /** Runs of this VM that a replica holds. */
+  runsAt(endpoint: EndpointId): SuspectRun[] {
+    return [...this.#held.values()]
+      .filter((held) => held.endpoints.has(endpoint))
+      .map((held) => held.run);
+  }
+
+  #end(run: SuspectRun, ending: RunEnding): void {
+    if (!this.#held.delete(run.id)) return;
+    // The own book learns at once, so that this VM can't start it again meanwhile.
+    const standing = run.alone ? "convicted" : "suspected";
+    const untilMs = Date.now() + this.#options.convictionMs();
+    if (ending.kind === "crashed") {
+      this.#home.learn({ hash: run.hash, standing, untilMs });
+    }
+    void this.#tellHome(run, ending);
+    if (ending.kind === "crashed") {
+      void this.#announce({ hash: run.hash, standing, untilMs });
+    }
+  }
+
+  async #tellHome(run: SuspectRun, ending: RunEnding): Promise<void> {
+    for (let attempt = 1; attempt <= TELL_ATTEMPTS; attempt += 1) {
+      const told = await this.#context.ports.peers.call(
+        this.#homeOf(run.hash),
+        "suspects/end",
+        {
+          params: { run, ending },
+          timeoutMs: TELL_TIMEOUT_MS,
+          fresh: attempt > 1,
+        },
+      );
+      if (told.isOk()) return;
+      await wait(TELL_TIMEOUT_MS);
+    }
+  }
+
+  // The home is not reached: an unsuspected body may run, a suspect may not.
+  #decideAlone(run: SuspectRun): Admission {
+    const standing = this.#home.standingOf(run.hash);
+    if (standing === "convicted") return this.#convicted(run.hash);
+    if (standing === "suspected") {
+      return { kind: "busy", retryAfterMs: BUSY_RETRY_MS };
+    }
+    return this.#home.admit(run);
+  }
+
+  #convicted(hash: SuspectHash): Admission {
+    return { kind: "convicted", retryAfterMs: this.#home.remainingMs(hash) };
+  }
+
+  #countNews(news: SuspectNews): void {
+    const { observer } = this.#context;
+    if (news.standing === "convicted") {
+      observer.count("convictions", "crashed-alone");
+    }
+    observer.log({ event: "suspect-standing", level: "warn", ...news });
+  }
+
+  async #announce(news: SuspectNews): Promise<void> {
+    if (news.standing === "convicted") this.#unwritten.set(news.hash, news);
+    const { self } = this.#options.membership;
+    const others = this.#options.membership.members().filter((member) =>
+      member.id !== self.id && member.region === self.region &&
+      member.state !== "dead"
+    );
+    await Promise.all([
+      this.#writeConvictions(),
+      ...others.map((member) => this.#spread(member, news)),
+    ]);
+  }
+
+  async #spread(member: Member, news: SuspectNews): Promise<void> {
+    for (const fresh of [false, true]) {
+      const told = await this.#context.ports.peers.call(
+        member,
+        "suspects/spread",
+        { params: { news: [news] }, timeoutMs: TELL_TIMEOUT_MS, fresh },
+      );
+      if (told.isOk()) return;
+    }
+  }
+
+  async #keepUp(): Promise<void> {
+    this.#resumeAtNewHomes();
+    await this.#writeConvictions();
+  }
+
+  // A new home knows nothing of the runs that the old one admitted.
+  #resumeAtNewHomes(): void {
+    const { self } = this.#options.membership;
+    const view = this.#options.membership.members()
+      .filter((one) => one.state === "live" && one.region === self.region)
+      .map((one) => one.id).sort().join(" ");
+    if (view === this.#view) return;
+    this.#view = view;
+    const byHome = new Map<Member, SuspectRun[]>();
+    for (const held of this.#held.values()) {
+      const home = this.#homeOf(held.run.hash);
+      if (home.id === held.home) continue;
+      held.home = home.id;
+      byHome.set(home, [...byHome.get(home) ?? [], held.run]);
+    }
+    for (const [home, runs] of byHome) {
+      void this.#context.ports.peers.call(home, "suspects/resume", {
+        params: { runs },
+        timeoutMs: TELL_TIMEOUT_MS,
+      });
+    }
+  }
+
+  async #writeConvictions(): Promise<void> {
+    for (const { hash, untilMs } of [...this.#unwritten.values()]) {
+      const written = await writeConviction(this.#context.ports.platform, {
+        hash,
+        untilMs,
+      });
+      if (!written) return;
+      this.#unwritten.delete(hash);
+    }
+  }
+
+  async #readConvictions(): Promise<void> {
+    const rows = await readConvictions(this.#context.ports.platform);
+    for (const row of rows) {
+      this.#home.learn({ ...row, standing: "convicted" });
+    }
+  }
+
+  #homeOf(hash: SuspectHash): Member {
+    return this.#options.membership.homeOf(`suspect/${hash}`);
+  }
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/core/src/suspects/home_test.ts
@@ -0,0 +1,107 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import type { MembershipView } from "../membership/types.ts";
+import { asId } from "../shared/ids.ts";
+import { SuspectsHome } from "./home.ts";
+import type { SuspectHash, SuspectNews, SuspectRun } from "./types.ts";
+
+const POISON = asId<SuspectHash>("poison");
+const NEIGHBOUR = asId<SuspectHash>("neighbour");
+const ENDPOINT = asId<never>("decode-1");
+
+let runs = 0;
+let members: Record<string, { state: string; incarnation: string }>;
+let news: SuspectNews[];
+let home: SuspectsHome;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+  runs = 0;
+  news = [];
+  members = { "vm-1": { state: "live", incarnation: "boot-1" } };
+  const membership = {
+    member: (id: string) => members[id],
+  } as unknown as MembershipView;
+  home = new SuspectsHome({
+    membership,
+    convictionMs: () => 60_000,
+    onNews: (one) => news.push(one),
+  });
+});
+
+afterEach(() => vi.useRealTimers());
+
+function run(hash: SuspectHash): SuspectRun {
+  runs += 1;
+  return {
+    id: asId(`run-${runs}`),
+    hash,
+    vm: asId("vm-1"),
+    incarnation: asId("boot-1"),
+    alone: false,
+  };
+}
+
+function admitted(hash: SuspectHash): SuspectRun {
+  const admission = home.admit(run(hash));
+  if (!("run" in admission)) throw new Error(`Not admitted: ${admission.kind}`);
+  return admission.run;
+}
+
+test("A body that always crashes its replica gets at most three, sent at once or in turn", () => {
+  let lost = 0;
+  const flying: SuspectRun[] = [];
+  for (let sent = 0; sent < 200; sent += 1) {
+    const admission = home.admit(run(POISON));
+    if ("run" in admission) flying.push(admission.run);
+    if (sent % 7 !== 6) continue;
+    const crashing = flying.shift();
+    if (!crashing) continue;
+    lost += 1;
+    home.end(crashing, { kind: "crashed", endpoint: ENDPOINT });
+  }
+  expect(lost).toBe(3);
+  expect(home.admit(run(POISON)).kind).toBe("convicted");
+  expect(news.map((one) => one.standing)).toEqual(["suspected", "convicted"]);
+  vi.advanceTimersByTime(60_001);
+  expect(home.admit(run(POISON)).kind).toBe("clear");
+});
+
+test("A neighbour of crashes runs alone, one at a time, and is trusted once it finishes", () => {
+  for (let crash = 0; crash < 2; crash += 1) {
+    const first = admitted(NEIGHBOUR);
+    home.end(first, { kind: "crashed", endpoint: ENDPOINT });
+    const alone = home.admit(run(NEIGHBOUR));
+    expect(alone.kind).toBe("alone");
+    expect(home.admit(run(NEIGHBOUR)).kind).toBe("busy");
+    if ("run" in alone) home.end(alone.run, { kind: "finished" });
+    for (let copy = 0; copy < 5; copy += 1) {
+      const clear = home.admit(run(NEIGHBOUR));
+      expect(clear.kind).toBe("clear");
+      if ("run" in clear) home.end(clear.run, { kind: "finished" });
+    }
+  }
+  expect(home.standingOf(NEIGHBOUR)).toBe("trusted");
+});
+
+test("Of copies that were running when the first crash was seen, none convicts", () => {
+  const [first, second] = [admitted(NEIGHBOUR), admitted(NEIGHBOUR)];
+  home.end(first, { kind: "crashed", endpoint: ENDPOINT });
+  home.end(second, { kind: "crashed", endpoint: ENDPOINT });
+  expect(home.standingOf(NEIGHBOUR)).toBe("suspected");
+});
+
+test("A run that was cancelled proves nothing", () => {
+  home.end(admitted(POISON), { kind: "crashed", endpoint: ENDPOINT });
+  home.end(admitted(POISON), { kind: "released" });
+  expect(home.standingOf(POISON)).toBe("suspected");
+});
+
+test("The run of a VM that is gone counts for a while and then no more", () => {
+  home.end(admitted(POISON), { kind: "crashed", endpoint: ENDPOINT });
+  admitted(POISON);
+  members["vm-1"] = { state: "live", incarnation: "boot-2" };
+  members["vm-2"] = { state: "live", incarnation: "boot-1" };
+  expect(home.admit(run(POISON)).kind).toBe("busy");
+  vi.advanceTimersByTime(5_000);
+  expect(home.admit(run(POISON)).kind).toBe("alone");
+});
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -11,13 +11,20 @@
 import { createSummariesApp } from "../summaries/app.ts";
 import { SummariesHome } from "../summaries/home.ts";
 import { SummariesTask } from "../summaries/task.ts";
+import { RetryBudget } from "../retries/budget.ts";
+import { createSuspectsApp } from "../suspects/app.ts";
+import { SuspectBook } from "../suspects/book.ts";
 import type { VmContext } from "./types.ts";
 
+const DEFAULT_CONVICTION_MS = 3_600_000;
+
 /** One entry VM: its tasks and the methods that its peers may call. */
 export class Vm {
   readonly context: VmContext;
   readonly membership: MembershipTask;
   readonly configuration: ConfigurationTask;
+  readonly suspects: SuspectBook;
+  readonly retries: RetryBudget;
   readonly calls: CallsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
@@ -32,6 +39,14 @@
     });
     const home = new SummariesHome();
     const grants = new GrantsHome(context, { configuration });
+    const deployment = () => configuration.current()?.bodies.deployment;
+    this.suspects = new SuspectBook(context, {
+      membership,
+      convictionMs: () => deployment()?.convictionMs ?? DEFAULT_CONVICTION_MS,
+    });
+    this.retries = new RetryBudget(context, {
+      share: () => deployment()?.retryBudgetShare ?? 0,
+    });
     this.configuration = configuration;
     this.membership = membership;
     this.calls = new CallsTask(context, { configuration });
@@ -49,6 +64,7 @@
         awaitOutcome: () => this.calls.awaitOutcome(),
       }).handlers,
       ...createGrantsApp(grants.handlers).handlers,
+      ...createSuspectsApp(this.suspects.handlers).handlers,
       ...createSummariesApp({
         "summaries/register": (params) => home.register(params),
         "summaries/hand-over": () => Promise.resolve({ registration: null }),
@@ -60,10 +76,12 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    await this.suspects.start();
   }
 
   /** Stops the tasks in reverse order. */
   stop(): void {
+    this.suspects.stop();
     this.configuration.stop();
     this.membership.stop();
   }
