--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -68,6 +68,9 @@
       ...createSummariesApp({
         "summaries/register": (params) => home.register(params),
         "summaries/hand-over": () => Promise.resolve({ registration: null }),
+        "summaries/cancel": ({ key }) => ({
+          known: this.summaries.cancel(key),
+        }),
       }).handlers,
     };
   }
