Membership by random probes, with suspicion, refutation and news

Cause: the view of VMs was only the platform's lagging list. Change: each second a VM probes one other VM (a random order, each once a round), then tries a fresh connection and two others before it suspects; suspicion is refuted by a higher status version; news of a few members rides on probes within 400 bytes, and views that differ are evened out in the room that is left. The list is read less often the longer it is. Homes are ranked with one integer mix a candidate and cached for a view.

--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -46,6 +46,14 @@
   observer?: Observer;
   /** Builds a VM; tests pass one that lacks a mechanism. */
   createVm?: (context: ConstructorParameters<typeof Vm>[0]) => Vm;
+  /** Places the VM of a number that counts from 0. */
+  placeOf?: (index: number) => VmPlace;
+}
+
+/** Where a VM of a world is. */
+export interface VmPlace {
+  readonly dataCentre: DataCentre;
+  readonly region: Region;
 }
 
 /** The data centres of a world. */
@@ -125,13 +133,11 @@
   addVm(): Vm {
     this.#vmsCreated += 1;
     const name = `vm-${this.#vmsCreated}`;
-    const dataCentre =
-      DATA_CENTRES[(this.#vmsCreated - 1) % DATA_CENTRES.length]!;
+    const placeOf = this.#options.placeOf ?? placeInTurn;
     const identity = {
       id: asId<VmId>(name),
       incarnation: asId<Incarnation>(`${name}-boot`),
-      dataCentre,
-      region: REGION,
+      ...placeOf(this.#vmsCreated - 1),
       callerAddress: name,
       peerAddress: name,
     };
@@ -300,6 +306,11 @@
   }
 }
 
+function placeInTurn(index: number): VmPlace {
+  const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length]!;
+  return { dataCentre, region: REGION };
+}
+
 function latencyMs(from: Host, to: Host): number {
   const hosts = [from, to];
   if (from === to) return 0;
--- a/packages/core/src/membership/app.ts
+++ b/packages/core/src/membership/app.ts
@@ -1,16 +1,22 @@
 /** Peer methods of membership. */
 import { type App, createApp } from "../shared/app.ts";
 import type { Incarnation, VmId } from "../shared/ids.ts";
-import type { Member } from "./types.ts";
+import type { MemberNews } from "./types.ts";
 
 /** What a probe carries, both ways. */
 export interface Probe {
   readonly from: VmId;
   readonly incarnation: Incarnation;
+  /** Raised by the sender when it changes state or refutes a suspicion. */
+  readonly statusVersion: number;
   readonly leaving: boolean;
   readonly configurationVersion: number;
+  /** The same on VMs whose views agree. */
+  readonly viewHash: number;
+  /** Set in an answer to a VM that the answering one doesn't know. */
+  readonly unknown?: boolean;
   /** News of a few other VMs. */
-  readonly news: readonly Member[];
+  readonly news: readonly MemberNews[];
 }
 
 /** Peer methods of membership. */
--- /dev/null
+++ b/packages/core/src/membership/machine_test.ts
@@ -0,0 +1,63 @@
+import { expect, test } from "vitest";
+import { asId } from "../shared/ids.ts";
+import type { MemberEvent } from "./machine.ts";
+import { SUSPICION_MS } from "./machine.ts";
+import { MemberRecord } from "./record.ts";
+
+function recordAfter(events: readonly MemberEvent[]): MemberRecord {
+  const record = new MemberRecord({
+    id: asId("vm-2"),
+    place: {
+      dataCentre: asId("espoo-b"),
+      region: asId("suomi-etela"),
+      callerAddress: "vm-2:1",
+      peerAddress: "vm-2:2",
+    },
+    listing: "live",
+  });
+  for (const event of events) record.send(event);
+  return record;
+}
+
+const heard = (
+  statusVersion: number,
+  announced: "live" | "leaving" = "live",
+): MemberEvent => ({
+  type: "heard",
+  statusVersion,
+  incarnation: asId("boot-1"),
+  announced,
+});
+const silent: MemberEvent = { type: "unanswered", atMs: 0 };
+const unlisted: MemberEvent = { type: "listed", listing: "absent" };
+const waited: MemberEvent = { type: "waited", atMs: SUSPICION_MS };
+
+test("Only a newer status refutes a suspicion", () => {
+  expect(recordAfter([heard(5), silent, heard(5)]).state).toBe("suspected");
+  expect(recordAfter([heard(5), silent, heard(6)]).state).toBe("live");
+});
+
+test("An accusation of an older status changes nothing", () => {
+  const accused: MemberEvent = { type: "accused", statusVersion: 4, atMs: 0 };
+  expect(recordAfter([heard(5), accused]).state).toBe("live");
+});
+
+test("A silent VM is dead once it is unlisted, not while it is listed", () => {
+  expect(recordAfter([heard(5), silent, waited]).state).toBe("suspected");
+  expect(recordAfter([heard(5), silent, unlisted, waited]).state).toBe("dead");
+});
+
+test("A leaving VM that stops answering is dead though it is listed", () => {
+  const events = [heard(5), heard(6, "leaving"), silent, waited];
+  expect(recordAfter(events).state).toBe("dead");
+});
+
+test("A VM that the platform lists as leaving is leaving", () => {
+  const listed: MemberEvent = { type: "listed", listing: "leaving" };
+  expect(recordAfter([heard(5), listed]).state).toBe("leaving");
+});
+
+test("A dead VM that answers with a newer status is live again", () => {
+  const events = [heard(5), silent, unlisted, waited, heard(6)];
+  expect(recordAfter(events).state).toBe("live");
+});
--- /dev/null
+++ b/packages/core/src/membership/news_exchange.ts
@@ -0,0 +1,212 @@
+/** Puts news on probes and takes it off them. */
+import type { VmId } from "../shared/ids.ts";
+import type { VmContext } from "../vm/types.ts";
+import type { Probe } from "./app.ts";
+import type { Listing, MemberStatus } from "./machine.ts";
+import { NEWS_LIMIT_BYTES, NewsQueue, sizeOf } from "./news_queue.ts";
+import { MemberRecord } from "./record.ts";
+import type { MemberNews, MemberPlace } from "./types.ts";
+import type { ViewTable } from "./view.ts";
+
+/** Options of {@link NewsExchange}. */
+export interface NewsExchangeOptions {
+  table: ViewTable;
+  configurationVersion: () => number;
+}
+
+/** Keeps the table in step with what other VMs say. */
+export class NewsExchange {
+  #context: VmContext;
+  #table: ViewTable;
+  #options: NewsExchangeOptions;
+  #queue = new NewsQueue();
+  #cursor = 0;
+
+  constructor(context: VmContext, options: NewsExchangeOptions) {
+    this.#context = context;
+    this.#table = options.table;
+    this.#options = options;
+    this.introduceSelf();
+  }
+
+  /** Queues this VM's own entry, with its place. */
+  introduceSelf(): void {
+    this.#enqueue(this.#table.self.id, { withPlace: true });
+  }
+
+  /** Announces that this VM is leaving. */
+  announceLeaving(): void {
+    const { statusVersion } = this.#table.own;
+    this.#table.announce({
+      statusVersion: statusVersion + 1,
+      announced: "leaving",
+    });
+    this.#enqueue(this.#table.self.id);
+  }
+
+  /** Builds the probe for one VM, or the answer to its probe. */
+  compose(to: VmId, received?: Probe): Probe {
+    const { self, own } = this.#table;
+    const about = this.#table.records.get(to);
+    const accuses = about?.state === "suspected" || about?.state === "dead";
+    const first = accuses ? [about.news({ withPlace: false })] : [];
+    const news = this.#queue.take({
+      first,
+      find: (id, how) => this.#newsOf(id, how),
+    });
+    const differs = received && received.viewHash !== this.#table.hash();
+    if (differs) this.#fill(news);
+    return {
+      from: self.id,
+      incarnation: self.incarnation,
+      statusVersion: own.statusVersion,
+      leaving: own.announced === "leaving",
+      configurationVersion: this.#options.configurationVersion(),
+      viewHash: this.#table.hash(),
+      ...(received && !about ? { unknown: true } : {}),
+      news,
+    };
+  }
+
+  /** Takes what a probe or an answer says. */
+  take(probe: Probe): void {
+    for (const item of probe.news) this.#takeItem(item);
+    this.#hear(probe.from, {
+      statusVersion: probe.statusVersion,
+      incarnation: probe.incarnation,
+      announced: probe.leaving ? "leaving" : "live",
+    });
+    if (probe.unknown) this.introduceSelf();
+  }
+
+  /** Takes what the platform lists of a VM. */
+  takeListing(
+    id: VmId,
+    options: { listing: Listing; place?: MemberPlace },
+  ): void {
+    const { listing, place } = options;
+    const record = this.#table.records.get(id);
+    if (record) {
+      const before = record.state;
+      if (record.context.listing === listing) return;
+      record.send({ type: "listed", listing });
+      this.#table.changed({ visible: record.state !== before });
+      return;
+    }
+    if (!place) return;
+    this.#table.records.set(id, new MemberRecord({ id, place, listing }));
+    this.#table.changed({ visible: true });
+  }
+
+  /** Neither this VM nor others got an answer. */
+  suspect(record: MemberRecord): void {
+    this.#send(record, { type: "unanswered", atMs: performance.now() });
+  }
+
+  /** Lets a suspicion that has lasted become a death. */
+  expire(record: MemberRecord): void {
+    this.#send(record, { type: "waited", atMs: performance.now() });
+  }
+
+  #takeItem(item: MemberNews): void {
+    const { id, statusVersion, state } = item;
+    if (id === this.#table.self.id) return this.#refute(item);
+    if (state === "live" || state === "leaving") {
+      return this.#hear(id, { ...item, announced: state });
+    }
+    const record = this.#table.records.get(id);
+    if (!record) return;
+    this.#send(record, {
+      type: "accused",
+      statusVersion,
+      atMs: performance.now(),
+    });
+  }
+
+  #hear(id: VmId, status: MemberStatus & { place?: MemberPlace }): void {
+    const { place, ...rest } = status;
+    if (id === this.#table.self.id) return;
+    const record = this.#table.records.get(id);
+    if (record) {
+      this.#send(record, { type: "heard", ...rest });
+      return;
+    }
+    if (!place) return;
+    const { statusVersion, incarnation, announced } = rest;
+    this.#table.records.set(
+      id,
+      new MemberRecord({
+        id,
+        place,
+        listing: "absent",
+        status: { statusVersion, incarnation, announced },
+      }),
+    );
+    this.#table.changed({ visible: true });
+    this.#enqueue(id, { withPlace: true });
+  }
+
+  #refute(item: MemberNews): void {
+    const { own, self } = this.#table;
+    const isStale = item.statusVersion < own.statusVersion;
+    const isOwn = item.incarnation === self.incarnation &&
+      item.state === own.announced;
+    if (isStale || isOwn) return;
+    this.#table.announce({ ...own, statusVersion: item.statusVersion + 1 });
+    this.#enqueue(self.id);
+    this.#context.observer.count("vm_states", "refuted");
+  }
+
+  #send(
+    record: MemberRecord,
+    event: Parameters<MemberRecord["send"]>[0],
+  ): void {
+    const before = record.state;
+    if (!record.send(event)) return;
+    const { state } = record;
+    if (state === "dead") record.deadAtMs = performance.now();
+    this.#table.changed({ visible: state !== before });
+    this.#enqueue(record.id);
+    if (state === before) return;
+    this.#context.observer.count("vm_states", state);
+    this.#context.observer.log({ event: "vm-state", peer: record.id, state });
+  }
+
+  #enqueue(id: VmId, options: { withPlace?: boolean } = {}): void {
+    const vmCount = this.#table.records.size + 1;
+    this.#queue.add(id, { vmCount, ...options });
+  }
+
+  #newsOf(
+    id: VmId,
+    options: { withPlace: boolean },
+  ): MemberNews | undefined {
+    const { self, own } = this.#table;
+    if (id !== self.id) return this.#table.records.get(id)?.news(options);
+    const { dataCentre, region, callerAddress, peerAddress } = self;
+    const place = { dataCentre, region, callerAddress, peerAddress };
+    return {
+      id,
+      incarnation: self.incarnation,
+      statusVersion: own.statusVersion,
+      state: own.announced,
+      ...(options.withPlace ? { place } : {}),
+    };
+  }
+
+  // Views that differ are evened out by sending the table bit by bit in the room that is left.
+  #fill(news: MemberNews[]): void {
+    const ids = [this.#table.self.id, ...this.#table.records.keys()];
+    let sizeBytes = news.reduce((sum, item) => sum + sizeOf(item), 0);
+    for (let tried = 0; tried < ids.length; tried += 1) {
+      const id = ids[this.#cursor % ids.length]!;
+      const item = this.#newsOf(id, { withPlace: true });
+      if (item) {
+        sizeBytes += sizeOf(item);
+        if (sizeBytes > NEWS_LIMIT_BYTES) return;
+        news.push(item);
+      }
+      this.#cursor = (this.#cursor + 1) % ids.length;
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/news_queue.ts
@@ -0,0 +1,61 @@
+/** News of VMs that still has to be passed on, within a limit of bytes for each message. */
+import type { VmId } from "../shared/ids.ts";
+import type { MemberNews } from "./types.ts";
+
+/** Most bytes of news on one probe or answer. */
+export const NEWS_LIMIT_BYTES = 400;
+/** Each item is passed on this many times the logarithm of the number of VMs. */
+const REPEAT_FACTOR = 3;
+
+interface Queued {
+  remaining: number;
+  withPlace: boolean;
+}
+
+/** Options of {@link NewsQueue.take}. */
+export interface TakeOptions {
+  /** Items that go first, whatever is queued. */
+  first: readonly MemberNews[];
+  find: (id: VmId, options: { withPlace: boolean }) => MemberNews | undefined;
+}
+
+/** Chooses what the next probe carries. */
+export class NewsQueue {
+  #queued = new Map<VmId, Queued>();
+
+  /** Queues news of a VM; `vmCount` sets how often it is passed on. */
+  add(id: VmId, options: { vmCount: number; withPlace?: boolean }): void {
+    const rounds = Math.ceil(Math.log2(options.vmCount + 1));
+    this.#queued.set(id, {
+      remaining: REPEAT_FACTOR * rounds,
+      withPlace: options.withPlace ?? this.#queued.get(id)?.withPlace ?? false,
+    });
+  }
+
+  /** Takes what fits, least passed on first. */
+  take(options: TakeOptions): MemberNews[] {
+    const taken = [...options.first];
+    let sizeBytes = taken.reduce((sum, item) => sum + sizeOf(item), 0);
+    const waiting = [...this.#queued].sort((a, b) =>
+      b[1].remaining - a[1].remaining
+    );
+    for (const [id, queued] of waiting) {
+      const item = options.find(id, queued);
+      if (!item) {
+        this.#queued.delete(id);
+        continue;
+      }
+      sizeBytes += sizeOf(item);
+      if (sizeBytes > NEWS_LIMIT_BYTES) break;
+      taken.push(item);
+      queued.remaining -= 1;
+      if (queued.remaining <= 0) this.#queued.delete(id);
+    }
+    return taken;
+  }
+}
+
+/** Gives the size of one item on the wire. */
+export function sizeOf(item: MemberNews): number {
+  return JSON.stringify(item).length + 1;
+}
--- /dev/null
+++ b/packages/core/src/membership/queries/home.ts
@@ -0,0 +1,53 @@
+/** Finds the homes of keys by rendezvous hashing, fast enough for every request. */
+import { hashNumber } from "../../shared/hash.ts";
+import type { Member } from "../types.ts";
+
+const MAX_CACHED_KEYS = 10_000;
+
+interface Candidate {
+  readonly member: Member;
+  readonly hash: number;
+}
+
+/** Ranks the VMs of one view. A new view takes a new ranking. */
+export class HomeRanking {
+  #candidates: readonly Candidate[];
+  #cache = new Map<string, Member>();
+
+  constructor(members: readonly Member[]) {
+    this.#candidates = members
+      .map((member) => ({ member, hash: hashNumber(member.id) | 0 }))
+      .sort((a, b) => (a.member.id < b.member.id ? -1 : 1));
+  }
+
+  /** Gives a key's home; undefined when there are no candidates. */
+  homeOf(key: string): Member | undefined {
+    const cached = this.#cache.get(key);
+    if (cached) return cached;
+    const home = this.#rank(hashNumber(key) | 0);
+    if (!home) return undefined;
+    if (this.#cache.size >= MAX_CACHED_KEYS) this.#cache.clear();
+    this.#cache.set(key, home);
+    return home;
+  }
+
+  #rank(keyHash: number): Member | undefined {
+    let best: Member | undefined;
+    let bestScore = -1;
+    for (const { member, hash } of this.#candidates) {
+      const score = mix(keyHash ^ hash);
+      if (score <= bestScore) continue;
+      best = member;
+      bestScore = score;
+    }
+    return best;
+  }
+}
+
+// The finalizer of MurmurHash3: spreads every input bit over the output.
+function mix(value: number): number {
+  let mixed = value;
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85eb_ca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2_ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- a/packages/core/src/membership/task.ts
+++ b/packages/core/src/membership/task.ts
@@ -1,97 +1,213 @@
 /** Keeps the view of VMs: seeded by the platform's list, kept fresh by probes. */
-import { rankByRendezvous } from "../shared/hash.ts";
+import type { RunOwner } from "../ports/engines.ts";
 import type { VmId } from "../shared/ids.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
 import type { Probe } from "./app.ts";
-import type { Member, MembershipView, VmIdentity } from "./types.ts";
+import { GoneCheck } from "./gone.ts";
+import { NewsExchange } from "./news_exchange.ts";
+import { Prober } from "./prober.ts";
+import type { MemberRecord } from "./record.ts";
+import type {
+  IncarnationCheck,
+  Member,
+  MembershipView,
+  ViewChanges,
+  ViewListener,
+  VmIdentity,
+} from "./types.ts";
+import { ViewTable } from "./view.ts";
 
-const LIST_INTERVAL_MS = 1_000;
+const PROBE_INTERVAL_MS = 1_000;
+/** A read of the list costs about this much for each VM on it. */
+const LISTED_VM_BYTES = 200;
+const LIST_BYTES_PER_SECOND = 200;
+const LIST_MIN_INTERVAL_MS = 2_000;
+/** A reading counts as evidence for this share of the interval between readings. */
+const LIST_FRESH_SHARE = 0.1;
+/** How long a dead and unlisted VM is remembered, so that late news doesn't bring it back. */
+const FORGET_MS = 30_000;
+const FIRST_PROBES = 3;
+/** VMs that a leaving VM tells itself; the others hear it from them. */
+const LEAVING_PROBES = 16;
 
 /** Options of {@link MembershipTask}. */
 export interface MembershipTaskOptions {
   configurationVersion: () => number;
+  /** Told of each probe and answer, with the versions that it carries. */
+  onProbe?: (probe: Probe) => void;
+  /** Whether a leaving VM stays home; only tests switch it on. */
+  homeWhileLeaving?: boolean;
 }
 
 /** Owns the view of VMs. */
-export class MembershipTask implements MembershipView, VmTask {
+export class MembershipTask
+  implements MembershipView, ViewChanges, IncarnationCheck, VmTask {
   readonly self: VmIdentity;
   #context: VmContext;
   #options: MembershipTaskOptions;
-  #members = new Map<VmId, Member>();
-  #timer: ReturnType<typeof setInterval> | undefined;
-  #leaving = false;
+  #table: ViewTable;
+  #exchange: NewsExchange;
+  #prober: Prober;
+  #gone: GoneCheck;
+  #timers: ReturnType<typeof setTimeout>[] = [];
+  #listReadAtMs = -Infinity;
+  #listCount = 0;
 
   constructor(context: VmContext, options: MembershipTaskOptions) {
     this.self = context.identity;
     this.#context = context;
     this.#options = options;
-    this.#members.set(this.self.id, { ...this.self, state: "live" });
+    this.#table = new ViewTable(this.self, {
+      homeWhileLeaving: options.homeWhileLeaving ?? false,
+    });
+    this.#exchange = new NewsExchange(context, {
+      table: this.#table,
+      configurationVersion: options.configurationVersion,
+    });
+    this.#prober = new Prober(context, {
+      table: this.#table,
+      exchange: this.#exchange,
+      onAnswer: (answer) => this.#take(answer),
+    });
+    this.#gone = new GoneCheck({
+      table: this.#table,
+      prober: this.#prober,
+      refreshList: () => this.#refreshList(),
+    });
   }
 
   async start(): Promise<void> {
     await this.#readList();
-    this.#timer = setInterval(() => this.#readList(), LIST_INTERVAL_MS);
+    await this.#tell(this.#prober.sample(FIRST_PROBES));
+    // VMs that start together shouldn't probe in step.
+    const firstMs = this.#context.random() * PROBE_INTERVAL_MS;
+    this.#timers = [
+      setTimeout(() => {
+        this.#timers.push(setInterval(() => this.#tick(), PROBE_INTERVAL_MS));
+      }, firstMs),
+    ];
   }
 
   stop(): void {
-    clearInterval(this.#timer);
+    for (const timer of this.#timers) clearTimeout(timer);
   }
 
-  /** Announces that this VM is about to stop. */
-  leave(): void {
-    this.#leaving = true;
-    this.#members.set(this.self.id, { ...this.self, state: "leaving" });
+  /** Announces that this VM is about to stop: to some VMs at once, to all by their news. */
+  async leave(): Promise<void> {
+    if (this.#table.own.announced === "leaving") return;
+    this.#exchange.announceLeaving();
+    await this.#tell(this.#prober.sample(LEAVING_PROBES));
   }
 
   members(): readonly Member[] {
-    return [...this.#members.values()];
+    return this.#table.members();
   }
 
   member(id: VmId): Member | undefined {
-    return this.#members.get(id);
+    return this.#table.member(id);
   }
 
   homeOf(key: string): Member {
-    const live = this.members().filter((member) =>
-      member.state === "live" && member.region === this.self.region
-    );
-    const [home] = rankByRendezvous(key, live.map((member) => member.id));
-    return (home && this.member(home)) ?? { ...this.self, state: "live" };
+    return this.#table.homeOf(key);
+  }
+
+  onChange(listener: ViewListener): () => void {
+    return this.#table.onChange(listener);
+  }
+
+  confirmGone(owner: RunOwner): Promise<boolean> {
+    return this.#gone.confirm(owner);
   }
 
   /** Answers a peer's probe. */
-  answerProbe(_probe: Probe): Probe {
-    return this.#probe();
+  answerProbe(probe: Probe): Probe {
+    this.#take(probe);
+    return this.#exchange.compose(probe.from, probe);
   }
 
   /** Probes a VM on behalf of another. */
   async probeFor(target: VmId): Promise<boolean> {
-    const member = this.member(target);
-    if (!member) return false;
-    const answer = await this.#context.ports.peers.call(
-      member,
-      "membership/probe",
-      { params: this.#probe(), timeoutMs: 500 },
-    );
-    return answer.isOk();
-  }
-
-  #probe(): Probe {
-    return {
-      from: this.self.id,
-      incarnation: this.self.incarnation,
-      leaving: this.#leaving,
-      configurationVersion: this.#options.configurationVersion(),
-      news: [],
-    };
-  }
-
-  async #readList(): Promise<void> {
+    const record = this.#table.records.get(target);
+    if (!record) return false;
+    return await this.#prober.direct(record, { fresh: true }) !== null;
+  }
+
+  #take(probe: Probe): void {
+    this.#exchange.take(probe);
+    this.#options.onProbe?.(probe);
+  }
+
+  #tick(): void {
+    void this.#probeNext();
+    this.#expire();
+    const dueMs = this.#listReadAtMs + this.#listIntervalMs();
+    if (performance.now() >= dueMs) void this.#readList();
+  }
+
+  // The list grows with the deployment; reading it less often keeps its cost constant.
+  #listIntervalMs(): number {
+    const listBytes = this.#listCount * LISTED_VM_BYTES;
+    const intervalMs = listBytes / LIST_BYTES_PER_SECOND * 1_000;
+    return Math.max(LIST_MIN_INTERVAL_MS, intervalMs);
+  }
+
+  async #probeNext(): Promise<void> {
+    const record = this.#prober.next();
+    if (!record) return;
+    const outcome = await this.#prober.probe(record);
+    if (outcome === "unclear") return;
+    this.#markReachable(record, outcome === "answered");
+    if (outcome === "silent") this.#exchange.suspect(record);
+  }
+
+  #markReachable(record: MemberRecord, reachable: boolean): void {
+    if (record.reachable === reachable) return;
+    record.reachable = reachable;
+    this.#table.changed({ visible: true });
+  }
+
+  #expire(): void {
+    const nowMs = performance.now();
+    for (const record of [...this.#table.records.values()]) {
+      if (record.state === "suspected") this.#exchange.expire(record);
+      const forgotten = record.state === "dead" &&
+        record.context.listing === "absent" &&
+        nowMs - record.deadAtMs >= FORGET_MS;
+      if (!forgotten) continue;
+      this.#table.records.delete(record.id);
+      this.#table.changed({ visible: false });
+    }
+  }
+
+  async #tell(records: readonly MemberRecord[]): Promise<void> {
+    await Promise.all(records.map((record) => this.#prober.direct(record)));
+  }
+
+  async #refreshList(): Promise<boolean> {
+    const ageMs = performance.now() - this.#listReadAtMs;
+    const freshMs = this.#listIntervalMs() * LIST_FRESH_SHARE;
+    return ageMs < freshMs || await this.#readList();
+  }
+
+  async #readList(): Promise<boolean> {
+    const startedMs = performance.now();
     const listed = await this.#context.ports.platform.listVms();
-    if (listed.isErr()) return;
+    if (listed.isErr()) return false;
+    this.#listReadAtMs = startedMs;
+    this.#listCount = listed.value.length;
+    const seen = new Set<VmId>();
     for (const vm of listed.value) {
+      seen.add(vm.id);
       if (vm.id === this.self.id) continue;
-      this.#members.set(vm.id, { ...vm, incarnation: null });
+      const { dataCentre, region, callerAddress, peerAddress } = vm;
+      const place = { dataCentre, region, callerAddress, peerAddress };
+      this.#exchange.takeListing(vm.id, { listing: vm.state, place });
+    }
+    for (const id of [...this.#table.records.keys()]) {
+      if (!seen.has(id)) {
+        this.#exchange.takeListing(id, { listing: "absent" });
+      }
     }
+    return true;
   }
 }
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -1,4 +1,5 @@
 /** The VMs of the deployment as one of them sees them. */
+import type { RunOwner } from "../ports/engines.ts";
 import type { DataCentre, Incarnation, Region, VmId } from "../shared/ids.ts";
 
 /** A VM's own identity, from its settings and its start. */
@@ -26,6 +27,23 @@
   readonly state: VmState;
 }
 
+/** Where a VM is and how it is reached. */
+export type MemberPlace = Pick<
+  Member,
+  "dataCentre" | "region" | "callerAddress" | "peerAddress"
+>;
+
+/** What one VM tells of another, as it travels on probes. */
+export interface MemberNews {
+  readonly id: VmId;
+  readonly incarnation: Incarnation | null;
+  /** Raised only by the VM itself; the higher one replaces the lower. */
+  readonly statusVersion: number;
+  readonly state: VmState;
+  /** Sent where the receiver may not know the VM yet. */
+  readonly place?: MemberPlace;
+}
+
 /** Reads the current view. Views change by replacement, never in place. */
 export interface MembershipView {
   readonly self: VmIdentity;
@@ -38,3 +56,19 @@
 
 /** Told of a change in the view. */
 export type ViewListener = (members: readonly Member[]) => void;
+
+/** Tells of changes, so that owners register again with new homes. */
+export interface ViewChanges {
+  /** Adds a listener; the function returned removes it. */
+  onChange(listener: ViewListener): () => void;
+}
+
+/** Tells whether one start of a VM has ended. */
+export interface IncarnationCheck {
+  /**
+   * True only with evidence that this start of the VM has ended: it answers as
+   * another start, or it has not answered for a while and the platform no
+   * longer lists it. False says nothing; ask again later.
+   */
+  confirmGone(owner: RunOwner): Promise<boolean>;
+}
--- /dev/null
+++ b/packages/core/src/membership/view.ts
@@ -0,0 +1,121 @@
+/** The table of VMs that one VM keeps, with what is derived from it. */
+import { hashNumber } from "../shared/hash.ts";
+import type { VmId } from "../shared/ids.ts";
+import { HomeRanking } from "./queries/home.ts";
+import type { MemberRecord } from "./record.ts";
+import type {
+  Member,
+  MembershipView,
+  ViewChanges,
+  ViewListener,
+  VmIdentity,
+} from "./types.ts";
+
+/** What this VM announces of itself. */
+export interface OwnStatus {
+  readonly statusVersion: number;
+  readonly announced: "live" | "leaving";
+}
+
+/** Options of {@link ViewTable}. */
+export interface ViewTableOptions {
+  /** Whether a leaving VM stays home; only tests switch it on. */
+  homeWhileLeaving: boolean;
+}
+
+/** Keeps records of VMs and tells listeners when the view changes. */
+export class ViewTable implements MembershipView, ViewChanges {
+  readonly self: VmIdentity;
+  readonly records = new Map<VmId, MemberRecord>();
+  #own: OwnStatus;
+  #options: ViewTableOptions;
+  #listeners = new Set<ViewListener>();
+  #members: readonly Member[] | undefined;
+  #ranking: HomeRanking | undefined;
+  #hash: number | undefined;
+
+  constructor(self: VmIdentity, options: ViewTableOptions) {
+    this.self = self;
+    this.#options = options;
+    // Wall time orders the starts of one VM; a clock set back is mended by refutation.
+    this.#own = { statusVersion: Date.now(), announced: "live" };
+  }
+
+  get own(): OwnStatus {
+    return this.#own;
+  }
+
+  /** Sets what this VM announces. */
+  announce(own: OwnStatus): void {
+    const moved = own.announced !== this.#own.announced;
+    this.#own = own;
+    this.changed({ visible: moved });
+  }
+
+  /** Drops what is derived; listeners are told of visible changes only. */
+  changed(options: { visible: boolean }): void {
+    this.#hash = undefined;
+    this.#members = undefined;
+    this.#ranking = undefined;
+    if (!options.visible) return;
+    const members = this.members();
+    for (const listener of [...this.#listeners]) listener(members);
+  }
+
+  onChange(listener: ViewListener): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  members(): readonly Member[] {
+    this.#members ??= [
+      this.#ownMember(),
+      ...[...this.records.values()].map((record) => record.member()),
+    ];
+    return this.#members;
+  }
+
+  member(id: VmId): Member | undefined {
+    return id === this.self.id
+      ? this.#ownMember()
+      : this.records.get(id)?.member();
+  }
+
+  homeOf(key: string): Member {
+    this.#ranking ??= new HomeRanking(
+      this.members().filter((member) => this.#mayBeHome(member)),
+    );
+    return this.#ranking.homeOf(key) ?? this.#ownMember();
+  }
+
+  /** A number that is the same on VMs whose views agree. */
+  hash(): number {
+    if (this.#hash !== undefined) return this.#hash;
+    let hash = 0;
+    const { statusVersion, announced } = this.#own;
+    hash ^= lineHash([this.self.id, statusVersion, announced]);
+    for (const record of this.records.values()) {
+      if (record.state === "dead") continue;
+      const { id, statusVersion, state } = record.news({ withPlace: false });
+      hash ^= lineHash([id, statusVersion, state]);
+    }
+    this.#hash = hash >>> 0;
+    return this.#hash;
+  }
+
+  #mayBeHome(member: Member): boolean {
+    if (member.region !== this.self.region) return false;
+    const record = this.records.get(member.id);
+    if (record && !record.reachable) return false;
+    return member.state === "live" ||
+      (member.state === "leaving" && this.#options.homeWhileLeaving);
+  }
+
+  #ownMember(): Member {
+    return { ...this.self, state: this.#own.announced };
+  }
+}
+
+function lineHash(parts: readonly (string | number)[]): number {
+  return hashNumber(parts.join("/")) | 0;
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -19,6 +19,8 @@
 export * from "./grants/types.ts";
 export * from "./membership/types.ts";
 export * from "./membership/app.ts";
+export * from "./membership/machine.ts";
+export * from "./membership/task.ts";
 export * from "./summaries/types.ts";
 export * from "./summaries/prompt.ts";
 export * from "./vm/types.ts";
--- a/packages/core/src/shared/observe.ts
+++ b/packages/core/src/shared/observe.ts
@@ -22,6 +22,7 @@
   | "configuration_changes"
   | "suspicions"
   | "convictions"
+  | "vm_states"
   | "orders";
 
 /** Receives events and counts; both are cheap and never fail. */
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -14,6 +14,7 @@
   configuration_changes: "Changes of the configuration in force, by kind",
   suspicions: "Suspicions raised and cleared, by kind",
   convictions: "Requests convicted of crashing engines, by kind",
+  vm_states: "Changes of the state of VMs in this one's view, by state",
   orders: "Orders to engines, by outcome",
 };
 
