--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -20,6 +20,8 @@
 export * from "./membership/types.ts";
 export * from "./membership/app.ts";
 export * from "./retries/budget.ts";
+export * from "./membership/machine.ts";
+export * from "./membership/task.ts";
 export * from "./summaries/types.ts";
 export * from "./summaries/prompt.ts";
 export * from "./suspects/types.ts";
