--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -14,7 +14,7 @@
 import { RetryBudget } from "../retries/budget.ts";
 import { createSuspectsApp } from "../suspects/app.ts";
 import { SuspectBook } from "../suspects/book.ts";
-import type { VmContext } from "./types.ts";
+import type { VmContext, VmPolicies } from "./types.ts";
 
 const DEFAULT_CONVICTION_MS = 3_600_000;
 
@@ -29,10 +29,11 @@
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
 
-  constructor(context: VmContext) {
+  constructor(context: VmContext, policies: VmPolicies = {}) {
     this.context = context;
     const configuration: ConfigurationTask = new ConfigurationTask(context, {
       members: () => this.membership.members(),
+      policies: policies.configuration,
     });
     const membership = new MembershipTask(context, {
       configurationVersion: () => configuration.version(),
@@ -57,8 +58,12 @@
         probeFor: (target) => membership.probeFor(target),
       }).handlers,
       ...createConfigurationApp({
-        current: () => configuration.current(),
-        readUpTo: () => configuration.poll(),
+        answerFetch: (after) => configuration.answerFetch(after),
+        version: () => configuration.version(),
+        noticeVersion: (version, from) =>
+          configuration.noticeVersion(version, from),
+        holdVersion: (version, from) =>
+          configuration.holdVersion(version, from),
       }).handlers,
       ...createCallsApp({
         awaitOutcome: () => this.calls.awaitOutcome(),
--- a/packages/daemon/src/admin/manifests.ts
+++ b/packages/daemon/src/admin/manifests.ts
@@ -12,6 +12,7 @@
   accepted: 200,
   conflict: 409,
   invalid: 422,
+  pending: 202,
   unknown: 504,
   unavailable: 503,
 };
