Grants at shard homes: books of replicas, waiting requests, shares and shedding

Cause: home.ts counted reservations per endpoint only and knew no memory, time or load report. Change: a shard's home keeps slot, memory, queue and link books (last report plus what it granted since), learns speeds and output lengths, places a request where its first token comes soonest on a reserved slot, lets others wait while they can still be in time, and refuses the costliest at once when the forecast says that not all can be served.

--- a/packages/core/src/grants/app.ts
+++ b/packages/core/src/grants/app.ts
@@ -1,7 +1,12 @@
 /** Peer methods of grants. */
 import { type App, createApp } from "../shared/app.ts";
 import type { GrantId, ModelName, RequestKey } from "../shared/ids.ts";
-import type { GrantAnswer, GrantProgress, GrantRequest } from "./types.ts";
+import type {
+  GrantAnswer,
+  GrantProgress,
+  GrantRequest,
+  HeldGrant,
+} from "./types.ts";
 
 /** Peer methods of grants. */
 export interface GrantsHandlers {
@@ -19,6 +24,10 @@
   "grants/withdraw": (
     params: { model: ModelName; key: RequestKey },
   ) => { known: boolean };
+  /** Tells a new home what an owner already runs. */
+  "grants/register": (
+    params: { grants: readonly HeldGrant[] },
+  ) => { registered: number };
 }
 
 /** Lists the peer methods of grants. */
--- /dev/null
+++ b/packages/core/src/grants/commands/shed.ts
@@ -0,0 +1,99 @@
+/** Chooses which waiting requests to refuse when not all can be served in time. */
+import type { ShardView } from "../policies/types.ts";
+import {
+  type Amounts,
+  costOf,
+  expectedSupply,
+  type Forecast,
+  needs,
+  type Waiting,
+  worstRatio,
+} from "../queries/forecast.ts";
+import type { WorkspaceShares } from "../shares.ts";
+
+/** Options of {@link chooseVictims}. */
+export interface ShedOptions {
+  view: ShardView;
+  shares: WorkspaceShares;
+  meanTokens: number;
+  /** Time within which a grant is still of use to those that wait. */
+  withinMs: number;
+}
+
+/** Names the requests to refuse: the costliest, of workspaces over their share first. */
+export function chooseVictims(
+  waiting: readonly Waiting[],
+  options: ShedOptions,
+): Waiting[] {
+  const { view } = options;
+  const kept = [...waiting];
+  const victims: Waiting[] = [];
+  if (kept.length < 2) return victims;
+  const supply = expectedSupply(view, options.withinMs);
+  const demand = total(kept, view);
+  while (kept.length > 1) {
+    const forecast = { supply: withSlack(supply, { demand, kept }), demand };
+    if (worstRatio(forecast) <= 1) break;
+    const victim = costliest(kept, { ...options, forecast });
+    kept.splice(kept.indexOf(victim), 1);
+    victims.push(victim);
+    subtract(demand, needs(view, victim.request));
+  }
+  return victims;
+}
+
+function costliest(
+  kept: readonly Waiting[],
+  options: ShedOptions & { forecast: Forecast },
+): Waiting {
+  const { shares, view } = options;
+  const over = shares.overShare(
+    kept.map((one) => one.request.workspace),
+    view.nowMs,
+  );
+  const first = kept.filter((one) => over.has(one.request.workspace));
+  const from = first.length > 0 ? first : kept;
+  let worst = from[0]!;
+  let worstCost = Number.NEGATIVE_INFINITY;
+  for (const one of from) {
+    const cost = costOf(one, options);
+    if (cost < worstCost) continue;
+    worst = one;
+    worstCost = cost;
+  }
+  return worst;
+}
+
+/** One mean request more than forecast is kept, as what waits costs nothing yet. */
+function withSlack(
+  supply: Amounts,
+  options: { demand: Amounts; kept: readonly Waiting[] },
+): Amounts {
+  const { demand, kept } = options;
+  const one = 1 / kept.length;
+  return {
+    slots: supply.slots + demand.slots * one,
+    pieces: supply.pieces + demand.pieces * one,
+    prefillMs: supply.prefillMs + demand.prefillMs * one,
+    linkMs: supply.linkMs + demand.linkMs * one,
+  };
+}
+
+function total(waiting: readonly Waiting[], view: ShardView): Amounts {
+  const sum: Amounts = { slots: 0, pieces: 0, prefillMs: 0, linkMs: 0 };
+  for (const one of waiting) {
+    const own = needs(view, one.request);
+    sum.slots += own.slots;
+    sum.pieces += own.pieces;
+    sum.prefillMs += own.prefillMs;
+    sum.linkMs += own.linkMs;
+  }
+  return sum;
+}
+
+function subtract(from: Amounts, own: Amounts): void {
+  from.slots -= own.slots;
+  from.pieces -= own.pieces;
+  from.prefillMs -= own.prefillMs;
+  from.linkMs -= own.linkMs;
+}
--- /dev/null
+++ b/packages/core/src/grants/decode_replica.ts
@@ -0,0 +1,195 @@
+/** The slot and memory book of one decode replica: its last report plus what was granted since. */
+import type { Endpoint } from "../configuration/types.ts";
+import type { HeldRun, LoadReport } from "../ports/engines.ts";
+import type { EndpointId, StreamId } from "../shared/ids.ts";
+import { Availability } from "./availability.ts";
+
+/** Tokens of one memory piece. */
+export const TOKENS_PER_PIECE = 32;
+const ENDED_KEPT_MS = 10_000;
+/** A run that no report shows this long after its grant is taken for ended. */
+const UNSEEN_MS = 4_000;
+/** Time that a replica is given to free a run that has ended. */
+const FREEING_MS = 1_000;
+
+/** One run that holds a slot, or will. */
+export interface SlotHold {
+  readonly stream: StreamId;
+  readonly promptTokens: number;
+  readonly expectedTokens: number;
+  readonly grantedAtMs: number;
+  readonly alone: boolean;
+  decodeStartedAtMs: number | undefined;
+  generatedTokens: number;
+  generatedAtMs: number;
+}
+
+/** Use of a decode replica at one moment. */
+export interface DecodeUse {
+  readonly members: number;
+  readonly pieces: number;
+}
+
+/** Options of {@link DecodeReplica.report}. */
+export interface ReportOptions {
+  nowMs: number;
+  /** Told of a step time that two reports in a row show. */
+  onStep: (members: number, stepMs: number) => void;
+}
+
+/** Keeps the book of one decode replica. */
+export class DecodeReplica extends Availability {
+  readonly id: EndpointId;
+  slots: number;
+  memoryPieces: number;
+  #holds = new Map<StreamId, SlotHold>();
+  #endedAtMs = new Map<StreamId, number>();
+
+  constructor(endpoint: Endpoint) {
+    super();
+    this.id = endpoint.id;
+    this.slots = endpoint.slots;
+    this.memoryPieces = endpoint.memoryPieces;
+  }
+
+  /** Adds a granted run. */
+  hold(hold: SlotHold): void {
+    this.#holds.set(hold.stream, hold);
+  }
+
+  /** Frees a run's slot. */
+  release(stream: StreamId, nowMs: number): void {
+    this.#holds.delete(stream);
+    this.#endedAtMs.set(stream, nowMs);
+  }
+
+  /** Notes that a run's first token is under way. */
+  startDecode(
+    stream: StreamId,
+    options: { nowMs: number; generatedTokens: number },
+  ): void {
+    const hold = this.#holds.get(stream);
+    if (!hold) return;
+    hold.decodeStartedAtMs = options.nowMs;
+    hold.generatedAtMs = options.nowMs;
+    hold.generatedTokens = options.generatedTokens;
+  }
+
+  /** Whether a run is in the book. */
+  holds(stream: StreamId): boolean {
+    return this.#holds.has(stream);
+  }
+
+  /** Whether any run, granted or reported, is here. */
+  get empty(): boolean {
+    return this.#holds.size === 0;
+  }
+
+  /** Whether a run that must be alone is here. */
+  get exclusive(): boolean {
+    for (const hold of this.#holds.values()) if (hold.alone) return true;
+    return false;
+  }
+
+  /** Members and memory, with tokens generated since the last report estimated by the step time. */
+  use(nowMs: number, stepMs: number): DecodeUse {
+    let pieces = 0;
+    for (const hold of this.#holds.values()) {
+      const tokens = hold.decodeStartedAtMs === undefined
+        ? 0
+        : hold.generatedTokens + (nowMs - hold.generatedAtMs) / stepMs;
+      pieces += Math.ceil((hold.promptTokens + tokens) / TOKENS_PER_PIECE);
+    }
+    return { members: this.#holds.size, pieces };
+  }
+
+  /** Expected ends within a time, each run's end spread evenly over its expected remaining time. */
+  expectedEnds(withinMs: number, options: { stepMs: number }): number {
+    let ends = 0;
+    for (const hold of this.#holds.values()) {
+      const leftTokens = Math.max(
+        hold.expectedTokens - hold.generatedTokens,
+        hold.expectedTokens / 2,
+      );
+      ends += Math.min(1, withinMs / (leftTokens * options.stepMs));
+    }
+    return ends;
+  }
+
+  /** Takes in a load report. */
+  report(report: LoadReport, options: ReportOptions): void {
+    const { nowMs } = options;
+    const takenAtMs = nowMs - report.ageMs;
+    if (this.takeReport(report, takenAtMs)) this.#holds.clear();
+    this.slots = report.slots;
+    this.memoryPieces = report.memoryPieces;
+    const seen = new Set<StreamId>();
+    for (const run of report.runs) {
+      seen.add(run.stream);
+      const endedAtMs = this.#endedAtMs.get(run.stream);
+      // A report from before the end still lists the run; a later one means that it was not freed.
+      if (endedAtMs !== undefined && takenAtMs < endedAtMs + FREEING_MS) {
+        continue;
+      }
+      const hold = this.#holds.get(run.stream);
+      if (!hold) {
+        this.#adopt(run, takenAtMs);
+        continue;
+      }
+      this.#follow(hold, {
+        generatedTokens: run.generatedTokens,
+        takenAtMs,
+        onStep: (stepMs) => options.onStep(report.runs.length, stepMs),
+      });
+    }
+    this.#dropUnseen(seen, takenAtMs);
+    this.#forgetEnded(nowMs);
+  }
+
+  #adopt(run: HeldRun, takenAtMs: number): void {
+    const tokens = run.memoryPieces * TOKENS_PER_PIECE - run.generatedTokens;
+    this.hold({
+      stream: run.stream,
+      promptTokens: Math.max(1, tokens),
+      expectedTokens: Math.max(100, run.generatedTokens * 2),
+      grantedAtMs: takenAtMs,
+      alone: false,
+      decodeStartedAtMs: takenAtMs,
+      generatedTokens: run.generatedTokens,
+      generatedAtMs: takenAtMs,
+    });
+  }
+
+  #follow(
+    hold: SlotHold,
+    seen: {
+      generatedTokens: number;
+      takenAtMs: number;
+      onStep: (stepMs: number) => void;
+    },
+  ): void {
+    if (seen.takenAtMs <= hold.generatedAtMs) return;
+    const tokens = seen.generatedTokens - hold.generatedTokens;
+    const elapsedMs = seen.takenAtMs - hold.generatedAtMs;
+    if (hold.generatedTokens > 0 && tokens > 8) seen.onStep(elapsedMs / tokens);
+    hold.generatedTokens = seen.generatedTokens;
+    hold.generatedAtMs = seen.takenAtMs;
+    hold.decodeStartedAtMs ??= seen.takenAtMs;
+  }
+
+  #dropUnseen(seen: ReadonlySet<StreamId>, takenAtMs: number): void {
+    for (const hold of this.#holds.values()) {
+      if (seen.has(hold.stream)) continue;
+      if (takenAtMs > hold.grantedAtMs + UNSEEN_MS) {
+        this.#holds.delete(hold.stream);
+      }
+    }
+  }
+
+  #forgetEnded(nowMs: number): void {
+    for (const [stream, atMs] of this.#endedAtMs) {
+      if (nowMs - atMs > ENDED_KEPT_MS) this.#endedAtMs.delete(stream);
+      else break;
+    }
+  }
+}
--- a/packages/core/src/grants/home.ts
+++ b/packages/core/src/grants/home.ts
@@ -1,93 +1,178 @@
 /** The home of pool shards: reserves decode slots and names the prefill replica. */
 import type { ConfigurationView } from "../configuration/task.ts";
-import type { Endpoint } from "../configuration/types.ts";
-import { asId, type EndpointId, type GrantId } from "../shared/ids.ts";
+import type { MembershipView } from "../membership/types.ts";
+import type { DataCentre, GrantId, ModelName } from "../shared/ids.ts";
 import type { VmContext } from "../vm/types.ts";
 import type { GrantsHandlers } from "./app.ts";
-import type { GrantAnswer, GrantRequest } from "./types.ts";
+import { reserveThenPrefill } from "./policies/reserve_then_prefill.ts";
+import type { GrantPolicy } from "./policies/types.ts";
+import { dataCentresElsewhere, planShards } from "./queries/choose_shard.ts";
+import { ReportPoll } from "./report_poll.ts";
+import { Shard, type ShardSettings } from "./shard.ts";
+import type { GrantAnswer, GrantRequest, ShardPlan } from "./types.ts";
 
-const TOKENS_PER_PIECE = 32;
-
-interface Reservation {
-  readonly prefill: EndpointId;
-  readonly decode: EndpointId;
-  readonly memoryPieces: number;
-}
+const IDLE_LIMIT_MS = 60_000;
+const RETRY_AFTER_MS = 1_000;
+const VIEW_KEPT_MS = 1_000;
 
 /** Options of {@link GrantsHome}. */
 export interface GrantsHomeOptions {
   configuration: ConfigurationView;
+  /** Tells which data centres are of other regions. */
+  membership?: MembershipView;
+  policy?: GrantPolicy;
 }
 
-/** Owns the slot book of the shards that this VM is home for. */
+interface OpenShard {
+  readonly shard: Shard;
+  readonly poll: ReportPoll;
+  plan: ShardPlan;
+}
+
+/** Owns the shards that this VM is home for. */
 export class GrantsHome {
   readonly handlers: GrantsHandlers = {
-    "grants/request": (request) => Promise.resolve(this.#grant(request)),
-    "grants/progress": ({ grant, progress }) => ({
-      known: progress.kind === "ended" || progress.kind === "failed"
-        ? this.#reservations.delete(grant)
-        : this.#reservations.has(grant),
+    "grants/request": (request) => this.#request(request),
+    "grants/progress": ({ model, grant, progress }) => ({
+      known: this.#shardsOf(model).some(({ shard }) =>
+        shard.progress(grant, progress)
+      ),
+    }),
+    "grants/withdraw": ({ model, key }) => ({
+      known: this.#shardsOf(model).some(({ shard }) => shard.withdraw(key)),
+    }),
+    "grants/register": ({ grants }) => ({
+      registered:
+        grants.filter((held) =>
+          this.#open(held.request)?.shard.register(held) ?? false
+        ).length,
     }),
-    "grants/withdraw": () => ({ known: false }),
   };
   #context: VmContext;
   #options: GrantsHomeOptions;
-  #reservations = new Map<GrantId, Reservation>();
+  #shards = new Map<string, OpenShard>();
   #granted = 0;
+  #elsewhere: { atMs: number; of: ReadonlySet<DataCentre> | undefined } = {
+    atMs: Number.NEGATIVE_INFINITY,
+    of: undefined,
+  };
+  #weights: { of: unknown; byId: Map<string, number> } = {
+    of: undefined,
+    byId: new Map(),
+  };
 
   constructor(context: VmContext, options: GrantsHomeOptions) {
     this.#context = context;
     this.#options = options;
   }
 
-  #grant(request: GrantRequest): GrantAnswer {
-    const memoryPieces = Math.ceil(
-      (request.promptTokens + request.maxTokens) / TOKENS_PER_PIECE,
-    );
-    const prefill = this.#leastLoaded(request, "prefill");
-    const decode = this.#leastLoaded(request, "decode");
-    if (!prefill || !decode) {
-      return { kind: "refused", reason: "no-capacity", retryAfterMs: 1_000 };
+  /** Refuses what waits and ends polling. */
+  stop(): void {
+    for (const { shard, poll } of this.#shards.values()) {
+      poll.stop();
+      shard.close();
     }
-    this.#granted += 1;
-    const grant: GrantId = asId(
-      `${this.#context.identity.incarnation}-${this.#granted}`,
-    );
-    this.#reservations.set(grant, {
-      prefill: prefill.id,
-      decode: decode.id,
-      memoryPieces,
+    this.#shards.clear();
+  }
+
+  #request(request: GrantRequest): Promise<GrantAnswer> {
+    const open = this.#open(request);
+    if (open) return open.shard.request(request);
+    return Promise.resolve({
+      kind: "refused",
+      reason: "no-endpoint",
+      retryAfterMs: RETRY_AFTER_MS,
     });
-    return {
-      kind: "granted",
-      grant,
-      prefill: prefill.id,
-      decode: decode.id,
-      startInMs: 0,
-      cachedTokens: 0,
-      memoryPieces,
-    };
   }
 
-  #leastLoaded(
-    request: GrantRequest,
-    kind: "prefill" | "decode",
-  ): Endpoint | undefined {
-    const endpoints = this.#options.configuration.current()?.bodies.endpoints;
-    return (endpoints ?? [])
-      .filter((endpoint) =>
-        endpoint.kind === kind && endpoint.state === "live" &&
-        endpoint.model === request.model &&
-        !request.avoid.includes(endpoint.id)
-      )
-      .map((endpoint) => ({ endpoint, used: this.#used(endpoint.id) }))
-      .filter(({ endpoint, used }) => used < endpoint.slots)
-      .sort((a, b) => a.used - b.used)[0]?.endpoint;
+  #shardsOf(model: ModelName): OpenShard[] {
+    const open: OpenShard[] = [];
+    for (const one of this.#shards.values()) {
+      if (one.plan.model === model) open.push(one);
+    }
+    return open;
+  }
+
+  #open(request: GrantRequest): OpenShard | null {
+    const plan = this.#plan(request);
+    if (!plan) return null;
+    const known = this.#shards.get(plan.name);
+    if (known) {
+      this.#follow(known, plan);
+      return known;
+    }
+    this.#closeIdle();
+    const shard = new Shard({
+      plan,
+      policy: this.#options.policy ?? reserveThenPrefill,
+      settings: () => this.#settings(),
+      random: this.#context.random,
+      nextGrant: () => this.#nextGrant(),
+    });
+    const poll = new ReportPoll(this.#context, { shard, plan });
+    const opened = { shard, poll, plan };
+    this.#shards.set(plan.name, opened);
+    return opened;
   }
 
-  #used(endpoint: EndpointId): number {
-    return [...this.#reservations.values()].filter((one) =>
-      one.prefill === endpoint || one.decode === endpoint
-    ).length;
+  #follow(open: OpenShard, plan: ShardPlan): void {
+    if (open.plan === plan) return;
+    open.plan = plan;
+    open.shard.setPlan(plan);
+    open.poll.setPlan(plan);
+  }
+
+  #plan(request: GrantRequest): ShardPlan | undefined {
+    const configuration = this.#options.configuration.current();
+    if (!configuration) return undefined;
+    const shards = planShards(configuration.bodies.endpoints, {
+      model: request.model,
+      elsewhere: this.#dataCentresElsewhere(),
+    });
+    return shards.find((one) => one.name === request.shard) ?? shards[0];
+  }
+
+  #dataCentresElsewhere(): ReadonlySet<DataCentre> | undefined {
+    const { membership } = this.#options;
+    if (!membership) return undefined;
+    const nowMs = performance.now();
+    if (nowMs - this.#elsewhere.atMs > VIEW_KEPT_MS) {
+      this.#elsewhere = { atMs: nowMs, of: dataCentresElsewhere(membership) };
+    }
+    return this.#elsewhere.of;
+  }
+
+  #closeIdle(): void {
+    const nowMs = performance.now();
+    for (const [name, { shard, poll }] of this.#shards) {
+      const idle = nowMs - shard.lastAskedAtMs > IDLE_LIMIT_MS &&
+        shard.book.openGrants === 0;
+      if (!idle) continue;
+      poll.stop();
+      shard.close();
+      this.#shards.delete(name);
+    }
+  }
+
+  #settings(): ShardSettings {
+    const bodies = this.#options.configuration.current()?.bodies;
+    if (this.#weights.of !== bodies?.workspaces) {
+      this.#weights = {
+        of: bodies?.workspaces,
+        byId: new Map(
+          (bodies?.workspaces ?? []).map((one) => [one.id, one.weight]),
+        ),
+      };
+    }
+    return {
+      betweenTokensTargetMs: bodies?.deployment?.betweenTokensTargetMs ?? 28,
+      prefillWasteWeight: bodies?.deployment?.prefillWasteWeight ?? 0.5,
+      weightOf: (workspace) => this.#weights.byId.get(workspace) ?? 1,
+    };
+  }
+
+  #nextGrant(): GrantId {
+    this.#granted += 1;
+    return `${this.#context.identity.incarnation}-${this.#granted}` as GrantId;
   }
 }
--- /dev/null
+++ b/packages/core/src/grants/queue.ts
@@ -0,0 +1,58 @@
+/** Requests that wait at a shard's home for their grant. */
+import type { RequestKey } from "../shared/ids.ts";
+import type { Waiting } from "./queries/forecast.ts";
+import type { GrantAnswer } from "./types.ts";
+
+/** A request that waits, with its way back. */
+export interface QueuedRequest extends Waiting {
+  /** Its first token can't be in time even at an idle shard, or is late already. */
+  readonly late: boolean;
+  /** Answers the owner, once. */
+  readonly answer: (answer: GrantAnswer) => void;
+}
+
+/** Keeps waiting requests. */
+export class GrantQueue {
+  #waiting: QueuedRequest[] = [];
+
+  /** Requests that can still be in time. */
+  get inTime(): QueuedRequest[] {
+    return this.#waiting.filter((one) => !one.late);
+  }
+
+  /** All that waits. */
+  get all(): readonly QueuedRequest[] {
+    return this.#waiting;
+  }
+
+  /** Adds a request. */
+  add(request: QueuedRequest): void {
+    this.#waiting.push(request);
+  }
+
+  /** Takes a request out; true if it waited. */
+  remove(request: QueuedRequest): boolean {
+    const at = this.#waiting.indexOf(request);
+    if (at === -1) return false;
+    this.#waiting.splice(at, 1);
+    return true;
+  }
+
+  /** Finds a request by its key. */
+  find(key: RequestKey): QueuedRequest | undefined {
+    return this.#waiting.find((one) => one.request.key === key);
+  }
+
+  /** Orders by deadline; workspaces over their share after the others, late requests last. */
+  ordered(
+    overShare: (waiting: readonly QueuedRequest[]) => ReadonlySet<string>,
+  ): QueuedRequest[] {
+    if (this.#waiting.length < 2) return [...this.#waiting];
+    const over = overShare(this.#waiting);
+    const rank = (one: QueuedRequest) =>
+      (one.late ? 2 : 0) + (over.has(one.request.workspace) ? 1 : 0);
+    return [...this.#waiting].sort((a, b) =>
+      rank(a) - rank(b) || a.dueAtMs - b.dueAtMs
+    );
+  }
+}
--- /dev/null
+++ b/packages/core/src/grants/shard.ts
@@ -0,0 +1,296 @@
+/** One shard at its home: gives grants, lets requests wait for them, and refuses what can't be in time. */
+import {
+  asId,
+  type GrantId,
+  type RequestKey,
+  type WorkspaceId,
+} from "../shared/ids.ts";
+import type { NotRunReason } from "../shared/verdict.ts";
+import { chooseVictims } from "./commands/shed.ts";
+import { estimateIdleMs } from "./policies/estimate.ts";
+import type { GrantPolicy, Placement, ShardView } from "./policies/types.ts";
+import { expectedSupply, needs } from "./queries/forecast.ts";
+import { GrantQueue, type QueuedRequest } from "./queue.ts";
+import { WorkspaceShares } from "./shares.ts";
+import { ShardBook } from "./shard_book.ts";
+import type {
+  GrantAnswer,
+  GrantProgress,
+  GrantRequest,
+  HeldGrant,
+  ShardPlan,
+} from "./types.ts";
+
+/** What the manifest says of grants. */
+export interface ShardSettings {
+  readonly betweenTokensTargetMs: number;
+  readonly prefillWasteWeight: number;
+  readonly weightOf: (workspace: WorkspaceId) => number;
+}
+
+/** Options of {@link Shard}. */
+export interface ShardOptions {
+  plan: ShardPlan;
+  policy: GrantPolicy;
+  settings: () => ShardSettings;
+  random: () => number;
+  /** Makes the id of the next grant. */
+  nextGrant: () => string;
+}
+
+/** A late request waits this long for the shard to have room to spare. */
+const LATE_WAIT_MS = 10_000;
+/** Share of a decode replica that late requests leave to others. */
+const LATE_RESERVE = 0.2;
+/** Late requests are refused at once for this long after one that could be in time was shed. */
+const OVERLOAD_MS = 1_000;
+/** A new home leaves a share free until reports taken after its start show what its predecessor granted. */
+const WARM_UP_MS = 2_500;
+const WARM_UP_RESERVE = 0.1;
+const RETRY_AFTER_MS: readonly [number, number] = [250, 10_000];
+const MIN_WAKE_MS = 1;
+
+/** Grants the slots of one shard. */
+export class Shard {
+  readonly book = new ShardBook();
+  readonly plan: ShardPlan;
+  lastAskedAtMs: number;
+  #options: ShardOptions;
+  #queue = new GrantQueue();
+  #shares: WorkspaceShares;
+  #openedAtMs: number;
+  #shedAtMs = Number.NEGATIVE_INFINITY;
+  #timer: ReturnType<typeof setTimeout> | undefined;
+
+  constructor(options: ShardOptions) {
+    this.#options = options;
+    this.plan = options.plan;
+    this.book.setPlan(options.plan);
+    this.#openedAtMs = performance.now();
+    this.lastAskedAtMs = this.#openedAtMs;
+    this.#shares = new WorkspaceShares((workspace) =>
+      options.settings().weightOf(workspace)
+    );
+  }
+
+  /** Follows a new manifest. */
+  setPlan(plan: ShardPlan): void {
+    this.book.setPlan(plan);
+    this.dispatch();
+  }
+
+  /** Answers when the request is granted or refused. */
+  request(request: GrantRequest): Promise<GrantAnswer> {
+    const nowMs = performance.now();
+    this.lastAskedAtMs = nowMs;
+    return new Promise((answer) => {
+      const queued = this.#admit(request, { nowMs, answer });
+      if (!queued) return;
+      this.#queue.add(queued);
+      this.dispatch();
+    });
+  }
+
+  /** Drops a request that waits, or frees what it was granted. */
+  withdraw(key: RequestKey): boolean {
+    const queued = this.#queue.find(key);
+    if (queued) {
+      this.#refuse(queued, { reason: "cancelled", retryAfterMs: 0 });
+      return true;
+    }
+    const known = this.book.closeByKey(key, performance.now());
+    if (known) this.dispatch();
+    return known;
+  }
+
+  /** Follows a grant. */
+  progress(grant: GrantId, progress: GrantProgress): boolean {
+    const nowMs = performance.now();
+    const known = this.book.progress(grant, { progress, nowMs });
+    if (known) this.dispatch();
+    return known !== undefined;
+  }
+
+  /** Takes in a grant that an earlier home gave. */
+  register(held: HeldGrant): boolean {
+    return this.book.register(held, performance.now());
+  }
+
+  /** Refuses all that waits. */
+  close(): void {
+    clearTimeout(this.#timer);
+    for (const queued of [...this.#queue.all]) {
+      this.#refuse(queued, { reason: "stopping", retryAfterMs: 0 });
+    }
+  }
+
+  /** Gives every grant that can be given now, and refuses what can't be in time. */
+  dispatch(): void {
+    if (this.#queue.all.length === 0) return;
+    const nowMs = performance.now();
+    const ordered = this.#queue.ordered((waiting) =>
+      this.#shares.overShare(
+        waiting.map((one) => one.request.workspace),
+        nowMs,
+      )
+    );
+    for (const queued of ordered) this.#place(queued, nowMs);
+    this.#shed(nowMs);
+    this.#wakeLater(nowMs);
+  }
+
+  #admit(
+    request: GrantRequest,
+    options: { nowMs: number; answer: (answer: GrantAnswer) => void },
+  ): QueuedRequest | null {
+    const { nowMs, answer } = options;
+    const idleMs = estimateIdleMs(this.#view(nowMs, request), request);
+    if (idleMs > request.deadlineInMs) {
+      answer(refusal("deadline-unreachable", RETRY_AFTER_MS[1]));
+      return null;
+    }
+    const late = idleMs > request.firstTokenInMs;
+    const waitMs = late || request.alone
+      ? Math.min(request.deadlineInMs, idleMs + LATE_WAIT_MS)
+      : request.firstTokenInMs;
+    return {
+      request,
+      answer,
+      late,
+      dueAtMs: nowMs + waitMs,
+      expectedTokens: this.book.lengths.expect(
+        request.workspace,
+        request.maxTokens,
+      ),
+    };
+  }
+
+  #place(queued: QueuedRequest, nowMs: number): void {
+    const { request } = queued;
+    const { policy } = this.#options;
+    if (queued.late && policy.waits && this.#mustYield(nowMs)) {
+      if (nowMs - this.#shedAtMs < OVERLOAD_MS) this.#refuseForLoad(queued);
+      return;
+    }
+    const view = this.#view(nowMs, request, queued.late ? LATE_RESERVE : 0);
+    const placement = policy.place(view, request);
+    if (placement && (!policy.waits || inTime(queued, placement, nowMs))) {
+      return this.#grant(queued, { placement, nowMs });
+    }
+    const leastMs = estimateIdleMs(view, request);
+    if (!policy.waits || nowMs + leastMs > queued.dueAtMs) {
+      this.#refuseForLoad(queued);
+    }
+  }
+
+  /** Late requests let those in time go first, and keep to one prefill replica of several. */
+  #mustYield(nowMs: number): boolean {
+    if (nowMs - this.#shedAtMs < OVERLOAD_MS) return true;
+    if (this.#queue.inTime.length > 0) return true;
+    const { prefills } = this.book;
+    const idle = prefills.filter((one) => one.queued === 0);
+    return idle.length < Math.min(2, prefills.length);
+  }
+
+  #grant(
+    queued: QueuedRequest,
+    options: { placement: Placement; nowMs: number },
+  ): void {
+    const { placement, nowMs } = options;
+    const { request, expectedTokens } = queued;
+    this.#queue.remove(queued);
+    const grant = asId<GrantId>(this.#options.nextGrant());
+    this.book.grant(placement, { grant, request, expectedTokens, nowMs });
+    this.#shares.add(request.workspace, expectedTokens, nowMs);
+    queued.answer({
+      kind: "granted",
+      grant,
+      prefill: placement.prefill.id,
+      decode: placement.decode.id,
+      startInMs: 0,
+      cachedTokens: placement.cachedTokens,
+      memoryPieces: needs(this.#view(nowMs, request), request).pieces,
+    });
+  }
+
+  #shed(nowMs: number): void {
+    if (!this.#options.policy.waits) return;
+    const waiting = this.#queue.inTime.filter((one) => !one.request.alone);
+    const [first] = waiting;
+    if (waiting.length < 2 || !first) return;
+    const view = this.#view(nowMs, first.request);
+    const lastDueMs = Math.max(...waiting.map((one) => one.dueAtMs));
+    const idleMs = estimateIdleMs(view, first.request);
+    const victims = chooseVictims(waiting, {
+      view,
+      shares: this.#shares,
+      meanTokens: this.book.lengths.mean,
+      withinMs: Math.max(0, lastDueMs - nowMs - idleMs),
+    });
+    for (const victim of victims) this.#refuseForLoad(victim as QueuedRequest);
+  }
+
+  #refuseForLoad(queued: QueuedRequest): void {
+    const nowMs = performance.now();
+    if (!queued.late) this.#shedAtMs = nowMs;
+    const retryAfterMs = this.#retryAfterMs(nowMs, queued.request);
+    this.#refuse(queued, { reason: "no-capacity", retryAfterMs });
+  }
+
+  #refuse(
+    queued: QueuedRequest,
+    options: { reason: NotRunReason; retryAfterMs: number },
+  ): void {
+    if (!this.#queue.remove(queued)) return;
+    queued.answer(refusal(options.reason, options.retryAfterMs));
+  }
+
+  /** Time until as many slots are expected to be free as requests wait, this one included. */
+  #retryAfterMs(nowMs: number, request: GrantRequest): number {
+    const view = this.#view(nowMs, request);
+    const { slots } = expectedSupply(view, 1_000);
+    const waiting = this.#queue.all.length + 1;
+    const [leastMs, mostMs] = RETRY_AFTER_MS;
+    const waitMs = 1_000 * waiting / Math.max(slots, 0.01);
+    return Math.round(Math.min(mostMs, Math.max(leastMs, waitMs)));
+  }
+
+  #wakeLater(nowMs: number): void {
+    clearTimeout(this.#timer);
+    if (this.#queue.all.length === 0) return;
+    const backlogs = this.book.prefills.map((one) => one.backlogMs(nowMs));
+    const dues = this.#queue.all.map((one) => one.dueAtMs - nowMs);
+    const soonest = Math.min(...dues, ...backlogs.filter((ms) => ms > 0));
+    const waitMs = Math.min(50, Math.max(MIN_WAKE_MS, soonest));
+    this.#timer = setTimeout(() => this.dispatch(), waitMs);
+  }
+
+  #view(nowMs: number, request: GrantRequest, reserve = 0): ShardView {
+    const { betweenTokensTargetMs, prefillWasteWeight } = this.#options
+      .settings();
+    const warmingUp = nowMs - this.#openedAtMs < WARM_UP_MS;
+    return {
+      prefills: this.book.prefills,
+      decodes: this.book.decodes,
+      speeds: this.book.speeds,
+      expectedTokens: request.maxTokens,
+      betweenTokensTargetMs,
+      prefillWasteWeight,
+      reservedShare: Math.max(reserve, warmingUp ? WARM_UP_RESERVE : 0),
+      nowMs,
+      random: this.#options.random,
+    };
+  }
+}
+
+function inTime(
+  queued: QueuedRequest,
+  placement: Placement,
+  nowMs: number,
+): boolean {
+  return queued.late || nowMs + placement.firstTokenMs <= queued.dueAtMs;
+}
+
+function refusal(reason: NotRunReason, retryAfterMs: number): GrantAnswer {
+  return { kind: "refused", reason, retryAfterMs };
+}
--- a/packages/core/src/grants/types.ts
+++ b/packages/core/src/grants/types.ts
@@ -8,6 +8,7 @@
   VmId,
   WorkspaceId,
 } from "../shared/ids.ts";
+import type { Endpoint } from "../configuration/types.ts";
 import type { NotRunReason } from "../shared/verdict.ts";
 
 /** What an owner asks of a shard's home. */
@@ -29,6 +30,8 @@
   readonly avoid: readonly EndpointId[];
   /** Runs with no other request on the replicas, for suspects. */
   readonly alone: boolean;
+  /** Name of the shard that is asked; the model's first when left out. */
+  readonly shard?: string;
 }
 
 /** A shard home's answer. */
@@ -56,3 +59,22 @@
   | { readonly kind: "decodeStarted" }
   | { readonly kind: "ended"; readonly generatedTokens: number }
   | { readonly kind: "failed"; readonly endpoint: EndpointId };
+
+/** A part of a model's pool, whose home grants its slots. */
+export interface ShardPlan {
+  /** Name inside the region, also the key of its home. */
+  readonly name: string;
+  readonly model: ModelName;
+  readonly prefills: readonly Endpoint[];
+  readonly decodes: readonly Endpoint[];
+}
+
+/** A grant as the owner that holds it registers it again at a new home. */
+export interface HeldGrant {
+  readonly request: GrantRequest;
+  readonly prefill: EndpointId;
+  readonly decode: EndpointId;
+  readonly grant: GrantId;
+  readonly phase: "prefill" | "transfer" | "decode";
+  readonly generatedTokens: number;
+}
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -21,6 +21,7 @@
   readonly calls: CallsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
+  #grants: GrantsHome;
 
   constructor(context: VmContext) {
     this.context = context;
@@ -31,9 +32,10 @@
       configurationVersion: () => configuration.version(),
     });
     const home = new SummariesHome();
-    const grants = new GrantsHome(context, { configuration });
+    const grants = new GrantsHome(context, { configuration, membership });
     this.configuration = configuration;
     this.membership = membership;
+    this.#grants = grants;
     this.calls = new CallsTask(context, { configuration });
     this.summaries = new SummariesTask(context, { configuration, membership });
     this.peerHandlers = {
@@ -64,6 +66,7 @@
 
   /** Stops the tasks in reverse order. */
   stop(): void {
+    this.#grants.stop();
     this.configuration.stop();
     this.membership.stop();
   }
