--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -28,6 +28,7 @@
   readonly calls: CallsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
+  #grants: GrantsHome;
 
   constructor(context: VmContext, policies: VmPolicies = {}) {
     this.context = context;
@@ -39,7 +40,6 @@
       configurationVersion: () => configuration.version(),
     });
     const home = new SummariesHome();
-    const grants = new GrantsHome(context, { configuration });
     const deployment = () => configuration.current()?.bodies.deployment;
     this.suspects = new SuspectBook(context, {
       membership,
@@ -48,8 +48,10 @@
     this.retries = new RetryBudget(context, {
       share: () => deployment()?.retryBudgetShare ?? 0,
     });
+    const grants = new GrantsHome(context, { configuration, membership });
     this.configuration = configuration;
     this.membership = membership;
+    this.#grants = grants;
     this.calls = new CallsTask(context, { configuration });
     this.summaries = new SummariesTask(context, { configuration, membership });
     this.peerHandlers = {
@@ -90,6 +92,7 @@
   /** Stops the tasks in reverse order. */
   stop(): void {
     this.suspects.stop();
+    this.#grants.stop();
     this.configuration.stop();
     this.membership.stop();
   }
