--- a/packages/bench/src/scenarios/grammar.peggy
+++ b/packages/bench/src/scenarios/grammar.peggy
@@ -38,11 +38,12 @@
 SendOption
   = "of" __ tokens:Number __ "tokens" { return { kind: "tokens", tokens }; }
   / "from" __ "token" __ offset:Number { return { kind: "offset", offset }; }
+  / "from" __ "where" __ caller:Name __ "stopped" { return { kind: "after", caller }; }
   / "with" __ "body" __ body:Text { return { kind: "body", body }; }
   / "within" __ ms:Duration { return { kind: "within", ms }; }
   / "that" __ "crashes" __ "engines" { return { kind: "crashes" }; }
 
-Leave = caller:Name __ "leaves" { return statement("leave", { caller }); }
+Leave = caller:Name __ "leaves" !(__ "the") { return statement("leave", { caller }); }
 Dies = vm:Name __ "dies" { return statement("dies", { vm }); }
 Replaced = vm:Name __ "is" __ "replaced" { return statement("replaced", { vm }); }
 Freezes = vm:Name __ "freezes" __ "for" __ ms:Duration { return statement("freezes", { vm, ms }); }
--- a/packages/bench/src/scenarios/run_scenario.ts
+++ b/packages/bench/src/scenarios/run_scenario.ts
@@ -163,7 +163,7 @@
     asks.set(statement.caller, { kind: "filing", call });
     return;
   }
-  const request = toSummary(statement);
+  const request = toSummary(statement, state);
   const summary = world.summary(statement.vm, request);
   const answer = expectedAnswer(
     { text: request.prompt, tokens: 0, blocks: [] },
@@ -186,7 +186,7 @@
   };
 }
 
-function toSummary(statement: Send): SummaryRequest {
+function toSummary(statement: Send, state: ScenarioState): SummaryRequest {
   const body = option(statement, "body")?.body ?? "Summarise";
   const crash = option(statement, "crashes") ? CRASH_MARK : "";
   return {
@@ -196,11 +196,18 @@
     model: asId(MODEL),
     prompt: `${body} [length=${tokensOf(statement)}]${crash}`,
     maxTokens: MAX_TOKENS,
-    fromOffset: option(statement, "offset")?.offset ?? 0,
+    fromOffset: offsetOf(statement, state),
     deadlineAtMs: deadlineOf(statement),
   };
 }
 
+function offsetOf(statement: Send, state: ScenarioState): number {
+  const earlier = option(statement, "after")?.caller;
+  const ask = earlier === undefined ? undefined : state.asks.get(earlier);
+  if (ask?.kind === "summary") return ask.summary.nextOffset;
+  return option(statement, "offset")?.offset ?? 0;
+}
+
 function tokensOf(statement: Send): number {
   return option(statement, "tokens")?.tokens ?? DEFAULT_TOKENS;
 }
--- a/packages/bench/src/scenarios/types.ts
+++ b/packages/bench/src/scenarios/types.ts
@@ -4,6 +4,8 @@
 export type SendOption =
   | { readonly kind: "tokens"; readonly tokens: number }
   | { readonly kind: "offset"; readonly offset: number }
+  /** Resumes after the last token that another connection of the caller got. */
+  | { readonly kind: "after"; readonly caller: string }
   | { readonly kind: "body"; readonly body: string }
   | { readonly kind: "within"; readonly ms: number }
   | { readonly kind: "crashes" };
