--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -46,6 +46,14 @@
   observer?: Observer;
   /** Builds a VM; tests pass one that lacks a mechanism. */
   createVm?: (context: ConstructorParameters<typeof Vm>[0]) => Vm;
+  /** Places the VM of a number that counts from 0. */
+  placeOf?: (index: number) => VmPlace;
+}
+
+/** Where a VM of a world is. */
+export interface VmPlace {
+  readonly dataCentre: DataCentre;
+  readonly region: Region;
 }
 
 /** The data centres of a world. */
@@ -74,6 +82,8 @@
   /** VMs that are up, frozen ones included. */
   readonly vms = new Map<string, Vm>();
   readonly random: () => number;
+  /** How often a marked prompt or a test has crashed an engine. */
+  engineCrashes = 0;
   #handlers = new Map<string, PeerHandlers>();
   #options: WorldOptions;
   #vmsCreated = 0;
@@ -125,13 +135,11 @@
   addVm(): Vm {
     this.#vmsCreated += 1;
     const name = `vm-${this.#vmsCreated}`;
-    const dataCentre =
-      DATA_CENTRES[(this.#vmsCreated - 1) % DATA_CENTRES.length]!;
+    const placeOf = this.#options.placeOf ?? placeInTurn;
     const identity = {
       id: asId<VmId>(name),
       incarnation: asId<Incarnation>(`${name}-boot`),
-      dataCentre,
-      region: REGION,
+      ...placeOf(this.#vmsCreated - 1),
       callerAddress: name,
       peerAddress: name,
     };
@@ -178,6 +186,15 @@
     this.platform.unlistVm(name);
   }
 
+  /** Begins a planned stop of a VM; its process ends once the stop is done. */
+  stopVm(name: Host): void {
+    const vm = this.vms.get(name);
+    if (!vm) return;
+    this.timers.runOn(name, () => {
+      void Promise.resolve(vm.stop()).then(() => this.killVm(name));
+    });
+  }
+
   /** Crashes an engine, as a kill of its process does. */
   crashEngine(address: Host): void {
     this.engines.get(address)?.crash();
@@ -290,7 +307,10 @@
       models: [MODEL],
       figures: this.#options.figures ?? TODAY_FIGURES,
       random: this.random,
-      onCrash: () => this.network.setUp(name, false),
+      onCrash: () => {
+        this.engineCrashes += 1;
+        this.network.setUp(name, false);
+      },
     };
     const engine = role === "prefill"
       ? new FakePrefillEngine(options)
@@ -300,6 +320,11 @@
   }
 }
 
+function placeInTurn(index: number): VmPlace {
+  const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length]!;
+  return { dataCentre, region: REGION };
+}
+
 function latencyMs(from: Host, to: Host): number {
   const hosts = [from, to];
   if (from === to) return 0;
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -11,29 +11,47 @@
 import { createSummariesApp } from "../summaries/app.ts";
 import { SummariesHome } from "../summaries/home.ts";
 import { SummariesTask } from "../summaries/task.ts";
-import type { VmContext } from "./types.ts";
+import { RetryBudget } from "../retries/budget.ts";
+import { createSuspectsApp } from "../suspects/app.ts";
+import { SuspectBook } from "../suspects/book.ts";
+import type { VmContext, VmPolicies } from "./types.ts";
+
+const DEFAULT_CONVICTION_MS = 3_600_000;
 
 /** One entry VM: its tasks and the methods that its peers may call. */
 export class Vm {
   readonly context: VmContext;
   readonly membership: MembershipTask;
   readonly configuration: ConfigurationTask;
+  readonly suspects: SuspectBook;
+  readonly retries: RetryBudget;
   readonly calls: CallsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
+  #grants: GrantsHome;
 
-  constructor(context: VmContext) {
+  constructor(context: VmContext, policies: VmPolicies = {}) {
     this.context = context;
     const configuration: ConfigurationTask = new ConfigurationTask(context, {
       members: () => this.membership.members(),
+      policies: policies.configuration,
     });
     const membership = new MembershipTask(context, {
       configurationVersion: () => configuration.version(),
     });
     const home = new SummariesHome();
-    const grants = new GrantsHome(context, { configuration });
+    const deployment = () => configuration.current()?.bodies.deployment;
+    this.suspects = new SuspectBook(context, {
+      membership,
+      convictionMs: () => deployment()?.convictionMs ?? DEFAULT_CONVICTION_MS,
+    });
+    this.retries = new RetryBudget(context, {
+      share: () => deployment()?.retryBudgetShare ?? 0,
+    });
+    const grants = new GrantsHome(context, { configuration, membership });
     this.configuration = configuration;
     this.membership = membership;
+    this.#grants = grants;
     this.calls = new CallsTask(context, { configuration });
     this.summaries = new SummariesTask(context, { configuration, membership });
     this.peerHandlers = {
@@ -42,13 +60,18 @@
         probeFor: (target) => membership.probeFor(target),
       }).handlers,
       ...createConfigurationApp({
-        current: () => configuration.current(),
-        readUpTo: () => configuration.poll(),
+        answerFetch: (after) => configuration.answerFetch(after),
+        version: () => configuration.version(),
+        noticeVersion: (version, from) =>
+          configuration.noticeVersion(version, from),
+        holdVersion: (version, from) =>
+          configuration.holdVersion(version, from),
       }).handlers,
       ...createCallsApp({
         awaitOutcome: () => this.calls.awaitOutcome(),
       }).handlers,
       ...createGrantsApp(grants.handlers).handlers,
+      ...createSuspectsApp(this.suspects.handlers).handlers,
       ...createSummariesApp({
         "summaries/register": (params) => home.register(params),
         "summaries/hand-over": () => Promise.resolve({ registration: null }),
@@ -63,10 +86,13 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    await this.suspects.start();
   }
 
   /** Stops the tasks in reverse order. */
   stop(): void {
+    this.suspects.stop();
+    this.#grants.stop();
     this.configuration.stop();
     this.membership.stop();
   }
