Calls that may not be repeated run at most once

Cause: CallsTask was a stub: one claim, no repeat after a lost reply, no release, no attach, no replay. A refusal of which only this attempt is known says so (earlierAttempts: unknown). A connection error after the connection was open no longer counts as 'nothing sent'.

--- a/packages/bench/src/world/caller.ts
+++ b/packages/bench/src/world/caller.ts
@@ -15,8 +15,11 @@
   answeredAtMs: number | undefined;
   /** The connection broke before an answer. */
   lost = false;
+  /** The caller closed its connection. */
+  left = false;
   /** Verdicts that came after the first; there must be none. */
   extra = 0;
+  onLeave: () => void = () => {};
 
   constructor(request: CallRequest, vm: string) {
     this.request = request;
@@ -25,6 +28,7 @@
 
   /** Takes a verdict. */
   receive(verdict: CallVerdict): void {
+    if (this.left) return;
     if (this.verdict) this.extra += 1;
     this.verdict ??= verdict;
     this.answeredAtMs ??= Date.now();
@@ -34,6 +38,13 @@
   lose(): void {
     this.lost = this.verdict === undefined;
   }
+
+  /** The caller closes its connection. */
+  leave(): void {
+    if (this.verdict || this.lost || this.left) return;
+    this.left = true;
+    this.onLeave();
+  }
 }
 
 /** A caller's connection that receives a summary. */
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -198,9 +198,11 @@
       return call;
     }
     const { network } = this;
+    let gone = false;
     connection.onBroken.add(() => call.lose());
+    call.onLeave = () => network.send(connection, () => (gone = true));
     network.send(connection, () => {
-      void this.vms.get(vm)?.calls.submit(request).then(
+      void this.vms.get(vm)?.calls.submit(request, { gone: () => gone }).then(
         (verdict: CallVerdict) =>
           network.reply(connection, () => call.receive(verdict)),
       );
--- /dev/null
+++ b/packages/core/src/calls/follow.ts
@@ -0,0 +1,141 @@
+/** Follows a claim that another VM holds: asks the claimant, or finds that it is gone. */
+import type { MembershipView } from "../membership/types.ts";
+import type { Row } from "../ports/platform.ts";
+import type { ServiceAnswer } from "../ports/services.ts";
+import { mayHaveRun, type MayHaveRunReason } from "../shared/verdict.ts";
+import type { VmContext } from "../vm/types.ts";
+import type { ClaimStore } from "./commands/claim_store.ts";
+import type { CallPolicies } from "./policies.ts";
+import { remainingMs, type Step, type Submission } from "./submission.ts";
+import { untilDeadline } from "./submission.ts";
+import type { CallOutcome, CallRow, CallRowState } from "./types.ts";
+
+const POLL_MS = 2_000;
+const POLL_GRACE_MS = 250;
+const PAUSE_MS = 200;
+/** A VM that is not on the list is gone once its claim is older than the list's lag. */
+const LIST_LAG_MS = 10_000;
+/** How often a claimant may deny a claim that still stands in its name. */
+const MAX_DENIALS = 3;
+
+/** Options of {@link ClaimFollower}. */
+export interface ClaimFollowerOptions {
+  membership: MembershipView;
+  store: ClaimStore;
+  policies: CallPolicies;
+}
+
+/** Owns the questions to claimants. */
+export class ClaimFollower {
+  #context: VmContext;
+  #options: ClaimFollowerOptions;
+
+  constructor(context: VmContext, options: ClaimFollowerOptions) {
+    this.#context = context;
+    this.#options = options;
+  }
+
+  /** Waits for what becomes of a claim, until the caller stops waiting. */
+  async follow(
+    submission: Submission,
+    row: Row,
+  ): Promise<Step<ServiceAnswer>> {
+    let held = row;
+    let reached = true;
+    let denials = 0;
+    while (remainingMs(submission) > 0) {
+      const { claim } = held.value as unknown as CallRow;
+      const decision = this.#options.policies.judgeClaim({
+        claim,
+        claimantGone: this.#isGone(claim),
+        claimantReached: reached,
+      });
+      if (decision !== "ask") {
+        const kind = decision === "release" ? "released" : "unknown";
+        return await this.#close(submission, { row: held, kind });
+      }
+      const outcome = await this.#ask(submission, claim);
+      reached = outcome !== null;
+      if (outcome?.kind === "answered" || outcome?.kind === "refused") {
+        return outcome;
+      }
+      if (outcome?.kind === "released") return { kind: "again" };
+      if (outcome?.kind === "pending") continue;
+      if (outcome?.kind === "unknown") denials += 1;
+      if (denials > MAX_DENIALS) return lost("claimant-lost");
+      await untilDeadline(submission, wait(PAUSE_MS));
+      const now = await untilDeadline(
+        submission,
+        this.#options.store.read(submission.key),
+      );
+      // A read that finds nothing, or fails, proves nothing of the claim.
+      if (!now || now === "failed") continue;
+      if (now.version !== held.version) return { kind: "again" };
+      held = now;
+    }
+    return lost("in-progress-elsewhere");
+  }
+
+  async #ask(
+    submission: Submission,
+    claim: CallRow["claim"],
+  ): Promise<CallOutcome | null> {
+    const member = this.#options.membership.member(claim.vm);
+    if (!member) return null;
+    const timeoutMs = Math.min(POLL_MS, remainingMs(submission));
+    const answer = await this.#context.ports.peers.call(
+      member,
+      "calls/await",
+      {
+        params: {
+          key: submission.key,
+          incarnation: claim.incarnation,
+          token: claim.token,
+          waiter: submission.id,
+          deadlineInMs: remainingMs(submission),
+          timeoutMs,
+        },
+        timeoutMs: timeoutMs + POLL_GRACE_MS,
+        fresh: true,
+      },
+    );
+    return answer.unwrapOr(null);
+  }
+
+  async #close(
+    submission: Submission,
+    how: { row: Row; kind: "unknown" | "released" },
+  ): Promise<Step<ServiceAnswer>> {
+    const state: CallRowState = { kind: how.kind };
+    const { outcome } = this.#options.store.write({
+      row: {
+        ...how.row.value as unknown as CallRow,
+        state,
+        writeToken: `${submission.id}-${how.kind}`,
+      },
+      expect: { kind: "version", version: how.row.version },
+      urgent: true,
+    });
+    const written = await untilDeadline(submission, outcome);
+    if (written?.kind === "conflict") return { kind: "again" };
+    if (how.kind === "released" && written) return { kind: "again" };
+    this.#context.observer.count("claims", "claimant-lost");
+    return lost("claimant-lost");
+  }
+
+  #isGone(claim: CallRow["claim"]): boolean {
+    const member = this.#options.membership.member(claim.vm);
+    if (!member) return Date.now() - claim.claimedAtMs > LIST_LAG_MS;
+    if (member.state === "dead") return true;
+    return member.incarnation !== null &&
+      member.incarnation !== claim.incarnation;
+  }
+}
+
+function lost(reason: MayHaveRunReason): Step<ServiceAnswer> {
+  return { kind: "refused", refusal: mayHaveRun(reason) };
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/core/src/calls/machine.ts
@@ -0,0 +1,157 @@
+/** The life of one call at the VM that claims its key. */
+import { setup } from "xstate";
+import type { ServiceAnswer } from "../ports/services.ts";
+import {
+  mayHaveRun,
+  type MayHaveRunReason,
+  type NotRun,
+  type Refusal,
+} from "../shared/verdict.ts";
+import type { CallRowState } from "./types.ts";
+
+/** What happens to a call. */
+export type CallEvent =
+  | { readonly type: "start" }
+  /** The claim stands. */
+  | { readonly type: "claimed" }
+  /** The key's row is another's, or says that the call was made before. */
+  | { readonly type: "occupied" }
+  /** The claim never stood and never will. */
+  | { readonly type: "withdrawn" }
+  /** The caller left, its deadline passed, or the table service can't be reached. */
+  | { readonly type: "givenUp"; readonly refusal: NotRun }
+  | { readonly type: "sendAllowed" }
+  | { readonly type: "sendForbidden"; readonly refusal: NotRun }
+  | { readonly type: "answered"; readonly answer: ServiceAnswer }
+  /** No byte was written, and another replica may be tried. */
+  | { readonly type: "anotherReplica" }
+  /** No byte was written, and no other replica is left. */
+  | { readonly type: "notSent"; readonly refusal: NotRun }
+  | { readonly type: "lost"; readonly reason: MayHaveRunReason }
+  | { readonly type: "recorded" };
+
+/** What a call is told: its answer, or why there is none. */
+export type CallResult =
+  | { readonly kind: "answered"; readonly answer: ServiceAnswer }
+  | { readonly kind: "refused"; readonly refusal: Refusal };
+
+/** Claims, checks, sends and records one call. */
+export const callMachine = setup({
+  types: {
+    events: {} as CallEvent,
+    input: {} as { claimsBeforeSend: boolean },
+    context: {} as { claimsBeforeSend: boolean },
+  },
+  actions: {
+    writeClaim: () => {},
+    withdrawClaim: () => {},
+    checkSend: () => {},
+    send: () => {},
+    release: () => {},
+    tell: (_, _params: CallResult) => {},
+    record: (_, _params: CallRowState) => {},
+  },
+  guards: {
+    sendsFirst: ({ context }) => !context.claimsBeforeSend,
+  },
+}).createMachine({
+  context: ({ input }) => input,
+  initial: "idle",
+  states: {
+    idle: {
+      on: {
+        start: [
+          { guard: "sendsFirst", target: "checking", actions: "writeClaim" },
+          { target: "claiming", actions: "writeClaim" },
+        ],
+      },
+    },
+    claiming: {
+      on: {
+        claimed: "checking",
+        occupied: "occupied",
+        withdrawn: "released",
+        givenUp: {
+          target: "abandoning",
+          actions: {
+            type: "tell",
+            params: ({ event }) => refused(event.refusal),
+          },
+        },
+      },
+    },
+    // Nothing will be sent, but the claim may stand or come to stand.
+    abandoning: {
+      entry: "withdrawClaim",
+      on: {
+        claimed: "releasing",
+        occupied: "released",
+        withdrawn: "released",
+      },
+    },
+    checking: {
+      entry: "checkSend",
+      on: {
+        sendAllowed: "sending",
+        sendForbidden: {
+          target: "releasing",
+          actions: {
+            type: "tell",
+            params: ({ event }) => refused(event.refusal),
+          },
+        },
+      },
+    },
+    sending: {
+      entry: "send",
+      on: {
+        answered: {
+          target: "recording",
+          actions: [
+            {
+              type: "tell",
+              params: ({ event }) => ({
+                kind: "answered" as const,
+                answer: event.answer,
+              }),
+            },
+            {
+              type: "record",
+              params: ({ event }) => ({
+                kind: "done" as const,
+                answer: event.answer,
+              }),
+            },
+          ],
+        },
+        anotherReplica: "checking",
+        notSent: {
+          target: "releasing",
+          actions: {
+            type: "tell",
+            params: ({ event }) => refused(event.refusal),
+          },
+        },
+        lost: {
+          target: "recording",
+          actions: [
+            {
+              type: "tell",
+              params: ({ event }) => refused(mayHaveRun(event.reason)),
+            },
+            { type: "record", params: { kind: "unknown" as const } },
+          ],
+        },
+      },
+    },
+    releasing: { entry: "release", on: { recorded: "released" } },
+    recording: { on: { recorded: "recorded" } },
+    occupied: { type: "final" },
+    released: { type: "final" },
+    recorded: { type: "final" },
+  },
+});
+
+function refused(refusal: Refusal): CallResult {
+  return { kind: "refused", refusal };
+}
--- /dev/null
+++ b/packages/core/src/calls/policies.ts
@@ -0,0 +1,64 @@
+/** What a claimant decides, as functions, so that tests can take one away. */
+import type { SendFailure } from "../ports/services.ts";
+import type { Claim } from "./types.ts";
+
+/** What is known directly before a call is sent. */
+export interface SendFacts {
+  readonly callerGone: boolean;
+  readonly remainingMs: number;
+  /** Since the event loop was last seen to run. */
+  readonly loopGapMs: number;
+}
+
+/** Whether a call may be sent now. `recheck` lets pending events in first. */
+export type SendDecision = "send" | "recheck" | "caller-gone" | "too-late";
+
+/** What is known of another VM's claim. */
+export interface ClaimFacts {
+  readonly claim: Claim;
+  /** Membership says that the claimant's incarnation is gone. */
+  readonly claimantGone: boolean;
+  /** The last question to the claimant was answered. */
+  readonly claimantReached: boolean;
+}
+
+/** What to do about another VM's claim. */
+export type ClaimDecision = "ask" | "mark-unknown" | "release";
+
+/** Decisions of calls. */
+export interface CallPolicies {
+  /** Whether the claim must stand before the first byte is sent. */
+  readonly claimsBeforeSend: () => boolean;
+  /** Gives the token with which a write is repeated after its reply was lost. */
+  readonly tokenOfRepeat: (token: string, attempt: number) => string;
+  readonly checkSend: (facts: SendFacts) => SendDecision;
+  readonly judgeClaim: (facts: ClaimFacts) => ClaimDecision;
+  /** Whether another replica may be tried after a failure. */
+  readonly mayTryAnother: (failure: SendFailure) => boolean;
+  /** Least time between the commits of one VM, once its burst is used up. */
+  readonly commitIntervalMs: (liveVms: number) => number;
+}
+
+/** A longer gap means that the VM was frozen. */
+const LOOP_GAP_LIMIT_MS = 500;
+/** The part of the table's writes that calls may use, over all VMs. */
+const CALL_COMMITS_PER_SECOND = 240;
+const MAX_COMMIT_INTERVAL_MS = 200;
+
+/** The policies that a VM runs with. */
+export const CALL_POLICIES: CallPolicies = {
+  claimsBeforeSend: () => true,
+  tokenOfRepeat: (token) => token,
+  checkSend({ callerGone, remainingMs, loopGapMs }) {
+    if (remainingMs <= 0) return "too-late";
+    if (callerGone) return "caller-gone";
+    return loopGapMs > LOOP_GAP_LIMIT_MS ? "recheck" : "send";
+  },
+  judgeClaim: ({ claimantGone }) => claimantGone ? "mark-unknown" : "ask",
+  mayTryAnother: (failure) => failure.kind === "notSent",
+  commitIntervalMs: (liveVms) =>
+    Math.min(
+      MAX_COMMIT_INTERVAL_MS,
+      1_000 * Math.max(1, liveVms) / CALL_COMMITS_PER_SECOND,
+    ),
+};
--- /dev/null
+++ b/packages/core/src/calls/queries/choose_endpoint.ts
@@ -0,0 +1,28 @@
+/** Chooses the replica of a plain service that gets a call. */
+import type { Endpoint } from "../../configuration/types.ts";
+import type { DataCentre, EndpointId, ServiceName } from "../../shared/ids.ts";
+
+/** Options of {@link chooseEndpoint}. */
+export interface ChooseOptions {
+  service: ServiceName;
+  dataCentre: DataCentre;
+  /** Replicas that refused this call's connection. */
+  tried: ReadonlySet<EndpointId>;
+  random: () => number;
+}
+
+/** Picks a live replica, in the own data centre where there is one; undefined when none is left. */
+export function chooseEndpoint(
+  endpoints: readonly Endpoint[],
+  options: ChooseOptions,
+): Endpoint | undefined {
+  const usable = endpoints.filter((endpoint) =>
+    endpoint.kind === "service" && endpoint.service === options.service &&
+    endpoint.state === "live" && !options.tried.has(endpoint.id)
+  );
+  const near = usable.filter((endpoint) =>
+    endpoint.dataCentre === options.dataCentre
+  );
+  const from = near.length > 0 ? near : usable;
+  return from[Math.floor(options.random() * from.length)];
+}
--- /dev/null
+++ b/packages/core/src/calls/queries/key_time.ts
@@ -0,0 +1,11 @@
+/** Reads the time that a caller's key carries. */
+import type { RequestId } from "../../shared/ids.ts";
+
+const UUID_V7 =
+  /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+
+/** Returns when a key was made, in ms of `Date.now`; undefined unless it is a UUID of version 7. */
+export function keyTimeMs(request: RequestId): number | undefined {
+  const parts = UUID_V7.exec(request);
+  return parts ? parseInt(`${parts[1]}${parts[2]}`, 16) : undefined;
+}
--- /dev/null
+++ b/packages/core/src/calls/run.ts
@@ -0,0 +1,324 @@
+/** One call at the VM that claims its key: feeds the machine and carries its effects out. */
+import type { Endpoint, Service } from "../configuration/types.ts";
+import type { Row, RowExpectation } from "../ports/platform.ts";
+import { asId, type EndpointId, type RequestKey } from "../shared/ids.ts";
+import { type Effect, MachineTask } from "../shared/machine_task.ts";
+import { mayHaveRun, type NotRun, notRun } from "../shared/verdict.ts";
+import type { VmContext } from "../vm/types.ts";
+import type { ClaimStore, PendingWrite } from "./commands/claim_store.ts";
+import { storeAnswer } from "./commands/kept_answer.ts";
+import { callMachine, type CallResult } from "./machine.ts";
+import type { CallPolicies } from "./policies.ts";
+import type { CallRequest, CallRow, CallRowState, Claim } from "./types.ts";
+import { type Waiter, Waiters, type WaitOutcome } from "./waiters.ts";
+
+const RECHECK_MS = 20;
+const REPEAT_MS = 500;
+/** How long a caller waits for the table service before the call is given up. */
+const CLAIM_PATIENCE_MS = 2_500;
+
+/** Options of {@link CallRun}. */
+export interface CallRunOptions {
+  call: CallRequest;
+  key: RequestKey;
+  bodyDigest: CallRow["bodyDigest"];
+  service: Service;
+  /** The row that the claim takes the place of. */
+  previous: Row | null;
+  attempt: number;
+  expiresAtMs: number;
+  token: string;
+  store: ClaimStore;
+  policies: CallPolicies;
+  chooseEndpoint: (tried: ReadonlySet<EndpointId>) => Endpoint | undefined;
+  /** Takes a retry out of the workspace's budget. */
+  takeRetry: () => boolean;
+  loopGapMs: () => number;
+  onEnd: () => void;
+}
+
+/** Owns one claim, from the first write to the last. */
+export class CallRun {
+  readonly claim: Claim;
+  /** The row that another write left, once it is known to be in the way. */
+  occupiedBy: Row | null = null;
+  #context: VmContext;
+  #options: CallRunOptions;
+  #waiters = new Waiters(() => this.#onDeadline());
+  #tried = new Set<EndpointId>();
+  #endpoint: Endpoint | undefined;
+  #pending: PendingWrite | undefined;
+  #result: CallResult | undefined;
+  #patience: ReturnType<typeof setTimeout> | undefined;
+  #machine: MachineTask<typeof callMachine> | undefined;
+
+  constructor(context: VmContext, options: CallRunOptions) {
+    this.#context = context;
+    this.#options = options;
+    const { identity } = context;
+    this.claim = {
+      vm: identity.id,
+      incarnation: identity.incarnation,
+      token: options.token,
+      claimedAtMs: Date.now(),
+    };
+  }
+
+  /** The caller and content that the claim is for. */
+  get about(): Pick<CallRow, "caller" | "bodyDigest"> {
+    const { call, bodyDigest } = this.#options;
+    return { caller: call.caller, bodyDigest };
+  }
+
+  /** Starts the claim on behalf of the first connection. */
+  start(waiter: Waiter): void {
+    this.#waiters.attach(waiter);
+    this.#patience = setTimeout(
+      () => this.giveUp(this.#storeUnavailable()),
+      CLAIM_PATIENCE_MS,
+    );
+    const { policies } = this.#options;
+    this.#machine = new MachineTask(callMachine, {
+      input: { claimsBeforeSend: policies.claimsBeforeSend() },
+      perform: (effect) => this.#perform(effect),
+    });
+    this.#machine.send({ type: "start" });
+  }
+
+  /** Lets a newer connection wait for the outcome. */
+  attach(waiter: Waiter): void {
+    const state = this.#state;
+    if (this.#result && state === "recording") {
+      return waiter.receive({ ...this.#result, replayed: true });
+    }
+    this.#waiters.attach(waiter);
+  }
+
+  /** Ends the wait for the claim; after it stands, this does nothing. */
+  giveUp(refusal: NotRun): void {
+    this.#machine?.send({ type: "givenUp", refusal });
+  }
+
+  get #state(): string {
+    return String(this.#machine?.snapshot.value ?? "claiming");
+  }
+
+  #onDeadline(): void {
+    this.giveUp(attemptNotRun("deadline-passed"));
+    const refusal = this.#state === "sending"
+      ? mayHaveRun("deadline-passed")
+      : attemptNotRun("deadline-passed");
+    this.#waiters.tell({ kind: "refused", refusal, replayed: false });
+  }
+
+  #perform(effect: Effect): void {
+    switch (effect.type) {
+      case "writeClaim":
+        return void this.#writeClaim();
+      case "withdrawClaim":
+        return this.#pending?.withdraw();
+      case "checkSend":
+        return this.#checkSend();
+      case "send":
+        return void this.#send();
+      case "release":
+        return void this.#release();
+      case "tell":
+        return this.#tell(effect.params as CallResult);
+      case "record":
+        return void this.#record(effect.params as CallRowState);
+    }
+  }
+
+  #tell(result: CallResult): void {
+    this.#result = result;
+    this.#waiters.tell({ ...result, replayed: false });
+  }
+
+  async #writeClaim(): Promise<void> {
+    const { previous, store } = this.#options;
+    const expect: RowExpectation = previous
+      ? { kind: "version", version: previous.version }
+      : { kind: "absent" };
+    this.#pending = store.write({
+      row: this.#row({ kind: "claimed" }, this.claim.token),
+      expect,
+      urgent: true,
+    });
+    const outcome = await this.#pending.outcome;
+    clearTimeout(this.#patience);
+    this.#context.observer.count("claims", outcome.kind);
+    if (outcome.kind === "conflict") this.occupiedBy = outcome.row;
+    const type = { written: "claimed", conflict: "occupied" } as const;
+    this.#machine?.send({
+      type: outcome.kind === "withdrawn" ? "withdrawn" : type[outcome.kind],
+    });
+    this.#endIfOver();
+  }
+
+  #checkSend(): void {
+    const { policies, loopGapMs } = this.#options;
+    const waiter = this.#waiters.current;
+    const decision = policies.checkSend({
+      callerGone: waiter?.gone() ?? true,
+      remainingMs: waiter ? waiter.deadlineAtMs - Date.now() : 0,
+      loopGapMs: loopGapMs(),
+    });
+    if (decision === "recheck") {
+      // What arrived during the freeze is taken in before the next check.
+      setTimeout(() => this.#checkSend(), RECHECK_MS);
+      return;
+    }
+    if (decision === "too-late") {
+      return this.#forbid(notRun("deadline-passed"));
+    }
+    if (decision === "caller-gone") return this.#forbid(notRun("cancelled"));
+    this.#endpoint = this.#options.chooseEndpoint(this.#tried);
+    if (!this.#endpoint) {
+      const reason = this.#tried.size > 0 ? "endpoint-refused" : "no-endpoint";
+      return this.#forbid(notRun(reason));
+    }
+    this.#machine?.send({ type: "sendAllowed" });
+  }
+
+  #forbid(refusal: NotRun): void {
+    this.#machine?.send({ type: "sendForbidden", refusal });
+  }
+
+  async #send(): Promise<void> {
+    const { call, key, service, policies } = this.#options;
+    const endpoint = this.#endpoint!;
+    this.#tried.add(endpoint.id);
+    const { method, path, contentType, body } = call;
+    const sent = await this.#context.ports.services.call(
+      endpoint,
+      { method, path, contentType, body, key },
+      { timeoutMs: service.timeoutMs },
+    );
+    if (sent.isOk()) {
+      this.#machine?.send({ type: "answered", answer: sent.value });
+    } else if (!policies.mayTryAnother(sent.error)) {
+      this.#machine?.send(
+        sent.error.kind === "notSent"
+          ? { type: "notSent", refusal: notRun("endpoint-refused") }
+          : { type: "lost", reason: reasonOf(sent.error.kind) },
+      );
+    } else if (this.#options.takeRetry()) {
+      this.#machine?.send({ type: "anotherReplica" });
+    } else {
+      const refusal = notRun("retry-budget-spent");
+      this.#machine?.send({ type: "notSent", refusal });
+    }
+  }
+
+  // Only this incarnation knows that nothing was sent. The row's version keeps
+  // a late repeat of the write from undoing a later claim.
+  async #release(): Promise<void> {
+    const { key, store } = this.#options;
+    const token = `${this.claim.token}-released`;
+    for (;;) {
+      const found = await store.read(key);
+      if (found !== "failed") {
+        const row = found?.value as unknown as CallRow | undefined;
+        const held = row?.claim.token === this.claim.token &&
+          row.state.kind !== "released";
+        if (!found || !held) break;
+        const { outcome } = store.write({
+          row: this.#row({ kind: "released" }, token),
+          expect: { kind: "version", version: found.version },
+          urgent: true,
+        });
+        if ((await outcome).kind === "written") break;
+      }
+      await wait(REPEAT_MS);
+    }
+    this.#context.observer.count("claims", "released");
+    this.#machine?.send({ type: "recorded" });
+    this.#endIfOver();
+  }
+
+  async #record(state: CallRowState): Promise<void> {
+    const kept = state.kind === "done" ? await this.#keep(state) : state;
+    const token = `${this.claim.token}-${state.kind}`;
+    // Nobody else moves a claim that was sent, but to `unknown`; this is more exact.
+    const { outcome } = this.#options.store.write({
+      row: this.#row(kept, token),
+      expect: { kind: "any" },
+      urgent: false,
+    });
+    await outcome;
+    this.#context.observer.count("claims", state.kind);
+    this.#machine?.send({ type: "recorded" });
+    this.#endIfOver();
+  }
+
+  async #keep(
+    state: Extract<CallRowState, { kind: "done" }>,
+  ): Promise<CallRowState> {
+    for (;;) {
+      const kept = await storeAnswer(this.#context.ports.platform, {
+        answer: state.answer,
+        name: this.claim.token,
+      });
+      if (kept) return kept;
+      await wait(REPEAT_MS);
+    }
+  }
+
+  #endIfOver(): void {
+    const state = this.#state;
+    const over = ["occupied", "released", "recorded"].includes(state);
+    if (!over) return;
+    clearTimeout(this.#patience);
+    this.#options.onEnd();
+    this.#waiters.tell(this.#lastOutcome(state));
+  }
+
+  #lastOutcome(state: string): WaitOutcome {
+    if (state === "occupied") return { kind: "occupied" };
+    if (state === "released" || !this.#result) return { kind: "released" };
+    return { ...this.#result, replayed: true };
+  }
+
+  #storeUnavailable(): NotRun {
+    return attemptNotRun(
+      "store-unavailable",
+      this.#options.store.retryAfterMs,
+    );
+  }
+
+  #row(state: CallRowState, writeToken: string): CallRow {
+    const { key, call, bodyDigest, attempt, expiresAtMs } = this.#options;
+    return {
+      key,
+      caller: call.caller,
+      bodyDigest,
+      attempt,
+      expiresAtMs,
+      claim: this.claim,
+      writeToken,
+      state,
+    };
+  }
+}
+
+/** A refusal of this attempt, where nothing is known of earlier ones. */
+export function attemptNotRun(
+  reason: NotRun["reason"],
+  retryAfterMs = 1_000,
+): NotRun {
+  return notRun(reason, { retryAfterMs, earlierAttempts: "unknown" });
+}
+
+function reasonOf(kind: "lost" | "timeout" | "notSent") {
+  return kind === "timeout" ? "endpoint-timeout" : "connection-lost";
+}
+
+/** Makes a token that no other write has. */
+export function claimToken(context: VmContext, number: number): string {
+  return asId(`${context.identity.incarnation}-c${number}`);
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/core/src/calls/task.ts
+++ b/packages/core/src/calls/task.ts
@@ -1,112 +1,360 @@
-/** Runs calls to plain services; those that may not be repeated are claimed first. */
+/** Runs calls to plain services; those that may not be repeated run at most once. */
 import { err, ok } from "neverthrow";
 import type { ConfigurationView } from "../configuration/task.ts";
 import type { Endpoint, Service } from "../configuration/types.ts";
-import type { Json } from "../ports/platform.ts";
-import { digest } from "../shared/hash.ts";
-import { asId, requestKey } from "../shared/ids.ts";
-import { mayHaveRun, notRun } from "../shared/verdict.ts";
-import type { VmContext } from "../vm/types.ts";
+import type { MembershipView } from "../membership/types.ts";
+import type { Row } from "../ports/platform.ts";
+import type { ServiceAnswer } from "../ports/services.ts";
+import type { RetryBudget } from "../retries/budget.ts";
+import {
+  type EndpointId,
+  type RequestId,
+  type RequestKey,
+  requestKey,
+} from "../shared/ids.ts";
+import { mayHaveRun, notRun, type Refusal } from "../shared/verdict.ts";
+import type { VmContext, VmTask } from "../vm/types.ts";
+import type { AwaitParams } from "./app.ts";
+import { ClaimStore } from "./commands/claim_store.ts";
+import { forwardCall } from "./commands/forward.ts";
+import { fetchAnswer } from "./commands/kept_answer.ts";
+import { RowSweeper } from "./commands/sweep_rows.ts";
+import { ClaimFollower } from "./follow.ts";
+import { CALL_POLICIES, type CallPolicies } from "./policies.ts";
+import { callDigest, isSameCall } from "./queries/call_digest.ts";
+import { chooseEndpoint } from "./queries/choose_endpoint.ts";
+import { keyTimeMs } from "./queries/key_time.ts";
+import { attemptNotRun, CallRun, claimToken } from "./run.ts";
+import {
+  remainingMs,
+  type Step,
+  type Submission,
+  untilDeadline,
+} from "./submission.ts";
 import type {
   CallOutcome,
   CallRequest,
   CallRow,
   CallVerdict,
+  CallWaiter,
 } from "./types.ts";
+import type { Waiter, WaitOutcome } from "./waiters.ts";
 
-/** The table that holds a row for each call that may not be repeated. */
-export const CALLS_TABLE = "calls";
+const LOOP_TICK_MS = 250;
+/** How far ahead of this VM's clock a key's own time may be. */
+const MAX_KEY_LEAD_MS = 300_000;
+/** How long a connection at another VM counts as there after its last question. */
+const REMOTE_GRACE_MS = 1_500;
+const STAYING: CallWaiter = { gone: () => false };
 
 /** Options of {@link CallsTask}. */
 export interface CallsTaskOptions {
   configuration: ConfigurationView;
+  membership: MembershipView;
+  retries: RetryBudget;
+  policies?: Partial<CallPolicies>;
 }
 
+/** What became of one try to claim: a step, or the row that was in the way. */
+type ClaimStep = Step<ServiceAnswer> | { kind: "occupied"; row: Row | null };
+
 /** Owns the calls that came in at this VM. */
-export class CallsTask {
+export class CallsTask implements VmTask {
   #context: VmContext;
   #options: CallsTaskOptions;
+  #policies: CallPolicies;
+  #store: ClaimStore;
+  #follower: ClaimFollower;
+  #sweeper: RowSweeper;
+  #runs = new Map<RequestKey, CallRun>();
+  #submitted = 0;
+  #claims = 0;
+  #tickedAtMs = performance.now();
+  #ticker: ReturnType<typeof setInterval> | undefined;
 
   constructor(context: VmContext, options: CallsTaskOptions) {
     this.#context = context;
     this.#options = options;
+    this.#policies = { ...CALL_POLICIES, ...options.policies };
+    this.#store = new ClaimStore(context, {
+      policies: this.#policies,
+      liveVms: () => this.#countLiveVms(),
+      onAvailability: (available) => this.#onAvailability(available),
+    });
+    this.#follower = new ClaimFollower(context, {
+      membership: options.membership,
+      store: this.#store,
+      policies: this.#policies,
+    });
+    this.#sweeper = new RowSweeper(context, options.membership);
+  }
+
+  start(): void {
+    this.#tickedAtMs = performance.now();
+    this.#ticker = setInterval(() => {
+      this.#tickedAtMs = performance.now();
+    }, LOOP_TICK_MS);
+    this.#sweeper.start();
+  }
+
+  stop(): void {
+    clearInterval(this.#ticker);
+    this.#sweeper.stop();
+    this.#store.stop();
+  }
+
+  /** Calls whose row is not final yet; a planned stop waits until there are none. */
+  get inProgress(): number {
+    return this.#runs.size;
   }
 
   /** Runs one call and gives its verdict. */
-  async submit(call: CallRequest): Promise<CallVerdict> {
+  async submit(
+    call: CallRequest,
+    waiter: CallWaiter = STAYING,
+  ): Promise<CallVerdict> {
     const bodies = this.#options.configuration.current()?.bodies;
-    if (!bodies) return err(notRun("no-configuration"));
+    if (!bodies) return err(attemptNotRun("no-configuration"));
     const service = bodies.deployment.services.find((one) =>
       one.name === call.service
     );
     if (!service) return err(notRun("not-found"));
-    const endpoint = bodies.endpoints.find((one) =>
-      one.service === call.service && one.state === "live"
-    );
-    if (!endpoint) return err(notRun("no-endpoint"));
+    this.#options.retries.admitted(call.workspace);
     if (service.repeatableMethods.includes(call.method)) {
-      return await this.#send(call, { endpoint, service, key: "" });
+      return await forwardCall(this.#context, {
+        call,
+        service,
+        retries: this.#options.retries,
+        chooseEndpoint: (tried) => this.#chooseEndpoint(call, tried),
+      });
     }
-    return await this.#claimAndSend(call, { endpoint, service });
+    if (!call.request) return err(notRun("missing-idempotency-key"));
+    const { callRetentionMs } = bodies.deployment;
+    const madeAtMs = call.keyTimeMs ?? keyTimeMs(call.request) ?? Date.now();
+    const refusal = checkKeyTime(madeAtMs, callRetentionMs);
+    if (refusal) return err(refusal);
+    const submission = this.#createSubmission(call, {
+      request: call.request,
+      waiter,
+      service,
+      expiresAtMs: Math.max(madeAtMs, Date.now()) + callRetentionMs,
+    });
+    return await this.#runOnce(submission);
   }
 
   /** Waits for the outcome of a call that this VM claimed. */
-  awaitOutcome(): Promise<CallOutcome> {
-    return Promise.resolve({ kind: "unknown" });
+  awaitOutcome(params: AwaitParams): Promise<CallOutcome> {
+    const run = this.#runs.get(params.key);
+    const { incarnation } = this.#context.identity;
+    const isHeld = run && params.incarnation === incarnation &&
+      params.token === run.claim.token;
+    if (!isHeld) return Promise.resolve({ kind: "unknown" });
+    const untilMs = performance.now() + params.timeoutMs + REMOTE_GRACE_MS;
+    return new Promise((resolve) => {
+      const timer = setTimeout(
+        () => resolve({ kind: "pending" }),
+        params.timeoutMs,
+      );
+      run.attach({
+        id: params.waiter,
+        deadlineAtMs: Date.now() + params.deadlineInMs,
+        gone: () => performance.now() > untilMs,
+        receive: (outcome) => {
+          clearTimeout(timer);
+          resolve(outcome.kind === "occupied" ? { kind: "unknown" } : outcome);
+        },
+      });
+    });
   }
 
-  async #claimAndSend(
+  #createSubmission(
     call: CallRequest,
-    target: { endpoint: Endpoint; service: Service },
-  ): Promise<CallVerdict> {
-    if (!call.request) return err(notRun("missing-idempotency-key"));
-    const key = requestKey(call.workspace, call.request);
-    const row: CallRow = {
-      key,
-      caller: call.caller,
-      bodyDigest: digest(call.body),
-      attempt: 1,
-      expiresAtMs: Date.now() + 86_400_000,
-      state: {
-        kind: "claimed",
-        vm: this.#context.identity.id,
-        incarnation: this.#context.identity.incarnation,
-        token: asId(String(this.#context.random())),
-        claimedAtMs: Date.now(),
-      },
+    options: {
+      request: RequestId;
+      waiter: CallWaiter;
+      service: Service;
+      expiresAtMs: number;
+    },
+  ): Submission {
+    this.#submitted += 1;
+    const { request, ...rest } = options;
+    return {
+      ...rest,
+      call,
+      id: `${this.#context.identity.incarnation}-w${this.#submitted}`,
+      key: requestKey(call.workspace, request),
+      bodyDigest: callDigest(call),
     };
-    const claimed = await this.#context.ports.platform.transact([{
-      table: CALLS_TABLE,
+  }
+
+  async #runOnce(submission: Submission): Promise<CallVerdict> {
+    let previous: Row | null = null;
+    let late: Refusal = attemptNotRun("deadline-passed");
+    while (remainingMs(submission) > 0) {
+      const claimed = await this.#attachOrClaim(submission, previous);
+      previous = null;
+      const step = claimed.kind === "occupied"
+        ? await this.#judge(submission, claimed.row)
+        : claimed;
+      if (step.kind === "refused") return err(step.refusal);
+      if (step.kind === "answered") {
+        return ok({ ...step.answer, replayed: step.replayed });
+      }
+      if (step.kind === "claim") previous = step.row;
+      else late = mayHaveRun("in-progress-elsewhere");
+    }
+    return err(late);
+  }
+
+  async #attachOrClaim(
+    submission: Submission,
+    previous: Row | null,
+  ): Promise<ClaimStep> {
+    const held = this.#runs.get(submission.key);
+    if (held) {
+      const same = isSameCall(held.about, aboutOf(submission));
+      if (!same) return refused(notRun("key-reused"));
+      return await this.#waitFor(held, submission);
+    }
+    if (!this.#store.available) {
+      const { retryAfterMs } = this.#store;
+      return refused(attemptNotRun("store-unavailable", retryAfterMs));
+    }
+    return await this.#waitFor(
+      this.#createRun(submission, previous),
+      submission,
+      { start: true },
+    );
+  }
+
+  async #waitFor(
+    run: CallRun,
+    submission: Submission,
+    options: { start: boolean } = { start: false },
+  ): Promise<ClaimStep> {
+    const outcome = await new Promise<WaitOutcome>((resolve) => {
+      const waiter: Waiter = {
+        id: submission.id,
+        deadlineAtMs: submission.call.deadlineAtMs,
+        gone: submission.waiter.gone,
+        receive: resolve,
+      };
+      if (options.start) run.start(waiter);
+      else run.attach(waiter);
+    });
+    if (outcome.kind === "occupied") {
+      return { kind: "occupied", row: run.occupiedBy };
+    }
+    return outcome.kind === "released" ? { kind: "again" } : outcome;
+  }
+
+  #createRun(submission: Submission, previous: Row | null): CallRun {
+    const { call, key, bodyDigest, service, expiresAtMs } = submission;
+    this.#claims += 1;
+    const run = new CallRun(this.#context, {
+      call,
       key,
-      expect: { kind: "absent" },
-      value: row as unknown as Json,
-    }]);
-    if (claimed.isErr()) return err(notRun("store-unavailable"));
-    if (claimed.value.kind === "conflict") {
-      return err(mayHaveRun("in-progress-elsewhere"));
+      bodyDigest,
+      service,
+      previous,
+      attempt: attemptAfter(previous),
+      expiresAtMs,
+      token: claimToken(this.#context, this.#claims),
+      store: this.#store,
+      policies: this.#policies,
+      chooseEndpoint: (tried) => this.#chooseEndpoint(call, tried),
+      takeRetry: () =>
+        this.#options.retries.take(call.workspace, "endpoint-refused"),
+      loopGapMs: () => performance.now() - this.#tickedAtMs,
+      onEnd: () => {
+        if (this.#runs.get(key) === run) this.#runs.delete(key);
+      },
+    });
+    this.#runs.set(key, run);
+    return run;
+  }
+
+  async #judge(
+    submission: Submission,
+    row: Row | null,
+  ): Promise<Step<ServiceAnswer> | { kind: "claim"; row: Row }> {
+    if (!row) return { kind: "again" };
+    const found = row.value as unknown as CallRow;
+    if (found.expiresAtMs <= Date.now()) return { kind: "claim", row };
+    if (!isSameCall(found, aboutOf(submission))) {
+      return refused(notRun("key-reused"));
+    }
+    const { state, claim } = found;
+    if (state.kind === "released") return { kind: "claim", row };
+    if (state.kind === "unknown") return refused(mayHaveRun("claimant-lost"));
+    if (state.kind === "done") {
+      const answer = await untilDeadline(
+        submission,
+        fetchAnswer(this.#context.ports.platform, state),
+      );
+      return answer
+        ? { kind: "answered", answer, replayed: true }
+        : refused(mayHaveRun("answer-unavailable"));
+    }
+    if (claim.incarnation === this.#context.identity.incarnation) {
+      // This incarnation holds no run of it, so it can't tell what became of it.
+      return refused(mayHaveRun("claimant-lost"));
     }
-    return await this.#send(call, { ...target, key });
+    return await this.#follower.follow(submission, row);
   }
 
-  async #send(
+  #chooseEndpoint(
     call: CallRequest,
-    target: { endpoint: Endpoint; service: Service; key: string },
-  ): Promise<CallVerdict> {
-    const { endpoint, service, key } = target;
-    const sent = await this.#context.ports.services.call(
-      endpoint,
-      {
-        method: call.method,
-        path: call.path,
-        contentType: call.contentType,
-        body: call.body,
-        key,
-      },
-      { timeoutMs: service.timeoutMs },
-    );
-    if (sent.isOk()) return ok({ ...sent.value, replayed: false });
-    return sent.error.kind === "notSent"
-      ? err(notRun("endpoint-refused"))
-      : err(mayHaveRun("connection-lost"));
+    tried: ReadonlySet<EndpointId>,
+  ): Endpoint | undefined {
+    const bodies = this.#options.configuration.current()?.bodies;
+    return chooseEndpoint(bodies?.endpoints ?? [], {
+      service: call.service,
+      dataCentre: this.#context.identity.dataCentre,
+      tried,
+      random: this.#context.random,
+    });
   }
+
+  #onAvailability(available: boolean): void {
+    this.#context.observer.log({
+      event: "call-claims",
+      level: available ? "info" : "warn",
+      available,
+    });
+    if (available) return;
+    for (const run of [...this.#runs.values()]) {
+      const { retryAfterMs } = this.#store;
+      run.giveUp(attemptNotRun("store-unavailable", retryAfterMs));
+    }
+  }
+
+  #countLiveVms(): number {
+    return this.#options.membership.members().filter((member) =>
+      member.state === "live"
+    ).length;
+  }
+}
+
+function aboutOf(
+  submission: Submission,
+): Pick<CallRow, "caller" | "bodyDigest"> {
+  return { caller: submission.call.caller, bodyDigest: submission.bodyDigest };
+}
+
+function attemptAfter(previous: Row | null): number {
+  const row = previous?.value as unknown as CallRow | undefined;
+  return row?.state.kind === "released" ? row.attempt + 1 : 1;
+}
+
+function checkKeyTime(madeAtMs: number, retentionMs: number): Refusal | null {
+  if (madeAtMs > Date.now() + MAX_KEY_LEAD_MS) {
+    return notRun("bad-request", { detail: "The key's time is ahead" });
+  }
+  const isOld = madeAtMs + retentionMs <= Date.now();
+  return isOld ? attemptNotRun("key-expired") : null;
+}
+
+function refused(refusal: Refusal): { kind: "refused"; refusal: Refusal } {
+  return { kind: "refused", refusal };
 }
--- a/packages/core/src/calls/types.ts
+++ b/packages/core/src/calls/types.ts
@@ -40,20 +40,38 @@
 
 /** A call's outcome as one VM tells it to another. */
 export type CallOutcome =
-  | { readonly kind: "answered"; readonly answer: ServiceAnswer }
+  | {
+    readonly kind: "answered";
+    readonly answer: ServiceAnswer;
+    readonly replayed: boolean;
+  }
   | { readonly kind: "refused"; readonly refusal: Refusal }
+  /** Nothing was sent and nothing will be; the key can be claimed again. */
+  | { readonly kind: "released" }
+  /** Still under way when the time of the question was over. */
+  | { readonly kind: "pending" }
+  /** The VM that was asked doesn't hold the claim. */
   | { readonly kind: "unknown" };
 
+/** Who claimed a key. */
+export interface Claim {
+  readonly vm: VmId;
+  readonly incarnation: Incarnation;
+  /** Tells one claim's writes from all others. */
+  readonly token: string;
+  readonly claimedAtMs: number;
+}
+
 /** Where a call stands, as kept in the table service. */
 export type CallRowState =
+  | { readonly kind: "claimed" }
   | {
-    readonly kind: "claimed";
-    readonly vm: VmId;
-    readonly incarnation: Incarnation;
-    readonly token: string;
-    readonly claimedAtMs: number;
+    readonly kind: "done";
+    /** Its body is empty where `object` names one. */
+    readonly answer: ServiceAnswer;
+    /** The object that keeps a large body. */
+    readonly object?: string;
   }
-  | { readonly kind: "done"; readonly answer: ServiceAnswer }
   | { readonly kind: "released" }
   | { readonly kind: "unknown" };
 
@@ -61,9 +79,14 @@
 export interface CallRow {
   readonly key: RequestKey;
   readonly caller: CallerId;
+  /** Of all that the call consists of, so that the key can't be used for another. */
   readonly bodyDigest: Digest;
   readonly attempt: number;
   readonly expiresAtMs: number;
+  /** The last claim, also after it has ended. */
+  readonly claim: Claim;
+  /** Tells the last write from all others. */
+  readonly writeToken: string;
   readonly state: CallRowState;
 }
 
--- a/packages/core/src/shared/verdict.ts
+++ b/packages/core/src/shared/verdict.ts
@@ -33,6 +33,7 @@
 /** Why it isn't known whether a request ran. Each has a counter. */
 export const MAY_HAVE_RUN_REASONS = [
   "claimant-lost",
+  "answer-unavailable",
   "connection-lost",
   "endpoint-timeout",
   "superseded",
@@ -55,6 +56,8 @@
   /** When the caller should come back. */
   readonly retryAfterMs: number;
   readonly detail?: string;
+  /** Present where this attempt did not run, but nothing is known of earlier attempts under its key. */
+  readonly earlierAttempts?: "unknown";
 }
 
 /** The request may have run, in part or whole. */
@@ -74,6 +77,7 @@
 export interface NotRunOptions {
   retryAfterMs?: number;
   detail?: string;
+  earlierAttempts?: "unknown";
 }
 
 /** Makes the refusal of a request that did not run. */
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -1,4 +1,5 @@
 /** What a VM is built from, and the faces that it shows. */
+import type { CallPolicies } from "../calls/policies.ts";
 import type { EnginePort } from "../ports/engines.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
@@ -28,3 +29,8 @@
   start(): Promise<void> | void;
   stop(): Promise<void> | void;
 }
+
+/** Decisions that replace a VM's own, by domain; tests take mechanisms away with them. */
+export interface VmPolicies {
+  readonly calls?: Partial<CallPolicies>;
+}
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -14,7 +14,7 @@
 import { RetryBudget } from "../retries/budget.ts";
 import { createSuspectsApp } from "../suspects/app.ts";
 import { SuspectBook } from "../suspects/book.ts";
-import type { VmContext } from "./types.ts";
+import type { VmContext, VmPolicies } from "./types.ts";
 
 const DEFAULT_CONVICTION_MS = 3_600_000;
 
@@ -29,7 +29,7 @@
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
 
-  constructor(context: VmContext) {
+  constructor(context: VmContext, policies: VmPolicies = {}) {
     this.context = context;
     const configuration: ConfigurationTask = new ConfigurationTask(context, {
       members: () => this.membership.members(),
@@ -49,7 +49,12 @@
     });
     this.configuration = configuration;
     this.membership = membership;
-    this.calls = new CallsTask(context, { configuration });
+    this.calls = new CallsTask(context, {
+      configuration,
+      membership,
+      retries: this.retries,
+      policies: policies.calls,
+    });
     this.summaries = new SummariesTask(context, { configuration, membership });
     this.peerHandlers = {
       ...createMembershipApp({
@@ -61,7 +66,7 @@
         readUpTo: () => configuration.poll(),
       }).handlers,
       ...createCallsApp({
-        awaitOutcome: () => this.calls.awaitOutcome(),
+        awaitOutcome: (params) => this.calls.awaitOutcome(params),
       }).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
@@ -76,12 +81,14 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    this.calls.start();
     await this.suspects.start();
   }
 
   /** Stops the tasks in reverse order. */
   stop(): void {
     this.suspects.stop();
+    this.calls.stop();
     this.configuration.stop();
     this.membership.stop();
   }
--- a/packages/daemon/src/callers/services.ts
+++ b/packages/daemon/src/callers/services.ts
@@ -1,10 +1,17 @@
 /** Calls to plain services. */
-import { asId, type RequestId, type ServiceName } from "@teaselvalve/core";
+import {
+  asId,
+  type CallRequest,
+  type RequestId,
+  type ServiceName,
+} from "@teaselvalve/core";
 import { type Exchange, header, readBody } from "../http/exchange.ts";
 import type { CallerContext } from "./context.ts";
 import { deadlineOf } from "./handler.ts";
 
 const PREFIX = "/v1/services/";
+/** Added to a service's own time, for the claim before it. */
+const CLAIM_ALLOWANCE_MS = 5_000;
 
 /** Answers `/v1/services/NAME/...`. */
 export async function handleServiceCall(
@@ -17,7 +24,9 @@
   const [name = "", ...rest] = url.pathname.slice(PREFIX.length).split("/");
   const key = header(incoming, "idempotency-key");
   const { deployment } = context.vm.configuration.current()!.bodies;
-  const verdict = await context.vm.calls.submit({
+  const service = deployment.services.find((one) => one.name === name);
+  const defaultMs = (service?.timeoutMs ?? 0) + CLAIM_ALLOWANCE_MS;
+  const call: CallRequest = {
     workspace: context.principal.workspace.id,
     caller: context.principal.caller,
     request: key === undefined ? null : asId<RequestId>(key),
@@ -26,8 +35,12 @@
     path: `/${rest.join("/")}${url.search}`,
     contentType: header(incoming, "content-type") ?? "",
     body: body.value,
-    deadlineAtMs: deadlineOf(exchange, deployment.summaryTimeoutMs),
+    deadlineAtMs: deadlineOf(exchange, defaultMs),
+  };
+  const verdict = await context.vm.calls.submit(call, {
+    gone: () => response.destroyed || response.closed,
   });
+  if (response.destroyed) return;
   if (verdict.isErr()) return context.refuse(verdict.error);
   const answer = verdict.value;
   response.writeHead(answer.status, {
--- a/packages/daemon/src/http/calls.ts
+++ b/packages/daemon/src/http/calls.ts
@@ -30,8 +30,9 @@
   "EHOSTUNREACH",
   "ENETUNREACH",
   "ENOTFOUND",
-  "UND_ERR_CONNECT_TIMEOUT",
 ]);
+/** The same codes can come later, from a connection that was open. */
+const BEFORE_SENDING_SYSCALLS = new Set(["connect", "getaddrinfo"]);
 
 /** Creates an agent whose connections are kept for later calls. */
 export function createKeptAgent(): Agent {
@@ -69,8 +70,18 @@
 
 /** Tells how a call failed from the error that the library threw. */
 export function failureOf(error: unknown): HttpFailure {
-  const { name, code } = error as { name?: string; code?: string };
-  if (code && NOT_SENT_CODES.has(code)) return { kind: "notSent" };
-  if (error instanceof errors.ConnectTimeoutError) return { kind: "notSent" };
+  if (isBeforeSending(error)) return { kind: "notSent" };
+  const { name } = error as { name?: string };
   return { kind: name === "TimeoutError" ? "timeout" : "lost" };
 }
+
+function isBeforeSending(error: unknown): boolean {
+  if (error instanceof errors.ConnectTimeoutError) return true;
+  // One error for each address of a name that has several.
+  if (error instanceof AggregateError) {
+    return error.errors.length > 0 && error.errors.every(isBeforeSending);
+  }
+  const { code, syscall } = error as { code?: string; syscall?: string };
+  return NOT_SENT_CODES.has(code ?? "") &&
+    BEFORE_SENDING_SYSCALLS.has(syscall ?? "");
+}
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -29,6 +29,7 @@
   readonly reason: Refusal["reason"];
   readonly detail?: string;
   readonly retryAfterMs?: number;
+  readonly earlierAttempts?: "unknown";
 }
 
 /** Builds the problem document of a refusal. */
@@ -44,7 +45,12 @@
     reason: refusal.reason,
     ...(refusal.detail ? { detail: refusal.detail } : {}),
     ...(refusal.kind === "notRun"
-      ? { retryAfterMs: refusal.retryAfterMs }
+      ? {
+        retryAfterMs: refusal.retryAfterMs,
+        ...(refusal.earlierAttempts
+          ? { earlierAttempts: refusal.earlierAttempts }
+          : {}),
+      }
       : {}),
   };
 }
--- a/packages/fakes/src/services/plain_service.ts
+++ b/packages/fakes/src/services/plain_service.ts
@@ -7,9 +7,15 @@
   spendMs?: number;
 }
 
+/** One run of a call. */
+export interface ServiceRun extends ServiceRequest {
+  /** When it began, on the clock of `Date.now`. */
+  readonly ranAtMs: number;
+}
+
 /** Runs every call that arrives; it does not look for repeats itself. */
 export class PlainService {
-  readonly runs: ServiceRequest[] = [];
+  readonly runs: ServiceRun[] = [];
   #spendMs: number;
 
   constructor(options: PlainServiceOptions = {}) {
@@ -23,7 +29,7 @@
 
   /** Runs a call; the effect takes place at once, the answer comes later. */
   call(request: ServiceRequest): Promise<ServiceAnswer> {
-    this.runs.push(request);
+    this.runs.push({ ...request, ranAtMs: Date.now() });
     const number = this.runs.length;
     return new Promise((resolve) =>
       setTimeout(
