--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -52,7 +52,12 @@
     this.configuration = configuration;
     this.membership = membership;
     this.#grants = grants;
-    this.calls = new CallsTask(context, { configuration });
+    this.calls = new CallsTask(context, {
+      configuration,
+      membership,
+      retries: this.retries,
+      policies: policies.calls,
+    });
     this.summaries = new SummariesTask(context, { configuration, membership });
     this.peerHandlers = {
       ...createMembershipApp({
@@ -68,7 +73,7 @@
           configuration.holdVersion(version, from),
       }).handlers,
       ...createCallsApp({
-        awaitOutcome: () => this.calls.awaitOutcome(),
+        awaitOutcome: (params) => this.calls.awaitOutcome(params),
       }).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
@@ -86,6 +91,7 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    this.calls.start();
     await this.suspects.start();
   }
 
@@ -93,6 +99,7 @@
   stop(): void {
     this.suspects.stop();
     this.#grants.stop();
+    this.calls.stop();
     this.configuration.stop();
     this.membership.stop();
   }
