--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -11,16 +11,24 @@
 import { createSummariesApp } from "../summaries/app.ts";
 import { SummariesHome } from "../summaries/home.ts";
 import { SummariesTask } from "../summaries/task.ts";
+import { RetryBudget } from "../retries/budget.ts";
+import { createSuspectsApp } from "../suspects/app.ts";
+import { SuspectBook } from "../suspects/book.ts";
 import type { VmContext, VmPolicies } from "./types.ts";
 
+const DEFAULT_CONVICTION_MS = 3_600_000;
+
 /** One entry VM: its tasks and the methods that its peers may call. */
 export class Vm {
   readonly context: VmContext;
   readonly membership: MembershipTask;
   readonly configuration: ConfigurationTask;
+  readonly suspects: SuspectBook;
+  readonly retries: RetryBudget;
   readonly calls: CallsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
+  #grants: GrantsHome;
 
   constructor(context: VmContext, policies: VmPolicies = {}) {
     this.context = context;
@@ -32,10 +40,24 @@
       configurationVersion: () => configuration.version(),
     });
     const home = new SummariesHome();
-    const grants = new GrantsHome(context, { configuration });
+    const deployment = () => configuration.current()?.bodies.deployment;
+    this.suspects = new SuspectBook(context, {
+      membership,
+      convictionMs: () => deployment()?.convictionMs ?? DEFAULT_CONVICTION_MS,
+    });
+    this.retries = new RetryBudget(context, {
+      share: () => deployment()?.retryBudgetShare ?? 0,
+    });
+    const grants = new GrantsHome(context, { configuration, membership });
     this.configuration = configuration;
     this.membership = membership;
-    this.calls = new CallsTask(context, { configuration });
+    this.#grants = grants;
+    this.calls = new CallsTask(context, {
+      configuration,
+      membership,
+      retries: this.retries,
+      policies: policies.calls,
+    });
     this.summaries = new SummariesTask(context, { configuration, membership });
     this.peerHandlers = {
       ...createMembershipApp({
@@ -51,12 +73,16 @@
           configuration.holdVersion(version, from),
       }).handlers,
       ...createCallsApp({
-        awaitOutcome: () => this.calls.awaitOutcome(),
+        awaitOutcome: (params) => this.calls.awaitOutcome(params),
       }).handlers,
       ...createGrantsApp(grants.handlers).handlers,
+      ...createSuspectsApp(this.suspects.handlers).handlers,
       ...createSummariesApp({
         "summaries/register": (params) => home.register(params),
         "summaries/hand-over": () => Promise.resolve({ registration: null }),
+        "summaries/cancel": ({ key }) => ({
+          known: this.summaries.cancel(key),
+        }),
       }).handlers,
     };
   }
@@ -65,10 +91,15 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    this.calls.start();
+    await this.suspects.start();
   }
 
   /** Stops the tasks in reverse order. */
   stop(): void {
+    this.suspects.stop();
+    this.#grants.stop();
+    this.calls.stop();
     this.configuration.stop();
     this.membership.stop();
   }
