Experiment tool: goodput of grant policies on the paused clock

Cause: no policy could be measured. Change: deployments, workloads, load 1.0, faults, a knowing planner and a rig that runs the real homes with the fake engines and a small owner flow. A request is judged by its mean time between tokens.

--- /dev/null
+++ b/packages/bench/src/experiment/measure.ts
@@ -0,0 +1,168 @@
+/** Sums a run up. */
+import { build } from "hdr-histogram-js";
+import { planCeiling } from "./ceiling.ts";
+import {
+  BETWEEN_TOKENS_TARGET_MS,
+  FIRST_TOKEN_TARGET_MS,
+} from "./deployments.ts";
+import type { FaultName } from "./faults.ts";
+import { isUnattainable } from "./load.ts";
+import type { Outcome } from "./outcome.ts";
+import type { PolicyName } from "./policies.ts";
+import type { RunResult } from "./run.ts";
+import type { WorkItem } from "./workload.ts";
+
+/** What one run comes to. */
+export interface ExperimentRecord {
+  readonly policy: PolicyName;
+  readonly load: number;
+  readonly faults: FaultName;
+  readonly seed: number;
+  /** Requests that arrived in the measured time. */
+  readonly offered: number;
+  /** Share in time of those offered, without the unattainable and those whose caller gave up. */
+  readonly goodput: number;
+  /** The same share for a planner that knows everything beforehand. */
+  readonly ceiling: number;
+  readonly unattainable: number;
+  readonly wastedPrefillShare: number;
+  readonly cancelledPrefillShare: number;
+  readonly firstTokenP50Ms: number;
+  readonly firstTokenP95Ms: number;
+  readonly firstTokenP99Ms: number;
+  readonly betweenTokensP95Ms: number;
+  readonly refused: number;
+  readonly refusedByReason: Readonly<Record<string, number>>;
+}
+
+/** Histograms hold tenths of a millisecond. */
+const TICKS_PER_MS = 10;
+
+/** Sums a run up in one record. */
+export function measure(result: RunResult): ExperimentRecord {
+  const { policy, load, faults, seed } = result.options;
+  const offered = measuredOutcomes(result);
+  const judged = offered.filter((one) => isJudged(one, result));
+  const good = judged.filter((one) => isGood(one, result));
+  const waste = measureWaste(offered, result.prefillMs);
+  const firstTokens = firstTokenHistogram(offered, result);
+  const refused = countRefusals(offered);
+  return {
+    policy,
+    load,
+    faults,
+    seed,
+    offered: offered.length,
+    goodput: share(good.length, judged.length),
+    ceiling: share(ceilingCount(result), judged.length),
+    unattainable: offered.filter((one) => isTooLong(one.item, result)).length,
+    ...waste,
+    firstTokenP50Ms: firstTokens.getValueAtPercentile(50) / TICKS_PER_MS,
+    firstTokenP95Ms: firstTokens.getValueAtPercentile(95) / TICKS_PER_MS,
+    firstTokenP99Ms: firstTokens.getValueAtPercentile(99) / TICKS_PER_MS,
+    betweenTokensP95Ms: gapPercentileMs(offered, 95),
+    refused: Object.values(refused).reduce((sum, count) => sum + count, 0),
+    refusedByReason: refused,
+  };
+}
+
+/** Outcomes of the requests that arrived in the measured time. */
+export function measuredOutcomes(result: RunResult): Outcome[] {
+  const { measuredFromMs, measuredToMs } = result;
+  return result.outcomes.filter(({ item }) =>
+    item.arrivesAtMs >= measuredFromMs && item.arrivesAtMs < measuredToMs
+  );
+}
+
+/** Whether a request counts: it was attainable, and its caller stayed. */
+export function isJudged(outcome: Outcome, result: RunResult): boolean {
+  return !outcome.gaveUp && !isTooLong(outcome.item, result);
+}
+
+/** Whether a request met both targets and was answered whole. */
+export function isGood(outcome: Outcome, result: RunResult): boolean {
+  const firstTokenMs = outcome.firstTokenMs(result.originMs);
+  return outcome.done && firstTokenMs !== undefined &&
+    firstTokenMs <= FIRST_TOKEN_TARGET_MS &&
+    outcome.meanGapMs <= BETWEEN_TOKENS_TARGET_MS;
+}
+
+/** First-token times, in tenths of a millisecond. */
+export function firstTokenHistogram(
+  outcomes: readonly Outcome[],
+  result: RunResult,
+) {
+  const histogram = build({ numberOfSignificantValueDigits: 3 });
+  for (const outcome of outcomes) {
+    const ms = outcome.firstTokenMs(result.originMs);
+    if (ms !== undefined) histogram.recordValue(Math.round(ms * TICKS_PER_MS));
+  }
+  return histogram;
+}
+
+function isTooLong(item: WorkItem, result: RunResult): boolean {
+  return isUnattainable(item, result.options.deployment.figures);
+}
+
+function ceilingCount(result: RunResult): number {
+  const { outcomes, options, measuredFromMs, measuredToMs } = result;
+  const gaveUp = new Set(
+    outcomes.filter((one) => one.gaveUp).map((one) => one.item.id),
+  );
+  const counts = (item: WorkItem) =>
+    !gaveUp.has(item.id) && !isTooLong(item, result);
+  return planCeiling(outcomes.map((one) => one.item), {
+    deployment: options.deployment,
+    counts,
+    isMeasured: (item) =>
+      item.arrivesAtMs >= measuredFromMs && item.arrivesAtMs < measuredToMs,
+  });
+}
+
+function measureWaste(
+  outcomes: readonly Outcome[],
+  prefillMs: ReadonlyMap<string, number>,
+): { wastedPrefillShare: number; cancelledPrefillShare: number } {
+  let total = 0;
+  let wasted = 0;
+  let cancelled = 0;
+  for (const outcome of outcomes) {
+    for (const stream of outcome.streams) {
+      const spentMs = prefillMs.get(stream) ?? 0;
+      total += spentMs;
+      if (outcome.decodedStreams.has(stream)) continue;
+      const last = stream === outcome.streams.at(-1);
+      if (outcome.gaveUp && last) cancelled += spentMs;
+      else wasted += spentMs;
+    }
+  }
+  return {
+    wastedPrefillShare: share(wasted, total),
+    cancelledPrefillShare: share(cancelled, total),
+  };
+}
+
+function gapPercentileMs(
+  outcomes: readonly Outcome[],
+  percentile: number,
+): number {
+  const histogram = build({ numberOfSignificantValueDigits: 3 });
+  for (const outcome of outcomes) {
+    for (const [ticks, count] of outcome.gaps) {
+      histogram.recordValueWithCount(ticks, count);
+    }
+  }
+  return histogram.getValueAtPercentile(percentile) / TICKS_PER_MS;
+}
+
+function countRefusals(outcomes: readonly Outcome[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { refusedBy } of outcomes) {
+    if (refusedBy) counts[refusedBy] = (counts[refusedBy] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function share(part: number, whole: number): number {
+  return whole === 0 ? 0 : part / whole;
+}
--- /dev/null
+++ b/packages/bench/src/experiment/outcome.ts
@@ -0,0 +1,71 @@
+/** What became of one request, as its caller saw it. */
+import type { NotRunReason } from "@teaselvalve/core";
+import type { WorkItem } from "./workload.ts";
+
+/** Time between caller and VM, one way. */
+export const CALLER_HOP_MS = 3;
+/** Time from an engine through the VM to the caller. */
+const RELAY_MS = 3.5;
+
+/** A moment in the course of a request. */
+export interface Mark {
+  readonly what: string;
+  readonly atMs: number;
+}
+
+/** Collects what a caller sees. Times are on the rig's monotonic clock, counted from its start. */
+export class Outcome {
+  readonly item: WorkItem;
+  readonly marks: Mark[] = [];
+  /** Runs at the engines, one for each attempt. */
+  readonly streams: string[] = [];
+  firstTokenAtMs: number | undefined;
+  lastTokenAtMs: number | undefined;
+  tokens = 0;
+  done = false;
+  gaveUp = false;
+  lost = false;
+  refusedBy: NotRunReason | undefined;
+  /** Streams of which a token reached the caller. */
+  readonly decodedStreams = new Set<string>();
+  /** How often each time between tokens occurred, in tenths of a millisecond. */
+  readonly gaps = new Map<number, number>();
+
+  constructor(item: WorkItem) {
+    this.item = item;
+  }
+
+  /** Notes a moment. */
+  mark(what: string): void {
+    this.marks.push({ what, atMs: performance.now() });
+  }
+
+  /** Takes tokens in. */
+  receive(count: number, stream: string): void {
+    const atMs = performance.now() + RELAY_MS;
+    this.tokens += count;
+    if (!this.decodedStreams.has(stream)) this.decodedStreams.add(stream);
+    if (this.firstTokenAtMs === undefined) {
+      this.firstTokenAtMs = atMs;
+      this.mark("first token");
+    } else this.#countGap(atMs - this.lastTokenAtMs!);
+    this.lastTokenAtMs = atMs;
+  }
+
+  /** Time to the first token, from the caller's sending. */
+  firstTokenMs(originMs: number): number | undefined {
+    if (this.firstTokenAtMs === undefined) return undefined;
+    return this.firstTokenAtMs - originMs - this.item.arrivesAtMs;
+  }
+
+  /** Mean time between tokens. */
+  get meanGapMs(): number {
+    if (this.tokens < 2) return 0;
+    return (this.lastTokenAtMs! - this.firstTokenAtMs!) / (this.tokens - 1);
+  }
+
+  #countGap(gapMs: number): void {
+    const ticks = Math.round(gapMs * 10);
+    this.gaps.set(ticks, (this.gaps.get(ticks) ?? 0) + 1);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/experiment/recovery.ts
@@ -0,0 +1,89 @@
+/** How soon goodput is back after a fault. */
+import { isGood, isJudged } from "./measure.ts";
+import type { RunResult } from "./run.ts";
+
+const BUCKET_MS = 500;
+const SHOWN_MS = 12_000;
+/** Goodput is back once it is at least this share of what it was before the fault. */
+const BACK_SHARE = 0.9;
+const SMOOTHED_BUCKETS = 2;
+
+/** Time from the fault until goodput by arrival is back, over the runs of one policy and load. */
+export interface Recovery {
+  readonly policy: string;
+  readonly load: number;
+  readonly beforeShare: number;
+  readonly buckets: readonly number[];
+  readonly backAfterMs: number | undefined;
+}
+
+/** Formats the recovery of each policy and load. */
+export function measureRecovery(results: readonly RunResult[]): string {
+  const groups = new Map<string, RunResult[]>();
+  for (const result of results) {
+    const { policy, load } = result.options;
+    const key = `${policy} ${load}`;
+    groups.set(key, [...groups.get(key) ?? [], result]);
+  }
+  return [...groups.values()].map((group) => format(recoveryOf(group)))
+    .join("\n");
+}
+
+/** Sums up the runs of one policy and load. */
+export function recoveryOf(results: readonly RunResult[]): Recovery {
+  const { policy, load } = results[0]!.options;
+  const before = goodShare(results, {
+    fromMs: (result) => result.measuredFromMs,
+    toMs: (result) => result.faultAtMs - 500,
+  });
+  const buckets: number[] = [];
+  for (let atMs = 0; atMs < SHOWN_MS; atMs += BUCKET_MS) {
+    buckets.push(goodShare(results, {
+      fromMs: (result) => result.faultAtMs + atMs,
+      toMs: (result) => result.faultAtMs + atMs + BUCKET_MS,
+    }));
+  }
+  const back = buckets.findIndex((_, at) => {
+    const near = buckets.slice(at, at + SMOOTHED_BUCKETS);
+    const mean = near.reduce((sum, one) => sum + one, 0) / near.length;
+    return mean >= BACK_SHARE * before;
+  });
+  return {
+    policy,
+    load,
+    beforeShare: before,
+    buckets,
+    backAfterMs: back === -1 ? undefined : back * BUCKET_MS,
+  };
+}
+
+function goodShare(
+  results: readonly RunResult[],
+  span: {
+    fromMs: (result: RunResult) => number;
+    toMs: (result: RunResult) => number;
+  },
+): number {
+  let good = 0;
+  let judged = 0;
+  for (const result of results) {
+    const from = span.fromMs(result);
+    const to = span.toMs(result);
+    for (const outcome of result.outcomes) {
+      const { arrivesAtMs } = outcome.item;
+      if (arrivesAtMs < from || arrivesAtMs >= to) continue;
+      if (!isJudged(outcome, result)) continue;
+      judged += 1;
+      if (isGood(outcome, result)) good += 1;
+    }
+  }
+  return judged === 0 ? 1 : good / judged;
+}
+
+function format(recovery: Recovery): string {
+  const { policy, load, beforeShare, buckets, backAfterMs } = recovery;
+  const series = buckets.map((one) => one.toFixed(2)).join(" ");
+  const back = backAfterMs === undefined ? "not back" : `${backAfterMs} ms`;
+  return `${policy} load ${load}: before ${beforeShare.toFixed(3)}, ` +
+    `back after ${back}; each ${BUCKET_MS} ms: ${series}`;
+}
--- a/packages/core/src/grants/home.ts
+++ b/packages/core/src/grants/home.ts
@@ -21,6 +21,8 @@
   /** Tells which data centres are of other regions. */
   membership?: MembershipView;
   policy?: GrantPolicy;
+  /** Splits a model's pool into shards. */
+  planShards?: typeof planShards;
 }
 
 interface OpenShard {
@@ -125,7 +127,8 @@
   #plan(request: GrantRequest): ShardPlan | undefined {
     const configuration = this.#options.configuration.current();
     if (!configuration) return undefined;
-    const shards = planShards(configuration.bodies.endpoints, {
+    const plan = this.#options.planShards ?? planShards;
+    const shards = plan(configuration.bodies.endpoints, {
       model: request.model,
       elsewhere: this.#dataCentresElsewhere(),
     });
--- a/packages/core/src/grants/policies/baselines.ts
+++ b/packages/core/src/grants/policies/baselines.ts
@@ -64,7 +64,7 @@
   const prefill = pick({
     from: candidates(view.prefills, { request, nowMs }),
     view,
-    loadOf: (one: PrefillReplica) => one.queuedTokens + one.queued,
+    loadOf: (one: PrefillReplica) => one.waitingTokens,
   });
   const stepMs = view.speeds.stepMs.at(1);
   const use = (one: DecodeReplica) => one.use(nowMs, stepMs);
--- a/packages/core/src/grants/prefill_replica.ts
+++ b/packages/core/src/grants/prefill_replica.ts
@@ -76,6 +76,15 @@
     return count;
   }
 
+  /** Prompt tokens that wait here, by the last report and by what was granted since. */
+  get waitingTokens(): number {
+    let tokens = this.queuedTokens;
+    for (const job of this.#jobs.values()) {
+      if (job.endedAtMs === undefined) tokens += job.promptTokens;
+    }
+    return tokens;
+  }
+
   /** Whether a run that must be alone is here. */
   get exclusive(): boolean {
     for (const job of this.#jobs.values()) {
--- a/packages/core/src/grants/queries/choose_shard.ts
+++ b/packages/core/src/grants/queries/choose_shard.ts
@@ -29,11 +29,21 @@
   const key = elsewhere?.size
     ? [model, ...[...elsewhere].sort()].join("\n")
     : model;
-  let known = plans.get(endpoints);
-  if (!known) plans.set(endpoints, known = new Map());
-  let plan = known.get(key);
-  if (!plan) known.set(key, plan = split(endpoints, options));
-  return plan;
+  return remember(endpoints, key, () => split(endpoints, options));
+}
+
+/** Takes a model's whole pool for one shard, as VMs that decide for themselves do. */
+export function wholePool(
+  endpoints: readonly Endpoint[],
+  options: PlanOptions,
+): readonly ShardPlan[] {
+  const { model } = options;
+  return remember(endpoints, `${model}\nwhole`, () => {
+    const pool = endpoints.filter((one) =>
+      one.model === model && one.kind !== "service"
+    );
+    return pool.length === 0 ? [] : [shard(model, "all", pool)];
+  });
 }
 
 /** Options of {@link chooseShards}. */
@@ -67,6 +77,18 @@
   return `shard/${shard.name}`;
 }
 
+function remember(
+  endpoints: readonly Endpoint[],
+  key: string,
+  create: () => readonly ShardPlan[],
+): readonly ShardPlan[] {
+  let known = plans.get(endpoints);
+  if (!known) plans.set(endpoints, known = new Map());
+  let plan = known.get(key);
+  if (!plan) known.set(key, plan = create());
+  return plan;
+}
+
 function split(
   endpoints: readonly Endpoint[],
   options: PlanOptions,
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -7,6 +7,7 @@
   "packages/fakes/dist/fakes": "packages/fakes/src/main.ts",
   "packages/bench/dist/demo": "packages/bench/src/demo/main.ts",
   "packages/bench/dist/fuzz": "packages/bench/src/fuzz/main.ts",
+  "packages/bench/dist/experiment": "packages/bench/src/experiment/main.ts",
 };
 
 await build({
