--- a/packages/daemon/src/admin/queries/calls.ts
+++ b/packages/daemon/src/admin/queries/calls.ts
@@ -6,6 +6,7 @@
   type Digest,
   notRun,
   type RequestKey,
+  type VmId,
 } from "@teaselvalve/core";
 import { err, ok } from "neverthrow";
 import type { AdminContext, AdminRoutes } from "../types.ts";
@@ -19,8 +20,8 @@
   readonly bodyDigest: Digest;
   readonly attempt: number;
   readonly state: CallRow["state"]["kind"];
-  /** The VM that claimed it; null unless it is claimed. */
-  readonly vm: string | null;
+  /** The VM that claimed it last. */
+  readonly vm: VmId;
   /** The answer's status; null unless it is done. */
   readonly answerStatus: number | null;
   readonly expiresAtMs: number;
@@ -60,7 +61,7 @@
     bodyDigest: row.bodyDigest,
     attempt: row.attempt,
     state: state.kind,
-    vm: state.kind === "claimed" ? state.vm : null,
+    vm: row.claim.vm,
     answerStatus: state.kind === "done" ? state.answer.status : null,
     expiresAtMs: row.expiresAtMs,
   };
