--- a/packages/fakes/src/platform/faults.ts
+++ b/packages/fakes/src/platform/faults.ts
@@ -2,8 +2,10 @@
 
 /** Faults of the platform as its clients see them. */
 export interface PlatformFaults {
-  /** Takes nothing and answers nothing. */
+  /** The table service and the object store take nothing and answer nothing. */
   down: boolean;
+  /** The list of VMs answers nothing. */
+  listDown: boolean;
   /** Added before and again after the effect of every call. */
   delayMs: number;
   /** How many of the next writes take effect but lose their reply. */
@@ -12,16 +14,17 @@
 
 /** A platform without faults. */
 export function noPlatformFaults(): PlatformFaults {
-  return { down: false, delayMs: 0, loseReplies: 0 };
+  return { down: false, listDown: false, delayMs: 0, loseReplies: 0 };
 }
 
 /** Carries a call out through the faults; an answer that is lost never comes. */
 export async function answerThroughFaults<T>(
   faults: PlatformFaults,
-  call: { effect: () => T; writes: boolean },
+  call: { service: "store" | "list"; effect: () => T; writes: boolean },
 ): Promise<T> {
   if (faults.delayMs > 0) await wait(faults.delayMs);
-  if (faults.down) return await never();
+  const down = call.service === "store" ? faults.down : faults.listDown;
+  if (down) return await never();
   const answer = call.effect();
   if (call.writes && faults.loseReplies > 0) {
     faults.loseReplies -= 1;
--- a/packages/fakes/src/platform/port.ts
+++ b/packages/fakes/src/platform/port.ts
@@ -14,6 +14,7 @@
 export const PLATFORM_HOST: Host = "platform";
 
 const DEFAULT_TIMEOUT_MS = 1_000;
+const LIST_CALL = { service: "list", writes: false } as const;
 
 /** Options of {@link createFakePlatformPort}. */
 export interface FakePlatformPortOptions {
@@ -29,14 +30,17 @@
 ): PlatformPort {
   async function call<T>(
     effect: () => T,
-    how: { writes: boolean; options: StoreCallOptions | undefined },
+    how: {
+      service: "store" | "list";
+      writes: boolean;
+      options: StoreCallOptions | undefined;
+    },
   ): Promise<Result<T, StoreFailure>> {
     const answer = await sendRequest(options.network, {
       from: options.from,
       to: PLATFORM_HOST,
       timeoutMs: how.options?.timeoutMs ?? DEFAULT_TIMEOUT_MS,
-      effect: () =>
-        answerThroughFaults(options.faults, { effect, writes: how.writes }),
+      effect: () => answerThroughFaults(options.faults, { ...how, effect }),
     });
     return answer.mapErr(({ kind }) => ({
       kind: kind === "notSent" ? "notSent" : "unknown",
@@ -44,9 +48,9 @@
     }));
   }
   const read = <T>(effect: () => T, how: StoreCallOptions | undefined) =>
-    call(effect, { writes: false, options: how });
+    call(effect, { service: "store", writes: false, options: how });
   const write = <T>(effect: () => T, how: StoreCallOptions | undefined) =>
-    call(effect, { writes: true, options: how });
+    call(effect, { service: "store", writes: true, options: how });
   return {
     transact: (writes, how) => write(() => platform.transact(writes), how),
     read: (table, key, how) => read(() => platform.read(table, key), how),
@@ -55,6 +59,7 @@
     putObject: (name, body, how) =>
       write(() => platform.putObject(name, body), how),
     getObject: (name, how) => read(() => platform.getObject(name), how),
-    listVms: (how) => read(() => platform.listVms(), how),
+    listVms: (how) =>
+      call(() => platform.listVms(), { ...LIST_CALL, options: how }),
   };
 }
--- a/packages/fakes/src/platform/server.ts
+++ b/packages/fakes/src/platform/server.ts
@@ -31,7 +31,8 @@
       await new Promise((resolve) => setTimeout(resolve, faults.delayMs));
     }
     // A down platform leaves its clients to their time limits.
-    if (faults.down) return null;
+    const isList = request.path === "/vms";
+    if (isList ? faults.listDown : faults.down) return null;
     const answer = answerRequest(platform, request);
     const writes = request.path === "/transact" || request.method === "PUT";
     if (!writes || faults.loseReplies === 0) return answer;
