Quotas: one account a workspace at its home, drawn from by all VMs

Cause: quotas were in the manifest and held nowhere. Change: admit(workspace, tokens) asks the workspace's home; what gathers while one question is under way goes with the next; buckets for requests and tokens, slots for what is in flight, re-registered each second; an equal share where the home can't be asked.

--- /dev/null
+++ b/packages/bench/src/quotas_world_test.ts
@@ -0,0 +1,163 @@
+import { asId, type WorkspaceId } from "@teaselvalve/core";
+import { afterEach, expect, test } from "vitest";
+import { seededRandom, World } from "./world/world.ts";
+
+const WORKSPACE = asId<WorkspaceId>("lenders");
+const TOLERANCE = 0.1;
+const STEP_MS = 10;
+
+let world: World;
+
+afterEach(() => world?.close());
+
+interface Usage {
+  admitted: number;
+  admittedTokens: number;
+  refused: number;
+  inFlight: number;
+  mostInFlight: number;
+}
+
+interface Load {
+  /** Requests a second at each VM. */
+  demand: readonly number[];
+  forMs: number;
+  holdMs?: number;
+  tokens?: () => number;
+}
+
+async function create(quota: Record<string, number>): Promise<void> {
+  world = await World.create({ seed: 3, vms: 4 });
+  const outcome = world.submitManifest("vm-1", {
+    submissionId: "quota",
+    scopes: {
+      workspaces: { basedOn: 1, body: [{ id: WORKSPACE, quota }] },
+    },
+  });
+  await world.advance(2_000);
+  expect(await outcome).toMatchObject({ kind: "accepted" });
+}
+
+function ask(vm: string, options: { tokens: number; holdMs: number }) {
+  const { quotas } = world.vms.get(vm)!;
+  return (usage: Usage) =>
+    world.timers.runOn(vm, () => {
+      void quotas.admit(WORKSPACE, options.tokens).then((result) => {
+        if (result.isErr()) {
+          usage.refused += 1;
+          return;
+        }
+        usage.admitted += 1;
+        usage.admittedTokens += options.tokens;
+        usage.inFlight += 1;
+        usage.mostInFlight = Math.max(usage.mostInFlight, usage.inFlight);
+        setTimeout(() => {
+          usage.inFlight -= 1;
+          result.value.release();
+        }, options.holdMs);
+      });
+    });
+}
+
+async function offer(load: Load): Promise<Usage> {
+  const usage: Usage = {
+    admitted: 0,
+    admittedTokens: 0,
+    refused: 0,
+    inFlight: 0,
+    mostInFlight: 0,
+  };
+  const random = seededRandom(17);
+  for (let ms = 0; ms < load.forMs; ms += STEP_MS) {
+    load.demand.forEach((perSecond, at) => {
+      if (random() >= perSecond * STEP_MS / 1_000) return;
+      const tokens = load.tokens?.() ?? 1;
+      ask(`vm-${at + 1}`, { tokens, holdMs: load.holdMs ?? 0 })(usage);
+    });
+    await world.advance(STEP_MS);
+  }
+  return usage;
+}
+
+function expectNear(measured: number, stated: number): void {
+  expect(measured).toBeLessThanOrEqual(stated * (1 + TOLERANCE));
+  expect(measured).toBeGreaterThanOrEqual(stated * (1 - TOLERANCE));
+}
+
+test(
+  "Requests a second hold within a tenth while demand moves between VMs",
+  async () => {
+    await create({ requestsPerSecond: 20 });
+    const phases = [[40, 0, 0, 0], [0, 0, 40, 0], [10, 10, 10, 10], [
+      0,
+      60,
+      1,
+      1,
+    ]];
+    for (const demand of phases) {
+      const usage = await offer({ demand, forMs: 10_000 });
+      expectNear(usage.admitted, 200);
+    }
+  },
+  20_000,
+);
+
+test("Tokens a second hold within a tenth, with requests larger than a second's worth", async () => {
+  await create({ tokensPerSecond: 1_000 });
+  const random = seededRandom(23);
+  const tokens = () => 100 + Math.floor(random() * 1_500);
+  await offer({ demand: [5, 5, 0, 0], forMs: 2_000, tokens });
+  for (const demand of [[10, 0, 0, 0], [0, 3, 3, 3]]) {
+    const usage = await offer({ demand, forMs: 20_000, tokens });
+    expectNear(usage.admittedTokens, 20_000);
+  }
+});
+
+test("Requests in flight hold within a tenth while demand moves and their home goes", async () => {
+  await create({ inFlight: 20 });
+  const first = await offer({
+    demand: [60, 20, 0, 0],
+    forMs: 5_000,
+    holdMs: 1_000,
+  });
+  expectNear(first.mostInFlight, 20);
+  const home = world.vms.get("vm-1")!.membership.homeOf(`quota/${WORKSPACE}`);
+  const usage = { ...first, inFlight: 0, mostInFlight: 0 };
+  await world.advance(2_000);
+  const demand = ["vm-1", "vm-2", "vm-3", "vm-4"].map((name) =>
+    name === home.id ? 0 : 30
+  );
+  world.killVm(home.id);
+  const moved = await offer({ demand, forMs: 10_000, holdMs: 1_000 });
+  expect(usage.mostInFlight).toBe(0);
+  expectNear(moved.mostInFlight, 20);
+});
+
+test("A refused request that comes back when it was told to is let in", async () => {
+  await create({ requestsPerSecond: 2 });
+  const { quotas } = world.vms.get("vm-2")!;
+  let refusals = 0;
+  for (let at = 0; at < 20; at += 1) {
+    const asked = quotas.admit(WORKSPACE, 1);
+    await world.advance(20);
+    const result = await asked;
+    if (result.isOk()) continue;
+    refusals += 1;
+    expect(result.error.reason).toBe("quota-exceeded");
+    await world.advance(result.error.retryAfterMs);
+    const again = quotas.admit(WORKSPACE, 1);
+    await world.advance(20);
+    expect((await again).isOk()).toBe(true);
+  }
+  expect(refusals).toBeGreaterThan(5);
+});
+
+test("A home that can't be asked leaves each VM an equal share", async () => {
+  await create({ requestsPerSecond: 20 });
+  const names = [...world.vms.keys()];
+  for (const a of names) {
+    for (const b of names) if (a !== b) world.network.cut(a, b);
+  }
+  const usage = await offer({ demand: [20, 20, 20, 20], forMs: 1_500 });
+  expect(usage.admitted).toBeLessThanOrEqual(1.5 * 20 * (1 + TOLERANCE) + 20);
+});
--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -120,6 +120,8 @@
 export type Deployment = z.infer<typeof DeploymentSchema>;
 /** A caller's token. */
 export type Token = z.infer<typeof TokenSchema>;
+/** Limits of a workspace. */
+export type Quota = z.infer<typeof QuotaSchema>;
 /** A tenant. */
 export type Workspace = z.infer<typeof WorkspaceSchema>;
 /** A back end. */
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -35,6 +35,8 @@
 export * from "./retries/budget.ts";
 export * from "./membership/machine.ts";
 export * from "./membership/task.ts";
+export * from "./quotas/task.ts";
+export * from "./quotas/app.ts";
 export * from "./summaries/types.ts";
 export * from "./summaries/prompt.ts";
 export * from "./suspects/types.ts";
--- a/packages/core/src/peers/types.ts
+++ b/packages/core/src/peers/types.ts
@@ -4,6 +4,7 @@
 import type { SummariesHandlers } from "../summaries/app.ts";
 import type { GrantsHandlers } from "../grants/app.ts";
 import type { CallsHandlers } from "../calls/app.ts";
+import type { QuotasHandlers } from "../quotas/app.ts";
 import type { SuspectsHandlers } from "../suspects/app.ts";
 
 /** Methods of the peer interface, by name. */
@@ -13,4 +14,5 @@
   & SummariesHandlers
   & GrantsHandlers
   & CallsHandlers
+  & QuotasHandlers
   & SuspectsHandlers;
--- /dev/null
+++ b/packages/core/src/quotas/task.ts
@@ -0,0 +1,207 @@
+/** Asks a workspace's home before a request is let in. */
+import { err, ok, type Result } from "neverthrow";
+import type { ConfigurationView } from "../configuration/task.ts";
+import { findWorkspace } from "../configuration/token_index.ts";
+import type { Quota } from "../configuration/types.ts";
+import type { MembershipView } from "../membership/types.ts";
+import type { WorkspaceId } from "../shared/ids.ts";
+import { type NotRun, notRun } from "../shared/verdict.ts";
+import type { VmContext, VmTask } from "../vm/types.ts";
+import type { DrawAnswer, QuotasHandlers } from "./app.ts";
+import { QuotasHome } from "./home.ts";
+
+const DRAW_TIMEOUT_MS = 500;
+const RENEW_INTERVAL_MS = 1_000;
+/** Requests admitted by one question. */
+const MAX_NEEDS = 64;
+
+/** A request that was let in. */
+export interface Admitted {
+  /** Ends the request's time in flight; further calls do nothing. */
+  release(): void;
+}
+
+/** Asked before a request costs anything. */
+export interface QuotaAdmission {
+  /** Lets a request of so many tokens in, or refuses it as `quota-exceeded`. */
+  admit(
+    workspace: WorkspaceId,
+    tokens: number,
+  ): Promise<Result<Admitted, NotRun>>;
+}
+
+/** Options of {@link QuotasTask}. */
+export interface QuotasTaskOptions {
+  configuration: ConfigurationView;
+  membership: MembershipView;
+}
+
+interface Waiting {
+  readonly tokens: number;
+  readonly settle: (result: Result<Admitted, NotRun>) => void;
+}
+
+interface LocalAccount {
+  waiting: Waiting[];
+  inFlight: number;
+  asking: boolean;
+  /** Whether requests have ended since the home was last told. */
+  released: boolean;
+}
+
+const NO_QUOTA: Admitted = { release() {} };
+
+/** Owns the requests that wait for admission at this VM, and counts those in flight. */
+export class QuotasTask implements QuotaAdmission, VmTask {
+  readonly handlers: QuotasHandlers;
+  #context: VmContext;
+  #options: QuotasTaskOptions;
+  #accounts = new Map<WorkspaceId, LocalAccount>();
+  #fallback: QuotasHome;
+  #timer: ReturnType<typeof setInterval> | undefined;
+
+  constructor(context: VmContext, options: QuotasTaskOptions) {
+    this.#context = context;
+    this.#options = options;
+    const liveVms = () => this.#liveVms();
+    const home = new QuotasHome({
+      quotaOf: (workspace) => this.#quotaOf(workspace),
+      liveVms,
+    });
+    this.#fallback = new QuotasHome({
+      quotaOf: (workspace) => this.#equalShare(workspace),
+      liveVms: () => 1,
+    });
+    this.handlers = { "quotas/draw": (request) => home.draw(request) };
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#renew(), RENEW_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  admit(
+    workspace: WorkspaceId,
+    tokens: number,
+  ): Promise<Result<Admitted, NotRun>> {
+    if (!this.#quotaOf(workspace)) return Promise.resolve(ok(NO_QUOTA));
+    return new Promise((settle) => {
+      this.#accountOf(workspace).waiting.push({ tokens, settle });
+      void this.#ask(workspace);
+    });
+  }
+
+  /** Requests that gather while one question is under way go with the next. */
+  async #ask(workspace: WorkspaceId): Promise<void> {
+    const account = this.#accountOf(workspace);
+    if (account.asking) return;
+    account.asking = true;
+    while (account.waiting.length > 0 || account.released) {
+      const batch = account.waiting.splice(0, MAX_NEEDS);
+      account.released = false;
+      const answer = await this.#draw(workspace, batch);
+      account.inFlight += answer.admitted;
+      batch.forEach((one, at) => this.#settle(one, { workspace, answer, at }));
+    }
+    account.asking = false;
+    if (account.inFlight === 0) this.#accounts.delete(workspace);
+  }
+
+  async #draw(
+    workspace: WorkspaceId,
+    batch: readonly Waiting[],
+  ): Promise<DrawAnswer> {
+    const request = {
+      workspace,
+      incarnation: this.#context.identity.incarnation,
+      needs: batch.map((one) => one.tokens),
+      inFlight: this.#accountOf(workspace).inFlight,
+    };
+    const home = this.#options.membership.homeOf(`quota/${workspace}`);
+    const answer = await this.#context.ports.peers.call(home, "quotas/draw", {
+      params: request,
+      timeoutMs: DRAW_TIMEOUT_MS,
+    });
+    // A home that can't be asked leaves each VM an equal share.
+    return answer.isOk() ? answer.value : this.#fallback.draw(request);
+  }
+
+  #settle(
+    one: Waiting,
+    options: { workspace: WorkspaceId; answer: DrawAnswer; at: number },
+  ): void {
+    const { workspace, answer, at } = options;
+    if (at < answer.admitted) {
+      return one.settle(ok(this.#createAdmitted(workspace)));
+    }
+    const retryAfterMs = answer.retryAfterMs[at - answer.admitted];
+    one.settle(err(notRun("quota-exceeded", { retryAfterMs })));
+  }
+
+  #createAdmitted(workspace: WorkspaceId): Admitted {
+    let released = false;
+    return {
+      release: () => {
+        if (released) return;
+        released = true;
+        const account = this.#accountOf(workspace);
+        account.inFlight -= 1;
+        if (this.#quotaOf(workspace)?.inFlight === undefined) return;
+        account.released = true;
+        void this.#ask(workspace);
+      },
+    };
+  }
+
+  /** Tells homes what is in flight, so that new ones learn it and old ones don't forget it. */
+  #renew(): void {
+    for (const [workspace, account] of this.#accounts) {
+      const { inFlight } = this.#quotaOf(workspace) ?? {};
+      if (inFlight === undefined) continue;
+      account.released = true;
+      void this.#ask(workspace);
+    }
+  }
+
+  #accountOf(workspace: WorkspaceId): LocalAccount {
+    let account = this.#accounts.get(workspace);
+    if (!account) {
+      account = { waiting: [], inFlight: 0, asking: false, released: false };
+      this.#accounts.set(workspace, account);
+    }
+    return account;
+  }
+
+  #quotaOf(workspace: WorkspaceId): Quota | undefined {
+    const configuration = this.#options.configuration.current();
+    const quota = configuration && findWorkspace(configuration, workspace)
+      ?.quota;
+    const isLimited = quota &&
+      (quota.requestsPerSecond || quota.tokensPerSecond || quota.inFlight);
+    return isLimited ? quota : undefined;
+  }
+
+  #equalShare(workspace: WorkspaceId): Quota | undefined {
+    const quota = this.#quotaOf(workspace);
+    if (!quota) return undefined;
+    const vms = this.#liveVms();
+    const share = (amount: number | undefined) => amount && amount / vms;
+    return {
+      requestsPerSecond: share(quota.requestsPerSecond),
+      tokensPerSecond: share(quota.tokensPerSecond),
+      inFlight: quota.inFlight &&
+        Math.max(1, Math.floor(quota.inFlight / vms)),
+    };
+  }
+
+  #liveVms(): number {
+    const { self } = this.#options.membership;
+    const live = this.#options.membership.members().filter((member) =>
+      member.state === "live" && member.region === self.region
+    );
+    return Math.max(1, live.length);
+  }
+}
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -8,6 +8,8 @@
 import { createMembershipApp } from "../membership/app.ts";
 import { MembershipTask } from "../membership/task.ts";
 import type { PeerHandlers } from "../peers/types.ts";
+import { createQuotasApp } from "../quotas/app.ts";
+import { QuotasTask } from "../quotas/task.ts";
 import { createSummariesApp } from "../summaries/app.ts";
 import { SummariesHome } from "../summaries/home.ts";
 import { SummariesTask } from "../summaries/task.ts";
@@ -25,6 +27,7 @@
   readonly configuration: ConfigurationTask;
   readonly suspects: SuspectBook;
   readonly retries: RetryBudget;
+  readonly quotas: QuotasTask;
   readonly calls: CallsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
@@ -56,6 +59,7 @@
     this.configuration = configuration;
     this.membership = membership;
     this.#grants = grants;
+    this.quotas = new QuotasTask(context, { configuration, membership });
     this.calls = new CallsTask(context, {
       configuration,
       membership,
@@ -79,6 +83,7 @@
       ...createCallsApp({
         awaitOutcome: (params) => this.calls.awaitOutcome(params),
       }).handlers,
+      ...createQuotasApp(this.quotas.handlers).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
       ...createSummariesApp({
@@ -95,6 +100,7 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    this.quotas.start();
     this.calls.start();
     await this.suspects.start();
   }
@@ -104,6 +110,7 @@
     this.suspects.stop();
     this.#grants.stop();
     this.calls.stop();
+    this.quotas.stop();
     this.configuration.stop();
     this.membership.stop();
   }
