Planned stop: announce, serve kept addresses, drain, end

Cause: a stop cut off what was in progress and refused callers that kept an address. Change: a machine orders the stop; a gate at the front of a VM counts requests, refuses new ones once no caller may hold the address any more, and answers what a second signal or the time limit cuts off. Address answers keep one place for another data centre and leave out VMs that were only listed.

--- a/packages/bench/src/scenarios/run_scenario.ts
+++ b/packages/bench/src/scenarios/run_scenario.ts
@@ -132,7 +132,8 @@
       );
       return;
     case "stops":
-      return world.stopVm(statement.vm);
+      void world.stopVm(statement.vm);
+      return;
     case "cut":
       return world.network.cut(statement.a, statement.b);
     case "heal":
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -10,6 +10,7 @@
   type PeerHandlers,
   type Region,
   SILENT_OBSERVER,
+  type StopOutcome,
   type SummaryRequest,
   Vm,
   type VmId,
@@ -186,13 +187,18 @@
     this.platform.unlistVm(name);
   }
 
-  /** Begins a planned stop of a VM; its process ends once the stop is done. */
-  stopVm(name: Host): void {
+  /** Stops a VM as an operator does; it is gone once its stop is done. */
+  async stopVm(name: Host): Promise<StopOutcome | null> {
     const vm = this.vms.get(name);
-    if (!vm) return;
-    this.timers.runOn(name, () => {
-      void Promise.resolve(vm.stop()).then(() => this.killVm(name));
-    });
+    if (!vm) return null;
+    this.platform.listVm({ ...vm.context.identity, state: "leaving" });
+    const outcome = await this.timers.runOn(name, () => vm.leave());
+    // Answers still on their way leave with the sockets that the daemon closes.
+    await this.timers.runDetached(() =>
+      new Promise((resolve) => setTimeout(resolve, 4 * CALLER_LATENCY_MS))
+    );
+    if (this.vms.get(name) === vm) this.killVm(name);
+    return outcome;
   }
 
   /** Crashes an engine, as a kill of its process does. */
@@ -217,7 +223,7 @@
     const { network } = this;
     connection.onBroken.add(() => call.lose());
     network.send(connection, () => {
-      void this.vms.get(vm)?.calls.submit(request).then(
+      void this.vms.get(vm)?.gate.submitCall(request).then(
         (verdict: CallVerdict) =>
           network.reply(connection, () => call.receive(verdict)),
       );
@@ -237,7 +243,7 @@
     let leave = () => {};
     connection.onBroken.add(() => summary.lose());
     network.send(connection, () => {
-      const handle = this.vms.get(vm)?.summaries.submit(
+      const handle = this.vms.get(vm)?.gate.submitSummary(
         request,
         (event) => network.reply(connection, () => summary.receive(event)),
       );
--- a/packages/core/src/directory/addresses.ts
+++ b/packages/core/src/directory/addresses.ts
@@ -1,7 +1,7 @@
 /** The address question: which VMs a caller should use. */
-import type { MembershipView } from "../membership/types.ts";
+import type { Member, MembershipView } from "../membership/types.ts";
 import { hashNumber } from "../shared/hash.ts";
-import type { DataCentre, VmId } from "../shared/ids.ts";
+import type { DataCentre, Region, VmId } from "../shared/ids.ts";
 
 const MAX_ADDRESSES = 4;
 
@@ -28,23 +28,30 @@
   ttlMs: number;
 }
 
-/** Lists usable VMs: the caller's data centre first, then its region, spread by the caller. */
+/**
+ * Lists usable VMs: the caller's data centre first, then its region, spread by
+ * the caller. One place is kept for another data centre, so that the loss of a
+ * whole one leaves the caller an address.
+ */
 export function listAddresses(
   view: MembershipView,
   options: AddressOptions,
 ): AddressAnswer {
-  const usable = view.members().filter((member) => member.state === "live");
-  const addresses = usable
+  const usable = view.members().filter(isUsable);
+  const region =
+    usable.find((member) => member.dataCentre === options.dataCentre)?.region ??
+      view.self.region;
+  const ranked = usable
     .map((member) => ({
       member,
-      far: member.dataCentre === options.dataCentre
-        ? 0
-        : member.region === view.self.region
-        ? 1
-        : 2,
+      far: distance(member, { dataCentre: options.dataCentre, region }),
       place: hashNumber(`${options.spreadBy}\n${member.id}`),
     }))
-    .sort((a, b) => a.far - b.far || a.place - b.place)
+    .sort((a, b) => a.far - b.far || a.place - b.place);
+  const near = ranked.filter(({ far }) => far === 0);
+  const others = ranked.filter(({ far }) => far > 0);
+  const places = MAX_ADDRESSES - (others.length > 0 ? 1 : 0);
+  const addresses = [...near.slice(0, places), ...others]
     .slice(0, MAX_ADDRESSES)
     .map(({ member }) => ({
       vm: member.id,
@@ -53,3 +60,16 @@
     }));
   return { addresses, ttlMs: options.ttlMs };
 }
+
+// A VM that was only listed, and has never been heard of by a probe, may be long gone.
+function isUsable(member: Member): boolean {
+  return member.state === "live" && member.incarnation !== null;
+}
+
+function distance(
+  member: Member,
+  caller: { dataCentre: DataCentre | undefined; region: Region },
+): number {
+  if (member.dataCentre === caller.dataCentre) return 0;
+  return member.region === caller.region ? 1 : 2;
+}
--- a/packages/core/src/membership/news_exchange.ts
+++ b/packages/core/src/membership/news_exchange.ts
@@ -50,12 +50,12 @@
     const about = this.#table.records.get(to);
     const accuses = about?.state === "suspected" || about?.state === "dead";
     const first = accuses ? [about.news({ withPlace: false })] : [];
-    const news = this.#queue.take({
+    const agrees = received?.viewHash === this.#table.hash();
+    const news = agrees ? first : this.#queue.take({
       first,
       find: (id, how) => this.#newsOf(id, how),
     });
-    const differs = received && received.viewHash !== this.#table.hash();
-    if (differs) this.#fill(news);
+    if (received && !agrees) this.#fill(news);
     return {
       from: self.id,
       incarnation: self.incarnation,
@@ -77,6 +77,7 @@
       announced: probe.leaving ? "leaving" : "live",
     });
     if (probe.unknown) this.introduceSelf();
+    if (probe.viewHash === this.#table.hash()) this.#queue.passedToEqual();
   }
 
   /** Takes what the platform lists of a VM. */
--- a/packages/core/src/membership/news_queue.ts
+++ b/packages/core/src/membership/news_queue.ts
@@ -32,6 +32,11 @@
     });
   }
 
+  /** A VM with the same view was met: it knows all that is queued. */
+  passedToEqual(): void {
+    for (const [id, queued] of this.#queued) this.#passed(id, queued);
+  }
+
   /** Takes what fits, least passed on first. */
   take(options: TakeOptions): MemberNews[] {
     const taken = [...options.first];
@@ -48,11 +53,15 @@
       sizeBytes += sizeOf(item);
       if (sizeBytes > NEWS_LIMIT_BYTES) break;
       taken.push(item);
-      queued.remaining -= 1;
-      if (queued.remaining <= 0) this.#queued.delete(id);
+      this.#passed(id, queued);
     }
     return taken;
   }
+
+  #passed(id: VmId, queued: Queued): void {
+    queued.remaining -= 1;
+    if (queued.remaining <= 0) this.#queued.delete(id);
+  }
 }
 
 /** Gives the size of one item on the wire. */
--- a/packages/core/src/membership/task.ts
+++ b/packages/core/src/membership/task.ts
@@ -15,7 +15,11 @@
   ViewListener,
   VmIdentity,
 } from "./types.ts";
-import { ViewTable } from "./view.ts";
+import {
+  MEMBERSHIP_POLICIES,
+  type MembershipPolicies,
+  ViewTable,
+} from "./view.ts";
 
 const PROBE_INTERVAL_MS = 1_000;
 /** A read of the list costs about this much for each VM on it. */
@@ -35,8 +39,7 @@
   configurationVersion: () => number;
   /** Told of each probe and answer, with the versions that it carries. */
   onProbe?: (probe: Probe) => void;
-  /** Whether a leaving VM stays home; only tests switch it on. */
-  homeWhileLeaving?: boolean;
+  policies?: Partial<MembershipPolicies>;
 }
 
 /** Owns the view of VMs. */
@@ -58,7 +61,8 @@
     this.#context = context;
     this.#options = options;
     this.#table = new ViewTable(this.self, {
-      homeWhileLeaving: options.homeWhileLeaving ?? false,
+      ...MEMBERSHIP_POLICIES,
+      ...options.policies,
     });
     this.#exchange = new NewsExchange(context, {
       table: this.#table,
--- a/packages/core/src/membership/view.ts
+++ b/packages/core/src/membership/view.ts
@@ -17,26 +17,31 @@
   readonly announced: "live" | "leaving";
 }
 
-/** Options of {@link ViewTable}. */
-export interface ViewTableOptions {
-  /** Whether a leaving VM stays home; only tests switch it on. */
-  homeWhileLeaving: boolean;
+/** Parts of membership that tests can replace. */
+export interface MembershipPolicies {
+  /** Whether a leaving VM stays home. */
+  readonly homeWhileLeaving: boolean;
 }
 
+/** Membership as it should be. */
+export const MEMBERSHIP_POLICIES: MembershipPolicies = {
+  homeWhileLeaving: false,
+};
+
 /** Keeps records of VMs and tells listeners when the view changes. */
 export class ViewTable implements MembershipView, ViewChanges {
   readonly self: VmIdentity;
   readonly records = new Map<VmId, MemberRecord>();
   #own: OwnStatus;
-  #options: ViewTableOptions;
+  #policies: MembershipPolicies;
   #listeners = new Set<ViewListener>();
   #members: readonly Member[] | undefined;
   #ranking: HomeRanking | undefined;
   #hash: number | undefined;
 
-  constructor(self: VmIdentity, options: ViewTableOptions) {
+  constructor(self: VmIdentity, policies: MembershipPolicies) {
     this.self = self;
-    this.#options = options;
+    this.#policies = policies;
     // Wall time orders the starts of one VM; a clock set back is mended by refutation.
     this.#own = { statusVersion: Date.now(), announced: "live" };
   }
@@ -108,7 +113,7 @@
     const record = this.records.get(member.id);
     if (record && !record.reachable) return false;
     return member.state === "live" ||
-      (member.state === "leaving" && this.#options.homeWhileLeaving);
+      (member.state === "leaving" && this.#policies.homeWhileLeaving);
   }
 
   #ownMember(): Member {
--- /dev/null
+++ b/packages/core/src/vm/planned_stop.ts
@@ -0,0 +1,157 @@
+/** Stops a VM without cutting off what it has in progress. */
+import type { MembershipTask } from "../membership/task.ts";
+import { MachineTask } from "../shared/machine_task.ts";
+import type { InProgressCount } from "./in_progress.ts";
+import {
+  type CutReason,
+  type StopEffect,
+  stopMachine,
+} from "./stop_machine.ts";
+import type { VmContext, VmTask } from "./types.ts";
+
+const ROUND_MS = 1_000;
+/** Covers the way of the last answer, and rounding of clocks. */
+const MARGIN_MS = 2_000;
+
+/** What a stop came to. */
+export type StopOutcome =
+  | { readonly kind: "drained" }
+  | {
+    readonly kind: "cut";
+    readonly reason: CutReason;
+    /** Requests that were cut off. */
+    readonly inProgress: number;
+  };
+
+/** Steps of a stop that tests can leave out. */
+export interface StopPolicies {
+  /** Keeps serving while callers may hold this VM's address. */
+  readonly waitsForAddresses: boolean;
+  /** Waits for the work in progress. */
+  readonly drains: boolean;
+}
+
+/** A stop as it should be. */
+export const STOP_POLICIES: StopPolicies = {
+  waitsForAddresses: true,
+  drains: true,
+};
+
+/** Options of {@link PlannedStop}. */
+export interface PlannedStopOptions {
+  membership: MembershipTask;
+  inProgress: InProgressCount;
+  /** How long callers may keep an answer to the address question. */
+  addressTtlMs: () => number;
+  policies?: Partial<StopPolicies>;
+}
+
+/** Owns the stop of one VM. */
+export class PlannedStop implements VmTask {
+  #context: VmContext;
+  #options: PlannedStopOptions;
+  #policies: StopPolicies;
+  #machine: MachineTask<typeof stopMachine>;
+  #timer: ReturnType<typeof setTimeout> | undefined;
+  #sampler: ReturnType<typeof setInterval> | undefined;
+  #addressesKeptUntilMs = 0;
+  #settle: (outcome: StopOutcome) => void = () => {};
+  #outcome: Promise<StopOutcome>;
+
+  constructor(context: VmContext, options: PlannedStopOptions) {
+    this.#context = context;
+    this.#options = options;
+    this.#policies = { ...STOP_POLICIES, ...options.policies };
+    this.#outcome = new Promise((resolve) => (this.#settle = resolve));
+    this.#machine = new MachineTask(stopMachine, {
+      input: undefined,
+      perform: (effect) => this.#perform(effect as StopEffect),
+    });
+  }
+
+  start(): void {
+    this.#sample();
+    this.#sampler = setInterval(() => this.#sample(), ROUND_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.#sampler);
+    clearTimeout(this.#timer);
+  }
+
+  /** True once new work is refused. */
+  get refusesWork(): boolean {
+    const { value } = this.#machine.snapshot;
+    return value !== "serving" && value !== "leaving";
+  }
+
+  /** Starts the stop, if it has not begun, and gives its outcome. */
+  begin(): Promise<StopOutcome> {
+    this.#machine.send({ type: "stop", servingMs: this.#servingMs() });
+    return this.#outcome;
+  }
+
+  /** Ends the stop at once. */
+  cut(reason: CutReason): void {
+    this.#machine.send({ type: "cut", reason });
+  }
+
+  /** No work is in progress any more. */
+  idle(): void {
+    this.#machine.send({ type: "idle" });
+  }
+
+  #perform(effect: StopEffect): void {
+    this.#context.observer.log({ event: "planned-stop", step: effect.type });
+    switch (effect.type) {
+      case "announceLeaving":
+        void this.#options.membership.leave();
+        return;
+      case "serveFor":
+        this.#timer = setTimeout(
+          () => this.#machine.send({ type: "servingEnded" }),
+          effect.params.servingMs,
+        );
+        return;
+      case "checkIdle":
+        if (this.#isIdle()) this.idle();
+        return;
+      case "finish":
+        return this.#settle({ kind: "drained" });
+      case "cutOff": {
+        const { count } = this.#options.inProgress;
+        this.stop();
+        return this.#settle({
+          kind: "cut",
+          reason: effect.params.reason,
+          inProgress: count,
+        });
+      }
+    }
+  }
+
+  #isIdle(): boolean {
+    return !this.#policies.drains || this.#options.inProgress.count === 0;
+  }
+
+  // A time to live that was shortened lately still holds for answers given before.
+  #sample(): void {
+    this.#addressesKeptUntilMs = Math.max(
+      this.#addressesKeptUntilMs,
+      performance.now() + this.#options.addressTtlMs(),
+    );
+  }
+
+  #servingMs(): number {
+    if (!this.#policies.waitsForAddresses) return 0;
+    this.#sample();
+    const keptMs = this.#addressesKeptUntilMs - performance.now();
+    return keptMs + this.#spreadMs() + MARGIN_MS;
+  }
+
+  // Time until every VM has heard that this one is leaving: two rounds for each doubling.
+  #spreadMs(): number {
+    const vmCount = this.#options.membership.members().length;
+    return 2 * Math.ceil(Math.log2(vmCount + 1)) * ROUND_MS;
+  }
+}
--- /dev/null
+++ b/packages/core/src/vm/request_gate.ts
@@ -0,0 +1,90 @@
+/** Where requests of callers enter a VM: counted, refused while it stops, cut off at its end. */
+import type { CallsTask } from "../calls/task.ts";
+import type { CallVerdict } from "../calls/types.ts";
+import { requestKey } from "../shared/ids.ts";
+import { mayHaveRun, notRun, refuse } from "../shared/verdict.ts";
+import type { SummariesTask } from "../summaries/task.ts";
+import type {
+  SummaryEvent,
+  SummaryHandle,
+  SummaryRequest,
+  SummarySink,
+} from "../summaries/types.ts";
+import type { InProgressCount } from "./in_progress.ts";
+
+const CUT_OFF = mayHaveRun("cut-by-stop");
+
+/** Options of {@link RequestGate}. */
+export interface RequestGateOptions {
+  calls: CallsTask;
+  summaries: SummariesTask;
+  inProgress: InProgressCount;
+  refusesWork: () => boolean;
+}
+
+/** Admits requests and keeps what it takes to end them. */
+export class RequestGate {
+  #options: RequestGateOptions;
+  #cuts = new Set<() => void>();
+
+  constructor(options: RequestGateOptions) {
+    this.#options = options;
+  }
+
+  /** Runs one call, unless the VM is stopping. */
+  submitCall(
+    ...submission: Parameters<CallsTask["submit"]>
+  ): Promise<CallVerdict> {
+    const { calls, inProgress, refusesWork } = this.#options;
+    if (refusesWork()) return Promise.resolve(refuse(notRun("stopping")));
+    const end = inProgress.track();
+    return new Promise((resolve, reject) => {
+      const cut = () => resolve(refuse(CUT_OFF));
+      this.#cuts.add(cut);
+      calls.submit(...submission).then(resolve, reject).finally(() => {
+        this.#cuts.delete(cut);
+        end();
+      });
+    });
+  }
+
+  /** Starts a summary, or attaches to one that runs, unless the VM is stopping. */
+  submitSummary(request: SummaryRequest, sink: SummarySink): SummaryHandle {
+    const { summaries, inProgress, refusesWork } = this.#options;
+    if (refusesWork()) {
+      sink({ kind: "refused", refusal: notRun("stopping") });
+      const key = requestKey(request.workspace, request.request);
+      return { key, cancel() {}, pause() {}, resume() {} };
+    }
+    const endCount = inProgress.track();
+    let ended = false;
+    const end = () => {
+      ended = true;
+      this.#cuts.delete(cut);
+      endCount();
+    };
+    const handle = summaries.submit(request, (event: SummaryEvent) => {
+      if (ended) return;
+      sink(event);
+      if (event.kind !== "tokens") end();
+    });
+    const cut = () => {
+      if (!ended) sink({ kind: "refused", refusal: CUT_OFF });
+      end();
+      handle.cancel();
+    };
+    if (!ended) this.#cuts.add(cut);
+    return {
+      ...handle,
+      cancel() {
+        handle.cancel();
+        end();
+      },
+    };
+  }
+
+  /** Tells all whose requests are in progress that they are cut off. */
+  cutOff(): void {
+    for (const cut of [...this.#cuts]) cut();
+  }
+}
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -4,8 +4,11 @@
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
 import type { ServicePort } from "../ports/services.ts";
+import type { MembershipPolicies } from "../membership/view.ts";
 import type { VmIdentity } from "../membership/types.ts";
 import type { Observer } from "../shared/observe.ts";
+import type { InProgress } from "./in_progress.ts";
+import type { StopPolicies } from "./planned_stop.ts";
 
 /** The outside as a VM reaches it. */
 export interface VmPorts {
@@ -22,11 +25,15 @@
   readonly observer: Observer;
   /** A number from 0 up to 1; seeded in tests. */
   readonly random: () => number;
+  /** Told of work that outlives its answer, for instance a row that is still being written. */
+  readonly inProgress?: InProgress;
 }
 
 /** Parts of a VM's behaviour that a test can leave out or replace, by domain. */
 export interface VmPolicies {
   readonly configuration?: Partial<ConfigurationPolicies>;
+  readonly membership?: Partial<MembershipPolicies>;
+  readonly stop?: Partial<StopPolicies>;
 }
 
 /** A part of a VM that is started and stopped with it. */
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -14,9 +14,14 @@
 import { RetryBudget } from "../retries/budget.ts";
 import { createSuspectsApp } from "../suspects/app.ts";
 import { SuspectBook } from "../suspects/book.ts";
+import { RequestGate } from "./request_gate.ts";
+import { InProgressCount } from "./in_progress.ts";
+import { PlannedStop, type StopOutcome } from "./planned_stop.ts";
+import type { CutReason } from "./stop_machine.ts";
 import type { VmContext, VmPolicies } from "./types.ts";
 
 const DEFAULT_CONVICTION_MS = 3_600_000;
+const DEFAULT_ADDRESS_TTL_MS = 10_000;
 
 /** One entry VM: its tasks and the methods that its peers may call. */
 export class Vm {
@@ -28,19 +33,34 @@
   readonly calls: CallsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
+  /** Where callers' requests enter. */
+  readonly gate: RequestGate;
+  /** Work that a planned stop waits for. */
+  readonly inProgress: InProgressCount;
+  #plannedStop: PlannedStop;
   #grants: GrantsHome;
 
-  constructor(context: VmContext, policies: VmPolicies = {}) {
+  constructor(given: VmContext, policies: VmPolicies = {}) {
+    const inProgress = new InProgressCount(() => this.#plannedStop.idle());
+    const context: VmContext = { ...given, inProgress };
     this.context = context;
+    this.inProgress = inProgress;
     const configuration: ConfigurationTask = new ConfigurationTask(context, {
       members: () => this.membership.members(),
       policies: policies.configuration,
     });
     const membership = new MembershipTask(context, {
       configurationVersion: () => configuration.version(),
+      policies: policies.membership,
     });
     const home = new SummariesHome();
     const deployment = () => configuration.current()?.bodies.deployment;
+    this.#plannedStop = new PlannedStop(context, {
+      membership,
+      inProgress,
+      addressTtlMs: () => deployment()?.addressTtlMs ?? DEFAULT_ADDRESS_TTL_MS,
+      policies: policies.stop,
+    });
     this.suspects = new SuspectBook(context, {
       membership,
       convictionMs: () => deployment()?.convictionMs ?? DEFAULT_CONVICTION_MS,
@@ -54,6 +74,12 @@
     this.#grants = grants;
     this.calls = new CallsTask(context, { configuration });
     this.summaries = new SummariesTask(context, { configuration, membership });
+    this.gate = new RequestGate({
+      calls: this.calls,
+      summaries: this.summaries,
+      inProgress,
+      refusesWork: () => this.refusesWork,
+    });
     this.peerHandlers = {
       ...createMembershipApp({
         answerProbe: (probe) => membership.answerProbe(probe),
@@ -86,11 +112,29 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    this.#plannedStop.start();
     await this.suspects.start();
   }
 
+  /** Leaves the deployment without cutting off work; the tasks run until `stop`. */
+  leave(): Promise<StopOutcome> {
+    return this.#plannedStop.begin();
+  }
+
+  /** True once a planned stop lets no new work in. */
+  get refusesWork(): boolean {
+    return this.#plannedStop.refusesWork;
+  }
+
+  /** Ends a planned stop before its work is done. */
+  cutStop(reason: CutReason): void {
+    this.#plannedStop.cut(reason);
+    this.gate.cutOff();
+  }
+
   /** Stops the tasks in reverse order. */
   stop(): void {
+    this.#plannedStop.stop();
     this.suspects.stop();
     this.#grants.stop();
     this.configuration.stop();
--- a/packages/daemon/src/callers/completions.ts
+++ b/packages/daemon/src/callers/completions.ts
@@ -57,7 +57,7 @@
     stream: parsed.data.stream,
     refuse: context.refuse,
   });
-  const handle = context.vm.summaries.submit(
+  const handle = context.vm.gate.submitSummary(
     request,
     (event) => writer.write(event),
   );
--- a/packages/daemon/src/callers/handler.ts
+++ b/packages/daemon/src/callers/handler.ts
@@ -32,12 +32,16 @@
     const { incoming, response, url } = exchange;
     const refuse = (refusal: Refusal) => {
       options.observer.count("refusals", refusal.reason);
+      if (vm.refusesWork) response.setHeader("connection", "close");
       sendProblem(response, refusal);
     };
     if (url.pathname === "/health/live") return sendJson(response, "live");
     const configuration = vm.configuration.current();
     if (!configuration) return refuse(notRun("no-configuration"));
-    if (url.pathname === "/health/ready") return sendJson(response, "ready");
+    if (url.pathname === "/health/ready") {
+      if (vm.refusesWork) return refuse(notRun("stopping"));
+      return sendJson(response, "ready");
+    }
     if (url.pathname === "/v1/addresses") {
       const wanted = url.searchParams.get("data_centre") as DataCentre | null;
       return sendJson(
@@ -52,6 +56,8 @@
     }
     const principal = authenticateCaller(configuration, bearerToken(incoming));
     if (!principal) return refuse(notRun("unauthenticated"));
+    // A slow reader's answer is in progress until its last byte is out.
+    response.once("close", vm.inProgress.track());
     const context = { ...options, principal, refuse };
     const isCompletion = url.pathname === "/v1/completions" ||
       url.pathname === "/v1/chat/completions";
--- a/packages/daemon/src/callers/services.ts
+++ b/packages/daemon/src/callers/services.ts
@@ -17,7 +17,7 @@
   const [name = "", ...rest] = url.pathname.slice(PREFIX.length).split("/");
   const key = header(incoming, "idempotency-key");
   const { deployment } = context.vm.configuration.current()!.bodies;
-  const verdict = await context.vm.calls.submit({
+  const verdict = await context.vm.gate.submitCall({
     workspace: context.principal.workspace.id,
     caller: context.principal.caller,
     request: key === undefined ? null : asId<RequestId>(key),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,12 @@
 /** Puts the daemon together: ports, the VM, its interfaces and its life cycle. */
 import { randomUUID } from "node:crypto";
-import { asId, type Incarnation, type Observer, Vm } from "@teaselvalve/core";
+import {
+  asId,
+  type Incarnation,
+  type Observer,
+  type StopOutcome,
+  Vm,
+} from "@teaselvalve/core";
 import { createAdminHandler } from "./admin/handler.ts";
 import { createCallerHandler } from "./callers/handler.ts";
 import { createEnginePort } from "./engines/port.ts";
@@ -22,9 +28,16 @@
 /** A daemon that can be started and stopped. */
 export interface Daemon {
   start(): Promise<void>;
+  /** Stops at once, as far as the time limits of the parts allow. */
   stop(): Promise<void>;
+  /** Leaves the deployment without cutting off work, then stops. */
+  leave(): Promise<void>;
+  /** Ends a leave before its work is done. */
+  cutLeave(): void;
 }
 
+const FLUSH_MS = 1_000;
+
 /** Creates a daemon. */
 export function createDaemon(options: DaemonOptions): Daemon {
   const { settings, secrets, tls, log } = options;
@@ -83,9 +96,35 @@
   return {
     start: () => manager.start(parts),
     stop: () => manager.stop(),
+    async leave() {
+      const limit = setTimeout(
+        () => vm.cutStop("time-limit"),
+        limits.stopTimeoutMs,
+      );
+      const outcome = await vm.leave();
+      clearTimeout(limit);
+      logOutcome(observer, outcome);
+      // What was cut off has been answered; the sockets get a moment to send it.
+      if (outcome.kind === "cut") setTimeout(() => callers.abort?.(), FLUSH_MS);
+      await manager.stop();
+    },
+    cutLeave: () => vm.cutStop("second-signal"),
   };
 }
 
+function logOutcome(observer: Observer, outcome: StopOutcome): void {
+  if (outcome.kind === "drained") {
+    return observer.log({ event: "planned-stop-done" });
+  }
+  const { reason, inProgress } = outcome;
+  observer.log({
+    event: "planned-stop-cut",
+    level: "warn",
+    reason,
+    requestsCut: inProgress,
+  });
+}
+
 function createVm(options: LoadedSettings & { observer: Observer }): Vm {
   const { settings, secrets, tls, observer } = options;
   const vm: Vm = new Vm({
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -32,13 +32,19 @@
     }
     const log = createLog({ vm: settings.vm.id, level: settings.log.level });
     const daemon = createDaemon({ ...loaded.value, log });
-    const stop = () => {
-      void daemon.stop().then(() => process.exit(0));
+    let ready = false;
+    let signals = 0;
+    const onSignal = () => {
+      signals += 1;
+      if (signals > 1) return daemon.cutLeave();
+      const stopped = ready ? daemon.leave() : daemon.stop();
+      void stopped.then(() => process.exit(0));
     };
-    process.once("SIGTERM", stop);
-    process.once("SIGINT", stop);
+    process.on("SIGTERM", onSignal);
+    process.on("SIGINT", onSignal);
     try {
       await daemon.start();
+      ready = true;
     } catch (error) {
       log({ event: "start-failed", level: "error", message: String(error) });
       process.exit(EXIT_START_FAILED);
