--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -221,12 +221,15 @@
       return call;
     }
     const { network } = this;
+    let gone = false;
     connection.onBroken.add(() => call.lose());
+    call.onLeave = () => network.send(connection, () => (gone = true));
     network.send(connection, () => {
-      void this.vms.get(vm)?.gate.submitCall(request).then(
-        (verdict: CallVerdict) =>
-          network.reply(connection, () => call.receive(verdict)),
-      );
+      void this.vms.get(vm)?.gate.submitCall(request, { gone: () => gone })
+        .then(
+          (verdict: CallVerdict) =>
+            network.reply(connection, () => call.receive(verdict)),
+        );
     });
     return call;
   }
--- a/packages/core/src/vm/planned_stop.ts
+++ b/packages/core/src/vm/planned_stop.ts
@@ -41,6 +41,8 @@
 export interface PlannedStopOptions {
   membership: MembershipTask;
   inProgress: InProgressCount;
+  /** Work that is counted elsewhere, for instance rows that are still to be written. */
+  otherWork?: () => number;
   /** How long callers may keep an answer to the address question. */
   addressTtlMs: () => number;
   policies?: Partial<StopPolicies>;
@@ -71,7 +73,7 @@
 
   start(): void {
     this.#sample();
-    this.#sampler = setInterval(() => this.#sample(), ROUND_MS);
+    this.#sampler = setInterval(() => this.#tick(), ROUND_MS);
   }
 
   stop(): void {
@@ -91,14 +93,15 @@
     return this.#outcome;
   }
 
-  /** Ends the stop at once. */
-  cut(reason: CutReason): void {
+  /** Ends the stop at once; false when there is none to end. */
+  cut(reason: CutReason): boolean {
     this.#machine.send({ type: "cut", reason });
+    return this.#machine.snapshot.value === "cut";
   }
 
-  /** No work is in progress any more. */
+  /** Work has ended; goes on with the stop if nothing else is in progress. */
   idle(): void {
-    this.#machine.send({ type: "idle" });
+    if (this.#isIdle()) this.#machine.send({ type: "idle" });
   }
 
   #perform(effect: StopEffect): void {
@@ -114,24 +117,29 @@
         );
         return;
       case "checkIdle":
-        if (this.#isIdle()) this.idle();
-        return;
+        return this.idle();
       case "finish":
         return this.#settle({ kind: "drained" });
       case "cutOff": {
-        const { count } = this.#options.inProgress;
-        this.stop();
-        return this.#settle({
-          kind: "cut",
-          reason: effect.params.reason,
-          inProgress: count,
-        });
+        const { reason } = effect.params;
+        this.#settle({ kind: "cut", reason, inProgress: this.#count() });
+        return this.stop();
       }
     }
   }
 
   #isIdle(): boolean {
-    return !this.#policies.drains || this.#options.inProgress.count === 0;
+    return !this.#policies.drains || this.#count() === 0;
+  }
+
+  #count(): number {
+    const { inProgress, otherWork } = this.#options;
+    return inProgress.count + (otherWork?.() ?? 0);
+  }
+
+  #tick(): void {
+    this.#sample();
+    if (this.refusesWork) this.idle();
   }
 
   // A time to live that was shortened lately still holds for answers given before.
--- a/packages/core/src/vm/request_gate.ts
+++ b/packages/core/src/vm/request_gate.ts
@@ -13,6 +13,8 @@
 import type { InProgressCount } from "./in_progress.ts";
 
 const CUT_OFF = mayHaveRun("cut-by-stop");
+// This VM did not run it; what an earlier attempt elsewhere did is not looked up any more.
+const STOPPING = notRun("stopping", { earlierAttempts: "unknown" });
 
 /** Options of {@link RequestGate}. */
 export interface RequestGateOptions {
@@ -36,7 +38,7 @@
     ...submission: Parameters<CallsTask["submit"]>
   ): Promise<CallVerdict> {
     const { calls, inProgress, refusesWork } = this.#options;
-    if (refusesWork()) return Promise.resolve(refuse(notRun("stopping")));
+    if (refusesWork()) return Promise.resolve(refuse(STOPPING));
     const end = inProgress.track();
     return new Promise((resolve, reject) => {
       const cut = () => resolve(refuse(CUT_OFF));
@@ -52,7 +54,7 @@
   submitSummary(request: SummaryRequest, sink: SummarySink): SummaryHandle {
     const { summaries, inProgress, refusesWork } = this.#options;
     if (refusesWork()) {
-      sink({ kind: "refused", refusal: notRun("stopping") });
+      sink({ kind: "refused", refusal: STOPPING });
       const key = requestKey(request.workspace, request.request);
       return { key, cancel() {}, pause() {}, resume() {} };
     }
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -58,6 +58,7 @@
     this.#plannedStop = new PlannedStop(context, {
       membership,
       inProgress,
+      otherWork: () => this.calls.inProgress,
       addressTtlMs: () => deployment()?.addressTtlMs ?? DEFAULT_ADDRESS_TTL_MS,
       policies: policies.stop,
     });
@@ -72,7 +73,12 @@
     this.configuration = configuration;
     this.membership = membership;
     this.#grants = grants;
-    this.calls = new CallsTask(context, { configuration });
+    this.calls = new CallsTask(context, {
+      configuration,
+      membership,
+      retries: this.retries,
+      policies: policies.calls,
+    });
     this.summaries = new SummariesTask(context, { configuration, membership });
     this.gate = new RequestGate({
       calls: this.calls,
@@ -94,7 +100,7 @@
           configuration.holdVersion(version, from),
       }).handlers,
       ...createCallsApp({
-        awaitOutcome: () => this.calls.awaitOutcome(),
+        awaitOutcome: (params) => this.calls.awaitOutcome(params),
       }).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
@@ -113,6 +119,7 @@
     await this.membership.start();
     await this.configuration.start();
     this.#plannedStop.start();
+    this.calls.start();
     await this.suspects.start();
   }
 
@@ -128,8 +135,7 @@
 
   /** Ends a planned stop before its work is done. */
   cutStop(reason: CutReason): void {
-    this.#plannedStop.cut(reason);
-    this.gate.cutOff();
+    if (this.#plannedStop.cut(reason)) this.gate.cutOff();
   }
 
   /** Stops the tasks in reverse order. */
@@ -137,6 +143,7 @@
     this.#plannedStop.stop();
     this.suspects.stop();
     this.#grants.stop();
+    this.calls.stop();
     this.configuration.stop();
     this.membership.stop();
   }
