--- a/packages/bench/src/fuzz/domains/mod.ts
+++ b/packages/bench/src/fuzz/domains/mod.ts
@@ -1,5 +1,6 @@
 /** All domains of the fuzzer. */
 import type { FuzzDomain } from "../frame.ts";
+import { CONFIGURATION_DOMAIN } from "./configuration.ts";
 import { CALLS_DOMAIN } from "./calls.ts";
 import { FAULTS_DOMAIN } from "./faults.ts";
 import { TIME_DOMAIN } from "./time.ts";
@@ -8,5 +9,6 @@
 export const DOMAINS: readonly FuzzDomain[] = [
   TIME_DOMAIN,
   FAULTS_DOMAIN,
+  CONFIGURATION_DOMAIN,
   CALLS_DOMAIN,
 ];
