--- a/packages/core/src/quotas/home.ts
+++ b/packages/core/src/quotas/home.ts
@@ -137,7 +137,7 @@
 ): boolean {
   const { quota, tokens } = options;
   return (!quota.requestsPerSecond || account.requests.has(1)) &&
-    (!quota.tokensPerSecond || account.tokens.has(tokens));
+    (!quota.tokensPerSecond || tokens === 0 || account.tokens.has(tokens));
 }
 
 function retryAfterMs(
@@ -157,7 +157,7 @@
     const perSecond = quota.requestsPerSecond;
     waits.push(account.requests.promise(1, { perSecond, nowMs }));
   }
-  if (quota.tokensPerSecond) {
+  if (quota.tokensPerSecond && tokens > 0) {
     const perSecond = quota.tokensPerSecond;
     waits.push(account.tokens.promise(tokens, { perSecond, nowMs }));
   }
--- /dev/null
+++ b/packages/core/src/quotas/limited.ts
@@ -0,0 +1,120 @@
+/** Asks for admission before a call or a summary is submitted. */
+import type { CallsTask } from "../calls/task.ts";
+import { CHARACTERS_PER_TOKEN } from "../summaries/prompt.ts";
+import type { SummariesTask } from "../summaries/task.ts";
+import type {
+  SummaryEvent,
+  SummaryHandle,
+  SummaryRequest,
+  SummarySink,
+} from "../summaries/types.ts";
+import { requestKey } from "../shared/ids.ts";
+import { type NotRun, notRun, refuse } from "../shared/verdict.ts";
+import type { Admitted, QuotaAdmission } from "./task.ts";
+
+/** Calls that ask for admission first; they cost no tokens. */
+export function limitCalls(
+  calls: Pick<CallsTask, "submit">,
+  quotas: QuotaAdmission,
+): Pick<CallsTask, "submit"> {
+  return {
+    async submit(call, waiter) {
+      if (!quotas.isLimited(call.workspace)) {
+        return await calls.submit(call, waiter);
+      }
+      const admitted = await quotas.admit(call.workspace, 0);
+      if (admitted.isErr()) return refuse(attemptRefused(admitted.error));
+      return await calls.submit(call, waiter).finally(() =>
+        admitted.value.release()
+      );
+    },
+  };
+}
+
+/** Summaries that ask for admission first, for their prompt's tokens and the most they may generate. */
+export function limitSummaries(
+  summaries: Pick<SummariesTask, "submit">,
+  quotas: QuotaAdmission,
+): Pick<SummariesTask, "submit"> {
+  return {
+    submit(request, sink) {
+      if (!quotas.isLimited(request.workspace)) {
+        return summaries.submit(request, sink);
+      }
+      const summary = new LimitedSummary(request, sink);
+      void quotas.admit(request.workspace, tokensOf(request)).then((result) =>
+        result.match(
+          (admitted) => summary.start(summaries, admitted),
+          (refusal) => summary.refuse(refusal),
+        )
+      );
+      return summary;
+    },
+  };
+}
+
+/** A summary that waits for admission or was admitted. */
+class LimitedSummary implements SummaryHandle {
+  readonly key: SummaryHandle["key"];
+  #request: SummaryRequest;
+  #sink: SummarySink;
+  #handle: SummaryHandle | undefined;
+  #admitted: Admitted | undefined;
+  #cancelled = false;
+  #paused = false;
+
+  constructor(request: SummaryRequest, sink: SummarySink) {
+    this.key = requestKey(request.workspace, request.request);
+    this.#request = request;
+    this.#sink = sink;
+  }
+
+  start(
+    summaries: Pick<SummariesTask, "submit">,
+    admitted: Admitted,
+  ): void {
+    if (this.#cancelled) return admitted.release();
+    this.#admitted = admitted;
+    this.#handle = summaries.submit(
+      this.#request,
+      (event) => this.#receive(event),
+    );
+    if (this.#paused) this.#handle.pause();
+  }
+
+  refuse(refusal: NotRun): void {
+    if (this.#cancelled) return;
+    this.#sink({ kind: "refused", refusal: attemptRefused(refusal) });
+  }
+
+  cancel(): void {
+    this.#cancelled = true;
+    this.#handle?.cancel();
+    this.#admitted?.release();
+  }
+
+  pause(): void {
+    this.#paused = true;
+    this.#handle?.pause();
+  }
+
+  resume(): void {
+    this.#paused = false;
+    this.#handle?.resume();
+  }
+
+  #receive(event: SummaryEvent): void {
+    if (event.kind !== "tokens") this.#admitted?.release();
+    this.#sink(event);
+  }
+}
+
+function tokensOf(request: SummaryRequest): number {
+  const promptTokens = Math.ceil(request.prompt.length / CHARACTERS_PER_TOKEN);
+  return promptTokens + request.maxTokens;
+}
+
+// What an earlier attempt under the same key did isn't looked up before admission.
+function attemptRefused({ reason, retryAfterMs }: NotRun): NotRun {
+  return notRun(reason, { retryAfterMs, earlierAttempts: "unknown" });
+}
--- a/packages/core/src/quotas/task.ts
+++ b/packages/core/src/quotas/task.ts
@@ -23,6 +23,8 @@
 
 /** Asked before a request costs anything. */
 export interface QuotaAdmission {
+  /** Whether a workspace has a quota at all. */
+  isLimited(workspace: WorkspaceId): boolean;
   /** Lets a request of so many tokens in, or refuses it as `quota-exceeded`. */
   admit(
     workspace: WorkspaceId,
@@ -83,6 +85,10 @@
     clearInterval(this.#timer);
   }
 
+  isLimited(workspace: WorkspaceId): boolean {
+    return this.#quotaOf(workspace) !== undefined;
+  }
+
   admit(
     workspace: WorkspaceId,
     tokens: number,
