Orders to engines: reconciler, lease row, fencing numbers

Cause: the manifest's model, adapters, version and role were ordered nowhere. Change: the shard's home compares reports with the manifest; an xstate machine for the lease (taken only while there is something to do, waited out for its time plus the longest order time); the lease is checked directly before each send on a fresh connection; weight-store rate; never the last serving replica. Fake engines report adapters, version and loading, and take late orders.

--- /dev/null
+++ b/packages/bench/src/orders_world_test.ts
@@ -0,0 +1,186 @@
+import { type EngineOrder, FREEZE_BOUND_MS, Vm } from "@teaselvalve/core";
+import { afterEach, expect, test } from "vitest";
+import { MODEL, World } from "./world/world.ts";
+
+const LEASE_KEY = `lease/${MODEL}`;
+
+let world: World;
+
+afterEach(() => world?.close());
+
+interface Effect {
+  readonly engine: string;
+  readonly order: EngineOrder;
+  /** The fencing number of the lease's row when the order took effect. */
+  readonly current: number;
+  readonly atMs: number;
+}
+
+async function create(options: { checksFencing: boolean; vm?: Vm }) {
+  const effects: Effect[] = [];
+  world = await World.create({ seed: 5, vms: 3, prefills: 1, decodes: 3 });
+  for (const [name, engine] of world.engines) {
+    engine.checksFencing = options.checksFencing;
+    engine.onOrder = (order) =>
+      effects.push({
+        engine: name,
+        order,
+        current: currentFencing(),
+        atMs: performance.now(),
+      });
+  }
+  return effects;
+}
+
+function currentFencing(): number {
+  const row = world.platform.read("orders", LEASE_KEY);
+  return (row?.value as { fencingNumber: number } | undefined)
+    ?.fencingNumber ?? 0;
+}
+
+async function submitVersion(
+  modelVersion: string,
+  options: { checksFencing: boolean; decodes?: number },
+): Promise<void> {
+  const [vm] = world.vms.values();
+  const { head, bodies } = vm!.configuration.current()!;
+  const body = bodies.endpoints.map((endpoint) =>
+    endpoint.kind === "decode"
+      ? { ...endpoint, modelVersion, checksFencing: options.checksFencing }
+      : endpoint
+  );
+  const outcome = world.submitManifest(vm!.context.identity.id, {
+    submissionId: modelVersion,
+    scopes: {
+      deployment: {
+        basedOn: head.scopes.deployment!.version,
+        body: { ...bodies.deployment, modelLoadsPerMinute: 600 },
+      },
+      endpoints: { basedOn: head.scopes.endpoints!.version, body },
+    },
+  });
+  await world.advance(1_500);
+  expect(await outcome).toMatchObject({ kind: "accepted" });
+}
+
+function decodeReports() {
+  return [...world.engines.values()]
+    .filter((engine) => engine.role === "decode")
+    .map((engine) => engine.report());
+}
+
+function home(): string {
+  const [vm] = world.vms.values();
+  return vm!.membership.homeOf(`orders/${MODEL}`).id;
+}
+
+test("Decode replicas get a new version one after the other, never all at once", async () => {
+  const effects = await create({ checksFencing: true });
+  await submitVersion("v2", { checksFencing: true });
+  let fewest = 3;
+  for (let second = 0; second < 60; second += 1) {
+    await world.advance(1_000);
+    const serving = decodeReports().filter((report) =>
+      report.models.includes(MODEL)
+    );
+    fewest = Math.min(fewest, serving.length);
+  }
+  expect(decodeReports().map((report) => report.modelVersion)).toEqual([
+    "v2",
+    "v2",
+    "v2",
+  ]);
+  expect(fewest).toBeGreaterThanOrEqual(1);
+  const loads = effects.filter(({ order }) => order.modelVersion === "v2");
+  expect(loads).toHaveLength(3);
+  const row = world.platform.read("orders", LEASE_KEY)!;
+  expect(row.value).toMatchObject({ released: true });
+});
+
+test("The weight store is asked no more often than the manifest says", async () => {
+  const effects = await create({ checksFencing: true });
+  await submitVersion("v2", { checksFencing: true });
+  const [vm] = world.vms.values();
+  const { head, bodies } = vm!.configuration.current()!;
+  const outcome = world.submitManifest("vm-1", {
+    submissionId: "slow",
+    scopes: {
+      deployment: {
+        basedOn: head.scopes.deployment!.version,
+        body: { ...bodies.deployment, modelLoadsPerMinute: 4 },
+      },
+    },
+  });
+  await world.advance(70_000);
+  expect(await outcome).toMatchObject({ kind: "accepted" });
+  const atMs = effects.filter(({ order }) => order.modelVersion).map((one) =>
+    one.atMs
+  );
+  expect(atMs).toHaveLength(3);
+  // The first may have gone before the slower rate came into force.
+  expect(atMs[2]! - atMs[1]!).toBeGreaterThanOrEqual(15_000);
+});
+
+test("An order is not sent when its sender was frozen past its lease", async () => {
+  const effects = await create({ checksFencing: false });
+  const old = home();
+  freezeAtReport(old, 25_000);
+  await submitVersion("v2", { checksFencing: false });
+  await world.advance(90_000);
+  expect(currentFencing()).toBeGreaterThanOrEqual(1);
+  for (const { order, current } of effects) {
+    expect(order.fencingNumber).toBe(current);
+  }
+  expect(new Set(decodeReports().map((report) => report.modelVersion)))
+    .toEqual(new Set(["v2"]));
+});
+
+test("An order delayed by the stated bound takes effect before a new holder's", async () => {
+  const effects = await create({ checksFencing: false });
+  for (const engine of world.engines.values()) {
+    engine.orderDelayMs = FREEZE_BOUND_MS;
+  }
+  await submitVersion("v2", { checksFencing: false });
+  while (effects.length === 0) await world.advance(100);
+  world.killVm(home());
+  await world.advance(90_000);
+  for (const { order, current } of effects) {
+    expect(order.fencingNumber).toBe(current);
+  }
+});
+
+test("An order that comes long after its lease is refused by fencing, or repaired", async () => {
+  for (const checksFencing of [true, false]) {
+    await create({ checksFencing });
+    await submitVersion("v2", { checksFencing });
+    await world.advance(60_000);
+    const late: EngineOrder = {
+      fencingNumber: 0,
+      model: MODEL,
+      modelVersion: "v1",
+    };
+    const engine = world.engines.get("decode-1")!;
+    const rejection = world.timers.runOn("decode-1", () => engine.order(late));
+    expect(rejection).toBe(checksFencing ? "fenced" : null);
+    await world.advance(40_000);
+    expect(engine.report().modelVersion).toBe("v2");
+    world.close();
+  }
+});
+
+/** Freezes a VM when it next asks an engine for its report with an order to give. */
+function freezeAtReport(vm: string, forMs: number): void {
+  for (const engine of world.engines.values()) {
+    const report = engine.report.bind(engine);
+    engine.report = () => {
+      engine.report = report;
+      if (!world.network.isFrozen(vm)) {
+        world.network.freeze(vm);
+        world.timers.runDetached(() =>
+          setTimeout(() => world.network.thaw(vm), forMs)
+        );
+      }
+      return report();
+    };
+  }
+}
--- /dev/null
+++ b/packages/core/src/orders/lease_machine.ts
@@ -0,0 +1,177 @@
+/** The life of a shard's lease at one VM: read, waited out, taken, renewed, released. */
+import { assign, setup } from "xstate";
+import {
+  type HeldLease,
+  LEASE_MS,
+  type LeaseRow,
+  ORDER_LIMIT_MS,
+  type SeenLease,
+} from "./types.ts";
+
+/** A lease is renewed once less than this share of it is left. */
+const RENEW_BELOW_MS = LEASE_MS / 2;
+
+/** What a VM knows of a lease. */
+export interface LeaseContext {
+  readonly incarnation: LeaseRow["incarnation"];
+  /** Another VM's lease, and since when this VM has seen that row unchanged. */
+  readonly observed:
+    | { readonly rowVersion: number; readonly sinceMs: number }
+    | null;
+  readonly seen: SeenLease | null;
+  readonly held: HeldLease | null;
+}
+
+/** What happens to a lease. Times are of `performance.now`. */
+export type LeaseEvent =
+  | { readonly type: "want"; readonly nowMs: number }
+  | { readonly type: "done" }
+  | {
+    readonly type: "rowSeen";
+    readonly seen: SeenLease | null;
+    readonly nowMs: number;
+  }
+  | { readonly type: "written"; readonly held: HeldLease }
+  | { readonly type: "lost" }
+  | { readonly type: "released" };
+
+/** A write of the lease's row. */
+export interface LeaseWrite {
+  /** Null where there is no row yet. */
+  readonly rowVersion: number | null;
+  readonly lease: Omit<LeaseRow, "write">;
+}
+
+/** The effects that the machine asks for. */
+export type LeaseEffect =
+  | { readonly type: "readRow"; readonly params: undefined }
+  | { readonly type: "writeRow"; readonly params: LeaseWrite }
+  | { readonly type: "releaseRow"; readonly params: LeaseWrite };
+
+/** Holds what is known of one lease. */
+export const leaseMachine = setup({
+  types: {
+    context: {} as LeaseContext,
+    events: {} as LeaseEvent,
+    input: {} as { incarnation: LeaseRow["incarnation"] },
+  },
+  actions: {
+    readRow: () => {},
+    writeRow: (_, _params: LeaseWrite) => {},
+    releaseRow: (_, _params: LeaseWrite) => {},
+    observe: assign(({ context, event }) => {
+      if (event.type !== "rowSeen") return {};
+      const rowVersion = event.seen?.rowVersion ?? 0;
+      const isSame = context.observed?.rowVersion === rowVersion;
+      return {
+        seen: event.seen,
+        observed: isSame
+          ? context.observed
+          : { rowVersion, sinceMs: event.nowMs },
+      };
+    }),
+    hold: assign(({ event }) =>
+      event.type === "written" ? { held: event.held } : {}
+    ),
+    forget: assign({ held: null, seen: null }),
+  },
+  guards: {
+    // Absent, given back, or unchanged for as long as its holder could act under it.
+    isFree: ({ context }) =>
+      context.seen === null || context.seen.lease.released,
+    isWaitedOut: ({ context, event }) =>
+      event.type === "rowSeen" && context.observed !== null &&
+      context.observed.rowVersion === event.seen?.rowVersion &&
+      event.nowMs - context.observed.sinceMs >= LEASE_MS + ORDER_LIMIT_MS,
+    hasEnded: ({ context, event }) =>
+      event.type === "want" && context.held !== null &&
+      event.nowMs >= context.held.endsAtMs,
+    nearsEnd: ({ context, event }) =>
+      event.type === "want" && context.held !== null &&
+      event.nowMs >= context.held.endsAtMs - RENEW_BELOW_MS,
+  },
+}).createMachine({
+  context: ({ input }) => ({
+    incarnation: input.incarnation,
+    observed: null,
+    seen: null,
+    held: null,
+  }),
+  initial: "idle",
+  states: {
+    idle: { on: { want: "reading" } },
+    reading: {
+      entry: "readRow",
+      on: {
+        rowSeen: { actions: "observe", target: "judging" },
+        lost: "idle",
+      },
+    },
+    judging: {
+      always: [
+        { guard: "isFree", target: "taking" },
+        { guard: "isWaitedOut", target: "taking" },
+        { target: "idle" },
+      ],
+    },
+    taking: {
+      entry: {
+        type: "writeRow",
+        params: ({ context }) => ({
+          rowVersion: context.seen?.rowVersion ?? null,
+          lease: {
+            incarnation: context.incarnation,
+            fencingNumber: (context.seen?.lease.fencingNumber ?? 0) + 1,
+            released: false,
+          },
+        }),
+      },
+      on: {
+        written: { actions: "hold", target: "held" },
+        lost: { actions: "forget", target: "idle" },
+      },
+    },
+    held: {
+      on: {
+        want: [
+          { guard: "hasEnded", actions: "forget", target: "reading" },
+          { guard: "nearsEnd", target: "renewing" },
+        ],
+        done: "releasing",
+        lost: { actions: "forget", target: "idle" },
+      },
+    },
+    renewing: {
+      entry: {
+        type: "writeRow",
+        params: ({ context }) => leaseWrite(context, { released: false }),
+      },
+      on: {
+        written: { actions: "hold", target: "held" },
+        lost: { actions: "forget", target: "idle" },
+      },
+    },
+    releasing: {
+      entry: {
+        type: "releaseRow",
+        params: ({ context }) => leaseWrite(context, { released: true }),
+      },
+      on: {
+        released: { actions: "forget", target: "idle" },
+        lost: { actions: "forget", target: "idle" },
+      },
+    },
+  },
+});
+
+function leaseWrite(
+  context: LeaseContext,
+  options: { released: boolean },
+): LeaseWrite {
+  const { fencingNumber, rowVersion } = context.held!;
+  const { incarnation } = context;
+  return {
+    rowVersion,
+    lease: { incarnation, fencingNumber, released: options.released },
+  };
+}
--- a/packages/core/src/ports/engines.ts
+++ b/packages/core/src/ports/engines.ts
@@ -137,6 +137,10 @@
   readonly state: "live" | "leaving";
   readonly role: "prefill" | "decode";
   readonly models: readonly string[];
+  readonly adapters?: readonly string[];
+  readonly modelVersion?: string;
+  /** Whether weights are being loaded; the engine serves nothing meanwhile. */
+  readonly loading?: boolean;
   readonly slots: number;
   readonly memoryPieces: number;
   readonly runs: readonly HeldRun[];
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -1,6 +1,7 @@
 /** What a VM is built from, and the faces that it shows. */
 import type { ConfigurationPolicies } from "../configuration/task.ts";
 import type { CallPolicies } from "../calls/policies.ts";
+import type { OrdersPolicies } from "../orders/task.ts";
 import type { EnginePort } from "../ports/engines.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
@@ -41,5 +42,6 @@
   readonly calls?: Partial<CallPolicies>;
   readonly configuration?: Partial<ConfigurationPolicies>;
   readonly membership?: Partial<MembershipPolicies>;
+  readonly orders?: Partial<OrdersPolicies>;
   readonly stop?: Partial<StopPolicies>;
 }
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -7,6 +7,7 @@
 import { GrantsHome } from "../grants/home.ts";
 import { createMembershipApp } from "../membership/app.ts";
 import { MembershipTask } from "../membership/task.ts";
+import { OrdersTask } from "../orders/task.ts";
 import type { PeerHandlers } from "../peers/types.ts";
 import { createQuotasApp } from "../quotas/app.ts";
 import { limitCalls, limitSummaries } from "../quotas/limited.ts";
@@ -33,6 +34,7 @@
   readonly configuration: ConfigurationTask;
   readonly suspects: SuspectBook;
   readonly retries: RetryBudget;
+  readonly orders: OrdersTask;
   readonly quotas: QuotasTask;
   readonly calls: CallsTask;
   readonly summaries: SummariesTask;
@@ -81,6 +83,11 @@
     this.configuration = configuration;
     this.membership = membership;
     this.#grants = grants;
+    this.orders = new OrdersTask(context, {
+      configuration,
+      membership,
+      policies: policies.orders,
+    });
     this.quotas = new QuotasTask(context, { configuration, membership });
     this.calls = new CallsTask(context, {
       configuration,
@@ -129,6 +136,7 @@
     await this.membership.start();
     await this.configuration.start();
     this.quotas.start();
+    this.orders.start();
     this.#plannedStop.start();
     this.calls.start();
     await this.suspects.start();
@@ -155,6 +163,7 @@
     this.suspects.stop();
     this.#grants.stop();
     this.calls.stop();
+    this.orders.stop();
     this.quotas.stop();
     this.configuration.stop();
     this.membership.stop();
--- a/packages/fakes/src/engines/engine_base.ts
+++ b/packages/fakes/src/engines/engine_base.ts
@@ -9,6 +9,8 @@
 } from "@teaselvalve/core";
 import type { EngineFigures } from "./figures.ts";
 
+const DEFAULT_LOAD_MS = 3_000;
+
 /** Options of a fake engine. */
 export interface FakeEngineOptions {
   id: EndpointId;
@@ -19,6 +21,8 @@
   checksFencing?: boolean;
   /** Told of each order that took effect. */
   onOrder?: (order: EngineOrder) => void;
+  /** How long an engine takes to load weights. */
+  loadMs?: number;
   /** Told when a marked prompt crashes the engine. */
   onCrash?: () => void;
 }
@@ -37,6 +41,16 @@
   #up = true;
   #boots = 1;
   #fencingNumber = 0;
+  #orderedRole: "prefill" | "decode" | undefined;
+  #adapters: readonly string[] = [];
+  #modelVersion: string | undefined;
+  #loadTimer: ReturnType<typeof setTimeout> | undefined;
+  /** Whether an order with an old fencing number is refused. */
+  checksFencing: boolean;
+  /** Told of each order that took effect. */
+  onOrder: ((order: EngineOrder) => void) | undefined;
+  /** How late orders take effect after they were sent, as after a freeze of their sender. */
+  orderDelayMs = 0;
   #snapshots: { readonly takenAtMs: number; readonly report: LoadReport }[] =
     [];
   #reportTimer: ReturnType<typeof setInterval> | undefined;
@@ -48,6 +62,8 @@
     this.figures = options.figures;
     this.random = options.random;
     this.models = options.models;
+    this.checksFencing = options.checksFencing ?? true;
+    this.onOrder = options.onOrder;
   }
 
   abstract readonly role: "prefill" | "decode";
@@ -72,6 +88,7 @@
   /** Ends timers, so that a process can exit. */
   close(): void {
     clearInterval(this.#reportTimer);
+    clearTimeout(this.#loadTimer);
     this.dropAll();
   }
 
@@ -116,14 +133,36 @@
 
   /** Carries out an order, unless its fencing number is old and checked. */
   order(order: EngineOrder): EngineRejection | null {
-    const checks = this.#options.checksFencing ?? true;
-    if (checks && order.fencingNumber < this.#fencingNumber) return "fenced";
+    if (this.checksFencing && order.fencingNumber < this.#fencingNumber) {
+      return "fenced";
+    }
     this.#fencingNumber = Math.max(this.#fencingNumber, order.fencingNumber);
-    if (order.model) this.models = [order.model];
-    this.#options.onOrder?.(order);
+    this.#orderedRole = order.role ?? this.#orderedRole;
+    if (this.#needsLoad(order)) this.#load(order);
+    this.onOrder?.(order);
     return null;
   }
 
+  #needsLoad(order: EngineOrder): boolean {
+    const { model, modelVersion, adapters } = order;
+    return (model !== undefined && !this.models.includes(model)) ||
+      (modelVersion !== undefined && modelVersion !== this.#modelVersion) ||
+      (adapters !== undefined &&
+        JSON.stringify(adapters) !== JSON.stringify(this.#adapters));
+  }
+
+  #load(order: EngineOrder): void {
+    clearTimeout(this.#loadTimer);
+    const models = order.model ? [order.model] : this.models;
+    this.models = [];
+    this.#loadTimer = setTimeout(() => {
+      this.#loadTimer = undefined;
+      this.models = models;
+      this.#adapters = order.adapters ?? this.#adapters;
+      this.#modelVersion = order.modelVersion ?? this.#modelVersion;
+    }, this.#options.loadMs ?? DEFAULT_LOAD_MS);
+  }
+
   #takeSnapshot(): void {
     if (this.#reportsFrozen || !this.#up) return;
     this.#snapshots.push({
@@ -142,8 +181,11 @@
       boot: `${this.id}-${this.#boots}`,
       ageMs: 0,
       state: this.state,
-      role: this.role,
+      role: this.#orderedRole ?? this.role,
       models: [...this.models],
+      adapters: this.#adapters,
+      ...(this.#modelVersion ? { modelVersion: this.#modelVersion } : {}),
+      loading: this.#loadTimer !== undefined,
       slots: this.figures.decodeSlots,
       memoryPieces: this.figures.memoryPieces,
       runs: this.heldRuns(),
--- a/packages/fakes/src/engines/port.ts
+++ b/packages/fakes/src/engines/port.ts
@@ -127,7 +127,8 @@
           engine instanceof FakePrefillEngine ? engine.cacheEvents(after) : [],
         )),
     order: (endpoint, order, how) =>
-      call(endpoint, how, (engine) => {
+      call(endpoint, how, async (engine) => {
+        if (engine.orderDelayMs > 0) await wait(engine.orderDelayMs);
         const code = engine.order(order);
         return code
           ? Promise.resolve(err({ kind: "rejected", code }))
@@ -136,6 +137,10 @@
   };
 }
 
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
 function done<T>(value: T): Promise<Result<T, EngineFailure>> {
   return Promise.resolve(ok(value));
 }
