Calls: wait for an open claim before a key is called reused; fuzz faults inside a claim

Change: another call's claim counts only once it is definite. The domain gets faults in the milliseconds of a claim, slow services and a check that nothing is sent for a caller who has left. Mutants run with their own domain, time and faults.

--- a/packages/bench/src/fuzz/domains/calls.ts
+++ b/packages/bench/src/fuzz/domains/calls.ts
@@ -1,25 +1,37 @@
 /** Calls that may not be repeated: sent, sent again in every way, left; checked against what ran. */
 import { asId, Vm, type VmPolicies } from "@teaselvalve/core";
+import { PLATFORM_HOST } from "@teaselvalve/fakes";
 import fc from "fast-check";
 import { SERVICE, type World } from "../../world/world.ts";
-import type { FuzzCommand, FuzzDomain, Mutant } from "../frame.ts";
-import { partOf } from "../frame.ts";
+import {
+  type FuzzCommand,
+  type FuzzDomain,
+  type FuzzModel,
+  type Mutant,
+  partOf,
+} from "../frame.ts";
 import { CALL_CHECKS } from "./calls_checks.ts";
 import { CALLS, type CallsPart, type Filing } from "./calls_part.ts";
-import { pick } from "./faults.ts";
+import { FAULTS, type FaultsPart, pick } from "./faults.ts";
 
 const MIN_DEADLINE_MS = 200;
 const MAX_DEADLINE_MS = 12_000;
+const MAX_SERVICE_MS = 4_000;
+const HEALED_SERVICE_MS = 20;
+const MAX_FAULT_MS = 20_000;
 const CALLERS = ["lender-1", "lender-2"];
 
-type Action = (part: CallsPart, world: World) => void;
+type Action = (
+  part: CallsPart,
+  world: World,
+  model: FuzzModel,
+) => Promise<void> | void;
 
 function step(label: string, action: Action): FuzzCommand {
   return {
     check: () => true,
-    run(model, world) {
-      action(partOf<CallsPart>(model, CALLS), world);
-      return Promise.resolve();
+    async run(model, world) {
+      await action(partOf<CallsPart>(model, CALLS), world, model);
     },
     toString: () => label,
   };
@@ -33,9 +45,13 @@
   readonly deadlineMs: number;
 }
 
-function send(part: CallsPart, world: World, sending: Sending): void {
+function send(
+  part: CallsPart,
+  world: World,
+  sending: Sending,
+): string | undefined {
   const vm = pick(world.vms.keys(), sending.vm);
-  if (!vm) return;
+  if (!vm) return undefined;
   const { filing, caller, body, deadlineMs } = sending;
   const call = world.call(vm, {
     workspace: asId("lenders"),
@@ -49,6 +65,18 @@
     deadlineAtMs: Date.now() + deadlineMs,
   });
   part.submissions.push({ call, filing });
+  return vm;
+}
+
+function createFiling(part: CallsPart, at: number): Filing {
+  const number = part.filings.length + 1;
+  const filing: Filing = {
+    request: `filing-${number}`,
+    caller: pick(CALLERS, at)!,
+    body: JSON.stringify({ house: number }),
+  };
+  part.filings.push(filing);
+  return filing;
 }
 
 const index = fc.nat({ max: 11 });
@@ -56,17 +84,66 @@
 
 const sendNew = fc.tuple(index, index, deadline).map(([vm, at, deadlineMs]) =>
   step(`sendCall(${vm}, ${at}, ${deadlineMs})`, (part, world) => {
-    const number = part.filings.length + 1;
-    const filing: Filing = {
-      request: `filing-${number}`,
-      caller: pick(CALLERS, at)!,
-      body: JSON.stringify({ house: number }),
-    };
-    part.filings.push(filing);
+    const filing = createFiling(part, at);
     send(part, world, { ...filing, filing, vm, deadlineMs });
   })
 );
 
+// Faults in the few milliseconds of a claim, which faults at random seldom hit.
+const MID_CLAIM_FAULTS = ["freeze", "cut from its peers", "silence"] as const;
+type MidClaimFault = (typeof MID_CLAIM_FAULTS)[number];
+
+const sendIntoFault = fc.record({
+  vm: index,
+  at: index,
+  deadlineMs: deadline,
+  afterMs: fc.integer({ min: 1, max: 30 }),
+  fault: fc.constantFrom(...MID_CLAIM_FAULTS),
+  forMs: fc.integer({ min: 500, max: MAX_FAULT_MS }),
+}).map((drawn) =>
+  step(
+    `sendCallIntoFault(${Object.values(drawn).join(", ")})`,
+    async (part, world, model) => {
+      const filing = createFiling(part, drawn.at);
+      const name = send(part, world, { ...filing, filing, ...drawn });
+      if (!name) return;
+      await world.advance(drawn.afterMs);
+      const faults = partOf<FaultsPart>(model, FAULTS);
+      faults.any = true;
+      faults.touchedVms.add(name);
+      breakVm({ faults, world, name, ...drawn });
+    },
+  )
+);
+
+function breakVm(options: {
+  faults: FaultsPart;
+  world: World;
+  name: string;
+  fault: MidClaimFault;
+  forMs: number;
+}): void {
+  const { faults, world, name, forMs } = options;
+  if (!world.vms.has(name) || faults.frozen.has(name)) return;
+  const { network } = world;
+  if (options.fault === "silence") return network.silence(name, PLATFORM_HOST);
+  if (options.fault === "freeze") {
+    faults.frozen.add(name);
+    network.freeze(name);
+    world.timers.runDetached(() =>
+      setTimeout(() => {
+        if (faults.frozen.delete(name)) network.thaw(name);
+      }, forMs)
+    );
+    return;
+  }
+  for (const peer of world.vms.keys()) {
+    if (peer === name) continue;
+    faults.cuts.set(`${name} ${peer}`, [name, peer]);
+    network.cut(name, peer);
+  }
+}
+
 const VARIANTS = ["same", "same", "same", "body", "caller"] as const;
 
 const sendAgain = fc.tuple(
@@ -109,6 +186,10 @@
   })
 );
 
+const slowServices = fc.integer({ min: 20, max: MAX_SERVICE_MS }).map((ms) =>
+  step(`slowServices(${ms})`, (_part, world) => setServiceTime(world, ms))
+);
+
 const startServices = fc.constant(null).map(() =>
   step("startServices()", (part, world) => startAll(part, world))
 );
@@ -123,7 +204,15 @@
     everStopped: new Set(),
     everFrozen: new Set(),
   }),
-  commands: [sendNew, sendAgain, leave, stopService, startServices],
+  commands: [
+    sendNew,
+    sendIntoFault,
+    sendAgain,
+    leave,
+    stopService,
+    startServices,
+    slowServices,
+  ],
   checks: CALL_CHECKS,
   mutants: [
     mutant("claim before send", { claimsBeforeSend: () => false }),
@@ -132,13 +221,19 @@
         attempt === 0 ? token : `${token}-${attempt}`,
     }),
     mutant("check after a freeze", { checkSend: () => "send" }),
+    mutant("check of the deadline", {
+      checkSend: ({ callerGone }) => callerGone ? "caller-gone" : "send",
+    }),
     mutant("release only by the claimant", {
       judgeClaim: ({ claimantGone, claimantReached }) =>
         claimantGone ? "mark-unknown" : claimantReached ? "ask" : "release",
     }),
     mutant("no retry after the first byte", { mayTryAnother: () => true }),
   ],
-  heal: (model, world) => startAll(partOf<CallsPart>(model, CALLS), world),
+  heal(model, world) {
+    startAll(partOf<CallsPart>(model, CALLS), world);
+    setServiceTime(world, HEALED_SERVICE_MS);
+  },
 };
 
 function mutant(name: string, calls: VmPolicies["calls"]): Mutant {
@@ -155,3 +250,7 @@
   }
   part.stoppedServices.clear();
 }
+
+function setServiceTime(world: World, ms: number): void {
+  for (const service of world.services.values()) service.spendMs = ms;
+}
--- a/packages/bench/src/fuzz/domains/calls_checks.ts
+++ b/packages/bench/src/fuzz/domains/calls_checks.ts
@@ -139,6 +139,25 @@
     ).map(nameOf),
 );
 
+const noRunForTheGone = check(
+  "sent after its only caller had left",
+  "always",
+  (part, world) =>
+    part.submissions.filter((submission) => {
+      const sendings = part.submissions.filter((other) =>
+        isSameCall(other, submission)
+      );
+      const [only] = sendings;
+      if (sendings.length > 1 || only?.call.leftAtMs === undefined) {
+        return false;
+      }
+      const knownAtMs = only.call.leftAtMs + TRANSIT_MS;
+      return ownRuns(world, submission).some(({ ranAtMs }) =>
+        ranAtMs > knownAtMs
+      );
+    }).map(nameOf),
+);
+
 const noStandingClaim = check(
   "a claim stands in the name of a VM that lives",
   "quiescence",
@@ -178,6 +197,7 @@
   oneVerdict,
   allVerdicts,
   noLateRun,
+  noRunForTheGone,
   noStandingClaim,
   answeredWithoutFaults,
 ];
--- a/packages/bench/src/fuzz/main.ts
+++ b/packages/bench/src/fuzz/main.ts
@@ -1,7 +1,10 @@
-/** `npm run fuzz -- --seed N --runs N`, or `--mutants` for the table of mutants. */
+/** `npm run fuzz -- --seed N --runs N`, `--mutants` for the table of mutants, `--only DOMAIN` for one domain. */
 import process from "node:process";
 import { command, flag, number, option, optional, run, string } from "cmd-ts";
+import { FAULTS_DOMAIN } from "./domains/faults.ts";
 import { DOMAINS } from "./domains/mod.ts";
+import { TIME_DOMAIN } from "./domains/time.ts";
+import type { FuzzDomain } from "./frame.ts";
 import { type FuzzReport, runFuzz } from "./run.ts";
 
 const program = command({
@@ -11,27 +14,47 @@
     runs: option({ long: "runs", type: number, defaultValue: () => 500 }),
     path: option({ long: "path", type: optional(string) }),
     mutants: flag({ long: "mutants" }),
+    only: option({ long: "only", type: optional(string) }),
   },
-  async handler({ seed, runs, path, mutants }) {
-    if (mutants) return await runMutants(seed, runs);
-    const report = await runFuzz({ domains: DOMAINS, seed, runs, path });
+  async handler({ seed, runs, path, mutants, only }) {
+    const chosen = DOMAINS.filter((domain) => !only || domain.name === only);
+    if (mutants) return await runMutants(chosen, { seed, runs });
+    const domains = only ? chosen.flatMap(withFaults) : DOMAINS;
+    const report = await runFuzz({ domains, seed, runs, path });
     printReport(report);
     process.exitCode = report.failed ? 1 : 0;
   },
 });
 
-await run(program, process.argv.slice(2));
-
-async function runMutants(seed: number, runs: number): Promise<void> {
-  for (const mutant of DOMAINS.flatMap((domain) => domain.mutants)) {
-    const { createVm } = mutant;
-    const report = await runFuzz({ domains: DOMAINS, seed, runs, createVm });
-    const outcome = report.failed ? "found" : "NOT FOUND";
-    say(`${mutant.name.padEnd(32)} ${outcome.padEnd(10)} runs ${report.runs}`);
-    if (!report.failed) process.exitCode = 1;
+async function runMutants(
+  domains: readonly FuzzDomain[],
+  options: { seed: number; runs: number },
+): Promise<void> {
+  for (const domain of domains) {
+    for (const mutant of domain.mutants) {
+      const report = await runFuzz({
+        domains: withFaults(domain),
+        ...options,
+        createVm: mutant.createVm,
+      });
+      const outcome = report.failed ? "found" : "NOT FOUND";
+      const [finding = ""] = report.findings;
+      say(
+        `${mutant.name.padEnd(40)} ${outcome.padEnd(10)} runs ${
+          String(report.runs).padEnd(5)
+        } ${finding}`,
+      );
+      if (!report.failed) process.exitCode = 1;
+    }
   }
 }
 
+// Commands of other domains would only thin out those that a mutant shows under.
+function withFaults(domain: FuzzDomain): FuzzDomain[] {
+  const common = [TIME_DOMAIN, FAULTS_DOMAIN].filter((one) => one !== domain);
+  return [...common, domain];
+}
+
 function printReport(report: FuzzReport): void {
   const outcome = report.failed ? "failed" : "no violation";
   say(`seed ${report.seed}: ${report.runs} runs, ${outcome}`);
@@ -44,3 +67,5 @@
 function say(line: string): void {
   process.stdout.write(`${line}\n`);
 }
+
+await run(program, process.argv.slice(2));
--- a/packages/bench/src/world/caller.ts
+++ b/packages/bench/src/world/caller.ts
@@ -17,6 +17,7 @@
   lost = false;
   /** The caller closed its connection. */
   left = false;
+  leftAtMs: number | undefined;
   /** Verdicts that came after the first; there must be none. */
   extra = 0;
   onLeave: () => void = () => {};
@@ -43,6 +44,7 @@
   leave(): void {
     if (this.verdict || this.lost || this.left) return;
     this.left = true;
+    this.leftAtMs = Date.now();
     this.onLeave();
   }
 }
--- a/packages/core/src/calls/run.ts
+++ b/packages/core/src/calls/run.ts
@@ -40,6 +40,8 @@
 /** Owns one claim, from the first write to the last. */
 export class CallRun {
   readonly claim: Claim;
+  /** Resolves once it is known whether the claim stands. */
+  readonly definite: Promise<void>;
   /** The row that another write left, once it is known to be in the way. */
   occupiedBy: Row | null = null;
   #context: VmContext;
@@ -51,10 +53,13 @@
   #result: CallResult | undefined;
   #patience: ReturnType<typeof setTimeout> | undefined;
   #machine: MachineTask<typeof callMachine> | undefined;
+  #isClaimed = false;
+  #settleDefinite: () => void = () => {};
 
   constructor(context: VmContext, options: CallRunOptions) {
     this.#context = context;
     this.#options = options;
+    this.definite = new Promise((resolve) => (this.#settleDefinite = resolve));
     const { identity } = context;
     this.claim = {
       vm: identity.id,
@@ -70,6 +75,11 @@
     return { caller: call.caller, bodyDigest };
   }
 
+  /** Whether the claim is known to stand, or to have stood. */
+  get isClaimed(): boolean {
+    return this.#isClaimed;
+  }
+
   /** Starts the claim on behalf of the first connection. */
   start(waiter: Waiter): void {
     this.#waiters.attach(waiter);
@@ -148,6 +158,8 @@
     const outcome = await this.#pending.outcome;
     clearTimeout(this.#patience);
     this.#context.observer.count("claims", outcome.kind);
+    this.#isClaimed = outcome.kind === "written";
+    this.#settleDefinite();
     if (outcome.kind === "conflict") this.occupiedBy = outcome.row;
     const type = { written: "claimed", conflict: "occupied" } as const;
     this.#machine?.send({
--- a/packages/core/src/calls/task.ts
+++ b/packages/core/src/calls/task.ts
@@ -211,15 +211,19 @@
     previous: Row | null,
   ): Promise<ClaimStep> {
     const held = this.#runs.get(submission.key);
-    if (held) {
-      const same = isSameCall(held.about, aboutOf(submission));
-      if (!same) return refused(notRun("key-reused"));
+    if (held && isSameCall(held.about, aboutOf(submission))) {
       return await this.#waitFor(held, submission);
     }
+    if (held?.isClaimed) return refused(notRun("key-reused"));
     if (!this.#store.available) {
       const { retryAfterMs } = this.#store;
       return refused(attemptNotRun("store-unavailable", retryAfterMs));
     }
+    if (held) {
+      // The key may still turn out to be this submission's own.
+      await untilDeadline(submission, held.definite);
+      return { kind: "again" };
+    }
     return await this.#waitFor(
       this.#createRun(submission, previous),
       submission,
--- a/packages/fakes/src/services/plain_service.ts
+++ b/packages/fakes/src/services/plain_service.ts
@@ -16,10 +16,11 @@
 /** Runs every call that arrives; it does not look for repeats itself. */
 export class PlainService {
   readonly runs: ServiceRun[] = [];
-  #spendMs: number;
+  /** How long a call takes. */
+  spendMs: number;
 
   constructor(options: PlainServiceOptions = {}) {
-    this.#spendMs = options.spendMs ?? 20;
+    this.spendMs = options.spendMs ?? 20;
   }
 
   /** Counts the runs of one key. */
@@ -39,7 +40,7 @@
             contentType: "application/json",
             body: JSON.stringify({ registered: request.key, number }),
           }),
-        this.#spendMs,
+        this.spendMs,
       )
     );
   }
