Load reports are polled by the shard's home, with listeners

Change: packages/core/src/reports. ReportsTask polls each prefill and decode endpoint once a second at the VM that is home for shardKey(model); the next in turn (up to the third) stands in while those before it don't answer on a fresh connection. ReportsView.onReport gives reports with the time they were taken at, on the monotonic clock. shardHome(view, model) is the one function that chooses the home (membership.homeOf of shard/MODEL); grants should use it too. vm.reports is started and stopped with the VM. New peer method summaries/alive gives the incarnation of whoever answers.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -23,3 +23,6 @@
 export * from "./summaries/prompt.ts";
 export * from "./vm/types.ts";
 export * from "./vm/vm.ts";
+export * from "./reports/types.ts";
+export * from "./reports/task.ts";
+export * from "./reports/shards.ts";
--- /dev/null
+++ b/packages/core/src/reports/task.ts
@@ -0,0 +1,89 @@
+/** Polls the engines of the shards that this VM is home for, once a second each. */
+import type { ConfigurationView } from "../configuration/task.ts";
+import type { Endpoint } from "../configuration/types.ts";
+import type { Member, MembershipView } from "../membership/types.ts";
+import type { ModelName } from "../shared/ids.ts";
+import type { VmContext, VmTask } from "../vm/types.ts";
+import { rankShardHomes } from "./shards.ts";
+import type { ReceivedReport, ReportListener, ReportsView } from "./types.ts";
+
+const POLL_INTERVAL_MS = 1_000;
+const REPORT_TIMEOUT_MS = 500;
+
+/** Options of {@link ReportsTask}. */
+export interface ReportsTaskOptions {
+  configuration: ConfigurationView;
+  membership: MembershipView;
+  /** Whether a VM answers on a fresh connection. */
+  answers: (member: Member) => Promise<boolean>;
+}
+
+/** Owns the polling of load reports. */
+export class ReportsTask implements ReportsView, VmTask {
+  #context: VmContext;
+  #options: ReportsTaskOptions;
+  #listeners = new Set<ReportListener>();
+  #timer: ReturnType<typeof setInterval> | undefined;
+
+  constructor(context: VmContext, options: ReportsTaskOptions) {
+    this.#context = context;
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => void this.poll(), POLL_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  onReport(listener: ReportListener): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Polls once each endpoint of each shard that this VM looks after. */
+  async poll(): Promise<void> {
+    const endpoints = this.#options.configuration.current()?.bodies.endpoints;
+    const models = new Map<ModelName, Endpoint[]>();
+    for (const endpoint of endpoints ?? []) {
+      if (endpoint.kind === "service" || !endpoint.model) continue;
+      const group = models.get(endpoint.model);
+      if (group) group.push(endpoint);
+      else models.set(endpoint.model, [endpoint]);
+    }
+    await Promise.all(
+      [...models].map(([model, group]) => this.#pollShard(model, group)),
+    );
+  }
+
+  async #pollShard(model: ModelName, endpoints: Endpoint[]): Promise<void> {
+    if (!await this.#looksAfter(model)) return;
+    await Promise.all(endpoints.map((endpoint) => this.#pollOne(endpoint)));
+  }
+
+  /** The home looks after a shard; the next in turn does while it doesn't answer. */
+  async #looksAfter(model: ModelName): Promise<boolean> {
+    const { membership, answers } = this.#options;
+    const ranked = rankShardHomes(membership, model);
+    const own = ranked.findIndex((member) => member.id === membership.self.id);
+    if (own === -1) return false;
+    const before = await Promise.all(ranked.slice(0, own).map(answers));
+    return !before.includes(true);
+  }
+
+  async #pollOne(endpoint: Endpoint): Promise<void> {
+    const answer = await this.#context.ports.engines.report(endpoint, {
+      timeoutMs: REPORT_TIMEOUT_MS,
+    });
+    if (answer.isErr()) return;
+    const report = answer.value;
+    const received: ReceivedReport = {
+      endpoint,
+      report,
+      takenAtMs: performance.now() - report.ageMs,
+    };
+    for (const listener of this.#listeners) listener(received);
+  }
+}
--- a/packages/core/src/summaries/app.ts
+++ b/packages/core/src/summaries/app.ts
@@ -1,6 +1,6 @@
 /** Peer methods of summaries. */
 import { type App, createApp } from "../shared/app.ts";
-import type { RequestKey } from "../shared/ids.ts";
+import type { Incarnation, RequestKey } from "../shared/ids.ts";
 import type { Registration } from "./types.ts";
 
 /** A home's answer to a registration. */
@@ -18,6 +18,10 @@
   "summaries/hand-over": (
     params: { key: RequestKey; epoch: number },
   ) => Promise<{ registration: Registration | null }>;
+  /** Tells that the VM runs, and since which start. */
+  "summaries/alive": (
+    params: Record<never, never>,
+  ) => { incarnation: Incarnation };
 }
 
 /** Lists the peer methods of summaries. */
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -8,7 +8,9 @@
 import { createMembershipApp } from "../membership/app.ts";
 import { MembershipTask } from "../membership/task.ts";
 import type { PeerHandlers } from "../peers/types.ts";
+import { ReportsTask } from "../reports/task.ts";
 import { createSummariesApp } from "../summaries/app.ts";
+import { askIncarnation } from "../summaries/alive.ts";
 import { SummariesHome } from "../summaries/home.ts";
 import { SummariesTask } from "../summaries/task.ts";
 import type { VmContext } from "./types.ts";
@@ -19,6 +21,7 @@
   readonly membership: MembershipTask;
   readonly configuration: ConfigurationTask;
   readonly calls: CallsTask;
+  readonly reports: ReportsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
 
@@ -34,6 +37,12 @@
     const grants = new GrantsHome(context, { configuration });
     this.configuration = configuration;
     this.membership = membership;
+    this.reports = new ReportsTask(context, {
+      configuration,
+      membership,
+      answers: async (member) =>
+        await askIncarnation(context.ports.peers, member) !== null,
+    });
     this.calls = new CallsTask(context, { configuration });
     this.summaries = new SummariesTask(context, { configuration, membership });
     this.peerHandlers = {
@@ -52,6 +61,9 @@
       ...createSummariesApp({
         "summaries/register": (params) => home.register(params),
         "summaries/hand-over": () => Promise.resolve({ registration: null }),
+        "summaries/alive": () => ({
+          incarnation: context.identity.incarnation,
+        }),
       }).handlers,
     };
   }
@@ -60,10 +72,12 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    this.reports.start();
   }
 
   /** Stops the tasks in reverse order. */
   stop(): void {
+    this.reports.stop();
     this.configuration.stop();
     this.membership.stop();
   }
