--- a/packages/core/src/summaries/home.ts
+++ b/packages/core/src/summaries/home.ts
@@ -3,20 +3,77 @@
 import type { RegisterAnswer } from "./app.ts";
 import type { Registration } from "./types.ts";
 
+/** How long an answered key is known; engines keep the text as long. */
+export const ANSWERED_KEPT_MS = 30_000;
+/** How long a running key is known without news of it. */
+const RUNNING_KEPT_MS = 600_000;
+const EXPIRY_INTERVAL_MS = 5_000;
+
+interface Held {
+  readonly registration: Registration;
+  readonly expiresAtMs: number;
+}
+
 /** Owns the registrations of the keys that this VM is home for. */
 export class SummariesHome {
-  #registrations = new Map<RequestKey, Registration>();
+  #held = new Map<RequestKey, Held>();
+  #timer: ReturnType<typeof setInterval> | undefined;
+
+  start(): void {
+    this.#timer = setInterval(() => this.#expire(), EXPIRY_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
 
   /** Registers a key, or shows who has it. */
   register(
     params: { registration: Registration; takeOver: boolean },
   ): RegisterAnswer {
     const { registration, takeOver } = params;
-    const held = this.#registrations.get(registration.key);
-    const replaces = !held || takeOver ||
-      held.owner.incarnation === registration.owner.incarnation;
-    if (!replaces) return { kind: "exists", registration: held };
-    this.#registrations.set(registration.key, registration);
+    const held = this.#find(registration.key);
+    if (held && !replaces(held, { registration, takeOver })) {
+      return { kind: "exists", registration: held };
+    }
+    if (registration.state === "cancelled") {
+      this.#held.delete(registration.key);
+    } else this.#keep(registration);
     return { kind: "new" };
   }
+
+  #find(key: RequestKey): Registration | undefined {
+    const held = this.#held.get(key);
+    return held && held.expiresAtMs > performance.now()
+      ? held.registration
+      : undefined;
+  }
+
+  #keep(registration: Registration): void {
+    const keptMs = registration.state === "answered"
+      ? ANSWERED_KEPT_MS
+      : RUNNING_KEPT_MS;
+    this.#held.set(registration.key, {
+      registration,
+      expiresAtMs: performance.now() + keptMs,
+    });
+  }
+
+  #expire(): void {
+    const nowMs = performance.now();
+    for (const [key, held] of this.#held) {
+      if (held.expiresAtMs <= nowMs) this.#held.delete(key);
+    }
+  }
+}
+
+function replaces(
+  held: Registration,
+  params: { registration: Registration; takeOver: boolean },
+): boolean {
+  const { registration, takeOver } = params;
+  const sameOwner = held.owner.incarnation === registration.owner.incarnation;
+  if (takeOver && registration.epoch > held.epoch) return true;
+  return sameOwner && registration.epoch >= held.epoch &&
+    (takeOver || held.state !== "answered");
 }
