--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -21,6 +21,8 @@
 export * from "./membership/app.ts";
 export * from "./retries/budget.ts";
 export * from "./summaries/types.ts";
+export * from "./summaries/keys.ts";
+export * from "./summaries/policies.ts";
 export * from "./summaries/prompt.ts";
 export * from "./suspects/types.ts";
 export * from "./suspects/book.ts";
--- /dev/null
+++ b/packages/core/src/summaries/attempt.ts
@@ -0,0 +1,73 @@
+/** One attempt at a summary: a stream id and all that holds something for it. */
+import type { Endpoint } from "../configuration/types.ts";
+import type { GrantAnswer } from "../grants/types.ts";
+import type { StreamId } from "../shared/ids.ts";
+import type { SuspectRun } from "../suspects/types.ts";
+import type { RunLocation } from "./types.ts";
+
+/** A grant that was given. */
+export type Granted = Extract<GrantAnswer, { kind: "granted" }>;
+
+/** What one attempt holds. */
+export interface Attempt {
+  readonly stream: StreamId;
+  grant: Granted["grant"] | null;
+  prefill: Endpoint | null;
+  decode: Endpoint | null;
+  /** Replicas that may hold something. */
+  readonly holders: Set<Endpoint>;
+  /** Until when the prefill's result is kept, on the clock of `performance.now`. */
+  keptUntilMs: number;
+  sizeBytes: number;
+  suspect: SuspectRun | null;
+  /** The replica that failed the attempt. */
+  failedAt: Endpoint | null;
+  /** The connection broke, which a crash does too. */
+  lost: boolean;
+}
+
+/** Begins an attempt. */
+export function createAttempt(stream: StreamId): Attempt {
+  return {
+    stream,
+    grant: null,
+    prefill: null,
+    decode: null,
+    holders: new Set(),
+    keptUntilMs: 0,
+    sizeBytes: 0,
+    suspect: null,
+    failedAt: null,
+    lost: false,
+  };
+}
+
+/** Continues an attempt that another VM began. */
+export function adoptAttempt(
+  run: RunLocation,
+  endpoints: readonly Endpoint[],
+): Attempt {
+  const find = (id: string | undefined) =>
+    endpoints.find((endpoint) => endpoint.id === id) ?? null;
+  const prefill = find(run.prefill?.id);
+  const decode = find(run.decode?.id);
+  return {
+    ...createAttempt(run.stream),
+    grant: run.grant ?? null,
+    prefill,
+    decode,
+    holders: new Set([prefill, decode].filter((one) => one !== null)),
+  };
+}
+
+/** Where an attempt runs, as registrations tell it. */
+export function locationOf(attempt: Attempt): RunLocation | null {
+  const { stream, prefill, decode, grant } = attempt;
+  if (!decode) return null;
+  return {
+    stream,
+    prefill: prefill && { id: prefill.id, address: prefill.address },
+    decode: { id: decode.id, address: decode.address },
+    ...(grant ? { grant } : {}),
+  };
+}
--- a/packages/core/src/summaries/home.ts
+++ b/packages/core/src/summaries/home.ts
@@ -9,6 +9,12 @@
 const RUNNING_KEPT_MS = 600_000;
 const EXPIRY_INTERVAL_MS = 5_000;
 
+/** Options of {@link SummariesHome}. */
+export interface SummariesHomeOptions {
+  /** Told of an owner whose running summary another owner has taken over. */
+  onReplaced: (older: Registration, newer: Registration) => void;
+}
+
 interface Held {
   readonly registration: Registration;
   readonly expiresAtMs: number;
@@ -17,8 +23,13 @@
 /** Owns the registrations of the keys that this VM is home for. */
 export class SummariesHome {
   #held = new Map<RequestKey, Held>();
+  #options: SummariesHomeOptions;
   #timer: ReturnType<typeof setInterval> | undefined;
 
+  constructor(options: SummariesHomeOptions) {
+    this.#options = options;
+  }
+
   start(): void {
     this.#timer = setInterval(() => this.#expire(), EXPIRY_INTERVAL_MS);
   }
@@ -39,9 +50,18 @@
     if (registration.state === "cancelled") {
       this.#held.delete(registration.key);
     } else this.#keep(registration);
+    const { onReplaced } = this.#options;
+    const changed = held?.state === "running" &&
+      held.owner.incarnation !== registration.owner.incarnation;
+    if (changed) onReplaced(held, registration);
     return { kind: "new" };
   }
 
+  /** Shows what is known of a key. */
+  find(key: RequestKey): Registration | null {
+    return this.#find(key) ?? null;
+  }
+
   #find(key: RequestKey): Registration | undefined {
     const held = this.#held.get(key);
     return held && held.expiresAtMs > performance.now()
--- a/packages/core/src/summaries/keys.ts
+++ b/packages/core/src/summaries/keys.ts
@@ -1,21 +1,36 @@
 /** Keys of summaries: a request id belongs to the caller that made it. */
-import type { CallerId, RequestId, WorkspaceId } from "../shared/ids.ts";
-import { asId, type RequestKey } from "../shared/ids.ts";
+import { asId, type Digest, type RequestKey } from "../shared/ids.ts";
+import { digest } from "../shared/hash.ts";
+import type { SummaryRequest } from "./types.ts";
 
-/** Whose request it is. */
-export interface SummaryIdentity {
-  readonly workspace: WorkspaceId;
-  readonly caller: CallerId;
-  readonly request: RequestId;
-}
+const DIGEST_LENGTH = 16;
 
 /** Builds a summary's key, so that another caller's id never meets this one. */
-export function summaryKey(identity: SummaryIdentity): RequestKey {
-  const { workspace, caller, request } = identity;
-  return asId(`${workspace}/${caller}/${request}`);
+export function summaryKey(request: SummaryRequest): RequestKey {
+  return asId(`${request.workspace}/${request.caller}/${request.request}`);
 }
 
 /** What decides the home of a summary's key. */
 export function summaryHomeKey(key: RequestKey): string {
   return `summary/${key}`;
 }
+
+/** Builds the key that engines repeat in their reports; it tells one body from another. */
+export function engineKey(key: RequestKey, bodyDigest: Digest): RequestKey {
+  return asId(`${key}#${bodyDigest.slice(0, DIGEST_LENGTH)}`);
+}
+
+/** Returns the summary's key of a key that an engine repeats. */
+export function summaryKeyOf(key: RequestKey): RequestKey {
+  return asId(key.slice(0, key.lastIndexOf("#")));
+}
+
+/** The text that makes a request what it is; a resend has the same. */
+export function summaryBody(request: SummaryRequest): string {
+  return `${request.model}\n${request.maxTokens}\n${request.prompt}`;
+}
+
+/** Digest of a request's body. */
+export function summaryDigest(request: SummaryRequest): Digest {
+  return digest(summaryBody(request));
+}
--- a/packages/core/src/summaries/machine.ts
+++ b/packages/core/src/summaries/machine.ts
@@ -2,8 +2,8 @@
 import { assign, setup } from "xstate";
 import type { Refusal } from "../shared/verdict.ts";
 
-/** Attachments in a row that may fail or stall before the run is given up. */
-const MAX_ATTACHES = 2;
+/** Attachments in a row without a token before the run is given up. */
+export const MAX_ATTACHES = 2;
 
 /** What happens to a summary. */
 export type SummaryMachineEvent =
@@ -44,12 +44,14 @@
   startDecode: undefined;
   attach: undefined;
   detach: undefined;
+  /** Asks for another decode replica and gives the one at hand back. */
+  reassign: undefined;
   /** Frees what the attempt holds anywhere. */
   abandon: undefined;
   backOff: { retries: number };
   markAnswered: undefined;
   forget: undefined;
-  tell: { refusal: Refusal | null };
+  tell: { refusal: Refusal };
   close: undefined;
 }
 
@@ -78,16 +80,16 @@
     startDecode: unused,
     attach: unused,
     detach: unused,
+    reassign: unused,
     abandon: unused,
     backOff: (_, _params: { retries: number }) => {},
     markAnswered: unused,
     forget: unused,
-    tell: (_, _params: { refusal: Refusal | null }) => {},
+    tell: (_, _params: { refusal: Refusal }) => {},
     close: unused,
   },
   guards: {
     decoding: ({ context }) => context.decoding,
-    mayAttach: ({ context }) => context.attaches < MAX_ATTACHES,
     transferNotRetried: ({ context }) => !context.transferRetried,
   },
 }).createMachine({
@@ -178,20 +180,27 @@
     },
     /** Asks for another decode replica for a result that is still kept. */
     reassigning: {
-      entry: "askGrant",
+      entry: "reassign",
       on: { granted: "starting" },
     },
     relaying: {
       on: {
         finished: {
           target: "ended",
-          actions: [
-            "markAnswered",
-            { type: "tell", params: { refusal: null } },
-          ],
+          actions: "markAnswered",
+        },
+        broken: [
+          {
+            guard: ({ event }) => event.progressed,
+            target: "attaching",
+            actions: assign({ attaches: 0 }),
+          },
+          { target: "attaching" },
+        ],
+        reconnected: {
+          target: "attaching",
+          actions: assign({ attaches: 0 }),
         },
-        broken: "attaching",
-        reconnected: "attaching",
       },
     },
     attaching: {
@@ -204,16 +213,14 @@
         started: "relaying",
         finished: {
           target: "ended",
-          actions: [
-            "markAnswered",
-            { type: "tell", params: { refusal: null } },
-          ],
+          actions: "markAnswered",
         },
-        reconnected: { target: "attaching", reenter: true },
-        broken: [
-          { guard: "mayAttach", target: "attaching", reenter: true },
-          { target: "backingOff" },
-        ],
+        reconnected: {
+          target: "attaching",
+          reenter: true,
+          actions: assign({ attaches: 0 }),
+        },
+        broken: { target: "attaching", reenter: true },
       },
     },
     backingOff: {
--- /dev/null
+++ b/packages/core/src/summaries/registrar.ts
@@ -0,0 +1,208 @@
+/** Talks to the homes of keys and to other owners on behalf of a summary. */
+import type { Member, MembershipView } from "../membership/types.ts";
+import type { PeerRef } from "../ports/peers.ts";
+import { rankShardHomes } from "../reports/shards.ts";
+import { rankByRendezvous } from "../shared/hash.ts";
+import type { ModelName, RequestKey } from "../shared/ids.ts";
+import { mayHaveRun, notRun, type Refusal } from "../shared/verdict.ts";
+import type { VmContext } from "../vm/types.ts";
+import type { HandOverParams, ListedRun, RegisterAnswer } from "./app.ts";
+import { engineKey, summaryHomeKey } from "./keys.ts";
+import type { Registration, RunLocation } from "./types.ts";
+
+const KEPT_TIMEOUT_MS = 150;
+const FRESH_TIMEOUT_MS = 300;
+/** Load reports may be this many polls behind a run's start. */
+const LOCATE_ATTEMPTS = 4;
+const LOCATE_INTERVAL_MS = 700;
+
+/** What a claim of a key came to. */
+export type Claim =
+  | { readonly kind: "new"; readonly epoch: number }
+  | {
+    readonly kind: "located";
+    readonly epoch: number;
+    readonly run: RunLocation;
+  }
+  | { readonly kind: "refused"; readonly refusal: Refusal };
+
+/** Options of {@link Registrar.claim}. */
+export interface ClaimOptions {
+  fromOffset: number;
+  model: ModelName;
+  /** Whether the newest connection takes over what runs elsewhere. */
+  supersedes: boolean;
+}
+
+/** Finds and keeps the registrations of this VM's summaries. */
+export class Registrar {
+  #context: VmContext;
+  #membership: MembershipView;
+
+  constructor(context: VmContext, membership: MembershipView) {
+    this.#context = context;
+    this.#membership = membership;
+  }
+
+  /** Claims a key for this VM, taking over what runs under it elsewhere. */
+  async claim(wanted: Registration, options: ClaimOptions): Promise<Claim> {
+    const answer = await this.register(wanted, false);
+    if (answer?.kind === "exists" && options.supersedes) {
+      return await this.#takeOver(wanted, {
+        ...options,
+        held: answer.registration,
+      });
+    }
+    if (options.fromOffset === 0) return { kind: "new", epoch: wanted.epoch };
+    return await this.#adopt(wanted, options.model);
+  }
+
+  /** Registers with the key's home, or with the next in turn; null when none answers. */
+  async register(
+    registration: Registration,
+    takeOver: boolean,
+  ): Promise<RegisterAnswer | null> {
+    const [home, next] = this.#homesOf(registration.key);
+    return await this.#registerAt(home!, { registration, takeOver }) ??
+      (next ? await this.#registerAt(next, { registration, takeOver }) : null);
+  }
+
+  /** Asks both homes whether a newer owner is known; null when neither answers. */
+  async verify(registration: Registration): Promise<RegisterAnswer | null> {
+    const answers = await Promise.all(
+      this.#homesOf(registration.key).map((home) =>
+        this.#registerAt(home, { registration, takeOver: true })
+      ),
+    );
+    return answers.find((answer) => answer?.kind === "exists") ??
+      answers.find((answer) => answer !== null) ?? null;
+  }
+
+  /** Asks an owner to hand its run over; null when it doesn't answer. */
+  async handOver(
+    owner: PeerRef,
+    params: HandOverParams,
+  ): Promise<{ registration: Registration | null } | null> {
+    const answer = await this.#context.ports.peers.call(
+      owner,
+      "summaries/hand-over",
+      { params, timeoutMs: FRESH_TIMEOUT_MS, fresh: true },
+    );
+    return answer.unwrapOr(null);
+  }
+
+  /** Finds what a key's homes know of it. */
+  async find(key: RequestKey): Promise<Registration | null> {
+    for (const home of this.#homesOf(key)) {
+      const answer = await this.#context.ports.peers.call(
+        home,
+        "summaries/find",
+        { params: { key }, timeoutMs: FRESH_TIMEOUT_MS, fresh: true },
+      );
+      if (answer.isOk() && answer.value.registration) {
+        return answer.value.registration;
+      }
+    }
+    return null;
+  }
+
+  async #takeOver(
+    wanted: Registration,
+    options: ClaimOptions & { held: Registration },
+  ): Promise<Claim> {
+    const { held, fromOffset } = options;
+    if (held.bodyDigest !== wanted.bodyDigest) {
+      return { kind: "refused", refusal: notRun("key-reused") };
+    }
+    const epoch = Math.max(held.epoch + 1, wanted.epoch);
+    const run = held.state === "answered"
+      ? held.run
+      : await this.#takeRun(held, epoch);
+    if (!run && fromOffset > 0) return unknownRequest();
+    const answer = await this.register({ ...wanted, epoch, run }, true);
+    if (answer?.kind === "exists") {
+      return { kind: "refused", refusal: mayHaveRun("superseded") };
+    }
+    return run ? { kind: "located", epoch, run } : { kind: "new", epoch };
+  }
+
+  async #takeRun(
+    held: Registration,
+    epoch: number,
+  ): Promise<RunLocation | null> {
+    const owner = this.#membership.member(held.owner.vm);
+    if (!owner) return held.run;
+    const handed = await this.handOver(owner, { key: held.key, epoch });
+    return handed?.registration ? handed.registration.run : held.run;
+  }
+
+  // The home knows nothing, as after its death; load reports may still list the run.
+  async #adopt(wanted: Registration, model: ModelName): Promise<Claim> {
+    for (let attempt = 1; attempt <= LOCATE_ATTEMPTS; attempt += 1) {
+      const found = await this.#locate(wanted, model);
+      if (found) {
+        const { stream, owner, decode } = found;
+        const run = { stream, prefill: null, decode };
+        const held = { ...wanted, owner, run };
+        return await this.#takeOver(wanted, {
+          model,
+          held,
+          fromOffset: 1,
+          supersedes: true,
+        });
+      }
+      await new Promise((resolve) => setTimeout(resolve, LOCATE_INTERVAL_MS));
+    }
+    return unknownRequest();
+  }
+
+  async #locate(
+    wanted: Registration,
+    model: ModelName,
+  ): Promise<ListedRun | null> {
+    const params = { engineKey: engineKey(wanted.key, wanted.bodyDigest) };
+    for (const home of rankShardHomes(this.#membership, model)) {
+      const answer = await this.#context.ports.peers.call(
+        home,
+        "summaries/locate",
+        { params, timeoutMs: FRESH_TIMEOUT_MS, fresh: true },
+      );
+      if (answer.isOk() && answer.value.run) return answer.value.run;
+    }
+    return null;
+  }
+
+  async #registerAt(
+    home: PeerRef,
+    params: { registration: Registration; takeOver: boolean },
+  ): Promise<RegisterAnswer | null> {
+    const { peers } = this.#context.ports;
+    for (const fresh of [false, true]) {
+      const answer = await peers.call(home, "summaries/register", {
+        params,
+        timeoutMs: fresh ? FRESH_TIMEOUT_MS : KEPT_TIMEOUT_MS,
+        fresh,
+      });
+      if (answer.isOk()) return answer.value;
+    }
+    return null;
+  }
+
+  #homesOf(key: RequestKey): Member[] {
+    const homeKey = summaryHomeKey(key);
+    const home = this.#membership.homeOf(homeKey);
+    const others = this.#membership.members().filter((member) =>
+      member.state === "live" && member.region === home.region &&
+      member.id !== home.id
+    );
+    const [next] = rankByRendezvous(homeKey, others.map((one) => one.id));
+    const stand = next && this.#membership.member(next);
+    return stand ? [home, stand] : [home];
+  }
+}
+
+function unknownRequest(): Claim {
+  const detail =
+    "Nothing is kept of this request; send it again without Last-Event-ID";
+  return { kind: "refused", refusal: notRun("not-found", { detail }) };
+}
--- a/packages/core/src/summaries/task.ts
+++ b/packages/core/src/summaries/task.ts
@@ -1,203 +1,206 @@
 /** Owns the summaries whose callers are connected to this VM. */
 import type { ConfigurationView } from "../configuration/task.ts";
-import type { Endpoint } from "../configuration/types.ts";
-import type { GrantAnswer } from "../grants/types.ts";
 import type { MembershipView } from "../membership/types.ts";
-import type { Attachment, Prompt, RunOwner } from "../ports/engines.ts";
-import { digest } from "../shared/hash.ts";
-import {
-  asId,
-  type EndpointId,
-  requestKey,
-  type StreamId,
-} from "../shared/ids.ts";
-import { mayHaveRun, notRun, type Refusal } from "../shared/verdict.ts";
-import type { VmContext } from "../vm/types.ts";
-import { measurePrompt } from "./prompt.ts";
+import type { ReportsView } from "../reports/types.ts";
+import type { RetryBudget } from "../retries/budget.ts";
+import { asId, type RequestKey, type StreamId } from "../shared/ids.ts";
+import { notRun } from "../shared/verdict.ts";
+import type { SuspectBook } from "../suspects/book.ts";
+import type { VmContext, VmTask } from "../vm/types.ts";
+import type { SummariesHandlers } from "./app.ts";
+import { CancelBook } from "./cancels.ts";
+import { FreezeWatch } from "./freeze_watch.ts";
+import { GrantsClient } from "./grants_client.ts";
+import { SummariesHome } from "./home.ts";
+import { summaryDigest, summaryKey } from "./keys.ts";
+import { SUMMARY_POLICIES, type SummaryPolicies } from "./policies.ts";
+import { Registrar } from "./registrar.ts";
+import { SummaryRun } from "./run.ts";
+import { OrphanSweep } from "./sweep.ts";
 import type { SummaryHandle, SummaryRequest, SummarySink } from "./types.ts";
 
-const PEER_TIMEOUT_MS = 1_000;
-const NO_CAPACITY: GrantAnswer = {
-  kind: "refused",
-  reason: "no-capacity",
-  retryAfterMs: 1_000,
-};
+const TICK_INTERVAL_MS = 50;
+const VIEW_INTERVAL_MS = 1_000;
 
 /** Options of {@link SummariesTask}. */
 export interface SummariesTaskOptions {
   configuration: ConfigurationView;
   membership: MembershipView;
+  reports: ReportsView;
+  suspects: SuspectBook;
+  retries: RetryBudget;
+  policies?: Partial<SummaryPolicies>;
 }
 
-type Granted = Extract<GrantAnswer, { kind: "granted" }>;
-
-/** Runs summaries from admission to the last token. */
-export class SummariesTask {
+/** Runs summaries from their registration to the last token. */
+export class SummariesTask implements VmTask {
+  readonly handlers: SummariesHandlers;
   #context: VmContext;
   #options: SummariesTaskOptions;
-  #started = 0;
+  #policies: SummaryPolicies;
+  #runs = new Map<RequestKey, SummaryRun>();
+  #streams = 0;
+  #view = "";
+  #home: SummariesHome;
+  #registrar: Registrar;
+  #grants: GrantsClient;
+  #cancels: CancelBook;
+  #sweep: OrphanSweep;
+  #watch: FreezeWatch;
+  #timers: ReturnType<typeof setInterval>[] = [];
 
   constructor(context: VmContext, options: SummariesTaskOptions) {
+    const { configuration, membership, reports } = options;
     this.#context = context;
     this.#options = options;
+    this.#policies = { ...SUMMARY_POLICIES, ...options.policies };
+    this.#registrar = new Registrar(context, membership);
+    this.#grants = new GrantsClient(context, membership);
+    this.#cancels = new CancelBook(context, {
+      configuration,
+      repeats: this.#policies.repeatsCancels,
+    });
+    this.#home = new SummariesHome({
+      onReplaced: (older, newer) => {
+        const owner = membership.member(older.owner.vm);
+        const { key, epoch, run } = newer;
+        if (!owner) return;
+        const stream = run?.stream ?? null;
+        void this.#registrar.handOver(owner, { key, epoch, stream });
+      },
+    });
+    this.#sweep = new OrphanSweep(context, {
+      configuration,
+      membership,
+      reports,
+      registrar: this.#registrar,
+      cancels: this.#cancels,
+    });
+    this.#watch = new FreezeWatch((gapMs) => this.#onFreeze(gapMs));
+    this.handlers = this.#createHandlers();
   }
 
-  /** Starts a summary, or attaches to one that runs. */
-  submit(request: SummaryRequest, sink: SummarySink): SummaryHandle {
-    const key = requestKey(request.workspace, request.request);
-    const run = new SummaryRun(request, sink);
-    this.#run(run).catch((error) => {
-      this.#context.observer.log({
-        event: "summary-error",
-        level: "error",
-        key,
-        message: String(error),
-      });
-      run.refuse(mayHaveRun("connection-lost"));
-    });
-    return {
-      key,
-      cancel: () => run.cancel(),
-      pause: () => run.attachment?.pause(),
-      resume: () => run.attachment?.resume(),
-    };
+  /** Summaries in progress, and cancels that are not yet acknowledged. */
+  get inProgress(): number {
+    return this.#runs.size + this.#cancels.pending;
   }
 
-  async #run(run: SummaryRun): Promise<void> {
-    const { request } = run;
-    const key = requestKey(request.workspace, request.request);
-    const prompt = measurePrompt(request.prompt);
-    this.#started += 1;
-    const stream: StreamId = asId(
-      `${this.#context.identity.incarnation}-s${this.#started}`,
-    );
-    const answer = await this.#askGrant(run, { prompt, stream });
-    if (answer.kind === "refused") {
-      run.refuse(
-        notRun(answer.reason, { retryAfterMs: answer.retryAfterMs }),
-      );
-      return;
-    }
-    const prefill = this.#endpoint(answer.prefill);
-    const decode = this.#endpoint(answer.decode);
-    if (!prefill || !decode) return run.refuse(notRun("no-endpoint"));
-    const owner: RunOwner = {
-      vm: this.#context.identity.id,
-      incarnation: this.#context.identity.incarnation,
-    };
-    const order = {
-      stream,
-      key,
-      owner,
-      model: request.model,
-      prompt,
-      priority: 5,
-    };
-    const timeoutMs = request.deadlineAtMs - Date.now();
-    const { engines } = this.#context.ports;
-    const done = await engines.prefill(prefill, order, { timeoutMs });
-    if (done.isErr()) {
-      this.#end(run, answer);
-      return run.refuse(notRun("no-capacity"));
-    }
-    run.attachment = engines.start(
-      decode,
-      { ...order, from: prefill, maxTokens: request.maxTokens },
-      {
-        timeoutMs,
-        sink: (event) => {
-          if (event.kind === "started") return;
-          if (event.kind === "failed") {
-            this.#end(run, answer);
-            return run.refuse(mayHaveRun("connection-lost"));
-          }
-          if (event.kind === "end") this.#end(run, answer);
-          run.send(event);
-        },
-      },
-    );
+  start(): void {
+    this.#watch.start();
+    this.#home.start();
+    if (this.#policies.sweeps) this.#sweep.start();
+    this.#timers = [
+      setInterval(() => this.#tick(), TICK_INTERVAL_MS),
+      setInterval(() => this.#registerAgain(), VIEW_INTERVAL_MS),
+    ];
   }
 
-  async #askGrant(
-    run: SummaryRun,
-    options: { prompt: Prompt; stream: StreamId },
-  ): Promise<GrantAnswer> {
-    const { request } = run;
-    const answer = await this.#context.ports.peers.call(
-      this.#options.membership.homeOf(`shard/${request.model}`),
-      "grants/request",
-      {
-        params: {
-          key: requestKey(request.workspace, request.request),
-          stream: options.stream,
-          owner: this.#context.identity.id,
-          workspace: request.workspace,
-          model: request.model,
-          promptTokens: options.prompt.tokens,
-          blocks: options.prompt.blocks,
-          maxTokens: request.maxTokens,
-          firstTokenInMs: 610,
-          deadlineInMs: request.deadlineAtMs - Date.now(),
-          avoid: [],
-          alone: false,
-        },
-        timeoutMs: PEER_TIMEOUT_MS,
-      },
-    );
-    return answer.unwrapOr(NO_CAPACITY);
+  stop(): void {
+    for (const timer of this.#timers) clearInterval(timer);
+    this.#sweep.stop();
+    this.#home.stop();
+    this.#watch.stop();
   }
 
-  #end(run: SummaryRun, granted: Granted): void {
-    const { model } = run.request;
-    void this.#context.ports.peers.call(
-      this.#options.membership.homeOf(`shard/${model}`),
-      "grants/progress",
-      {
-        params: {
-          model,
-          grant: granted.grant,
-          key: requestKey(run.request.workspace, run.request.request),
-          progress: { kind: "ended", generatedTokens: 0 },
-        },
-        timeoutMs: PEER_TIMEOUT_MS,
-      },
-    );
+  /** Starts a summary, or attaches to the one that runs under the same key. */
+  submit(request: SummaryRequest, sink: SummarySink): SummaryHandle {
+    this.#watch.check();
+    const key = summaryKey(request);
+    const running = this.#runs.get(key);
+    if (running && running.bodyDigest !== summaryDigest(request)) {
+      this.#context.observer.count("refusals", "key-reused");
+      sink({ kind: "refused", refusal: notRun("key-reused") });
+      return { key, cancel() {}, pause() {}, resume() {} };
+    }
+    if (running && this.#policies.supersedes) {
+      running.reconnect(request, sink);
+      return this.#handleOf(running);
+    }
+    return this.#handleOf(this.#begin(request, sink));
   }
 
-  #endpoint(id: EndpointId): Endpoint | undefined {
-    return this.#options.configuration.current()?.bodies.endpoints.find((
-      endpoint,
-    ) => endpoint.id === id);
+  #begin(request: SummaryRequest, sink: SummarySink): SummaryRun {
+    const { configuration, suspects, retries } = this.#options;
+    const run = new SummaryRun(request, {
+      context: this.#context,
+      configuration,
+      registrar: this.#registrar,
+      grants: this.#grants,
+      cancels: this.#cancels,
+      suspects,
+      retries,
+      policies: this.#policies,
+      watch: this.#watch,
+      nextStream: () => this.#nextStream(),
+      onClosed: (closed) => {
+        if (this.#runs.get(closed.key) === closed) {
+          this.#runs.delete(closed.key);
+        }
+      },
+      sink,
+    });
+    this.#runs.set(run.key, run);
+    return run;
   }
-}
 
-/** One summary on its way. */
-class SummaryRun {
-  attachment: Attachment | undefined;
-  #finished = false;
-  #sink: SummarySink;
+  #handleOf(run: SummaryRun): SummaryHandle {
+    const { connection } = run;
+    const ifServed = (action: () => void) => () => {
+      this.#watch.check();
+      if (run.connection === connection) action();
+    };
+    return {
+      key: run.key,
+      cancel: ifServed(() => run.leave()),
+      pause: ifServed(() => run.pause()),
+      resume: ifServed(() => run.resume()),
+    };
+  }
 
-  constructor(readonly request: SummaryRequest, sink: SummarySink) {
-    this.#sink = sink;
+  #createHandlers(): SummariesHandlers {
+    return {
+      "summaries/register": (params) => this.#home.register(params),
+      "summaries/find": ({ key }) => ({ registration: this.#home.find(key) }),
+      "summaries/locate": ({ engineKey }) => ({
+        run: this.#sweep.locate(engineKey),
+      }),
+      "summaries/hand-over": ({ key, epoch, stream }) => {
+        this.#watch.check();
+        const run = this.#policies.supersedes ? this.#runs.get(key) : undefined;
+        return { registration: run?.handOver(epoch, stream) ?? null };
+      },
+      "summaries/alive": () => ({
+        incarnation: this.#context.identity.incarnation,
+      }),
+    };
   }
 
-  send(event: Parameters<SummarySink>[0]): void {
-    if (this.#finished) return;
-    this.#finished = event.kind !== "tokens";
-    this.#sink(event);
+  #tick(): void {
+    const nowMs = this.#watch.check();
+    for (const run of [...this.#runs.values()]) run.tick(nowMs);
   }
 
-  refuse(refusal: Refusal): void {
-    this.send({ kind: "refused", refusal });
+  /** Homes move with the view; a new home must know what runs here. */
+  #registerAgain(): void {
+    const { membership } = this.#options;
+    const view = membership.members()
+      .filter((member) => member.state === "live")
+      .map((member) => member.id).sort().join(" ");
+    if (view === this.#view) return;
+    this.#view = view;
+    for (const run of [...this.#runs.values()]) run.update();
   }
 
-  cancel(): void {
-    this.#finished = true;
-    this.attachment?.detach();
+  #onFreeze(gapMs: number): void {
+    this.#context.observer.log({ event: "vm-frozen", level: "warn", gapMs });
+    if (!this.#policies.checksAfterFreeze) return;
+    for (const run of [...this.#runs.values()]) run.send({ type: "frozen" });
   }
 
-  /** The digest that tells a resend from another body under the same key. */
-  get bodyDigest() {
-    return digest(this.request.prompt);
+  #nextStream() {
+    this.#streams += 1;
+    return asId<StreamId>(
+      `${this.#context.identity.incarnation}-s${this.#streams}`,
+    );
   }
 }
--- a/packages/core/src/summaries/types.ts
+++ b/packages/core/src/summaries/types.ts
@@ -3,6 +3,7 @@
 import type {
   CallerId,
   Digest,
+  GrantId,
   ModelName,
   RequestId,
   RequestKey,
@@ -62,4 +63,6 @@
   readonly stream: StreamId;
   readonly prefill: EndpointRef | null;
   readonly decode: EndpointRef | null;
+  /** The shard home's grant, which whoever ends the run gives back. */
+  readonly grant?: GrantId;
 }
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -4,6 +4,7 @@
 import type { PlatformPort } from "../ports/platform.ts";
 import type { ServicePort } from "../ports/services.ts";
 import type { VmIdentity } from "../membership/types.ts";
+import type { SummaryPolicies } from "../summaries/policies.ts";
 import type { Observer } from "../shared/observe.ts";
 
 /** The outside as a VM reaches it. */
@@ -28,3 +29,8 @@
   start(): Promise<void> | void;
   stop(): Promise<void> | void;
 }
+
+/** Policies by domain that replace those in use, for tests that remove a mechanism. */
+export interface VmPolicies {
+  readonly summaries?: Partial<SummaryPolicies>;
+}
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -11,12 +11,11 @@
 import { ReportsTask } from "../reports/task.ts";
 import { createSummariesApp } from "../summaries/app.ts";
 import { askIncarnation } from "../summaries/alive.ts";
-import { SummariesHome } from "../summaries/home.ts";
 import { SummariesTask } from "../summaries/task.ts";
 import { RetryBudget } from "../retries/budget.ts";
 import { createSuspectsApp } from "../suspects/app.ts";
 import { SuspectBook } from "../suspects/book.ts";
-import type { VmContext } from "./types.ts";
+import type { VmContext, VmPolicies } from "./types.ts";
 
 const DEFAULT_CONVICTION_MS = 3_600_000;
 
@@ -32,7 +31,7 @@
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
 
-  constructor(context: VmContext) {
+  constructor(context: VmContext, policies: VmPolicies = {}) {
     this.context = context;
     const configuration: ConfigurationTask = new ConfigurationTask(context, {
       members: () => this.membership.members(),
@@ -40,7 +39,6 @@
     const membership = new MembershipTask(context, {
       configurationVersion: () => configuration.version(),
     });
-    const home = new SummariesHome();
     const grants = new GrantsHome(context, { configuration });
     const deployment = () => configuration.current()?.bodies.deployment;
     this.suspects = new SuspectBook(context, {
@@ -59,7 +57,14 @@
         await askIncarnation(context.ports.peers, member) !== null,
     });
     this.calls = new CallsTask(context, { configuration });
-    this.summaries = new SummariesTask(context, { configuration, membership });
+    this.summaries = new SummariesTask(context, {
+      configuration,
+      membership,
+      reports: this.reports,
+      suspects: this.suspects,
+      retries: this.retries,
+      policies: policies.summaries,
+    });
     this.peerHandlers = {
       ...createMembershipApp({
         answerProbe: (probe) => membership.answerProbe(probe),
@@ -74,13 +79,7 @@
       }).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
-      ...createSummariesApp({
-        "summaries/register": (params) => home.register(params),
-        "summaries/hand-over": () => Promise.resolve({ registration: null }),
-        "summaries/alive": () => ({
-          incarnation: context.identity.incarnation,
-        }),
-      }).handlers,
+      ...createSummariesApp(this.summaries.handlers).handlers,
     };
   }
 
@@ -90,10 +89,12 @@
     await this.configuration.start();
     this.reports.start();
     await this.suspects.start();
+    this.summaries.start();
   }
 
   /** Stops the tasks in reverse order. */
   stop(): void {
+    this.summaries.stop();
     this.suspects.stop();
     this.reports.stop();
     this.configuration.stop();
