--- a/packages/core/src/reports/task.ts
+++ b/packages/core/src/reports/task.ts
@@ -1,14 +1,21 @@
 /** Polls the engines of the shards that this VM is home for, once a second each. */
 import type { ConfigurationView } from "../configuration/task.ts";
 import type { Endpoint } from "../configuration/types.ts";
+import {
+  dataCentresElsewhere,
+  planShards,
+  shardHomeKey,
+} from "../grants/queries/choose_shard.ts";
+import type { ShardPlan } from "../grants/types.ts";
 import type { Member, MembershipView } from "../membership/types.ts";
-import type { ModelName } from "../shared/ids.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
-import { rankShardHomes } from "./shards.ts";
+import { rankHomes } from "./homes.ts";
 import type { ReceivedReport, ReportListener, ReportsView } from "./types.ts";
 
 const POLL_INTERVAL_MS = 1_000;
 const REPORT_TIMEOUT_MS = 500;
+/** A shard's home and those that stand in for it. */
+const MAX_HOMES = 3;
 
 /** Options of {@link ReportsTask}. */
 export interface ReportsTaskOptions {
@@ -45,28 +52,26 @@
 
   /** Polls once each endpoint of each shard that this VM looks after. */
   async poll(): Promise<void> {
-    const endpoints = this.#options.configuration.current()?.bodies.endpoints;
-    const models = new Map<ModelName, Endpoint[]>();
-    for (const endpoint of endpoints ?? []) {
-      if (endpoint.kind === "service" || !endpoint.model) continue;
-      const group = models.get(endpoint.model);
-      if (group) group.push(endpoint);
-      else models.set(endpoint.model, [endpoint]);
-    }
-    await Promise.all(
-      [...models].map(([model, group]) => this.#pollShard(model, group)),
+    const { configuration, membership } = this.#options;
+    const endpoints = configuration.current()?.bodies.endpoints ?? [];
+    const elsewhere = dataCentresElsewhere(membership);
+    const models = new Set(endpoints.flatMap((one) => one.model ?? []));
+    const shards = [...models].flatMap((model) =>
+      planShards(endpoints, { model, elsewhere })
     );
+    await Promise.all(shards.map((shard) => this.#pollShard(shard)));
   }
 
-  async #pollShard(model: ModelName, endpoints: Endpoint[]): Promise<void> {
-    if (!await this.#looksAfter(model)) return;
+  async #pollShard(shard: ShardPlan): Promise<void> {
+    if (!await this.#looksAfter(shard)) return;
+    const endpoints = [...shard.prefills, ...shard.decodes];
     await Promise.all(endpoints.map((endpoint) => this.#pollOne(endpoint)));
   }
 
   /** The home looks after a shard; the next in turn does while it doesn't answer. */
-  async #looksAfter(model: ModelName): Promise<boolean> {
+  async #looksAfter(shard: ShardPlan): Promise<boolean> {
     const { membership, answers } = this.#options;
-    const ranked = rankShardHomes(membership, model);
+    const ranked = rankHomes(membership, shardHomeKey(shard), MAX_HOMES);
     const own = ranked.findIndex((member) => member.id === membership.self.id);
     if (own === -1) return false;
     const before = await Promise.all(ranked.slice(0, own).map(answers));
--- a/packages/core/src/reports/task_test.ts
+++ b/packages/core/src/reports/task_test.ts
@@ -2,7 +2,7 @@
 import type { Member, MembershipView } from "../membership/types.ts";
 import { asId } from "../shared/ids.ts";
 import type { VmContext } from "../vm/types.ts";
-import { rankShardHomes } from "./shards.ts";
+import { rankHomes } from "./homes.ts";
 import { ReportsTask } from "./task.ts";
 
 const MODEL = "tiivistaja";
@@ -36,7 +36,12 @@
     return Promise.resolve({ isErr: () => true });
   };
   const context = { ports: { engines: { report } } } as unknown as VmContext;
-  const endpoint = { id: "decode-1", kind: "decode", model: MODEL };
+  const endpoint = {
+    id: "decode-1",
+    kind: "decode",
+    model: MODEL,
+    dataCentre: "helsinki-a",
+  };
   const task = new ReportsTask(context, {
     configuration: {
       current: () => ({ bodies: { endpoints: [endpoint] } }) as never,
@@ -49,7 +54,7 @@
 }
 
 test("Only the home polls, and the next in turn while it does not answer", async () => {
-  const ranked = rankShardHomes(viewOf("vm-1"), asId(MODEL));
+  const ranked = rankHomes(viewOf("vm-1"), `shard/${MODEL}/all`, 3);
   expect(ranked).toHaveLength(3);
   expect(ranked[0]!.id).toBe("vm-2");
   const [home, second, third] = ranked.map((one) => one.id as string);
--- a/packages/core/src/summaries/admission.ts
+++ b/packages/core/src/summaries/admission.ts
@@ -3,14 +3,13 @@
 import type { SuspectBook } from "../suspects/book.ts";
 import type { SuspectHash, SuspectRun } from "../suspects/types.ts";
 import { notRun, type Refusal } from "../shared/verdict.ts";
-import type { Granted } from "./attempt.ts";
-import type { GrantsClient } from "./grants_client.ts";
+import type { GrantHold, GrantsClient } from "./grants_client.ts";
 
 /** What an attempt was told. */
 export type AdmissionOutcome =
   | {
     readonly kind: "granted";
-    readonly granted: Granted;
+    readonly hold: GrantHold;
     readonly suspect: SuspectRun | null;
   }
   | { readonly kind: "busy"; readonly retryAfterMs: number }
@@ -51,12 +50,7 @@
 ): void {
   if (outcome.kind !== "granted") return;
   if (outcome.suspect) options.suspects.released(outcome.suspect);
-  const { model, key } = options.request;
-  const { grant } = outcome.granted;
-  options.grants.tell({ model, key, grant }, {
-    kind: "ended",
-    generatedTokens: 0,
-  });
+  options.grants.tell(outcome.hold, { kind: "ended", generatedTokens: 0 });
 }
 
 async function askGrant(
@@ -67,7 +61,7 @@
   const answer = await options.grants.ask({ ...options.request, alone });
   if (!answer) return { kind: "unanswered" };
   if (answer.kind === "granted") {
-    return { kind: "granted", granted: answer, suspect };
+    return { kind: "granted", hold: answer.hold, suspect };
   }
   const { reason, retryAfterMs } = answer;
   return { kind: "refused", refusal: notRun(reason, { retryAfterMs }) };
--- a/packages/core/src/summaries/app.ts
+++ b/packages/core/src/summaries/app.ts
@@ -43,6 +43,8 @@
   "summaries/hand-over": (
     params: HandOverParams,
   ) => { registration: Registration | null };
+  /** Cancels a summary that this VM owns, on an operator's order; its caller is refused. */
+  "summaries/cancel": (params: { key: RequestKey }) => { known: boolean };
   /** Tells that the VM runs, and since which start. */
   "summaries/alive": (
     params: Record<never, never>,
--- a/packages/core/src/summaries/attempt.ts
+++ b/packages/core/src/summaries/attempt.ts
@@ -1,17 +1,17 @@
 /** One attempt at a summary: a stream id and all that holds something for it. */
 import type { Endpoint } from "../configuration/types.ts";
-import type { GrantAnswer } from "../grants/types.ts";
+import type { GrantRequest } from "../grants/types.ts";
 import type { StreamId } from "../shared/ids.ts";
 import type { SuspectRun } from "../suspects/types.ts";
+import type { GrantHold } from "./grants_client.ts";
 import type { RunLocation } from "./types.ts";
 
-/** A grant that was given. */
-export type Granted = Extract<GrantAnswer, { kind: "granted" }>;
-
 /** What one attempt holds. */
 export interface Attempt {
   readonly stream: StreamId;
-  grant: Granted["grant"] | null;
+  /** What was asked of the shard's home last. */
+  asked: GrantRequest | null;
+  hold: GrantHold | null;
   prefill: Endpoint | null;
   decode: Endpoint | null;
   /** Replicas that may hold something. */
@@ -30,7 +30,8 @@
 export function createAttempt(stream: StreamId): Attempt {
   return {
     stream,
-    grant: null,
+    asked: null,
+    hold: null,
     prefill: null,
     decode: null,
     holders: new Set(),
@@ -53,7 +54,6 @@
   const decode = find(run.decode?.id);
   return {
     ...createAttempt(run.stream),
-    grant: run.grant ?? null,
     prefill,
     decode,
     holders: new Set([prefill, decode].filter((one) => one !== null)),
@@ -62,12 +62,12 @@
 
 /** Where an attempt runs, as registrations tell it. */
 export function locationOf(attempt: Attempt): RunLocation | null {
-  const { stream, prefill, decode, grant } = attempt;
+  const { stream, prefill, decode, hold } = attempt;
   if (!decode) return null;
   return {
     stream,
     prefill: prefill && { id: prefill.id, address: prefill.address },
     decode: { id: decode.id, address: decode.address },
-    ...(grant ? { grant } : {}),
+    ...(hold ? { grant: hold.granted.grant } : {}),
   };
 }
--- a/packages/core/src/summaries/registrar.ts
+++ b/packages/core/src/summaries/registrar.ts
@@ -1,8 +1,9 @@
 /** Talks to the homes of keys and to other owners on behalf of a summary. */
 import type { Member, MembershipView } from "../membership/types.ts";
 import type { PeerRef } from "../ports/peers.ts";
-import { rankShardHomes } from "../reports/shards.ts";
-import { rankByRendezvous } from "../shared/hash.ts";
+import type { ConfigurationView } from "../configuration/task.ts";
+import { planShards, shardHomeKey } from "../grants/queries/choose_shard.ts";
+import { rankHomes } from "../reports/homes.ts";
 import type { ModelName, RequestKey } from "../shared/ids.ts";
 import { mayHaveRun, notRun, type Refusal } from "../shared/verdict.ts";
 import type { VmContext } from "../vm/types.ts";
@@ -15,6 +16,8 @@
 /** Load reports may be this many polls behind a run's start. */
 const LOCATE_ATTEMPTS = 4;
 const LOCATE_INTERVAL_MS = 700;
+/** A home and the one that stands in for it. */
+const HOMES = 2;
 
 /** What a claim of a key came to. */
 export type Claim =
@@ -26,6 +29,12 @@
   }
   | { readonly kind: "refused"; readonly refusal: Refusal };
 
+/** Options of {@link Registrar}. */
+export interface RegistrarOptions {
+  configuration: ConfigurationView;
+  membership: MembershipView;
+}
+
 /** Options of {@link Registrar.claim}. */
 export interface ClaimOptions {
   fromOffset: number;
@@ -37,11 +46,11 @@
 /** Finds and keeps the registrations of this VM's summaries. */
 export class Registrar {
   #context: VmContext;
-  #membership: MembershipView;
+  #options: RegistrarOptions;
 
-  constructor(context: VmContext, membership: MembershipView) {
+  constructor(context: VmContext, options: RegistrarOptions) {
     this.#context = context;
-    this.#membership = membership;
+    this.#options = options;
   }
 
   /** Claims a key for this VM, taking over what runs under it elsewhere. */
@@ -130,7 +139,7 @@
     held: Registration,
     epoch: number,
   ): Promise<RunLocation | null> {
-    const owner = this.#membership.member(held.owner.vm);
+    const owner = this.#options.membership.member(held.owner.vm);
     if (!owner) return held.run;
     const handed = await this.handOver(owner, { key: held.key, epoch });
     return handed?.registration ? handed.registration.run : held.run;
@@ -161,7 +170,12 @@
     model: ModelName,
   ): Promise<ListedRun | null> {
     const params = { engineKey: engineKey(wanted.key, wanted.bodyDigest) };
-    for (const home of rankShardHomes(this.#membership, model)) {
+    const { configuration, membership } = this.#options;
+    const endpoints = configuration.current()?.bodies.endpoints ?? [];
+    const homes = planShards(endpoints, { model }).flatMap((shard) =>
+      rankHomes(membership, shardHomeKey(shard), HOMES)
+    );
+    for (const home of homes) {
       const answer = await this.#context.ports.peers.call(
         home,
         "summaries/locate",
@@ -189,15 +203,7 @@
   }
 
   #homesOf(key: RequestKey): Member[] {
-    const homeKey = summaryHomeKey(key);
-    const home = this.#membership.homeOf(homeKey);
-    const others = this.#membership.members().filter((member) =>
-      member.state === "live" && member.region === home.region &&
-      member.id !== home.id
-    );
-    const [next] = rankByRendezvous(homeKey, others.map((one) => one.id));
-    const stand = next && this.#membership.member(next);
-    return stand ? [home, stand] : [home];
+    return rankHomes(this.#options.membership, summaryHomeKey(key), HOMES);
   }
 }
 
--- a/packages/core/src/summaries/run.ts
+++ b/packages/core/src/summaries/run.ts
@@ -1,7 +1,7 @@
 /** One summary at the VM that owns it: carries out what its machine decides. */
 import type { ConfigurationView } from "../configuration/task.ts";
 import type { Endpoint } from "../configuration/types.ts";
-import type { GrantProgress } from "../grants/types.ts";
+import type { GrantProgress, GrantRequest } from "../grants/types.ts";
 import type {
   Attachment,
   EngineFailure,
@@ -15,8 +15,8 @@
   asId,
   type Digest,
   type EndpointId,
-  type GrantId,
   type RequestKey,
+  requestKey,
   type StreamId,
 } from "../shared/ids.ts";
 import { type Effect, MachineTask } from "../shared/machine_task.ts";
@@ -40,7 +40,7 @@
 import type { CancelBook } from "./cancels.ts";
 import { type FailureStage, planAfterFailure } from "./failures.ts";
 import type { FreezeWatch } from "./freeze_watch.ts";
-import type { GrantRef, GrantsClient } from "./grants_client.ts";
+import type { GrantsClient } from "./grants_client.ts";
 import { engineKey, summaryBody, summaryDigest, summaryKey } from "./keys.ts";
 import {
   MAX_ATTACHES,
@@ -51,7 +51,12 @@
 import { measurePrompt } from "./prompt.ts";
 import type { Claim, Registrar } from "./registrar.ts";
 import { AnswerRelay, type RelayOutcome } from "./relay.ts";
-import type { Registration, SummaryRequest, SummarySink } from "./types.ts";
+import type {
+  Registration,
+  RunLocation,
+  SummaryRequest,
+  SummarySink,
+} from "./types.ts";
 
 /** What a summary is run with. */
 export interface SummaryRunOptions {
@@ -198,6 +203,16 @@
     return registration;
   }
 
+  /** Whether an operator's name for a summary means this one. */
+  hasName(key: RequestKey): boolean {
+    const { workspace, request } = this.#request;
+    return [
+      this.key,
+      engineKey(this.key, this.bodyDigest),
+      requestKey(workspace, request),
+    ].includes(key);
+  }
+
   /** Tells the key's home where the run is now. */
   update(): void {
     void this.#options.registrar.register(this.registration(), true).then(
@@ -214,6 +229,11 @@
     this.send({ type: "left" });
   }
 
+  /** Tells a new view's home, once this VM knows itself that the key is its own. */
+  registerAgain(): void {
+    if (this.#machine.snapshot.value !== "registering") this.update();
+  }
+
   /** Pauses the events for a caller that reads slowly. */
   pause(): void {
     this.#paused = true;
@@ -296,7 +316,7 @@
       // The caller went meanwhile; a run that was taken over is freed.
       if (claim.kind !== "located" || !this.relay.ended) return;
       this.#epoch = Math.max(this.#epoch, claim.epoch);
-      this.#attempt = adoptAttempt(claim.run, this.#endpoints());
+      this.#attempt = this.#adopt(claim.run);
       this.#abandon();
       this.#forget();
     });
@@ -313,6 +333,27 @@
     this.send({ type: this.#attempt.decode ? "located" : "registered" });
   }
 
+  #adopt(run: RunLocation): Attempt {
+    const attempt = adoptAttempt(run, this.#endpoints());
+    if (!run.grant || !attempt.prefill || !attempt.decode) return attempt;
+    attempt.asked = this.#grantRequest(attempt);
+    attempt.hold = {
+      request: attempt.asked,
+      granted: {
+        kind: "granted",
+        grant: run.grant,
+        prefill: attempt.prefill.id,
+        decode: attempt.decode.id,
+        startInMs: 0,
+        cachedTokens: 0,
+        memoryPieces: 0,
+      },
+      phase: "decode",
+    };
+    this.#options.grants.adopt(attempt.hold);
+    return attempt;
+  }
+
   #verify(attemptsLeft: number): void {
     const verified = this.#options.registrar.verify(this.registration());
     this.#after(verified, (answer) => {
@@ -334,43 +375,30 @@
 
   #reassign(attempt: Attempt): void {
     const { cancels, grants } = this.#options;
-    const { decode, grant } = attempt;
+    const { decode, hold } = attempt;
     if (decode) {
       this.#avoid.add(decode.id);
       attempt.holders.delete(decode);
       cancels.cancel(decode, attempt.stream);
     }
-    if (decode && grant) {
-      const failed = { kind: "failed", endpoint: decode.id } as const;
-      grants.tell(this.#grantRef(attempt, grant), failed);
+    if (decode && hold) {
+      grants.tell(hold, { kind: "failed", endpoint: decode.id });
     }
     if (attempt.suspect) this.#options.suspects.released(attempt.suspect);
-    attempt.grant = null;
+    attempt.hold = null;
     attempt.suspect = null;
     this.#admit(attempt);
   }
 
   #admit(attempt: Attempt): void {
-    const { grants, suspects, policies, context } = this.#options;
-    const { model, workspace, maxTokens } = this.#request;
+    const { grants, suspects, policies } = this.#options;
+    attempt.asked = this.#grantRequest(attempt);
     const options: AdmissionOptions = {
       suspects,
       grants,
       hash: this.#hash,
       convicts: policies.convicts,
-      request: {
-        key: this.#grantKey(attempt),
-        stream: attempt.stream,
-        owner: context.identity.id,
-        workspace,
-        model,
-        promptTokens: this.#prompt.tokens,
-        blocks: this.#prompt.blocks,
-        maxTokens,
-        firstTokenInMs: this.#firstTokenAtMs - performance.now(),
-        deadlineInMs: this.#leftMs(),
-        avoid: [...this.#avoid],
-      },
+      request: attempt.asked,
     };
     this.#after(
       admitAttempt(options),
@@ -379,12 +407,31 @@
     );
   }
 
+  #grantRequest(attempt: Attempt): GrantRequest {
+    const { model, workspace, maxTokens } = this.#request;
+    return {
+      key: this.#grantKey(attempt),
+      stream: attempt.stream,
+      owner: this.#options.context.identity.id,
+      workspace,
+      model,
+      promptTokens: this.#prompt.tokens,
+      blocks: this.#prompt.blocks,
+      maxTokens,
+      firstTokenInMs: this.#firstTokenAtMs - performance.now(),
+      deadlineInMs: this.#leftMs(),
+      avoid: [...this.#avoid],
+      alone: false,
+    };
+  }
+
   #take(attempt: Attempt, outcome: AdmissionOutcome): void {
     if (outcome.kind === "refused") return this.#refuse(outcome.refusal);
     if (outcome.kind === "unanswered") return this.#fail("home-changed");
     if (outcome.kind === "busy") return this.#waitForSuspect(outcome);
-    const { granted, suspect } = outcome;
-    attempt.grant = granted.grant;
+    const { hold, suspect } = outcome;
+    const { granted } = hold;
+    attempt.hold = hold;
     attempt.suspect = suspect;
     attempt.prefill ??= this.#endpoint(granted.prefill);
     attempt.decode = this.#endpoint(granted.decode);
@@ -607,8 +654,8 @@
     for (const holder of attempt.holders) {
       cancels.cancel(holder, attempt.stream);
     }
-    if (!attempt.grant) {
-      grants.withdraw(this.#request.model, this.#grantKey(attempt));
+    if (!attempt.hold) {
+      if (attempt.asked) grants.withdraw(attempt.asked);
     } else this.#tell(attempt, this.#lastProgress(attempt));
     if (attempt.suspect) suspects.released(attempt.suspect);
   }
@@ -649,9 +696,10 @@
   #supersede(keepsRun: boolean): void {
     const refusal = mayHaveRun("superseded");
     this.send({ type: "superseded", refusal, keepsRun });
-    if (keepsRun && this.#attempt?.suspect) {
-      this.#options.suspects.released(this.#attempt.suspect);
-    }
+    const attempt = this.#attempt;
+    if (!keepsRun || !attempt) return;
+    if (attempt.suspect) this.#options.suspects.released(attempt.suspect);
+    if (attempt.hold) this.#options.grants.handOver(attempt.hold);
   }
 
   /** Refuses; part of an answer is never called not run. */
@@ -679,13 +727,7 @@
   }
 
   #tell(attempt: Attempt, progress: GrantProgress): void {
-    if (!attempt.grant) return;
-    this.#options.grants.tell(this.#grantRef(attempt, attempt.grant), progress);
-  }
-
-  #grantRef(attempt: Attempt, grant: GrantId): GrantRef {
-    const key = this.#grantKey(attempt);
-    return { model: this.#request.model, grant, key };
+    if (attempt.hold) this.#options.grants.tell(attempt.hold, progress);
   }
 
   /** Each attempt asks under a key of its own, so that a late withdrawal can't meet the next. */
--- a/packages/core/src/summaries/task.ts
+++ b/packages/core/src/summaries/task.ts
@@ -1,10 +1,10 @@
 /** Owns the summaries whose callers are connected to this VM. */
 import type { ConfigurationView } from "../configuration/task.ts";
-import type { MembershipView } from "../membership/types.ts";
+import type { MembershipView, ViewChanges } from "../membership/types.ts";
 import type { ReportsView } from "../reports/types.ts";
 import type { RetryBudget } from "../retries/budget.ts";
 import { asId, type RequestKey, type StreamId } from "../shared/ids.ts";
-import { notRun } from "../shared/verdict.ts";
+import { mayHaveRun, notRun } from "../shared/verdict.ts";
 import type { SuspectBook } from "../suspects/book.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
 import type { SummariesHandlers } from "./app.ts";
@@ -20,12 +20,12 @@
 import type { SummaryHandle, SummaryRequest, SummarySink } from "./types.ts";
 
 const TICK_INTERVAL_MS = 50;
-const VIEW_INTERVAL_MS = 1_000;
 
 /** Options of {@link SummariesTask}. */
 export interface SummariesTaskOptions {
   configuration: ConfigurationView;
   membership: MembershipView;
+  viewChanges: ViewChanges;
   reports: ReportsView;
   suspects: SuspectBook;
   retries: RetryBudget;
@@ -40,22 +40,22 @@
   #policies: SummaryPolicies;
   #runs = new Map<RequestKey, SummaryRun>();
   #streams = 0;
-  #view = "";
   #home: SummariesHome;
   #registrar: Registrar;
   #grants: GrantsClient;
   #cancels: CancelBook;
   #sweep: OrphanSweep;
   #watch: FreezeWatch;
-  #timers: ReturnType<typeof setInterval>[] = [];
+  #timer: ReturnType<typeof setInterval> | undefined;
+  #removeListener = () => {};
 
   constructor(context: VmContext, options: SummariesTaskOptions) {
     const { configuration, membership, reports } = options;
     this.#context = context;
     this.#options = options;
     this.#policies = { ...SUMMARY_POLICIES, ...options.policies };
-    this.#registrar = new Registrar(context, membership);
-    this.#grants = new GrantsClient(context, membership);
+    this.#registrar = new Registrar(context, { configuration, membership });
+    this.#grants = new GrantsClient(context, { configuration, membership });
     this.#cancels = new CancelBook(context, {
       configuration,
       repeats: this.#policies.repeatsCancels,
@@ -89,14 +89,15 @@
     this.#watch.start();
     this.#home.start();
     if (this.#policies.sweeps) this.#sweep.start();
-    this.#timers = [
-      setInterval(() => this.#tick(), TICK_INTERVAL_MS),
-      setInterval(() => this.#registerAgain(), VIEW_INTERVAL_MS),
-    ];
+    this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
+    this.#removeListener = this.#options.viewChanges.onChange(() =>
+      this.#registerAgain()
+    );
   }
 
   stop(): void {
-    for (const timer of this.#timers) clearInterval(timer);
+    this.#removeListener();
+    clearInterval(this.#timer);
     this.#sweep.stop();
     this.#home.stop();
     this.#watch.stop();
@@ -119,6 +120,14 @@
     return this.#handleOf(this.#begin(request, sink));
   }
 
+  /** Cancels a summary on an operator's order; false when this VM does not own it. */
+  cancel(key: RequestKey): boolean {
+    const named = [...this.#runs.values()].filter((run) => run.hasName(key));
+    const refusal = mayHaveRun("cancelled");
+    for (const run of named) run.send({ type: "refused", refusal });
+    return named.length > 0;
+  }
+
   #begin(request: SummaryRequest, sink: SummarySink): SummaryRun {
     const { configuration, suspects, retries } = this.#options;
     const run = new SummaryRun(request, {
@@ -169,6 +178,7 @@
         const run = this.#policies.supersedes ? this.#runs.get(key) : undefined;
         return { registration: run?.handOver(epoch, stream) ?? null };
       },
+      "summaries/cancel": ({ key }) => ({ known: this.cancel(key) }),
       "summaries/alive": () => ({
         incarnation: this.#context.identity.incarnation,
       }),
@@ -182,13 +192,9 @@
 
   /** Homes move with the view; a new home must know what runs here. */
   #registerAgain(): void {
-    const { membership } = this.#options;
-    const view = membership.members()
-      .filter((member) => member.state === "live")
-      .map((member) => member.id).sort().join(" ");
-    if (view === this.#view) return;
-    this.#view = view;
-    for (const run of [...this.#runs.values()]) run.update();
+    this.#watch.check();
+    for (const run of [...this.#runs.values()]) run.registerAgain();
+    this.#grants.registerAgain();
   }
 
   #onFreeze(gapMs: number): void {
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -1,4 +1,5 @@
 /** What a VM is built from, and the faces that it shows. */
+import type { ConfigurationPolicies } from "../configuration/task.ts";
 import type { EnginePort } from "../ports/engines.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
@@ -24,13 +25,14 @@
   readonly random: () => number;
 }
 
+/** Parts of a VM's behaviour that a test can leave out or replace, by domain. */
+export interface VmPolicies {
+  readonly configuration?: Partial<ConfigurationPolicies>;
+  readonly summaries?: Partial<SummaryPolicies>;
+}
+
 /** A part of a VM that is started and stopped with it. */
 export interface VmTask {
   start(): Promise<void> | void;
   stop(): Promise<void> | void;
 }
-
-/** Policies by domain that replace those in use, for tests that remove a mechanism. */
-export interface VmPolicies {
-  readonly summaries?: Partial<SummaryPolicies>;
-}
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -30,16 +30,17 @@
   readonly reports: ReportsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
+  #grants: GrantsHome;
 
   constructor(context: VmContext, policies: VmPolicies = {}) {
     this.context = context;
     const configuration: ConfigurationTask = new ConfigurationTask(context, {
       members: () => this.membership.members(),
+      policies: policies.configuration,
     });
     const membership = new MembershipTask(context, {
       configurationVersion: () => configuration.version(),
     });
-    const grants = new GrantsHome(context, { configuration });
     const deployment = () => configuration.current()?.bodies.deployment;
     this.suspects = new SuspectBook(context, {
       membership,
@@ -48,8 +49,10 @@
     this.retries = new RetryBudget(context, {
       share: () => deployment()?.retryBudgetShare ?? 0,
     });
+    const grants = new GrantsHome(context, { configuration, membership });
     this.configuration = configuration;
     this.membership = membership;
+    this.#grants = grants;
     this.reports = new ReportsTask(context, {
       configuration,
       membership,
@@ -60,6 +63,7 @@
     this.summaries = new SummariesTask(context, {
       configuration,
       membership,
+      viewChanges: membership,
       reports: this.reports,
       suspects: this.suspects,
       retries: this.retries,
@@ -71,8 +75,12 @@
         probeFor: (target) => membership.probeFor(target),
       }).handlers,
       ...createConfigurationApp({
-        current: () => configuration.current(),
-        readUpTo: () => configuration.poll(),
+        answerFetch: (after) => configuration.answerFetch(after),
+        version: () => configuration.version(),
+        noticeVersion: (version, from) =>
+          configuration.noticeVersion(version, from),
+        holdVersion: (version, from) =>
+          configuration.holdVersion(version, from),
       }).handlers,
       ...createCallsApp({
         awaitOutcome: () => this.calls.awaitOutcome(),
@@ -97,6 +105,7 @@
     this.summaries.stop();
     this.suspects.stop();
     this.reports.stop();
+    this.#grants.stop();
     this.configuration.stop();
     this.membership.stop();
   }
