Fuzz domain of summaries, with faults of fakes that it needs

Change: domains/summaries*.ts; fakes: a cancelled start that is taken in is noted, a transfer asked again replaces the one under way, what is in flight when an attachment is dropped still arrives, a message can be held back, an engine that restarts always has a report.

--- /dev/null
+++ b/packages/bench/src/fuzz/domains/summaries.ts
@@ -0,0 +1,231 @@
+/** Summaries: sent, sent again in every way, resumed, left; checked against what each caller got. */
+import { asId, type SummaryPolicies, Vm } from "@teaselvalve/core";
+import fc from "fast-check";
+import { MODEL, type World } from "../../world/world.ts";
+import type { FuzzCommand, FuzzDomain, Mutant } from "../frame.ts";
+import { partOf } from "../frame.ts";
+import { pick } from "./faults.ts";
+import { SUMMARY_CHECKS } from "./summaries_checks.ts";
+import {
+  SUMMARIES,
+  type SummariesPart,
+  type WantedSummary,
+} from "./summaries_part.ts";
+
+const CALLERS = ["lender-1", "lender-2"];
+const MIN_DEADLINE_MS = 1_000;
+const MAX_DEADLINE_MS = 30_000;
+const MAX_TOKENS = 10_000;
+/** Longer than a run of the fuzzer; its caller goes or its deadline passes first. */
+const ENDLESS_TOKENS = 8_000;
+const MAX_DELAY_MS = 400;
+/** Characters of a prompt whose prefill and transfer take a while. */
+const LONG_PROMPT = 40_000;
+
+type Action = (part: SummariesPart, world: World) => void;
+
+function step(label: string, action: Action): FuzzCommand {
+  return {
+    check: () => true,
+    run(model, world) {
+      action(partOf<SummariesPart>(model, SUMMARIES), world);
+      return Promise.resolve();
+    },
+    toString: () => label,
+  };
+}
+
+interface Sending {
+  readonly vm: number;
+  readonly deadlineMs: number;
+  readonly fromOffset?: number;
+}
+
+function send(
+  part: SummariesPart,
+  world: World,
+  options: { wanted: WantedSummary; sending: Sending },
+): void {
+  const { wanted, sending } = options;
+  const vm = pick(world.vms.keys(), sending.vm);
+  if (!vm) return;
+  const summary = world.summary(vm, {
+    workspace: asId("lenders"),
+    caller: asId(wanted.caller),
+    request: asId(wanted.request),
+    model: asId(MODEL),
+    prompt: wanted.prompt,
+    maxTokens: MAX_TOKENS,
+    fromOffset: sending.fromOffset ?? 0,
+    deadlineAtMs: Date.now() + sending.deadlineMs,
+  });
+  const identity = `${wanted.caller} ${wanted.request} ${wanted.prompt}`;
+  part.attachments.push({ summary, wanted, identity });
+}
+
+const index = fc.nat({ max: 11 });
+const deadline = fc.integer({ min: MIN_DEADLINE_MS, max: MAX_DEADLINE_MS });
+const length = fc.oneof(
+  fc.integer({ min: 1, max: 60 }),
+  fc.integer({ min: 100, max: 600 }),
+  fc.constant(ENDLESS_TOKENS),
+);
+
+function promptOf(options: {
+  number: number;
+  tokens: number;
+  mark?: string;
+  long?: boolean;
+}): string {
+  const { number, tokens, mark = "", long = false } = options;
+  const padding = long ? "x".repeat(LONG_PROMPT) : "";
+  return `summary ${number} ${mark}[length=${tokens}]${padding}`;
+}
+
+const sendNew = fc.record({
+  vm: index,
+  caller: index,
+  tokens: length,
+  deadlineMs: deadline,
+  long: fc.boolean(),
+}).map(({ vm, caller, tokens, deadlineMs, long }) =>
+  step(
+    `sendSummary(${vm}, ${caller}, ${tokens}, ${deadlineMs}, ${long})`,
+    (part, world) => {
+      const number = part.wanted.length + 1;
+      const wanted: WantedSummary = {
+        request: `summary-${number}`,
+        caller: pick(CALLERS, caller)!,
+        prompt: promptOf({ number, tokens, long }),
+        poison: false,
+      };
+      part.wanted.push(wanted);
+      send(part, world, { wanted, sending: { vm, deadlineMs } });
+    },
+  )
+);
+
+const sendPoison = fc.tuple(index, deadline).map(([vm, deadlineMs]) =>
+  step(`sendPoison(${vm}, ${deadlineMs})`, (part, world) => {
+    const number = part.wanted.length + 1;
+    const wanted: WantedSummary = {
+      request: `summary-${number}`,
+      caller: CALLERS[0]!,
+      // One poison a run: what is sent again under a new key is the same request.
+      prompt: promptOf({ number: 0, tokens: 20, mark: "[crash]" }),
+      poison: true,
+    };
+    part.wanted.push(wanted);
+    send(part, world, { wanted, sending: { vm, deadlineMs } });
+  })
+);
+
+const VARIANTS = ["same", "same", "same", "body", "caller"] as const;
+
+const sendAgain = fc.record({
+  at: index,
+  vm: index,
+  variant: fc.constantFrom(...VARIANTS),
+  deadlineMs: deadline,
+}).map(({ at, vm, variant, deadlineMs }) =>
+  step(
+    `sendSummaryAgain(${at}, ${vm}, ${variant}, ${deadlineMs})`,
+    (part, world) => {
+      const known = pick(part.wanted.slice(-3), at);
+      if (!known) return;
+      const { caller, prompt } = known;
+      const wanted: WantedSummary = {
+        ...known,
+        caller: variant === "caller"
+          ? CALLERS.find((name) => name !== caller)!
+          : caller,
+        prompt: variant === "body" ? `other ${prompt}` : prompt,
+      };
+      send(part, world, { wanted, sending: { vm, deadlineMs } });
+    },
+  )
+);
+
+const resume = fc.tuple(index, index, fc.boolean(), deadline).map((
+  [at, vm, leaveFirst, deadlineMs],
+) =>
+  step(
+    `resumeSummary(${at}, ${vm}, ${leaveFirst}, ${deadlineMs})`,
+    (part, world) => {
+      const known = pick(part.attachments.slice(-3), at);
+      if (!known) return;
+      if (leaveFirst) known.summary.leave();
+      const { wanted, summary } = known;
+      const fromOffset = summary.nextOffset;
+      send(part, world, { wanted, sending: { vm, deadlineMs, fromOffset } });
+    },
+  )
+);
+
+const leave = index.map((at) =>
+  step(
+    `leaveSummary(${at})`,
+    (part) => pick(part.attachments.slice(-4), at)?.summary.leave(),
+  )
+);
+
+const delayNext = fc.tuple(
+  index,
+  index,
+  fc.integer({ min: 5, max: MAX_DELAY_MS }),
+).map(([from, to, delayMs]) =>
+  step(`delayNext(${from}, ${to}, ${delayMs})`, (_part, world) => {
+    const vm = pick(world.vms.keys(), from);
+    const engine = pick(world.engines.keys(), to);
+    if (vm && engine) world.network.delayNext(vm, engine, delayMs);
+  })
+);
+
+const shortly = fc.integer({ min: 1, max: 60 }).map((ms): FuzzCommand => ({
+  check: () => true,
+  run: (_model, world) => world.advance(ms),
+  toString: () => `advance(${ms})`,
+}));
+
+function mutant(name: string, summaries: Partial<SummaryPolicies>): Mutant {
+  return {
+    name: `summaries: ${name}`,
+    createVm: (context) => new Vm(context, { summaries }),
+  };
+}
+
+/** Summaries. */
+export const SUMMARIES_DOMAIN: FuzzDomain = {
+  name: SUMMARIES,
+  createPart: (): SummariesPart => ({
+    wanted: [],
+    attachments: [],
+    calmSinceMs: Date.now(),
+    everCut: false,
+    everFrozen: new Set(),
+  }),
+  commands: [
+    sendNew,
+    sendNew,
+    sendAgain,
+    resume,
+    leave,
+    sendPoison,
+    delayNext,
+    shortly,
+  ],
+  checks: SUMMARY_CHECKS,
+  mutants: [
+    mutant("supersede", { supersedes: false }),
+    mutant("offset and epoch check", { dropsStaleEvents: false }),
+    mutant("sweep", { sweeps: false }),
+    mutant("cancel repeat", { repeatsCancels: false }),
+    mutant("check after a freeze", { checksAfterFreeze: false }),
+    mutant("conviction", { convicts: false }),
+    {
+      name: "summaries: early cancels",
+      createVm: (context) => new Vm(context),
+      world: { refusesCancelled: false },
+    },
+  ],
+};
--- /dev/null
+++ b/packages/bench/src/fuzz/domains/summaries_checks.ts
@@ -0,0 +1,221 @@
+/** What must hold of summaries. */
+import { measurePrompt } from "@teaselvalve/core";
+import {
+  answerSeed,
+  FakeDecodeEngine,
+  lengthFromPrompt,
+  tokenAt,
+} from "@teaselvalve/fakes";
+import type { World } from "../../world/world.ts";
+import { type Check, type FuzzModel, partOf } from "../frame.ts";
+import { FAULTS, type FaultsPart } from "./faults.ts";
+import {
+  SUMMARIES,
+  type SummariesPart,
+  type SummaryAttachment,
+} from "./summaries_part.ts";
+
+/** How long memory may stay held for a caller that is gone. */
+const HELD_LIMIT_MS = 5_000;
+/** How long after its deadline a request may wait for its last event. */
+const LAST_EVENT_LIMIT_MS = 1_000;
+/** Time for what is under way to arrive. */
+const IN_FLIGHT_MS = 50;
+const MAX_REPLICAS_LOST = 3;
+/** Refusals that a request may get where nothing has failed. */
+const FAIR_REFUSALS = new Set([
+  "superseded",
+  "key-reused",
+  "not-found",
+  "already-answered",
+  "no-capacity",
+  "deadline-unreachable",
+  "deadline-passed",
+  "suspect-busy",
+]);
+
+type Find = (
+  part: SummariesPart,
+  at: { world: World; faults: FaultsPart },
+) => string[];
+
+function check(name: string, when: Check["when"], find: Find): Check {
+  return {
+    name,
+    when,
+    find(model: FuzzModel, world: World) {
+      const faults = partOf<FaultsPart>(model, FAULTS);
+      return find(partOf<SummariesPart>(model, SUMMARIES), { world, faults });
+    },
+  };
+}
+
+function nameOf({ summary, identity }: SummaryAttachment): string {
+  return `${identity} from ${summary.request.fromOffset} at ${summary.vm}`;
+}
+
+/** The text that an attachment should have got up to an offset. */
+function expectedText({ summary }: SummaryAttachment): string {
+  const prompt = measurePrompt(summary.request.prompt);
+  const seed = answerSeed(prompt);
+  let text = "";
+  for (let at = summary.request.fromOffset; at < summary.nextOffset; at += 1) {
+    text += tokenAt(seed, at);
+  }
+  return text;
+}
+
+const wholeAnswers = check(
+  "whole answers",
+  "always",
+  (part) =>
+    part.attachments.flatMap((attachment) => {
+      const { summary } = attachment;
+      const found = summary.faults.map((fault) =>
+        `${nameOf(attachment)}: ${fault}`
+      );
+      if (summary.text !== expectedText(attachment)) {
+        found.push(`${nameOf(attachment)}: wrong text`);
+      }
+      if (summary.last?.kind !== "end") return found;
+      const { prompt, maxTokens } = summary.request;
+      const length = Math.min(
+        maxTokens,
+        lengthFromPrompt(measurePrompt(prompt)),
+      );
+      if (
+        summary.nextOffset !== length || summary.last.totalTokens !== length
+      ) {
+        found.push(`${nameOf(attachment)}: ended at ${summary.nextOffset}`);
+      }
+      return found;
+    }),
+);
+
+const lastEvents = check(
+  "one last event in time",
+  "always",
+  (part, at) =>
+    part.attachments.flatMap((attachment) => {
+      const { summary } = attachment;
+      const { deadlineAtMs } = summary.request;
+      const late = Date.now() > deadlineAtMs + LAST_EVENT_LIMIT_MS;
+      const excused = summary.goneAtMs !== undefined ||
+        at.faults.touchedVms.has(summary.vm);
+      if (!late || excused) return [];
+      return [`${nameOf(attachment)}: no last event`];
+    }),
+);
+
+const heldMemory = check(
+  "no memory held for the gone",
+  "always",
+  (part, at) => {
+    const nowMs = Date.now();
+    if (nowMs - part.calmSinceMs < HELD_LIMIT_MS) return [];
+    const wanting = new Set<string>();
+    for (const { summary, wanted } of part.attachments) {
+      const goneAtMs = summary.goneAtMs ?? Infinity;
+      if (nowMs - goneAtMs >= HELD_LIMIT_MS) continue;
+      wanting.add(`lenders/${wanted.caller}/${wanted.request}`);
+    }
+    return [...at.world.engines.values()].flatMap((engine) =>
+      engine.heldRuns()
+        .filter((run) => !wanting.has(run.key.slice(0, run.key.indexOf("#"))))
+        .map((run) => `${engine.id} holds ${run.stream} of ${run.key}`)
+    );
+  },
+);
+
+const newestConnection = check(
+  "the newest connection has the stream",
+  "always",
+  (part, at) => {
+    if (part.everCut || at.faults.downEngines.size > 0) return [];
+    return part.attachments.flatMap((newer, place) => {
+      const firstMs = newer.summary.firstTokenAtMs;
+      if (firstMs === undefined) return [];
+      return part.attachments.slice(0, place)
+        .filter((older) =>
+          older.identity === newer.identity &&
+          (older.summary.lastTokenAtMs ?? 0) > firstMs + IN_FLIGHT_MS
+        )
+        .map((older) => `${nameOf(older)} got tokens after ${nameOf(newer)}`);
+    });
+  },
+);
+
+const poisonLosses = check("replicas lost to one request", "always", (
+  _part,
+  at,
+) => {
+  const lost = new Map<string, number>();
+  for (const engine of at.world.engines.values()) {
+    if (!(engine instanceof FakeDecodeEngine)) continue;
+    for (const prompt of engine.crashedBy) {
+      lost.set(prompt, (lost.get(prompt) ?? 0) + 1);
+    }
+  }
+  return [...lost]
+    .filter(([, count]) => count > MAX_REPLICAS_LOST)
+    .map(([prompt, count]) => `${prompt} cost ${count} replicas`);
+});
+
+const neighbours = check("no neighbour convicted", "always", (part, at) => {
+  // Two crashes by other causes while a suspect runs alone are beyond telling apart.
+  if (at.faults.any) return [];
+  return part.attachments
+    .filter(({ summary, wanted }) =>
+      !wanted.poison && summary.last?.kind === "refused" &&
+      summary.last.refusal.reason === "convicted"
+    )
+    .map((attachment) => `${nameOf(attachment)} was convicted`);
+});
+
+const fairRefusals = check("refusals without faults", "always", (part, at) => {
+  const poisoned = part.wanted.some((one) => one.poison);
+  if (at.faults.any || poisoned) return [];
+  return part.attachments.flatMap((attachment) => {
+    const { last } = attachment.summary;
+    if (last?.kind !== "refused" || FAIR_REFUSALS.has(last.refusal.reason)) {
+      return [];
+    }
+    return [`${nameOf(attachment)}: ${last.refusal.reason}`];
+  });
+});
+
+const cancelsWin = check("a cancel wins over its start", "always", (
+  _part,
+  at,
+) =>
+  [...at.world.engines.values()].flatMap((engine) =>
+    engine.takenAfterCancel.map((stream) =>
+      `${engine.id} took ${stream} after its cancel`
+    )
+  ));
+
+/** Notes what the checks need to know of faults; the first check of each step. */
+const noteFaults = check("faults", "always", (part, at) => {
+  const { faults, world } = at;
+  if (faults.cuts.size > 0) part.everCut = true;
+  for (const name of faults.frozen) part.everFrozen.add(name);
+  const hindered = faults.cuts.size > 0 || faults.frozen.size > 0 ||
+    [...world.engines.values()].some((engine) => engine.reportsFrozen) ||
+    world.platformFaults.down;
+  if (hindered) part.calmSinceMs = Infinity;
+  else if (part.calmSinceMs === Infinity) part.calmSinceMs = Date.now();
+  return [];
+});
+
+/** What must hold of summaries. */
+export const SUMMARY_CHECKS: readonly Check[] = [
+  noteFaults,
+  wholeAnswers,
+  lastEvents,
+  heldMemory,
+  newestConnection,
+  poisonLosses,
+  neighbours,
+  fairRefusals,
+  cancelsWin,
+];
--- a/packages/bench/src/fuzz/frame.ts
+++ b/packages/bench/src/fuzz/frame.ts
@@ -2,7 +2,7 @@
 import type { VmContext } from "@teaselvalve/core";
 import type { Vm } from "@teaselvalve/core";
 import type { Arbitrary, AsyncCommand } from "fast-check";
-import type { World } from "../world/world.ts";
+import type { World, WorldOptions } from "../world/world.ts";
 
 /** What the commands of a run know; each domain keeps its own part. */
 export interface FuzzModel {
@@ -27,6 +27,8 @@
 export interface Mutant {
   readonly name: string;
   readonly createVm: (context: VmContext) => Vm;
+  /** What else the world lacks. */
+  readonly world?: Partial<WorldOptions>;
 }
 
 /** What one domain adds to the fuzzer. */
--- a/packages/bench/src/fuzz/main.ts
+++ b/packages/bench/src/fuzz/main.ts
@@ -24,8 +24,14 @@
 
 async function runMutants(seed: number, runs: number): Promise<void> {
   for (const mutant of DOMAINS.flatMap((domain) => domain.mutants)) {
-    const { createVm } = mutant;
-    const report = await runFuzz({ domains: DOMAINS, seed, runs, createVm });
+    const { createVm, world } = mutant;
+    const report = await runFuzz({
+      domains: DOMAINS,
+      seed,
+      runs,
+      createVm,
+      world,
+    });
     const outcome = report.failed ? "found" : "NOT FOUND";
     say(`${mutant.name.padEnd(32)} ${outcome.padEnd(10)} runs ${report.runs}`);
     if (!report.failed) process.exitCode = 1;
--- a/packages/bench/src/fuzz/run.ts
+++ b/packages/bench/src/fuzz/run.ts
@@ -1,7 +1,7 @@
 /** Runs the fuzzer: random commands against several VMs on a paused clock, checked by an oracle. */
 import type { Vm, VmContext } from "@teaselvalve/core";
 import fc from "fast-check";
-import { World } from "../world/world.ts";
+import { World, type WorldOptions } from "../world/world.ts";
 import type { FuzzCommand, FuzzDomain, FuzzModel } from "./frame.ts";
 
 /** Options of {@link runFuzz}. */
@@ -14,6 +14,8 @@
   /** Repeats one failure that fast-check printed. */
   path?: string;
   createVm?: (context: VmContext) => Vm;
+  /** Further options of each run's world. */
+  world?: Partial<WorldOptions>;
 }
 
 /** What a fuzz run came to. */
@@ -83,6 +85,7 @@
   const world = await World.create({
     seed: run.worldSeed,
     createVm: options.createVm,
+    ...options.world,
   });
   const model: FuzzModel = {
     parts: new Map(
--- a/packages/bench/src/world/caller.ts
+++ b/packages/bench/src/world/caller.ts
@@ -46,6 +46,9 @@
   /** Offset of the next token expected. */
   nextOffset: number;
   firstTokenAtMs: number | undefined;
+  lastTokenAtMs: number | undefined;
+  /** When the connection was over: ended, lost or left. */
+  goneAtMs: number | undefined;
   endedAtMs: number | undefined;
   last: Exclude<SummaryEvent, { kind: "tokens" }> | undefined;
   /** Events that came after the last, or out of order; there must be none. */
@@ -67,12 +70,14 @@
     if (event.kind !== "tokens") {
       this.last = event;
       this.endedAtMs = Date.now();
+      this.goneAtMs ??= Date.now();
       return;
     }
     if (event.offset !== this.nextOffset) {
       this.faults.push(`Offset ${event.offset}, expected ${this.nextOffset}`);
     }
     this.firstTokenAtMs ??= Date.now();
+    this.lastTokenAtMs = Date.now();
     this.nextOffset = event.offset + event.texts.length;
     this.text += event.texts.join("");
   }
@@ -80,12 +85,14 @@
   /** The connection broke. */
   lose(): void {
     this.lost = this.last === undefined;
+    this.goneAtMs ??= Date.now();
   }
 
   /** The caller closes its connection. */
   leave(): void {
     if (this.last || this.lost || this.left) return;
     this.left = true;
+    this.goneAtMs = Date.now();
     this.onLeave();
   }
 }
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -44,6 +44,8 @@
   services?: number;
   figures?: EngineFigures;
   observer?: Observer;
+  /** Whether engines refuse a start whose cancel came before it. Defaults to true. */
+  refusesCancelled?: boolean;
   /** Builds a VM; tests pass one that lacks a mechanism. */
   createVm?: (context: ConstructorParameters<typeof Vm>[0]) => Vm;
   /** Places the VM of a number that counts from 0. */
@@ -307,6 +309,7 @@
       models: [MODEL],
       figures: this.#options.figures ?? TODAY_FIGURES,
       random: this.random,
+      refusesCancelled: this.#options.refusesCancelled,
       onCrash: () => {
         this.engineCrashes += 1;
         this.network.setUp(name, false);
--- a/packages/core/src/summaries/run.ts
+++ b/packages/core/src/summaries/run.ts
@@ -704,13 +704,9 @@
 
   /** Refuses; part of an answer is never called not run. */
   #refuse(refusal: Refusal): void {
-    const partly = this.relay.nextOffset > this.#request.fromOffset ||
-      this.#request.fromOffset > 0;
-    const mayNot = partly && refusal.kind === "notRun" &&
-      refusal.reason !== "key-reused" && refusal.reason !== "not-found";
-    const told = mayNot
-      ? mayHaveRun("engine-crashed", `${LOST}: ${refusal.reason}`)
-      : refusal;
+    const { fromOffset } = this.#request;
+    const partly = fromOffset > 0 || this.relay.nextOffset > fromOffset;
+    const told = partly ? refusalOfPart(refusal) : refusal;
     this.#options.context.observer.count("refusals", told.reason);
     this.send({ type: "refused", refusal: told });
   }
@@ -804,3 +800,18 @@
 function deadlineOf(request: SummaryRequest): number {
   return performance.now() + request.deadlineAtMs - Date.now();
 }
+
+/** Says of a request that was answered in part what else would say that it did not run. */
+function refusalOfPart(refusal: Refusal): Refusal {
+  if (refusal.kind === "mayHaveRun") return refusal;
+  switch (refusal.reason) {
+    case "key-reused":
+    case "not-found":
+      return refusal;
+    case "deadline-passed":
+    case "deadline-unreachable":
+      return mayHaveRun("deadline-passed");
+    default:
+      return mayHaveRun("engine-crashed", `${LOST}: ${refusal.reason}`);
+  }
+}
--- a/packages/fakes/src/engines/decode_engine.ts
+++ b/packages/fakes/src/engines/decode_engine.ts
@@ -54,6 +54,8 @@
 /** Generates answers, one token a step for each member of the batch. */
 export class FakeDecodeEngine extends FakeEngine {
   readonly role = "decode";
+  /** Marked prompts that crashed this engine. */
+  readonly crashedBy: string[] = [];
   #runs = new Map<StreamId, Run>();
   #stepTimer: ReturnType<typeof setTimeout> | undefined;
   #lengthOf: LengthOf;
@@ -125,7 +127,7 @@
 
   /** Frees what a run holds here; a run that has not arrived is refused later. */
   cancel(stream: StreamId): void {
-    this.tombstones.add(stream);
+    this.noteCancel(stream);
     const run = this.#runs.get(stream);
     if (run) this.#remove(run, { kind: "rejected", code: "cancelled" });
   }
@@ -162,7 +164,7 @@
 
   #rejectionCode(order: DecodeOrder): EngineRejection | null {
     if (this.state === "leaving") return "leaving";
-    if (this.tombstones.has(order.stream)) return "cancelled";
+    if (this.isCancelled(order.stream)) return "cancelled";
     if (!this.models.includes(order.model)) return "unknown-model";
     if (this.#runs.has(order.stream)) return "bad-order";
     const active = this.heldRuns().length;
@@ -193,7 +195,10 @@
 
   #decode(run: Run): void {
     run.state = "decoding";
-    if (crashesEngine(run.order.prompt)) return this.crash();
+    if (crashesEngine(run.order.prompt)) {
+      this.crashedBy.push(run.order.prompt.text);
+      return this.crash();
+    }
     run.attached?.sink({ kind: "started" });
     this.#scheduleStep();
   }
--- a/packages/fakes/src/engines/engine_base.ts
+++ b/packages/fakes/src/engines/engine_base.ts
@@ -17,6 +17,8 @@
   random: () => number;
   /** Whether an order with an old fencing number is refused. */
   checksFencing?: boolean;
+  /** Whether a cancel that overtakes its start wins. Defaults to true. */
+  refusesCancelled?: boolean;
   /** Told of each order that took effect. */
   onOrder?: (order: EngineOrder) => void;
   /** Told when a marked prompt crashes the engine. */
@@ -30,7 +32,9 @@
   /** How many prefills or runs were ordered here, refused ones included. */
   ordersSeen = 0;
   protected readonly random: () => number;
-  protected readonly tombstones = new Set<StreamId>();
+  /** Runs that were taken in after their cancel was acknowledged. */
+  readonly takenAfterCancel: StreamId[] = [];
+  #cancelled = new Set<StreamId>();
   protected state: "live" | "leaving" = "live";
   protected models: string[];
   #options: FakeEngineOptions;
@@ -62,6 +66,11 @@
     return this.#up;
   }
 
+  /** Whether reports stay as they are. */
+  get reportsFrozen(): boolean {
+    return this.#reportsFrozen;
+  }
+
   /** Starts taking load reports. */
   open(): void {
     this.#takeSnapshot();
@@ -80,7 +89,7 @@
     if (!this.#up) return;
     this.#up = false;
     this.dropAll();
-    this.tombstones.clear();
+    this.#cancelled.clear();
     this.#options.onCrash?.();
   }
 
@@ -89,8 +98,9 @@
     if (this.#up) return;
     this.#up = true;
     this.#boots += 1;
+    // A new process has no older report to show, frozen or not.
     this.#snapshots = [];
-    this.#takeSnapshot();
+    this.#pushSnapshot();
   }
 
   /** Announces that the engine will leave. */
@@ -103,6 +113,19 @@
     this.#reportsFrozen = frozen;
   }
 
+  /** Remembers a cancel for a start that has not arrived yet. */
+  protected noteCancel(stream: StreamId): void {
+    this.#cancelled.add(stream);
+  }
+
+  /** Whether a start is refused as its cancel came before it. */
+  protected isCancelled(stream: StreamId): boolean {
+    if (!this.#cancelled.has(stream)) return false;
+    if (this.#options.refusesCancelled ?? true) return true;
+    this.takenAfterCancel.push(stream);
+    return false;
+  }
+
   /** The newest report that is old enough to have arrived. */
   report(): LoadReport {
     const nowMs = performance.now();
@@ -125,7 +148,10 @@
   }
 
   #takeSnapshot(): void {
-    if (this.#reportsFrozen || !this.#up) return;
+    if (!this.#reportsFrozen && this.#up) this.#pushSnapshot();
+  }
+
+  #pushSnapshot(): void {
     this.#snapshots.push({
       takenAtMs: performance.now(),
       report: this.#currentReport(),
--- a/packages/fakes/src/engines/port.ts
+++ b/packages/fakes/src/engines/port.ts
@@ -70,10 +70,9 @@
     connection.onBroken.add(() => {
       if (!detached) how.sink({ kind: "failed", failure: { kind: "lost" } });
     });
+    // What is under way when the caller detaches still arrives.
     const relay = (event: StreamEvent) =>
-      network.reply(connection, () => {
-        if (!detached) how.sink(event);
-      });
+      network.reply(connection, () => how.sink(event));
     network.send(connection, () => {
       far = open(engine, relay);
       if (detached) far.detach();
--- a/packages/fakes/src/engines/prefill_engine.ts
+++ b/packages/fakes/src/engines/prefill_engine.ts
@@ -67,7 +67,7 @@
     this.ordersSeen += 1;
     if (!this.up) return Promise.resolve(err({ kind: "notSent" }));
     if (this.state === "leaving") return rejected("leaving");
-    if (this.tombstones.has(order.stream)) return rejected("cancelled");
+    if (this.isCancelled(order.stream)) return rejected("cancelled");
     if (!this.models.includes(order.model)) return rejected("unknown-model");
     return new Promise((finish) => {
       const place = this.#queue.findIndex((job) =>
@@ -80,12 +80,14 @@
     });
   }
 
-  /** Sends an export over the link; the export is freed once it has arrived. */
+  /** Sends an export over the link, in place of a transfer under way; it is freed once it has arrived. */
   transfer(stream: StreamId): Promise<Result<ExportedCache, EngineFailure>> {
     const held = this.#exports.get(stream);
     if (!this.up) return Promise.resolve(err({ kind: "notSent" }));
-    if (!held || held.transfer) return rejected("export-gone");
+    if (!held) return rejected("export-gone");
     clearTimeout(held.expiry);
+    held.transfer?.abort();
+    held.fail?.({ kind: "rejected", code: "transfer-failed" });
     return new Promise((finish) => {
       held.fail = (failure) => finish(err(failure));
       held.transfer = this.link.transfer(held.cache.sizeBytes, () => {
@@ -97,7 +99,7 @@
 
   /** Frees what a run holds here; a run that has not arrived is refused later. */
   cancel(stream: StreamId): void {
-    this.tombstones.add(stream);
+    this.noteCancel(stream);
     this.#dropExport(stream, { kind: "rejected", code: "cancelled" });
     const queued = this.#queue.find((job) => job.order.stream === stream);
     if (queued) {
--- a/packages/fakes/src/network/network.ts
+++ b/packages/fakes/src/network/network.ts
@@ -39,6 +39,7 @@
   #cuts = new Set<string>();
   #kept = new Map<string, Connection>();
   #open = new Set<Connection>();
+  #delays = new Map<string, number>();
 
   constructor(options: FakeNetworkOptions) {
     this.#options = {
@@ -107,6 +108,11 @@
     }
   }
 
+  /** Holds the next message from one host to another back for a while, so that later ones overtake it. */
+  delayNext(from: Host, to: Host, delayMs: number): void {
+    this.#delays.set(connectionName(from, to), delayMs);
+  }
+
   /** Opens or reuses a connection; null when it is refused at once. */
   connect(
     from: Host,
@@ -151,12 +157,21 @@
   ): void {
     const { from, to } = connection;
     if (this.#blocked(connection)) return;
-    this.#later(this.#options.latencyMs(from, to), () => {
+    const sender = message.to === to ? from : to;
+    const delayMs = this.#takeDelay(sender, message.to);
+    this.#later(this.#options.latencyMs(from, to) + delayMs, () => {
       if (this.#blocked(connection)) return;
       this.runOrHold(message.to, message.action);
     });
   }
 
+  #takeDelay(from: Host, to: Host): number {
+    const name = connectionName(from, to);
+    const delayMs = this.#delays.get(name) ?? 0;
+    this.#delays.delete(name);
+    return delayMs;
+  }
+
   #break(connection: Connection): void {
     this.close(connection);
     const { from, to, silent, onBroken } = connection;
