--- a/packages/bench/src/fuzz/main.ts
+++ b/packages/bench/src/fuzz/main.ts
@@ -10,11 +10,20 @@
     seed: option({ long: "seed", type: number, defaultValue: () => 1 }),
     runs: option({ long: "runs", type: number, defaultValue: () => 500 }),
     path: option({ long: "path", type: optional(string) }),
+    replayPath: option({ long: "replay-path", type: optional(string) }),
+    noShrink: flag({ long: "no-shrink" }),
     mutants: flag({ long: "mutants" }),
   },
-  async handler({ seed, runs, path, mutants }) {
+  async handler({ seed, runs, path, replayPath, noShrink, mutants }) {
     if (mutants) return await runMutants(seed, runs);
-    const report = await runFuzz({ domains: DOMAINS, seed, runs, path });
+    const report = await runFuzz({
+      domains: DOMAINS,
+      seed,
+      runs,
+      path,
+      replayPath,
+      endOnFailure: noShrink,
+    });
     printReport(report);
     process.exitCode = report.failed ? 1 : 0;
   },
--- a/packages/bench/src/fuzz/run.ts
+++ b/packages/bench/src/fuzz/run.ts
@@ -13,6 +13,10 @@
   commands?: number;
   /** Repeats one failure that fast-check printed. */
   path?: string;
+  /** Goes with `path`: repeats the shrunk commands, as printed after them. */
+  replayPath?: string;
+  /** Reports the first failure as it was drawn, without shrinking it. */
+  endOnFailure?: boolean;
   createVm?: (context: VmContext) => Vm;
   /** Further options of each run's world. */
   world?: Partial<WorldOptions>;
@@ -44,6 +48,7 @@
     fc.commands(arbitraries, {
       maxCommands: options.commands ?? DEFAULT_COMMANDS,
       size: "max",
+      ...(options.replayPath ? { replayPath: options.replayPath } : {}),
     }),
     async (worldSeed, commands) => {
       const findings = await runOnce(options, { worldSeed, commands });
@@ -53,6 +58,7 @@
   const details = await fc.check(property, {
     seed: options.seed,
     numRuns: options.runs,
+    endOnFailure: options.endOnFailure ?? false,
     ...(options.path ? { path: options.path } : {}),
   });
   const cause = details.errorInstance;
