--- a/packages/bench/src/fuzz/domains/mod.ts
+++ b/packages/bench/src/fuzz/domains/mod.ts
@@ -1,5 +1,6 @@
 /** All domains of the fuzzer. */
 import type { FuzzDomain } from "../frame.ts";
+import { CALLS_DOMAIN } from "./calls.ts";
 import { FAULTS_DOMAIN } from "./faults.ts";
 import { SUMMARIES_DOMAIN } from "./summaries.ts";
 import { TIME_DOMAIN } from "./time.ts";
@@ -9,4 +10,5 @@
   TIME_DOMAIN,
   FAULTS_DOMAIN,
   SUMMARIES_DOMAIN,
+  CALLS_DOMAIN,
 ];
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -59,7 +59,12 @@
       answers: async (member) =>
         await askIncarnation(context.ports.peers, member) !== null,
     });
-    this.calls = new CallsTask(context, { configuration });
+    this.calls = new CallsTask(context, {
+      configuration,
+      membership,
+      retries: this.retries,
+      policies: policies.calls,
+    });
     this.summaries = new SummariesTask(context, {
       configuration,
       membership,
@@ -83,7 +88,7 @@
           configuration.holdVersion(version, from),
       }).handlers,
       ...createCallsApp({
-        awaitOutcome: () => this.calls.awaitOutcome(),
+        awaitOutcome: (params) => this.calls.awaitOutcome(params),
       }).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
@@ -96,6 +101,7 @@
     await this.membership.start();
     await this.configuration.start();
     this.reports.start();
+    this.calls.start();
     await this.suspects.start();
     this.summaries.start();
   }
@@ -106,6 +112,7 @@
     this.suspects.stop();
     this.reports.stop();
     this.#grants.stop();
+    this.calls.stop();
     this.configuration.stop();
     this.membership.stop();
   }
