--- a/packages/core/src/summaries/task.ts
+++ b/packages/core/src/summaries/task.ts
@@ -1,223 +1,212 @@
 /** Owns the summaries whose callers are connected to this VM. */
 import type { ConfigurationView } from "../configuration/task.ts";
-import type { Endpoint } from "../configuration/types.ts";
-import type { GrantAnswer } from "../grants/types.ts";
-import type { MembershipView } from "../membership/types.ts";
-import type { Attachment, Prompt, RunOwner } from "../ports/engines.ts";
-import { digest } from "../shared/hash.ts";
-import {
-  asId,
-  type EndpointId,
-  type RequestKey,
-  requestKey,
-  type StreamId,
-} from "../shared/ids.ts";
-import { mayHaveRun, notRun, type Refusal } from "../shared/verdict.ts";
-import type { VmContext } from "../vm/types.ts";
-import { measurePrompt } from "./prompt.ts";
+import type { MembershipView, ViewChanges } from "../membership/types.ts";
+import type { ReportsView } from "../reports/types.ts";
+import type { RetryBudget } from "../retries/budget.ts";
+import { asId, type RequestKey, type StreamId } from "../shared/ids.ts";
+import { mayHaveRun, notRun } from "../shared/verdict.ts";
+import type { SuspectBook } from "../suspects/book.ts";
+import type { VmContext, VmTask } from "../vm/types.ts";
+import type { SummariesHandlers } from "./app.ts";
+import { CancelBook } from "./cancels.ts";
+import { FreezeWatch } from "./freeze_watch.ts";
+import { GrantsClient } from "./grants_client.ts";
+import { SummariesHome } from "./home.ts";
+import { summaryDigest, summaryKey } from "./keys.ts";
+import { SUMMARY_POLICIES, type SummaryPolicies } from "./policies.ts";
+import { Registrar } from "./registrar.ts";
+import { SummaryRun } from "./run.ts";
+import { OrphanSweep } from "./sweep.ts";
 import type { SummaryHandle, SummaryRequest, SummarySink } from "./types.ts";
 
-const PEER_TIMEOUT_MS = 1_000;
-const NO_CAPACITY: GrantAnswer = {
-  kind: "refused",
-  reason: "no-capacity",
-  retryAfterMs: 1_000,
-};
+const TICK_INTERVAL_MS = 50;
 
 /** Options of {@link SummariesTask}. */
 export interface SummariesTaskOptions {
   configuration: ConfigurationView;
   membership: MembershipView;
+  viewChanges: ViewChanges;
+  reports: ReportsView;
+  suspects: SuspectBook;
+  retries: RetryBudget;
+  policies?: Partial<SummaryPolicies>;
 }
 
-type Granted = Extract<GrantAnswer, { kind: "granted" }>;
-
-/** Runs summaries from admission to the last token. */
-export class SummariesTask {
+/** Runs summaries from their registration to the last token. */
+export class SummariesTask implements VmTask {
+  readonly handlers: SummariesHandlers;
   #context: VmContext;
   #options: SummariesTaskOptions;
-  #started = 0;
+  #policies: SummaryPolicies;
   #runs = new Map<RequestKey, SummaryRun>();
+  #streams = 0;
+  #home: SummariesHome;
+  #registrar: Registrar;
+  #grants: GrantsClient;
+  #cancels: CancelBook;
+  #sweep: OrphanSweep;
+  #watch: FreezeWatch;
+  #timer: ReturnType<typeof setInterval> | undefined;
+  #removeListener = () => {};
 
   constructor(context: VmContext, options: SummariesTaskOptions) {
+    const { configuration, membership, reports } = options;
     this.#context = context;
     this.#options = options;
-  }
-
-  /** Starts a summary, or attaches to one that runs. */
-  submit(request: SummaryRequest, sink: SummarySink): SummaryHandle {
-    const key = requestKey(request.workspace, request.request);
-    const run = new SummaryRun(request, sink, () => this.#runs.delete(key));
-    this.#runs.set(key, run);
-    this.#run(run).catch((error) => {
-      this.#context.observer.log({
-        event: "summary-error",
-        level: "error",
-        key,
-        message: String(error),
-      });
-      run.refuse(mayHaveRun("connection-lost"));
+    this.#policies = { ...SUMMARY_POLICIES, ...options.policies };
+    this.#registrar = new Registrar(context, { configuration, membership });
+    this.#grants = new GrantsClient(context, { configuration, membership });
+    this.#cancels = new CancelBook(context, {
+      configuration,
+      repeats: this.#policies.repeatsCancels,
     });
-    return {
-      key,
-      cancel: () => run.cancel(),
-      pause: () => run.attachment?.pause(),
-      resume: () => run.attachment?.resume(),
-    };
+    this.#home = new SummariesHome({
+      onReplaced: (older, newer) => {
+        const owner = membership.member(older.owner.vm);
+        const { key, epoch, run } = newer;
+        if (!owner) return;
+        const stream = run?.stream ?? null;
+        void this.#registrar.handOver(owner, { key, epoch, stream });
+      },
+    });
+    this.#sweep = new OrphanSweep(context, {
+      configuration,
+      membership,
+      reports,
+      registrar: this.#registrar,
+      cancels: this.#cancels,
+    });
+    this.#watch = new FreezeWatch((gapMs) => this.#onFreeze(gapMs));
+    this.handlers = this.#createHandlers();
   }
 
-  /** Cancels a summary on an operator's order; false when this VM does not own it. */
-  cancel(key: RequestKey): boolean {
-    const run = this.#runs.get(key);
-    if (!run) return false;
-    run.refuse(mayHaveRun("cancelled"));
-    run.cancel();
-    return true;
+  /** Summaries in progress, and cancels that are not yet acknowledged. */
+  get inProgress(): number {
+    return this.#runs.size + this.#cancels.pending;
   }
 
-  async #run(run: SummaryRun): Promise<void> {
-    const { request } = run;
-    const key = requestKey(request.workspace, request.request);
-    const prompt = measurePrompt(request.prompt);
-    this.#started += 1;
-    const stream: StreamId = asId(
-      `${this.#context.identity.incarnation}-s${this.#started}`,
+  start(): void {
+    this.#watch.start();
+    this.#home.start();
+    if (this.#policies.sweeps) this.#sweep.start();
+    this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
+    this.#removeListener = this.#options.viewChanges.onChange(() =>
+      this.#registerAgain()
     );
-    const answer = await this.#askGrant(run, { prompt, stream });
-    if (answer.kind === "refused") {
-      run.refuse(
-        notRun(answer.reason, { retryAfterMs: answer.retryAfterMs }),
-      );
-      return;
+  }
+
+  stop(): void {
+    this.#removeListener();
+    clearInterval(this.#timer);
+    this.#sweep.stop();
+    this.#home.stop();
+    this.#watch.stop();
+  }
+
+  /** Starts a summary, or attaches to the one that runs under the same key. */
+  submit(request: SummaryRequest, sink: SummarySink): SummaryHandle {
+    this.#watch.check();
+    const key = summaryKey(request);
+    const running = this.#runs.get(key);
+    if (running && running.bodyDigest !== summaryDigest(request)) {
+      this.#context.observer.count("refusals", "key-reused");
+      sink({ kind: "refused", refusal: notRun("key-reused") });
+      return { key, cancel() {}, pause() {}, resume() {} };
     }
-    const prefill = this.#endpoint(answer.prefill);
-    const decode = this.#endpoint(answer.decode);
-    if (!prefill || !decode) return run.refuse(notRun("no-endpoint"));
-    const owner: RunOwner = {
-      vm: this.#context.identity.id,
-      incarnation: this.#context.identity.incarnation,
-    };
-    const order = {
-      stream,
-      key,
-      owner,
-      model: request.model,
-      prompt,
-      priority: 5,
-    };
-    const timeoutMs = request.deadlineAtMs - Date.now();
-    const { engines } = this.#context.ports;
-    const done = await engines.prefill(prefill, order, { timeoutMs });
-    if (done.isErr()) {
-      this.#end(run, answer);
-      return run.refuse(notRun("no-capacity"));
+    if (running && this.#policies.supersedes) {
+      running.reconnect(request, sink);
+      return this.#handleOf(running);
     }
-    run.attachment = engines.start(
-      decode,
-      { ...order, from: prefill, maxTokens: request.maxTokens },
-      {
-        timeoutMs,
-        sink: (event) => {
-          if (event.kind === "started") return;
-          if (event.kind === "failed") {
-            this.#end(run, answer);
-            return run.refuse(mayHaveRun("connection-lost"));
-          }
-          if (event.kind === "end") this.#end(run, answer);
-          run.send(event);
-        },
-      },
-    );
+    return this.#handleOf(this.#begin(request, sink));
   }
 
-  async #askGrant(
-    run: SummaryRun,
-    options: { prompt: Prompt; stream: StreamId },
-  ): Promise<GrantAnswer> {
-    const { request } = run;
-    const answer = await this.#context.ports.peers.call(
-      this.#options.membership.homeOf(`shard/${request.model}`),
-      "grants/request",
-      {
-        params: {
-          key: requestKey(request.workspace, request.request),
-          stream: options.stream,
-          owner: this.#context.identity.id,
-          workspace: request.workspace,
-          model: request.model,
-          promptTokens: options.prompt.tokens,
-          blocks: options.prompt.blocks,
-          maxTokens: request.maxTokens,
-          firstTokenInMs: 610,
-          deadlineInMs: request.deadlineAtMs - Date.now(),
-          avoid: [],
-          alone: false,
-        },
-        timeoutMs: PEER_TIMEOUT_MS,
-      },
-    );
-    return answer.unwrapOr(NO_CAPACITY);
+  /** Cancels a summary on an operator's order; false when this VM does not own it. */
+  cancel(key: RequestKey): boolean {
+    const named = [...this.#runs.values()].filter((run) => run.hasName(key));
+    const refusal = mayHaveRun("cancelled");
+    for (const run of named) run.send({ type: "refused", refusal });
+    return named.length > 0;
   }
 
-  #end(run: SummaryRun, granted: Granted): void {
-    const { model } = run.request;
-    void this.#context.ports.peers.call(
-      this.#options.membership.homeOf(`shard/${model}`),
-      "grants/progress",
-      {
-        params: {
-          model,
-          grant: granted.grant,
-          key: requestKey(run.request.workspace, run.request.request),
-          progress: { kind: "ended", generatedTokens: 0 },
-        },
-        timeoutMs: PEER_TIMEOUT_MS,
+  #begin(request: SummaryRequest, sink: SummarySink): SummaryRun {
+    const { configuration, suspects, retries } = this.#options;
+    const run = new SummaryRun(request, {
+      context: this.#context,
+      configuration,
+      registrar: this.#registrar,
+      grants: this.#grants,
+      cancels: this.#cancels,
+      suspects,
+      retries,
+      policies: this.#policies,
+      watch: this.#watch,
+      nextStream: () => this.#nextStream(),
+      onClosed: (closed) => {
+        if (this.#runs.get(closed.key) === closed) {
+          this.#runs.delete(closed.key);
+        }
       },
-    );
+      sink,
+    });
+    this.#runs.set(run.key, run);
+    return run;
   }
 
-  #endpoint(id: EndpointId): Endpoint | undefined {
-    return this.#options.configuration.current()?.bodies.endpoints.find((
-      endpoint,
-    ) => endpoint.id === id);
+  #handleOf(run: SummaryRun): SummaryHandle {
+    const { connection } = run;
+    const ifServed = (action: () => void) => () => {
+      this.#watch.check();
+      if (run.connection === connection) action();
+    };
+    return {
+      key: run.key,
+      cancel: ifServed(() => run.leave()),
+      pause: ifServed(() => run.pause()),
+      resume: ifServed(() => run.resume()),
+    };
   }
-}
 
-/** One summary on its way. */
-class SummaryRun {
-  attachment: Attachment | undefined;
-  #finished = false;
-  #sink: SummarySink;
-  #onEnd: () => void;
-
-  constructor(
-    readonly request: SummaryRequest,
-    sink: SummarySink,
-    onEnd: () => void,
-  ) {
-    this.#sink = sink;
-    this.#onEnd = onEnd;
+  #createHandlers(): SummariesHandlers {
+    return {
+      "summaries/register": (params) => this.#home.register(params),
+      "summaries/find": ({ key }) => ({ registration: this.#home.find(key) }),
+      "summaries/locate": ({ engineKey }) => ({
+        run: this.#sweep.locate(engineKey),
+      }),
+      "summaries/hand-over": ({ key, epoch, stream }) => {
+        this.#watch.check();
+        const run = this.#policies.supersedes ? this.#runs.get(key) : undefined;
+        return { registration: run?.handOver(epoch, stream) ?? null };
+      },
+      "summaries/cancel": ({ key }) => ({ known: this.cancel(key) }),
+      "summaries/alive": () => ({
+        incarnation: this.#context.identity.incarnation,
+      }),
+    };
   }
 
-  send(event: Parameters<SummarySink>[0]): void {
-    if (this.#finished) return;
-    this.#finished = event.kind !== "tokens";
-    if (this.#finished) this.#onEnd();
-    this.#sink(event);
+  #tick(): void {
+    const nowMs = this.#watch.check();
+    for (const run of [...this.#runs.values()]) run.tick(nowMs);
   }
 
-  refuse(refusal: Refusal): void {
-    this.send({ kind: "refused", refusal });
+  /** Homes move with the view; a new home must know what runs here. */
+  #registerAgain(): void {
+    this.#watch.check();
+    for (const run of [...this.#runs.values()]) run.registerAgain();
+    this.#grants.registerAgain();
   }
 
-  cancel(): void {
-    this.#finished = true;
-    this.#onEnd();
-    this.attachment?.detach();
+  #onFreeze(gapMs: number): void {
+    this.#context.observer.log({ event: "vm-frozen", level: "warn", gapMs });
+    if (!this.#policies.checksAfterFreeze) return;
+    for (const run of [...this.#runs.values()]) run.send({ type: "frozen" });
   }
 
-  /** The digest that tells a resend from another body under the same key. */
-  get bodyDigest() {
-    return digest(this.request.prompt);
+  #nextStream() {
+    this.#streams += 1;
+    return asId<StreamId>(
+      `${this.#context.identity.incarnation}-s${this.#streams}`,
+    );
   }
 }
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -6,6 +6,7 @@
 import type { PlatformPort } from "../ports/platform.ts";
 import type { ServicePort } from "../ports/services.ts";
 import type { VmIdentity } from "../membership/types.ts";
+import type { SummaryPolicies } from "../summaries/policies.ts";
 import type { Observer } from "../shared/observe.ts";
 
 /** The outside as a VM reaches it. */
@@ -28,6 +29,7 @@
 /** Parts of a VM's behaviour that a test can leave out or replace, by domain. */
 export interface VmPolicies {
   readonly configuration?: Partial<ConfigurationPolicies>;
+  readonly summaries?: Partial<SummaryPolicies>;
 }
 
 /** A part of a VM that is started and stopped with it. */
