--- a/packages/bench/src/scenarios/run_scenario.ts
+++ b/packages/bench/src/scenarios/run_scenario.ts
@@ -70,6 +70,7 @@
   const world = await World.create({
     seed,
     createVm: options.mutant?.createVm,
+    ...options.mutant?.world,
   });
   const state: ScenarioState = {
     world,
