--- a/packages/bench/src/fuzz/main.ts
+++ b/packages/bench/src/fuzz/main.ts
@@ -13,14 +13,23 @@
     seed: option({ long: "seed", type: number, defaultValue: () => 1 }),
     runs: option({ long: "runs", type: number, defaultValue: () => 500 }),
     path: option({ long: "path", type: optional(string) }),
+    replayPath: option({ long: "replay-path", type: optional(string) }),
+    noShrink: flag({ long: "no-shrink" }),
     mutants: flag({ long: "mutants" }),
     only: option({ long: "only", type: optional(string) }),
   },
-  async handler({ seed, runs, path, mutants, only }) {
+  async handler({ seed, runs, path, replayPath, noShrink, mutants, only }) {
     const chosen = DOMAINS.filter((domain) => !only || domain.name === only);
     if (mutants) return await runMutants(chosen, { seed, runs });
     const domains = only ? chosen.flatMap(withFaults) : DOMAINS;
-    const report = await runFuzz({ domains, seed, runs, path });
+    const report = await runFuzz({
+      domains,
+      seed,
+      runs,
+      path,
+      replayPath,
+      endOnFailure: noShrink,
+    });
     printReport(report);
     process.exitCode = report.failed ? 1 : 0;
   },
@@ -31,16 +40,17 @@
   options: { seed: number; runs: number },
 ): Promise<void> {
   for (const domain of domains) {
-    for (const mutant of domain.mutants) {
+    for (const { name, createVm, world } of domain.mutants) {
       const report = await runFuzz({
         domains: withFaults(domain),
         ...options,
-        createVm: mutant.createVm,
+        createVm,
+        world,
       });
       const outcome = report.failed ? "found" : "NOT FOUND";
       const [finding = ""] = report.findings;
       say(
-        `${mutant.name.padEnd(40)} ${outcome.padEnd(10)} runs ${
+        `${name.padEnd(48)} ${outcome.padEnd(10)} runs ${
           String(report.runs).padEnd(5)
         } ${finding}`,
       );
--- a/packages/core/src/calls/task.ts
+++ b/packages/core/src/calls/task.ts
@@ -2,7 +2,7 @@
 import { err, ok } from "neverthrow";
 import type { ConfigurationView } from "../configuration/task.ts";
 import type { Endpoint, Service } from "../configuration/types.ts";
-import type { MembershipView } from "../membership/types.ts";
+import type { IncarnationCheck, MembershipView } from "../membership/types.ts";
 import type { Row } from "../ports/platform.ts";
 import type { ServiceAnswer } from "../ports/services.ts";
 import type { RetryBudget } from "../retries/budget.ts";
@@ -50,7 +50,7 @@
 /** Options of {@link CallsTask}. */
 export interface CallsTaskOptions {
   configuration: ConfigurationView;
-  membership: MembershipView;
+  membership: MembershipView & IncarnationCheck;
   retries: RetryBudget;
   policies?: Partial<CallPolicies>;
 }
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -8,8 +8,9 @@
 import { createMembershipApp } from "../membership/app.ts";
 import { MembershipTask } from "../membership/task.ts";
 import type { PeerHandlers } from "../peers/types.ts";
+import { ReportsTask } from "../reports/task.ts";
 import { createSummariesApp } from "../summaries/app.ts";
-import { SummariesHome } from "../summaries/home.ts";
+import { askIncarnation } from "../summaries/alive.ts";
 import { SummariesTask } from "../summaries/task.ts";
 import { RetryBudget } from "../retries/budget.ts";
 import { createSuspectsApp } from "../suspects/app.ts";
@@ -26,19 +27,20 @@
   readonly suspects: SuspectBook;
   readonly retries: RetryBudget;
   readonly calls: CallsTask;
+  readonly reports: ReportsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
+  #grants: GrantsHome;
 
   constructor(context: VmContext, policies: VmPolicies = {}) {
     this.context = context;
     const configuration: ConfigurationTask = new ConfigurationTask(context, {
       members: () => this.membership.members(),
+      policies: policies.configuration,
     });
     const membership = new MembershipTask(context, {
       configurationVersion: () => configuration.version(),
     });
-    const home = new SummariesHome();
-    const grants = new GrantsHome(context, { configuration });
     const deployment = () => configuration.current()?.bodies.deployment;
     this.suspects = new SuspectBook(context, {
       membership,
@@ -47,33 +49,50 @@
     this.retries = new RetryBudget(context, {
       share: () => deployment()?.retryBudgetShare ?? 0,
     });
+    const grants = new GrantsHome(context, { configuration, membership });
     this.configuration = configuration;
     this.membership = membership;
+    this.#grants = grants;
+    this.reports = new ReportsTask(context, {
+      configuration,
+      membership,
+      answers: async (member) =>
+        await askIncarnation(context.ports.peers, member) !== null,
+    });
     this.calls = new CallsTask(context, {
       configuration,
       membership,
       retries: this.retries,
       policies: policies.calls,
     });
-    this.summaries = new SummariesTask(context, { configuration, membership });
+    this.summaries = new SummariesTask(context, {
+      configuration,
+      membership,
+      viewChanges: membership,
+      reports: this.reports,
+      suspects: this.suspects,
+      retries: this.retries,
+      policies: policies.summaries,
+    });
     this.peerHandlers = {
       ...createMembershipApp({
         answerProbe: (probe) => membership.answerProbe(probe),
         probeFor: (target) => membership.probeFor(target),
       }).handlers,
       ...createConfigurationApp({
-        current: () => configuration.current(),
-        readUpTo: () => configuration.poll(),
+        answerFetch: (after) => configuration.answerFetch(after),
+        version: () => configuration.version(),
+        noticeVersion: (version, from) =>
+          configuration.noticeVersion(version, from),
+        holdVersion: (version, from) =>
+          configuration.holdVersion(version, from),
       }).handlers,
       ...createCallsApp({
         awaitOutcome: (params) => this.calls.awaitOutcome(params),
       }).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
-      ...createSummariesApp({
-        "summaries/register": (params) => home.register(params),
-        "summaries/hand-over": () => Promise.resolve({ registration: null }),
-      }).handlers,
+      ...createSummariesApp(this.summaries.handlers).handlers,
     };
   }
 
@@ -81,13 +100,18 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    this.reports.start();
     this.calls.start();
     await this.suspects.start();
+    this.summaries.start();
   }
 
   /** Stops the tasks in reverse order. */
   stop(): void {
+    this.summaries.stop();
     this.suspects.stop();
+    this.reports.stop();
+    this.#grants.stop();
     this.calls.stop();
     this.configuration.stop();
     this.membership.stop();
