--- a/packages/core/src/suspects/app.ts
+++ b/packages/core/src/suspects/app.ts
@@ -4,8 +4,10 @@
 
 /** Peer methods of suspects. */
 export interface SuspectsHandlers {
-  /** Asks a hash's home whether a run may start. */
-  "suspects/admit": (params: { run: SuspectRun }) => Admission;
+  /** Asks a hash's home whether a run may start, and tells it what the asker knows. */
+  "suspects/admit": (
+    params: { run: SuspectRun; known: SuspectNews | null },
+  ) => Admission;
   /** Tells a hash's home of runs that go on, after it became home. */
   "suspects/resume": (params: { runs: readonly SuspectRun[] }) => null;
   /** Tells a hash's home how a run ended. */
--- a/packages/core/src/suspects/book.ts
+++ b/packages/core/src/suspects/book.ts
@@ -67,7 +67,10 @@
       },
     });
     this.handlers = {
-      "suspects/admit": ({ run }) => this.#home.admit(run),
+      "suspects/admit": ({ run, known }) => {
+        if (known) this.#home.learn(known);
+        return this.#home.admit(run);
+      },
       "suspects/resume": ({ runs }) => {
         this.#home.resume(runs);
         return null;
@@ -112,7 +115,7 @@
     };
     const home = this.#homeOf(hash);
     const answer = await ports.peers.call(home, "suspects/admit", {
-      params: { run },
+      params: { run, known: this.#knownOf(hash) },
       timeoutMs: ADMIT_TIMEOUT_MS,
     });
     const admission = answer.isOk() ? answer.value : this.#decideAlone(run);
@@ -198,6 +201,14 @@
     return this.#home.admit(run);
   }
 
+  // A VM that has just become home, as a new one has, may not have heard the news.
+  #knownOf(hash: SuspectHash): SuspectNews | null {
+    const standing = this.#home.standingOf(hash);
+    if (standing !== "suspected") return null;
+    const untilMs = Date.now() + this.#home.remainingMs(hash);
+    return { hash, standing, untilMs };
+  }
+
   #convicted(hash: SuspectHash): Admission {
     return { kind: "convicted", retryAfterMs: this.#home.remainingMs(hash) };
   }
