--- a/packages/core/src/suspects/book.ts
+++ b/packages/core/src/suspects/book.ts
@@ -1,5 +1,6 @@
 /** Asks before each run whether a request may run, and tells what became of it. */
 import type { Member, MembershipView } from "../membership/types.ts";
+import { rankHomes } from "../reports/homes.ts";
 import type { EndpointId, WorkspaceId } from "../shared/ids.ts";
 import { asId } from "../shared/ids.ts";
 import { digest } from "../shared/hash.ts";
@@ -21,6 +22,8 @@
 const TELL_ATTEMPTS = 5;
 const UPKEEP_INTERVAL_MS = 1_000;
 const READ_INTERVAL_MS = 10_000;
+/** A home and the witness of its runs alone. */
+const HOMES = 2;
 const BUSY_RETRY_MS = 500;
 
 /** Options of {@link SuspectBook}. */
@@ -118,7 +121,9 @@
       params: { run, known: this.#knownOf(hash) },
       timeoutMs: ADMIT_TIMEOUT_MS,
     });
-    const admission = answer.isOk() ? answer.value : this.#decideAlone(run);
+    const admission = answer.isOk()
+      ? await this.#confirmAlone(answer.value)
+      : this.#decideAlone(run);
     if (admission.kind === "clear" || admission.kind === "alone") {
       this.#held.set(run.id, {
         run: admission.run,
@@ -176,18 +181,24 @@
   }
 
   async #tellHome(run: SuspectRun, ending: RunEnding): Promise<void> {
+    const [home, witness] = this.#homesOf(run.hash);
+    const told = run.alone && witness ? [home!, witness] : [home!];
+    await Promise.all(told.map((one) => this.#tellOf(one, { run, ending })));
+  }
+
+  async #tellOf(
+    home: Member,
+    params: { run: SuspectRun; ending: RunEnding },
+  ): Promise<void> {
     for (let attempt = 1; attempt <= TELL_ATTEMPTS; attempt += 1) {
-      const told = await this.#context.ports.peers.call(
-        this.#homeOf(run.hash),
-        "suspects/end",
-        {
-          params: { run, ending },
-          timeoutMs: TELL_TIMEOUT_MS,
-          fresh: attempt > 1,
-        },
-      );
+      const told = await this.#context.ports.peers.call(home, "suspects/end", {
+        params,
+        timeoutMs: TELL_TIMEOUT_MS,
+        fresh: attempt > 1,
+      });
       if (told.isOk()) return;
       await wait(TELL_TIMEOUT_MS);
+      if (this.#options.membership.member(home.id)?.state === "dead") return;
     }
   }
 
@@ -201,6 +212,28 @@
     return this.#home.admit(run);
   }
 
+  // Views differ for a while after a fault: a suspect runs only if two homes agree.
+  async #confirmAlone(admission: Admission): Promise<Admission> {
+    if (admission.kind !== "alone") return admission;
+    const { run } = admission;
+    const [, witness] = this.#homesOf(run.hash);
+    if (!witness) return admission;
+    const answer = await this.#context.ports.peers.call(
+      witness,
+      "suspects/admit",
+      {
+        params: { run, known: this.#knownOf(run.hash) },
+        timeoutMs: ADMIT_TIMEOUT_MS,
+        fresh: true,
+      },
+    );
+    if (answer.isOk() && answer.value.kind === "alone") return admission;
+    void this.#tellHome(run, { kind: "released" });
+    return answer.isOk() && answer.value.kind === "convicted"
+      ? answer.value
+      : { kind: "busy", retryAfterMs: BUSY_RETRY_MS };
+  }
+
   // A VM that has just become home, as a new one has, may not have heard the news.
   #knownOf(hash: SuspectHash): SuspectNews | null {
     const standing = this.#home.standingOf(hash);
@@ -294,6 +327,11 @@
   #homeOf(hash: SuspectHash): Member {
     return this.#options.membership.homeOf(`suspect/${hash}`);
   }
+
+  /** The home and its witness. */
+  #homesOf(hash: SuspectHash): Member[] {
+    return rankHomes(this.#options.membership, `suspect/${hash}`, HOMES);
+  }
 }
 
 function wait(ms: number): Promise<void> {
