--- /dev/null
+++ b/packages/core/src/summaries/admission_stage.ts
@@ -0,0 +1,131 @@
+/** Gets an attempt admitted: a suspect's record and a grant, after back-off where it is a retry. */
+import type { GrantRequest } from "../grants/types.ts";
+import { backOffMs } from "../retries/budget.ts";
+import { notRun } from "../shared/verdict.ts";
+import {
+  type AdmissionOptions,
+  type AdmissionOutcome,
+  admitAttempt,
+  returnAdmission,
+} from "./admission.ts";
+import { type Attempt, createAttempt } from "./attempt.ts";
+import { LEAST_ATTEMPT_MS, type RunState } from "./run_state.ts";
+
+/** Asks for what an attempt needs. */
+export class AdmissionStage {
+  #state: RunState;
+  #backOffAtLeastMs = 0;
+  #startInMs = 0;
+
+  constructor(state: RunState) {
+    this.#state = state;
+  }
+
+  /** Waits until the prefill is due. */
+  waitForStart(): void {
+    this.#state.waitFor(this.#startInMs, { type: "due" });
+  }
+
+  /** Begins an attempt and asks for its grant. */
+  askGrant(): void {
+    this.#state.abandon();
+    const attempt = createAttempt(this.#state.options.nextStream());
+    this.#state.attempt = attempt;
+    this.#admit(attempt);
+  }
+
+  /** Asks for another decode replica and gives the one at hand back. */
+  reassign(attempt: Attempt): void {
+    const { cancels, grants } = this.#state.options;
+    const { decode, hold } = attempt;
+    if (decode) {
+      this.#state.avoid.add(decode.id);
+      attempt.holders.delete(decode);
+      cancels.cancel(decode, attempt.stream);
+    }
+    if (decode && hold) {
+      grants.tell(hold, { kind: "failed", endpoint: decode.id });
+    }
+    if (attempt.suspect) this.#state.options.suspects.released(attempt.suspect);
+    attempt.hold = null;
+    attempt.suspect = null;
+    this.#admit(attempt);
+  }
+
+  /** What the shard's home is asked. */
+  grantRequest(attempt: Attempt): GrantRequest {
+    const { model, workspace, maxTokens } = this.#state.request;
+    return {
+      key: this.#state.grantKey(attempt),
+      stream: attempt.stream,
+      owner: this.#state.options.context.identity.id,
+      workspace,
+      model,
+      promptTokens: this.#state.prompt.tokens,
+      blocks: this.#state.prompt.blocks,
+      maxTokens,
+      firstTokenInMs: this.#state.firstTokenAtMs - performance.now(),
+      deadlineInMs: this.#state.leftMs(),
+      avoid: [...this.#state.avoid],
+      alone: false,
+    };
+  }
+
+  /** Waits before the next attempt. */
+  backOff(params: { retries: number }): void {
+    const { random } = this.#state.options.context;
+    const waitMs = Math.max(
+      this.#backOffAtLeastMs,
+      backOffMs(params.retries, { random }),
+    );
+    this.#backOffAtLeastMs = 0;
+    // A retry is late already; it is asked for as a new request would be.
+    this.#state.firstTokenAtMs = performance.now() + waitMs +
+      this.#state.firstTokenTargetMs();
+    this.#state.waitFor(waitMs, { type: "due" });
+  }
+
+  #admit(attempt: Attempt): void {
+    const { grants, suspects, policies } = this.#state.options;
+    attempt.asked = this.grantRequest(attempt);
+    const options: AdmissionOptions = {
+      suspects,
+      grants,
+      hash: this.#state.hash,
+      convicts: policies.convicts,
+      request: attempt.asked,
+    };
+    this.#state.after(
+      admitAttempt(options),
+      (outcome) => this.#take(attempt, outcome),
+      (outcome) => returnAdmission(outcome, options),
+    );
+  }
+
+  #take(attempt: Attempt, outcome: AdmissionOutcome): void {
+    if (outcome.kind === "refused") return this.#state.refuse(outcome.refusal);
+    if (outcome.kind === "unanswered") return this.#state.fail("home-changed");
+    if (outcome.kind === "busy") return this.#waitForSuspect(outcome);
+    const { hold, suspect } = outcome;
+    const { granted } = hold;
+    attempt.hold = hold;
+    attempt.suspect = suspect;
+    attempt.prefill ??= this.#state.endpoint(granted.prefill);
+    attempt.decode = this.#state.endpoint(granted.decode);
+    this.#startInMs = granted.startInMs;
+    if (!attempt.prefill || !attempt.decode) {
+      return this.#state.refuse(notRun("no-endpoint"));
+    }
+    this.#state.update();
+    this.#state.send({ type: "granted" });
+  }
+
+  #waitForSuspect(busy: { retryAfterMs: number }): void {
+    const { retryAfterMs } = busy;
+    if (this.#state.leftMs() < retryAfterMs + LEAST_ATTEMPT_MS) {
+      return this.#state.refuse(notRun("suspect-busy", { retryAfterMs }));
+    }
+    this.#backOffAtLeastMs = retryAfterMs;
+    this.#state.send({ type: "failed" });
+  }
+}
--- /dev/null
+++ b/packages/core/src/summaries/claim_stage.ts
@@ -0,0 +1,92 @@
+/** Claims a summary's key, and checks the claim after the VM did not run for a while. */
+import { adoptAttempt, type Attempt } from "./attempt.ts";
+import type { AdmissionStage } from "./admission_stage.ts";
+import type { Claim } from "./registrar.ts";
+import type { RunState } from "./run_state.ts";
+import type { RunLocation } from "./types.ts";
+
+const VERIFY_ATTEMPTS = 3;
+const VERIFY_INTERVAL_MS = 200;
+
+/** Registers, verifies and adopts. */
+export class ClaimStage {
+  #state: RunState;
+  #admission: AdmissionStage;
+
+  constructor(state: RunState, admission: AdmissionStage) {
+    this.#state = state;
+    this.#admission = admission;
+  }
+
+  /** Claims the key for this VM. */
+  register(): void {
+    const { registrar, policies } = this.#state.options;
+    const { fromOffset, model } = this.#state.request;
+    const claimed = registrar.claim(this.#state.registration(), {
+      fromOffset,
+      model,
+      supersedes: policies.supersedes,
+    });
+    this.#state.after(claimed, (claim) => this.#takeClaim(claim), (claim) => {
+      // The caller went meanwhile; a run that was taken over is freed.
+      if (claim.kind !== "located" || !this.#state.relay.ended) return;
+      this.#state.epoch = Math.max(this.#state.epoch, claim.epoch);
+      this.#state.attempt = this.#adopt(claim.run);
+      this.#state.abandon();
+      this.#state.forget();
+    });
+  }
+
+  #takeClaim(claim: Claim): void {
+    if (claim.kind === "refused") return this.#state.refuse(claim.refusal);
+    this.#state.epoch = Math.max(this.#state.epoch, claim.epoch);
+    if (claim.kind === "new") {
+      this.#state.options.retries.admitted(this.#state.request.workspace);
+      return this.#state.send({ type: "registered" });
+    }
+    this.#state.attempt = this.#adopt(claim.run);
+    this.#state.send({
+      type: this.#state.attempt.decode ? "located" : "registered",
+    });
+  }
+
+  #adopt(run: RunLocation): Attempt {
+    const attempt = adoptAttempt(run, this.#state.endpoints());
+    if (!run.grant || !attempt.prefill || !attempt.decode) return attempt;
+    attempt.asked = this.#admission.grantRequest(attempt);
+    attempt.hold = {
+      request: attempt.asked,
+      granted: {
+        kind: "granted",
+        grant: run.grant,
+        prefill: attempt.prefill.id,
+        decode: attempt.decode.id,
+        startInMs: 0,
+        cachedTokens: 0,
+        memoryPieces: 0,
+      },
+      phase: "decode",
+    };
+    this.#state.options.grants.adopt(attempt.hold);
+    return attempt;
+  }
+
+  /** Asks the homes whether a newer owner is known. */
+  verify(attemptsLeft = VERIFY_ATTEMPTS): void {
+    const verified = this.#state.options.registrar.verify(
+      this.#state.registration(),
+    );
+    this.#state.after(verified, (answer) => {
+      if (answer?.kind === "exists") {
+        return this.#state.yieldTo(answer.registration);
+      }
+      if (answer || attemptsLeft <= 1) {
+        return this.#state.send({ type: "verified" });
+      }
+      const again = new Promise((resolve) =>
+        setTimeout(resolve, VERIFY_INTERVAL_MS)
+      );
+      this.#state.after(again, () => this.verify(attemptsLeft - 1));
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/summaries/engine_stage.ts
@@ -0,0 +1,272 @@
+/** Runs an attempt at the engines: prefill, start, attach, relay, and what follows their failures. */
+import type {
+  Attachment,
+  EngineFailure,
+  StreamEvent,
+} from "../ports/engines.ts";
+import type { RetryReason } from "../retries/budget.ts";
+import { mayHaveRun } from "../shared/verdict.ts";
+import type { Attempt } from "./attempt.ts";
+import { type FailureStage, planAfterFailure } from "./failures.ts";
+import { MAX_ATTACHES } from "./machine.ts";
+import type { RelayOutcome } from "./relay.ts";
+import type { RunState } from "./run_state.ts";
+
+const DEFAULT_BETWEEN_TOKENS_MS = 28;
+/** Token intervals without a token after which a stream counts as stalled. */
+const STALL_INTERVALS = 10;
+const LEAST_STALL_MS = 300;
+/** A stream that was attached again gets this many times longer. */
+const STALL_GROWTH = 4;
+const PREFILL_BASE_TIMEOUT_MS = 1_000;
+const PREFILL_TIMEOUT_PER_TOKEN_MS = 0.1;
+const TRANSFER_BASE_TIMEOUT_MS = 300;
+/** The slowest rate at which a transfer counts as moving. */
+const LEAST_TRANSFER_BYTES_PER_MS = 5_000_000;
+const CRASH_PROBE_TIMEOUT_MS = 300;
+const DIVERGED =
+  "The replica that generated this answer was lost and a new run gives other text; ask again from the start";
+
+/** Owns the attachment to the engine that generates. */
+export class EngineStage {
+  #state: RunState;
+  #attachment: Attachment | null = null;
+  #progressAtMs = performance.now();
+  #progressed = false;
+  #stallFactor = 1;
+  #paused = false;
+
+  constructor(state: RunState) {
+    this.#state = state;
+  }
+
+  /** Serves a newer connection, which reads again. */
+  reconnect(): void {
+    this.#paused = false;
+    this.#stallFactor = 1;
+  }
+
+  /** Pauses the events for a caller that reads slowly. */
+  pause(): void {
+    this.#paused = true;
+    this.#attachment?.pause();
+  }
+
+  /** Lets the events go on. */
+  resume(): void {
+    this.#paused = false;
+    this.#progressAtMs = performance.now();
+    this.#attachment?.resume();
+  }
+
+  /** Looks for a stream or a transfer without progress. */
+  tick(nowMs: number): void {
+    if (this.#paused) return;
+    const silentMs = nowMs - this.#progressAtMs;
+    const { stateName } = this.#state;
+    if (stateName === "starting") {
+      if (silentMs > this.#transferLimitMs()) {
+        this.#reassignOrFail("transfer-failed");
+      }
+    } else if (stateName === "relaying" || stateName === "attaching") {
+      if (silentMs > this.#stallMs()) this.#break();
+    }
+  }
+
+  /** Orders the prefill. */
+  orderPrefill(attempt: Attempt): void {
+    const prefill = attempt.prefill!;
+    attempt.holders.add(prefill);
+    this.#state.noteStart(attempt, prefill);
+    this.#state.tell(attempt, { kind: "prefillStarted" });
+    const wantedMs = PREFILL_BASE_TIMEOUT_MS +
+      this.#state.prompt.tokens * PREFILL_TIMEOUT_PER_TOKEN_MS;
+    const { engines } = this.#state.options.context.ports;
+    const done = engines.prefill(prefill, this.#state.order(attempt), {
+      timeoutMs: Math.min(wantedMs, this.#state.leftMs()),
+      fresh: true,
+    });
+    this.#state.after(done, (result) => {
+      if (result.isErr()) {
+        return void this.#prefillFailed(attempt, result.error);
+      }
+      attempt.keptUntilMs = performance.now() + result.value.keptMs;
+      attempt.sizeBytes = result.value.sizeBytes;
+      this.#state.tell(attempt, { kind: "prefillEnded" });
+      this.#state.send({ type: "prefilled" });
+    });
+  }
+
+  /** Starts the run at the decode replica. */
+  startDecode(attempt: Attempt): void {
+    const { engines } = this.#state.options.context.ports;
+    const decode = attempt.decode!;
+    attempt.holders.add(decode);
+    this.#state.noteStart(attempt, decode);
+    this.#state.relay.restart();
+    this.#listen((sink) =>
+      engines.start(
+        decode,
+        {
+          ...this.#state.order(attempt),
+          from: attempt.prefill!,
+          maxTokens: this.#state.request.maxTokens,
+        },
+        { timeoutMs: this.#state.leftMs(), sink },
+      )
+    );
+  }
+
+  /** Attaches to the run from the next token on. */
+  attach(attempt: Attempt): void {
+    const { engines } = this.#state.options.context.ports;
+    if (!attempt.decode) return this.#state.fail("connection-lost");
+    this.#listen((sink) =>
+      engines.attach(
+        attempt.decode!,
+        {
+          stream: attempt.stream,
+          owner: this.#state.registration().owner,
+          offset: this.#state.relay.attachOffset,
+          epoch: this.#state.epoch,
+        },
+        { timeoutMs: this.#state.leftMs(), sink },
+      )
+    );
+  }
+
+  /** Stops listening. */
+  detach(): void {
+    this.#state.stage += 1;
+    this.#attachment?.detach();
+    this.#attachment = null;
+  }
+
+  /** Tells all concerned that the answer is whole. */
+  markAnswered(): void {
+    const attempt = this.#state.attempt;
+    if (!attempt) return;
+    const { registrar, suspects } = this.#state.options;
+    this.#state.tell(attempt, {
+      kind: "ended",
+      generatedTokens: this.#state.relay.nextOffset,
+    });
+    if (attempt.suspect) suspects.finished(attempt.suspect);
+    void registrar.register(this.#state.registration("answered"), true);
+  }
+
+  #prefillFailed(attempt: Attempt, failure: EngineFailure): void {
+    attempt.failedAt = attempt.prefill;
+    if (failure.kind !== "lost") {
+      return this.#follow(failure, { stage: "prefilling" });
+    }
+    // A broken connection alone doesn't prove that the replica crashed.
+    const { engines } = this.#state.options.context.ports;
+    const probe = engines.report(attempt.prefill!, {
+      timeoutMs: CRASH_PROBE_TIMEOUT_MS,
+      fresh: true,
+    });
+    this.#state.after(probe, (report) => {
+      const crashed = report.isErr() && report.error.kind === "notSent";
+      if (crashed) this.#state.noteCrash(attempt, attempt.prefill!);
+      this.#state.fail(crashed ? "engine-crashed" : "connection-lost");
+    });
+  }
+
+  #listen(open: (sink: (event: StreamEvent) => void) => Attachment): void {
+    this.detach();
+    const stage = this.#state.stage;
+    this.#progressAtMs = performance.now();
+    this.#progressed = false;
+    this.#attachment = open((event) => this.#receive(stage, event));
+    if (this.#paused) this.#attachment.pause();
+  }
+
+  #receive(stage: number, event: StreamEvent): void {
+    const { policies, watch, context } = this.#state.options;
+    const nowMs = watch.check();
+    if (policies.dropsStaleEvents && stage !== this.#state.stage) {
+      return context.observer.count("stale_answers", "attachment");
+    }
+    switch (event.kind) {
+      case "tokens":
+        return this.#relayed(this.#state.relay.pass(event), nowMs);
+      case "end":
+        return this.#relayed(this.#state.relay.finish(event), nowMs);
+      case "started":
+        this.#progressAtMs = nowMs;
+        if (this.#state.stateName === "starting") {
+          this.#state.tell(this.#state.attempt!, { kind: "decodeStarted" });
+          this.#state.attempt!.holders.delete(this.#state.attempt!.prefill!);
+        }
+        return this.#state.send({ type: "started" });
+      case "failed":
+        return this.#follow(event.failure, {
+          stage: this.#state.stateName as FailureStage,
+        });
+    }
+  }
+
+  #relayed(outcome: RelayOutcome, nowMs: number): void {
+    if (outcome === "sent" || outcome === "held") {
+      this.#progressAtMs = nowMs;
+      this.#progressed = true;
+      if (this.#state.relay.ended) this.#state.send({ type: "finished" });
+    } else if (outcome === "gap") this.#break();
+    else if (outcome === "stale") {
+      this.#state.options.context.observer.count("stale_answers", "offset");
+    } else this.#state.refuse(mayHaveRun("engine-crashed", DIVERGED));
+  }
+
+  #follow(failure: EngineFailure, at: { stage: FailureStage }): void {
+    const attempt = this.#state.attempt;
+    if (!attempt) return;
+    const plan = planAfterFailure(failure, { ...at, lost: attempt.lost });
+    attempt.lost ||= failure.kind === "lost";
+    switch (plan.kind) {
+      case "superseded":
+        return this.#state.supersede(true);
+      case "attach":
+        return this.#break();
+      case "reassign":
+        return this.#reassignOrFail(plan.reason);
+      case "retry":
+        attempt.failedAt ??= attempt.decode;
+        if (plan.crashed) this.#state.noteCrash(attempt, attempt.decode!);
+        return this.#state.fail(plan.reason);
+    }
+  }
+
+  #reassignOrFail(reason: RetryReason): void {
+    const attempt = this.#state.attempt!;
+    const retried = this.#state.machineContext.transferRetried;
+    const kept = performance.now() < attempt.keptUntilMs;
+    if (kept && !retried && this.#state.mayRetry(reason)) {
+      return this.#state.send({ type: "resultKept" });
+    }
+    attempt.failedAt = attempt.decode;
+    this.#state.fail(reason);
+  }
+
+  #break(): void {
+    const progressed = this.#progressed;
+    const { attaches } = this.#state.machineContext;
+    if (!progressed && attaches >= MAX_ATTACHES) {
+      return this.#state.fail("connection-lost");
+    }
+    this.#stallFactor = progressed ? 1 : this.#stallFactor * STALL_GROWTH;
+    this.#state.send({ type: "broken", progressed });
+  }
+
+  #stallMs(): number {
+    const targetMs = this.#state.deployment()?.betweenTokensTargetMs ??
+      DEFAULT_BETWEEN_TOKENS_MS;
+    return Math.max(LEAST_STALL_MS, STALL_INTERVALS * targetMs) *
+      this.#stallFactor;
+  }
+
+  #transferLimitMs(): number {
+    return TRANSFER_BASE_TIMEOUT_MS +
+      this.#state.attempt!.sizeBytes / LEAST_TRANSFER_BYTES_PER_MS;
+  }
+}
