--- a/packages/daemon/src/admin/queries/endpoints.ts
+++ b/packages/daemon/src/admin/queries/endpoints.ts
@@ -52,9 +52,9 @@
       async handle() {
         const endpoints = configurationOf(context)?.bodies.endpoints ?? [];
         const loads = await readLoads(context, endpoints);
-        const body = endpoints.map((endpoint) =>
-          toStatus(endpoint, loads.get(endpoint.id))
-        );
+        const body = endpoints
+          .map((endpoint) => toStatus(endpoint, loads.get(endpoint.id)))
+          .sort((a, b) => (a.id < b.id ? -1 : 1));
         return ok({ body });
       },
     },
--- a/packages/daemon/src/callers/authenticate.ts
+++ b/packages/daemon/src/callers/authenticate.ts
@@ -1,10 +1,11 @@
 /** Finds the workspace and caller of a token. */
-import { timingSafeEqual } from "node:crypto";
 import { Buffer } from "node:buffer";
+import { timingSafeEqual } from "node:crypto";
 import {
   type CallerId,
   type Configuration,
   digest,
+  findToken,
   type Workspace,
 } from "@teaselvalve/core";
 
@@ -20,15 +21,13 @@
   token: string | undefined,
 ): Principal | null {
   if (!token) return null;
-  const hash = Buffer.from(digest(token));
-  for (const workspace of configuration.bodies.workspaces) {
-    for (const known of workspace.tokens) {
-      if (!timingSafeEqual(Buffer.from(known.hash), hash)) continue;
-      const expired = (known.expiresAtMs ?? Infinity) <= Date.now();
-      return known.revoked || expired
-        ? null
-        : { workspace, caller: known.caller };
-    }
-  }
-  return null;
+  const hash = digest(token);
+  const entry = findToken(configuration, hash);
+  if (!entry) return null;
+  const { workspace, token: known } = entry;
+  // The index shows by its time only whether a digest is known, which helps nobody to a token.
+  const same = timingSafeEqual(Buffer.from(known.hash), Buffer.from(hash));
+  const expired = (known.expiresAtMs ?? Infinity) <= Date.now();
+  if (!same || known.revoked || expired) return null;
+  return { workspace, caller: known.caller };
 }
--- a/packages/daemon/src/callers/completions.ts
+++ b/packages/daemon/src/callers/completions.ts
@@ -19,6 +19,7 @@
 import { problemOf } from "../http/problem.ts";
 import type { CallerContext } from "./context.ts";
 import { deadlineOf } from "./handler.ts";
+import { checkModel } from "./models.ts";
 
 const DEFAULT_MAX_TOKENS = 1_024;
 
@@ -47,6 +48,8 @@
     const detail = z.prettifyError(parsed.error);
     return context.refuse(notRun("bad-request", { detail }));
   }
+  const modelRefusal = checkModel(parsed.data.model, context);
+  if (modelRefusal) return context.refuse(modelRefusal);
   const request = toSummaryRequest(exchange, {
     body: parsed.data,
     context,
--- a/packages/daemon/src/callers/handler.ts
+++ b/packages/daemon/src/callers/handler.ts
@@ -1,5 +1,7 @@
 /** The caller interface: addresses, summaries and calls to plain services. */
+import { randomUUID } from "node:crypto";
 import {
+  type Configuration,
   type DataCentre,
   listAddresses,
   notRun,
@@ -16,6 +18,7 @@
 import { sendProblem } from "../http/problem.ts";
 import { authenticateCaller } from "./authenticate.ts";
 import { handleCompletion } from "./completions.ts";
+import type { CallerContext } from "./context.ts";
 import { handleServiceCall } from "./services.ts";
 
 /** What the caller interface needs. */
@@ -25,13 +28,24 @@
   bodyLimitBytes: number;
 }
 
+type Refuse = CallerContext["refuse"];
+
+const COMPLETIONS = new Set(["/v1/completions", "/v1/chat/completions"]);
+const SERVICES = "/v1/services/";
+const KEY_PATTERN = /^[\x21-\x7e]{1,200}$/;
+
 /** Answers callers. */
 export function createCallerHandler(options: CallerHandlerOptions) {
   return async (exchange: Exchange): Promise<void> => {
     const { vm } = options;
-    const { incoming, response, url } = exchange;
+    const { response, url } = exchange;
     const refuse = (refusal: Refusal) => {
       options.observer.count("refusals", refusal.reason);
+      if (vm.refusesWork && !response.headersSent) {
+        response.setHeader("connection", "close");
+      }
+      exchange.fields.verdict = refusal.kind;
+      exchange.fields.reason = refusal.reason;
       sendProblem(response, refusal);
     };
     if (url.pathname === "/health/live") return sendJson(response, "live");
@@ -39,27 +53,9 @@
     if (!configuration) return refuse(notRun("no-configuration"));
     if (url.pathname === "/health/ready") return sendJson(response, "ready");
     if (url.pathname === "/v1/addresses") {
-      const wanted = url.searchParams.get("data_centre") as DataCentre | null;
-      return sendJson(
-        response,
-        listAddresses(vm.membership, {
-          dataCentre: wanted ?? undefined,
-          spreadBy: incoming.socket.remoteAddress + ":" +
-            incoming.socket.remotePort,
-          ttlMs: configuration.bodies.deployment.addressTtlMs,
-        }),
-      );
-    }
-    const principal = authenticateCaller(configuration, bearerToken(incoming));
-    if (!principal) return refuse(notRun("unauthenticated"));
-    const context = { ...options, principal, refuse };
-    const isCompletion = url.pathname === "/v1/completions" ||
-      url.pathname === "/v1/chat/completions";
-    if (isCompletion) return await handleCompletion(exchange, context);
-    if (url.pathname.startsWith("/v1/services/")) {
-      return await handleServiceCall(exchange, context);
+      return sendAddresses(exchange, { vm, configuration });
     }
-    refuse(notRun("not-found"));
+    await answerCaller(exchange, { ...options, configuration, refuse });
   };
 }
 
@@ -74,3 +70,68 @@
     : defaultMs;
   return Date.now() + timeoutMs;
 }
+
+function sendAddresses(
+  { incoming, response, url }: Exchange,
+  options: { vm: Vm; configuration: Configuration },
+): void {
+  const wanted = url.searchParams.get("data_centre") as DataCentre | null;
+  const { remoteAddress, remotePort } = incoming.socket;
+  const answer = listAddresses(options.vm.membership, {
+    dataCentre: wanted ?? undefined,
+    spreadBy: `${remoteAddress}:${remotePort}`,
+    ttlMs: options.configuration.bodies.deployment.addressTtlMs,
+  });
+  sendJson(response, answer);
+}
+
+async function answerCaller(
+  exchange: Exchange,
+  options: CallerHandlerOptions & {
+    configuration: Configuration;
+    refuse: Refuse;
+  },
+): Promise<void> {
+  const { incoming, url } = exchange;
+  const { refuse } = options;
+  const principal = authenticateCaller(
+    options.configuration,
+    bearerToken(incoming),
+  );
+  if (!principal) return refuse(notRun("unauthenticated"));
+  // A slow reader's answer is in progress until its last byte is out.
+  exchange.response.once("close", options.vm.inProgress.track());
+  exchange.fields.workspace = principal.workspace.id;
+  exchange.fields.caller = principal.caller;
+  const isCompletion = COMPLETIONS.has(url.pathname) &&
+    incoming.method === "POST";
+  const isCall = url.pathname.startsWith(SERVICES);
+  if (!isCompletion && !isCall) return refuse(notRun("not-found"));
+  const wellFormed = nameRequest(exchange, { madeUp: isCompletion });
+  if (!wellFormed) {
+    const detail = "Idempotency-Key takes 1 to 200 visible ASCII characters";
+    return refuse(notRun("bad-request", { detail }));
+  }
+  const context = { ...options, principal, refuse };
+  if (isCompletion) await handleCompletion(exchange, context);
+  else await handleServiceCall(exchange, context);
+}
+
+/**
+ * Checks the key that names the request and sends it back. A summary without
+ * one gets one, so that its caller can resume it; a call may not have it made up,
+ * as its caller could not repeat it safely. Answers whether the key is well-formed.
+ */
+function nameRequest(
+  { incoming, response, fields }: Exchange,
+  options: { madeUp: boolean },
+): boolean {
+  const given = header(incoming, "idempotency-key");
+  const key = given ?? (options.madeUp ? randomUUID() : undefined);
+  if (key === undefined) return true;
+  if (!KEY_PATTERN.test(key)) return false;
+  incoming.headers["idempotency-key"] = key;
+  response.setHeader("idempotency-key", key);
+  fields.key = key;
+  return true;
+}
--- /dev/null
+++ b/packages/daemon/src/callers/openai_test.ts
@@ -0,0 +1,119 @@
+/** Callers' existing client library, pointed at a daemon. */
+import { expectedAnswer } from "@teaselvalve/fakes";
+import { measurePrompt } from "@teaselvalve/core";
+import OpenAI, { APIError } from "openai";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import {
+  MODEL,
+  startTestDeployment,
+  type TestDeployment,
+  TOKENS,
+} from "../testing/deployment.ts";
+
+const PROMPT = "Summarise the houses of this quarter. [length=24]";
+const CHAT = [{ role: "user" as const, content: PROMPT }];
+
+let deployment: TestDeployment;
+let client: OpenAI;
+
+beforeAll(async () => {
+  deployment = await startTestDeployment();
+  client = createClient(TOKENS.lender);
+});
+
+afterAll(() => deployment.close());
+
+function createClient(apiKey: string, maxRetries = 0): OpenAI {
+  return new OpenAI({
+    apiKey,
+    baseURL: `http://${deployment.callers}/v1`,
+    maxRetries,
+  });
+}
+
+async function failureOf(work: Promise<unknown>): Promise<APIError> {
+  const error = await work.then(() => null, (thrown: unknown) => thrown);
+  expect(error).toBeInstanceOf(APIError);
+  return error as APIError;
+}
+
+test("completes whole", async () => {
+  const answer = await client.completions.create({
+    model: MODEL,
+    prompt: PROMPT,
+  });
+  expect(answer.choices[0]).toMatchObject({
+    text: expectedAnswer(measurePrompt(PROMPT), 24),
+    finish_reason: "stop",
+  });
+  expect(answer.usage?.completion_tokens).toBe(24);
+});
+
+test("completes streamed", async () => {
+  const stream = await client.completions.create({
+    model: MODEL,
+    prompt: PROMPT,
+    stream: true,
+  });
+  let text = "";
+  let finish: string | null = null;
+  for await (const chunk of stream) {
+    text += chunk.choices[0]!.text;
+    finish = chunk.choices[0]!.finish_reason;
+  }
+  expect(text).toBe(expectedAnswer(measurePrompt(PROMPT), 24));
+  expect(finish).toBe("stop");
+});
+
+test("stops at the length that the caller sets", async () => {
+  const answer = await client.completions.create({
+    model: MODEL,
+    prompt: PROMPT,
+    max_tokens: 5,
+  });
+  expect(answer.choices[0]!.finish_reason).toBe("length");
+  expect(answer.usage?.completion_tokens).toBe(5);
+});
+
+test("chats whole and streamed alike", async () => {
+  const whole = await client.chat.completions.create({
+    model: MODEL,
+    messages: CHAT,
+  });
+  const stream = await client.chat.completions.create({
+    model: MODEL,
+    messages: CHAT,
+    stream: true,
+  });
+  let text = "";
+  for await (const chunk of stream) {
+    text += chunk.choices[0]!.delta.content ?? "";
+  }
+  expect(whole.choices[0]!.message.content).toBe(text);
+  expect(text.trim().split(" ")).toHaveLength(24);
+});
+
+test("shows a refusal's status, reason and text", async () => {
+  const error = await failureOf(
+    createClient("wrong").completions.create({ model: MODEL, prompt: PROMPT }),
+  );
+  expect(error).toBeInstanceOf(OpenAI.AuthenticationError);
+  expect(error.code).toBe("unauthenticated");
+  expect(error.message).toContain("unauthenticated");
+});
+
+test("shows what is wrong with a request", async () => {
+  const error = await failureOf(
+    client.completions.create({ model: MODEL, prompt: 7 as never }),
+  );
+  expect(error).toBeInstanceOf(OpenAI.BadRequestError);
+  expect(error.message).toContain("prompt");
+});
+
+test("an unknown model is not found", async () => {
+  const error = await failureOf(
+    client.completions.create({ model: "absent", prompt: PROMPT }),
+  );
+  expect(error).toBeInstanceOf(OpenAI.NotFoundError);
+  expect(error.code).toBe("unknown-model");
+});
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -26,6 +26,13 @@
 const INTERNAL_ERROR_STATUS = 500;
 const PROBLEM_TYPE = "application/problem+json";
 
+// Repeating these under the same key would only end the newer request or give the same answer.
+const NOT_TO_REPEAT = new Set<Refusal["reason"]>([
+  "superseded",
+  "already-answered",
+  "cancelled",
+]);
+
 /** A refusal as callers see it. */
 export interface ProblemBody {
   readonly type: string;
@@ -33,6 +40,10 @@
   readonly status: number;
   readonly verdict: Refusal["kind"];
   readonly reason: Refusal["reason"];
+  /** What client libraries show as the error's text. */
+  readonly message: string;
+  /** The reason under the name that client libraries look for. */
+  readonly code: Refusal["reason"];
   readonly detail?: string;
   readonly retryAfterMs?: number;
   readonly earlierAttempts?: "unknown";
@@ -45,12 +56,15 @@
     : refusal.reason === "internal-error"
     ? INTERNAL_ERROR_STATUS
     : MAY_HAVE_RUN_STATUS;
+  const title = refusal.reason.replaceAll("-", " ");
   return {
     type: `urn:teaselvalve:refusal:${refusal.reason}`,
-    title: refusal.reason.replaceAll("-", " "),
+    title,
     status,
     verdict: refusal.kind,
     reason: refusal.reason,
+    message: [title, refusal.detail].filter(Boolean).join(": "),
+    code: refusal.reason,
     ...(refusal.detail ? { detail: refusal.detail } : {}),
     ...(refusal.kind === "notRun"
       ? {
@@ -73,10 +87,11 @@
     const seconds = Math.max(1, Math.ceil(refusal.retryAfterMs / 1_000));
     headers["retry-after"] = String(seconds);
   }
+  if (NOT_TO_REPEAT.has(refusal.reason)) headers["x-should-retry"] = "false";
   // The refusal may come after the caller has gone or the answer has begun.
   if (response.headersSent || response.destroyed) return;
   response.writeHead(problem.status, headers);
-  response.end(JSON.stringify(problem));
+  response.end(JSON.stringify(withError(problem)));
 }
 
 /** Formats a refusal for a connection on which no request could be read. */
@@ -91,3 +106,9 @@
     body,
   ].join("\r\n");
 }
+
+// Client libraries of model interfaces read refusals from the member `error`.
+function withError(problem: ProblemBody) {
+  const { message, code, verdict } = problem;
+  return { ...problem, error: { message, code, type: verdict } };
+}
