Fuzz domain of VMs: planned stops, kept addresses, leaving endpoints, converging views

Checks: a planned stop loses and cuts nothing, answers list no VM that is long dead, a leaving VM is home for nothing, views agree at quiescence, nothing is ordered at a leaving endpoint.

--- a/packages/bench/src/fuzz/domains/mod.ts
+++ b/packages/bench/src/fuzz/domains/mod.ts
@@ -4,6 +4,7 @@
 import { CALLS_DOMAIN } from "./calls.ts";
 import { FAULTS_DOMAIN } from "./faults.ts";
 import { TIME_DOMAIN } from "./time.ts";
+import { VMS_DOMAIN } from "./vms.ts";
 
 /** All domains of the fuzzer. */
 export const DOMAINS: readonly FuzzDomain[] = [
@@ -11,4 +12,5 @@
   FAULTS_DOMAIN,
   CONFIGURATION_DOMAIN,
   CALLS_DOMAIN,
+  VMS_DOMAIN,
 ];
--- /dev/null
+++ b/packages/bench/src/fuzz/domains/vms.ts
@@ -0,0 +1,197 @@
+/** VMs that stop as planned and are replaced, callers that keep addresses, endpoints that leave. */
+import { Vm, type VmPolicies } from "@teaselvalve/core";
+import fc from "fast-check";
+import type { World } from "../../world/world.ts";
+import {
+  type FuzzCommand,
+  type FuzzDomain,
+  type Mutant,
+  partOf,
+} from "../frame.ts";
+import { pick } from "./faults.ts";
+import { VMS_CHECKS } from "./vms_checks.ts";
+import {
+  callerOf,
+  CALLERS,
+  createVmsPart,
+  VMS,
+  type VmsPart,
+  watchLeaving,
+} from "./vms_part.ts";
+
+const MAX_VMS = 7;
+const MAX_TOKENS = 600;
+const ROLLING_GAP_MS = 3_000;
+/** Shortly before an answer to the address question runs out. */
+const LATE_MS = 9_000;
+const LONG_TOKENS = 1_000;
+
+type Action = (part: VmsPart, world: World) => Promise<void> | void;
+
+function step(label: string, action: Action): FuzzCommand {
+  return {
+    check: () => true,
+    async run(model, world) {
+      await action(partOf<VmsPart>(model, VMS), world);
+    },
+    toString: () => label,
+  };
+}
+
+const index = fc.nat({ max: 11 });
+
+const sendSummary = fc.tuple(index, fc.integer({ min: 5, max: MAX_TOKENS }))
+  .map(([at, tokens]) =>
+    step(`visitorSummary(${at}, ${tokens})`, (part, world) => {
+      callerOf(part, { world, index: at }).sendSummary(tokens);
+    })
+  );
+
+const sendCall = index.map((at) =>
+  step(`visitorCall(${at})`, (part, world) => {
+    callerOf(part, { world, index: at }).sendCall();
+  })
+);
+
+const stopOne = index.map((at) =>
+  step(`stopAndReplaceVm(${at})`, (_part, world) => replace(world, at))
+);
+
+const stopTwo = fc.tuple(index, index).map(([a, b]) =>
+  step(`stopAndReplaceVms(${a}, ${b})`, (_part, world) => {
+    replace(world, a);
+    replace(world, b);
+  })
+);
+
+const rollAll = fc.constant(null).map(() =>
+  step("replaceAllVmsInTurn()", async (_part, world) => {
+    const count = serving(world).length;
+    for (let turn = 0; turn < count; turn += 1) {
+      replace(world, 0);
+      await world.advance(ROLLING_GAP_MS);
+    }
+  })
+);
+
+const stopUnderLongSummaries = index.map((at) =>
+  step(`stopUnderLongSummaries(${at})`, async (part, world) => {
+    for (let caller = 0; caller < CALLERS; caller += 1) {
+      callerOf(part, { world, index: caller }).sendCall();
+    }
+    replace(world, at);
+    await world.advance(LATE_MS);
+    for (let caller = 0; caller < CALLERS; caller += 1) {
+      callerOf(part, { world, index: caller }).sendSummary(LONG_TOKENS);
+    }
+  })
+);
+
+const leaveByReport = index.map((at) =>
+  step(`leaveByReport(${at})`, (part, world) => {
+    const address = pick(world.engines.keys(), at);
+    if (!address || !hasPeerThatStays(part, { world, address })) return;
+    world.engines.get(address)!.leave();
+    watchLeaving(part, { world, endpoint: address });
+  })
+);
+
+const leaveByManifest = fc.tuple(index, index).map(([at, vm]) =>
+  step(`leaveByManifest(${at}, ${vm})`, (part, world) => {
+    const names = [...world.engines.keys(), ...world.services.keys()];
+    const address = pick(names, at);
+    if (!address || !hasPeerThatStays(part, { world, address })) return;
+    void submitLeaving(part, { world, address, vm });
+  })
+);
+
+/** Policies of VMs that lack one mechanism. */
+const MUTANTS: readonly { name: string; policies: VmPolicies }[] = [
+  {
+    name: "no wait for kept addresses",
+    policies: { stop: { waitsForAddresses: false } },
+  },
+  { name: "a stop that does not drain", policies: { stop: { drains: false } } },
+  {
+    name: "a leaving VM that stays home",
+    policies: { membership: { homeWhileLeaving: true } },
+  },
+];
+
+/** Planned stops, addresses and leaving endpoints. */
+export const VMS_DOMAIN: FuzzDomain = {
+  name: VMS,
+  createPart: createVmsPart,
+  commands: [
+    sendSummary,
+    sendCall,
+    stopOne,
+    stopTwo,
+    rollAll,
+    stopUnderLongSummaries,
+    leaveByReport,
+    leaveByManifest,
+  ],
+  checks: VMS_CHECKS,
+  mutants: MUTANTS.map(({ name, policies }): Mutant => ({
+    name,
+    createVm: (context) => new Vm(context, policies),
+  })),
+};
+
+function serving(world: World): string[] {
+  return [...world.vms.keys()].filter((name) =>
+    !world.stopsBegunAtMs.has(name)
+  );
+}
+
+/** Stops a VM as planned and starts another in its place. */
+function replace(world: World, drawn: number): void {
+  const names = serving(world);
+  const name = pick(names, drawn);
+  if (!name || names.length < 2 || world.vms.size >= MAX_VMS) return;
+  world.addVm();
+  void world.stopVm(name);
+}
+
+function kindOf(world: World, address: string): string {
+  return world.engines.get(address)?.role ?? "service";
+}
+
+function hasPeerThatStays(
+  part: VmsPart,
+  options: { world: World; address: string },
+): boolean {
+  const { world, address } = options;
+  const kind = kindOf(world, address);
+  return [...world.engines.keys(), ...world.services.keys()].some((other) =>
+    other !== address && !part.leaving.has(other) &&
+    kindOf(world, other) === kind
+  );
+}
+
+async function submitLeaving(
+  part: VmsPart,
+  options: { world: World; address: string; vm: number },
+): Promise<void> {
+  const { world, address } = options;
+  const name = pick(serving(world), options.vm);
+  const held = name && world.vms.get(name)!.configuration.current();
+  if (!held) return;
+  const outcome = await world.submitManifest(name, {
+    submissionId: `leave-${address}-${performance.now()}`,
+    scopes: {
+      endpoints: {
+        basedOn: held.head.scopes.endpoints!.version,
+        body: held.bodies.endpoints.map((endpoint) =>
+          endpoint.id === address || part.leaving.has(endpoint.id)
+            ? { ...endpoint, state: "leaving" }
+            : endpoint
+        ),
+      },
+    },
+  }) as { kind: string };
+  if (outcome.kind === "accepted") {
+    watchLeaving(part, { world, endpoint: address });
+  }
+}
--- a/packages/bench/src/fuzz/run.ts
+++ b/packages/bench/src/fuzz/run.ts
@@ -13,6 +13,8 @@
   commands?: number;
   /** Repeats one failure that fast-check printed. */
   path?: string;
+  /** Stops at the first failure without shrinking it, where only the failing matters. */
+  endOnFailure?: boolean;
   createVm?: (context: VmContext) => Vm;
 }
 
@@ -51,6 +53,7 @@
   const details = await fc.check(property, {
     seed: options.seed,
     numRuns: options.runs,
+    endOnFailure: options.endOnFailure ?? false,
     ...(options.path ? { path: options.path } : {}),
   });
   const cause = details.errorInstance;
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -82,6 +82,10 @@
   readonly services = new Map<string, PlainService>();
   /** VMs that are up, frozen ones included. */
   readonly vms = new Map<string, Vm>();
+  /** When VMs died or ended, on the monotonic clock. */
+  readonly goneAtMs = new Map<string, number>();
+  /** When planned stops of VMs began, on the monotonic clock. */
+  readonly stopsBegunAtMs = new Map<string, number>();
   readonly random: () => number;
   /** How often a marked prompt or a test has crashed an engine. */
   engineCrashes = 0;
@@ -183,6 +187,7 @@
   /** Kills a VM's process; the platform's list shows it after a while. */
   killVm(name: Host): void {
     this.vms.delete(name);
+    this.goneAtMs.set(name, performance.now());
     this.network.setUp(name, false);
     this.platform.unlistVm(name);
   }
@@ -191,6 +196,7 @@
   async stopVm(name: Host): Promise<StopOutcome | null> {
     const vm = this.vms.get(name);
     if (!vm) return null;
+    this.stopsBegunAtMs.set(name, performance.now());
     this.platform.listVm({ ...vm.context.identity, state: "leaving" });
     const outcome = await this.timers.runOn(name, () => vm.leave());
     // Answers still on their way leave with the sockets that the daemon closes.
--- /dev/null
+++ b/packages/core/src/directory/addresses_test.ts
@@ -0,0 +1,77 @@
+import { expect, test } from "vitest";
+import type { Member, MembershipView, VmState } from "../membership/types.ts";
+import { asId } from "../shared/ids.ts";
+import { listAddresses } from "./addresses.ts";
+
+const PLACES = [
+  ["helsinki-a", "suomi-etela"],
+  ["espoo-b", "suomi-etela"],
+  ["anadolu-a", "anadolu"],
+] as const;
+
+function member(index: number, state: VmState = "live"): Member {
+  const [dataCentre, region] = PLACES[index % PLACES.length]!;
+  return {
+    id: asId(`vm-${index}`),
+    incarnation: asId(`boot-${index}`),
+    dataCentre: asId(dataCentre),
+    region: asId(region),
+    callerAddress: `vm-${index}:1`,
+    peerAddress: `vm-${index}:2`,
+    state,
+  };
+}
+
+function viewOf(members: readonly Member[]): MembershipView {
+  const self = members[0]!;
+  return {
+    self: { ...self, incarnation: self.incarnation! },
+    members: () => members,
+    member: (id) => members.find((one) => one.id === id),
+    homeOf: () => self,
+  };
+}
+
+function ask(
+  members: readonly Member[],
+  options: { dataCentre?: string; spreadBy?: string } = {},
+) {
+  return listAddresses(viewOf(members), {
+    dataCentre: asId(options.dataCentre ?? "espoo-b"),
+    spreadBy: options.spreadBy ?? "caller-1",
+    ttlMs: 10_000,
+  }).addresses;
+}
+
+const fifteen = Array.from({ length: 15 }, (_, at) => member(at));
+
+test("The caller's data centre comes first, one place is another's in its region", () => {
+  const places = ask(fifteen).map(({ dataCentre }) => dataCentre);
+  expect(places).toEqual(["espoo-b", "espoo-b", "espoo-b", "helsinki-a"]);
+});
+
+test("A caller of another region gets its own region first", () => {
+  const [first] = ask(fifteen, { dataCentre: "anadolu-a" });
+  expect(first!.dataCentre).toBe("anadolu-a");
+});
+
+test("Leaving, suspected, dead and only listed VMs are in no answer", () => {
+  const members = [
+    member(0),
+    member(1, "leaving"),
+    member(3, "suspected"),
+    member(4, "dead"),
+    { ...member(6), incarnation: null },
+  ];
+  expect(ask(members).map(({ vm }) => vm)).toEqual(["vm-0"]);
+});
+
+test("Callers are spread over the VMs of their data centre", () => {
+  const counts = new Map<string, number>();
+  for (let caller = 0; caller < 1_000; caller += 1) {
+    const [first] = ask(fifteen, { spreadBy: `caller-${caller}` });
+    counts.set(first!.vm, (counts.get(first!.vm) ?? 0) + 1);
+  }
+  expect(counts.size).toBe(5);
+  expect(Math.max(...counts.values())).toBeLessThan(260);
+});
