--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -7,6 +7,7 @@
 import type { ServicePort } from "../ports/services.ts";
 import type { MembershipPolicies } from "../membership/view.ts";
 import type { VmIdentity } from "../membership/types.ts";
+import type { SummaryPolicies } from "../summaries/policies.ts";
 import type { Observer } from "../shared/observe.ts";
 import type { InProgress } from "./in_progress.ts";
 import type { StopPolicies } from "./planned_stop.ts";
@@ -35,6 +36,7 @@
   readonly configuration?: Partial<ConfigurationPolicies>;
   readonly membership?: Partial<MembershipPolicies>;
   readonly stop?: Partial<StopPolicies>;
+  readonly summaries?: Partial<SummaryPolicies>;
 }
 
 /** A part of a VM that is started and stopped with it. */
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -8,8 +8,9 @@
 import { createMembershipApp } from "../membership/app.ts";
 import { MembershipTask } from "../membership/task.ts";
 import type { PeerHandlers } from "../peers/types.ts";
+import { ReportsTask } from "../reports/task.ts";
 import { createSummariesApp } from "../summaries/app.ts";
-import { SummariesHome } from "../summaries/home.ts";
+import { askIncarnation } from "../summaries/alive.ts";
 import { SummariesTask } from "../summaries/task.ts";
 import { RetryBudget } from "../retries/budget.ts";
 import { createSuspectsApp } from "../suspects/app.ts";
@@ -31,6 +32,7 @@
   readonly suspects: SuspectBook;
   readonly retries: RetryBudget;
   readonly calls: CallsTask;
+  readonly reports: ReportsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
   /** Where callers' requests enter. */
@@ -53,7 +55,6 @@
       configurationVersion: () => configuration.version(),
       policies: policies.membership,
     });
-    const home = new SummariesHome();
     const deployment = () => configuration.current()?.bodies.deployment;
     this.#plannedStop = new PlannedStop(context, {
       membership,
@@ -73,13 +74,27 @@
     this.configuration = configuration;
     this.membership = membership;
     this.#grants = grants;
+    this.reports = new ReportsTask(context, {
+      configuration,
+      membership,
+      answers: async (member) =>
+        await askIncarnation(context.ports.peers, member) !== null,
+    });
     this.calls = new CallsTask(context, {
       configuration,
       membership,
       retries: this.retries,
       policies: policies.calls,
     });
-    this.summaries = new SummariesTask(context, { configuration, membership });
+    this.summaries = new SummariesTask(context, {
+      configuration,
+      membership,
+      viewChanges: membership,
+      reports: this.reports,
+      suspects: this.suspects,
+      retries: this.retries,
+      policies: policies.summaries,
+    });
     this.gate = new RequestGate({
       calls: this.calls,
       summaries: this.summaries,
@@ -104,13 +119,7 @@
       }).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
-      ...createSummariesApp({
-        "summaries/register": (params) => home.register(params),
-        "summaries/hand-over": () => Promise.resolve({ registration: null }),
-        "summaries/cancel": ({ key }) => ({
-          known: this.summaries.cancel(key),
-        }),
-      }).handlers,
+      ...createSummariesApp(this.summaries.handlers).handlers,
     };
   }
 
@@ -119,8 +128,10 @@
     await this.membership.start();
     await this.configuration.start();
     this.#plannedStop.start();
+    this.reports.start();
     this.calls.start();
     await this.suspects.start();
+    this.summaries.start();
   }
 
   /** Leaves the deployment without cutting off work; the tasks run until `stop`. */
@@ -141,7 +152,9 @@
   /** Stops the tasks in reverse order. */
   stop(): void {
     this.#plannedStop.stop();
+    this.summaries.stop();
     this.suspects.stop();
+    this.reports.stop();
     this.#grants.stop();
     this.calls.stop();
     this.configuration.stop();
