--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -15,9 +15,14 @@
 import { RetryBudget } from "../retries/budget.ts";
 import { createSuspectsApp } from "../suspects/app.ts";
 import { SuspectBook } from "../suspects/book.ts";
+import { RequestGate } from "./request_gate.ts";
+import { InProgressCount } from "./in_progress.ts";
+import { PlannedStop, type StopOutcome } from "./planned_stop.ts";
+import type { CutReason } from "./stop_machine.ts";
 import type { VmContext, VmPolicies } from "./types.ts";
 
 const DEFAULT_CONVICTION_MS = 3_600_000;
+const DEFAULT_ADDRESS_TTL_MS = 10_000;
 
 /** One entry VM: its tasks and the methods that its peers may call. */
 export class Vm {
@@ -30,18 +35,34 @@
   readonly reports: ReportsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
+  /** Where callers' requests enter. */
+  readonly gate: RequestGate;
+  /** Work that a planned stop waits for. */
+  readonly inProgress: InProgressCount;
+  #plannedStop: PlannedStop;
   #grants: GrantsHome;
 
-  constructor(context: VmContext, policies: VmPolicies = {}) {
+  constructor(given: VmContext, policies: VmPolicies = {}) {
+    const inProgress = new InProgressCount(() => this.#plannedStop.idle());
+    const context: VmContext = { ...given, inProgress };
     this.context = context;
+    this.inProgress = inProgress;
     const configuration: ConfigurationTask = new ConfigurationTask(context, {
       members: () => this.membership.members(),
       policies: policies.configuration,
     });
     const membership = new MembershipTask(context, {
       configurationVersion: () => configuration.version(),
+      policies: policies.membership,
     });
     const deployment = () => configuration.current()?.bodies.deployment;
+    this.#plannedStop = new PlannedStop(context, {
+      membership,
+      inProgress,
+      otherWork: () => this.calls.inProgress,
+      addressTtlMs: () => deployment()?.addressTtlMs ?? DEFAULT_ADDRESS_TTL_MS,
+      policies: policies.stop,
+    });
     this.suspects = new SuspectBook(context, {
       membership,
       convictionMs: () => deployment()?.convictionMs ?? DEFAULT_CONVICTION_MS,
@@ -74,6 +95,12 @@
       retries: this.retries,
       policies: policies.summaries,
     });
+    this.gate = new RequestGate({
+      calls: this.calls,
+      summaries: this.summaries,
+      inProgress,
+      refusesWork: () => this.refusesWork,
+    });
     this.peerHandlers = {
       ...createMembershipApp({
         answerProbe: (probe) => membership.answerProbe(probe),
@@ -100,14 +127,31 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    this.#plannedStop.start();
     this.reports.start();
     this.calls.start();
     await this.suspects.start();
     this.summaries.start();
   }
 
+  /** Leaves the deployment without cutting off work; the tasks run until `stop`. */
+  leave(): Promise<StopOutcome> {
+    return this.#plannedStop.begin();
+  }
+
+  /** True once a planned stop lets no new work in. */
+  get refusesWork(): boolean {
+    return this.#plannedStop.refusesWork;
+  }
+
+  /** Ends a planned stop before its work is done. */
+  cutStop(reason: CutReason): void {
+    if (this.#plannedStop.cut(reason)) this.gate.cutOff();
+  }
+
   /** Stops the tasks in reverse order. */
   stop(): void {
+    this.#plannedStop.stop();
     this.summaries.stop();
     this.suspects.stop();
     this.reports.stop();
--- a/packages/daemon/src/callers/completions.ts
+++ b/packages/daemon/src/callers/completions.ts
@@ -74,7 +74,7 @@
     refuse: (refusal) =>
       sendProblem(response, refusal, completionProblem(refusal)),
   });
-  const handle = context.vm.summaries.submit(
+  const handle = context.vm.gate.submitSummary(
     request.value.summary,
     (event) => writer.write(event),
   );
--- a/packages/daemon/src/callers/handler.ts
+++ b/packages/daemon/src/callers/handler.ts
@@ -51,7 +51,10 @@
     if (url.pathname === "/health/live") return sendJson(response, "live");
     const configuration = vm.configuration.current();
     if (!configuration) return refuse(notRun("no-configuration"));
-    if (url.pathname === "/health/ready") return sendJson(response, "ready");
+    if (url.pathname === "/health/ready") {
+      if (vm.refusesWork) return refuse(notRun("stopping"));
+      return sendJson(response, "ready");
+    }
     if (url.pathname === "/v1/addresses") {
       return sendAddresses(exchange, { vm, configuration });
     }
