--- a/packages/bench/src/fuzz/domains/configuration_test.ts
+++ b/packages/bench/src/fuzz/domains/configuration_test.ts
@@ -23,7 +23,7 @@
       domains,
       seed: 5_002,
       runs: 200,
-      shrink: false,
+      endOnFailure: true,
       createVm,
     });
     expect(report.failed).toBe(true);
--- a/packages/bench/src/fuzz/domains/mod.ts
+++ b/packages/bench/src/fuzz/domains/mod.ts
@@ -4,7 +4,9 @@
 import { CALLS_DOMAIN } from "./calls.ts";
 import { FAULTS_DOMAIN } from "./faults.ts";
 import { ORDERS_DOMAIN } from "./orders.ts";
+import { SUMMARIES_DOMAIN } from "./summaries.ts";
 import { TIME_DOMAIN } from "./time.ts";
+import { VMS_DOMAIN } from "./vms.ts";
 
 /** All domains of the fuzzer. */
 export const DOMAINS: readonly FuzzDomain[] = [
@@ -12,5 +14,7 @@
   FAULTS_DOMAIN,
   CONFIGURATION_DOMAIN,
   ORDERS_DOMAIN,
+  SUMMARIES_DOMAIN,
   CALLS_DOMAIN,
+  VMS_DOMAIN,
 ];
--- a/packages/bench/src/fuzz/domains/orders_test.ts
+++ b/packages/bench/src/fuzz/domains/orders_test.ts
@@ -17,7 +17,7 @@
       seed: 6_002,
       runs: 60,
       commands: 8,
-      shrink: false,
+      endOnFailure: true,
       createVm,
     });
     expect(report.failed).toBe(true);
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -45,6 +45,8 @@
   services?: number;
   figures?: EngineFigures;
   observer?: Observer;
+  /** Whether engines refuse a start whose cancel came before it. Defaults to true. */
+  refusesCancelled?: boolean;
   /** Builds a VM; tests pass one that lacks a mechanism. */
   createVm?: (context: ConstructorParameters<typeof Vm>[0]) => Vm;
   /** Places the VM of a number that counts from 0. */
@@ -82,12 +84,17 @@
   readonly services = new Map<string, PlainService>();
   /** VMs that are up, frozen ones included. */
   readonly vms = new Map<string, Vm>();
+  /** When VMs died or ended, on the monotonic clock. */
+  readonly goneAtMs = new Map<string, number>();
+  /** When planned stops of VMs began, on the monotonic clock. */
+  readonly stopsBegunAtMs = new Map<string, number>();
   readonly random: () => number;
   /** How often a marked prompt or a test has crashed an engine. */
   engineCrashes = 0;
   #handlers = new Map<string, PeerHandlers>();
   #options: WorldOptions;
-  #vmsCreated = 0;
+  /** VMs ever started. */
+  vmsCreated = 0;
   #callersCreated = 0;
 
   constructor(options: WorldOptions) {
@@ -134,13 +141,13 @@
 
   /** Starts another VM. */
   addVm(): Vm {
-    this.#vmsCreated += 1;
-    const name = `vm-${this.#vmsCreated}`;
+    this.vmsCreated += 1;
+    const name = `vm-${this.vmsCreated}`;
     const placeOf = this.#options.placeOf ?? placeInTurn;
     const identity = {
       id: asId<VmId>(name),
       incarnation: asId<Incarnation>(`${name}-boot`),
-      ...placeOf(this.#vmsCreated - 1),
+      ...placeOf(this.vmsCreated - 1),
       callerAddress: name,
       peerAddress: name,
     };
@@ -171,7 +178,7 @@
         }),
       },
       observer: this.#options.observer ?? SILENT_OBSERVER,
-      random: seededRandom(this.#options.seed * 1_009 + this.#vmsCreated),
+      random: seededRandom(this.#options.seed * 1_009 + this.vmsCreated),
     });
     this.vms.set(name, vm);
     this.#handlers.set(name, vm.peerHandlers);
@@ -183,6 +190,7 @@
   /** Kills a VM's process; the platform's list shows it after a while. */
   killVm(name: Host): void {
     this.vms.delete(name);
+    this.goneAtMs.set(name, performance.now());
     this.network.setUp(name, false);
     this.platform.unlistVm(name);
   }
@@ -191,6 +199,7 @@
   async stopVm(name: Host): Promise<StopOutcome | null> {
     const vm = this.vms.get(name);
     if (!vm) return null;
+    this.stopsBegunAtMs.set(name, performance.now());
     this.platform.listVm({ ...vm.context.identity, state: "leaving" });
     const outcome = await this.timers.runOn(name, () => vm.leave());
     // Answers still on their way leave with the sockets that the daemon closes.
@@ -316,6 +325,7 @@
       models: [MODEL],
       figures: this.#options.figures ?? TODAY_FIGURES,
       random: this.random,
+      refusesCancelled: this.#options.refusesCancelled,
       onCrash: () => {
         this.engineCrashes += 1;
         this.network.setUp(name, false);
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -8,6 +8,7 @@
 import type { ServicePort } from "../ports/services.ts";
 import type { MembershipPolicies } from "../membership/view.ts";
 import type { VmIdentity } from "../membership/types.ts";
+import type { SummaryPolicies } from "../summaries/policies.ts";
 import type { Observer } from "../shared/observe.ts";
 import type { InProgress } from "./in_progress.ts";
 import type { StopPolicies } from "./planned_stop.ts";
@@ -44,4 +45,5 @@
   readonly membership?: Partial<MembershipPolicies>;
   readonly orders?: Partial<OrdersPolicies>;
   readonly stop?: Partial<StopPolicies>;
+  readonly summaries?: Partial<SummaryPolicies>;
 }
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -12,8 +12,9 @@
 import { createQuotasApp } from "../quotas/app.ts";
 import { limitCalls, limitSummaries } from "../quotas/limited.ts";
 import { QuotasTask } from "../quotas/task.ts";
+import { ReportsTask } from "../reports/task.ts";
 import { createSummariesApp } from "../summaries/app.ts";
-import { SummariesHome } from "../summaries/home.ts";
+import { askIncarnation } from "../summaries/alive.ts";
 import { SummariesTask } from "../summaries/task.ts";
 import { RetryBudget } from "../retries/budget.ts";
 import { createSuspectsApp } from "../suspects/app.ts";
@@ -37,6 +38,7 @@
   readonly orders: OrdersTask;
   readonly quotas: QuotasTask;
   readonly calls: CallsTask;
+  readonly reports: ReportsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
   /** Where callers' requests enter. */
@@ -63,7 +65,6 @@
       },
       policies: policies.membership,
     });
-    const home = new SummariesHome();
     const deployment = () => configuration.current()?.bodies.deployment;
     this.#plannedStop = new PlannedStop(context, {
       membership,
@@ -89,13 +90,27 @@
       policies: policies.orders,
     });
     this.quotas = new QuotasTask(context, { configuration, membership });
+    this.reports = new ReportsTask(context, {
+      configuration,
+      membership,
+      answers: async (member) =>
+        await askIncarnation(context.ports.peers, member) !== null,
+    });
     this.calls = new CallsTask(context, {
       configuration,
       membership,
       retries: this.retries,
       policies: policies.calls,
     });
-    this.summaries = new SummariesTask(context, { configuration, membership });
+    this.summaries = new SummariesTask(context, {
+      configuration,
+      membership,
+      viewChanges: membership,
+      reports: this.reports,
+      suspects: this.suspects,
+      retries: this.retries,
+      policies: policies.summaries,
+    });
     this.gate = new RequestGate({
       calls: limitCalls(this.calls, this.quotas),
       summaries: limitSummaries(this.summaries, this.quotas),
@@ -121,13 +136,7 @@
       ...createQuotasApp(this.quotas.handlers).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
-      ...createSummariesApp({
-        "summaries/register": (params) => home.register(params),
-        "summaries/hand-over": () => Promise.resolve({ registration: null }),
-        "summaries/cancel": ({ key }) => ({
-          known: this.summaries.cancel(key),
-        }),
-      }).handlers,
+      ...createSummariesApp(this.summaries.handlers).handlers,
     };
   }
 
@@ -138,8 +147,10 @@
     this.quotas.start();
     this.orders.start();
     this.#plannedStop.start();
+    this.reports.start();
     this.calls.start();
     await this.suspects.start();
+    this.summaries.start();
   }
 
   /** Leaves the deployment without cutting off work; the tasks run until `stop`. */
@@ -160,7 +171,9 @@
   /** Stops the tasks in reverse order. */
   stop(): void {
     this.#plannedStop.stop();
+    this.summaries.stop();
     this.suspects.stop();
+    this.reports.stop();
     this.#grants.stop();
     this.calls.stop();
     this.orders.stop();
