--- a/packages/cli/src/manifest.ts
+++ b/packages/cli/src/manifest.ts
@@ -1,10 +1,11 @@
 /** The commands of manifests. */
 import { subcommands } from "cmd-ts";
 import { submitManifest } from "./commands/submit_manifest.ts";
+import { checkManifest, diff, history, show } from "./queries/manifests.ts";
 
 /** `teaselvalve manifest ...` */
 export const manifest = subcommands({
   name: "manifest",
   description: "Manifests: the deployment as its pipelines describe it",
-  cmds: { submit: submitManifest },
+  cmds: { check: checkManifest, submit: submitManifest, history, show, diff },
 });
--- /dev/null
+++ b/packages/cli/src/queries/manifests.ts
@@ -0,0 +1,151 @@
+/** `teaselvalve manifest check|history|show|diff` */
+import type {
+  Configuration,
+  HistoryEntry,
+  VersionDifference,
+} from "@teaselvalve/core";
+import { command, number, option, optional, positional, string } from "cmd-ts";
+import { callAdmin, connectionArgs, queryAdmin } from "../shared/client.ts";
+import { ToolFailure } from "../shared/failure.ts";
+import {
+  describeOutcome,
+  endWith,
+  isOutcome,
+  readManifest,
+} from "../shared/outcome.ts";
+import {
+  outputArgs,
+  printJson,
+  printLine,
+  printRows,
+} from "../shared/output.ts";
+
+const DEFAULT_HISTORY_ENTRIES = 20;
+const args = { ...connectionArgs, ...outputArgs };
+
+/** Checks a manifest without submitting it. */
+export const checkManifest = command({
+  name: "check",
+  description: "Tells every error of a manifest, or what it would change",
+  args: { ...args, file: positional({ type: string, displayName: "file" }) },
+  async handler(args) {
+    const manifest = readManifest(args.file);
+    const path = "/admin/manifests/check";
+    const { body } = await callAdmin(args, path, manifest);
+    if (!isOutcome(body)) throw new ToolFailure(JSON.stringify(body));
+    if (args.json) printJson(body);
+    else describeOutcome(body).forEach(printLine);
+    endWith(body);
+  },
+});
+
+/** Lists accepted versions. */
+export const history = command({
+  name: "history",
+  description: "Lists accepted versions, newest first",
+  args: {
+    ...args,
+    limit: option({
+      long: "limit",
+      type: number,
+      defaultValue: () => DEFAULT_HISTORY_ENTRIES,
+    }),
+  },
+  async handler(args) {
+    const entries = await queryAdmin<HistoryEntry[]>(
+      args,
+      `/admin/manifests/history?limit=${args.limit}`,
+    );
+    printRows(entries, {
+      json: args.json,
+      columns: [
+        { title: "VERSION", value: (entry) => entry.version },
+        {
+          title: "ACCEPTED",
+          value: (entry) => new Date(entry.acceptedAtMs).toISOString(),
+        },
+        { title: "CHANGED", value: (entry) => entry.changed.join(",") },
+        { title: "SUBMISSION", value: (entry) => entry.submissionId },
+        { title: "VM", value: (entry) => entry.vm },
+      ],
+    });
+  },
+});
+
+/** Shows a version. */
+export const show = command({
+  name: "show",
+  description:
+    "Prints a version as JSON, or as a manifest that goes back to it",
+  args: {
+    ...connectionArgs,
+    at: option({
+      long: "at",
+      type: optional(number),
+      description: "The version; the one in force where left out",
+    }),
+    asManifest: option({
+      long: "as-manifest",
+      type: optional(string),
+      description: "Prints a manifest with this submission id",
+    }),
+  },
+  async handler(args) {
+    const current = await queryAdmin<Configuration>(
+      args,
+      "/admin/configuration",
+    );
+    const shown = args.at === undefined
+      ? current
+      : await queryAdmin<Configuration>(
+        args,
+        `/admin/manifests/versions/${args.at}`,
+      );
+    printJson(
+      args.asManifest === undefined
+        ? shown
+        : manifestOf(shown, { current, submissionId: args.asManifest }),
+    );
+  },
+});
+
+/** Shows what differs between two versions. */
+export const diff = command({
+  name: "diff",
+  description: "Shows what differs between two versions",
+  args: {
+    ...args,
+    from: positional({ type: number, displayName: "from" }),
+    to: positional({ type: number, displayName: "to" }),
+  },
+  async handler(args) {
+    const difference = await queryAdmin<VersionDifference>(
+      args,
+      `/admin/manifests/diff?from=${args.from}&to=${args.to}`,
+    );
+    if (args.json) return printJson(difference);
+    difference.lines.forEach(printLine);
+  },
+});
+
+/** Makes a manifest of an earlier version's bodies, based on the versions in force. */
+function manifestOf(
+  shown: Configuration,
+  options: { current: Configuration; submissionId: string },
+): unknown {
+  const { current, submissionId } = options;
+  const names = Object.keys(shown.head.scopes) as (
+    keyof Configuration["bodies"]
+  )[];
+  const scopes = Object.fromEntries(
+    names
+      .filter((name) =>
+        shown.head.scopes[name]?.digest !== current.head.scopes[name]?.digest
+      )
+      .map((name) => [name, {
+        basedOn: current.head.scopes[name]?.version ?? 0,
+        body: shown.bodies[name],
+      }]),
+  );
+  return { submissionId, scopes };
+}
--- a/packages/core/src/configuration/commands/submit.ts
+++ b/packages/core/src/configuration/commands/submit.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { PlatformPort, RowWrite } from "../../ports/platform.ts";
 import { digest } from "../../shared/hash.ts";
-import type { Digest, VmId } from "../../shared/ids.ts";
+import type { Digest, VmId, WorkspaceId } from "../../shared/ids.ts";
 import {
   bodyDigest,
   canonicalBody,
@@ -39,7 +39,7 @@
   type SubmissionOutcome,
   type SubmissionRow,
 } from "../types.ts";
-import { checkScopes, parseManifest } from "./validate.ts";
+import { checkAllowed, checkScopes, parseManifest } from "./validate.ts";
 
 /** How long a commit of unknown outcome is repeated. */
 const COMMIT_LIMIT_MS = 6_000;
@@ -63,6 +63,8 @@
   platform: PlatformPort;
   vm: VmId;
   policies: SubmitPolicies;
+  /** The workspaces that the submitter may change, and nothing else; absent for no such limit. */
+  allowedWorkspaces?: readonly WorkspaceId[];
   /** Brings the configuration in force up to a head, where it can be read, and gives it. */
   catchUp: (row: HeadRow) => Promise<Configuration | null>;
 }
@@ -86,10 +88,20 @@
 /** What an attempt came to. */
 export type CommitOutcome = Committed | Refused;
 
-interface Draft {
+interface Submitted {
   readonly manifest: Manifest;
   readonly manifestDigest: Digest;
   readonly row: HeadRow;
+  readonly held: Configuration | null;
+}
+
+/** The bodies before and after a manifest. */
+export interface PreparedBodies {
+  readonly before: ScopeBodies;
+  readonly after: ScopeBodies;
+}
+
+interface Draft extends Submitted {
   readonly configuration: Configuration;
   readonly change: ConfigurationChange;
 }
@@ -130,15 +142,30 @@
 }
 
 async function draftChange(
-  submitted: {
-    manifest: Manifest;
-    manifestDigest: Digest;
-    row: HeadRow;
-    held: Configuration | null;
-  },
+  submitted: Submitted,
   options: SubmitOptions,
 ): Promise<Result<Draft, Refused>> {
-  const { platform, policies } = options;
+  const { manifest, row } = submitted;
+  const prepared = await prepareBodies(submitted, options);
+  if (prepared.isErr()) return err(prepared.error);
+  const { before, after } = prepared.value;
+  const change = await storeChange(manifest, {
+    platform: options.platform,
+    head: row.head,
+    before,
+    after,
+  });
+  if (!change) return err(UNAVAILABLE);
+  const configuration = { head: change.head, bodies: after };
+  return ok({ ...submitted, change, configuration });
+}
+
+/** Checks a manifest against what is in force, and gives the bodies that it would make. */
+export async function prepareBodies(
+  submitted: Pick<Submitted, "manifest" | "row" | "held">,
+  options: Omit<SubmitOptions, "vm" | "catchUp">,
+): Promise<Result<PreparedBodies, Refused>> {
+  const { platform, policies, allowedWorkspaces } = options;
   const { manifest, row, held } = submitted;
   const before = held?.bodies ?? emptyBodies();
   if (policies.checksBaseVersions) {
@@ -154,24 +181,17 @@
     const body = manifest.scopes[scope]?.body;
     if (body !== undefined) setScope(after, scope, body);
   }
-  const errors = checkScopes({ manifest, before, after });
+  const candidate = { manifest, before, after };
+  const errors = [
+    ...checkScopes(candidate),
+    ...(allowedWorkspaces ? checkAllowed(candidate, allowedWorkspaces) : []),
+  ];
   if (errors.length > 0) return err(invalid(errors));
   for (const scope of SCOPES) {
     if (!manifest.scopes[scope]) continue;
     setScope(after, scope, canonicalBody(scope, after[scope]));
   }
-  const change = await storeChange(manifest, {
-    platform,
-    head: row.head,
-    before,
-    after,
-  });
-  if (!change) return err(UNAVAILABLE);
-  return ok({
-    ...submitted,
-    change,
-    configuration: { head: change.head, bodies: after },
-  });
+  return ok({ before, after });
 }
 
 async function storeChange(
--- a/packages/core/src/configuration/commands/validate.ts
+++ b/packages/core/src/configuration/commands/validate.ts
@@ -7,7 +7,11 @@
   ManifestSchema,
   type Scope,
   type ScopeBodies,
+  SCOPES,
+  type Workspace,
 } from "../types.ts";
+import type { WorkspaceId } from "../../shared/ids.ts";
+import { compareScope } from "../difference.ts";
 
 /** What a manifest would put in force, and what it would replace. */
 export interface Candidate {
@@ -45,6 +49,32 @@
   ];
 }
 
+/** Checks that a manifest changes only some workspaces, and adds or removes none. */
+export function checkAllowed(
+  candidate: Candidate,
+  allowed: readonly WorkspaceId[],
+): ManifestError[] {
+  const { manifest, before, after } = candidate;
+  const foreign = SCOPES.filter((scope) =>
+    scope !== "workspaces" && manifest.scopes[scope] !== undefined
+  );
+  const change = compareScope("workspaces", {
+    before: before.workspaces,
+    after: after.workspaces,
+  });
+  const changed = change.kind === "whole" ? [] : [
+    ...change.removed,
+    ...(change.put as readonly Workspace[]).map((workspace) => workspace.id),
+  ];
+  const message = "This token may not change it";
+  return [
+    ...foreign.map((scope) => ({ path: `scopes.${scope}`, message })),
+    ...changed
+      .filter((id) => !allowed.includes(id as WorkspaceId))
+      .map((id) => ({ path: `scopes.workspaces.${id}`, message })),
+  ];
+}
+
 /** Places an error in the manifest, or in what is in force where the manifest leaves a scope out. */
 function pathOf(
   candidate: Candidate,
--- a/packages/core/src/configuration/task.ts
+++ b/packages/core/src/configuration/task.ts
@@ -10,6 +10,7 @@
 import {
   commitManifest,
   type Committed,
+  type SubmitOptions,
   type SubmitPolicies,
 } from "./commands/submit.ts";
 import { askPeer, fetchNewer } from "./fetch.ts";
@@ -20,6 +21,7 @@
   holdingMachine,
   type IsNewer,
 } from "./machine.ts";
+import { checkManifest } from "./queries/check.ts";
 import { diffVersions, type VersionDifference } from "./queries/diff.ts";
 import { listHistory } from "./queries/history.ts";
 import { showVersion } from "./queries/show.ts";
@@ -29,7 +31,9 @@
   Configuration,
   ConfigurationChange,
   HistoryEntry,
+  ManifestCheck,
   SubmissionOutcome,
+  VersionInForce,
 } from "./types.ts";
 
 const POLL_INTERVAL_MS = 1_000;
@@ -56,6 +60,9 @@
   snapshotsOnly: boolean;
 }
 
+/** What the submitter of a manifest may change; everything where it says nothing. */
+export type Submitter = Pick<SubmitOptions, "allowedWorkspaces">;
+
 /** Options of {@link ConfigurationTask}. */
 export interface ConfigurationTaskOptions {
   members: () => readonly Member[];
@@ -156,19 +163,45 @@
   }
 
   /** Checks, commits and spreads a manifest. */
-  async submit(submission: unknown): Promise<SubmissionOutcome> {
-    const { platform } = this.#context.ports;
+  async submit(
+    submission: unknown,
+    submitter: Submitter = {},
+  ): Promise<SubmissionOutcome> {
     const outcome = await commitManifest(submission, {
-      platform,
+      ...this.#submitOptions(submitter),
       vm: this.#context.identity.id,
-      policies: this.#policies,
-      catchUp: (row) => this.#catchUp(row),
     });
     this.#context.observer.count("configuration_changes", outcome.kind);
     if (outcome.kind !== "committed") return outcome;
     return await this.#spread(outcome);
   }
 
+  /** Tells what a manifest would do, without submitting it. */
+  check(
+    submission: unknown,
+    submitter: Submitter = {},
+  ): Promise<ManifestCheck> {
+    return checkManifest(submission, this.#submitOptions(submitter));
+  }
+
+  /** Asks every VM in view for the version that it has in force. */
+  versionsInForce(): Promise<VersionInForce[]> {
+    return Promise.all(
+      this.#options.members().map(async ({ id, dataCentre, ...member }) => {
+        const answer = id === this.#context.identity.id ? null : await askPeer(
+          { id, peerAddress: member.peerAddress },
+          { peers: this.#context.ports.peers, after: Number.MAX_SAFE_INTEGER },
+        );
+        const version = id === this.#context.identity.id
+          ? this.version()
+          : answer?.kind === "current"
+          ? answer.version
+          : null;
+        return { vm: id, dataCentre, state: member.state, version };
+      }),
+    );
+  }
+
   /** Lists accepted versions, newest first. */
   history(
     options: { limit: number },
@@ -190,6 +223,15 @@
     return diffVersions(platform, { ...options, held: this.#current });
   }
 
+  #submitOptions(submitter: Submitter) {
+    return {
+      ...submitter,
+      platform: this.#context.ports.platform,
+      policies: this.#policies,
+      catchUp: (row: HeadRow) => this.#catchUp(row),
+    };
+  }
+
   async #spread(committed: Committed): Promise<SubmissionOutcome> {
     const { version, made } = committed;
     if (made) {
--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -258,3 +258,20 @@
     readonly retryAfterMs: number;
   }
   | { readonly kind: "unavailable"; readonly retryAfterMs: number };
+
+/** What a check of a manifest found, without submitting it. */
+export type ManifestCheck =
+  /** It would be accepted now; the lines say what it would change. */
+  | { readonly kind: "valid"; readonly difference: readonly string[] }
+  | Extract<
+    SubmissionOutcome,
+    { kind: "conflict" | "invalid" | "unavailable" | "unknown" }
+  >;
+
+/** The version that a VM has in force; null where it doesn't answer. */
+export interface VersionInForce {
+  readonly vm: VmId;
+  readonly dataCentre: DataCentre;
+  readonly state: string;
+  readonly version: number | null;
+}
--- a/packages/daemon/src/admin/queries/configuration.ts
+++ b/packages/daemon/src/admin/queries/configuration.ts
@@ -34,7 +34,7 @@
 }
 
 /** Leaves of each token's hash only what tells two apart. */
-function shortenHashes(configuration: Configuration): Configuration {
+export function shortenHashes(configuration: Configuration): Configuration {
   const { bodies } = configuration;
   const shorten = <T extends { hash: string }>(token: T): T => ({
     ...token,
