--- a/scripts/build.js
+++ b/scripts/build.js
@@ -6,6 +6,8 @@
   "packages/cli/dist/teaselvalve": "packages/cli/src/main.ts",
   "packages/fakes/dist/fakes": "packages/fakes/src/main.ts",
   "packages/bench/dist/demo": "packages/bench/src/demo/main.ts",
+  "packages/bench/dist/measure_configuration":
+    "packages/bench/src/measure/configuration.ts",
   "packages/bench/dist/fuzz": "packages/bench/src/fuzz/main.ts",
   "packages/bench/dist/scenarios": "packages/bench/src/scenarios/main.ts",
   "packages/bench/dist/experiment": "packages/bench/src/experiment/main.ts",
