Calls: world tests, claim store tests, a fixed fuzz test; refused replicas are avoided

Cause: with one of two replicas down, refused connections used a workspace's retry budget up within five filings, and the next was refused although the other replica was well (found by the world test of refused connections). Change: another replica after a refused connection is counted but not budgeted, as it adds no load; a replica that refused is tried last for 2 s.

--- a/packages/bench/src/fuzz/domains/calls.ts
+++ b/packages/bench/src/fuzz/domains/calls.ts
@@ -204,6 +204,7 @@
     everStopped: new Set(),
     everFrozen: new Set(),
   }),
+  world: { prefills: 0, decodes: 0 },
   commands: [
     sendNew,
     sendIntoFault,
--- a/packages/bench/src/fuzz/frame.ts
+++ b/packages/bench/src/fuzz/frame.ts
@@ -36,6 +36,8 @@
   readonly name: string;
   /** Makes the domain's part of a new run's model. */
   readonly createPart: () => unknown;
+  /** What a world needs when the domain is run by itself. */
+  readonly world?: Partial<WorldOptions>;
   readonly commands: readonly Arbitrary<FuzzCommand>[];
   readonly checks: readonly Check[];
   readonly mutants: readonly Mutant[];
--- a/packages/bench/src/fuzz/main.ts
+++ b/packages/bench/src/fuzz/main.ts
@@ -29,6 +29,7 @@
       path,
       replayPath,
       endOnFailure: noShrink,
+      world: only ? chosen[0]?.world : undefined,
     });
     printReport(report);
     process.exitCode = report.failed ? 1 : 0;
@@ -45,7 +46,7 @@
         domains: withFaults(domain),
         ...options,
         createVm,
-        world,
+        world: { ...domain.world, ...world },
       });
       const outcome = report.failed ? "found" : "NOT FOUND";
       const [finding = ""] = report.findings;
--- /dev/null
+++ b/packages/core/src/calls/commands/claim_store_test.ts
@@ -0,0 +1,138 @@
+import { err, ok, type Result } from "neverthrow";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import type {
+  Row,
+  RowWrite,
+  StoreFailure,
+  TransactionOutcome,
+} from "../../ports/platform.ts";
+import { asId } from "../../shared/ids.ts";
+import { SILENT_OBSERVER } from "../../shared/observe.ts";
+import type { VmContext } from "../../vm/types.ts";
+import { CALL_POLICIES } from "../policies.ts";
+import type { CallRow } from "../types.ts";
+import { ClaimStore, type WriteOutcome } from "./claim_store.ts";
+
+const COMMIT_MS = 4;
+
+let rows: Map<string, Row>;
+let commits: string[][];
+/** What becomes of the next commits; all others go through. */
+let faults: ("lost reply" | "not sent")[];
+let availability: boolean[];
+let store: ClaimStore;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+  rows = new Map();
+  commits = [];
+  faults = [];
+  availability = [];
+  const platform = { transact, read: () => Promise.resolve(ok(null)) };
+  store = new ClaimStore({
+    ports: { platform },
+    observer: SILENT_OBSERVER,
+    random: () => 0,
+  } as unknown as VmContext, {
+    policies: CALL_POLICIES,
+    liveVms: () => 1,
+    onAvailability: (available) => availability.push(available),
+  });
+});
+
+afterEach(() => {
+  store.stop();
+  vi.useRealTimers();
+});
+
+async function transact(
+  writes: readonly RowWrite[],
+): Promise<Result<TransactionOutcome, StoreFailure>> {
+  const fault = faults.shift();
+  commits.push(writes.map((write) => write.key));
+  await new Promise((resolve) => setTimeout(resolve, COMMIT_MS));
+  if (fault === "not sent") return err({ kind: "notSent", detail: "" });
+  const conflicts = writes.flatMap((write, index) => {
+    const row = rows.get(write.key) ?? null;
+    const meets = write.expect.kind !== "absent" || row === null;
+    return meets ? [] : [{ index, row }];
+  });
+  if (conflicts.length === 0) {
+    for (const { table, key, value } of writes) {
+      rows.set(key, { table, key, version: 1, value });
+    }
+  }
+  if (fault === "lost reply") return err({ kind: "unknown", detail: "" });
+  return ok(
+    conflicts.length > 0
+      ? { kind: "conflict", conflicts }
+      : { kind: "committed" },
+  );
+}
+
+function claim(key: string, token = `${key}-token`) {
+  const row = { key: asId(key), writeToken: token } as CallRow;
+  return store.write({ row, expect: { kind: "absent" }, urgent: true });
+}
+
+async function after(ms: number, outcomes: Promise<WriteOutcome>[]) {
+  await vi.advanceTimersByTimeAsync(ms);
+  return (await Promise.all(outcomes)).map((outcome) => outcome.kind);
+}
+
+test("What gathers while a commit is under way goes in the next", async () => {
+  const outcomes = ["a", "b", "c", "d"].map((key) => claim(key).outcome);
+  expect(await after(20, outcomes)).toEqual(Array(4).fill("written"));
+  expect(commits).toEqual([["a"], ["b", "c", "d"]]);
+});
+
+test("A conflict on one row doesn't fail its neighbours", async () => {
+  rows.set("b", { table: "calls", key: "b", version: 1, value: {} });
+  const outcomes = ["a", "b", "c"].map((key) => claim(key).outcome);
+  expect(await after(100, outcomes)).toEqual([
+    "written",
+    "conflict",
+    "written",
+  ]);
+});
+
+test("A lost reply is followed by the same token, and the row found is known as its own", async () => {
+  faults = ["lost reply", "lost reply"];
+  expect(await after(5_000, [claim("a").outcome])).toEqual(["written"]);
+  expect(commits).toEqual([["a"], ["a"], ["a"]]);
+});
+
+test("Writes that are open hold new ones up only until they are definite", async () => {
+  faults = ["lost reply"];
+  const outcomes = [claim("a").outcome, claim("b").outcome];
+  expect(await after(500, outcomes)).toEqual(["written", "written"]);
+  expect(commits).toEqual([["a"], ["a"], ["b"]]);
+});
+
+test("Only a write that was never sent can be withdrawn", async () => {
+  faults = ["lost reply"];
+  const [open, waiting] = [claim("a"), claim("b")];
+  await vi.advanceTimersByTimeAsync(COMMIT_MS + 1);
+  open.withdraw();
+  waiting.withdraw();
+  expect(await after(500, [open.outcome, waiting.outcome]))
+    .toEqual(["written", "withdrawn"]);
+});
+
+test("The store counts as down after two failures and as up after one success", async () => {
+  faults = ["not sent", "not sent"];
+  const { outcome } = claim("a");
+  await vi.advanceTimersByTimeAsync(300);
+  expect(store.available).toBe(false);
+  expect(await after(2_000, [outcome])).toEqual(["written"]);
+  expect(availability).toEqual([false, true]);
+});
+
+test("With nothing left to write, reads find out that the store is back", async () => {
+  faults = ["not sent", "not sent"];
+  const { withdraw } = claim("a");
+  await vi.advanceTimersByTimeAsync(300);
+  withdraw();
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(availability).toEqual([false, true]);
+});
--- a/packages/core/src/calls/commands/forward.ts
+++ b/packages/core/src/calls/commands/forward.ts
@@ -14,6 +14,8 @@
   service: Service;
   retries: RetryBudget;
   chooseEndpoint: (tried: ReadonlySet<EndpointId>) => Endpoint | undefined;
+  /** Told of each replica that refused the connection. */
+  onRefused: (endpoint: EndpointId) => void;
 }
 
 /** Forwards a call that may run more than once. */
@@ -38,10 +40,11 @@
     if (sent.isOk()) return ok({ ...sent.value, replayed: false });
     tried.add(endpoint.id);
     refusal = worse(refusal, sent.error);
-    const reason = sent.error.kind === "notSent"
-      ? "endpoint-refused"
-      : "connection-lost";
-    if (!retries.take(call.workspace, reason)) return err(refusal);
+    if (sent.error.kind === "notSent") {
+      options.onRefused(endpoint.id);
+      continue;
+    }
+    if (!retries.take(call.workspace, "connection-lost")) return err(refusal);
     const leftMs = call.deadlineAtMs - Date.now();
     const pauseMs = backOffMs(attempt, { random: context.random });
     await new Promise((resolve) =>
--- a/packages/core/src/calls/machine.ts
+++ b/packages/core/src/calls/machine.ts
@@ -23,10 +23,8 @@
   | { readonly type: "sendAllowed" }
   | { readonly type: "sendForbidden"; readonly refusal: NotRun }
   | { readonly type: "answered"; readonly answer: ServiceAnswer }
-  /** No byte was written, and another replica may be tried. */
+  /** No byte was written, so that another replica may be tried. */
   | { readonly type: "anotherReplica" }
-  /** No byte was written, and no other replica is left. */
-  | { readonly type: "notSent"; readonly refusal: NotRun }
   | { readonly type: "lost"; readonly reason: MayHaveRunReason }
   | { readonly type: "recorded" };
 
@@ -125,13 +123,6 @@
           ],
         },
         anotherReplica: "checking",
-        notSent: {
-          target: "releasing",
-          actions: {
-            type: "tell",
-            params: ({ event }) => refused(event.refusal),
-          },
-        },
         lost: {
           target: "recording",
           actions: [
--- a/packages/core/src/calls/queries/choose_endpoint.ts
+++ b/packages/core/src/calls/queries/choose_endpoint.ts
@@ -8,6 +8,8 @@
   dataCentre: DataCentre;
   /** Replicas that refused this call's connection. */
   tried: ReadonlySet<EndpointId>;
+  /** Replicas that lately refused a connection; they are tried last. */
+  avoided: ReadonlySet<EndpointId>;
   random: () => number;
 }
 
@@ -20,9 +22,11 @@
     endpoint.kind === "service" && endpoint.service === options.service &&
     endpoint.state === "live" && !options.tried.has(endpoint.id)
   );
-  const near = usable.filter((endpoint) =>
+  const well = usable.filter((endpoint) => !options.avoided.has(endpoint.id));
+  const among = well.length > 0 ? well : usable;
+  const near = among.filter((endpoint) =>
     endpoint.dataCentre === options.dataCentre
   );
-  const from = near.length > 0 ? near : usable;
+  const from = near.length > 0 ? near : among;
   return from[Math.floor(options.random() * from.length)];
 }
--- a/packages/core/src/calls/run.ts
+++ b/packages/core/src/calls/run.ts
@@ -1,9 +1,15 @@
 /** One call at the VM that claims its key: feeds the machine and carries its effects out. */
 import type { Endpoint, Service } from "../configuration/types.ts";
 import type { Row, RowExpectation } from "../ports/platform.ts";
+import type { SendFailure } from "../ports/services.ts";
 import { asId, type EndpointId, type RequestKey } from "../shared/ids.ts";
 import { type Effect, MachineTask } from "../shared/machine_task.ts";
-import { mayHaveRun, type NotRun, notRun } from "../shared/verdict.ts";
+import {
+  mayHaveRun,
+  type MayHaveRunReason,
+  type NotRun,
+  notRun,
+} from "../shared/verdict.ts";
 import type { VmContext } from "../vm/types.ts";
 import type { ClaimStore, PendingWrite } from "./commands/claim_store.ts";
 import { storeAnswer } from "./commands/kept_answer.ts";
@@ -31,8 +37,8 @@
   store: ClaimStore;
   policies: CallPolicies;
   chooseEndpoint: (tried: ReadonlySet<EndpointId>) => Endpoint | undefined;
-  /** Takes a retry out of the workspace's budget. */
-  takeRetry: () => boolean;
+  /** Told of each replica that refused the connection. */
+  onRefused: (endpoint: EndpointId) => void;
   loopGapMs: () => number;
   onEnd: () => void;
 }
@@ -209,17 +215,11 @@
     );
     if (sent.isOk()) {
       this.#machine?.send({ type: "answered", answer: sent.value });
-    } else if (!policies.mayTryAnother(sent.error)) {
-      this.#machine?.send(
-        sent.error.kind === "notSent"
-          ? { type: "notSent", refusal: notRun("endpoint-refused") }
-          : { type: "lost", reason: reasonOf(sent.error.kind) },
-      );
-    } else if (this.#options.takeRetry()) {
+    } else if (policies.mayTryAnother(sent.error)) {
+      this.#options.onRefused(endpoint.id);
       this.#machine?.send({ type: "anotherReplica" });
     } else {
-      const refusal = notRun("retry-budget-spent");
-      this.#machine?.send({ type: "notSent", refusal });
+      this.#machine?.send({ type: "lost", reason: reasonOf(sent.error.kind) });
     }
   }
 
@@ -322,7 +322,7 @@
   return notRun(reason, { retryAfterMs, earlierAttempts: "unknown" });
 }
 
-function reasonOf(kind: "lost" | "timeout" | "notSent") {
+function reasonOf(kind: SendFailure["kind"]): MayHaveRunReason {
   return kind === "timeout" ? "endpoint-timeout" : "connection-lost";
 }
 
--- a/packages/core/src/calls/task.ts
+++ b/packages/core/src/calls/task.ts
@@ -24,6 +24,7 @@
 import { callDigest, isSameCall } from "./queries/call_digest.ts";
 import { chooseEndpoint } from "./queries/choose_endpoint.ts";
 import { keyTimeMs } from "./queries/key_time.ts";
+import { RefusedEndpoints } from "./refused_endpoints.ts";
 import { attemptNotRun, CallRun, claimToken } from "./run.ts";
 import {
   remainingMs,
@@ -67,6 +68,7 @@
   #follower: ClaimFollower;
   #sweeper: RowSweeper;
   #runs = new Map<RequestKey, CallRun>();
+  #refused = new RefusedEndpoints();
   #submitted = 0;
   #claims = 0;
   #tickedAtMs = performance.now();
@@ -126,6 +128,7 @@
         service,
         retries: this.#options.retries,
         chooseEndpoint: (tried) => this.#chooseEndpoint(call, tried),
+        onRefused: (endpoint) => this.#noteRefused(endpoint),
       });
     }
     if (!call.request) return err(notRun("missing-idempotency-key"));
@@ -267,8 +270,7 @@
       store: this.#store,
       policies: this.#policies,
       chooseEndpoint: (tried) => this.#chooseEndpoint(call, tried),
-      takeRetry: () =>
-        this.#options.retries.take(call.workspace, "endpoint-refused"),
+      onRefused: (endpoint) => this.#noteRefused(endpoint),
       loopGapMs: () => performance.now() - this.#tickedAtMs,
       onEnd: () => {
         if (this.#runs.get(key) === run) this.#runs.delete(key);
@@ -316,10 +318,17 @@
       service: call.service,
       dataCentre: this.#context.identity.dataCentre,
       tried,
+      avoided: this.#refused.current(),
       random: this.#context.random,
     });
   }
 
+  // Another replica after a refused connection adds no load, so it needs no budget.
+  #noteRefused(endpoint: EndpointId): void {
+    this.#refused.add(endpoint);
+    this.#context.observer.count("retries", "endpoint-refused");
+  }
+
   #onAvailability(available: boolean): void {
     this.#context.observer.log({
       event: "call-claims",
