--- a/packages/core/src/vm/request_gate.ts
+++ b/packages/core/src/vm/request_gate.ts
@@ -18,8 +18,8 @@
 
 /** Options of {@link RequestGate}. */
 export interface RequestGateOptions {
-  calls: CallsTask;
-  summaries: SummariesTask;
+  calls: Pick<CallsTask, "submit">;
+  summaries: Pick<SummariesTask, "submit">;
   inProgress: InProgressCount;
   refusesWork: () => boolean;
 }
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -1,6 +1,7 @@
 /** What a VM is built from, and the faces that it shows. */
 import type { ConfigurationPolicies } from "../configuration/task.ts";
 import type { CallPolicies } from "../calls/policies.ts";
+import type { OrdersPolicies } from "../orders/task.ts";
 import type { EnginePort } from "../ports/engines.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
@@ -31,14 +32,6 @@
   readonly inProgress?: InProgress;
 }
 
-/** Parts of a VM's behaviour that a test can leave out or replace, by domain. */
-export interface VmPolicies {
-  readonly configuration?: Partial<ConfigurationPolicies>;
-  readonly membership?: Partial<MembershipPolicies>;
-  readonly stop?: Partial<StopPolicies>;
-  readonly summaries?: Partial<SummaryPolicies>;
-}
-
 /** A part of a VM that is started and stopped with it. */
 export interface VmTask {
   start(): Promise<void> | void;
@@ -48,4 +41,9 @@
 /** Decisions that replace a VM's own, by domain; tests take mechanisms away with them. */
 export interface VmPolicies {
   readonly calls?: Partial<CallPolicies>;
+  readonly configuration?: Partial<ConfigurationPolicies>;
+  readonly membership?: Partial<MembershipPolicies>;
+  readonly orders?: Partial<OrdersPolicies>;
+  readonly stop?: Partial<StopPolicies>;
+  readonly summaries?: Partial<SummaryPolicies>;
 }
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -7,8 +7,12 @@
 import { GrantsHome } from "../grants/home.ts";
 import { createMembershipApp } from "../membership/app.ts";
 import { MembershipTask } from "../membership/task.ts";
+import { OrdersTask } from "../orders/task.ts";
 import type { PeerHandlers } from "../peers/types.ts";
 import { ReportsTask } from "../reports/task.ts";
+import { createQuotasApp } from "../quotas/app.ts";
+import { limitCalls, limitSummaries } from "../quotas/limited.ts";
+import { QuotasTask } from "../quotas/task.ts";
 import { createSummariesApp } from "../summaries/app.ts";
 import { askIncarnation } from "../summaries/alive.ts";
 import { SummariesTask } from "../summaries/task.ts";
@@ -31,6 +35,8 @@
   readonly configuration: ConfigurationTask;
   readonly suspects: SuspectBook;
   readonly retries: RetryBudget;
+  readonly orders: OrdersTask;
+  readonly quotas: QuotasTask;
   readonly calls: CallsTask;
   readonly reports: ReportsTask;
   readonly summaries: SummariesTask;
@@ -51,8 +57,12 @@
       members: () => this.membership.members(),
       policies: policies.configuration,
     });
-    const membership = new MembershipTask(context, {
+    const membership: MembershipTask = new MembershipTask(context, {
       configurationVersion: () => configuration.version(),
+      onProbe: ({ from, configurationVersion }) => {
+        const peer = membership.member(from);
+        if (peer) configuration.noticeVersion(configurationVersion, peer);
+      },
       policies: policies.membership,
     });
     const deployment = () => configuration.current()?.bodies.deployment;
@@ -80,6 +90,12 @@
       answers: async (member) =>
         await askIncarnation(context.ports.peers, member) !== null,
     });
+    this.orders = new OrdersTask(context, {
+      configuration,
+      membership,
+      policies: policies.orders,
+    });
+    this.quotas = new QuotasTask(context, { configuration, membership });
     this.calls = new CallsTask(context, {
       configuration,
       membership,
@@ -96,8 +112,8 @@
       policies: policies.summaries,
     });
     this.gate = new RequestGate({
-      calls: this.calls,
-      summaries: this.summaries,
+      calls: limitCalls(this.calls, this.quotas),
+      summaries: limitSummaries(this.summaries, this.quotas),
       inProgress,
       refusesWork: () => this.refusesWork,
     });
@@ -117,6 +133,7 @@
       ...createCallsApp({
         awaitOutcome: (params) => this.calls.awaitOutcome(params),
       }).handlers,
+      ...createQuotasApp(this.quotas.handlers).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
       ...createSummariesApp(this.summaries.handlers).handlers,
@@ -127,6 +144,8 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    this.quotas.start();
+    this.orders.start();
     this.#plannedStop.start();
     this.reports.start();
     this.calls.start();
@@ -157,6 +176,8 @@
     this.reports.stop();
     this.#grants.stop();
     this.calls.stop();
+    this.orders.stop();
+    this.quotas.stop();
     this.configuration.stop();
     this.membership.stop();
   }
