--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -9,10 +9,10 @@
 import { MembershipTask } from "../membership/task.ts";
 import { OrdersTask } from "../orders/task.ts";
 import type { PeerHandlers } from "../peers/types.ts";
-import { ReportsTask } from "../reports/task.ts";
 import { createQuotasApp } from "../quotas/app.ts";
 import { limitCalls, limitSummaries } from "../quotas/limited.ts";
 import { QuotasTask } from "../quotas/task.ts";
+import { ReportsTask } from "../reports/task.ts";
 import { createSummariesApp } from "../summaries/app.ts";
 import { askIncarnation } from "../summaries/alive.ts";
 import { SummariesTask } from "../summaries/task.ts";
@@ -84,18 +84,18 @@
     this.configuration = configuration;
     this.membership = membership;
     this.#grants = grants;
-    this.reports = new ReportsTask(context, {
-      configuration,
-      membership,
-      answers: async (member) =>
-        await askIncarnation(context.ports.peers, member) !== null,
-    });
     this.orders = new OrdersTask(context, {
       configuration,
       membership,
       policies: policies.orders,
     });
     this.quotas = new QuotasTask(context, { configuration, membership });
+    this.reports = new ReportsTask(context, {
+      configuration,
+      membership,
+      answers: async (member) =>
+        await askIncarnation(context.ports.peers, member) !== null,
+    });
     this.calls = new CallsTask(context, {
       configuration,
       membership,
