--- a/packages/cli/src/commands/cancel_summary.ts
+++ b/packages/cli/src/commands/cancel_summary.ts
@@ -11,7 +11,11 @@
   args: {
     ...connectionArgs,
     ...outputArgs,
-    key: positional({ type: string, displayName: "workspace/request" }),
+    key: positional({
+      type: string,
+      displayName: "workspace/request",
+      description: "As `summaries list` shows it, or without the caller",
+    }),
   },
   examples: [{
     description: "Cancels summary-1 of the workspace lenders",
--- a/packages/daemon/src/admin/interface_test.ts
+++ b/packages/daemon/src/admin/interface_test.ts
@@ -126,7 +126,7 @@
   await expect.poll(async () => {
     const { body } = await admin("/admin/summaries", { token: TOKENS.reader });
     return body.map((run: { key: string }) => run.key);
-  }, { timeout: 10_000 }).toContain("lenders/long");
+  }, { timeout: 10_000 }).toContain("lenders/lender-1/long");
   const cancelled = await admin("/admin/summaries/lenders%2Flong/cancel", {
     token: TOKENS.operator,
     body: {},
@@ -250,3 +250,45 @@
     expect(lines).not.toContain(secret);
   }
 });
+
+test("a caller's key names nothing of another caller's", async () => {
+  const file = (token: string, body: unknown) =>
+    callers(`/v1/services/${SERVICE}/filings`, {
+      token,
+      headers: { "idempotency-key": "shared" },
+      body,
+    });
+  const first = await file(TOKENS.lender, { house: 1 });
+  expect(first.status).toBe(201);
+  const runs = deployment.service.runs.length;
+  const repeated = await file(TOKENS.lender, { house: 1 });
+  expect(repeated.body).toEqual(first.body);
+  expect(repeated.headers.get("idempotency-replayed")).toBe("true");
+  const other = await file(TOKENS.otherLender, { house: 1 });
+  const text = JSON.stringify(other.body);
+  expect(text).not.toContain("registered");
+  expect(deployment.service.runs).toHaveLength(runs);
+  const elsewhere = await file(TOKENS.office, { house: 1 });
+  expect(elsewhere.status).toBe(201);
+});
+
+test("resuming another's summary is answered as one that does not exist", async () => {
+  const resume = (token: string, key: string) =>
+    callers("/v1/completions", {
+      token,
+      headers: { "idempotency-key": key, "last-event-id": "3" },
+      body: { model: MODEL, prompt: "Mine [length=30]", stream: true },
+    });
+  const own = callers("/v1/completions", {
+    token: TOKENS.lender,
+    headers: { "idempotency-key": "mine" },
+    body: { model: MODEL, prompt: "Mine [length=30]", stream: true },
+  });
+  const [others, absent] = await Promise.all([
+    resume(TOKENS.otherLender, "mine"),
+    resume(TOKENS.otherLender, "absent"),
+  ]);
+  expect(others.status).toBe(absent.status);
+  expect(others.body.reason ?? "").toBe(absent.body.reason ?? "");
+  expect((await own).status).toBe(200);
+});
--- a/packages/daemon/src/admin/queries/summaries.ts
+++ b/packages/daemon/src/admin/queries/summaries.ts
@@ -4,6 +4,7 @@
   type HeldRun,
   type RequestKey,
   type StreamId,
+  summaryKeyOf,
   type VmId,
   type WorkspaceId,
   workspaceOf,
@@ -18,6 +19,7 @@
 
 /** A run of a summary at one engine. */
 export interface SummaryStatus {
+  /** Workspace, caller and request id. */
   readonly key: RequestKey;
   readonly workspace: WorkspaceId;
   readonly stream: StreamId;
@@ -57,9 +59,15 @@
   return listed.sort((a, b) => (a.key < b.key ? -1 : 1));
 }
 
+/** True where a key names a run, with or without its caller. */
+export function isNamed(run: SummaryStatus, key: RequestKey): boolean {
+  const [workspace, , ...request] = run.key.split("/");
+  return run.key === key || `${workspace}/${request.join("/")}` === key;
+}
+
 function toStatus(run: HeldRun, endpoint: EndpointId): SummaryStatus {
   return {
-    key: run.key,
+    key: summaryKeyOf(run.key),
     workspace: workspaceOf(run.key),
     stream: run.stream,
     endpoint,
--- a/packages/daemon/src/callers/handler.ts
+++ b/packages/daemon/src/callers/handler.ts
@@ -41,9 +41,6 @@
     const { response, url } = exchange;
     const refuse = (refusal: Refusal) => {
       options.observer.count("refusals", refusal.reason);
-      if (vm.refusesWork && !response.headersSent) {
-        response.setHeader("connection", "close");
-      }
       exchange.fields.verdict = refusal.kind;
       exchange.fields.reason = refusal.reason;
       sendProblem(response, refusal);
@@ -99,8 +96,6 @@
     bearerToken(incoming),
   );
   if (!principal) return refuse(notRun("unauthenticated"));
-  // A slow reader's answer is in progress until its last byte is out.
-  exchange.response.once("close", options.vm.inProgress.track());
   exchange.fields.workspace = principal.workspace.id;
   exchange.fields.caller = principal.caller;
   const isCompletion = COMPLETIONS.has(url.pathname) &&
--- a/packages/daemon/src/callers/openai_test.ts
+++ b/packages/daemon/src/callers/openai_test.ts
@@ -23,11 +23,11 @@
 
 afterAll(() => deployment.close());
 
-function createClient(apiKey: string, maxRetries = 0): OpenAI {
+function createClient(apiKey: string, at = deployment): OpenAI {
   return new OpenAI({
     apiKey,
-    baseURL: `http://${deployment.callers}/v1`,
-    maxRetries,
+    baseURL: `http://${at.callers}/v1`,
+    maxRetries: 0,
   });
 }
 
@@ -117,3 +117,28 @@
   expect(error).toBeInstanceOf(OpenAI.NotFoundError);
   expect(error.code).toBe("unknown-model");
 });
+test("a stream that its caller leaves frees the engine's memory", async () => {
+  const stream = await client.completions.create({
+    model: MODEL,
+    prompt: "Long. [length=900]",
+    stream: true,
+  });
+  for await (const _chunk of stream) break;
+  const held = () => deployment.decodes.flatMap((engine) => engine.heldRuns());
+  await expect.poll(() => held().length, { timeout: 5_000 }).toBe(0);
+});
+
+test("a refusal says when to come back", async () => {
+  const unconfigured = await startTestDeployment({ unconfigured: true });
+  const error = await failureOf(
+    createClient(TOKENS.lender, unconfigured).completions.create({
+      model: MODEL,
+      prompt: PROMPT,
+    }),
+  );
+  await unconfigured.close();
+  expect(error.status).toBe(503);
+  expect(Number(error.headers?.get("retry-after"))).toBeGreaterThan(0);
+  expect(error.code).toBe("no-configuration");
+  expect(error.type).toBe("notRun");
+});
--- a/packages/daemon/src/http/connection_sweep.ts
+++ b/packages/daemon/src/http/connection_sweep.ts
@@ -33,6 +33,11 @@
     return this.#connections.size;
   }
 
+  /** The open connections. */
+  connections(): readonly Socket[] {
+    return [...this.#connections.keys()];
+  }
+
   /** Watches a connection until it closes. */
   add(socket: Socket): void {
     this.#connections.set(socket, { takenBytes: 0, sinceMs: 0 });
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -53,6 +53,8 @@
 // Callers that arrive together fill Node's usual queue of 511.
 const LISTEN_BACKLOG = 4_096;
 const CHECK_INTERVAL_MS = 1_000;
+/** Time that a closing interface leaves for headers that are on their way. */
+const CLOSE_UNUSED_INTERVAL_MS = 500;
 // Connections over the limit that are told so; what comes on top is dropped unanswered.
 const REFUSED_CONNECTIONS = 100;
 
@@ -76,6 +78,7 @@
   #sweep: ConnectionSweep;
   #responses = new Set<ServerResponse>();
   #closing = false;
+  #closeTimer: ReturnType<typeof setInterval> | undefined;
 
   constructor(options: HttpPartOptions) {
     this.#options = options;
@@ -90,7 +93,9 @@
     this.#server.maxConnections = limits.connections + REFUSED_CONNECTIONS;
     // One more than allowed, so that the excess shows.
     this.#server.maxHeadersCount = limits.headerCount + 1;
-    this.#server.on("connection", (socket) => this.#admit(socket));
+    // Under TLS a request's socket is the one that the handshake gives.
+    const opened = options.tls ? "secureConnection" : "connection";
+    this.#server.on(opened, (socket: Socket) => this.#admit(socket));
     this.#server.on(
       "drop",
       () => observer.count("refusals", "too-many-connections"),
@@ -114,15 +119,21 @@
     this.#closing = true;
     return new Promise((resolve) => {
       this.#server.close(() => {
-        this.#sweep.stop();
+        this.#endTimers();
         resolve();
       });
       this.#server.closeIdleConnections();
+      this.#closeUnused({ withoutBytes: true });
+      // Node stops to time connections once its server closes.
+      this.#closeTimer = setInterval(
+        () => this.#closeUnused({ withoutBytes: false }),
+        CLOSE_UNUSED_INTERVAL_MS,
+      );
     });
   }
 
   abort(): void {
-    this.#sweep.stop();
+    this.#endTimers();
     this.#server.closeAllConnections();
   }
 
@@ -135,22 +146,29 @@
     };
   }
 
+  #endTimers(): void {
+    this.#sweep.stop();
+    clearInterval(this.#closeTimer);
+  }
+
+  // Node counts a connection as active until its first request, however long that takes.
+  #closeUnused(options: { withoutBytes: boolean }): void {
+    const used = new Set([...this.#responses].map((one) => one.socket));
+    for (const socket of this.#sweep.connections()) {
+      if (used.has(socket)) continue;
+      if (options.withoutBytes && socket.bytesRead > 0) continue;
+      socket.destroy();
+    }
+  }
+
   #admit(socket: Socket): void {
     if (this.#sweep.size < this.#options.limits.connections) {
       this.#sweep.add(socket);
       return;
     }
     socket.on("error", () => {});
-    // Under TLS the other side could not read an answer before its handshake.
-    if (this.#options.tls) {
-      this.#options.observer.count("refusals", "too-many-connections");
-      socket.destroy();
-    } else {
-      this.#refuseSocket(socket, {
-        refusal: notRun("too-many-connections"),
-        status: 503,
-      });
-    }
+    const refusal = notRun("too-many-connections");
+    this.#refuseSocket(socket, { refusal, status: 503 });
   }
 
   async #answer(
--- a/packages/daemon/src/http/server_test.ts
+++ b/packages/daemon/src/http/server_test.ts
@@ -200,6 +200,17 @@
   await stopped;
 });
 
+test("a stop ends connections that never sent a request", async () => {
+  await serve({});
+  const silent = open();
+  const partial = open();
+  await Promise.all([once(silent, "connect"), once(partial, "connect")]);
+  await expect.poll(() => part.activity().connections).toBe(2);
+  partial.write("POST / HTTP/1.1\r\n");
+  await part.stop();
+  await expect.poll(() => part.activity().connections).toBe(0);
+});
+
 test("a port that is taken fails the start", async () => {
   await serve({});
   const second = createHttpPart({
