--- a/packages/core/src/calls/follow.ts
+++ b/packages/core/src/calls/follow.ts
@@ -1,5 +1,5 @@
 /** Follows a claim that another VM holds: asks the claimant, or finds that it is gone. */
-import type { MembershipView } from "../membership/types.ts";
+import type { IncarnationCheck, MembershipView } from "../membership/types.ts";
 import type { Row } from "../ports/platform.ts";
 import type { ServiceAnswer } from "../ports/services.ts";
 import { mayHaveRun, type MayHaveRunReason } from "../shared/verdict.ts";
@@ -13,14 +13,12 @@
 const POLL_MS = 2_000;
 const POLL_GRACE_MS = 250;
 const PAUSE_MS = 200;
-/** A VM that is not on the list is gone once its claim is older than the list's lag. */
-const LIST_LAG_MS = 10_000;
 /** How often a claimant may deny a claim that still stands in its name. */
 const MAX_DENIALS = 3;
 
 /** Options of {@link ClaimFollower}. */
 export interface ClaimFollowerOptions {
-  membership: MembershipView;
+  membership: MembershipView & IncarnationCheck;
   store: ClaimStore;
   policies: CallPolicies;
 }
@@ -42,12 +40,13 @@
   ): Promise<Step<ServiceAnswer>> {
     let held = row;
     let reached = true;
+    let gone = false;
     let denials = 0;
-    while (remainingMs(submission) > 0) {
+    while (remainingMs(submission) > 0 && !submission.waiter.gone()) {
       const { claim } = held.value as unknown as CallRow;
       const decision = this.#options.policies.judgeClaim({
         claim,
-        claimantGone: this.#isGone(claim),
+        claimantGone: gone,
         claimantReached: reached,
       });
       if (decision !== "ask") {
@@ -63,6 +62,7 @@
       if (outcome?.kind === "pending") continue;
       if (outcome?.kind === "unknown") denials += 1;
       if (denials > MAX_DENIALS) return lost("claimant-lost");
+      gone = await this.#isGone(submission, claim);
       await untilDeadline(submission, wait(PAUSE_MS));
       const now = await untilDeadline(
         submission,
@@ -123,12 +123,16 @@
     return lost("claimant-lost");
   }
 
-  #isGone(claim: CallRow["claim"]): boolean {
-    const member = this.#options.membership.member(claim.vm);
-    if (!member) return Date.now() - claim.claimedAtMs > LIST_LAG_MS;
-    if (member.state === "dead") return true;
-    return member.incarnation !== null &&
-      member.incarnation !== claim.incarnation;
+  async #isGone(
+    submission: Submission,
+    claim: CallRow["claim"],
+  ): Promise<boolean> {
+    const { vm, incarnation } = claim;
+    const confirmed = await untilDeadline(
+      submission,
+      this.#options.membership.confirmGone({ vm, incarnation }),
+    );
+    return confirmed ?? false;
   }
 }
 
--- a/packages/core/src/calls/task.ts
+++ b/packages/core/src/calls/task.ts
@@ -2,7 +2,7 @@
 import { err, ok } from "neverthrow";
 import type { ConfigurationView } from "../configuration/task.ts";
 import type { Endpoint, Service } from "../configuration/types.ts";
-import type { MembershipView } from "../membership/types.ts";
+import type { IncarnationCheck, MembershipView } from "../membership/types.ts";
 import type { Row } from "../ports/platform.ts";
 import type { ServiceAnswer } from "../ports/services.ts";
 import type { RetryBudget } from "../retries/budget.ts";
@@ -50,7 +50,7 @@
 /** Options of {@link CallsTask}. */
 export interface CallsTaskOptions {
   configuration: ConfigurationView;
-  membership: MembershipView;
+  membership: MembershipView & IncarnationCheck;
   retries: RetryBudget;
   policies?: Partial<CallPolicies>;
 }
@@ -211,15 +211,19 @@
     previous: Row | null,
   ): Promise<ClaimStep> {
     const held = this.#runs.get(submission.key);
-    if (held) {
-      const same = isSameCall(held.about, aboutOf(submission));
-      if (!same) return refused(notRun("key-reused"));
+    if (held && isSameCall(held.about, aboutOf(submission))) {
       return await this.#waitFor(held, submission);
     }
+    if (held?.isClaimed) return refused(notRun("key-reused"));
     if (!this.#store.available) {
       const { retryAfterMs } = this.#store;
       return refused(attemptNotRun("store-unavailable", retryAfterMs));
     }
+    if (held) {
+      // The key may still turn out to be this submission's own.
+      await untilDeadline(submission, held.definite);
+      return { kind: "again" };
+    }
     return await this.#waitFor(
       this.#createRun(submission, previous),
       submission,
--- a/packages/daemon/src/callers/handler.ts
+++ b/packages/daemon/src/callers/handler.ts
@@ -15,10 +15,11 @@
   header,
   sendJson,
 } from "../http/exchange.ts";
-import { sendProblem } from "../http/problem.ts";
+import { problemOf, sendProblem } from "../http/problem.ts";
 import { authenticateCaller } from "./authenticate.ts";
 import { handleCompletion } from "./completions.ts";
 import type { CallerContext } from "./context.ts";
+import { completionProblem } from "./openai.ts";
 import { handleServiceCall } from "./services.ts";
 
 /** What the caller interface needs. */
@@ -39,20 +40,33 @@
   return async (exchange: Exchange): Promise<void> => {
     const { vm } = options;
     const { response, url } = exchange;
-    const refuse = (refusal: Refusal) => {
-      options.observer.count("refusals", refusal.reason);
+    const sendRefusal = (refusal: Refusal) => {
       exchange.fields.verdict = refusal.kind;
       exchange.fields.reason = refusal.reason;
-      sendProblem(response, refusal);
+      if (vm.refusesWork && !response.headersSent) {
+        response.setHeader("connection", "close");
+      }
+      const build = COMPLETIONS.has(url.pathname)
+        ? completionProblem
+        : problemOf;
+      sendProblem(response, refusal, build(refusal));
+    };
+    const refuse = (refusal: Refusal) => {
+      options.observer.count("refusals", refusal.reason);
+      sendRefusal(refusal);
     };
     if (url.pathname === "/health/live") return sendJson(response, "live");
     const configuration = vm.configuration.current();
     if (!configuration) return refuse(notRun("no-configuration"));
-    if (url.pathname === "/health/ready") return sendJson(response, "ready");
+    if (url.pathname === "/health/ready") {
+      if (vm.refusesWork) return refuse(notRun("stopping"));
+      return sendJson(response, "ready");
+    }
     if (url.pathname === "/v1/addresses") {
       return sendAddresses(exchange, { vm, configuration });
     }
-    await answerCaller(exchange, { ...options, configuration, refuse });
+    const answers = { configuration, refuse, sendRefusal };
+    await answerCaller(exchange, { ...options, ...answers });
   };
 }
 
@@ -87,6 +101,7 @@
   options: CallerHandlerOptions & {
     configuration: Configuration;
     refuse: Refuse;
+    sendRefusal: Refuse;
   },
 ): Promise<void> {
   const { incoming, url } = exchange;
@@ -96,6 +111,8 @@
     bearerToken(incoming),
   );
   if (!principal) return refuse(notRun("unauthenticated"));
+  // A slow reader's answer is in progress until its last byte is out.
+  exchange.response.once("close", options.vm.inProgress.track());
   exchange.fields.workspace = principal.workspace.id;
   exchange.fields.caller = principal.caller;
   const isCompletion = COMPLETIONS.has(url.pathname) &&
