--- /dev/null
+++ b/packages/bench/src/demo/say.ts
@@ -0,0 +1,7 @@
+/** What the demonstration prints. */
+import process from "node:process";
+
+/** Prints one line. */
+export function say(line = ""): void {
+  process.stdout.write(`${line}\n`);
+}
--- a/packages/core/src/calls/run.ts
+++ b/packages/core/src/calls/run.ts
@@ -201,6 +201,11 @@
     const { call, key, service, policies } = this.#options;
     const endpoint = this.#endpoint!;
     this.#tried.add(endpoint.id);
+    this.#context.observer.log({
+      event: "call-sent",
+      key,
+      endpoint: endpoint.id,
+    });
     const { method, path, contentType, body } = call;
     const sent = await this.#context.ports.services.call(
       endpoint,
--- a/packages/core/src/summaries/admission_stage.ts
+++ b/packages/core/src/summaries/admission_stage.ts
@@ -116,10 +116,22 @@
     if (!attempt.prefill || !attempt.decode) {
       return this.#state.refuse(notRun("no-endpoint"));
     }
+    this.#logGrant(attempt, granted.cachedTokens);
     this.#state.update();
     this.#state.send({ type: "granted" });
   }
 
+  #logGrant(attempt: Attempt, cachedTokens: number): void {
+    this.#state.options.context.observer.log({
+      event: "summary-granted",
+      key: this.#state.key,
+      stream: attempt.stream,
+      prefill: attempt.prefill?.id,
+      decode: attempt.decode?.id,
+      cachedTokens,
+    });
+  }
+
   #waitForSuspect(busy: { retryAfterMs: number }): void {
     const { retryAfterMs } = busy;
     if (this.#state.leftMs() < retryAfterMs + LEAST_ATTEMPT_MS) {
