--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -40,10 +40,6 @@
   readonly status: number;
   readonly verdict: Refusal["kind"];
   readonly reason: Refusal["reason"];
-  /** What client libraries show as the error's text. */
-  readonly message: string;
-  /** The reason under the name that client libraries look for. */
-  readonly code: Refusal["reason"];
   readonly detail?: string;
   readonly retryAfterMs?: number;
   readonly earlierAttempts?: "unknown";
@@ -56,15 +52,12 @@
     : refusal.reason === "internal-error"
     ? INTERNAL_ERROR_STATUS
     : MAY_HAVE_RUN_STATUS;
-  const title = refusal.reason.replaceAll("-", " ");
   return {
     type: `urn:teaselvalve:refusal:${refusal.reason}`,
-    title,
+    title: refusal.reason.replaceAll("-", " "),
     status,
     verdict: refusal.kind,
     reason: refusal.reason,
-    message: [title, refusal.detail].filter(Boolean).join(": "),
-    code: refusal.reason,
     ...(refusal.detail ? { detail: refusal.detail } : {}),
     ...(refusal.kind === "notRun"
       ? {
@@ -94,7 +87,7 @@
   // The refusal may come after the caller has gone or the answer has begun.
   if (response.headersSent || response.destroyed) return;
   response.writeHead(problem.status, headers);
-  response.end(JSON.stringify(withError(problem)));
+  response.end(JSON.stringify(problem));
 }
 
 /** Formats a refusal for a connection on which no request could be read. */
@@ -109,9 +102,3 @@
     body,
   ].join("\r\n");
 }
-
-// Client libraries of model interfaces read refusals from the member `error`.
-function withError(problem: ProblemBody) {
-  const { message, code, verdict } = problem;
-  return { ...problem, error: { message, code, type: verdict } };
-}
