Only the owner of a key frees it: another body under the key no longer ends the run

Cause: a refused claim told the home that the key was free, under a newer epoch, and the home closed the run of the earlier request (found by world/summaries_test.ts). Change: RunState.owns; the fuzzer checks that a request is superseded only by a connection of the same request.

--- a/packages/bench/src/fuzz/domains/summaries_checks.ts
+++ b/packages/bench/src/fuzz/domains/summaries_checks.ts
@@ -147,6 +147,19 @@
   },
 );
 
+const supersededByOwn = check("superseded only by the same request", "always", (
+  part,
+) =>
+  part.attachments.flatMap((attachment) => {
+    const { last } = attachment.summary;
+    if (last?.kind !== "refused") return [];
+    if (last.refusal.reason !== "superseded") return [];
+    const others = part.attachments.filter((one) =>
+      one !== attachment && one.identity === attachment.identity
+    );
+    return others.length > 0 ? [] : [`${nameOf(attachment)}: superseded`];
+  }));
+
 // VMs that are cut off from each other keep suspicions apart: KNOWN-RED.txt.
 const poisonLosses = check("replicas lost to one request", "always", (
   part,
@@ -222,6 +235,7 @@
   lastEvents,
   heldMemory,
   newestConnection,
+  supersededByOwn,
   poisonLosses,
   neighbours,
   fairRefusals,
--- a/packages/bench/src/world/summaries_test.ts
+++ b/packages/bench/src/world/summaries_test.ts
@@ -86,10 +86,12 @@
   await world.advance(500);
   const other = ask("vm-2", { prompt: promptOf(30) });
   const stranger = ask("vm-3", { caller: asId("lender-2") });
+  await world.advance(200);
   const resumer = ask("vm-3", { caller: asId("lender-3"), fromOffset: 4 });
   await world.advance(10_000);
   expect(other.last).toMatchObject({ refusal: { reason: "key-reused" } });
   expect(resumer.last).toMatchObject({ refusal: { reason: "not-found" } });
+  expect(first.last).toMatchObject({ kind: "end", totalTokens: LONG });
   expect(first.text).toBe(whole(LONG));
   expect(stranger.text).toBe(whole(LONG));
 });
@@ -128,8 +130,8 @@
   async (vm) => {
     for (let at = 0; at < 4; at += 1) {
       ask(vm, { request: asId(`long-${at}`), prompt: promptOf(900 + at) });
+      await world.advance(200);
     }
-    await world.advance(600);
     expect(held()).toBe(4);
     world.killVm(vm);
     await world.advance(5_000);
--- a/packages/core/src/summaries/claim_stage.ts
+++ b/packages/core/src/summaries/claim_stage.ts
@@ -28,10 +28,12 @@
       supersedes: policies.supersedes,
     });
     this.#state.after(claimed, (claim) => this.#takeClaim(claim), (claim) => {
-      // The caller went meanwhile; a run that was taken over is freed.
-      if (claim.kind !== "located" || !this.#state.relay.ended) return;
-      this.#state.epoch = Math.max(this.#state.epoch, claim.epoch);
-      this.#state.attempt = this.#adopt(claim.run);
+      // The caller went meanwhile; the key and what was taken over are freed.
+      if (claim.kind === "refused" || !this.#state.relay.ended) return;
+      this.#own(claim.epoch);
+      if (claim.kind === "located") {
+        this.#state.attempt = this.#adopt(claim.run);
+      }
       this.#state.abandon();
       this.#state.forget();
     });
@@ -39,7 +41,7 @@
 
   #takeClaim(claim: Claim): void {
     if (claim.kind === "refused") return this.#state.refuse(claim.refusal);
-    this.#state.epoch = Math.max(this.#state.epoch, claim.epoch);
+    this.#own(claim.epoch);
     if (claim.kind === "new") {
       this.#state.options.retries.admitted(this.#state.request.workspace);
       return this.#state.send({ type: "registered" });
@@ -50,6 +52,11 @@
     });
   }
 
+  #own(epoch: number): void {
+    this.#state.owns = true;
+    this.#state.epoch = Math.max(this.#state.epoch, epoch);
+  }
+
   #adopt(run: RunLocation): Attempt {
     const attempt = adoptAttempt(run, this.#state.endpoints());
     if (!run.grant || !attempt.prefill || !attempt.decode) return attempt;
--- a/packages/core/src/summaries/run.ts
+++ b/packages/core/src/summaries/run.ts
@@ -109,9 +109,9 @@
     this.#state.send({ type: "left" });
   }
 
-  /** Tells a new view's home, once this VM knows itself that the key is its own. */
+  /** Tells a new view's home. */
   registerAgain(): void {
-    if (this.#state.stateName !== "registering") this.#state.update();
+    this.#state.update();
   }
 
   /** Pauses the events for a caller that reads slowly. */
--- a/packages/core/src/summaries/run_state.ts
+++ b/packages/core/src/summaries/run_state.ts
@@ -62,6 +62,8 @@
   request: SummaryRequest;
   epoch = Date.now();
   attempt: Attempt | null = null;
+  /** Whether the key's home has given the key to this VM. */
+  owns = false;
   /** When the caller stops waiting, on the clock of `performance.now`. */
   deadlineAtMs: number;
   firstTokenAtMs: number;
@@ -124,6 +126,7 @@
 
   /** Tells the key's home where the run is now. */
   update(): void {
+    if (!this.owns) return;
     void this.options.registrar.register(this.registration(), true).then(
       (answer) => {
         if (answer?.kind !== "exists" || this.relay.ended) return;
@@ -282,6 +285,8 @@
 
   /** Tells the key's home that the key is free again. */
   forget(): void {
+    if (!this.owns) return;
+    this.owns = false;
     const { registrar } = this.options;
     void registrar.register(this.registration("cancelled"), true);
   }
