Two bodies under one key that meet late: the one that the home knows stays, the other is told key-reused

Change: a home never replaces a registration by one of another body; whoever finds another body registered ends with key-reused, as may-have-run if part of its answer went out.

--- a/packages/bench/src/fuzz/domains/summaries.ts
+++ b/packages/bench/src/fuzz/domains/summaries.ts
@@ -217,6 +217,10 @@
     shortly,
   ],
   checks: SUMMARY_CHECKS,
+  // All faults are healed before; from here on nothing hinders a clean-up.
+  heal(model) {
+    partOf<SummariesPart>(model, SUMMARIES).calmSinceMs = Date.now();
+  },
   mutants: [
     mutant("supersede", { supersedes: false }),
     mutant("offset and epoch check", { dropsStaleEvents: false }),
--- a/packages/core/src/shared/verdict.ts
+++ b/packages/core/src/shared/verdict.ts
@@ -41,6 +41,7 @@
   "endpoint-timeout",
   "superseded",
   "in-progress-elsewhere",
+  "key-reused",
   "engine-crashed",
   "deadline-passed",
   "slow-reader",
--- a/packages/core/src/summaries/home.ts
+++ b/packages/core/src/summaries/home.ts
@@ -92,6 +92,8 @@
   params: { registration: Registration; takeOver: boolean },
 ): boolean {
   const { registration, takeOver } = params;
+  // Homes that differed for a while may have let two bodies run under one key.
+  if (held.bodyDigest !== registration.bodyDigest) return false;
   const sameOwner = held.owner.incarnation === registration.owner.incarnation;
   if (takeOver && registration.epoch > held.epoch) return true;
   return sameOwner && registration.epoch >= held.epoch &&
--- a/packages/core/src/summaries/run_state.ts
+++ b/packages/core/src/summaries/run_state.ts
@@ -189,6 +189,9 @@
 
   /** Ends the run here for an owner with a newer registration. */
   yieldTo(newer: Registration): void {
+    if (newer.bodyDigest !== this.bodyDigest) {
+      return this.refuse(notRun("key-reused"));
+    }
     this.supersede(newer.run?.stream === this.attempt?.stream);
   }
 
@@ -301,9 +304,10 @@
 function refusalOfPart(refusal: Refusal): Refusal {
   if (refusal.kind === "mayHaveRun") return refusal;
   switch (refusal.reason) {
-    case "key-reused":
     case "not-found":
       return refusal;
+    case "key-reused":
+      return mayHaveRun("key-reused");
     case "deadline-passed":
     case "deadline-unreachable":
       return mayHaveRun("deadline-passed");
