--- a/packages/bench/src/fuzz/domains/summaries.ts
+++ b/packages/bench/src/fuzz/domains/summaries.ts
@@ -60,7 +60,8 @@
     deadlineAtMs: Date.now() + sending.deadlineMs,
   });
   const identity = `${wanted.caller} ${wanted.request} ${wanted.prompt}`;
-  part.attachments.push({ summary, wanted, identity });
+  const askedFrozen = world.network.isFrozen(vm);
+  part.attachments.push({ summary, wanted, identity, askedFrozen });
 }
 
 const index = fc.nat({ max: 11 });
@@ -202,6 +203,7 @@
     attachments: [],
     calmSinceMs: Date.now(),
     everCut: false,
+    everParted: false,
     everFrozen: new Set(),
   }),
   commands: [
@@ -215,6 +217,10 @@
     shortly,
   ],
   checks: SUMMARY_CHECKS,
+  // All faults are healed before; from here on nothing hinders a clean-up.
+  heal(model) {
+    partOf<SummariesPart>(model, SUMMARIES).calmSinceMs = Date.now();
+  },
   mutants: [
     mutant("supersede", { supersedes: false }),
     mutant("offset and epoch check", { dropsStaleEvents: false }),
--- a/packages/core/src/configuration/commands/submit.ts
+++ b/packages/core/src/configuration/commands/submit.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { PlatformPort, RowWrite } from "../../ports/platform.ts";
 import { digest } from "../../shared/hash.ts";
-import type { Digest, VmId } from "../../shared/ids.ts";
+import type { Digest, VmId, WorkspaceId } from "../../shared/ids.ts";
 import {
   bodyDigest,
   canonicalBody,
@@ -39,7 +39,7 @@
   type SubmissionOutcome,
   type SubmissionRow,
 } from "../types.ts";
-import { checkScopes, parseManifest } from "./validate.ts";
+import { checkAllowed, checkScopes, parseManifest } from "./validate.ts";
 
 /** How long a commit of unknown outcome is repeated. */
 const COMMIT_LIMIT_MS = 6_000;
@@ -63,7 +63,9 @@
   platform: PlatformPort;
   vm: VmId;
   policies: SubmitPolicies;
-  /** Brings the configuration in force up to a head; null when it can't be read. */
+  /** The workspaces that the submitter may change, and nothing else; absent for no such limit. */
+  allowedWorkspaces?: readonly WorkspaceId[];
+  /** Brings the configuration in force up to a head, where it can be read, and gives it. */
   catchUp: (row: HeadRow) => Promise<Configuration | null>;
 }
 
@@ -86,10 +88,20 @@
 /** What an attempt came to. */
 export type CommitOutcome = Committed | Refused;
 
-interface Draft {
+interface Submitted {
   readonly manifest: Manifest;
   readonly manifestDigest: Digest;
   readonly row: HeadRow;
+  readonly held: Configuration | null;
+}
+
+/** The bodies before and after a manifest. */
+export interface PreparedBodies {
+  readonly before: ScopeBodies;
+  readonly after: ScopeBodies;
+}
+
+interface Draft extends Submitted {
   readonly configuration: Configuration;
   readonly change: ConfigurationChange;
 }
@@ -106,12 +118,22 @@
   const { platform, policies } = options;
   const untilMs = performance.now() + COMMIT_LIMIT_MS;
   while (performance.now() < untilMs) {
+    // The head goes first: a submission that isn't there afterwards had no part in that head.
+    const row = await readHead(platform);
+    if (row.isErr()) return UNAVAILABLE;
     if (policies.keepsSubmissionRow) {
       const earlier = await readSubmission(platform, manifest.submissionId);
       if (earlier.isErr()) return UNAVAILABLE;
       if (earlier.value) return repeated(earlier.value, manifestDigest);
     }
-    const draft = await draftChange({ manifest, manifestDigest }, options);
+    const held = await options.catchUp(row.value);
+    const heldVersion = held?.head.version ?? 0;
+    if (heldVersion < row.value.head.version) return UNAVAILABLE;
+    if (heldVersion > row.value.head.version) continue;
+    const draft = await draftChange(
+      { manifest, manifestDigest, row: row.value, held },
+      options,
+    );
     if (draft.isErr()) return draft.error;
     const outcome = await commit(draft.value, { ...options, untilMs });
     if (outcome !== "head-moved") return outcome;
@@ -120,20 +142,36 @@
 }
 
 async function draftChange(
-  submitted: { manifest: Manifest; manifestDigest: Digest },
+  submitted: Submitted,
   options: SubmitOptions,
 ): Promise<Result<Draft, Refused>> {
-  const { platform, policies } = options;
-  const { manifest } = submitted;
-  const row = await readHead(platform);
-  if (row.isErr()) return err(UNAVAILABLE);
-  const held = await options.catchUp(row.value);
-  if (row.value.rowVersion > 0 && !held) return err(UNAVAILABLE);
+  const { manifest, row } = submitted;
+  const prepared = await prepareBodies(submitted, options);
+  if (prepared.isErr()) return err(prepared.error);
+  const { before, after } = prepared.value;
+  const change = await storeChange(manifest, {
+    platform: options.platform,
+    head: row.head,
+    before,
+    after,
+  });
+  if (!change) return err(UNAVAILABLE);
+  const configuration = { head: change.head, bodies: after };
+  return ok({ ...submitted, change, configuration });
+}
+
+/** Checks a manifest against what is in force, and gives the bodies that it would make. */
+export async function prepareBodies(
+  submitted: Pick<Submitted, "manifest" | "row" | "held">,
+  options: Omit<SubmitOptions, "vm" | "catchUp">,
+): Promise<Result<PreparedBodies, Refused>> {
+  const { platform, policies, allowedWorkspaces } = options;
+  const { manifest, row, held } = submitted;
   const before = held?.bodies ?? emptyBodies();
   if (policies.checksBaseVersions) {
     const conflicts = await findConflicts(manifest, {
       platform,
-      head: row.value.head,
+      head: row.head,
       before,
     });
     if (conflicts.length > 0) return err({ kind: "conflict", conflicts });
@@ -143,25 +181,17 @@
     const body = manifest.scopes[scope]?.body;
     if (body !== undefined) setScope(after, scope, body);
   }
-  const errors = checkScopes({ manifest, before, after });
+  const candidate = { manifest, before, after };
+  const errors = [
+    ...checkScopes(candidate),
+    ...(allowedWorkspaces ? checkAllowed(candidate, allowedWorkspaces) : []),
+  ];
   if (errors.length > 0) return err(invalid(errors));
   for (const scope of SCOPES) {
     if (!manifest.scopes[scope]) continue;
     setScope(after, scope, canonicalBody(scope, after[scope]));
   }
-  const change = await storeChange(manifest, {
-    platform,
-    head: row.value.head,
-    before,
-    after,
-  });
-  if (!change) return err(UNAVAILABLE);
-  return ok({
-    ...submitted,
-    row: row.value,
-    change,
-    configuration: { head: change.head, bodies: after },
-  });
+  return ok({ before, after });
 }
 
 async function storeChange(
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -1,13 +1,17 @@
 /** What a VM is built from, and the faces that it shows. */
 import type { ConfigurationPolicies } from "../configuration/task.ts";
 import type { CallPolicies } from "../calls/policies.ts";
+import type { OrdersPolicies } from "../orders/task.ts";
 import type { EnginePort } from "../ports/engines.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
 import type { ServicePort } from "../ports/services.ts";
+import type { MembershipPolicies } from "../membership/view.ts";
 import type { VmIdentity } from "../membership/types.ts";
 import type { SummaryPolicies } from "../summaries/policies.ts";
 import type { Observer } from "../shared/observe.ts";
+import type { InProgress } from "./in_progress.ts";
+import type { StopPolicies } from "./planned_stop.ts";
 
 /** The outside as a VM reaches it. */
 export interface VmPorts {
@@ -24,12 +28,8 @@
   readonly observer: Observer;
   /** A number from 0 up to 1; seeded in tests. */
   readonly random: () => number;
-}
-
-/** Parts of a VM's behaviour that a test can leave out or replace, by domain. */
-export interface VmPolicies {
-  readonly configuration?: Partial<ConfigurationPolicies>;
-  readonly summaries?: Partial<SummaryPolicies>;
+  /** Told of work that outlives its answer, for instance a row that is still being written. */
+  readonly inProgress?: InProgress;
 }
 
 /** A part of a VM that is started and stopped with it. */
@@ -41,4 +41,9 @@
 /** Decisions that replace a VM's own, by domain; tests take mechanisms away with them. */
 export interface VmPolicies {
   readonly calls?: Partial<CallPolicies>;
+  readonly configuration?: Partial<ConfigurationPolicies>;
+  readonly membership?: Partial<MembershipPolicies>;
+  readonly orders?: Partial<OrdersPolicies>;
+  readonly stop?: Partial<StopPolicies>;
+  readonly summaries?: Partial<SummaryPolicies>;
 }
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -7,7 +7,11 @@
 import { GrantsHome } from "../grants/home.ts";
 import { createMembershipApp } from "../membership/app.ts";
 import { MembershipTask } from "../membership/task.ts";
+import { OrdersTask } from "../orders/task.ts";
 import type { PeerHandlers } from "../peers/types.ts";
+import { createQuotasApp } from "../quotas/app.ts";
+import { limitCalls, limitSummaries } from "../quotas/limited.ts";
+import { QuotasTask } from "../quotas/task.ts";
 import { ReportsTask } from "../reports/task.ts";
 import { createSummariesApp } from "../summaries/app.ts";
 import { askIncarnation } from "../summaries/alive.ts";
@@ -15,9 +19,14 @@
 import { RetryBudget } from "../retries/budget.ts";
 import { createSuspectsApp } from "../suspects/app.ts";
 import { SuspectBook } from "../suspects/book.ts";
+import { RequestGate } from "./request_gate.ts";
+import { InProgressCount } from "./in_progress.ts";
+import { PlannedStop, type StopOutcome } from "./planned_stop.ts";
+import type { CutReason } from "./stop_machine.ts";
 import type { VmContext, VmPolicies } from "./types.ts";
 
 const DEFAULT_CONVICTION_MS = 3_600_000;
+const DEFAULT_ADDRESS_TTL_MS = 10_000;
 
 /** One entry VM: its tasks and the methods that its peers may call. */
 export class Vm {
@@ -26,22 +35,44 @@
   readonly configuration: ConfigurationTask;
   readonly suspects: SuspectBook;
   readonly retries: RetryBudget;
+  readonly orders: OrdersTask;
+  readonly quotas: QuotasTask;
   readonly calls: CallsTask;
   readonly reports: ReportsTask;
   readonly summaries: SummariesTask;
   readonly peerHandlers: PeerHandlers;
+  /** Where callers' requests enter. */
+  readonly gate: RequestGate;
+  /** Work that a planned stop waits for. */
+  readonly inProgress: InProgressCount;
+  #plannedStop: PlannedStop;
   #grants: GrantsHome;
 
-  constructor(context: VmContext, policies: VmPolicies = {}) {
+  constructor(given: VmContext, policies: VmPolicies = {}) {
+    const inProgress = new InProgressCount(() => this.#plannedStop.idle());
+    const context: VmContext = { ...given, inProgress };
     this.context = context;
+    this.inProgress = inProgress;
     const configuration: ConfigurationTask = new ConfigurationTask(context, {
       members: () => this.membership.members(),
       policies: policies.configuration,
     });
-    const membership = new MembershipTask(context, {
+    const membership: MembershipTask = new MembershipTask(context, {
       configurationVersion: () => configuration.version(),
+      onProbe: ({ from, configurationVersion }) => {
+        const peer = membership.member(from);
+        if (peer) configuration.noticeVersion(configurationVersion, peer);
+      },
+      policies: policies.membership,
     });
     const deployment = () => configuration.current()?.bodies.deployment;
+    this.#plannedStop = new PlannedStop(context, {
+      membership,
+      inProgress,
+      otherWork: () => this.calls.inProgress,
+      addressTtlMs: () => deployment()?.addressTtlMs ?? DEFAULT_ADDRESS_TTL_MS,
+      policies: policies.stop,
+    });
     this.suspects = new SuspectBook(context, {
       membership,
       convictionMs: () => deployment()?.convictionMs ?? DEFAULT_CONVICTION_MS,
@@ -53,6 +84,12 @@
     this.configuration = configuration;
     this.membership = membership;
     this.#grants = grants;
+    this.orders = new OrdersTask(context, {
+      configuration,
+      membership,
+      policies: policies.orders,
+    });
+    this.quotas = new QuotasTask(context, { configuration, membership });
     this.reports = new ReportsTask(context, {
       configuration,
       membership,
@@ -74,6 +111,12 @@
       retries: this.retries,
       policies: policies.summaries,
     });
+    this.gate = new RequestGate({
+      calls: limitCalls(this.calls, this.quotas),
+      summaries: limitSummaries(this.summaries, this.quotas),
+      inProgress,
+      refusesWork: () => this.refusesWork,
+    });
     this.peerHandlers = {
       ...createMembershipApp({
         answerProbe: (probe) => membership.answerProbe(probe),
@@ -90,6 +133,7 @@
       ...createCallsApp({
         awaitOutcome: (params) => this.calls.awaitOutcome(params),
       }).handlers,
+      ...createQuotasApp(this.quotas.handlers).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
       ...createSummariesApp(this.summaries.handlers).handlers,
@@ -100,19 +144,40 @@
   async start(): Promise<void> {
     await this.membership.start();
     await this.configuration.start();
+    this.quotas.start();
+    this.orders.start();
+    this.#plannedStop.start();
     this.reports.start();
     this.calls.start();
     await this.suspects.start();
     this.summaries.start();
   }
 
+  /** Leaves the deployment without cutting off work; the tasks run until `stop`. */
+  leave(): Promise<StopOutcome> {
+    return this.#plannedStop.begin();
+  }
+
+  /** True once a planned stop lets no new work in. */
+  get refusesWork(): boolean {
+    return this.#plannedStop.refusesWork;
+  }
+
+  /** Ends a planned stop before its work is done. */
+  cutStop(reason: CutReason): void {
+    if (this.#plannedStop.cut(reason)) this.gate.cutOff();
+  }
+
   /** Stops the tasks in reverse order. */
   stop(): void {
+    this.#plannedStop.stop();
     this.summaries.stop();
     this.suspects.stop();
     this.reports.stop();
     this.#grants.stop();
     this.calls.stop();
+    this.orders.stop();
+    this.quotas.stop();
     this.configuration.stop();
     this.membership.stop();
   }
