--- a/packages/daemon/src/callers/completions.ts
+++ b/packages/daemon/src/callers/completions.ts
@@ -189,9 +189,13 @@
   }
 
   #writeHead(): void {
+    // Chunked encoding costs a third of the time that a token's write takes. The
+    // end mark, not the connection's close, says that an answer is whole.
+    this.#response.useChunkedEncodingByDefault = false;
     this.#response.writeHead(200, {
       "content-type": "text/event-stream",
       "cache-control": "no-store",
+      "connection": "close",
       "idempotency-key": this.#options.form.request.request,
     });
   }
