--- a/packages/core/src/summaries/task.ts
+++ b/packages/core/src/summaries/task.ts
@@ -109,9 +109,11 @@
     const key = summaryKey(request);
     const running = this.#runs.get(key);
     if (running && running.bodyDigest !== summaryDigest(request)) {
-      this.#context.observer.count("refusals", "key-reused");
-      sink({ kind: "refused", refusal: notRun("key-reused") });
-      return { key, cancel() {}, pause() {}, resume() {} };
+      return this.#refuse(key, { sink, reason: "key-reused" });
+    }
+    // A VM that has just started knows neither endpoints nor the other VMs.
+    if (!this.#options.configuration.current()) {
+      return this.#refuse(key, { sink, reason: "no-configuration" });
     }
     if (running && this.#policies.supersedes) {
       running.reconnect(request, sink);
@@ -128,6 +130,16 @@
     return named.length > 0;
   }
 
+  #refuse(
+    key: RequestKey,
+    options: { sink: SummarySink; reason: "key-reused" | "no-configuration" },
+  ): SummaryHandle {
+    const { sink, reason } = options;
+    this.#context.observer.count("refusals", reason);
+    sink({ kind: "refused", refusal: notRun(reason) });
+    return { key, cancel() {}, pause() {}, resume() {} };
+  }
+
   #begin(request: SummaryRequest, sink: SummarySink): SummaryRun {
     const { configuration, suspects, retries } = this.#options;
     const run = new SummaryRun(request, {
