--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -120,6 +120,8 @@
 export type Deployment = z.infer<typeof DeploymentSchema>;
 /** A caller's token. */
 export type Token = z.infer<typeof TokenSchema>;
+/** Limits of a workspace. */
+export type Quota = z.infer<typeof QuotaSchema>;
 /** A tenant. */
 export type Workspace = z.infer<typeof WorkspaceSchema>;
 /** A back end. */
@@ -256,3 +258,20 @@
     readonly retryAfterMs: number;
   }
   | { readonly kind: "unavailable"; readonly retryAfterMs: number };
+
+/** What a check of a manifest found, without submitting it. */
+export type ManifestCheck =
+  /** It would be accepted now; the lines say what it would change. */
+  | { readonly kind: "valid"; readonly difference: readonly string[] }
+  | Extract<
+    SubmissionOutcome,
+    { kind: "conflict" | "invalid" | "unavailable" | "unknown" }
+  >;
+
+/** The version that a VM has in force; null where it doesn't answer. */
+export interface VersionInForce {
+  readonly vm: VmId;
+  readonly dataCentre: DataCentre;
+  readonly state: string;
+  readonly version: number | null;
+}
--- a/packages/daemon/src/callers/completions.ts
+++ b/packages/daemon/src/callers/completions.ts
@@ -19,15 +19,10 @@
   readBody,
   sendJson,
 } from "../http/exchange.ts";
-import { sendProblem } from "../http/problem.ts";
 import type { CallerContext } from "./context.ts";
 import { deadlineOf } from "./handler.ts";
-import {
-  ChunkFormat,
-  type CompletionForm,
-  completionProblem,
-  wholeCompletion,
-} from "./openai.ts";
+import { checkModel } from "./models.ts";
+import { ChunkFormat, type CompletionForm, wholeCompletion } from "./openai.ts";
 
 const MAX_KEY_LENGTH = 200;
 const OFFSET = /^\d{1,9}$/;
@@ -51,15 +46,11 @@
   context: CallerContext,
 ): Promise<void> {
   const { response } = exchange;
-  const refuse = (refusal: Refusal) => {
-    context.observer.count("refusals", refusal.reason);
-    sendProblem(response, refusal, completionProblem(refusal));
-  };
   const body = await readBody(exchange.incoming, context.bodyLimitBytes);
   const request = body.andThen(parseJson).andThen((json) =>
     toSummaryRequest(exchange, { json, context })
   );
-  if (request.isErr()) return refuse(request.error);
+  if (request.isErr()) return context.refuse(request.error);
   // The caller may have gone while its body was read.
   if (response.destroyed) return;
   const writer = new CompletionWriter(response, {
@@ -70,10 +61,9 @@
     },
     stream: request.value.stream,
     // The summary's task has counted the refusal.
-    refuse: (refusal) =>
-      sendProblem(response, refusal, completionProblem(refusal)),
+    refuse: context.sendRefusal,
   });
-  const handle = context.vm.summaries.submit(
+  const handle = context.vm.gate.submitSummary(
     request.value.summary,
     (event) => writer.write(event),
   );
@@ -97,6 +87,8 @@
   const parsed = CompletionBody.safeParse(json);
   if (!parsed.success) return badRequest(z.prettifyError(parsed.error));
   const body = parsed.data;
+  const modelRefusal = checkModel(body.model, context);
+  if (modelRefusal) return err(modelRefusal);
   const prompt = body.prompt ?? chatPrompt(body);
   if (prompt === "") return badRequest("The prompt is empty");
   const key = header(incoming, "idempotency-key") ?? randomUUID();
--- a/packages/daemon/src/callers/openai.ts
+++ b/packages/daemon/src/callers/openai.ts
@@ -11,6 +11,8 @@
   readonly type: string;
   readonly param: null;
   readonly code: string;
+  /** Whether the request may have run. */
+  readonly verdict: Refusal["kind"];
 }
 
 /** A refusal that both readers of problem documents and OpenAI's clients understand. */
@@ -24,10 +26,11 @@
   return {
     ...problem,
     error: {
-      message: problem.detail ?? problem.title,
+      message: [problem.title, problem.detail].filter(Boolean).join(": "),
       type: errorType(problem.status),
       param: null,
       code: problem.reason,
+      verdict: problem.verdict,
     },
   };
 }
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -26,6 +26,13 @@
 const INTERNAL_ERROR_STATUS = 500;
 const PROBLEM_TYPE = "application/problem+json";
 
+// Repeating these under the same key would only end the newer request or give the same answer.
+const NOT_TO_REPEAT = new Set<Refusal["reason"]>([
+  "superseded",
+  "already-answered",
+  "cancelled",
+]);
+
 /** A refusal as callers see it. */
 export interface ProblemBody {
   readonly type: string;
@@ -76,6 +83,7 @@
     const seconds = Math.max(1, Math.ceil(refusal.retryAfterMs / 1_000));
     headers["retry-after"] = String(seconds);
   }
+  if (NOT_TO_REPEAT.has(refusal.reason)) headers["x-should-retry"] = "false";
   // The refusal may come after the caller has gone or the answer has begun.
   if (response.headersSent || response.destroyed) return;
   response.writeHead(problem.status, headers);
