Configuration: a large body is stored whole every 32 versions, changes in between

Change: the head names the nearest whole body; readers apply the changes since, and check the digest.

--- a/packages/bench/src/configuration_world_test.ts
+++ b/packages/bench/src/configuration_world_test.ts
@@ -1,4 +1,9 @@
-import { asId, type SubmissionOutcome, type Vm } from "@teaselvalve/core";
+import {
+  asId,
+  type Configuration,
+  type SubmissionOutcome,
+  type Vm,
+} from "@teaselvalve/core";
 import { afterEach, expect, test } from "vitest";
 import { World, type WorldOptions } from "./world/world.ts";
 
@@ -215,6 +220,50 @@
   });
 });
 
+test(
+  "A large scope is stored whole now and then and is read through its changes",
+  async () => {
+    await create({ vms: 3 });
+    const stored: number[] = [];
+    const putObject = world.platform.putObject.bind(world.platform);
+    world.platform.putObject = (name, body) => {
+      stored.push(body.length);
+      putObject(name, body);
+    };
+    const ids = Array.from({ length: 300 }, (_, at) => `workspace-${at}`);
+    const submissions = 36;
+    for (let at = 1; at <= submissions; at += 1) {
+      const manifest = workspaces(`large-${at}`, {
+        ids: [...ids, `extra-${at}`],
+        basedOn: at,
+      });
+      const outcome = await submit("vm-1", manifest, 200);
+      expect(outcome).toMatchObject({ version: at + 1 });
+    }
+    const joined = world.addVm();
+    await world.advance(1_000);
+    expect(joined.configuration.version()).toBe(submissions + 1);
+    const { configuration } = firstVm();
+    const [early, late] = await readAll([
+      joined.configuration.show(20),
+      configuration.diff({ from: 30, to: 31 }),
+    ]);
+    const ofEarly = (early as Configuration).bodies.workspaces;
+    expect(ofEarly).toHaveLength(301);
+    expect(ofEarly.map((one) => one.id)).toContain("extra-19");
+    expect(late).toMatchObject({
+      lines: [
+        expect.stringContaining("- workspaces.extra-29"),
+        expect.stringContaining("+ workspaces.extra-30"),
+      ],
+    });
+    // The first change's object is as large as the body that it makes.
+    const large = stored.filter((size) => size > 16_384);
+    expect(large).toHaveLength(3);
+  },
+  20_000,
+);
+
 test("Tokens are found by their hash in the configuration in force", async () => {
   await create({ vms: 3 });
   const hash = "a".repeat(64);
--- a/packages/core/src/configuration/commands/submit.ts
+++ b/packages/core/src/configuration/commands/submit.ts
@@ -3,20 +3,18 @@
 import type { PlatformPort, RowWrite } from "../../ports/platform.ts";
 import { digest } from "../../shared/hash.ts";
 import type { Digest, VmId, WorkspaceId } from "../../shared/ids.ts";
+import { fetchScope, storeScope } from "../bodies.ts";
 import {
-  bodyDigest,
   canonicalBody,
   compareScope,
   describeDifference,
 } from "../difference.ts";
 import {
   CONFIGURATION_TABLE,
-  emptyBodies,
-  fetchBody,
   HEAD_KEY,
   type HeadRow,
   historyKey,
-  putBody,
+  putObject,
   readHead,
   readHistoryEntry,
   readSubmission,
@@ -27,6 +25,7 @@
   type Configuration,
   type ConfigurationChange,
   type ConfigurationHead,
+  emptyBodies,
   type HistoryEntry,
   type Manifest,
   type ManifestError,
@@ -210,18 +209,19 @@
   for (const scope of SCOPES) {
     if (!manifest.scopes[scope]) continue;
     const body = after[scope];
-    const name = bodyDigest(body);
-    if (heads[scope]?.digest !== name) {
-      const stored = await putBody(platform, body);
-      if (stored.isErr()) return null;
-    }
-    heads[scope] = { version, digest: name };
+    const stored = await storeScope(platform, {
+      body,
+      version,
+      before: heads[scope],
+    });
+    if (stored.isErr()) return null;
+    heads[scope] = stored.value;
     changes[scope] = compareScope(scope, {
       before: before[scope],
       after: body,
     });
   }
-  const stored = await putBody(platform, changes);
+  const stored = await putObject(platform, changes);
   if (stored.isErr()) return null;
   const head = { version, scopes: heads, change: stored.value };
   return { head, scopes: changes };
@@ -337,7 +337,7 @@
   const entry = await readHistoryEntry(platform, basedOn);
   const base = entry.isOk() ? entry.value?.head.scopes[scope] : undefined;
   if (!base) return [`The scope has no version ${basedOn}`];
-  const body = await fetchBody(platform, base.digest);
+  const body = await fetchScope(platform, { scope, wanted: base });
   if (body.isErr()) return [`Version ${basedOn} can't be read now`];
   return describeDifference(scope, {
     before: body.value,
--- a/packages/core/src/configuration/commands/validate_test.ts
+++ b/packages/core/src/configuration/commands/validate_test.ts
@@ -1,6 +1,10 @@
 import { expect, test } from "vitest";
-import { emptyBodies } from "../store.ts";
-import { type Manifest, type ScopeBodies, SCOPES } from "../types.ts";
+import {
+  emptyBodies,
+  type Manifest,
+  type ScopeBodies,
+  SCOPES,
+} from "../types.ts";
 import { checkScopes, parseManifest } from "./validate.ts";
 
 const HASH = "a".repeat(64);
--- a/packages/core/src/configuration/difference.ts
+++ b/packages/core/src/configuration/difference.ts
@@ -2,10 +2,10 @@
 import diff from "microdiff";
 import { digest } from "../shared/hash.ts";
 import type { Digest } from "../shared/ids.ts";
-import { emptyBodies } from "./store.ts";
 import {
   type Configuration,
   type ConfigurationChange,
+  emptyBodies,
   type Scope,
   type ScopeBodies,
   type ScopeChange,
@@ -101,7 +101,8 @@
   });
 }
 
-function applyScope(
+/** Applies the change of one scope to a body. */
+export function applyScope(
   scope: Scope,
   options: { body: unknown; scopeChange: ScopeChange },
 ): unknown {
--- a/packages/core/src/configuration/fetch.ts
+++ b/packages/core/src/configuration/fetch.ts
@@ -5,7 +5,8 @@
 import type { FetchAnswer } from "./app.ts";
 import { applyChange } from "./difference.ts";
 import type { ConfigurationSource } from "./machine.ts";
-import { fetchBodies, fetchChange, readHead, readHistory } from "./store.ts";
+import { fetchBodies } from "./bodies.ts";
+import { fetchChange, readHead, readHistory } from "./store.ts";
 import type {
   Configuration,
   ConfigurationChange,
--- a/packages/core/src/configuration/machine_test.ts
+++ b/packages/core/src/configuration/machine_test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from "vitest";
 import { type Effect, MachineTask } from "../shared/machine_task.ts";
 import { type HoldingEvent, holdingMachine } from "./machine.ts";
-import { emptyBodies } from "./store.ts";
+import { emptyBodies } from "./types.ts";
 
 const PLATFORM = { kind: "platform" } as const;
 
--- a/packages/core/src/configuration/queries/show.ts
+++ b/packages/core/src/configuration/queries/show.ts
@@ -1,7 +1,8 @@
 /** Shows the configuration as it was at a version. */
 import { err, ok, type Result } from "neverthrow";
 import type { PlatformPort, StoreFailure } from "../../ports/platform.ts";
-import { fetchBodies, readHistoryEntry } from "../store.ts";
+import { fetchBodies } from "../bodies.ts";
+import { readHistoryEntry } from "../store.ts";
 import type { Configuration } from "../types.ts";
 
 /** Reads the configuration of one version; null where there never was one. */
--- a/packages/core/src/configuration/store.ts
+++ b/packages/core/src/configuration/store.ts
@@ -3,15 +3,11 @@
 import type { Json, PlatformPort, StoreFailure } from "../ports/platform.ts";
 import { digest } from "../shared/hash.ts";
 import type { Digest } from "../shared/ids.ts";
-import {
-  type Configuration,
-  type ConfigurationChange,
-  type ConfigurationHead,
-  type HistoryEntry,
-  type Scope,
-  type ScopeBodies,
-  SCOPES,
-  type SubmissionRow,
+import type {
+  ConfigurationChange,
+  ConfigurationHead,
+  HistoryEntry,
+  SubmissionRow,
 } from "./types.ts";
 
 /** The table that holds the head and the submissions. */
@@ -39,16 +35,6 @@
   readonly rowVersion: number;
 }
 
-/** Bodies of a deployment that has not been configured yet. */
-export function emptyBodies(): ScopeBodies {
-  return {
-    deployment: undefined as never,
-    workspaces: [],
-    endpoints: [],
-    roles: [],
-  };
-}
-
 /** Reads the head's row. */
 export async function readHead(
   platform: PlatformPort,
@@ -62,36 +48,17 @@
   );
 }
 
-/** Stores a scope's body under its digest. */
-export async function putBody(
+/** Stores a value under its digest. */
+export async function putObject(
   platform: PlatformPort,
-  body: unknown,
+  value: unknown,
 ): Promise<Result<Digest, StoreFailure>> {
-  const text = JSON.stringify(body);
+  const text = JSON.stringify(value);
   const name = digest(text);
   const stored = await platform.putObject(`configuration/${name}`, text);
   return stored.map(() => name);
 }
 
-/** Fetches the bodies of a head, taking unchanged ones from what is held. */
-export async function fetchBodies(
-  platform: PlatformPort,
-  options: { head: ConfigurationHead; held: Configuration | null },
-): Promise<Result<Configuration, StoreFailure>> {
-  const { head, held } = options;
-  const bodies = emptyBodies();
-  for (const scope of SCOPES) {
-    const wanted = head.scopes[scope];
-    if (!wanted) continue;
-    const fetched = held?.head.scopes[scope]?.digest === wanted.digest
-      ? ok(held.bodies[scope])
-      : await fetchBody(platform, wanted.digest);
-    if (fetched.isErr()) return err(fetched.error);
-    setBody(bodies, scope, fetched.value);
-  }
-  return ok({ head, bodies });
-}
-
 /** Reads the row of a submission; null where none was committed yet. */
 export async function readSubmission(
   platform: PlatformPort,
@@ -133,7 +100,7 @@
   head: ConfigurationHead,
 ): Promise<Result<ConfigurationChange, StoreFailure>> {
   if (!head.change) return err({ kind: "unknown", detail: "No change" });
-  const scopes = await fetchBody(platform, head.change);
+  const scopes = await fetchObject(platform, head.change);
   return scopes.map((found) => ({
     head,
     scopes: found as ConfigurationChange["scopes"],
@@ -141,7 +108,7 @@
 }
 
 /** Fetches a stored object by its digest. */
-export async function fetchBody(
+export async function fetchObject(
   platform: PlatformPort,
   name: Digest,
 ): Promise<Result<unknown, StoreFailure>> {
@@ -159,7 +126,3 @@
 ): Json {
   return value as unknown as Json;
 }
-
-function setBody(bodies: ScopeBodies, scope: Scope, body: unknown): void {
-  (bodies as Record<Scope, unknown>)[scope] = body;
-}
--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -139,6 +139,16 @@
   roles: Role[];
 }
 
+/** Bodies of a deployment that has not been configured yet. */
+export function emptyBodies(): ScopeBodies {
+  return {
+    deployment: undefined as never,
+    workspaces: [],
+    endpoints: [],
+    roles: [],
+  };
+}
+
 function scopeSubmission<S extends Scope>(scope: S) {
   return z.strictObject({
     /** Version of this scope that the change was made from; 0 for the first. */
@@ -167,6 +177,8 @@
 export interface ScopeHead {
   readonly version: number;
   readonly digest: Digest;
+  /** The nearest version whose whole body is stored; absent where this one's is. */
+  readonly base?: { readonly version: number; readonly digest: Digest };
 }
 
 /** The row that says which configuration is accepted. */
