--- a/packages/core/src/grants/commands/shed.ts
+++ b/packages/core/src/grants/commands/shed.ts
@@ -9,6 +9,7 @@
   type Waiting,
   worstRatio,
 } from "../queries/forecast.ts";
+import type { WorkspaceId } from "../../shared/ids.ts";
 import type { WorkspaceShares } from "../shares.ts";
 
 /** Options of {@link chooseVictims}. */
@@ -31,10 +32,14 @@
   if (kept.length < 2) return victims;
   const supply = expectedSupply(view, options.withinMs);
   const demand = total(kept, view);
+  const over = options.shares.overShare(
+    kept.map((one) => one.request.workspace),
+    view.nowMs,
+  );
   while (kept.length > 1) {
     const forecast = { supply: withSlack(supply, { demand, kept }), demand };
     if (worstRatio(forecast) <= 1) break;
-    const victim = costliest(kept, { ...options, forecast });
+    const victim = costliest(kept, { ...options, forecast, over });
     kept.splice(kept.indexOf(victim), 1);
     victims.push(victim);
     subtract(demand, needs(view, victim.request));
@@ -44,14 +49,12 @@
 
 function costliest(
   kept: readonly Waiting[],
-  options: ShedOptions & { forecast: Forecast },
+  options: ShedOptions & {
+    forecast: Forecast;
+    over: ReadonlySet<WorkspaceId>;
+  },
 ): Waiting {
-  const { shares, view } = options;
-  const over = shares.overShare(
-    kept.map((one) => one.request.workspace),
-    view.nowMs,
-  );
-  const first = kept.filter((one) => over.has(one.request.workspace));
+  const first = kept.filter((one) => options.over.has(one.request.workspace));
   const from = first.length > 0 ? first : kept;
   let worst = from[0]!;
   let worstCost = Number.NEGATIVE_INFINITY;
--- a/packages/core/src/grants/decode_replica.ts
+++ b/packages/core/src/grants/decode_replica.ts
@@ -44,6 +44,8 @@
   memoryPieces: number;
   #holds = new Map<StreamId, SlotHold>();
   #endedAtMs = new Map<StreamId, number>();
+  /** The last use that was computed; dropped with every change. */
+  #kept: { nowMs: number; stepMs: number; use: DecodeUse } | undefined;
 
   constructor(endpoint: Endpoint) {
     super();
@@ -54,11 +56,13 @@
 
   /** Adds a granted run. */
   hold(hold: SlotHold): void {
+    this.#kept = undefined;
     this.#holds.set(hold.stream, hold);
   }
 
   /** Frees a run's slot. */
   release(stream: StreamId, nowMs: number): void {
+    this.#kept = undefined;
     this.#holds.delete(stream);
     this.#endedAtMs.set(stream, nowMs);
   }
@@ -70,6 +74,7 @@
   ): void {
     const hold = this.#holds.get(stream);
     if (!hold) return;
+    this.#kept = undefined;
     hold.decodeStartedAtMs = options.nowMs;
     hold.generatedAtMs = options.nowMs;
     hold.generatedTokens = options.generatedTokens;
@@ -93,6 +98,14 @@
 
   /** Members and memory, with tokens generated since the last report estimated by the step time. */
   use(nowMs: number, stepMs: number): DecodeUse {
+    const kept = this.#kept;
+    if (kept && kept.nowMs === nowMs && kept.stepMs === stepMs) return kept.use;
+    const use = this.#computeUse(nowMs, stepMs);
+    this.#kept = { nowMs, stepMs, use };
+    return use;
+  }
+
+  #computeUse(nowMs: number, stepMs: number): DecodeUse {
     let pieces = 0;
     for (const hold of this.#holds.values()) {
       const tokens = hold.decodeStartedAtMs === undefined
@@ -120,6 +133,7 @@
   report(report: LoadReport, options: ReportOptions): void {
     const { nowMs } = options;
     const takenAtMs = nowMs - report.ageMs;
+    this.#kept = undefined;
     if (this.takeReport(report, takenAtMs)) this.#holds.clear();
     this.slots = report.slots;
     this.memoryPieces = report.memoryPieces;
--- a/packages/core/src/grants/policies/reserve_then_prefill.ts
+++ b/packages/core/src/grants/policies/reserve_then_prefill.ts
@@ -15,6 +15,7 @@
 export const reserveThenPrefill: GrantPolicy = {
   name: "reserveThenPrefill",
   waits: true,
+  isReady: (view) => view.prefills.some((one) => takesMore(one, view.nowMs)),
   place(view, request) {
     const found = findDecode(view, request);
     if (!found) return null;
@@ -73,13 +74,17 @@
   let best: Placement | null = null;
   for (const prefill of candidates(view.prefills, { request, ...view })) {
     if (prefill.exclusive || (request.alone && prefill.queued > 0)) continue;
-    if (prefill.backlogMs(view.nowMs) > LOOKAHEAD_MS) continue;
+    if (!takesMore(prefill, view.nowMs)) continue;
     const placement = estimate(view, { ...options, prefill });
     if (!best || isBetter(placement, { best, request })) best = placement;
   }
   return best;
 }
 
+function takesMore(prefill: PrefillReplica, nowMs: number): boolean {
+  return prefill.mayGrant(nowMs) && prefill.backlogMs(nowMs) <= LOOKAHEAD_MS;
+}
+
 /** Prefers the earlier first token; between equals, the replica that the prompt's head is hashed to. */
 function isBetter(
   placement: Placement,
--- a/packages/core/src/grants/policies/types.ts
+++ b/packages/core/src/grants/policies/types.ts
@@ -42,6 +42,8 @@
 export interface GrantPolicy {
   readonly name: string;
   readonly place: Place;
+  /** Whether any request could be placed now, whatever its size; true when left out. */
+  readonly isReady?: (view: ShardView) => boolean;
   /** Whether requests wait at the home and are shed there; else each is placed or refused at once. */
   readonly waits: boolean;
 }
--- a/packages/core/src/grants/queries/forecast.ts
+++ b/packages/core/src/grants/queries/forecast.ts
@@ -10,6 +10,8 @@
   readonly expectedTokens: number;
   /** When the first token is due, on the monotonic clock. */
   readonly dueAtMs: number;
+  /** Least time to the first token, with nothing else in the shard. */
+  readonly idleMs: number;
 }
 
 /** Amounts of the four things that a request needs. */
--- a/packages/core/src/grants/queue.ts
+++ b/packages/core/src/grants/queue.ts
@@ -43,16 +43,10 @@
     return this.#waiting.find((one) => one.request.key === key);
   }
 
-  /** Orders by deadline; workspaces over their share after the others, late requests last. */
-  ordered(
-    overShare: (waiting: readonly QueuedRequest[]) => ReadonlySet<string>,
-  ): QueuedRequest[] {
-    if (this.#waiting.length < 2) return [...this.#waiting];
-    const over = overShare(this.#waiting);
-    const rank = (one: QueuedRequest) =>
-      (one.late ? 2 : 0) + (over.has(one.request.workspace) ? 1 : 0);
+  /** Orders by deadline, late requests last. */
+  ordered(): QueuedRequest[] {
     return [...this.#waiting].sort((a, b) =>
-      rank(a) - rank(b) || a.dueAtMs - b.dueAtMs
+      Number(a.late) - Number(b.late) || a.dueAtMs - b.dueAtMs
     );
   }
 }
--- a/packages/core/src/grants/shard.ts
+++ b/packages/core/src/grants/shard.ts
@@ -128,13 +128,7 @@
   dispatch(): void {
     if (this.#queue.all.length === 0) return;
     const nowMs = performance.now();
-    const ordered = this.#queue.ordered((waiting) =>
-      this.#shares.overShare(
-        waiting.map((one) => one.request.workspace),
-        nowMs,
-      )
-    );
-    for (const queued of ordered) this.#place(queued, nowMs);
+    for (const queued of this.#queue.ordered()) this.#place(queued, nowMs);
     this.#shed(nowMs);
     this.#wakeLater(nowMs);
   }
@@ -157,6 +151,7 @@
       request,
       answer,
       late,
+      idleMs,
       dueAtMs: nowMs + waitMs,
       expectedTokens: this.book.lengths.expect(
         request.workspace,
@@ -173,12 +168,12 @@
       return;
     }
     const view = this.#view(nowMs, request, queued.late ? LATE_RESERVE : 0);
-    const placement = policy.place(view, request);
+    const isReady = policy.isReady?.(view) ?? true;
+    const placement = isReady ? policy.place(view, request) : null;
     if (placement && (!policy.waits || inTime(queued, placement, nowMs))) {
       return this.#grant(queued, { placement, nowMs });
     }
-    const leastMs = estimateIdleMs(view, request);
-    if (!policy.waits || nowMs + leastMs > queued.dueAtMs) {
+    if (!policy.waits || nowMs + queued.idleMs > queued.dueAtMs) {
       this.#refuseForLoad(queued);
     }
   }
@@ -220,12 +215,11 @@
     if (waiting.length < 2 || !first) return;
     const view = this.#view(nowMs, first.request);
     const lastDueMs = Math.max(...waiting.map((one) => one.dueAtMs));
-    const idleMs = estimateIdleMs(view, first.request);
     const victims = chooseVictims(waiting, {
       view,
       shares: this.#shares,
       meanTokens: this.book.lengths.mean,
-      withinMs: Math.max(0, lastDueMs - nowMs - idleMs),
+      withinMs: Math.max(0, lastDueMs - nowMs - first.idleMs),
     });
     for (const victim of victims) this.#refuseForLoad(victim as QueuedRequest);
   }
