Protect transfers under way, and let a few more requests wait than are forecast to be served

Change: a link book foresees each transfer's end, and a placement that makes another late is not made; three mean requests may wait beyond the forecast. The rig's owner took the transfer of a 30,000-token prompt (810 ms alone) for stalled and wasted its prefill; its limit now grows with the prompt.

--- a/packages/bench/src/experiment/deployments.ts
+++ b/packages/bench/src/experiment/deployments.ts
@@ -44,6 +44,10 @@
   readonly meanOutputTokens: number;
   readonly giveUpShare: number;
   readonly arrivals: ArrivalPattern;
+  /** Arrivals before the measured time fill the replicas. */
+  readonly warmUpMs: number;
+  /** Time in which arrivals are measured. */
+  readonly measureMs: number;
 }
 
 /** The deployments by name. */
@@ -61,6 +65,8 @@
     meanOutputTokens: 500,
     giveUpShare: 0.03,
     arrivals: { kind: "batches", meanSize: 3, spacingMs: 30 },
+    warmUpMs: 15_000,
+    measureMs: 40_000,
   },
   "aile-adaleti": {
     name: "aile-adaleti",
@@ -78,6 +84,8 @@
       lengthMs: 1_500,
       everyMs: 10_000,
     },
+    warmUpMs: 15_000,
+    measureMs: 40_000,
   },
   "letter-1-slice": {
     name: "letter-1-slice",
@@ -90,6 +98,8 @@
     meanOutputTokens: 500,
     giveUpShare: 0.03,
     arrivals: { kind: "steady" },
+    warmUpMs: 14_000,
+    measureMs: 12_000,
   },
 };
 
--- a/packages/bench/src/experiment/owner.ts
+++ b/packages/bench/src/experiment/owner.ts
@@ -24,8 +24,9 @@
 const MAX_ATTEMPTS = 3;
 const ENGINE_TIMEOUT_MS = 10_000;
 const NOTICE_TIMEOUT_MS = 1_000;
-/** A transfer that takes longer than its result is kept has stalled. */
+/** A transfer that takes longer than this has stalled. */
 const TRANSFER_LIMIT_MS = 800;
+const TRANSFER_LIMIT_PER_TOKEN_MS = 0.1;
 const ASK_AGAIN_MS = 50;
 /** Time kept back from the target for the way to the caller. */
 const WAY_BACK_MS = 5;
@@ -244,7 +245,8 @@
     return new Promise((resolve) => {
       const stalled = setTimeout(
         () => resolve(granted.prefill),
-        TRANSFER_LIMIT_MS,
+        TRANSFER_LIMIT_MS +
+          TRANSFER_LIMIT_PER_TOKEN_MS * run.prompt.tokens,
       );
       engines.start(this.#endpoint(granted.decode), {
         ...this.#order(run),
--- a/packages/core/src/grants/commands/shed.ts
+++ b/packages/core/src/grants/commands/shed.ts
@@ -12,6 +12,9 @@
 import type { WorkspaceId } from "../../shared/ids.ts";
 import type { WorkspaceShares } from "../shares.ts";
 
+/** Mean requests that may wait beyond what is forecast to be served. */
+const SLACK_REQUESTS = 3;
+
 /** Options of {@link chooseVictims}. */
 export interface ShedOptions {
   view: ShardView;
@@ -67,13 +70,13 @@
   return worst;
 }
 
-/** One mean request more than forecast is kept, as what waits costs nothing yet. */
+/** A few mean requests more than forecast are kept, as what waits costs nothing yet. */
 function withSlack(
   supply: Amounts,
   options: { demand: Amounts; kept: readonly Waiting[] },
 ): Amounts {
   const { demand, kept } = options;
-  const one = 1 / kept.length;
+  const one = SLACK_REQUESTS / kept.length;
   return {
     slots: supply.slots + demand.slots * one,
     pieces: supply.pieces + demand.pieces * one,
--- a/packages/core/src/grants/decode_replica.ts
+++ b/packages/core/src/grants/decode_replica.ts
@@ -9,6 +9,8 @@
 const ENDED_KEPT_MS = 10_000;
 /** A run that no report shows this long after its grant is taken for ended. */
 const UNSEEN_MS = 4_000;
+/** Use is computed again after this long, as answers grow. */
+const USE_KEPT_MS = 5;
 /** Time that a replica is given to free a run that has ended. */
 const FREEING_MS = 1_000;
 
@@ -28,6 +30,8 @@
 export interface DecodeUse {
   readonly members: number;
   readonly pieces: number;
+  /** Rate at which runs are expected to end. */
+  readonly endsPerMs: number;
 }
 
 /** Options of {@link DecodeReplica.report}. */
@@ -99,7 +103,9 @@
   /** Members and memory, with tokens generated since the last report estimated by the step time. */
   use(nowMs: number, stepMs: number): DecodeUse {
     const kept = this.#kept;
-    if (kept && kept.nowMs === nowMs && kept.stepMs === stepMs) return kept.use;
+    const isFresh = kept && nowMs - kept.nowMs < USE_KEPT_MS &&
+      kept.stepMs === stepMs;
+    if (isFresh) return kept.use;
     const use = this.#computeUse(nowMs, stepMs);
     this.#kept = { nowMs, stepMs, use };
     return use;
@@ -107,26 +113,20 @@
 
   #computeUse(nowMs: number, stepMs: number): DecodeUse {
     let pieces = 0;
+    let endsPerMs = 0;
     for (const hold of this.#holds.values()) {
       const tokens = hold.decodeStartedAtMs === undefined
         ? 0
         : hold.generatedTokens + (nowMs - hold.generatedAtMs) / stepMs;
       pieces += Math.ceil((hold.promptTokens + tokens) / TOKENS_PER_PIECE);
-    }
-    return { members: this.#holds.size, pieces };
-  }
-
-  /** Expected ends within a time, each run's end spread evenly over its expected remaining time. */
-  expectedEnds(withinMs: number, options: { stepMs: number }): number {
-    let ends = 0;
-    for (const hold of this.#holds.values()) {
+      // A run that has passed its expected length is taken to be halfway through what is left.
       const leftTokens = Math.max(
-        hold.expectedTokens - hold.generatedTokens,
+        hold.expectedTokens - tokens,
         hold.expectedTokens / 2,
       );
-      ends += Math.min(1, withinMs / (leftTokens * options.stepMs));
+      endsPerMs += 1 / (leftTokens * stepMs);
     }
-    return ends;
+    return { members: this.#holds.size, pieces, endsPerMs };
   }
 
   /** Takes in a load report. */
--- a/packages/core/src/grants/policies/estimate.ts
+++ b/packages/core/src/grants/policies/estimate.ts
@@ -39,22 +39,41 @@
     request.promptTokens,
     prefill.hints.cachedTokens(request.blocks, nowMs),
   );
-  const prefillEndMs = prefill.backlogMs(nowMs) +
+  const prefillMs = prefill.backlogMs(nowMs) +
     speeds.prefillMs.at(request.promptTokens - cachedTokens);
-  const transferMs = speeds.transferMs.at(
-    request.promptTokens + prefill.linkTokens(),
-  );
-  const stepMs = speeds.stepMs.at(pair.members + 1);
+  const transfer = {
+    stream: request.stream,
+    startAtMs: nowMs + prefillMs,
+    aloneMs: speeds.transferMs.at(request.promptTokens),
+    dueAtMs: Number.POSITIVE_INFINITY,
+  };
+  const planned = prefill.plannedTransfers(nowMs);
+  const ends = prefill.link.foresee([...planned, transfer], nowMs);
+  const transferEndMs = ends.get(request.stream)!.endMs;
   return {
     prefill,
     decode,
     cachedTokens,
-    prefillEndMs,
-    // A new member waits for the step under way, half of one on average, and then for its own.
-    firstTokenMs: prefillEndMs + transferMs + 1.5 * stepMs + HOPS_MS,
+    firstTokenMs: transferEndMs - nowMs + afterTransferMs(view, pair.members),
+    delaysOthers: makesLate(ends, prefill.link.foresee(planned, nowMs)),
   };
 }
 
+/** Time between the end of a transfer and the first token at the caller's VM. */
+export function afterTransferMs(view: ShardView, members: number): number {
+  // A new member waits for the step under way, half of one on average, and then for its own.
+  return 1.5 * view.speeds.stepMs.at(members + 1) + HOPS_MS;
+}
+
+type Ends = ReturnType<PrefillReplica["link"]["foresee"]>;
+
+function makesLate(withNew: Ends, without: Ends): boolean {
+  for (const [stream, { endMs, dueAtMs }] of without) {
+    if (endMs <= dueAtMs && withNew.get(stream)!.endMs > dueAtMs) return true;
+  }
+  return false;
+}
+
 /** Least time to the first token, with nothing else in the shard. */
 export function estimateIdleMs(view: ShardView, request: GrantRequest): number {
   const { speeds, nowMs } = view;
--- a/packages/core/src/grants/policies/reserve_then_prefill.ts
+++ b/packages/core/src/grants/policies/reserve_then_prefill.ts
@@ -76,6 +76,7 @@
     if (prefill.exclusive || (request.alone && prefill.queued > 0)) continue;
     if (!takesMore(prefill, view.nowMs)) continue;
     const placement = estimate(view, { ...options, prefill });
+    if (placement.delaysOthers) continue;
     if (!best || isBetter(placement, { best, request })) best = placement;
   }
   return best;
--- a/packages/core/src/grants/policies/types.ts
+++ b/packages/core/src/grants/policies/types.ts
@@ -26,10 +26,10 @@
   readonly prefill: PrefillReplica;
   readonly decode: DecodeReplica;
   readonly cachedTokens: number;
-  /** Expected time until the prefill ends. */
-  readonly prefillEndMs: number;
   /** Expected time until the first token. */
   readonly firstTokenMs: number;
+  /** Whether its transfer would make an earlier one late that is in time without it. */
+  readonly delaysOthers: boolean;
 }
 
 /** Chooses replicas for a request; null when none will do now. */
--- a/packages/core/src/grants/prefill_replica.ts
+++ b/packages/core/src/grants/prefill_replica.ts
@@ -3,6 +3,7 @@
 import type { LoadReport } from "../ports/engines.ts";
 import type { EndpointId, StreamId } from "../shared/ids.ts";
 import { Availability } from "./availability.ts";
+import { LinkBook, type PlannedTransfer } from "./link_book.ts";
 import { PrefixHints } from "./prefixes.ts";
 
 /** One granted prefill, until its result has left. */
@@ -12,6 +13,10 @@
   readonly uncachedTokens: number;
   readonly blocks: readonly string[];
   readonly expectedMs: number;
+  /** Time of its transfer when alone on the link. */
+  readonly transferMs: number;
+  /** When its transfer must have ended for the first token to be in time. */
+  readonly transferDueAtMs: number;
   readonly grantedAtMs: number;
   readonly alone: boolean;
   endedAtMs: number | undefined;
@@ -26,6 +31,7 @@
 export class PrefillReplica extends Availability {
   readonly id: EndpointId;
   readonly hints = new PrefixHints();
+  readonly link = new LinkBook();
   /** Prefill work that the last report showed waiting, in tokens. */
   queuedTokens = 0;
   #jobs = new Map<StreamId, PrefillJob>();
@@ -53,16 +59,26 @@
     if (!job) return undefined;
     job.endedAtMs = nowMs;
     this.lastEndMs = nowMs;
-    const others = this.#transferring().filter((other) => other !== job);
-    for (const other of others) other.linkShared = true;
-    job.linkShared = others.length > 0;
+    for (const other of this.#jobs.values()) {
+      if (other !== job && other.endedAtMs !== undefined) {
+        other.linkShared = true;
+        job.linkShared = true;
+      }
+    }
+    this.link.start({
+      stream,
+      startAtMs: nowMs,
+      aloneMs: job.transferMs,
+      dueAtMs: job.transferDueAtMs,
+    });
     this.hints.add(job.blocks, nowMs);
     return job;
   }
 
   /** Forgets a job whose result has left or never will. */
-  remove(stream: StreamId): PrefillJob | undefined {
+  remove(stream: StreamId, nowMs: number): PrefillJob | undefined {
     const job = this.#jobs.get(stream);
+    this.link.end(stream, nowMs);
     this.#jobs.delete(stream);
     return job;
   }
@@ -107,11 +123,24 @@
     return Math.max(0, totalMs - (nowMs - firstSinceMs));
   }
 
-  /** Prompt tokens that are on the link, or will be before a new job's result is. */
-  linkTokens(): number {
-    let tokens = 0;
-    for (const job of this.#transferring()) tokens += job.promptTokens;
-    return tokens;
+  /** Transfers of the prefills that are queued here, in the order in which they are expected. */
+  plannedTransfers(nowMs: number): PlannedTransfer[] {
+    const planned: PlannedTransfer[] = [];
+    let atMs = nowMs;
+    for (const job of this.#jobs.values()) {
+      if (job.endedAtMs !== undefined) continue;
+      const startedMs = Math.max(job.grantedAtMs, this.lastEndMs);
+      atMs = planned.length === 0
+        ? Math.max(nowMs, startedMs + job.expectedMs)
+        : atMs + job.expectedMs;
+      planned.push({
+        stream: job.stream,
+        startAtMs: atMs,
+        aloneMs: job.transferMs,
+        dueAtMs: job.transferDueAtMs,
+      });
+    }
+    return planned;
   }
 
   /** Takes in a load report. */
@@ -120,18 +149,13 @@
     if (restarted) {
       this.#jobs.clear();
       this.hints.clear();
+      this.link.clear();
     }
     this.queuedTokens = report.queuedTokens;
     for (const job of this.#jobs.values()) {
-      if (nowMs - job.grantedAtMs > JOB_LIMIT_MS) this.#jobs.delete(job.stream);
-    }
-  }
-
-  #transferring(): PrefillJob[] {
-    const jobs: PrefillJob[] = [];
-    for (const job of this.#jobs.values()) {
-      if (job.endedAtMs !== undefined) jobs.push(job);
+      if (nowMs - job.grantedAtMs > JOB_LIMIT_MS) {
+        this.remove(job.stream, nowMs);
+      }
     }
-    return jobs;
   }
 }
--- a/packages/core/src/grants/queries/forecast.ts
+++ b/packages/core/src/grants/queries/forecast.ts
@@ -54,7 +54,7 @@
     if (!prefill.mayGrant(view.nowMs)) continue;
     const backlogMs = prefill.backlogMs(view.nowMs);
     supply.prefillMs += Math.max(0, withinMs - backlogMs);
-    const busyMs = view.speeds.transferMs.at(prefill.linkTokens());
+    const busyMs = prefill.link.leftMs(view.nowMs);
     supply.linkMs += Math.max(0, withinMs - busyMs);
   }
   return supply;
@@ -93,7 +93,7 @@
   const { view, decode, withinMs } = options;
   const stepMs = view.speeds.stepMs.at(decode.slots);
   const use = decode.use(view.nowMs, stepMs);
-  const ends = decode.expectedEnds(withinMs, { stepMs });
+  const ends = use.endsPerMs * withinMs;
   const memberPieces = use.members > 0 ? use.pieces / use.members : 0;
   supply.slots += Math.max(0, decode.slots - use.members) + ends;
   supply.pieces += Math.max(0, decode.memoryPieces - use.pieces) +
--- a/packages/core/src/grants/shard.ts
+++ b/packages/core/src/grants/shard.ts
@@ -7,7 +7,7 @@
 } from "../shared/ids.ts";
 import type { NotRunReason } from "../shared/verdict.ts";
 import { chooseVictims } from "./commands/shed.ts";
-import { estimateIdleMs } from "./policies/estimate.ts";
+import { afterTransferMs, estimateIdleMs } from "./policies/estimate.ts";
 import type { GrantPolicy, Placement, ShardView } from "./policies/types.ts";
 import { expectedSupply, needs } from "./queries/forecast.ts";
 import { GrantQueue, type QueuedRequest } from "./queue.ts";
@@ -195,7 +195,18 @@
     const { request, expectedTokens } = queued;
     this.#queue.remove(queued);
     const grant = asId<GrantId>(this.#options.nextGrant());
-    this.book.grant(placement, { grant, request, expectedTokens, nowMs });
+    const view = this.#view(nowMs, request);
+    const { members } = placement.decode.use(nowMs, 1);
+    const transferDueAtMs = queued.late
+      ? Number.POSITIVE_INFINITY
+      : queued.dueAtMs - afterTransferMs(view, members);
+    this.book.grant(placement, {
+      grant,
+      request,
+      expectedTokens,
+      transferDueAtMs,
+      nowMs,
+    });
     this.#shares.add(request.workspace, expectedTokens, nowMs);
     queued.answer({
       kind: "granted",
@@ -204,7 +215,7 @@
       decode: placement.decode.id,
       startInMs: 0,
       cachedTokens: placement.cachedTokens,
-      memoryPieces: needs(this.#view(nowMs, request), request).pieces,
+      memoryPieces: needs(view, request).pieces,
     });
   }
 
--- a/packages/core/src/grants/shard_book.ts
+++ b/packages/core/src/grants/shard_book.ts
@@ -68,6 +68,7 @@
       grant: GrantId;
       request: GrantRequest;
       expectedTokens: number;
+      transferDueAtMs: number;
       nowMs: number;
     },
   ): void {
@@ -89,6 +90,8 @@
       uncachedTokens,
       blocks: request.blocks,
       expectedMs: this.speeds.prefillMs.at(uncachedTokens),
+      transferMs: this.speeds.transferMs.at(request.promptTokens),
+      transferDueAtMs: options.transferDueAtMs,
       grantedAtMs: nowMs,
       alone: request.alone,
       endedAtMs: undefined,
@@ -116,17 +119,23 @@
       prefill,
       decode,
       cachedTokens: 0,
-      prefillEndMs: 0,
       firstTokenMs: 0,
+      delaysOthers: false,
     };
     const expectedTokens = this.lengths.expect(
       request.workspace,
       request.maxTokens,
     );
-    this.grant(placement, { grant, request, expectedTokens, nowMs });
+    this.grant(placement, {
+      grant,
+      request,
+      expectedTokens,
+      transferDueAtMs: Number.POSITIVE_INFINITY,
+      nowMs,
+    });
     if (phase !== "prefill") prefill.end(request.stream, nowMs);
     if (phase === "decode") {
-      prefill.remove(request.stream);
+      prefill.remove(request.stream, nowMs);
       decode.startDecode(request.stream, {
         nowMs,
         generatedTokens: held.generatedTokens,
@@ -221,7 +230,7 @@
   #startDecode(grant: OpenGrant, nowMs: number): void {
     const { stream, promptTokens } = grant.request;
     grant.decodeStartedAtMs = nowMs;
-    const job = this.#prefills.get(grant.prefill)?.remove(stream);
+    const job = this.#prefills.get(grant.prefill)?.remove(stream, nowMs);
     this.#decodes.get(grant.decode)?.startDecode(stream, {
       nowMs,
       generatedTokens: 0,
@@ -233,7 +242,7 @@
   #close(grant: OpenGrant, nowMs: number): void {
     const { stream } = grant.request;
     this.#grants.delete(grant.grant);
-    this.#prefills.get(grant.prefill)?.remove(stream);
+    this.#prefills.get(grant.prefill)?.remove(stream, nowMs);
     this.#decodes.get(grant.decode)?.release(stream, nowMs);
   }
 }
