Configuration: a body is named by the digests of its items

Cause: applying one changed workspace of 5,800 stringified and hashed the whole list on every VM, which holds up streams meanwhile. Change: items' digests are kept with the items; an unchanged order isn't sorted.

--- a/packages/core/src/configuration/bodies.ts
+++ b/packages/core/src/configuration/bodies.ts
@@ -21,10 +21,15 @@
 /** Stores a scope's new body whole where it is due, and gives the head that finds it. */
 export async function storeScope(
   platform: PlatformPort,
-  options: { body: unknown; version: number; before: ScopeHead | undefined },
+  options: {
+    scope: Scope;
+    body: unknown;
+    version: number;
+    before: ScopeHead | undefined;
+  },
 ): Promise<Result<ScopeHead, StoreFailure>> {
-  const { body, version, before } = options;
-  const digest = bodyDigest(body);
+  const { scope, body, version, before } = options;
+  const digest = bodyDigest(scope, body);
   const base = before && (before.base ?? before);
   if (base?.digest === digest) return ok({ version, digest });
   const isSmall = JSON.stringify(body).length <= SMALL_BODY_CHARACTERS;
@@ -37,7 +42,7 @@
       base: { version: baseVersion, digest: baseDigest },
     });
   }
-  const stored = await putObject(platform, body);
+  const stored = await putObject(platform, body, digest);
   return stored.map(() => ({ version, digest }));
 }
 
@@ -65,7 +70,7 @@
     const scopeChange = change.value.scopes[scope];
     if (scopeChange) body = applyScope(scope, { body, scopeChange });
   }
-  return bodyDigest(body) === wanted.digest
+  return bodyDigest(scope, body) === wanted.digest
     ? ok(body)
     : err({ kind: "unknown", detail: `Changes don't lead to ${scope}` });
 }
--- a/packages/core/src/configuration/commands/submit.ts
+++ b/packages/core/src/configuration/commands/submit.ts
@@ -210,6 +210,7 @@
     if (!manifest.scopes[scope]) continue;
     const body = after[scope];
     const stored = await storeScope(platform, {
+      scope,
       body,
       version,
       before: heads[scope],
--- a/packages/core/src/configuration/difference.ts
+++ b/packages/core/src/configuration/difference.ts
@@ -35,9 +35,13 @@
   ) as unknown as ScopeBodies[S];
 }
 
-/** Names a body by its digest. */
-export function bodyDigest(body: unknown): Digest {
-  return digest(JSON.stringify(body));
+// Items are replaced and never changed in place, so that a change of one costs one digest.
+const itemDigests = new WeakMap<Item, Digest>();
+
+/** Names a body: by the digests of its items where it is a list. */
+export function bodyDigest(scope: Scope, body: unknown): Digest {
+  if (ITEM_KEYS[scope] === undefined) return digest(JSON.stringify(body));
+  return digest(itemsOf(body).map(itemDigest).join("\n"));
 }
 
 /** Finds what changed between two bodies of a scope. */
@@ -51,13 +55,15 @@
   const before = new Map(
     itemsOf(bodies.before).map((item) => [keyOf(scope, item), item]),
   );
+  const isSame = (item: Item) => {
+    const earlier = before.get(keyOf(scope, item));
+    return earlier !== undefined && itemDigest(earlier) === itemDigest(item);
+  };
   const after = itemsOf(bodies.after);
   const kept = new Set(after.map((item) => keyOf(scope, item)));
   return {
     kind: "items",
-    put: after.filter((item) =>
-      JSON.stringify(before.get(keyOf(scope, item))) !== JSON.stringify(item)
-    ),
+    put: after.filter((item) => !isSame(item)),
     removed: [...before.keys()].filter((key) => !kept.has(key)),
   };
 }
@@ -73,7 +79,9 @@
     const scopeChange = change.scopes[scope];
     if (!scopeChange) continue;
     const body = applyScope(scope, { body: bodies[scope], scopeChange });
-    if (bodyDigest(body) !== change.head.scopes[scope]?.digest) return null;
+    if (bodyDigest(scope, body) !== change.head.scopes[scope]?.digest) {
+      return null;
+    }
     (bodies as unknown as Record<Scope, unknown>)[scope] = body;
   }
   return { head: change.head, bodies };
@@ -112,10 +120,13 @@
     itemsOf(body).map((item) => [keyOf(scope, item), item]),
   );
   for (const key of scopeChange.removed) items.delete(key);
+  let isOrdered = true;
   for (const item of scopeChange.put as Item[]) {
+    isOrdered &&= items.has(keyOf(scope, item));
     items.set(keyOf(scope, item), item);
   }
-  return canonicalBody(scope, [...items.values()] as never);
+  const changed = [...items.values()];
+  return isOrdered ? changed : canonicalBody(scope, changed as never);
 }
 
 function byKey(scope: Scope, body: unknown): Item {
@@ -125,6 +136,15 @@
   );
 }
 
+function itemDigest(item: Item): Digest {
+  let known = itemDigests.get(item);
+  if (known === undefined) {
+    known = digest(JSON.stringify(item));
+    itemDigests.set(item, known);
+  }
+  return known;
+}
+
 function itemsOf(body: unknown): Item[] {
   return (body ?? []) as Item[];
 }
--- a/packages/core/src/configuration/store.ts
+++ b/packages/core/src/configuration/store.ts
@@ -48,15 +48,16 @@
   );
 }
 
-/** Stores a value under its digest. */
+/** Stores a value under a name that says what it holds; its text's digest where none is given. */
 export async function putObject(
   platform: PlatformPort,
   value: unknown,
+  name?: Digest,
 ): Promise<Result<Digest, StoreFailure>> {
   const text = JSON.stringify(value);
-  const name = digest(text);
-  const stored = await platform.putObject(`configuration/${name}`, text);
-  return stored.map(() => name);
+  const chosen = name ?? digest(text);
+  const stored = await platform.putObject(`configuration/${chosen}`, text);
+  return stored.map(() => chosen);
 }
 
 /** Reads the row of a submission; null where none was committed yet. */
