Domains of the fuzzer agree on who is gone and who was frozen

Change: the world keeps every summary that was asked for, and the network every host that was ever frozen. The check of the last event excuses only frozen VMs now, no longer every VM that a fault has touched. A request refused before its handle was returned met an uninitialised binding in the request gate.

--- a/packages/bench/src/fuzz/domains/calls.ts
+++ b/packages/bench/src/fuzz/domains/calls.ts
@@ -202,7 +202,6 @@
     submissions: [],
     stoppedServices: new Set(),
     everStopped: new Set(),
-    everFrozen: new Set(),
   }),
   world: { prefills: 0, decodes: 0 },
   commands: [
--- a/packages/bench/src/fuzz/domains/calls_checks.ts
+++ b/packages/bench/src/fuzz/domains/calls_checks.ts
@@ -104,12 +104,11 @@
 const oneVerdict = check(
   "no verdict in time, or more than one",
   "always",
-  (part, _world, model) => {
-    const { frozen } = partOf<FaultsPart>(model, FAULTS);
-    for (const vm of frozen) part.everFrozen.add(vm);
+  (part, world) => {
+    const { everFrozen } = world.network;
     return part.submissions.filter(({ call }) => {
       if (call.extra > 0) return true;
-      if (call.lost || call.left || part.everFrozen.has(call.vm)) return false;
+      if (call.lost || call.left || everFrozen.has(call.vm)) return false;
       const dueAtMs = call.request.deadlineAtMs + LAST_VERDICT_MS;
       return (call.answeredAtMs ?? Date.now()) > dueAtMs;
     }).map(nameOf);
--- a/packages/bench/src/fuzz/domains/calls_part.ts
+++ b/packages/bench/src/fuzz/domains/calls_part.ts
@@ -28,8 +28,6 @@
   readonly stoppedServices: Set<string>;
   /** Plain services that were down at any time. */
   readonly everStopped: Set<string>;
-  /** VMs that were frozen at any time. */
-  readonly everFrozen: Set<string>;
 }
 
 /** Names a filing's key. */
--- a/packages/bench/src/fuzz/domains/summaries.ts
+++ b/packages/bench/src/fuzz/domains/summaries.ts
@@ -204,7 +204,6 @@
     calmSinceMs: Date.now(),
     everCut: false,
     everParted: false,
-    everFrozen: new Set(),
   }),
   commands: [
     sendNew,
--- a/packages/bench/src/fuzz/domains/summaries_checks.ts
+++ b/packages/bench/src/fuzz/domains/summaries_checks.ts
@@ -103,7 +103,7 @@
       const { deadlineAtMs } = summary.request;
       const late = Date.now() > deadlineAtMs + LAST_EVENT_LIMIT_MS;
       const excused = summary.goneAtMs !== undefined ||
-        at.faults.touchedVms.has(summary.vm);
+        at.world.network.everFrozen.has(summary.vm);
       if (!late || excused) return [];
       return [`${nameOf(attachment)}: no last event`];
     }),
@@ -116,10 +116,10 @@
     const nowMs = Date.now();
     if (nowMs - part.calmSinceMs < HELD_LIMIT_MS) return [];
     const wanting = new Set<string>();
-    for (const { summary, wanted } of part.attachments) {
-      const goneAtMs = summary.goneAtMs ?? Infinity;
-      if (nowMs - goneAtMs >= HELD_LIMIT_MS) continue;
-      wanting.add(`lenders/${wanted.caller}/${wanted.request}`);
+    for (const { request, goneAtMs } of at.world.summaries) {
+      if (nowMs - (goneAtMs ?? Infinity) >= HELD_LIMIT_MS) continue;
+      const { workspace, caller, request: id } = request;
+      wanting.add(`${workspace}/${caller}/${id}`);
     }
     return [...at.world.engines.values()].flatMap((engine) =>
       engine.heldRuns()
@@ -219,7 +219,6 @@
     pair.every((host) => host.startsWith("vm-"))
   );
   if (parted) part.everParted = true;
-  for (const name of faults.frozen) part.everFrozen.add(name);
   const hindered = faults.cuts.size > 0 || faults.frozen.size > 0 ||
     [...world.engines.values()].some((engine) => engine.reportsFrozen) ||
     world.platformFaults.down;
--- a/packages/bench/src/fuzz/domains/summaries_part.ts
+++ b/packages/bench/src/fuzz/domains/summaries_part.ts
@@ -32,6 +32,4 @@
   everCut: boolean;
   /** True once VMs were cut off from each other in this run. */
   everParted: boolean;
-  /** VMs that were frozen in this run. */
-  readonly everFrozen: Set<string>;
 }
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -82,6 +82,8 @@
   readonly platformFaults: PlatformFaults = noPlatformFaults();
   readonly engines = new Map<string, AnyFakeEngine>();
   readonly services = new Map<string, PlainService>();
+  /** Every summary that a caller has asked for. */
+  readonly summaries: CallerSummary[] = [];
   /** VMs that are up, frozen ones included. */
   readonly vms = new Map<string, Vm>();
   /** When VMs died or ended, on the monotonic clock. */
@@ -247,6 +249,7 @@
   summary(vm: Host, request: SummaryRequest): CallerSummary {
     const connection = this.#connectCaller(vm);
     const summary = new CallerSummary(request, vm);
+    this.summaries.push(summary);
     if (!connection) {
       summary.lose();
       return summary;
--- a/packages/core/src/vm/request_gate.ts
+++ b/packages/core/src/vm/request_gate.ts
@@ -70,11 +70,12 @@
       sink(event);
       if (event.kind !== "tokens") end();
     });
-    const cut = () => {
+    // Hoisted, as a request may be refused before `submit` returns its handle.
+    function cut(): void {
       if (!ended) sink({ kind: "refused", refusal: CUT_OFF });
       end();
       handle.cancel();
-    };
+    }
     if (!ended) this.#cuts.add(cut);
     return {
       ...handle,
--- a/packages/fakes/src/network/network.ts
+++ b/packages/fakes/src/network/network.ts
@@ -33,6 +33,8 @@
 
 /** Delivers messages between hosts by timers. */
 export class FakeNetwork {
+  /** Hosts that were frozen at any time. */
+  readonly everFrozen = new Set<Host>();
   #options: Required<FakeNetworkOptions>;
   #down = new Set<Host>();
   #frozen = new Map<Host, (() => void)[]>();
@@ -67,6 +69,7 @@
 
   /** Freezes a host: what arrives waits until it thaws. */
   freeze(host: Host): void {
+    this.everFrozen.add(host);
     if (!this.#frozen.has(host)) this.#frozen.set(host, []);
   }
 
