--- a/packages/core/src/grants/decode_replica.ts
+++ b/packages/core/src/grants/decode_replica.ts
@@ -9,6 +9,8 @@
 const ENDED_KEPT_MS = 10_000;
 /** A run that no report shows this long after its grant is taken for ended. */
 const UNSEEN_MS = 4_000;
+/** Use is computed again after this long, as answers grow. */
+const USE_KEPT_MS = 5;
 /** Time that a replica is given to free a run that has ended. */
 const FREEING_MS = 1_000;
 
@@ -28,6 +30,8 @@
 export interface DecodeUse {
   readonly members: number;
   readonly pieces: number;
+  /** Rate at which runs are expected to end. */
+  readonly endsPerMs: number;
 }
 
 /** Options of {@link DecodeReplica.report}. */
@@ -44,6 +48,8 @@
   memoryPieces: number;
   #holds = new Map<StreamId, SlotHold>();
   #endedAtMs = new Map<StreamId, number>();
+  /** The last use that was computed; dropped with every change. */
+  #kept: { nowMs: number; stepMs: number; use: DecodeUse } | undefined;
 
   constructor(endpoint: Endpoint) {
     super();
@@ -54,11 +60,13 @@
 
   /** Adds a granted run. */
   hold(hold: SlotHold): void {
+    this.#kept = undefined;
     this.#holds.set(hold.stream, hold);
   }
 
   /** Frees a run's slot. */
   release(stream: StreamId, nowMs: number): void {
+    this.#kept = undefined;
     this.#holds.delete(stream);
     this.#endedAtMs.set(stream, nowMs);
   }
@@ -70,6 +78,7 @@
   ): void {
     const hold = this.#holds.get(stream);
     if (!hold) return;
+    this.#kept = undefined;
     hold.decodeStartedAtMs = options.nowMs;
     hold.generatedAtMs = options.nowMs;
     hold.generatedTokens = options.generatedTokens;
@@ -93,33 +102,38 @@
 
   /** Members and memory, with tokens generated since the last report estimated by the step time. */
   use(nowMs: number, stepMs: number): DecodeUse {
+    const kept = this.#kept;
+    const isFresh = kept && nowMs - kept.nowMs < USE_KEPT_MS &&
+      kept.stepMs === stepMs;
+    if (isFresh) return kept.use;
+    const use = this.#computeUse(nowMs, stepMs);
+    this.#kept = { nowMs, stepMs, use };
+    return use;
+  }
+
+  #computeUse(nowMs: number, stepMs: number): DecodeUse {
     let pieces = 0;
+    let endsPerMs = 0;
     for (const hold of this.#holds.values()) {
       const tokens = hold.decodeStartedAtMs === undefined
         ? 0
         : hold.generatedTokens + (nowMs - hold.generatedAtMs) / stepMs;
       pieces += Math.ceil((hold.promptTokens + tokens) / TOKENS_PER_PIECE);
-    }
-    return { members: this.#holds.size, pieces };
-  }
-
-  /** Expected ends within a time, each run's end spread evenly over its expected remaining time. */
-  expectedEnds(withinMs: number, options: { stepMs: number }): number {
-    let ends = 0;
-    for (const hold of this.#holds.values()) {
+      // A run that has passed its expected length is taken to be halfway through what is left.
       const leftTokens = Math.max(
-        hold.expectedTokens - hold.generatedTokens,
+        hold.expectedTokens - tokens,
         hold.expectedTokens / 2,
       );
-      ends += Math.min(1, withinMs / (leftTokens * options.stepMs));
+      endsPerMs += 1 / (leftTokens * stepMs);
     }
-    return ends;
+    return { members: this.#holds.size, pieces, endsPerMs };
   }
 
   /** Takes in a load report. */
   report(report: LoadReport, options: ReportOptions): void {
     const { nowMs } = options;
     const takenAtMs = nowMs - report.ageMs;
+    this.#kept = undefined;
     if (this.takeReport(report, takenAtMs)) this.#holds.clear();
     this.slots = report.slots;
     this.memoryPieces = report.memoryPieces;
