A summary refused before its handle is there no longer fails in the request gate

Change: cut is set beforehand; a test that failed with the ReferenceError. Conclusion: found in a part of the vms owner; the smallest change.

--- a/packages/core/src/vm/request_gate.ts
+++ b/packages/core/src/vm/request_gate.ts
@@ -60,6 +60,8 @@
     }
     const endCount = inProgress.track();
     let ended = false;
+    // A refusal can come before the handle is there.
+    let cut = () => {};
     const end = () => {
       ended = true;
       this.#cuts.delete(cut);
@@ -70,7 +72,7 @@
       sink(event);
       if (event.kind !== "tokens") end();
     });
-    const cut = () => {
+    cut = () => {
       if (!ended) sink({ kind: "refused", refusal: CUT_OFF });
       end();
       handle.cancel();
