--- a/packages/bench/src/fuzz/domains/calls.ts
+++ b/packages/bench/src/fuzz/domains/calls.ts
@@ -100,6 +100,8 @@
   afterMs: fc.integer({ min: 1, max: 30 }),
   fault: fc.constantFrom(...MID_CLAIM_FAULTS),
   forMs: fc.integer({ min: 500, max: MAX_FAULT_MS }),
+  /** The VM that gets the same filing again, right after the fault. */
+  again: fc.option(index, { nil: undefined }),
 }).map((drawn) =>
   step(
     `sendCallIntoFault(${Object.values(drawn).join(", ")})`,
@@ -112,6 +114,8 @@
       faults.any = true;
       faults.touchedVms.add(name);
       breakVm({ faults, world, name, ...drawn });
+      if (drawn.again === undefined) return;
+      send(part, world, { ...filing, filing, ...drawn, vm: drawn.again });
     },
   )
 );
