Rows outlast their calls

Cause: a row was over callRetentionMs after the claim, also where the service's timeoutMs is longer than that; a repeat could then claim a running call again. Change: the time of keeping starts at the last moment at which the call can be under way; a test that failed before.

--- a/packages/bench/src/calls_world_test.ts
+++ b/packages/bench/src/calls_world_test.ts
@@ -9,6 +9,7 @@
 import { SERVICE, World, type WorldOptions } from "./world/world.ts";
 
 const DAY_MS = 86_400_000;
+const SERVICE_TIMEOUT_MS = 30_000;
 const KEY = "lenders/filing-1";
 
 let world: World;
@@ -222,6 +223,14 @@
   expect(row()?.state.kind).toBe("released");
 });
 
+test("A row outlasts its call, however long that may take, by the time of keeping", async () => {
+  await createWorld();
+  const call = file("vm-1", { deadlineAtMs: Date.now() + 600_000 });
+  await world.advance(500);
+  const longestMs = call.request.deadlineAtMs + SERVICE_TIMEOUT_MS;
+  expect(row()?.expiresAtMs).toBeGreaterThanOrEqual(longestMs + DAY_MS);
+});
+
 test("Keys that carry their time are refused once they are older than rows are kept", async () => {
   await createWorld();
   const old = uuidV7(Date.now() - DAY_MS - 1);
--- a/packages/core/src/calls/task.ts
+++ b/packages/core/src/calls/task.ts
@@ -140,7 +140,9 @@
       request: call.request,
       waiter,
       service,
-      expiresAtMs: Math.max(madeAtMs, Date.now()) + callRetentionMs,
+      // No row may be over while its call can still be under way.
+      expiresAtMs: Math.max(madeAtMs, Date.now(), call.deadlineAtMs) +
+        service.timeoutMs + callRetentionMs,
     });
     return await this.#runOnce(submission);
   }
