--- a/packages/bench/src/fuzz/domains/faults.ts
+++ b/packages/bench/src/fuzz/domains/faults.ts
@@ -220,7 +220,8 @@
   );
 }
 
-function cut(
+/** Cuts the path between two hosts, until it is healed with all others. */
+export function cut(
   part: FaultsPart,
   options: { world: World; pair: readonly [string, string] },
 ): void {
--- a/packages/bench/src/fuzz/domains/summaries.ts
+++ b/packages/bench/src/fuzz/domains/summaries.ts
@@ -4,7 +4,7 @@
 import { MODEL, type World } from "../../world/world.ts";
 import type { FuzzCommand, FuzzDomain, Mutant } from "../frame.ts";
 import { partOf } from "../frame.ts";
-import { pick } from "./faults.ts";
+import { cut, FAULTS, type FaultsPart, pick } from "./faults.ts";
 import { SUMMARY_CHECKS } from "./summaries_checks.ts";
 import {
   SUMMARIES,
@@ -182,6 +182,23 @@
   })
 );
 
+/** Cuts a VM off from all engines, where one of its callers has a stream. */
+const cutFromEngines = index.map((at): FuzzCommand => ({
+  check: () => true,
+  run(model, world) {
+    const part = partOf<SummariesPart>(model, SUMMARIES);
+    const known = pick(part.attachments.slice(-3), at);
+    if (!known || !world.vms.has(known.summary.vm)) return Promise.resolve();
+    const faults = partOf<FaultsPart>(model, FAULTS);
+    faults.any = true;
+    for (const engine of world.engines.keys()) {
+      cut(faults, { world, pair: [known.summary.vm, engine] });
+    }
+    return Promise.resolve();
+  },
+  toString: () => `cutFromEngines(${at})`,
+}));
+
 const shortly = fc.integer({ min: 1, max: 60 }).map((ms): FuzzCommand => ({
   check: () => true,
   run: (_model, world) => world.advance(ms),
@@ -214,6 +231,7 @@
     leave,
     sendPoison,
     delayNext,
+    cutFromEngines,
     shortly,
   ],
   checks: SUMMARY_CHECKS,
--- a/packages/core/src/summaries/task.ts
+++ b/packages/core/src/summaries/task.ts
@@ -103,7 +103,7 @@
     this.#watch.stop();
   }
 
-  /** Starts a summary, or attaches to the one that runs under the same key. */
+  /** Starts a summary, or attaches to the one that runs under the same key. The sink is called later only. */
   submit(request: SummaryRequest, sink: SummarySink): SummaryHandle {
     this.#watch.check();
     const key = summaryKey(request);
@@ -136,7 +136,8 @@
   ): SummaryHandle {
     const { sink, reason } = options;
     this.#context.observer.count("refusals", reason);
-    sink({ kind: "refused", refusal: notRun(reason) });
+    // Nobody is told before it holds the handle.
+    queueMicrotask(() => sink({ kind: "refused", refusal: notRun(reason) }));
     return { key, cancel() {}, pause() {}, resume() {} };
   }
 
