--- a/packages/core/src/summaries/admission.ts
+++ b/packages/core/src/summaries/admission.ts
@@ -23,7 +23,7 @@
   grants: GrantsClient;
   hash: SuspectHash;
   /** Whether requests that crash engines are told apart. */
-  convicts: boolean;
+  asksSuspects: () => boolean;
   request: Omit<GrantRequest, "alone">;
 }
 
@@ -31,7 +31,7 @@
 export async function admitAttempt(
   options: AdmissionOptions,
 ): Promise<AdmissionOutcome> {
-  if (!options.convicts) return await askGrant(options, null);
+  if (!options.asksSuspects()) return await askGrant(options, null);
   const admission = await options.suspects.admit(options.hash);
   if (admission.kind === "busy") return admission;
   if (admission.kind === "convicted") {
--- a/packages/core/src/summaries/admission_stage.ts
+++ b/packages/core/src/summaries/admission_stage.ts
@@ -92,7 +92,7 @@
       suspects,
       grants,
       hash: this.#state.hash,
-      convicts: policies.convicts,
+      asksSuspects: policies.asksSuspects,
       request: attempt.asked,
     };
     this.#state.after(
--- a/packages/core/src/summaries/cancels.ts
+++ b/packages/core/src/summaries/cancels.ts
@@ -14,7 +14,7 @@
 export interface CancelBookOptions {
   configuration: ConfigurationView;
   /** Whether a cancel is repeated until it is acknowledged. */
-  repeats: boolean;
+  repeats: () => boolean;
 }
 
 /** Owns the cancels that are not yet acknowledged. */
@@ -49,7 +49,7 @@
     let absent = 0;
     let waitMs = FIRST_WAIT_MS;
     while (!await this.#cancelOnce(endpoint, stream)) {
-      if (!this.#options.repeats || !this.#isConfigured(endpoint)) return;
+      if (!this.#options.repeats() || !this.#isConfigured(endpoint)) return;
       const listed = await this.#isListed(endpoint, { stream, sinceMs });
       if (listed !== null) absent = listed ? 0 : absent + 1;
       if (absent >= REPORTS_WITHOUT_RUN) {
--- a/packages/core/src/summaries/claim_stage.ts
+++ b/packages/core/src/summaries/claim_stage.ts
@@ -25,7 +25,7 @@
     const claimed = registrar.claim(this.#state.registration(), {
       fromOffset,
       model,
-      supersedes: policies.supersedes,
+      takesOver: policies.takesOver,
     });
     this.#state.after(claimed, (claim) => this.#takeClaim(claim), (claim) => {
       // The caller went meanwhile; the key and what was taken over are freed.
--- a/packages/core/src/summaries/engine_stage.ts
+++ b/packages/core/src/summaries/engine_stage.ts
@@ -185,7 +185,7 @@
   #receive(stage: number, event: StreamEvent): void {
     const { policies, watch, context } = this.#state.options;
     const nowMs = watch.check();
-    if (policies.dropsStaleEvents && stage !== this.#state.stage) {
+    if (policies.isStale(stage, this.#state.stage)) {
       return context.observer.count("stale_answers", "attachment");
     }
     switch (event.kind) {
--- a/packages/core/src/summaries/freeze_watch.ts
+++ b/packages/core/src/summaries/freeze_watch.ts
@@ -1,17 +1,22 @@
 /** Notices that the process did not run for a while. */
 
 const BEAT_MS = 100;
-/** A gap that the event loop doesn't show while it works; a peer may have taken over meanwhile. */
-export const FREEZE_GAP_MS = 400;
+
+/** Options of {@link FreezeWatch}. */
+export interface FreezeWatchOptions {
+  /** Whether a gap between heartbeats means that the process did not run. */
+  isFreeze: (gapMs: number) => boolean;
+  onFreeze: (gapMs: number) => void;
+}
 
 /** Owns a heartbeat timer and compares each use of the clock with it. */
 export class FreezeWatch {
-  #onFreeze: (gapMs: number) => void;
+  #options: FreezeWatchOptions;
   #lastBeatMs = performance.now();
   #timer: ReturnType<typeof setInterval> | undefined;
 
-  constructor(onFreeze: (gapMs: number) => void) {
-    this.#onFreeze = onFreeze;
+  constructor(options: FreezeWatchOptions) {
+    this.#options = options;
   }
 
   start(): void {
@@ -28,9 +33,9 @@
   check(): number {
     const nowMs = performance.now();
     const gapMs = nowMs - this.#lastBeatMs;
-    if (gapMs > FREEZE_GAP_MS && this.#timer !== undefined) {
+    if (this.#options.isFreeze(gapMs) && this.#timer !== undefined) {
       this.#lastBeatMs = nowMs;
-      this.#onFreeze(gapMs);
+      this.#options.onFreeze(gapMs);
     }
     return nowMs;
   }
--- a/packages/core/src/summaries/policies.ts
+++ b/packages/core/src/summaries/policies.ts
@@ -1,27 +1,33 @@
-/** What a test may replace to show that a mechanism is needed. */
+/** Decisions that a test may replace to show that a mechanism is needed. */
 
-/** Policies of summaries. */
+/** A gap that the event loop doesn't show while it works; a peer may have taken over meanwhile. */
+const FREEZE_GAP_MS = 400;
+
+/** Decisions of summaries. */
 export interface SummaryPolicies {
-  /** Whether a newer connection closes an older one with the same key. */
-  readonly supersedes: boolean;
-  /** Drops events of an older attachment, and tokens that were sent before. */
-  readonly dropsStaleEvents: boolean;
-  /** Whether orphaned streams are cancelled by the shard's home. */
-  readonly sweeps: boolean;
-  /** Whether a cancel is repeated until it is acknowledged. */
-  readonly repeatsCancels: boolean;
-  /** Whether ownership is checked again after the VM did not run for a while. */
-  readonly checksAfterFreeze: boolean;
-  /** Whether requests that crash engines are told apart and refused. */
-  readonly convicts: boolean;
+  /** Whether a newer connection takes the stream over from an older one. */
+  readonly takesOver: () => boolean;
+  /** Whether an event belongs to an earlier stage than the current one. */
+  readonly isStale: (stage: number, current: number) => boolean;
+  /** Whether tokens from an offset are those that the caller needs next. */
+  readonly isNext: (offset: number, nextOffset: number) => boolean;
+  /** Whether a stream whose owner has been gone for a time is cancelled. */
+  readonly isOrphan: (goneForMs: number, adoptionMs: number) => boolean;
+  /** Whether a cancel that was not acknowledged is sent again. */
+  readonly repeatsCancel: () => boolean;
+  /** Whether a gap between heartbeats means that the VM did not run. */
+  readonly isFreeze: (gapMs: number) => boolean;
+  /** Whether it is asked if a request crashed an engine before. */
+  readonly asksSuspects: () => boolean;
 }
 
-/** The policies in use. */
+/** The decisions in use. */
 export const SUMMARY_POLICIES: SummaryPolicies = {
-  supersedes: true,
-  dropsStaleEvents: true,
-  sweeps: true,
-  repeatsCancels: true,
-  checksAfterFreeze: true,
-  convicts: true,
+  takesOver: () => true,
+  isStale: (stage, current) => stage !== current,
+  isNext: (offset, nextOffset) => offset === nextOffset,
+  isOrphan: (goneForMs, adoptionMs) => goneForMs >= adoptionMs,
+  repeatsCancel: () => true,
+  isFreeze: (gapMs) => gapMs > FREEZE_GAP_MS,
+  asksSuspects: () => true,
 };
--- a/packages/core/src/summaries/registrar.ts
+++ b/packages/core/src/summaries/registrar.ts
@@ -40,7 +40,7 @@
   fromOffset: number;
   model: ModelName;
   /** Whether the newest connection takes over what runs elsewhere. */
-  supersedes: boolean;
+  takesOver: () => boolean;
 }
 
 /** Finds and keeps the registrations of this VM's summaries. */
@@ -56,14 +56,14 @@
   /** Claims a key for this VM, taking over what runs under it elsewhere. */
   async claim(wanted: Registration, options: ClaimOptions): Promise<Claim> {
     const answer = await this.register(wanted, false);
-    if (answer?.kind === "exists" && options.supersedes) {
+    if (answer?.kind === "exists" && options.takesOver()) {
       return await this.#takeOver(wanted, {
         ...options,
         held: answer.registration,
       });
     }
     if (options.fromOffset === 0) return { kind: "new", epoch: wanted.epoch };
-    return await this.#adopt(wanted, options.model);
+    return await this.#adopt(wanted, options);
   }
 
   /** Registers with the key's home, or with the next in turn; null when none answers. */
@@ -146,19 +146,15 @@
   }
 
   // The home knows nothing, as after its death; load reports may still list the run.
-  async #adopt(wanted: Registration, model: ModelName): Promise<Claim> {
+  async #adopt(wanted: Registration, options: ClaimOptions): Promise<Claim> {
+    const { model } = options;
     for (let attempt = 1; attempt <= LOCATE_ATTEMPTS; attempt += 1) {
       const found = await this.#locate(wanted, model);
       if (found) {
         const { stream, owner, decode } = found;
         const run = { stream, prefill: null, decode };
         const held = { ...wanted, owner, run };
-        return await this.#takeOver(wanted, {
-          model,
-          held,
-          fromOffset: 1,
-          supersedes: true,
-        });
+        return await this.#takeOver(wanted, { ...options, held });
       }
       await new Promise((resolve) => setTimeout(resolve, LOCATE_INTERVAL_MS));
     }
--- a/packages/core/src/summaries/relay.ts
+++ b/packages/core/src/summaries/relay.ts
@@ -16,14 +16,14 @@
 export interface AnswerRelayOptions {
   sink: SummarySink;
   fromOffset: number;
-  /** Drops tokens that were sent before. */
-  dropsStale: boolean;
+  /** Whether tokens from an offset are those that the caller needs next. */
+  isNext: (offset: number, nextOffset: number) => boolean;
 }
 
 /** Owns the caller's end of one answer. */
 export class AnswerRelay {
   #sink: SummarySink;
-  #dropsStale: boolean;
+  #isNext: AnswerRelayOptions["isNext"];
   #nextOffset: number;
   /** Tokens sent, from the first on; null when the caller resumed and they are unknown. */
   #sent: string[] | null;
@@ -33,7 +33,7 @@
 
   constructor(options: AnswerRelayOptions) {
     this.#sink = options.sink;
-    this.#dropsStale = options.dropsStale;
+    this.#isNext = options.isNext;
     this.#nextOffset = options.fromOffset;
     this.#sent = options.fromOffset === 0 ? [] : null;
   }
@@ -85,7 +85,7 @@
   pass(event: TokensEvent): RelayOutcome {
     if (this.#ended) return "stale";
     if (this.#repeated) return this.#compare(event, this.#repeated);
-    if (event.offset === this.#nextOffset || !this.#dropsStale) {
+    if (this.#isNext(event.offset, this.#nextOffset)) {
       return this.#send(event);
     }
     if (event.offset > this.#nextOffset) return "gap";
--- a/packages/core/src/summaries/run_state.ts
+++ b/packages/core/src/summaries/run_state.ts
@@ -86,7 +86,7 @@
     this.relay = new AnswerRelay({
       sink: options.sink,
       fromOffset: request.fromOffset,
-      dropsStale: options.policies.dropsStaleEvents,
+      isNext: options.policies.isNext,
     });
   }
 
--- a/packages/core/src/summaries/sweep.ts
+++ b/packages/core/src/summaries/sweep.ts
@@ -28,6 +28,8 @@
   reports: ReportsView;
   registrar: Registrar;
   cancels: CancelBook;
+  /** Whether a stream whose owner has been gone for a time is cancelled. */
+  isOrphan: (goneForMs: number, adoptionMs: number) => boolean;
 }
 
 interface Listing {
@@ -130,7 +132,7 @@
     const adoptionMs = this.#options.configuration.current()?.bodies.deployment
       .adoptionMs ?? DEFAULT_ADOPTION_MS;
     const sinceMs = Math.max(firstTakenAtMs, owner.aliveAtMs);
-    return performance.now() - sinceMs >= adoptionMs;
+    return this.#options.isOrphan(performance.now() - sinceMs, adoptionMs);
   }
 
   async #cancelOrphan({ endpoint, run }: Listing): Promise<void> {
--- a/packages/core/src/summaries/task.ts
+++ b/packages/core/src/summaries/task.ts
@@ -58,7 +58,7 @@
     this.#grants = new GrantsClient(context, { configuration, membership });
     this.#cancels = new CancelBook(context, {
       configuration,
-      repeats: this.#policies.repeatsCancels,
+      repeats: this.#policies.repeatsCancel,
     });
     this.#home = new SummariesHome({
       onReplaced: (older, newer) => {
@@ -75,8 +75,12 @@
       reports,
       registrar: this.#registrar,
       cancels: this.#cancels,
+      isOrphan: this.#policies.isOrphan,
+    });
+    this.#watch = new FreezeWatch({
+      isFreeze: this.#policies.isFreeze,
+      onFreeze: (gapMs) => this.#onFreeze(gapMs),
     });
-    this.#watch = new FreezeWatch((gapMs) => this.#onFreeze(gapMs));
     this.handlers = this.#createHandlers();
   }
 
@@ -88,7 +92,7 @@
   start(): void {
     this.#watch.start();
     this.#home.start();
-    if (this.#policies.sweeps) this.#sweep.start();
+    this.#sweep.start();
     this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.#removeListener = this.#options.viewChanges.onChange(() =>
       this.#registerAgain()
@@ -115,7 +119,7 @@
     if (!this.#options.configuration.current()) {
       return this.#refuse(key, { sink, reason: "no-configuration" });
     }
-    if (running && this.#policies.supersedes) {
+    if (running && this.#policies.takesOver()) {
       running.reconnect(request, sink);
       return this.#handleOf(running);
     }
@@ -188,7 +192,9 @@
       }),
       "summaries/hand-over": ({ key, epoch, stream }) => {
         this.#watch.check();
-        const run = this.#policies.supersedes ? this.#runs.get(key) : undefined;
+        const run = this.#policies.takesOver()
+          ? this.#runs.get(key)
+          : undefined;
         return { registration: run?.handOver(epoch, stream) ?? null };
       },
       "summaries/cancel": ({ key }) => ({ known: this.cancel(key) }),
@@ -212,7 +218,6 @@
 
   #onFreeze(gapMs: number): void {
     this.#context.observer.log({ event: "vm-frozen", level: "warn", gapMs });
-    if (!this.#policies.checksAfterFreeze) return;
     for (const run of [...this.#runs.values()]) run.send({ type: "frozen" });
   }
 
