--- a/packages/core/src/summaries/task.ts
+++ b/packages/core/src/summaries/task.ts
@@ -58,7 +58,7 @@
     this.#grants = new GrantsClient(context, { configuration, membership });
     this.#cancels = new CancelBook(context, {
       configuration,
-      repeats: this.#policies.repeatsCancels,
+      repeats: this.#policies.repeatsCancel,
     });
     this.#home = new SummariesHome({
       onReplaced: (older, newer) => {
@@ -75,8 +75,12 @@
       reports,
       registrar: this.#registrar,
       cancels: this.#cancels,
+      isOrphan: this.#policies.isOrphan,
+    });
+    this.#watch = new FreezeWatch({
+      isFreeze: this.#policies.isFreeze,
+      onFreeze: (gapMs) => this.#onFreeze(gapMs),
     });
-    this.#watch = new FreezeWatch((gapMs) => this.#onFreeze(gapMs));
     this.handlers = this.#createHandlers();
   }
 
@@ -88,7 +92,7 @@
   start(): void {
     this.#watch.start();
     this.#home.start();
-    if (this.#policies.sweeps) this.#sweep.start();
+    this.#sweep.start();
     this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.#removeListener = this.#options.viewChanges.onChange(() =>
       this.#registerAgain()
@@ -103,7 +107,7 @@
     this.#watch.stop();
   }
 
-  /** Starts a summary, or attaches to the one that runs under the same key. */
+  /** Starts a summary, or attaches to the one that runs under the same key. The sink is called later only. */
   submit(request: SummaryRequest, sink: SummarySink): SummaryHandle {
     this.#watch.check();
     const key = summaryKey(request);
@@ -115,7 +119,7 @@
     if (!this.#options.configuration.current()) {
       return this.#refuse(key, { sink, reason: "no-configuration" });
     }
-    if (running && this.#policies.supersedes) {
+    if (running && this.#policies.takesOver()) {
       running.reconnect(request, sink);
       return this.#handleOf(running);
     }
@@ -136,7 +140,8 @@
   ): SummaryHandle {
     const { sink, reason } = options;
     this.#context.observer.count("refusals", reason);
-    sink({ kind: "refused", refusal: notRun(reason) });
+    // Nobody is told before it holds the handle.
+    queueMicrotask(() => sink({ kind: "refused", refusal: notRun(reason) }));
     return { key, cancel() {}, pause() {}, resume() {} };
   }
 
@@ -187,7 +192,9 @@
       }),
       "summaries/hand-over": ({ key, epoch, stream }) => {
         this.#watch.check();
-        const run = this.#policies.supersedes ? this.#runs.get(key) : undefined;
+        const run = this.#policies.takesOver()
+          ? this.#runs.get(key)
+          : undefined;
         return { registration: run?.handOver(epoch, stream) ?? null };
       },
       "summaries/cancel": ({ key }) => ({ known: this.cancel(key) }),
@@ -211,7 +218,6 @@
 
   #onFreeze(gapMs: number): void {
     this.#context.observer.log({ event: "vm-frozen", level: "warn", gapMs });
-    if (!this.#policies.checksAfterFreeze) return;
     for (const run of [...this.#runs.values()]) run.send({ type: "frozen" });
   }
 
