--- /dev/null
+++ b/packages/bench/src/demo/programs_test.ts
@@ -0,0 +1,131 @@
+/** The built programs, run as an operator runs them. */
+import { execFile } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { PROGRAMS } from "../processes/process_group.ts";
+
+interface Ended {
+  readonly exitCode: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+let directory: string;
+
+beforeAll(() => {
+  directory = mkdtempSync(join(tmpdir(), "teaselvalve-programs-"));
+  writeFileSync(join(directory, "secret"), "a secret that nobody may see");
+});
+
+afterAll(() => rmSync(directory, { recursive: true }));
+
+function run(program: string, ...args: string[]): Promise<Ended> {
+  return new Promise((resolve) => {
+    execFile(process.execPath, [program, ...args], (error, stdout, stderr) => {
+      resolve({ exitCode: Number(error?.code ?? 0), stdout, stderr });
+    });
+  });
+}
+
+function writeSettings(text: string): string {
+  const path = join(directory, "vm.ini");
+  writeFileSync(path, text.replaceAll("DIR", directory));
+  return path;
+}
+
+const FINE = `[vm]
+id = vm-1
+dataCentre = helsinki-a
+region = suomi-etela
+[listen]
+callers = 127.0.0.1:7000
+admin = 127.0.0.1:7010
+peers = 127.0.0.1:7020
+[platform]
+address = 127.0.0.1:7100
+[secrets]
+peerSecretFile = DIR/secret
+adminTokenFile = DIR/secret
+`;
+
+test("the daemon checks its settings and exits", async () => {
+  const path = writeSettings(FINE);
+  const ended = await run(
+    PROGRAMS.daemon,
+    "--settings",
+    path,
+    "--check-settings",
+  );
+  expect(ended).toEqual({
+    exitCode: 0,
+    stdout: "Settings are fine\n",
+    stderr: "",
+  });
+});
+
+test.each([["--check-settings"], []])(
+  "the daemon names every settings error and exits with 2 (%s)",
+  async (...flags) => {
+    const path = writeSettings(
+      FINE.replace("vm-1", "VM 1").replace("7010", "port"),
+    );
+    const ended = await run(PROGRAMS.daemon, "--settings", path, ...flags);
+    expect(ended.exitCode).toBe(2);
+    expect(ended.stderr.trim().split("\n")).toEqual([
+      "[vm] id: Expected lower-case letters, digits, dots and dashes",
+      "[listen] admin: Expected host:port",
+    ]);
+  },
+);
+
+test.each([
+  [["vms"], 2, "--vm"],
+  [["vms", "--vm", "127.0.0.1:1"], 4, "No answer from 127.0.0.1:1"],
+  [["vms", "--vm", "127.0.0.1:1", "--token-file", "/absent"], 2, "Can't read"],
+  [["absent"], 2, "Not a valid subcommand"],
+])("the tool ends %j with %i", async (args, exitCode, message) => {
+  const ended = await run(PROGRAMS.tool, ...args);
+  expect(ended.exitCode).toBe(exitCode);
+  expect(ended.stderr).toContain(message);
+  expect(ended.stderr).not.toMatch(/\n\s+at /);
+});
+
+test("the tool explains every command with an example, without colours", async () => {
+  const commands = [
+    ["vms"],
+    ["endpoints"],
+    ["calls", "show"],
+    ["summaries", "list"],
+    ["summaries", "cancel"],
+    ["addresses"],
+    ["configuration"],
+    ["metrics"],
+    ["manifest", "submit"],
+  ];
+  const helps = await Promise.all(
+    commands.map((args) => run(PROGRAMS.tool, ...args, "--help")),
+  );
+  for (const [at, { exitCode, stdout }] of helps.entries()) {
+    expect(exitCode).toBe(0);
+    expect(stdout).toContain(`$ teaselvalve ${commands[at]!.join(" ")}`);
+    expect(stdout).not.toContain("\u001b");
+  }
+});
+
+test("the demonstration ends by itself with 0 and leaves nothing", async () => {
+  const demo = PROGRAMS.daemon.replace(
+    "daemon/dist/teaselvalved.js",
+    "bench/dist/demo.js",
+  );
+  const { exitCode, stdout, stderr } = await run(demo);
+  expect(stderr).toBe("");
+  expect(stdout).toMatch(
+    /Summary: vm-\d had prefill-\d prefill it and decode-/,
+  );
+  expect(stdout).toContain("which ran it once");
+  expect(stdout.trim().split("\n").at(-1)).toBe("All processes have ended.");
+  expect(exitCode).toBe(0);
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,5 +6,7 @@
     pool: "forks",
     testTimeout: 60_000,
     hookTimeout: 60_000,
+    // Polls wait for what sockets do, which takes longer on a busy machine.
+    expect: { poll: { timeout: 20_000, interval: 20 } },
   },
 });
