--- a/packages/daemon/src/settings/load_test.ts
+++ b/packages/daemon/src/settings/load_test.ts
@@ -1,8 +1,9 @@
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { loadSettings } from "./load.ts";
+import { SettingsSchema } from "./schema.ts";
 
 let directory: string;
 
@@ -112,3 +113,12 @@
     { section: "", key: "", message: `Can't read ${path}` },
   ]);
 });
+
+test("the operators' page lists every section and key", () => {
+  const page = readFileSync("docs/operators/settings.md", "utf8");
+  for (const name of Object.keys(SettingsSchema.shape)) {
+    expect(page).toContain(`## [${name}`);
+  }
+  const limits = Object.keys(SettingsSchema.shape.limits.parse({}));
+  for (const key of limits) expect(page).toContain(`| \`${key}\``);
+});
