--- a/packages/core/src/grants/policies/types.ts
+++ b/packages/core/src/grants/policies/types.ts
@@ -26,10 +26,10 @@
   readonly prefill: PrefillReplica;
   readonly decode: DecodeReplica;
   readonly cachedTokens: number;
-  /** Expected time until the prefill ends. */
-  readonly prefillEndMs: number;
   /** Expected time until the first token. */
   readonly firstTokenMs: number;
+  /** Whether its transfer would make an earlier one late that is in time without it. */
+  readonly delaysOthers: boolean;
 }
 
 /** Chooses replicas for a request; null when none will do now. */
@@ -42,6 +42,8 @@
 export interface GrantPolicy {
   readonly name: string;
   readonly place: Place;
+  /** Whether any request could be placed now, whatever its size; true when left out. */
+  readonly isReady?: (view: ShardView) => boolean;
   /** Whether requests wait at the home and are shed there; else each is placed or refused at once. */
   readonly waits: boolean;
 }
--- a/packages/core/src/grants/shard.ts
+++ b/packages/core/src/grants/shard.ts
@@ -7,7 +7,7 @@
 } from "../shared/ids.ts";
 import type { NotRunReason } from "../shared/verdict.ts";
 import { chooseVictims } from "./commands/shed.ts";
-import { estimateIdleMs } from "./policies/estimate.ts";
+import { afterTransferMs, estimateIdleMs } from "./policies/estimate.ts";
 import type { GrantPolicy, Placement, ShardView } from "./policies/types.ts";
 import { expectedSupply, needs } from "./queries/forecast.ts";
 import { GrantQueue, type QueuedRequest } from "./queue.ts";
@@ -128,13 +128,7 @@
   dispatch(): void {
     if (this.#queue.all.length === 0) return;
     const nowMs = performance.now();
-    const ordered = this.#queue.ordered((waiting) =>
-      this.#shares.overShare(
-        waiting.map((one) => one.request.workspace),
-        nowMs,
-      )
-    );
-    for (const queued of ordered) this.#place(queued, nowMs);
+    for (const queued of this.#queue.ordered()) this.#place(queued, nowMs);
     this.#shed(nowMs);
     this.#wakeLater(nowMs);
   }
@@ -157,6 +151,7 @@
       request,
       answer,
       late,
+      idleMs,
       dueAtMs: nowMs + waitMs,
       expectedTokens: this.book.lengths.expect(
         request.workspace,
@@ -173,12 +168,12 @@
       return;
     }
     const view = this.#view(nowMs, request, queued.late ? LATE_RESERVE : 0);
-    const placement = policy.place(view, request);
+    const isReady = policy.isReady?.(view) ?? true;
+    const placement = isReady ? policy.place(view, request) : null;
     if (placement && (!policy.waits || inTime(queued, placement, nowMs))) {
       return this.#grant(queued, { placement, nowMs });
     }
-    const leastMs = estimateIdleMs(view, request);
-    if (!policy.waits || nowMs + leastMs > queued.dueAtMs) {
+    if (!policy.waits || nowMs + queued.idleMs > queued.dueAtMs) {
       this.#refuseForLoad(queued);
     }
   }
@@ -200,7 +195,18 @@
     const { request, expectedTokens } = queued;
     this.#queue.remove(queued);
     const grant = asId<GrantId>(this.#options.nextGrant());
-    this.book.grant(placement, { grant, request, expectedTokens, nowMs });
+    const view = this.#view(nowMs, request);
+    const { members } = placement.decode.use(nowMs, 1);
+    const transferDueAtMs = queued.late
+      ? Number.POSITIVE_INFINITY
+      : queued.dueAtMs - afterTransferMs(view, members);
+    this.book.grant(placement, {
+      grant,
+      request,
+      expectedTokens,
+      transferDueAtMs,
+      nowMs,
+    });
     this.#shares.add(request.workspace, expectedTokens, nowMs);
     queued.answer({
       kind: "granted",
@@ -209,7 +215,7 @@
       decode: placement.decode.id,
       startInMs: 0,
       cachedTokens: placement.cachedTokens,
-      memoryPieces: needs(this.#view(nowMs, request), request).pieces,
+      memoryPieces: needs(view, request).pieces,
     });
   }
 
@@ -220,12 +226,11 @@
     if (waiting.length < 2 || !first) return;
     const view = this.#view(nowMs, first.request);
     const lastDueMs = Math.max(...waiting.map((one) => one.dueAtMs));
-    const idleMs = estimateIdleMs(view, first.request);
     const victims = chooseVictims(waiting, {
       view,
       shares: this.#shares,
       meanTokens: this.book.lengths.mean,
-      withinMs: Math.max(0, lastDueMs - nowMs - idleMs),
+      withinMs: Math.max(0, lastDueMs - nowMs - first.idleMs),
     });
     for (const victim of victims) this.#refuseForLoad(victim as QueuedRequest);
   }
