--- a/packages/bench/src/processes/deployment.ts
+++ b/packages/bench/src/processes/deployment.ts
@@ -11,6 +11,10 @@
   vms?: number;
   prefills?: number;
   decodes?: number;
+  /** How long a call to the plain service takes. */
+  serviceSpendMs?: number;
+  /** Arguments of Node that daemons start with. */
+  nodeArgs?: readonly string[];
 }
 
 /** One entry VM of a deployment. */
@@ -71,7 +75,13 @@
     "--list-lag-ms",
     "200",
   ]);
-  spawnFake("service", ["service", "--port", portOf(service)]);
+  spawnFake("service", [
+    "service",
+    "--port",
+    portOf(service),
+    "--spend-ms",
+    String(options.serviceSpendMs ?? 20),
+  ]);
   const engines = [
     ...Array.from({ length: prefills }, (_, at) => ({
       id: `prefill-${at + 1}`,
@@ -120,7 +130,9 @@
   try {
     await waitForHttp(`http://${platform}/usage`);
     for (const vm of vms) await listVm(deployment, vm);
-    for (const vm of vms) startVm(deployment, { vm, secretFile });
+    for (const vm of vms) {
+      startVm(deployment, { vm, secretFile, nodeArgs: options.nodeArgs });
+    }
     await Promise.all(
       vms.map((vm) => waitForHttp(`http://${vm.callers}/health/live`)),
     );
@@ -137,9 +149,13 @@
 /** Writes a VM's settings and starts its daemon. */
 export function startVm(
   deployment: Deployment,
-  options: { vm: DeployedVm; secretFile: string },
+  options: {
+    vm: DeployedVm;
+    secretFile: string;
+    nodeArgs?: readonly string[] | undefined;
+  },
 ): void {
-  const { vm, secretFile } = options;
+  const { vm, secretFile, nodeArgs } = options;
   writeFileSync(
     vm.settingsFile,
     `[vm]
@@ -164,12 +180,16 @@
     name: vm.name,
     program: PROGRAMS.daemon,
     args: ["--settings", vm.settingsFile],
+    nodeArgs,
     logFile: join(deployment.directory, `${vm.name}.log`),
   });
 }
 
 /** Builds the first manifest of a deployment. */
-export function firstManifest(deployment: Deployment): unknown {
+export function firstManifest(
+  deployment: Deployment,
+  options: { addressTtlMs?: number } = {},
+): unknown {
   const hash = createHash("sha256").update(deployment.callerToken).digest(
     "hex",
   );
@@ -178,7 +198,11 @@
     scopes: {
       deployment: {
         basedOn: 0,
-        body: { name: "rakennuskirjo", services: [{ name: SERVICE }] },
+        body: {
+          name: "rakennuskirjo",
+          services: [{ name: SERVICE }],
+          ...options,
+        },
       },
       workspaces: {
         basedOn: 0,
@@ -219,6 +243,16 @@
   throw new Error(`No answer from ${url}`);
 }
 
+/** Takes a VM off the platform's list. */
+export async function unlistVm(
+  deployment: Deployment,
+  vm: DeployedVm,
+): Promise<void> {
+  const url = `http://${deployment.platform}/vms?id=${vm.name}`;
+  const answer = await request(url, { method: "DELETE" });
+  await answer.body.dump();
+}
+
 async function listVm(deployment: Deployment, vm: DeployedVm): Promise<void> {
   const answer = await request(`http://${deployment.platform}/vms`, {
     method: "POST",
--- a/packages/bench/src/processes/process_group.ts
+++ b/packages/bench/src/processes/process_group.ts
@@ -19,6 +19,8 @@
   name: string;
   program: string;
   args: string[];
+  /** Arguments of Node itself. */
+  nodeArgs?: readonly string[] | undefined;
   /** File that takes the output. */
   logFile: string;
 }
@@ -29,7 +31,8 @@
 
   /** Starts a program. */
   spawn(options: SpawnOptions): ChildProcess {
-    const child = spawn(process.execPath, [options.program, ...options.args], {
+    const { nodeArgs = [], program, args } = options;
+    const child = spawn(process.execPath, [...nodeArgs, program, ...args], {
       stdio: ["ignore", "pipe", "pipe"],
     });
     const log = createWriteStream(options.logFile, { flags: "a" });
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,10 +10,11 @@
 import { createAdminHandler } from "./admin/handler.ts";
 import { createCallerHandler } from "./callers/handler.ts";
 import { createEnginePort } from "./engines/port.ts";
-import { createHttpPart } from "./http/server.ts";
+import { createHttpPart, splitAddress } from "./http/server.ts";
 import { LifecycleManager } from "./lifecycle/manager.ts";
 import type { Log } from "./observe/log.ts";
 import { Metrics } from "./observe/metrics.ts";
+import { TrafficCounter } from "./observe/traffic.ts";
 import { createPeerPort } from "./peers/port.ts";
 import { createPeerHandler } from "./peers/server.ts";
 import { createPlatformPort } from "./platform/port.ts";
@@ -87,7 +88,21 @@
     handle: createCallerHandler({ vm, observer, bodyLimitBytes }),
   });
   metrics.watchInterfaces([peers, admin, callers]);
+  const traffic = new TrafficCounter(
+    new Map(
+      Object.entries(listen).map(([name, address]) => [
+        splitAddress(address)[1],
+        name,
+      ]),
+    ),
+  );
+  metrics.watchTraffic(traffic);
   const parts = [
+    {
+      name: "traffic",
+      start: () => traffic.start(),
+      stop: () => traffic.stop(),
+    },
     peers,
     { name: "vm", start: () => vm.start(), stop: () => vm.stop() },
     admin,
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -1,6 +1,7 @@
 /** Counters and gauges of one daemon. */
 import type { CounterName } from "@teaselvalve/core";
 import { collectDefaultMetrics, Counter, Gauge, Registry } from "prom-client";
+import type { TrafficCounter } from "./traffic.ts";
 import type { HttpPart } from "../http/server.ts";
 
 const HELP: Record<CounterName, string> = {
@@ -68,6 +69,33 @@
     }
   }
 
+  /** Shows what sockets have carried, read at each scrape. */
+  watchTraffic(traffic: TrafficCounter): void {
+    new Gauge({
+      name: "teaselvalve_socket_bytes",
+      help: "Bytes that sockets have carried since the start, below HTTP",
+      labelNames: ["interface", "direction"],
+      registers: [this.registry],
+      collect() {
+        for (const { label, receivedBytes, sentBytes } of traffic.totals()) {
+          this.set({ interface: label, direction: "received" }, receivedBytes);
+          this.set({ interface: label, direction: "sent" }, sentBytes);
+        }
+      },
+    });
+    new Gauge({
+      name: "teaselvalve_sockets_opened",
+      help: "Sockets that have been opened since the start",
+      labelNames: ["interface"],
+      registers: [this.registry],
+      collect() {
+        for (const { label, sockets } of traffic.totals()) {
+          this.set({ interface: label }, sockets);
+        }
+      },
+    });
+  }
+
   /** Adds one to a counter under a reason. */
   count(counter: CounterName, reason: string): void {
     this.#counters.get(counter)?.inc({ reason });
--- a/packages/fakes/src/main.ts
+++ b/packages/fakes/src/main.ts
@@ -83,10 +83,18 @@
 
 const service = command({
   name: "service",
-  args: listenArgs,
+  args: {
+    ...listenArgs,
+    spendMs: option({
+      long: "spend-ms",
+      type: number,
+      defaultValue: () => 20,
+    }),
+  },
   async handler(args) {
     const listening = { host: HOST, port: args.port };
-    closeOnSignal(await serveService(new PlainService(), listening));
+    const plain = new PlainService({ spendMs: args.spendMs });
+    closeOnSignal(await serveService(plain, listening));
   },
 });
 
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -8,6 +8,8 @@
   "packages/bench/dist/demo": "packages/bench/src/demo/main.ts",
   "packages/bench/dist/fuzz": "packages/bench/src/fuzz/main.ts",
   "packages/bench/dist/scenarios": "packages/bench/src/scenarios/main.ts",
+  "packages/bench/dist/measure_vms":
+    "packages/bench/src/processes/measure_vms.ts",
   "packages/bench/dist/experiment": "packages/bench/src/experiment/main.ts",
 };
 
