--- a/packages/core/src/grants/commands/shed.ts
+++ b/packages/core/src/grants/commands/shed.ts
@@ -9,8 +9,12 @@
   type Waiting,
   worstRatio,
 } from "../queries/forecast.ts";
+import type { WorkspaceId } from "../../shared/ids.ts";
 import type { WorkspaceShares } from "../shares.ts";
 
+/** Mean requests that may wait beyond what is forecast to be served. */
+const SLACK_REQUESTS = 3;
+
 /** Options of {@link chooseVictims}. */
 export interface ShedOptions {
   view: ShardView;
@@ -31,10 +35,14 @@
   if (kept.length < 2) return victims;
   const supply = expectedSupply(view, options.withinMs);
   const demand = total(kept, view);
+  const over = options.shares.overShare(
+    kept.map((one) => one.request.workspace),
+    view.nowMs,
+  );
   while (kept.length > 1) {
     const forecast = { supply: withSlack(supply, { demand, kept }), demand };
     if (worstRatio(forecast) <= 1) break;
-    const victim = costliest(kept, { ...options, forecast });
+    const victim = costliest(kept, { ...options, forecast, over });
     kept.splice(kept.indexOf(victim), 1);
     victims.push(victim);
     subtract(demand, needs(view, victim.request));
@@ -44,14 +52,12 @@
 
 function costliest(
   kept: readonly Waiting[],
-  options: ShedOptions & { forecast: Forecast },
+  options: ShedOptions & {
+    forecast: Forecast;
+    over: ReadonlySet<WorkspaceId>;
+  },
 ): Waiting {
-  const { shares, view } = options;
-  const over = shares.overShare(
-    kept.map((one) => one.request.workspace),
-    view.nowMs,
-  );
-  const first = kept.filter((one) => over.has(one.request.workspace));
+  const first = kept.filter((one) => options.over.has(one.request.workspace));
   const from = first.length > 0 ? first : kept;
   let worst = from[0]!;
   let worstCost = Number.NEGATIVE_INFINITY;
@@ -64,13 +70,13 @@
   return worst;
 }
 
-/** One mean request more than forecast is kept, as what waits costs nothing yet. */
+/** A few mean requests more than forecast are kept, as what waits costs nothing yet. */
 function withSlack(
   supply: Amounts,
   options: { demand: Amounts; kept: readonly Waiting[] },
 ): Amounts {
   const { demand, kept } = options;
-  const one = 1 / kept.length;
+  const one = SLACK_REQUESTS / kept.length;
   return {
     slots: supply.slots + demand.slots * one,
     pieces: supply.pieces + demand.pieces * one,
