--- a/packages/bench/src/processes/measure_vms.ts
+++ b/packages/bench/src/processes/measure_vms.ts
@@ -29,9 +29,12 @@
   readonly sentBytes: number;
   readonly receivedBytes: number;
   readonly sockets: number;
+  /** Both ways at the peer interface: what other VMs asked and were told. */
+  readonly peerBytes: number;
 }
 
 interface Cost {
+  readonly peerBytesPerSecond: Spread;
   readonly sentBytesPerSecond: Spread;
   readonly receivedBytesPerSecond: Spread;
   readonly socketsPerSecond: Spread;
@@ -178,6 +181,7 @@
       return (read(end) - read(begin)) / seconds;
     }));
   return {
+    peerBytesPerSecond: perSecond((sample) => sample.peerBytes),
     sentBytesPerSecond: perSecond((sample) => sample.sentBytes),
     receivedBytesPerSecond: perSecond((sample) => sample.receivedBytes),
     socketsPerSecond: perSecond((sample) => sample.sockets),
@@ -196,20 +200,24 @@
     headers: { connection: "close" },
   });
   const text = await answer.body.text();
+  const read = (name: string, labels: string) => {
+    const line = new RegExp(`^teaselvalve_${name}\\{${labels}\\} (\\d+)`, "m");
+    return Number(line.exec(text)?.[1] ?? 0);
+  };
   const sum = (name: string, direction = "") =>
-    ["peers", "outgoing"].reduce((total, label) => {
-      const pattern = new RegExp(
-        `^teaselvalve_${name}\\{interface="${label}"${direction}\\} (\\d+)`,
-        "m",
-      );
-      return total + Number(pattern.exec(text)?.[1] ?? 0);
-    }, 0);
+    read(name, `interface="peers"${direction}`) +
+    read(name, `interface="outgoing"${direction}`);
   return {
     atMs: performance.now(),
     usage: readUsage(deployment.group.get(vm.name).pid!),
     sentBytes: sum("socket_bytes", ',direction="sent"'),
     receivedBytes: sum("socket_bytes", ',direction="received"'),
     sockets: sum("sockets_opened"),
+    peerBytes: ["sent", "received"]
+      .map((way) =>
+        read("socket_bytes", `interface="peers",direction="${way}"`)
+      )
+      .reduce((total, bytes) => total + bytes),
   };
 }
 
