--- a/packages/bench/src/configuration_world_test.ts
+++ b/packages/bench/src/configuration_world_test.ts
@@ -1,4 +1,9 @@
-import { asId, type SubmissionOutcome, type Vm } from "@teaselvalve/core";
+import {
+  asId,
+  type Configuration,
+  type SubmissionOutcome,
+  type Vm,
+} from "@teaselvalve/core";
 import { afterEach, expect, test } from "vitest";
 import { World, type WorldOptions } from "./world/world.ts";
 
@@ -126,13 +131,26 @@
   expect(versions()).toEqual([2, 2, 2, 2, 2, 2]);
 });
 
-test("With the platform down a new VM takes the highest of its peers", async () => {
+test("With the platform down a new VM hears three peers and takes the highest", async () => {
   await create();
-  await submit("vm-1", workspaces("second", { ids: ["lenders"] }));
+  // The platform's list was read before it went down.
+  const members = firstVm().membership.members();
+  const behind = ["vm-4", "vm-5", "vm-6"];
+  const ahead = ["vm-1", "vm-2", "vm-3"];
+  for (const a of behind) {
+    for (const b of [...ahead, "platform"]) world.network.cut(a, b);
+  }
+  await submit("vm-1", workspaces("second", { ids: ["lenders"] }), 10_000);
+  expect(versions()).toEqual([2, 2, 2, 1, 1, 1]);
   world.platformFaults.down = true;
   const joined = world.addVm();
-  // The platform's list was read before it went down.
-  joined.membership.members = () => firstVm().membership.members();
+  joined.membership.members = () => members;
+  for (const name of ["vm-2", "vm-3", "vm-5", "vm-6"]) {
+    world.network.cut("vm-7", name);
+  }
+  await world.advance(5_000);
+  expect(joined.configuration.version()).toBe(0);
+  world.network.heal("vm-7", "vm-5");
   await world.advance(IN_FORCE_LIMIT_MS);
   expect(joined.configuration.version()).toBe(2);
 });
@@ -202,6 +220,50 @@
   });
 });
 
+test(
+  "A large scope is stored whole now and then and is read through its changes",
+  async () => {
+    await create({ vms: 3 });
+    const stored: number[] = [];
+    const putObject = world.platform.putObject.bind(world.platform);
+    world.platform.putObject = (name, body) => {
+      stored.push(body.length);
+      putObject(name, body);
+    };
+    const ids = Array.from({ length: 300 }, (_, at) => `workspace-${at}`);
+    const submissions = 36;
+    for (let at = 1; at <= submissions; at += 1) {
+      const manifest = workspaces(`large-${at}`, {
+        ids: [...ids, `extra-${at}`],
+        basedOn: at,
+      });
+      const outcome = await submit("vm-1", manifest, 200);
+      expect(outcome).toMatchObject({ version: at + 1 });
+    }
+    const joined = world.addVm();
+    await world.advance(1_000);
+    expect(joined.configuration.version()).toBe(submissions + 1);
+    const { configuration } = firstVm();
+    const [early, late] = await readAll([
+      joined.configuration.show(20),
+      configuration.diff({ from: 30, to: 31 }),
+    ]);
+    const ofEarly = (early as Configuration).bodies.workspaces;
+    expect(ofEarly).toHaveLength(301);
+    expect(ofEarly.map((one) => one.id)).toContain("extra-19");
+    expect(late).toMatchObject({
+      lines: [
+        expect.stringContaining("- workspaces.extra-29"),
+        expect.stringContaining("+ workspaces.extra-30"),
+      ],
+    });
+    // The change that made it large, and one whole body 33 versions after the small one.
+    const large = stored.filter((size) => size > 16_384);
+    expect(large).toHaveLength(2);
+  },
+  20_000,
+);
+
 test("Tokens are found by their hash in the configuration in force", async () => {
   await create({ vms: 3 });
   const hash = "a".repeat(64);
