Slopes: how state, time and bytes grow with size

Change: npm run slopes measures each quantity at four sizes in a process of its own and fits a line by simple-statistics.

--- /dev/null
+++ b/packages/bench/src/slopes/fit.ts
@@ -0,0 +1,47 @@
+/** Fits straight lines to measurements. */
+import {
+  linearRegression,
+  linearRegressionLine,
+  rSquared,
+} from "simple-statistics";
+import type { LineFit, Point } from "./types.ts";
+
+/** Fewest sizes that a fit is made from. */
+export const MIN_SIZES = 4;
+
+/** Fits a line by least squares. Throws when there are too few sizes. */
+export function fitLine(points: readonly Point[]): LineFit {
+  const sizes = new Set(points.map((point) => point.size));
+  if (sizes.size < MIN_SIZES) {
+    throw new Error(`A fit needs ${MIN_SIZES} sizes, got ${sizes.size}`);
+  }
+  const pairs = points.map(({ size, value }) => [size, value]);
+  const { m: slope, b: intercept } = linearRegression(pairs);
+  const line = linearRegressionLine({ m: slope, b: intercept });
+  const squares = points.map(({ size, value }) => (value - line(size)) ** 2);
+  const sum = squares.reduce((total, square) => total + square, 0);
+  return {
+    slope,
+    intercept,
+    rSquared: explained(points, { line, pairs }),
+    residual: Math.sqrt(sum / points.length),
+  };
+}
+
+/** Reads a line at a size. */
+export function valueAt(
+  fit: Pick<LineFit, "slope" | "intercept">,
+  size: number,
+): number {
+  return fit.intercept + fit.slope * size;
+}
+
+// Values that are all the same have no variation to explain.
+function explained(
+  points: readonly Point[],
+  options: { line: (size: number) => number; pairs: number[][] },
+): number {
+  const first = points[0]!.value;
+  if (points.every(({ value }) => value === first)) return 1;
+  return rSquared(options.pairs, options.line);
+}
--- /dev/null
+++ b/packages/bench/src/slopes/quantities/processes.ts
@@ -0,0 +1,285 @@
+/** Processor time and memory of true daemons between stand-ins, all as processes. */
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import process from "node:process";
+import { createPeerPort, createPlatformPort } from "@teaselvalve/daemon";
+import {
+  type Deployment,
+  startDeployment,
+} from "../../processes/deployment.ts";
+import { CountingRelay } from "../counting_relay.ts";
+import { ownMicros, residentBytes, wait } from "../measure.ts";
+import {
+  busyMicros,
+  daemonPids,
+  idleRate,
+  startConfigured,
+  streamSummaries,
+  streamSummary,
+} from "../running_deployment.ts";
+import { sampleVms } from "../samples.ts";
+import type { Quantity } from "../types.ts";
+import { sampleClaims } from "./wire.ts";
+import { firstProbe } from "./state.ts";
+
+const PEER_SECRET = "peer-secret-of-this-run";
+const TIMEOUT_MS = 10_000;
+const IDLE_MS = 4_000;
+const STREAMS = 24;
+const REQUESTS_TOGETHER = 6;
+const TRANSACTIONS = 400;
+const CALL_COUNTS = [500, 1_000, 2_000, 4_000];
+const TICKS = "the kernel's count of the process's time, in steps of 10 ms";
+const OWN_TIME = "processor time of the sending process";
+const RESIDENT = "VmRSS of the process";
+const BARE_PROGRAM = `
+import { createServer } from "node:http";
+const servers = Array.from({ length: Number(process.argv[1]) }, () =>
+  createServer((_, response) => response.end()).listen(0, "127.0.0.1"));
+console.log(servers.length);
+`;
+
+/** What the measurements of one quantity share. */
+interface Shared {
+  readonly deployment: Deployment;
+  /** Processor time that its daemons use without requests. */
+  readonly idleMicrosPerMs: number;
+}
+
+/** Quantities of whole processes. */
+export const PROCESS_QUANTITIES: readonly Quantity[] = [
+  {
+    name: "process-bare-memory",
+    unit: "bytes",
+    per: "HTTP server of a node process that does nothing else",
+    sizes: [1, 2, 3, 4],
+    method: RESIDENT,
+    measure: bareMemory,
+  },
+  {
+    name: "process-idle-memory",
+    unit: "bytes",
+    per: "VM of the deployment, of a daemon without configuration",
+    sizes: [1, 2, 3, 4],
+    method: RESIDENT,
+    measure: idleMemory,
+  },
+  {
+    name: "process-memory",
+    unit: "bytes",
+    per: "workspace in force, of a daemon",
+    sizes: [725, 1_450, 2_900, 5_800],
+    method: RESIDENT,
+    measure: configuredMemory,
+  },
+  shared("process-idle-time", {
+    unit: "us",
+    per: "second of a daemon without requests, 3 VMs",
+    sizes: [2, 4, 8, 12],
+    method: TICKS,
+    measure: async (seconds, { deployment }) =>
+      await idleRate(deployment, seconds * 1_000) * seconds * 1_000 /
+      deployment.vms.length,
+  }),
+  shared("process-call-sent", {
+    unit: "us",
+    per: "peer call, at its sender",
+    sizes: CALL_COUNTS,
+    method: OWN_TIME,
+    measure: async (count, { deployment }) => {
+      const before = ownMicros();
+      await sendProbes(deployment, count);
+      return ownMicros() - before;
+    },
+  }),
+  shared("process-call-answered", {
+    unit: "us",
+    per: "peer call, at the daemon that answers",
+    sizes: CALL_COUNTS,
+    method: TICKS,
+    measure: (count, { deployment, idleMicrosPerMs }) =>
+      busyMicros(deployment, {
+        idleMicrosPerMs,
+        work: () => sendProbes(deployment, count),
+      }),
+  }),
+  shared("process-claim", {
+    unit: "us",
+    per: "claim of a transaction, at its sender",
+    sizes: [1, 2, 4, 8],
+    method: OWN_TIME,
+    measure: claimMicros,
+  }),
+  shared("process-request", {
+    unit: "us",
+    per: "summary of one token and 500 prompt tokens, over all daemons",
+    sizes: [50, 100, 200, 400],
+    method: TICKS,
+    measure: (count, { deployment, idleMicrosPerMs }) =>
+      busyMicros(deployment, {
+        idleMicrosPerMs,
+        work: () =>
+          streamSummaries(deployment, {
+            count,
+            together: REQUESTS_TOGETHER,
+            tokens: 1,
+          }),
+      }),
+  }),
+  shared("process-relay", {
+    unit: "us",
+    per: `token of ${STREAMS} streams, over all daemons`,
+    sizes: [50, 100, 200, 400].map((tokens) => tokens * STREAMS),
+    method: TICKS,
+    measure: (tokens, { deployment, idleMicrosPerMs }) =>
+      busyMicros(deployment, {
+        idleMicrosPerMs,
+        work: () =>
+          streamSummaries(deployment, {
+            count: STREAMS,
+            together: STREAMS,
+            tokens: tokens / STREAMS,
+          }),
+      }),
+  }),
+  shared("process-relay-bytes", {
+    unit: "bytes",
+    per: "token streamed to a caller",
+    sizes: [25, 50, 100, 200],
+    method: "bytes both ways through a relay on loopback",
+    measure: relayBytes,
+  }),
+];
+
+function shared(
+  name: string,
+  options: Omit<Quantity, "name" | "measure"> & {
+    measure: (size: number, shared: Shared) => Promise<number>;
+  },
+): Quantity {
+  let started: Promise<Shared> | undefined;
+  return {
+    ...options,
+    name,
+    async measure(size) {
+      started ??= startShared();
+      return await options.measure(size, await started);
+    },
+    async close() {
+      await (await started)?.deployment.close();
+    },
+  };
+}
+
+async function startShared(): Promise<Shared> {
+  const deployment = await startConfigured({ vms: 3 });
+  try {
+    // Code is compiled and connections are opened before anything is measured.
+    await streamSummaries(deployment, { count: 60, together: 6, tokens: 20 });
+    await sendProbes(deployment, 500);
+    await wait(IDLE_MS / 2);
+    const idleMicrosPerMs = await idleRate(deployment, IDLE_MS);
+    return { deployment, idleMicrosPerMs };
+  } catch (error) {
+    await deployment.close();
+    throw error;
+  }
+}
+
+async function bareMemory(servers: number): Promise<number> {
+  const child = spawn(
+    process.execPath,
+    ["--input-type=module", "--eval", BARE_PROGRAM, String(servers)],
+    { stdio: ["ignore", "pipe", "inherit"] },
+  );
+  await once(child.stdout, "data");
+  await wait(IDLE_MS / 4);
+  const sizeBytes = residentBytes(child.pid!);
+  child.kill("SIGKILL");
+  await once(child, "exit");
+  return sizeBytes;
+}
+
+async function idleMemory(vms: number): Promise<number> {
+  const deployment = await startDeployment({ vms, prefills: 1, decodes: 1 });
+  try {
+    await wait(IDLE_MS);
+    return residentBytes(daemonPids(deployment)[0]!);
+  } finally {
+    await deployment.close();
+  }
+}
+
+async function configuredMemory(workspaces: number): Promise<number> {
+  const deployment = await startConfigured({ vms: 3, workspaces });
+  try {
+    await wait(IDLE_MS);
+    // The first VM accepted the manifest; the last one only adopted it.
+    return residentBytes(daemonPids(deployment).at(-1)!);
+  } finally {
+    await deployment.close();
+  }
+}
+
+async function sendProbes(
+  deployment: Deployment,
+  count: number,
+): Promise<void> {
+  const { name, peers } = deployment.vms[0]!;
+  const port = createPeerPort({
+    secret: PEER_SECRET,
+    own: {
+      peerAddress: "nowhere:0",
+      handlers: () => {
+        throw new Error("No call goes to this process itself");
+      },
+    },
+  });
+  const [from] = sampleVms(1);
+  const params = firstProbe(from!.id);
+  for (let at = 0; at < count; at += 1) {
+    const answer = await port.call(
+      { id: name, peerAddress: peers },
+      "membership/probe",
+      { params, timeoutMs: TIMEOUT_MS },
+    );
+    if (answer.isErr()) throw new Error(answer.error.kind);
+  }
+}
+
+let claimed = 0;
+
+async function claimMicros(
+  rows: number,
+  { deployment }: Shared,
+): Promise<number> {
+  const port = createPlatformPort({
+    address: deployment.platform,
+    timeoutMs: TIMEOUT_MS,
+  });
+  const batches = Array.from({ length: TRANSACTIONS * 2 }, () => {
+    claimed += rows;
+    return sampleClaims(claimed, rows);
+  });
+  const warmUp = batches.splice(0, TRANSACTIONS);
+  for (const writes of warmUp) await port.transact(writes);
+  const before = ownMicros();
+  for (const writes of batches) {
+    const outcome = await port.transact(writes);
+    if (outcome.isErr()) throw new Error(outcome.error.detail);
+  }
+  return (ownMicros() - before) / TRANSACTIONS;
+}
+
+async function relayBytes(
+  tokens: number,
+  { deployment }: Shared,
+): Promise<number> {
+  const relay = await CountingRelay.open(deployment.vms[0]!.callers);
+  try {
+    await streamSummary(deployment, { tokens, address: relay.address, at: 1 });
+    return relay.sizeBytes;
+  } finally {
+    relay.close();
+  }
+}
--- /dev/null
+++ b/packages/bench/src/slopes/stub_vm.ts
@@ -0,0 +1,115 @@
+/** A VM between ports that answer at once and keep nothing, so that only the VM's own cost is measured. */
+import {
+  asId,
+  type ListedVm,
+  type PeerHandlers,
+  type PlatformPort,
+  SILENT_OBSERVER,
+  Vm,
+  type VmPorts,
+} from "@teaselvalve/core";
+import { seededRandom } from "../world/world.ts";
+import { err, ok } from "neverthrow";
+import { SAMPLE_MODEL, uuidOf, vmName } from "./samples.ts";
+
+/** Answers of peers by method; a method left out fails as not sent. */
+export type PeerAnswers = {
+  readonly [Name in keyof PeerHandlers]?: (
+    params: Parameters<PeerHandlers[Name]>[0],
+  ) => unknown;
+};
+
+/** Options of {@link createStubVm}. */
+export interface StubVmOptions {
+  /** What the platform's list gives. */
+  listed?: readonly ListedVm[];
+  peers?: PeerAnswers;
+}
+
+/** Peers that let every summary run. */
+export const WILLING_PEERS: PeerAnswers = {
+  "summaries/register": () => ({ kind: "new" }),
+  "suspects/admit": ({ run }) => ({ kind: "clear", run }),
+  "suspects/end": () => null,
+  "suspects/resume": () => null,
+  "grants/progress": () => ({ known: true }),
+  "grants/register": ({ grants }) => ({ registered: grants.length }),
+  "grants/request": (request) => ({
+    kind: "granted",
+    grant: `${request.stream}-g`,
+    prefill: `${SAMPLE_MODEL}-prefill-0`,
+    decode: `${SAMPLE_MODEL}-decode-1`,
+    startInMs: 0,
+    cachedTokens: 0,
+    memoryPieces: 100,
+  }),
+};
+
+/** Creates a VM that has not been started. */
+export function createStubVm(options: StubVmOptions = {}): Vm {
+  return new Vm({
+    identity: {
+      id: asId(vmName(9_999)),
+      incarnation: asId(uuidOf(9_999)),
+      dataCentre: asId("helsinki-0"),
+      region: asId("suomi-0"),
+      callerAddress: "10.4.255.1:7000",
+      peerAddress: "10.4.255.1:7002",
+    },
+    ports: createStubPorts(options),
+    observer: SILENT_OBSERVER,
+    random: seededRandom(1),
+  });
+}
+
+function createStubPorts(options: StubVmOptions): VmPorts {
+  const { listed = [], peers = {} } = options;
+  const underWay: unknown[] = [];
+  const attachment = { detach() {}, pause() {}, resume() {} };
+  return {
+    platform: createStubPlatform(listed),
+    services: {
+      // A call under way is held by its connection, for which this list stands.
+      call: () => new Promise((resolve) => underWay.push(resolve)),
+    },
+    engines: {
+      prefill: () =>
+        Promise.resolve(ok({
+          cachedTokens: 0,
+          sizeBytes: 800_000_000,
+          memoryPieces: 100,
+          keptMs: 800,
+        })),
+      start: (_endpoint, _order, { sink }) => {
+        sink({ kind: "started" });
+        sink({ kind: "tokens", offset: 0, texts: ["first"] });
+        return attachment;
+      },
+      attach: () => attachment,
+      cancel: () => Promise.resolve(ok(undefined)),
+      report: () => Promise.resolve(err({ kind: "notSent" })),
+      cacheEvents: () => Promise.resolve(ok([])),
+      order: () => Promise.resolve(ok(undefined)),
+    },
+    peers: {
+      call: async (_peer, method, { params }) => {
+        const answer = peers[method] as
+          | ((params: unknown) => unknown)
+          | undefined;
+        if (!answer) return err({ kind: "notSent" });
+        return ok(await answer(params) as never);
+      },
+    },
+  };
+}
+
+function createStubPlatform(listed: readonly ListedVm[]): PlatformPort {
+  return {
+    transact: () => Promise.resolve(ok({ kind: "committed" })),
+    read: () => Promise.resolve(ok(null)),
+    scan: () => Promise.resolve(ok([])),
+    putObject: () => Promise.resolve(ok(undefined)),
+    getObject: () => Promise.resolve(ok(null)),
+    listVms: () => Promise.resolve(ok(listed)),
+  };
+}
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -8,6 +8,7 @@
   "packages/bench/dist/demo": "packages/bench/src/demo/main.ts",
   "packages/bench/dist/fuzz": "packages/bench/src/fuzz/main.ts",
   "packages/bench/dist/scenarios": "packages/bench/src/scenarios/main.ts",
+  "packages/bench/dist/slopes": "packages/bench/src/slopes/main.ts",
 };
 
 await build({
