--- /dev/null
+++ b/packages/bench/src/fuzz/domains/calls.ts
@@ -0,0 +1,256 @@
+/** Calls that may not be repeated: sent, sent again in every way, left; checked against what ran. */
+import { asId, Vm, type VmPolicies } from "@teaselvalve/core";
+import { PLATFORM_HOST } from "@teaselvalve/fakes";
+import fc from "fast-check";
+import { SERVICE, type World } from "../../world/world.ts";
+import {
+  type FuzzCommand,
+  type FuzzDomain,
+  type FuzzModel,
+  type Mutant,
+  partOf,
+} from "../frame.ts";
+import { CALL_CHECKS } from "./calls_checks.ts";
+import { CALLS, type CallsPart, type Filing } from "./calls_part.ts";
+import { FAULTS, type FaultsPart, pick } from "./faults.ts";
+
+const MIN_DEADLINE_MS = 200;
+const MAX_DEADLINE_MS = 12_000;
+const MAX_SERVICE_MS = 4_000;
+const HEALED_SERVICE_MS = 20;
+const MAX_FAULT_MS = 20_000;
+const CALLERS = ["lender-1", "lender-2"];
+
+type Action = (
+  part: CallsPart,
+  world: World,
+  model: FuzzModel,
+) => Promise<void> | void;
+
+function step(label: string, action: Action): FuzzCommand {
+  return {
+    check: () => true,
+    async run(model, world) {
+      await action(partOf<CallsPart>(model, CALLS), world, model);
+    },
+    toString: () => label,
+  };
+}
+
+interface Sending {
+  readonly filing: Filing;
+  readonly vm: number;
+  readonly caller: string;
+  readonly body: string;
+  readonly deadlineMs: number;
+}
+
+function send(
+  part: CallsPart,
+  world: World,
+  sending: Sending,
+): string | undefined {
+  const vm = pick(world.vms.keys(), sending.vm);
+  if (!vm) return undefined;
+  const { filing, caller, body, deadlineMs } = sending;
+  const call = world.call(vm, {
+    workspace: asId("lenders"),
+    caller: asId(caller),
+    request: asId(filing.request),
+    service: asId(SERVICE),
+    method: "POST",
+    path: "/filings",
+    contentType: "application/json",
+    body,
+    deadlineAtMs: Date.now() + deadlineMs,
+  });
+  part.submissions.push({ call, filing });
+  return vm;
+}
+
+function createFiling(part: CallsPart, at: number): Filing {
+  const number = part.filings.length + 1;
+  const filing: Filing = {
+    request: `filing-${number}`,
+    caller: pick(CALLERS, at)!,
+    body: JSON.stringify({ house: number }),
+  };
+  part.filings.push(filing);
+  return filing;
+}
+
+const index = fc.nat({ max: 11 });
+const deadline = fc.integer({ min: MIN_DEADLINE_MS, max: MAX_DEADLINE_MS });
+
+const sendNew = fc.tuple(index, index, deadline).map(([vm, at, deadlineMs]) =>
+  step(`sendCall(${vm}, ${at}, ${deadlineMs})`, (part, world) => {
+    const filing = createFiling(part, at);
+    send(part, world, { ...filing, filing, vm, deadlineMs });
+  })
+);
+
+// Faults in the few milliseconds of a claim, which faults at random seldom hit.
+const MID_CLAIM_FAULTS = ["freeze", "cut from its peers", "silence"] as const;
+type MidClaimFault = (typeof MID_CLAIM_FAULTS)[number];
+
+const sendIntoFault = fc.record({
+  vm: index,
+  at: index,
+  deadlineMs: deadline,
+  afterMs: fc.integer({ min: 1, max: 30 }),
+  fault: fc.constantFrom(...MID_CLAIM_FAULTS),
+  forMs: fc.integer({ min: 500, max: MAX_FAULT_MS }),
+}).map((drawn) =>
+  step(
+    `sendCallIntoFault(${Object.values(drawn).join(", ")})`,
+    async (part, world, model) => {
+      const filing = createFiling(part, drawn.at);
+      const name = send(part, world, { ...filing, filing, ...drawn });
+      if (!name) return;
+      await world.advance(drawn.afterMs);
+      const faults = partOf<FaultsPart>(model, FAULTS);
+      faults.any = true;
+      faults.touchedVms.add(name);
+      breakVm({ faults, world, name, ...drawn });
+    },
+  )
+);
+
+function breakVm(options: {
+  faults: FaultsPart;
+  world: World;
+  name: string;
+  fault: MidClaimFault;
+  forMs: number;
+}): void {
+  const { faults, world, name, forMs } = options;
+  if (!world.vms.has(name) || faults.frozen.has(name)) return;
+  const { network } = world;
+  if (options.fault === "silence") return network.silence(name, PLATFORM_HOST);
+  if (options.fault === "freeze") {
+    faults.frozen.add(name);
+    network.freeze(name);
+    world.timers.runDetached(() =>
+      setTimeout(() => {
+        if (faults.frozen.delete(name)) network.thaw(name);
+      }, forMs)
+    );
+    return;
+  }
+  for (const peer of world.vms.keys()) {
+    if (peer === name) continue;
+    faults.cuts.set(`${name} ${peer}`, [name, peer]);
+    network.cut(name, peer);
+  }
+}
+
+const VARIANTS = ["same", "same", "same", "body", "caller"] as const;
+
+const sendAgain = fc.tuple(
+  index,
+  index,
+  fc.constantFrom(...VARIANTS),
+  deadline,
+).map(([at, vm, variant, deadlineMs]) =>
+  step(
+    `sendCallAgain(${at}, ${vm}, ${variant}, ${deadlineMs})`,
+    (part, world) => {
+      const filing = pick(part.filings.slice(-3), at);
+      if (!filing) return;
+      const { caller, body } = filing;
+      const other = CALLERS.find((name) => name !== caller)!;
+      send(part, world, {
+        filing,
+        vm,
+        deadlineMs,
+        caller: variant === "caller" ? other : caller,
+        body: variant === "body" ? `${body} ` : body,
+      });
+    },
+  )
+);
+
+const leave = index.map((at) =>
+  step(
+    `leaveCall(${at})`,
+    (part) => pick(part.submissions.slice(-4), at)?.call.leave(),
+  )
+);
+
+const stopService = index.map((at) =>
+  step(`stopService(${at})`, (part, world) => {
+    const name = pick(world.services.keys(), at);
+    if (!name) return;
+    part.stoppedServices.add(name);
+    world.network.setUp(name, false);
+  })
+);
+
+const slowServices = fc.integer({ min: 20, max: MAX_SERVICE_MS }).map((ms) =>
+  step(`slowServices(${ms})`, (_part, world) => setServiceTime(world, ms))
+);
+
+const startServices = fc.constant(null).map(() =>
+  step("startServices()", (part, world) => startAll(part, world))
+);
+
+/** Calls to plain services that may not be repeated. */
+export const CALLS_DOMAIN: FuzzDomain = {
+  name: CALLS,
+  createPart: (): CallsPart => ({
+    filings: [],
+    submissions: [],
+    stoppedServices: new Set(),
+    everStopped: new Set(),
+    everFrozen: new Set(),
+  }),
+  commands: [
+    sendNew,
+    sendIntoFault,
+    sendAgain,
+    leave,
+    stopService,
+    startServices,
+    slowServices,
+  ],
+  checks: CALL_CHECKS,
+  mutants: [
+    mutant("claim before send", { claimsBeforeSend: () => false }),
+    mutant("the same token when repeated", {
+      tokenOfRepeat: (token, attempt) =>
+        attempt === 0 ? token : `${token}-${attempt}`,
+    }),
+    mutant("check after a freeze", { checkSend: () => "send" }),
+    mutant("check of the deadline", {
+      checkSend: ({ callerGone }) => callerGone ? "caller-gone" : "send",
+    }),
+    mutant("release only by the claimant", {
+      judgeClaim: ({ claimantGone, claimantReached }) =>
+        claimantGone ? "mark-unknown" : claimantReached ? "ask" : "release",
+    }),
+    mutant("no retry after the first byte", { mayTryAnother: () => true }),
+  ],
+  heal(model, world) {
+    startAll(partOf<CallsPart>(model, CALLS), world);
+    setServiceTime(world, HEALED_SERVICE_MS);
+  },
+};
+
+function mutant(name: string, calls: VmPolicies["calls"]): Mutant {
+  return {
+    name: `calls: ${name}`,
+    createVm: (context) => new Vm(context, { calls }),
+  };
+}
+
+function startAll(part: CallsPart, world: World): void {
+  for (const name of part.stoppedServices) {
+    part.everStopped.add(name);
+    world.network.setUp(name, true);
+  }
+  part.stoppedServices.clear();
+}
+
+function setServiceTime(world: World, ms: number): void {
+  for (const service of world.services.values()) service.spendMs = ms;
+}
--- a/packages/bench/src/fuzz/run.ts
+++ b/packages/bench/src/fuzz/run.ts
@@ -1,7 +1,7 @@
 /** Runs the fuzzer: random commands against several VMs on a paused clock, checked by an oracle. */
 import type { Vm, VmContext } from "@teaselvalve/core";
 import fc from "fast-check";
-import { World } from "../world/world.ts";
+import { World, type WorldOptions } from "../world/world.ts";
 import type { FuzzCommand, FuzzDomain, FuzzModel } from "./frame.ts";
 
 /** Options of {@link runFuzz}. */
@@ -13,7 +13,13 @@
   commands?: number;
   /** Repeats one failure that fast-check printed. */
   path?: string;
+  /** Goes with `path`: repeats the shrunk commands, as printed after them. */
+  replayPath?: string;
+  /** Reports the first failure as it was drawn, without shrinking it. */
+  endOnFailure?: boolean;
   createVm?: (context: VmContext) => Vm;
+  /** Further options of each run's world. */
+  world?: Partial<WorldOptions>;
 }
 
 /** What a fuzz run came to. */
@@ -42,6 +48,7 @@
     fc.commands(arbitraries, {
       maxCommands: options.commands ?? DEFAULT_COMMANDS,
       size: "max",
+      ...(options.replayPath ? { replayPath: options.replayPath } : {}),
     }),
     async (worldSeed, commands) => {
       const findings = await runOnce(options, { worldSeed, commands });
@@ -51,6 +58,7 @@
   const details = await fc.check(property, {
     seed: options.seed,
     numRuns: options.runs,
+    endOnFailure: options.endOnFailure ?? false,
     ...(options.path ? { path: options.path } : {}),
   });
   const cause = details.errorInstance;
@@ -83,6 +91,7 @@
   const world = await World.create({
     seed: run.worldSeed,
     createVm: options.createVm,
+    ...options.world,
   });
   const model: FuzzModel = {
     parts: new Map(
--- a/packages/bench/src/slopes/quantities/processes.ts
+++ b/packages/bench/src/slopes/quantities/processes.ts
@@ -28,6 +28,7 @@
 const STREAMS = 24;
 const REQUESTS_TOGETHER = 6;
 const TRANSACTIONS = 400;
+const WARM_UP_CALLS = 4_000;
 const CALL_COUNTS = [500, 1_000, 2_000, 4_000];
 const TICKS = "the kernel's count of the process's time, in steps of 10 ms";
 const OWN_TIME = "processor time of the sending process";
@@ -75,7 +76,7 @@
   shared("process-idle-time", {
     unit: "us",
     per: "second of a daemon without requests, 3 VMs",
-    sizes: [2, 4, 8, 12],
+    sizes: [3, 6, 9, 12],
     method: TICKS,
     measure: async (seconds, { deployment }) =>
       await idleRate(deployment, seconds * 1_000) * seconds * 1_000 /
@@ -113,7 +114,7 @@
   shared("process-request", {
     unit: "us",
     per: "summary of one token and 500 prompt tokens, over all daemons",
-    sizes: [50, 100, 200, 400],
+    sizes: [40, 80, 120, 160],
     method: TICKS,
     measure: (count, { deployment, idleMicrosPerMs }) =>
       busyMicros(deployment, {
@@ -129,7 +130,7 @@
   shared("process-relay", {
     unit: "us",
     per: `token of ${STREAMS} streams, over all daemons`,
-    sizes: [50, 100, 200, 400].map((tokens) => tokens * STREAMS),
+    sizes: [50, 100, 150, 200].map((tokens) => tokens * STREAMS),
     method: TICKS,
     measure: (tokens, { deployment, idleMicrosPerMs }) =>
       busyMicros(deployment, {
@@ -176,7 +177,7 @@
   try {
     // Code is compiled and connections are opened before anything is measured.
     await streamSummaries(deployment, { count: 60, together: 6, tokens: 20 });
-    await sendProbes(deployment, 500);
+    await sendProbes(deployment, WARM_UP_CALLS);
     await wait(IDLE_MS / 2);
     const idleMicrosPerMs = await idleRate(deployment, IDLE_MS);
     return { deployment, idleMicrosPerMs };
--- a/packages/bench/src/slopes/quantities/processor.ts
+++ b/packages/bench/src/slopes/quantities/processor.ts
@@ -69,6 +69,14 @@
     sizes: VM_SIZES,
     prepare: prepareHomeOf,
   }),
+  {
+    name: "time-report-homes",
+    unit: "us",
+    per: "VM in the view, to find the shards whose reports are polled",
+    sizes: VM_SIZES,
+    method: FASTEST,
+    measure: reportHomesMicros,
+  },
   time("time-address-answer", {
     per: "VM in the view, for one address answer",
     sizes: VM_SIZES,
@@ -116,7 +124,7 @@
     per: "transition of a VM's machine",
     sizes: [1_000, 2_000, 4_000, 8_000],
     method: FASTEST,
-    measure: async (size) => size * await transitionMicros(),
+    measure: transitionMicros,
   },
 ];
 
@@ -225,6 +233,17 @@
   return `request/workspace-${at % LETTER.workspaces}/${at}`;
 }
 
+/** A VM that looks after no shard's reports still finds out so, for every shard. */
+async function reportHomesMicros(count: number): Promise<number> {
+  const { vm, adoptSnapshot } = createAdoptingVm({ listed: sampleVms(count) });
+  await adoptSnapshot(snapshotText({ workspaces: 1, models: LETTER.models }));
+  await vm.membership.start();
+  vm.membership.stop();
+  return await operationMicros(async (turns) => {
+    for (let turn = 0; turn < turns; turn += 1) await vm.reports.poll();
+  });
+}
+
 async function prepareAddresses(count: number): Promise<Operation> {
   const vm = await createView(count);
   return (at) =>
@@ -306,7 +325,7 @@
   return best * 1_000;
 }
 
-async function transitionMicros(): Promise<number> {
+async function transitionMicros(transitions: number): Promise<number> {
   const machine = new MachineTask(memberMachine, {
     input: {
       statusVersion: 0,
@@ -318,7 +337,7 @@
   });
   let statusVersion = 0;
   return await operationMicros((count) => {
-    for (let at = 0; at < count; at += 1) {
+    for (let at = 0; at < count * transitions; at += 1) {
       statusVersion += 1;
       machine.send({
         type: "heard",
--- a/packages/bench/src/slopes/quantities/state.ts
+++ b/packages/bench/src/slopes/quantities/state.ts
@@ -177,7 +177,7 @@
   const vm = createStubVm();
   for (let at = 0; at < count; at += 1) {
     const run = sampleRun(at);
-    vm.peerHandlers["suspects/admit"]({ run });
+    vm.peerHandlers["suspects/admit"]({ run, known: null });
     vm.peerHandlers["suspects/end"]({ run, ending: { kind: "finished" } });
   }
   return vm;
--- a/packages/bench/src/slopes/quantities/wire.ts
+++ b/packages/bench/src/slopes/quantities/wire.ts
@@ -11,15 +11,15 @@
   SILENT_OBSERVER,
 } from "@teaselvalve/core";
 import {
-  callHttp,
   createCallerHandler,
   createEnginePort,
   createHttpPart,
-  createKeptAgent,
+  createKeptCaller,
   createPeerHandler,
   createPeerPort,
   createPlatformPort,
   type HttpPartOptions,
+  type Limits,
 } from "@teaselvalve/daemon";
 import {
   FakePlatform,
@@ -54,6 +54,17 @@
 const SECRET = "a secret of thirty-two letters..";
 const BODY_LIMIT_BYTES = 64 * 1_048_576;
 const TIMEOUT_MS = 10_000;
+const LIMITS: Limits = {
+  bodyBytes: BODY_LIMIT_BYTES,
+  headerBytes: 16_384,
+  headerCount: 100,
+  connections: 100,
+  idleMs: 30_000,
+  headersMs: 10_000,
+  requestMs: 60_000,
+  slowReaderMs: 15_000,
+  stopTimeoutMs: 1_000,
+};
 const CALLS = 20;
 const COUNTS = [5, 10, 20, 40];
 const COUNTED = "bytes both ways through a relay on loopback, kept connection";
@@ -97,7 +108,10 @@
   calls("wire-admit", {
     per: "question whether a body may run",
     measure: () =>
-      peerBytes("suspects/admit", (at) => ({ run: sampleRun(at) })),
+      peerBytes("suspects/admit", (at) => ({
+        run: sampleRun(at),
+        known: null,
+      })),
   }),
   calls("wire-run-end", {
     per: "message that a run ended",
@@ -244,7 +258,8 @@
     address,
     handle,
     observer: SILENT_OBSERVER,
-    connections: 100,
+    limits: LIMITS,
+    requestLevel: "debug",
   });
   await part.start();
   try {
@@ -352,14 +367,15 @@
     bodyDigest: sha256(`body-${at}`),
     attempt: 1,
     expiresAtMs: 1_800_000_000_000,
-    state: {
-      kind: "claimed",
+    claim: {
       vm: asId(vmName(at % LETTER.nodes)),
       incarnation: asId(uuidOf(at % LETTER.nodes)),
       token: uuidOf(at),
       claimedAtMs: 1_800_000_000_000,
     },
-  } as unknown as CallRow;
+    writeToken: uuidOf(at),
+    state: { kind: "claimed" },
+  };
 }
 
 /** The writes that claim so many calls. */
@@ -425,11 +441,11 @@
     observer: SILENT_OBSERVER,
     bodyLimitBytes: BODY_LIMIT_BYTES,
   });
-  const agent = createKeptAgent();
+  const caller = createKeptCaller();
   return await withHttpPart(handle, (address) =>
     countBytes(address, {
       connect: (relayed) => async () => {
-        const answer = await callHttp(agent, {
+        const answer = await caller.call({
           method: "GET",
           address: relayed,
           path: "/v1/addresses?data_centre=helsinki-0",
--- a/packages/bench/src/slopes/stub_vm.ts
+++ b/packages/bench/src/slopes/stub_vm.ts
@@ -33,6 +33,8 @@
   "suspects/end": () => null,
   "suspects/resume": () => null,
   "grants/progress": () => ({ known: true }),
+  "summaries/find": () => ({ registration: null }),
+  "summaries/alive": () => ({ incarnation: uuidOf(9_999) }),
   "grants/register": ({ grants }) => ({ registered: grants.length }),
   "grants/request": (request) => ({
     kind: "granted",
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -44,6 +44,8 @@
   services?: number;
   figures?: EngineFigures;
   observer?: Observer;
+  /** Whether engines refuse a start whose cancel came before it. Defaults to true. */
+  refusesCancelled?: boolean;
   /** Builds a VM; tests pass one that lacks a mechanism. */
   createVm?: (context: ConstructorParameters<typeof Vm>[0]) => Vm;
   /** Places the VM of a number that counts from 0. */
@@ -86,7 +88,8 @@
   engineCrashes = 0;
   #handlers = new Map<string, PeerHandlers>();
   #options: WorldOptions;
-  #vmsCreated = 0;
+  /** VMs ever started. */
+  vmsCreated = 0;
   #callersCreated = 0;
 
   constructor(options: WorldOptions) {
@@ -133,13 +136,13 @@
 
   /** Starts another VM. */
   addVm(): Vm {
-    this.#vmsCreated += 1;
-    const name = `vm-${this.#vmsCreated}`;
+    this.vmsCreated += 1;
+    const name = `vm-${this.vmsCreated}`;
     const placeOf = this.#options.placeOf ?? placeInTurn;
     const identity = {
       id: asId<VmId>(name),
       incarnation: asId<Incarnation>(`${name}-boot`),
-      ...placeOf(this.#vmsCreated - 1),
+      ...placeOf(this.vmsCreated - 1),
       callerAddress: name,
       peerAddress: name,
     };
@@ -170,7 +173,7 @@
         }),
       },
       observer: this.#options.observer ?? SILENT_OBSERVER,
-      random: seededRandom(this.#options.seed * 1_009 + this.#vmsCreated),
+      random: seededRandom(this.#options.seed * 1_009 + this.vmsCreated),
     });
     this.vms.set(name, vm);
     this.#handlers.set(name, vm.peerHandlers);
@@ -215,9 +218,11 @@
       return call;
     }
     const { network } = this;
+    let gone = false;
     connection.onBroken.add(() => call.lose());
+    call.onLeave = () => network.send(connection, () => (gone = true));
     network.send(connection, () => {
-      void this.vms.get(vm)?.calls.submit(request).then(
+      void this.vms.get(vm)?.calls.submit(request, { gone: () => gone }).then(
         (verdict: CallVerdict) =>
           network.reply(connection, () => call.receive(verdict)),
       );
@@ -307,6 +312,7 @@
       models: [MODEL],
       figures: this.#options.figures ?? TODAY_FIGURES,
       random: this.random,
+      refusesCancelled: this.#options.refusesCancelled,
       onCrash: () => {
         this.engineCrashes += 1;
         this.network.setUp(name, false);
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -1,10 +1,12 @@
 /** What a VM is built from, and the faces that it shows. */
 import type { ConfigurationPolicies } from "../configuration/task.ts";
+import type { CallPolicies } from "../calls/policies.ts";
 import type { EnginePort } from "../ports/engines.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
 import type { ServicePort } from "../ports/services.ts";
 import type { VmIdentity } from "../membership/types.ts";
+import type { SummaryPolicies } from "../summaries/policies.ts";
 import type { Observer } from "../shared/observe.ts";
 
 /** The outside as a VM reaches it. */
@@ -27,6 +29,7 @@
 /** Parts of a VM's behaviour that a test can leave out or replace, by domain. */
 export interface VmPolicies {
   readonly configuration?: Partial<ConfigurationPolicies>;
+  readonly summaries?: Partial<SummaryPolicies>;
 }
 
 /** A part of a VM that is started and stopped with it. */
@@ -34,3 +37,8 @@
   start(): Promise<void> | void;
   stop(): Promise<void> | void;
 }
+
+/** Decisions that replace a VM's own, by domain; tests take mechanisms away with them. */
+export interface VmPolicies {
+  readonly calls?: Partial<CallPolicies>;
+}
--- a/packages/fakes/src/services/plain_service.ts
+++ b/packages/fakes/src/services/plain_service.ts
@@ -7,13 +7,20 @@
   spendMs?: number;
 }
 
+/** One run of a call. */
+export interface ServiceRun extends ServiceRequest {
+  /** When it began, on the clock of `Date.now`. */
+  readonly ranAtMs: number;
+}
+
 /** Runs every call that arrives; it does not look for repeats itself. */
 export class PlainService {
-  readonly runs: ServiceRequest[] = [];
-  #spendMs: number;
+  readonly runs: ServiceRun[] = [];
+  /** How long a call takes. */
+  spendMs: number;
 
   constructor(options: PlainServiceOptions = {}) {
-    this.#spendMs = options.spendMs ?? 20;
+    this.spendMs = options.spendMs ?? 20;
   }
 
   /** Counts the runs of one key. */
@@ -23,7 +30,7 @@
 
   /** Runs a call; the effect takes place at once, the answer comes later. */
   call(request: ServiceRequest): Promise<ServiceAnswer> {
-    this.runs.push(request);
+    this.runs.push({ ...request, ranAtMs: Date.now() });
     const number = this.runs.length;
     return new Promise((resolve) =>
       setTimeout(
@@ -33,7 +40,7 @@
             contentType: "application/json",
             body: JSON.stringify({ registered: request.key, number }),
           }),
-        this.#spendMs,
+        this.spendMs,
       )
     );
   }
