--- a/packages/daemon/src/callers/completions.ts
+++ b/packages/daemon/src/callers/completions.ts
@@ -22,6 +22,7 @@
 import { sendProblem } from "../http/problem.ts";
 import type { CallerContext } from "./context.ts";
 import { deadlineOf } from "./handler.ts";
+import { checkModel } from "./models.ts";
 import {
   ChunkFormat,
   type CompletionForm,
@@ -73,7 +74,7 @@
     refuse: (refusal) =>
       sendProblem(response, refusal, completionProblem(refusal)),
   });
-  const handle = context.vm.summaries.submit(
+  const handle = context.vm.gate.submitSummary(
     request.value.summary,
     (event) => writer.write(event),
   );
@@ -97,6 +98,8 @@
   const parsed = CompletionBody.safeParse(json);
   if (!parsed.success) return badRequest(z.prettifyError(parsed.error));
   const body = parsed.data;
+  const modelRefusal = checkModel(body.model, context);
+  if (modelRefusal) return err(modelRefusal);
   const prompt = body.prompt ?? chatPrompt(body);
   if (prompt === "") return badRequest("The prompt is empty");
   const key = header(incoming, "idempotency-key") ?? randomUUID();
