--- a/packages/bench/src/slopes/fit_test.ts
+++ b/packages/bench/src/slopes/fit_test.ts
@@ -16,8 +16,8 @@
   const points = values.map((value, at) => ({ size: at + 1, value }));
   const fit = fitLine(points);
   expect(fit.slope).toBeCloseTo(6.4);
-  expect(fit.rSquared).toBeCloseTo(0.9014, 3);
-  expect(fit.residual).toBeCloseTo(Math.sqrt(22.4 / 4), 6);
+  expect(fit.rSquared).toBeCloseTo(204.8 / 224, 6);
+  expect(fit.residual).toBeCloseTo(Math.sqrt(19.2 / 4), 6);
 });
 
 test("A quantity that does not grow has a slope of zero and is wholly explained", () => {
--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -4,7 +4,7 @@
 import { command, flag, option, optional, run, string } from "cmd-ts";
 import { figuresTable, slopesTable } from "./print.ts";
 import { QUANTITIES } from "./quantities/mod.ts";
-import { capacityFigures, ROLES } from "./roles.ts";
+import { capacityFigures, ROLES } from "./roles/mod.ts";
 import { measureApart, measureHere } from "./run.ts";
 import type { Quantity, Slope } from "./types.ts";
 
--- a/packages/bench/src/slopes/print.ts
+++ b/packages/bench/src/slopes/print.ts
@@ -1,5 +1,5 @@
 /** Writes slopes and capacity figures as tables. */
-import type { Figure } from "./roles.ts";
+import type { Figure } from "./roles/mod.ts";
 import type { Slope } from "./types.ts";
 
 /** Writes slopes as a Markdown table. */
--- /dev/null
+++ b/packages/bench/src/slopes/roles/rates.ts
@@ -0,0 +1,46 @@
+/** How often the system does things, as its code says. */
+
+/** Rates of the system's mechanisms. */
+export const RATES = {
+  /** `membership/task.ts` */
+  probesPerSecond: 1,
+  listBytesPerVm: 200,
+  listBytesPerSecond: 200,
+  newsLimitBytes: 400,
+  newsRepeatFactor: 3,
+  suspicionSeconds: 5,
+  /** `configuration/task.ts` */
+  headPollsPerSecond: 1,
+  noticedPeers: 4,
+  changesKept: 256,
+  /** `suspects/book.ts` and `suspects/home.ts` */
+  convictionScanSeconds: 10,
+  suspectEntries: 20_000,
+  /** `membership/queries/home.ts` */
+  homeKeysCached: 10_000,
+  /** `grants/report_poll.ts` and `reports/task.ts` */
+  reportPollsPerSecond: 3,
+  reportHomesPerSecond: 1,
+  shardReplicas: 16,
+  /** Request and progress: prefill ended, decode started, ended. */
+  grantCallsPerSummary: 4,
+  /** Registered, located, answered, with the suspects' two questions apart. */
+  registrationsPerSummary: 3,
+  registrationKeptSeconds: 30,
+  suspectCallsPerSummary: 2,
+  /** `calls/policies.ts` */
+  commitIntervalMs: 200,
+  /** Claimed and done. */
+  writesPerCall: 2,
+} as const;
+
+/** What the letter leaves open. */
+export const ASSUMED = {
+  callersPerWorkspace: 4,
+  addressTtlSeconds: 10,
+  convictions: 20,
+  stampedeFactor: 10,
+  /** A platform's answer, each way of a request together. */
+  platformMs: 50,
+  linkMegabytesPerSecond: 125,
+} as const;
--- /dev/null
+++ b/packages/bench/src/slopes/roles/roles_test.ts
@@ -0,0 +1,63 @@
+import { expect, test } from "vitest";
+import { DERIVED, LETTER } from "../letter.ts";
+import { figuresTable, format, verdictOf } from "../print.ts";
+import type { Slope } from "../types.ts";
+import { capacityFigures } from "./mod.ts";
+
+function slope(
+  name: string,
+  line: { slope: number; intercept: number },
+): Slope {
+  const fit = { ...line, rSquared: 1, residual: 0, points: [] };
+  return { name, unit: "bytes", per: "thing", method: "a test", ...fit };
+}
+
+test("The letter's figures give what each node carries", () => {
+  expect(DERIVED.requestsPerNode).toBe(5.5);
+  expect(DERIVED.tokensPerNode).toBe(2_750);
+  expect(DERIVED.secondsInFlight).toBeCloseTo(14.61);
+  expect(Math.round(DERIVED.promptTokens)).toBe(3_030);
+});
+
+test("A prober's bytes are two probes and its share of the list", () => {
+  const figures = capacityFigures([
+    slope("wire-probe", { slope: 0, intercept: 500 }),
+    slope("wire-vm-list", { slope: 100, intercept: 0 }),
+    slope("wire-probe-news", { slope: 100, intercept: 500 }),
+  ]);
+  const prober = figures.filter(({ role }) => role === "Prober");
+  expect(prober.map(({ value }) => value)).toEqual([1_100, 2_700, 4]);
+  expect(prober.map(verdictOf)).toEqual(["yes", "**no, 1.32 times**", ""]);
+});
+
+test("Figures without their slopes are left out, and others are not", () => {
+  const figures = capacityFigures([]);
+  expect(figures.every(({ value }) => Number.isFinite(value))).toBe(true);
+  expect(figures.map(({ what }) => what)).toContain("head polls");
+  expect(figures.find(({ what }) => what === "head polls")?.value)
+    .toBe(LETTER.nodes);
+});
+
+test("Tables name formula, figure, budget and verdict", () => {
+  const table = figuresTable([{
+    role: "Prober",
+    what: "bytes",
+    formula: "a × b",
+    value: 3_000,
+    unit: "bytes/s",
+    budget: 2_000,
+  }]);
+  expect(table).toContain(
+    "| bytes | a × b | 3,000 bytes/s | 2,000 bytes/s | **no, 1.5 times** |",
+  );
+});
+
+test("Numbers keep three significant digits", () => {
+  expect([0, 0.01234, 1.2345, 123.45, 12_345].map(format)).toEqual([
+    "0",
+    "0.0123",
+    "1.23",
+    "123",
+    "12,300",
+  ]);
+});
