--- a/packages/daemon/src/callers/handler.ts
+++ b/packages/daemon/src/callers/handler.ts
@@ -15,10 +15,11 @@
   header,
   sendJson,
 } from "../http/exchange.ts";
-import { sendProblem } from "../http/problem.ts";
+import { problemOf, sendProblem } from "../http/problem.ts";
 import { authenticateCaller } from "./authenticate.ts";
 import { handleCompletion } from "./completions.ts";
 import type { CallerContext } from "./context.ts";
+import { completionProblem } from "./openai.ts";
 import { handleServiceCall } from "./services.ts";
 
 /** What the caller interface needs. */
@@ -39,14 +40,20 @@
   return async (exchange: Exchange): Promise<void> => {
     const { vm } = options;
     const { response, url } = exchange;
-    const refuse = (refusal: Refusal) => {
-      options.observer.count("refusals", refusal.reason);
+    const sendRefusal = (refusal: Refusal) => {
+      exchange.fields.verdict = refusal.kind;
+      exchange.fields.reason = refusal.reason;
       if (vm.refusesWork && !response.headersSent) {
         response.setHeader("connection", "close");
       }
-      exchange.fields.verdict = refusal.kind;
-      exchange.fields.reason = refusal.reason;
-      sendProblem(response, refusal);
+      const build = COMPLETIONS.has(url.pathname)
+        ? completionProblem
+        : problemOf;
+      sendProblem(response, refusal, build(refusal));
+    };
+    const refuse = (refusal: Refusal) => {
+      options.observer.count("refusals", refusal.reason);
+      sendRefusal(refusal);
     };
     if (url.pathname === "/health/live") return sendJson(response, "live");
     const configuration = vm.configuration.current();
@@ -58,7 +65,8 @@
     if (url.pathname === "/v1/addresses") {
       return sendAddresses(exchange, { vm, configuration });
     }
-    await answerCaller(exchange, { ...options, configuration, refuse });
+    const answers = { configuration, refuse, sendRefusal };
+    await answerCaller(exchange, { ...options, ...answers });
   };
 }
 
@@ -93,6 +101,7 @@
   options: CallerHandlerOptions & {
     configuration: Configuration;
     refuse: Refuse;
+    sendRefusal: Refuse;
   },
 ): Promise<void> {
   const { incoming, url } = exchange;
