--- a/packages/bench/src/slopes/quantities/wire.ts
+++ b/packages/bench/src/slopes/quantities/wire.ts
@@ -121,6 +121,16 @@
         ending: { kind: "finished" },
       })),
   }),
+  calls("wire-quota", {
+    per: "question whether a workspace's quota lets requests in",
+    measure: () =>
+      peerBytes("quotas/draw", (at) => ({
+        workspace: asId(`workspace-${at}`),
+        incarnation: asId(uuidOf(at)),
+        needs: [3_530],
+        inFlight: 1,
+      }), {}),
+  }),
   calls("wire-notice", {
     per: "notice of a newer configuration",
     measure: () =>
@@ -436,6 +446,10 @@
   await adoptSnapshot(snapshotText({ workspaces: 1, models: 1 }));
   await vm.membership.start();
   vm.membership.stop();
+  // A VM that was only listed is not told to callers.
+  for (const { id } of sampleVms(vms)) {
+    vm.membership.answerProbe(firstProbe(id));
+  }
   const handle = createCallerHandler({
     vm,
     observer: SILENT_OBSERVER,
--- a/packages/bench/src/slopes/roles/rates.ts
+++ b/packages/bench/src/slopes/roles/rates.ts
@@ -28,6 +28,12 @@
   registrationsPerSummary: 3,
   registrationKeptSeconds: 30,
   suspectCallsPerSummary: 2,
+  /** `quotas/task.ts`: asked once, told of the end once. */
+  quotaCallsPerSummary: 2,
+  /** `orders/task.ts` and `orders/types.ts` */
+  orderLookIdleSeconds: 15,
+  orderWatchSeconds: 30,
+  leaseRenewSeconds: 5,
   /** `calls/policies.ts` */
   commitIntervalMs: 200,
   /** Claimed and done. */
@@ -43,4 +49,6 @@
   /** A platform's answer, each way of a request together. */
   platformMs: 50,
   linkMegabytesPerSecond: 125,
+  /** `configuration/fetch.ts` */
+  peerTimeoutMs: 1_000,
 } as const;
