--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,9 @@
   test: {
     include: ["packages/*/src/**/*_test.ts"],
     pool: "forks",
-    testTimeout: 60_000,
-    hookTimeout: 60_000,
+    testTimeout: 180_000,
+    hookTimeout: 180_000,
+    // Polls wait for what sockets do, which takes longer on a busy machine.
+    expect: { poll: { timeout: 20_000, interval: 20 } },
   },
 });
