--- a/packages/bench/src/fuzz/domains/configuration.ts
+++ b/packages/bench/src/fuzz/domains/configuration.ts
@@ -233,11 +233,20 @@
   };
 }
 
+function repeated<T>(one: T, times: number): T[] {
+  return Array.from({ length: times }, () => one);
+}
+
 /** Configuration: acceptance, spread and repeats. */
 export const CONFIGURATION_DOMAIN: FuzzDomain = {
   name: CONFIGURATION,
   createPart: (): ConfigurationPart => ({ submitted: [], watch: undefined }),
-  commands: [submitNew, submitNew, repeat, loseCommitReply],
+  // As many as the faults have, so that about half of the commands are these.
+  commands: [
+    ...repeated(submitNew, 8),
+    ...repeated(repeat, 4),
+    ...repeated(loseCommitReply, 2),
+  ],
   checks: [
     appliedOnce,
     toldIsTrue,
--- a/packages/bench/src/fuzz/domains/configuration_test.ts
+++ b/packages/bench/src/fuzz/domains/configuration_test.ts
@@ -4,13 +4,7 @@
 import { FAULTS_DOMAIN } from "./faults.ts";
 import { TIME_DOMAIN } from "./time.ts";
 
-// Configuration twice, so that about half of the commands are its own.
-const domains = [
-  TIME_DOMAIN,
-  FAULTS_DOMAIN,
-  CONFIGURATION_DOMAIN,
-  CONFIGURATION_DOMAIN,
-];
+const domains = [TIME_DOMAIN, FAULTS_DOMAIN, CONFIGURATION_DOMAIN];
 
 test("Random manifests under faults break no rule of configuration", async () => {
   const report = await runFuzz({ domains, seed: 5_001, runs: 25 });
--- a/packages/bench/src/fuzz/domains/orders.ts
+++ b/packages/bench/src/fuzz/domains/orders.ts
@@ -184,7 +184,11 @@
     stale: [],
     announced: 0,
   }),
-  commands: [changeEngines, changeEngines, delayOrders, freezeBeforeSend],
+  // Enough of each that the faults don't drown them.
+  commands: [
+    ...[changeEngines, changeEngines, changeEngines, changeEngines],
+    ...[delayOrders, delayOrders, freezeBeforeSend, freezeBeforeSend],
+  ],
   checks: [{
     name: "No order of an old holder takes effect",
     when: "always",
--- a/packages/bench/src/fuzz/domains/orders_test.ts
+++ b/packages/bench/src/fuzz/domains/orders_test.ts
@@ -5,7 +5,7 @@
 import { TIME_DOMAIN } from "./time.ts";
 
 test("No order of an old holder takes effect under random faults", async () => {
-  const domains = [TIME_DOMAIN, FAULTS_DOMAIN, ORDERS_DOMAIN, ORDERS_DOMAIN];
+  const domains = [TIME_DOMAIN, FAULTS_DOMAIN, ORDERS_DOMAIN];
   const report = await runFuzz({ domains, seed: 6_001, runs: 15 });
   expect(report.findings).toEqual([]);
 });
--- a/packages/bench/src/slopes/adopt.ts
+++ b/packages/bench/src/slopes/adopt.ts
@@ -74,7 +74,7 @@
       version,
       scopes: {
         ...held.head.scopes,
-        workspaces: { version, digest: bodyDigest(after) },
+        workspaces: { version, digest: bodyDigest("workspaces", after) },
       },
       change: sha256("a change"),
     },
