--- a/packages/bench/src/calls_bench/main.ts
+++ b/packages/bench/src/calls_bench/main.ts
@@ -1,7 +1,8 @@
 /** `npm run bench:calls`: what a claim adds to a call, and how many table transactions claims take. */
 import process from "node:process";
-import { command, number, option, run, string } from "cmd-ts";
+import { command, flag, number, option, run, string } from "cmd-ts";
 import { type ClaimFigures, measureClaims } from "./measure_claims.ts";
+import { measureAgainstProcess } from "./measure_process.ts";
 
 const HEADER = [
   "filings/s".padStart(9),
@@ -23,9 +24,11 @@
     }),
     vms: option({ long: "vms", type: number, defaultValue: () => 8 }),
     seconds: option({ long: "seconds", type: number, defaultValue: () => 10 }),
+    process: flag({ long: "process" }),
     seed: option({ long: "seed", type: number, defaultValue: () => 1 }),
   },
-  async handler({ rates, vms, seconds, seed }) {
+  async handler({ rates, vms, seconds, seed, process: asProcess }) {
+    if (asProcess) return await runAgainstProcess({ rates, vms, seconds });
     say("Paused clock; one way to the platform 2 ms, so one commit is 4 ms.");
     say("Processor time is not counted. Added: beyond a call without a claim.");
     say(HEADER);
@@ -35,6 +38,26 @@
   },
 });
 
+async function runAgainstProcess(
+  options: { rates: string; vms: number; seconds: number },
+): Promise<void> {
+  const { rates, vms, seconds } = options;
+  say("Real time against the fake platform's process on loopback; all VMs");
+  say("share one process. Added: from submission to sending.");
+  say(HEADER);
+  for (const rate of rates.split(",").map(Number)) {
+    const figures = await measureAgainstProcess({
+      rate,
+      vms,
+      seconds,
+      seed: 0,
+    });
+    const { p50, p99 } = figures.commitMs;
+    const commit = `${p50.toFixed(1)}/${p99.toFixed(1)}`;
+    say(`${format(figures)}  one commit p50/p99 ${commit} ms`);
+  }
+}
+
 function format(figures: ClaimFigures): string {
   return [
     String(figures.rate).padStart(9),
--- /dev/null
+++ b/packages/bench/src/calls_bench/measure_process.ts
@@ -0,0 +1,204 @@
+/** Measures claims in real time against the fake platform as a process of its own. */
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import {
+  asId,
+  CallsTask,
+  type CallsTaskOptions,
+  type Member,
+  RetryBudget,
+  SILENT_OBSERVER,
+  type VmContext,
+} from "@teaselvalve/core";
+import { createPlatformPort } from "@teaselvalve/daemon";
+import { ok } from "neverthrow";
+import { quantile } from "simple-statistics";
+import {
+  freePorts,
+  ProcessGroup,
+  PROGRAMS,
+} from "../processes/process_group.ts";
+import { SERVICE } from "../world/world.ts";
+import type { ClaimFigures, ClaimOptions } from "./measure_claims.ts";
+
+const PLATFORM_TIMEOUT_MS = 1_000;
+const DEADLINE_MS = 10_000;
+const SETTLE_MS = 1_000;
+const COMMIT_SAMPLES = 300;
+const START_ATTEMPTS = 100;
+const START_PAUSE_MS = 50;
+
+/** What was measured, with the time of one commit by itself. */
+export interface ProcessFigures extends ClaimFigures {
+  readonly commitMs: { p50: number; p99: number };
+}
+
+/** Measures one rate. */
+export async function measureAgainstProcess(
+  options: ClaimOptions,
+): Promise<ProcessFigures> {
+  const [port] = await freePorts(1);
+  const address = `127.0.0.1:${port}`;
+  const group = new ProcessGroup();
+  group.spawn({
+    name: "platform",
+    program: PROGRAMS.fakes,
+    args: ["platform", "--port", String(port)],
+    logFile: join(tmpdir(), "teaselvalve-bench-calls.log"),
+  });
+  try {
+    await waitUntilUp(address);
+    const commitMs = await measureCommits(address);
+    return { ...await measureClaims(address, options), commitMs };
+  } finally {
+    await group.endAll();
+  }
+}
+
+async function waitUntilUp(address: string): Promise<void> {
+  const platform = createPlatformPort({ address, timeoutMs: 1_000 });
+  for (let attempt = 1; attempt <= START_ATTEMPTS; attempt += 1) {
+    if ((await platform.listVms()).isOk()) return;
+    await pause(START_PAUSE_MS);
+  }
+  throw new Error("The platform did not start");
+}
+
+async function measureCommits(address: string) {
+  const platform = createPlatformPort({ address, timeoutMs: 1_000 });
+  const times: number[] = [];
+  for (let at = 0; at < COMMIT_SAMPLES; at += 1) {
+    const startedMs = performance.now();
+    await platform.transact([{
+      table: "samples",
+      key: `sample-${at}`,
+      expect: { kind: "absent" },
+      value: { number: at },
+    }]);
+    times.push(performance.now() - startedMs);
+  }
+  return { p50: quantile(times, 0.5), p99: quantile(times, 0.99) };
+}
+
+async function measureClaims(
+  address: string,
+  { rate, vms, seconds }: ClaimOptions,
+): Promise<ClaimFigures> {
+  const added: number[] = [];
+  const submittedAtMs = new Map<string, number>();
+  const tasks = Array.from({ length: vms }, (_, at) =>
+    createTask({
+      address,
+      vms,
+      at,
+      onSend: (key) => added.push(performance.now() - submittedAtMs.get(key)!),
+    }));
+  for (const task of tasks) task.start();
+  const before = await readTransactions(address);
+  let sent = 0;
+  const startedMs = performance.now();
+  while (performance.now() - startedMs < seconds * 1_000) {
+    const dueCount = (performance.now() - startedMs) * rate / 1_000;
+    for (; sent < dueCount; sent += 1) {
+      submittedAtMs.set(`lenders/filing-${sent}`, performance.now());
+      void tasks[sent % vms]!.submit(createCall(sent));
+    }
+    await pause(1);
+  }
+  const transactions = await readTransactions(address) - before;
+  await pause(SETTLE_MS);
+  for (const task of tasks) task.stop();
+  const at = (share: number) => quantile(added, share);
+  return {
+    rate,
+    vms,
+    sent,
+    answered: added.length,
+    transactionsPerSecond: transactions / seconds,
+    addedMs: { p50: at(0.5), p95: at(0.95), p99: at(0.99) },
+  };
+}
+
+function createCall(number: number) {
+  return {
+    workspace: asId<never>("lenders"),
+    caller: asId<never>("lender-1"),
+    request: asId<never>(`filing-${number}`),
+    service: asId<never>(SERVICE),
+    method: "POST",
+    path: "/filings",
+    contentType: "application/json",
+    body: "{}",
+    deadlineAtMs: Date.now() + DEADLINE_MS,
+  };
+}
+
+function createTask(options: {
+  address: string;
+  vms: number;
+  at: number;
+  onSend: (key: string) => void;
+}): CallsTask {
+  const members = Array.from(
+    { length: options.vms },
+    (_, at) => ({ id: `vm-${at + 1}`, state: "live" }) as unknown as Member,
+  );
+  const context = {
+    identity: {
+      id: `vm-${options.at + 1}`,
+      incarnation: `boot-${options.at + 1}`,
+      dataCentre: "helsinki-a",
+    },
+    ports: {
+      platform: createPlatformPort({
+        address: options.address,
+        timeoutMs: PLATFORM_TIMEOUT_MS,
+      }),
+      services: {
+        call: (_endpoint: unknown, request: { key: string }) => {
+          options.onSend(request.key);
+          return Promise.resolve(
+            ok({ status: 201, contentType: "application/json", body: "{}" }),
+          );
+        },
+      },
+    },
+    observer: SILENT_OBSERVER,
+    random: Math.random,
+  } as unknown as VmContext;
+  return new CallsTask(context, {
+    configuration: { current: () => CONFIGURATION },
+    membership: {
+      self: members[options.at],
+      members: () => members,
+      homeOf: () => members[0]!,
+    },
+    retries: new RetryBudget(context, { share: () => 0 }),
+  } as unknown as CallsTaskOptions);
+}
+
+const CONFIGURATION = {
+  bodies: {
+    deployment: {
+      callRetentionMs: 86_400_000,
+      services: [{ name: SERVICE, repeatableMethods: [], timeoutMs: 30_000 }],
+    },
+    endpoints: [{
+      id: "kirjaamo-1",
+      kind: "service",
+      service: SERVICE,
+      state: "live",
+      dataCentre: "helsinki-a",
+    }],
+  },
+};
+
+async function readTransactions(address: string): Promise<number> {
+  const answer = await fetch(`http://${address}/usage`);
+  const usage = await answer.json() as { transactions: number };
+  return usage.transactions;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -8,5 +8,6 @@
 export * from "./http/calls.ts";
 export * from "./lifecycle/manager.ts";
 export * from "./observe/log.ts";
+export * from "./platform/port.ts";
 export * from "./settings/load.ts";
 export * from "./settings/schema.ts";
