--- a/packages/core/src/vm/request_gate.ts
+++ b/packages/core/src/vm/request_gate.ts
@@ -60,8 +60,6 @@
     }
     const endCount = inProgress.track();
     let ended = false;
-    // A refusal can come before the handle is there.
-    let cut = () => {};
     const end = () => {
       ended = true;
       this.#cuts.delete(cut);
@@ -72,11 +70,12 @@
       sink(event);
       if (event.kind !== "tokens") end();
     });
-    cut = () => {
+    // Hoisted, as a request may be refused before `submit` returns its handle.
+    function cut(): void {
       if (!ended) sink({ kind: "refused", refusal: CUT_OFF });
       end();
       handle.cancel();
-    };
+    }
     if (!ended) this.#cuts.add(cut);
     return {
       ...handle,
