--- a/packages/bench/src/fuzz/domains/calls.ts
+++ b/packages/bench/src/fuzz/domains/calls.ts
@@ -97,7 +97,11 @@
   vm: index,
   at: index,
   deadlineMs: deadline,
-  afterMs: fc.integer({ min: 1, max: 30 }),
+  afterMs: fc.oneof(
+    // The claim's commit is under way.
+    fc.integer({ min: 4, max: 7 }),
+    fc.integer({ min: 1, max: 30 }),
+  ),
   fault: fc.constantFrom(...MID_CLAIM_FAULTS),
   forMs: fc.integer({ min: 500, max: MAX_FAULT_MS }),
   /** The VM that gets the same filing again, right after the fault. */
