--- /dev/null
+++ b/packages/core/src/summaries/home_test.ts
@@ -0,0 +1,73 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { asId } from "../shared/ids.ts";
+import { ANSWERED_KEPT_MS, SummariesHome } from "./home.ts";
+import type { Registration } from "./types.ts";
+
+let home: SummariesHome;
+let replaced: string[];
+
+beforeEach(() => {
+  vi.useFakeTimers();
+  replaced = [];
+  home = new SummariesHome({
+    onReplaced: (older, newer) =>
+      replaced.push(`${older.owner.vm} by ${newer.owner.vm}`),
+  });
+});
+
+afterEach(() => vi.useRealTimers());
+
+function claim(
+  vm: string,
+  epoch: number,
+  changes: Partial<Registration> = {},
+): Registration {
+  return {
+    key: asId("lenders/lender-1/summary-1"),
+    caller: asId("lender-1"),
+    bodyDigest: asId("body-1"),
+    owner: { vm: asId(vm), incarnation: asId(`${vm}-boot`) },
+    epoch,
+    state: "running",
+    run: null,
+    ...changes,
+  };
+}
+
+function register(registration: Registration, takeOver = false) {
+  return home.register({ registration, takeOver }).kind;
+}
+
+test("A key has one owner until a higher epoch takes it over, which the older is told", () => {
+  expect(register(claim("vm-1", 1))).toBe("new");
+  expect(register(claim("vm-2", 2))).toBe("exists");
+  expect(register(claim("vm-2", 1), true)).toBe("exists");
+  expect(register(claim("vm-2", 2), true)).toBe("new");
+  expect(register(claim("vm-1", 1), true)).toBe("exists");
+  expect(replaced).toEqual(["vm-1 by vm-2"]);
+});
+
+test("Another body neither replaces a registration nor frees its key", () => {
+  register(claim("vm-1", 1));
+  const other = { bodyDigest: asId<Registration["bodyDigest"]>("body-2") };
+  expect(register(claim("vm-2", 5, other), true)).toBe("exists");
+  const cancelled = { ...other, state: "cancelled" } as const;
+  expect(register(claim("vm-2", 6, cancelled), true)).toBe("exists");
+  expect(home.find(claim("vm-1", 1).key)?.owner.vm).toBe("vm-1");
+});
+
+test("An answered key is known as long as engines keep its text", () => {
+  register(claim("vm-1", 1));
+  register(claim("vm-1", 1, { state: "answered" }), true);
+  vi.advanceTimersByTime(ANSWERED_KEPT_MS - 1);
+  expect(register(claim("vm-1", 2))).toBe("exists");
+  vi.advanceTimersByTime(1);
+  expect(register(claim("vm-2", 3))).toBe("new");
+  expect(replaced).toEqual([]);
+});
+
+test("The owner frees its key", () => {
+  register(claim("vm-1", 1));
+  expect(register(claim("vm-1", 1, { state: "cancelled" }), true)).toBe("new");
+  expect(home.find(claim("vm-1", 1).key)).toBeNull();
+});
