--- a/packages/core/src/summaries/task.ts
+++ b/packages/core/src/summaries/task.ts
@@ -90,10 +90,8 @@
   }
 
   start(): void {
-    this.#watch.start();
     this.#home.start();
     this.#sweep.start();
-    this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.#removeListener = this.#options.viewChanges.onChange(() =>
       this.#registerAgain()
     );
@@ -101,10 +99,9 @@
 
   stop(): void {
     this.#removeListener();
-    clearInterval(this.#timer);
+    this.#sleep();
     this.#sweep.stop();
     this.#home.stop();
-    this.#watch.stop();
   }
 
   /** Starts a summary, or attaches to the one that runs under the same key. The sink is called later only. */
@@ -159,12 +156,13 @@
       watch: this.#watch,
       nextStream: () => this.#nextStream(),
       onClosed: (closed) => {
-        if (this.#runs.get(closed.key) === closed) {
-          this.#runs.delete(closed.key);
-        }
+        if (this.#runs.get(closed.key) !== closed) return;
+        this.#runs.delete(closed.key);
+        if (this.#runs.size === 0) this.#sleep();
       },
       sink,
     });
+    if (this.#runs.size === 0) this.#wake();
     this.#runs.set(run.key, run);
     return run;
   }
@@ -204,6 +202,17 @@
     };
   }
 
+  /** Nothing is watched while nothing runs. */
+  #wake(): void {
+    this.#watch.start();
+    this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
+  }
+
+  #sleep(): void {
+    this.#watch.stop();
+    clearInterval(this.#timer);
+  }
+
   #tick(): void {
     const nowMs = this.#watch.check();
     for (const run of [...this.#runs.values()]) run.tick(nowMs);
