--- a/packages/bench/src/demo/programs_test.ts
+++ b/packages/bench/src/demo/programs_test.ts
@@ -1,5 +1,6 @@
 /** The built programs, run as an operator runs them. */
-import { execFile } from "node:child_process";
+import { execFile, spawn } from "node:child_process";
+import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -115,6 +116,15 @@
   }
 });
 
+test("the tool ends quietly when its reader has seen enough", async () => {
+  const child = spawn(process.execPath, [PROGRAMS.tool, "vms", "--help"]);
+  child.stdout.destroy();
+  let stderr = "";
+  child.stderr.on("data", (chunk) => stderr += chunk);
+  const [exitCode] = await once(child, "close");
+  expect({ exitCode, stderr }).toEqual({ exitCode: 0, stderr: "" });
+});
+
 test("the demonstration ends by itself with 0 and leaves nothing", async () => {
   const demo = PROGRAMS.daemon.replace(
     "daemon/dist/teaselvalved.js",
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,12 @@
 import { program } from "./program.ts";
 import { EXIT_CODES, ToolFailure } from "./shared/failure.ts";
 
+// A reader such as head may close the pipe before all is written.
+process.stdout.on("error", (error: NodeJS.ErrnoException) => {
+  if (error.code !== "EPIPE") throw error;
+  process.exit(EXIT_CODES.done);
+});
+
 try {
   const result = await runSafely(program, process.argv.slice(2));
   if (result._tag === "error") {
--- a/packages/daemon/src/callers/context.ts
+++ b/packages/daemon/src/callers/context.ts
@@ -4,7 +4,8 @@
 
 /** What one request's handler needs. */
 export interface CallerContext {
-  readonly vm: Vm;
+  /** Handlers reach summaries and calls through the gate only, which a planned stop closes. */
+  readonly vm: Pick<Vm, "configuration" | "gate">;
   readonly observer: Observer;
   readonly bodyLimitBytes: number;
   readonly principal: Principal;
--- a/packages/daemon/src/callers/services.ts
+++ b/packages/daemon/src/callers/services.ts
@@ -37,7 +37,7 @@
     body: body.value,
     deadlineAtMs: deadlineOf(exchange, defaultMs),
   };
-  const verdict = await context.vm.calls.submit(call, {
+  const verdict = await context.vm.gate.submitCall(call, {
     gone: () => response.destroyed || response.closed,
   });
   if (response.destroyed) return;
