The gate keeps its handles' methods and counts what it refuses

Cause: the gate copied a handle's own fields, so a summary of a workspace with a quota lost pause and resume, and a slow reader's first backpressure threw; summaries refused as stopping, cut off or over quota had no counter. Change: the handle is passed on by method; the gate and the quota count refusals.

--- a/packages/core/src/quotas/limited.ts
+++ b/packages/core/src/quotas/limited.ts
@@ -9,7 +9,12 @@
   SummarySink,
 } from "../summaries/types.ts";
 import { requestKey } from "../shared/ids.ts";
-import { type NotRun, notRun, refuse } from "../shared/verdict.ts";
+import {
+  type NotRun,
+  notRun,
+  type Refusal,
+  refuse,
+} from "../shared/verdict.ts";
 import type { Admitted, QuotaAdmission } from "./task.ts";
 
 /** Calls that ask for admission first; they cost no tokens. */
@@ -31,10 +36,17 @@
   };
 }
 
+/** Options of {@link limitSummaries}. */
+export interface LimitSummariesOptions {
+  quotas: QuotaAdmission;
+  /** Told of each summary that is not admitted. */
+  countRefusal: (reason: Refusal["reason"]) => void;
+}
+
 /** Summaries that ask for admission first, for their prompt's tokens and the most they may generate. */
 export function limitSummaries(
   summaries: Pick<SummariesTask, "submit">,
-  quotas: QuotaAdmission,
+  { quotas, countRefusal }: LimitSummariesOptions,
 ): Pick<SummariesTask, "submit"> {
   return {
     submit(request, sink) {
@@ -45,7 +57,10 @@
       void quotas.admit(request.workspace, tokensOf(request)).then((result) =>
         result.match(
           (admitted) => summary.start(summaries, admitted),
-          (refusal) => summary.refuse(refusal),
+          (refusal) => {
+            countRefusal(refusal.reason);
+            summary.refuse(refusal);
+          },
         )
       );
       return summary;
--- a/packages/core/src/vm/request_gate.ts
+++ b/packages/core/src/vm/request_gate.ts
@@ -2,7 +2,7 @@
 import type { CallsTask } from "../calls/task.ts";
 import type { CallVerdict } from "../calls/types.ts";
 import { requestKey } from "../shared/ids.ts";
-import { mayHaveRun, notRun, refuse } from "../shared/verdict.ts";
+import { mayHaveRun, notRun, type Refusal, refuse } from "../shared/verdict.ts";
 import type { SummariesTask } from "../summaries/task.ts";
 import type {
   SummaryEvent,
@@ -22,6 +22,8 @@
   summaries: Pick<SummariesTask, "submit">;
   inProgress: InProgressCount;
   refusesWork: () => boolean;
+  /** Told of each summary that is refused here; refused calls are counted by who answers them. */
+  countRefusal: (reason: Refusal["reason"]) => void;
 }
 
 /** Admits requests and keeps what it takes to end them. */
@@ -52,8 +54,9 @@
 
   /** Starts a summary, or attaches to one that runs, unless the VM is stopping. */
   submitSummary(request: SummaryRequest, sink: SummarySink): SummaryHandle {
-    const { summaries, inProgress, refusesWork } = this.#options;
+    const { summaries, inProgress, refusesWork, countRefusal } = this.#options;
     if (refusesWork()) {
+      countRefusal(STOPPING.reason);
       sink({ kind: "refused", refusal: STOPPING });
       const key = requestKey(request.workspace, request.request);
       return { key, cancel() {}, pause() {}, resume() {} };
@@ -72,13 +75,18 @@
     });
     // Hoisted, as a request may be refused before `submit` returns its handle.
     function cut(): void {
-      if (!ended) sink({ kind: "refused", refusal: CUT_OFF });
+      if (!ended) {
+        countRefusal(CUT_OFF.reason);
+        sink({ kind: "refused", refusal: CUT_OFF });
+      }
       end();
       handle.cancel();
     }
     if (!ended) this.#cuts.add(cut);
     return {
-      ...handle,
+      key: handle.key,
+      pause: () => handle.pause(),
+      resume: () => handle.resume(),
       cancel() {
         handle.cancel();
         end();
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -23,6 +23,7 @@
 import { InProgressCount } from "./in_progress.ts";
 import { PlannedStop, type StopOutcome } from "./planned_stop.ts";
 import type { CutReason } from "./stop_machine.ts";
+import type { Refusal } from "../shared/verdict.ts";
 import type { VmContext, VmPolicies } from "./types.ts";
 
 const DEFAULT_CONVICTION_MS = 3_600_000;
@@ -111,9 +112,15 @@
       retries: this.retries,
       policies: policies.summaries,
     });
+    const countRefusal = (reason: Refusal["reason"]) =>
+      context.observer.count("refusals", reason);
     this.gate = new RequestGate({
       calls: limitCalls(this.calls, this.quotas),
-      summaries: limitSummaries(this.summaries, this.quotas),
+      summaries: limitSummaries(this.summaries, {
+        quotas: this.quotas,
+        countRefusal,
+      }),
+      countRefusal,
       inProgress,
       refusesWork: () => this.refusesWork,
     });
