--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -62,6 +62,7 @@
       handlers: vm.peerHandlers,
       secret: secrets.peerSecret,
       bodyLimitBytes: bodyLimitBytes * 16,
+      observer,
     }),
   });
   const admin = createHttpPart({
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -100,6 +100,12 @@
       "drop",
       () => observer.count("refusals", "too-many-connections"),
     );
+    // Node drops the connection of this method where nobody takes it.
+    this.#server.on("connect", (_incoming, socket) => {
+      const detail = "CONNECT is not served";
+      const refusal = notRun("bad-request", { detail });
+      this.#refuseSocket(socket as Socket, { refusal, status: 400 });
+    });
     this.#server.on("clientError", (error, socket) => {
       this.#refuseSocket(socket as Socket, refusalOf(error));
     });
--- a/packages/daemon/src/peers/server.ts
+++ b/packages/daemon/src/peers/server.ts
@@ -1,6 +1,12 @@
 /** The peer interface: json-rpc-2.0 behind the deployment's secret. */
 import { createHash, timingSafeEqual } from "node:crypto";
-import { notRun, type PeerHandlers } from "@teaselvalve/core";
+import {
+  notRun,
+  type Observer,
+  type PeerHandlers,
+  type Refusal,
+  SILENT_OBSERVER,
+} from "@teaselvalve/core";
 import { type JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
 import {
   bearerToken,
@@ -16,21 +22,34 @@
   handlers: PeerHandlers;
   secret: string;
   bodyLimitBytes: number;
+  observer?: Observer;
 }
 
 /** Answers the calls of other VMs. */
 export function createPeerHandler(options: PeerHandlerOptions) {
-  const server = new JSONRPCServer();
+  const { observer = SILENT_OBSERVER } = options;
+  const server = new JSONRPCServer({
+    errorListener: (message, error) =>
+      observer.log({
+        event: "peer-method-error",
+        level: "warn",
+        message: `${message}: ${error}`,
+      }),
+  });
   for (const [name, handler] of Object.entries(options.handlers)) {
     server.addMethod(name, handler);
   }
   return async ({ incoming, response }: Exchange): Promise<void> => {
+    const refuse = (refusal: Refusal) => {
+      observer.count("refusals", refusal.reason);
+      sendProblem(response, refusal);
+    };
     if (!sameSecret(bearerToken(incoming) ?? "", options.secret)) {
-      return sendProblem(response, notRun("unauthenticated"));
+      return refuse(notRun("unauthenticated"));
     }
     const body = await readBody(incoming, options.bodyLimitBytes);
     const parsed = body.andThen(parseJson);
-    if (parsed.isErr()) return sendProblem(response, parsed.error);
+    if (parsed.isErr()) return refuse(parsed.error);
     sendJson(response, await server.receive(parsed.value as JSONRPCRequest));
   };
 }
