--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -32,13 +32,19 @@
   },
 } as const;
 
+// Node measures the delay of its event loop with a timer; the usual 10 ms wake an idle daemon too often.
+const EVENT_LOOP_PRECISION_MS = 200;
+
 /** Owns a daemon's registry of metrics. */
 export class Metrics {
   readonly registry = new Registry();
   #counters = new Map<CounterName, Counter<"reason">>();
 
   constructor() {
-    collectDefaultMetrics({ register: this.registry });
+    collectDefaultMetrics({
+      register: this.registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS,
+    });
     for (const [name, help] of Object.entries(HELP)) {
       this.#counters.set(
         name as CounterName,
