Under overload, place first what is expected to hold least

Change: for a second after a request was shed, those that wait are placed by what they are expected to hold, in slots or in memory of a slot's size, times their expected tokens; equals by deadline.

--- a/packages/core/src/grants/queue.ts
+++ b/packages/core/src/grants/queue.ts
@@ -43,10 +43,12 @@
     return this.#waiting.find((one) => one.request.key === key);
   }
 
-  /** Orders by deadline, late requests last. */
-  ordered(): QueuedRequest[] {
+  /** Orders by deadline, late requests last; under overload by what they hold instead. */
+  ordered(holdingOf?: (one: QueuedRequest) => number): QueuedRequest[] {
+    const rank = holdingOf ?? ((one: QueuedRequest) => one.dueAtMs);
     return [...this.#waiting].sort((a, b) =>
-      Number(a.late) - Number(b.late) || a.dueAtMs - b.dueAtMs
+      Number(a.late) - Number(b.late) || rank(a) - rank(b) ||
+      a.dueAtMs - b.dueAtMs
     );
   }
 }
--- a/packages/core/src/grants/shard.ts
+++ b/packages/core/src/grants/shard.ts
@@ -7,7 +7,11 @@
 } from "../shared/ids.ts";
 import type { NotRunReason } from "../shared/verdict.ts";
 import { chooseVictims } from "./commands/shed.ts";
-import { afterTransferMs, estimateIdleMs } from "./policies/estimate.ts";
+import {
+  afterTransferMs,
+  estimateIdleMs,
+  promptPieces,
+} from "./policies/estimate.ts";
 import type { GrantPolicy, Placement, ShardView } from "./policies/types.ts";
 import { expectedSupply, needs } from "./queries/forecast.ts";
 import { GrantQueue, type QueuedRequest } from "./queue.ts";
@@ -128,11 +132,24 @@
   dispatch(): void {
     if (this.#queue.all.length === 0) return;
     const nowMs = performance.now();
-    for (const queued of this.#queue.ordered()) this.#place(queued, nowMs);
+    const isOverloaded = nowMs - this.#shedAtMs < OVERLOAD_MS;
+    const holdingOf = isOverloaded ? this.#holding() : undefined;
+    for (const queued of this.#queue.ordered(holdingOf)) {
+      this.#place(queued, nowMs);
+    }
     this.#shed(nowMs);
     this.#wakeLater(nowMs);
   }
 
+  /** What a request is expected to hold, in slots or in memory of a slot's size, times its tokens. */
+  #holding(): (queued: QueuedRequest) => number {
+    const [decode] = this.book.decodes;
+    const slotPieces = decode ? decode.memoryPieces / decode.slots : 1;
+    return ({ request, expectedTokens }) =>
+      expectedTokens *
+      Math.max(1, promptPieces(request.promptTokens) / slotPieces);
+  }
+
   #admit(
     request: GrantRequest,
     options: { nowMs: number; answer: (answer: GrantAnswer) => void },
