--- /dev/null
+++ b/packages/bench/src/experiment/experiment_test.ts
@@ -0,0 +1,72 @@
+import { expect, test } from "vitest";
+import { DEPLOYMENTS } from "./deployments.ts";
+import { isGood, isJudged, measure, measuredOutcomes } from "./measure.ts";
+import { runExperiment, type RunResult } from "./run.ts";
+import type { WorkItem } from "./workload.ts";
+
+const deployment = DEPLOYMENTS["aile-adaleti"];
+const short = { warmUpMs: 8_000, measureMs: 8_000 };
+
+test("Under load, reserving the slot first gives more goodput and hardly any waste", async () => {
+  const options = {
+    deployment,
+    load: 1.2,
+    faults: "none" as const,
+    seed: 1,
+    ...short,
+  };
+  const ours = measure(
+    await runExperiment({ ...options, policy: "reserveThenPrefill" }),
+  );
+  const baseline = measure(
+    await runExperiment({ ...options, policy: "twoChoices" }),
+  );
+  expect(ours.goodput).toBeGreaterThan(baseline.goodput);
+  expect(ours.goodput).toBeGreaterThanOrEqual(0.9 * ours.ceiling);
+  expect(ours.wastedPrefillShare).toBeLessThanOrEqual(0.01);
+});
+
+test("The same seed gives the same record", async () => {
+  const options = {
+    deployment,
+    policy: "reserveThenPrefill" as const,
+    load: 0.9,
+    faults: "decode-crash" as const,
+    seed: 3,
+    warmUpMs: 4_000,
+    measureMs: 4_000,
+  };
+  const first = measure(await runExperiment(options));
+  expect(measure(await runExperiment(options))).toEqual(first);
+});
+
+test("A workspace that floods takes little from those within their share", async () => {
+  const options = {
+    deployment,
+    policy: "reserveThenPrefill" as const,
+    load: 0.8,
+    faults: "none" as const,
+    seed: 2,
+    warmUpMs: 8_000,
+    measureMs: 12_000,
+  };
+  const calm = await runExperiment(options);
+  const flooded = await runExperiment({ ...options, reshape: flood });
+  expect(goodShare(flooded)).toBeGreaterThanOrEqual(goodShare(calm) - 0.05);
+});
+
+/** Repeats each request of one workspace, so that it asks for four times its share. */
+function flood(items: WorkItem[]): WorkItem[] {
+  return items.flatMap((item) =>
+    item.workspace === "workspace-1"
+      ? [0, 1, 2, 3].map((at) => ({ ...item, id: `${item.id}-${at}` }))
+      : [item]
+  );
+}
+
+function goodShare(result: RunResult): number {
+  const others = measuredOutcomes(result).filter((one) =>
+    one.item.workspace !== "workspace-1" && isJudged(one, result)
+  );
+  return others.filter((one) => isGood(one, result)).length / others.length;
+}
--- /dev/null
+++ b/packages/core/src/grants/prefixes_test.ts
@@ -0,0 +1,20 @@
+import { expect, test } from "vitest";
+import { PrefixHints } from "./prefixes.ts";
+
+test("A gap in the numbers of cache events drops what was known", () => {
+  const hints = new PrefixHints();
+  hints.apply([
+    { sequence: 1, kind: "added", block: "a" },
+    { sequence: 2, kind: "added", block: "b" },
+  ], 0);
+  expect(hints.cachedTokens(["a", "b", "c"], 0)).toBe(64);
+  hints.apply([{ sequence: 4, kind: "added", block: "c" }], 0);
+  expect(hints.cachedTokens(["a", "b", "c"], 0)).toBe(0);
+});
+
+test("Hints age", () => {
+  const hints = new PrefixHints();
+  hints.add(["a"], 0);
+  expect(hints.cachedTokens(["a"], 1_000)).toBe(32);
+  expect(hints.cachedTokens(["a"], 1_000_000)).toBe(0);
+});
