Hold back workspaces over their share from what others wait for

Cause, found by a flood test whose first form had no teeth (it passed without shares): under overload cheap requests of a flooding workspace took each freed slot, and larger requests of workspaces within their share waited until they were refused. Change: under overload workspaces over their share come last, and get nothing in a round in which another waits without a place.

--- a/packages/bench/src/experiment/experiment_test.ts
+++ b/packages/bench/src/experiment/experiment_test.ts
@@ -44,22 +44,26 @@
   const options = {
     deployment,
     policy: "reserveThenPrefill" as const,
-    load: 0.8,
+    // At this load every workspace asks for less than its quarter.
+    load: 0.6,
     faults: "none" as const,
     seed: 2,
     warmUpMs: 8_000,
-    measureMs: 12_000,
+    measureMs: 30_000,
   };
   const calm = await runExperiment(options);
   const flooded = await runExperiment({ ...options, reshape: flood });
   expect(goodShare(flooded)).toBeGreaterThanOrEqual(goodShare(calm) - 0.05);
 });
 
-/** Repeats each request of one workspace, so that it asks for four times its share. */
+/** Repeats each request of one workspace, so that it asks for ten times its share. */
 function flood(items: WorkItem[]): WorkItem[] {
   return items.flatMap((item) =>
     item.workspace === "workspace-1"
-      ? [0, 1, 2, 3].map((at) => ({ ...item, id: `${item.id}-${at}` }))
+      ? [0, 1, 2, 3, 4, 5, 6, 7, 8, 9].map((at) => ({
+        ...item,
+        id: `${item.id}-${at}`,
+      }))
       : [item]
   );
 }
--- a/packages/core/src/grants/queue.ts
+++ b/packages/core/src/grants/queue.ts
@@ -1,5 +1,5 @@
 /** Requests that wait at a shard's home for their grant. */
-import type { RequestKey } from "../shared/ids.ts";
+import type { RequestKey, WorkspaceId } from "../shared/ids.ts";
 import type { Waiting } from "./queries/forecast.ts";
 import type { GrantAnswer } from "./types.ts";
 
@@ -43,12 +43,30 @@
     return this.#waiting.find((one) => one.request.key === key);
   }
 
-  /** Orders by deadline, late requests last; under overload by what they hold instead. */
-  ordered(holdingOf?: (one: QueuedRequest) => number): QueuedRequest[] {
-    const rank = holdingOf ?? ((one: QueuedRequest) => one.dueAtMs);
-    return [...this.#waiting].sort((a, b) =>
-      Number(a.late) - Number(b.late) || rank(a) - rank(b) ||
+  /** Orders by deadline, late requests last. */
+  byDeadline(): QueuedRequest[] {
+    return this.#sorted((a, b) => a.dueAtMs - b.dueAtMs);
+  }
+
+  /** Orders for a time of overload: workspaces over their share last, then by what is held, then by deadline. */
+  byHolding(options: {
+    overShare: ReadonlySet<WorkspaceId>;
+    holdingOf: (one: QueuedRequest) => number;
+  }): QueuedRequest[] {
+    const { overShare, holdingOf } = options;
+    const isOver = (one: QueuedRequest) =>
+      Number(overShare.has(one.request.workspace));
+    return this.#sorted((a, b) =>
+      isOver(a) - isOver(b) || holdingOf(a) - holdingOf(b) ||
       a.dueAtMs - b.dueAtMs
     );
   }
+
+  #sorted(
+    compare: (a: QueuedRequest, b: QueuedRequest) => number,
+  ): QueuedRequest[] {
+    return [...this.#waiting].sort((a, b) =>
+      Number(a.late) - Number(b.late) || compare(a, b)
+    );
+  }
 }
--- a/packages/core/src/grants/shard.ts
+++ b/packages/core/src/grants/shard.ts
@@ -53,6 +53,7 @@
 const WARM_UP_RESERVE = 0.1;
 const RETRY_AFTER_MS: readonly [number, number] = [250, 10_000];
 const MIN_WAKE_MS = 1;
+const NONE: ReadonlySet<WorkspaceId> = new Set();
 
 /** Grants the slots of one shard. */
 export class Shard {
@@ -132,15 +133,36 @@
   dispatch(): void {
     if (this.#queue.all.length === 0) return;
     const nowMs = performance.now();
-    const isOverloaded = nowMs - this.#shedAtMs < OVERLOAD_MS;
-    const holdingOf = isOverloaded ? this.#holding() : undefined;
-    for (const queued of this.#queue.ordered(holdingOf)) {
-      this.#place(queued, nowMs);
+    const over = this.#overShare(nowMs);
+    let isHeldBack = false;
+    for (const queued of this.#ordered(nowMs, over)) {
+      const isOver = over.has(queued.request.workspace);
+      // What a workspace within its share waits for is not taken by one that is over it.
+      if (isOver && isHeldBack) continue;
+      const isPlaced = this.#place(queued, nowMs);
+      isHeldBack ||= !isPlaced && !isOver && !queued.late;
     }
     this.#shed(nowMs);
     this.#wakeLater(nowMs);
   }
 
+  /** Workspaces that are over their share, in a time of overload. */
+  #overShare(nowMs: number): ReadonlySet<WorkspaceId> {
+    const isOverloaded = nowMs - this.#shedAtMs < OVERLOAD_MS;
+    if (!isOverloaded) return NONE;
+    const workspaces = this.#queue.all.map((one) => one.request.workspace);
+    return this.#shares.overShare(workspaces, nowMs);
+  }
+
+  #ordered(
+    nowMs: number,
+    overShare: ReadonlySet<WorkspaceId>,
+  ): QueuedRequest[] {
+    const isOverloaded = nowMs - this.#shedAtMs < OVERLOAD_MS;
+    if (!isOverloaded) return this.#queue.byDeadline();
+    return this.#queue.byHolding({ overShare, holdingOf: this.#holding() });
+  }
+
   /** What a request is expected to hold, in slots or in memory of a slot's size, times its tokens. */
   #holding(): (queued: QueuedRequest) => number {
     const [decode] = this.book.decodes;
@@ -177,22 +199,26 @@
     };
   }
 
-  #place(queued: QueuedRequest, nowMs: number): void {
+  /** Grants or refuses a request, or lets it wait; true when it no longer waits. */
+  #place(queued: QueuedRequest, nowMs: number): boolean {
     const { request } = queued;
     const { policy } = this.#options;
     if (queued.late && policy.waits && this.#mustYield(nowMs)) {
-      if (nowMs - this.#shedAtMs < OVERLOAD_MS) this.#refuseForLoad(queued);
-      return;
+      const isOverloaded = nowMs - this.#shedAtMs < OVERLOAD_MS;
+      if (isOverloaded) this.#refuseForLoad(queued);
+      return isOverloaded;
     }
     const view = this.#view(nowMs, request, queued.late ? LATE_RESERVE : 0);
     const isReady = policy.isReady?.(view) ?? true;
     const placement = isReady ? policy.place(view, request) : null;
     if (placement && (!policy.waits || inTime(queued, placement, nowMs))) {
-      return this.#grant(queued, { placement, nowMs });
-    }
-    if (!policy.waits || nowMs + queued.idleMs > queued.dueAtMs) {
-      this.#refuseForLoad(queued);
+      this.#grant(queued, { placement, nowMs });
+      return true;
     }
+    const isHopeless = !policy.waits ||
+      nowMs + queued.idleMs > queued.dueAtMs;
+    if (isHopeless) this.#refuseForLoad(queued);
+    return isHopeless;
   }
 
   /** Late requests let those in time go first, and keep to one prefill replica of several. */
