--- /dev/null
+++ b/packages/bench/src/world/planned_stop_test.ts
@@ -0,0 +1,160 @@
+import type { StopOutcome, VmPolicies } from "@teaselvalve/core";
+import { Vm } from "@teaselvalve/core";
+import { afterEach, expect, test } from "vitest";
+import { AddressCaller, describeFailure } from "./address_caller.ts";
+import { seededRandom, World, type WorldOptions } from "./world.ts";
+
+const REQUEST_INTERVAL_MS = 150;
+
+let world: World | undefined;
+
+afterEach(() => world?.close());
+
+interface Load {
+  readonly callers: readonly AddressCaller[];
+  /** Stops sending and gives what went wrong with the requests sent. */
+  end(): Promise<string[]>;
+}
+
+function startLoad(): Load {
+  const random = seededRandom(77);
+  const callers = Array.from(
+    { length: 6 },
+    (_, at) => new AddressCaller(world!, { name: `caller-${at}`, random }),
+  );
+  let turn = 0;
+  const timer = setInterval(() => {
+    const caller = callers[turn % callers.length]!;
+    turn += 1;
+    if (turn % 2 === 0) caller.sendCall();
+    else caller.sendSummary(20 + Math.floor(random() * 400));
+  }, REQUEST_INTERVAL_MS);
+  return {
+    callers,
+    async end() {
+      clearInterval(timer);
+      await world!.advance(31_000);
+      return callers.flatMap(({ requests }) => requests)
+        .map(describeFailure)
+        .filter((failure) => failure !== null);
+    },
+  };
+}
+
+async function createWorld(options: WorldOptions): Promise<World> {
+  world = await World.create({ prefills: 4, decodes: 6, ...options });
+  await world.advance(5_000);
+  return world;
+}
+
+/** Lets time pass until a stop is done. */
+async function finish(
+  stops: readonly Promise<StopOutcome | null>[],
+): Promise<(StopOutcome | null)[]> {
+  let done = false;
+  const outcomes = Promise.all(stops).finally(() => (done = true));
+  while (!done) await world!.advance(500);
+  return await outcomes;
+}
+
+async function failuresOfStop(policies: VmPolicies): Promise<string[]> {
+  const createVm: WorldOptions["createVm"] = (context) =>
+    new Vm(context, policies);
+  await createWorld({ seed: 11, vms: 5, createVm });
+  const load = startLoad();
+  await world!.advance(5_000);
+  await finish([world!.stopVm("vm-2"), world!.stopVm("vm-4")]);
+  return await load.end();
+}
+
+test("Three of nine VMs stop at once and cut nothing", async () => {
+  await createWorld({ seed: 12, vms: 9 });
+  const load = startLoad();
+  await world!.advance(5_000);
+  const outcomes = await finish(
+    ["vm-2", "vm-5", "vm-9"].map((name) => world!.stopVm(name)),
+  );
+  expect(outcomes.map((outcome) => outcome?.kind)).toEqual([
+    "drained",
+    "drained",
+    "drained",
+  ]);
+  expect(await load.end()).toEqual([]);
+});
+
+test("Every VM is replaced in turn under load and nothing is cut", async () => {
+  await createWorld({ seed: 13, vms: 4 });
+  const load = startLoad();
+  for (const name of ["vm-1", "vm-2", "vm-3", "vm-4"]) {
+    world!.addVm();
+    await world!.advance(3_000);
+    await finish([world!.stopVm(name)]);
+  }
+  expect([...world!.vms.keys()]).toEqual(["vm-5", "vm-6", "vm-7", "vm-8"]);
+  expect(await load.end()).toEqual([]);
+});
+
+test("A leaving VM is soon home for nothing and in no answer", async () => {
+  await createWorld({ seed: 14, vms: 5 });
+  void world!.stopVm("vm-3");
+  await world!.advance(2_000);
+  for (const [name, { membership }] of world!.vms) {
+    for (let at = 0; at < 100; at += 1) {
+      expect(membership.homeOf(`key-${at}`).id).not.toBe("vm-3");
+    }
+    if (name === "vm-3") continue;
+    expect(membership.member("vm-3" as never)?.state).toBe("leaving");
+  }
+});
+
+test("A stop that does not wait for kept addresses refuses callers", async () => {
+  const failures = await failuresOfStop({ stop: { waitsForAddresses: false } });
+  expect(failures.join("\n")).toMatch(/stopping|refused or cut/);
+});
+
+/** Sends a long summary shortly before a stopping VM refuses new work. */
+async function failureOfLateSummary(
+  policies: VmPolicies,
+): Promise<string | null> {
+  const createVm: WorldOptions["createVm"] = (context) =>
+    new Vm(context, policies);
+  await createWorld({ seed: 16, vms: 3, createVm });
+  const stop = world!.stopVm("vm-2");
+  await world!.advance(13_000);
+  const late = new AddressCaller(world!, {
+    name: "caller-1",
+    random: seededRandom(5),
+  }).sendSummaryTo("vm-2", 1_000);
+  await finish([stop]);
+  await world!.advance(30_000);
+  return describeFailure(late);
+}
+
+test("A stop waits for a long summary that came late", async () => {
+  expect(await failureOfLateSummary({})).toBeNull();
+});
+
+test("A stop that does not drain cuts a summary", async () => {
+  const failure = await failureOfLateSummary({ stop: { drains: false } });
+  expect(failure).toContain("refused or cut");
+});
+
+test("A second signal answers what it cuts", async () => {
+  await createWorld({ seed: 15, vms: 3 });
+  const caller = new AddressCaller(world!, {
+    name: "caller-1",
+    random: seededRandom(5),
+  });
+  const sent = caller.sendSummary(1_000)!;
+  await world!.advance(2_000);
+  const stop = world!.stopVm(sent.vm);
+  await world!.advance(1_000);
+  world!.vms.get(sent.vm)!.cutStop("second-signal");
+  const [outcome] = await finish([stop]);
+  expect(outcome).toEqual({
+    kind: "cut",
+    reason: "second-signal",
+    inProgress: 1,
+  });
+  expect(describeFailure(sent)).toContain("cut-by-stop");
+});
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -10,6 +10,7 @@
   type PeerHandlers,
   type Region,
   SILENT_OBSERVER,
+  type StopOutcome,
   type SummaryRequest,
   Vm,
   type VmId,
@@ -44,8 +45,18 @@
   services?: number;
   figures?: EngineFigures;
   observer?: Observer;
+  /** Whether engines refuse a start whose cancel came before it. Defaults to true. */
+  refusesCancelled?: boolean;
   /** Builds a VM; tests pass one that lacks a mechanism. */
   createVm?: (context: ConstructorParameters<typeof Vm>[0]) => Vm;
+  /** Places the VM of a number that counts from 0. */
+  placeOf?: (index: number) => VmPlace;
+}
+
+/** Where a VM of a world is. */
+export interface VmPlace {
+  readonly dataCentre: DataCentre;
+  readonly region: Region;
 }
 
 /** The data centres of a world. */
@@ -71,12 +82,21 @@
   readonly platformFaults: PlatformFaults = noPlatformFaults();
   readonly engines = new Map<string, AnyFakeEngine>();
   readonly services = new Map<string, PlainService>();
+  /** Every summary that a caller has asked for. */
+  readonly summaries: CallerSummary[] = [];
   /** VMs that are up, frozen ones included. */
   readonly vms = new Map<string, Vm>();
+  /** When VMs died or ended, on the monotonic clock. */
+  readonly goneAtMs = new Map<string, number>();
+  /** When planned stops of VMs began, on the monotonic clock. */
+  readonly stopsBegunAtMs = new Map<string, number>();
   readonly random: () => number;
+  /** How often a marked prompt or a test has crashed an engine. */
+  engineCrashes = 0;
   #handlers = new Map<string, PeerHandlers>();
   #options: WorldOptions;
-  #vmsCreated = 0;
+  /** VMs ever started. */
+  vmsCreated = 0;
   #callersCreated = 0;
 
   constructor(options: WorldOptions) {
@@ -123,15 +143,13 @@
 
   /** Starts another VM. */
   addVm(): Vm {
-    this.#vmsCreated += 1;
-    const name = `vm-${this.#vmsCreated}`;
-    const dataCentre =
-      DATA_CENTRES[(this.#vmsCreated - 1) % DATA_CENTRES.length]!;
+    this.vmsCreated += 1;
+    const name = `vm-${this.vmsCreated}`;
+    const placeOf = this.#options.placeOf ?? placeInTurn;
     const identity = {
       id: asId<VmId>(name),
       incarnation: asId<Incarnation>(`${name}-boot`),
-      dataCentre,
-      region: REGION,
+      ...placeOf(this.vmsCreated - 1),
       callerAddress: name,
       peerAddress: name,
     };
@@ -162,7 +180,7 @@
         }),
       },
       observer: this.#options.observer ?? SILENT_OBSERVER,
-      random: seededRandom(this.#options.seed * 1_009 + this.#vmsCreated),
+      random: seededRandom(this.#options.seed * 1_009 + this.vmsCreated),
     });
     this.vms.set(name, vm);
     this.#handlers.set(name, vm.peerHandlers);
@@ -174,10 +192,26 @@
   /** Kills a VM's process; the platform's list shows it after a while. */
   killVm(name: Host): void {
     this.vms.delete(name);
+    this.goneAtMs.set(name, performance.now());
     this.network.setUp(name, false);
     this.platform.unlistVm(name);
   }
 
+  /** Stops a VM as an operator does; it is gone once its stop is done. */
+  async stopVm(name: Host): Promise<StopOutcome | null> {
+    const vm = this.vms.get(name);
+    if (!vm) return null;
+    this.stopsBegunAtMs.set(name, performance.now());
+    this.platform.listVm({ ...vm.context.identity, state: "leaving" });
+    const outcome = await this.timers.runOn(name, () => vm.leave());
+    // Answers still on their way leave with the sockets that the daemon closes.
+    await this.timers.runDetached(() =>
+      new Promise((resolve) => setTimeout(resolve, 4 * CALLER_LATENCY_MS))
+    );
+    if (this.vms.get(name) === vm) this.killVm(name);
+    return outcome;
+  }
+
   /** Crashes an engine, as a kill of its process does. */
   crashEngine(address: Host): void {
     this.engines.get(address)?.crash();
@@ -198,12 +232,15 @@
       return call;
     }
     const { network } = this;
+    let gone = false;
     connection.onBroken.add(() => call.lose());
+    call.onLeave = () => network.send(connection, () => (gone = true));
     network.send(connection, () => {
-      void this.vms.get(vm)?.calls.submit(request).then(
-        (verdict: CallVerdict) =>
-          network.reply(connection, () => call.receive(verdict)),
-      );
+      void this.vms.get(vm)?.gate.submitCall(request, { gone: () => gone })
+        .then(
+          (verdict: CallVerdict) =>
+            network.reply(connection, () => call.receive(verdict)),
+        );
     });
     return call;
   }
@@ -212,6 +249,7 @@
   summary(vm: Host, request: SummaryRequest): CallerSummary {
     const connection = this.#connectCaller(vm);
     const summary = new CallerSummary(request, vm);
+    this.summaries.push(summary);
     if (!connection) {
       summary.lose();
       return summary;
@@ -220,7 +258,7 @@
     let leave = () => {};
     connection.onBroken.add(() => summary.lose());
     network.send(connection, () => {
-      const handle = this.vms.get(vm)?.summaries.submit(
+      const handle = this.vms.get(vm)?.gate.submitSummary(
         request,
         (event) => network.reply(connection, () => summary.receive(event)),
       );
@@ -290,7 +328,11 @@
       models: [MODEL],
       figures: this.#options.figures ?? TODAY_FIGURES,
       random: this.random,
-      onCrash: () => this.network.setUp(name, false),
+      refusesCancelled: this.#options.refusesCancelled,
+      onCrash: () => {
+        this.engineCrashes += 1;
+        this.network.setUp(name, false);
+      },
     };
     const engine = role === "prefill"
       ? new FakePrefillEngine(options)
@@ -300,6 +342,11 @@
   }
 }
 
+function placeInTurn(index: number): VmPlace {
+  const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length]!;
+  return { dataCentre, region: REGION };
+}
+
 function latencyMs(from: Host, to: Host): number {
   const hosts = [from, to];
   if (from === to) return 0;
--- a/packages/core/src/configuration/store.ts
+++ b/packages/core/src/configuration/store.ts
@@ -3,12 +3,11 @@
 import type { Json, PlatformPort, StoreFailure } from "../ports/platform.ts";
 import { digest } from "../shared/hash.ts";
 import type { Digest } from "../shared/ids.ts";
-import {
-  type Configuration,
-  type ConfigurationHead,
-  type Scope,
-  type ScopeBodies,
-  SCOPES,
+import type {
+  ConfigurationChange,
+  ConfigurationHead,
+  HistoryEntry,
+  SubmissionRow,
 } from "./types.ts";
 
 /** The table that holds the head and the submissions. */
@@ -16,6 +15,19 @@
 /** The key of the head's row. */
 export const HEAD_KEY = "head";
 
+const HISTORY_PREFIX = "history/";
+const VERSION_DIGITS = 12;
+
+/** The key of a version's history row; keys sort by version. */
+export function historyKey(version: number): string {
+  return HISTORY_PREFIX + String(version).padStart(VERSION_DIGITS, "0");
+}
+
+/** The key of a submission's row. */
+export function submissionKey(submissionId: string): string {
+  return `submission/${submissionId}`;
+}
+
 /** A head with the version of its row. */
 export interface HeadRow {
   readonly head: ConfigurationHead;
@@ -23,16 +35,6 @@
   readonly rowVersion: number;
 }
 
-/** Bodies of a deployment that has not been configured yet. */
-export function emptyBodies(): ScopeBodies {
-  return {
-    deployment: undefined as never,
-    workspaces: [],
-    endpoints: [],
-    roles: [],
-  };
-}
-
 /** Reads the head's row. */
 export async function readHead(
   platform: PlatformPort,
@@ -46,42 +48,67 @@
   );
 }
 
-/** Stores a scope's body under its digest. */
-export async function putBody(
+/** Stores a value under its digest. */
+export async function putObject(
   platform: PlatformPort,
-  body: unknown,
+  value: unknown,
 ): Promise<Result<Digest, StoreFailure>> {
-  const text = JSON.stringify(body);
+  const text = JSON.stringify(value);
   const name = digest(text);
   const stored = await platform.putObject(`configuration/${name}`, text);
   return stored.map(() => name);
 }
 
-/** Fetches the bodies of a head, taking unchanged ones from what is held. */
-export async function fetchBodies(
+/** Reads the row of a submission; null where none was committed yet. */
+export async function readSubmission(
   platform: PlatformPort,
-  options: { head: ConfigurationHead; held: Configuration | null },
-): Promise<Result<Configuration, StoreFailure>> {
-  const { head, held } = options;
-  const bodies = emptyBodies();
-  for (const scope of SCOPES) {
-    const wanted = head.scopes[scope];
-    if (!wanted) continue;
-    const fetched = held?.head.scopes[scope]?.digest === wanted.digest
-      ? ok(held.bodies[scope])
-      : await fetchBody(platform, wanted.digest);
-    if (fetched.isErr()) return err(fetched.error);
-    setBody(bodies, scope, fetched.value);
-  }
-  return ok({ head, bodies });
+  submissionId: string,
+): Promise<Result<SubmissionRow | null, StoreFailure>> {
+  const row = await platform.read(
+    CONFIGURATION_TABLE,
+    submissionKey(submissionId),
+  );
+  return row.map((found) => found && found.value as unknown as SubmissionRow);
 }
 
-/** Gives the head as a value for its row. */
-export function headValue(head: ConfigurationHead): Json {
-  return head as unknown as Json;
+/** Reads up to `limit` history entries after a version, oldest first. */
+export async function readHistory(
+  platform: PlatformPort,
+  options: { after: number; limit: number },
+): Promise<Result<HistoryEntry[], StoreFailure>> {
+  const rows = await platform.scan(CONFIGURATION_TABLE, HISTORY_PREFIX, {
+    limit: options.limit,
+    after: historyKey(options.after),
+  });
+  return rows.map((found) =>
+    found.map((row) => row.value as unknown as HistoryEntry)
+  );
+}
+
+/** Reads the history entry of one version; null where there is none. */
+export async function readHistoryEntry(
+  platform: PlatformPort,
+  version: number,
+): Promise<Result<HistoryEntry | null, StoreFailure>> {
+  const row = await platform.read(CONFIGURATION_TABLE, historyKey(version));
+  return row.map((found) => found && found.value as unknown as HistoryEntry);
+}
+
+/** Fetches the change that a head names. */
+export async function fetchChange(
+  platform: PlatformPort,
+  head: ConfigurationHead,
+): Promise<Result<ConfigurationChange, StoreFailure>> {
+  if (!head.change) return err({ kind: "unknown", detail: "No change" });
+  const scopes = await fetchObject(platform, head.change);
+  return scopes.map((found) => ({
+    head,
+    scopes: found as ConfigurationChange["scopes"],
+  }));
 }
 
-async function fetchBody(
+/** Fetches a stored object by its digest. */
+export async function fetchObject(
   platform: PlatformPort,
   name: Digest,
 ): Promise<Result<unknown, StoreFailure>> {
@@ -93,6 +120,9 @@
   return ok(JSON.parse(text.value));
 }
 
-function setBody(bodies: ScopeBodies, scope: Scope, body: unknown): void {
-  (bodies as Record<Scope, unknown>)[scope] = body;
+/** Gives a value of this domain as a value for a row. */
+export function rowValue(
+  value: ConfigurationHead | HistoryEntry | SubmissionRow,
+): Json {
+  return value as unknown as Json;
 }
--- /dev/null
+++ b/packages/core/src/summaries/freeze_watch.ts
@@ -0,0 +1,47 @@
+/** Notices that the process did not run for a while. */
+
+const BEAT_MS = 100;
+
+/** Options of {@link FreezeWatch}. */
+export interface FreezeWatchOptions {
+  /** Whether a gap between heartbeats means that the process did not run. */
+  isFreeze: (gapMs: number) => boolean;
+  onFreeze: (gapMs: number) => void;
+}
+
+/** Owns a heartbeat timer and compares each use of the clock with it. */
+export class FreezeWatch {
+  #options: FreezeWatchOptions;
+  #lastBeatMs = performance.now();
+  #timer: ReturnType<typeof setInterval> | undefined;
+
+  constructor(options: FreezeWatchOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#lastBeatMs = performance.now();
+    this.#timer = setInterval(() => this.#beat(), BEAT_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
+
+  /** Returns the time, after telling of a gap since the last beat. */
+  check(): number {
+    const nowMs = performance.now();
+    const gapMs = nowMs - this.#lastBeatMs;
+    if (this.#options.isFreeze(gapMs) && this.#timer !== undefined) {
+      this.#lastBeatMs = nowMs;
+      this.#options.onFreeze(gapMs);
+    }
+    return nowMs;
+  }
+
+  #beat(): void {
+    this.check();
+    this.#lastBeatMs = performance.now();
+  }
+}
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -1,6 +1,8 @@
 /** Counters and gauges of one daemon. */
 import type { CounterName } from "@teaselvalve/core";
-import { collectDefaultMetrics, Counter, Registry } from "prom-client";
+import { collectDefaultMetrics, Counter, Gauge, Registry } from "prom-client";
+import type { TrafficCounter } from "./traffic.ts";
+import type { HttpPart } from "../http/server.ts";
 
 const HELP: Record<CounterName, string> = {
   refusals: "Requests refused, by verdict and reason",
@@ -14,9 +16,22 @@
   configuration_changes: "Changes of the configuration in force, by kind",
   suspicions: "Suspicions raised and cleared, by kind",
   convictions: "Requests convicted of crashing engines, by kind",
+  vm_states: "Changes of the state of VMs in this one's view, by state",
   orders: "Orders to engines, by outcome",
 };
 
+const GAUGES = {
+  connections: { help: "Open connections, by interface", field: "connections" },
+  requests_in_progress: {
+    help: "Requests that have no complete answer yet, by interface",
+    field: "requests",
+  },
+  streams: {
+    help: "Answers that have begun and not ended, by interface",
+    field: "streams",
+  },
+} as const;
+
 /** Owns a daemon's registry of metrics. */
 export class Metrics {
   readonly registry = new Registry();
@@ -37,6 +52,50 @@
     }
   }
 
+  /** Shows what interfaces have under way, read at each scrape. */
+  watchInterfaces(parts: readonly HttpPart[]): void {
+    for (const [name, { help, field }] of Object.entries(GAUGES)) {
+      new Gauge({
+        name: `teaselvalve_${name}`,
+        help,
+        labelNames: ["interface"],
+        registers: [this.registry],
+        collect() {
+          for (const part of parts) {
+            this.set({ interface: part.name }, part.activity()[field]);
+          }
+        },
+      });
+    }
+  }
+
+  /** Shows what sockets have carried, read at each scrape. */
+  watchTraffic(traffic: TrafficCounter): void {
+    new Gauge({
+      name: "teaselvalve_socket_bytes",
+      help: "Bytes that sockets have carried since the start, below HTTP",
+      labelNames: ["interface", "direction"],
+      registers: [this.registry],
+      collect() {
+        for (const { label, receivedBytes, sentBytes } of traffic.totals()) {
+          this.set({ interface: label, direction: "received" }, receivedBytes);
+          this.set({ interface: label, direction: "sent" }, sentBytes);
+        }
+      },
+    });
+    new Gauge({
+      name: "teaselvalve_sockets_opened",
+      help: "Sockets that have been opened since the start",
+      labelNames: ["interface"],
+      registers: [this.registry],
+      collect() {
+        for (const { label, sockets } of traffic.totals()) {
+          this.set({ interface: label }, sockets);
+        }
+      },
+    });
+  }
+
   /** Adds one to a counter under a reason. */
   count(counter: CounterName, reason: string): void {
     this.#counters.get(counter)?.inc({ reason });
--- a/packages/fakes/src/engines/engine_base.ts
+++ b/packages/fakes/src/engines/engine_base.ts
@@ -9,6 +9,8 @@
 } from "@teaselvalve/core";
 import type { EngineFigures } from "./figures.ts";
 
+const DEFAULT_LOAD_MS = 3_000;
+
 /** Options of a fake engine. */
 export interface FakeEngineOptions {
   id: EndpointId;
@@ -17,8 +19,12 @@
   random: () => number;
   /** Whether an order with an old fencing number is refused. */
   checksFencing?: boolean;
+  /** Whether a cancel that overtakes its start wins. Defaults to true. */
+  refusesCancelled?: boolean;
   /** Told of each order that took effect. */
   onOrder?: (order: EngineOrder) => void;
+  /** How long an engine takes to load weights. */
+  loadMs?: number;
   /** Told when a marked prompt crashes the engine. */
   onCrash?: () => void;
 }
@@ -27,14 +33,28 @@
 export abstract class FakeEngine {
   readonly id: EndpointId;
   readonly figures: EngineFigures;
+  /** How many prefills or runs were ordered here, refused ones included. */
+  ordersSeen = 0;
   protected readonly random: () => number;
-  protected readonly tombstones = new Set<StreamId>();
+  /** Runs that were taken in after their cancel was acknowledged. */
+  readonly takenAfterCancel: StreamId[] = [];
+  #cancelled = new Set<StreamId>();
   protected state: "live" | "leaving" = "live";
   protected models: string[];
   #options: FakeEngineOptions;
   #up = true;
   #boots = 1;
   #fencingNumber = 0;
+  #orderedRole: "prefill" | "decode" | undefined;
+  #adapters: readonly string[] = [];
+  #modelVersion: string | undefined;
+  #loadTimer: ReturnType<typeof setTimeout> | undefined;
+  /** Whether an order with an old fencing number is refused. */
+  checksFencing: boolean;
+  /** Told of each order that took effect. */
+  onOrder: ((order: EngineOrder) => void) | undefined;
+  /** How late orders take effect after they were sent, as after a freeze of their sender. */
+  orderDelayMs = 0;
   #snapshots: { readonly takenAtMs: number; readonly report: LoadReport }[] =
     [];
   #reportTimer: ReturnType<typeof setInterval> | undefined;
@@ -46,6 +66,8 @@
     this.figures = options.figures;
     this.random = options.random;
     this.models = options.models;
+    this.checksFencing = options.checksFencing ?? true;
+    this.onOrder = options.onOrder;
   }
 
   abstract readonly role: "prefill" | "decode";
@@ -60,6 +82,11 @@
     return this.#up;
   }
 
+  /** Whether reports stay as they are. */
+  get reportsFrozen(): boolean {
+    return this.#reportsFrozen;
+  }
+
   /** Starts taking load reports. */
   open(): void {
     this.#takeSnapshot();
@@ -70,6 +97,7 @@
   /** Ends timers, so that a process can exit. */
   close(): void {
     clearInterval(this.#reportTimer);
+    clearTimeout(this.#loadTimer);
     this.dropAll();
   }
 
@@ -78,7 +106,7 @@
     if (!this.#up) return;
     this.#up = false;
     this.dropAll();
-    this.tombstones.clear();
+    this.#cancelled.clear();
     this.#options.onCrash?.();
   }
 
@@ -87,8 +115,9 @@
     if (this.#up) return;
     this.#up = true;
     this.#boots += 1;
+    // A new process has no older report to show, frozen or not.
     this.#snapshots = [];
-    this.#takeSnapshot();
+    this.#pushSnapshot();
   }
 
   /** Announces that the engine will leave. */
@@ -101,6 +130,19 @@
     this.#reportsFrozen = frozen;
   }
 
+  /** Remembers a cancel for a start that has not arrived yet. */
+  protected noteCancel(stream: StreamId): void {
+    this.#cancelled.add(stream);
+  }
+
+  /** Whether a start is refused as its cancel came before it. */
+  protected isCancelled(stream: StreamId): boolean {
+    if (!this.#cancelled.has(stream)) return false;
+    if (this.#options.refusesCancelled ?? true) return true;
+    this.takenAfterCancel.push(stream);
+    return false;
+  }
+
   /** The newest report that is old enough to have arrived. */
   report(): LoadReport {
     const nowMs = performance.now();
@@ -114,16 +156,41 @@
 
   /** Carries out an order, unless its fencing number is old and checked. */
   order(order: EngineOrder): EngineRejection | null {
-    const checks = this.#options.checksFencing ?? true;
-    if (checks && order.fencingNumber < this.#fencingNumber) return "fenced";
+    if (this.checksFencing && order.fencingNumber < this.#fencingNumber) {
+      return "fenced";
+    }
     this.#fencingNumber = Math.max(this.#fencingNumber, order.fencingNumber);
-    if (order.model) this.models = [order.model];
-    this.#options.onOrder?.(order);
+    this.#orderedRole = order.role ?? this.#orderedRole;
+    if (this.#needsLoad(order)) this.#load(order);
+    this.onOrder?.(order);
     return null;
   }
 
+  #needsLoad(order: EngineOrder): boolean {
+    const { model, modelVersion, adapters } = order;
+    return (model !== undefined && !this.models.includes(model)) ||
+      (modelVersion !== undefined && modelVersion !== this.#modelVersion) ||
+      (adapters !== undefined &&
+        JSON.stringify(adapters) !== JSON.stringify(this.#adapters));
+  }
+
+  #load(order: EngineOrder): void {
+    clearTimeout(this.#loadTimer);
+    const models = order.model ? [order.model] : this.models;
+    this.models = [];
+    this.#loadTimer = setTimeout(() => {
+      this.#loadTimer = undefined;
+      this.models = models;
+      this.#adapters = order.adapters ?? this.#adapters;
+      this.#modelVersion = order.modelVersion ?? this.#modelVersion;
+    }, this.#options.loadMs ?? DEFAULT_LOAD_MS);
+  }
+
   #takeSnapshot(): void {
-    if (this.#reportsFrozen || !this.#up) return;
+    if (!this.#reportsFrozen && this.#up) this.#pushSnapshot();
+  }
+
+  #pushSnapshot(): void {
     this.#snapshots.push({
       takenAtMs: performance.now(),
       report: this.#currentReport(),
@@ -140,8 +207,11 @@
       boot: `${this.id}-${this.#boots}`,
       ageMs: 0,
       state: this.state,
-      role: this.role,
+      role: this.#orderedRole ?? this.role,
       models: [...this.models],
+      adapters: this.#adapters,
+      ...(this.#modelVersion ? { modelVersion: this.#modelVersion } : {}),
+      loading: this.#loadTimer !== undefined,
       slots: this.figures.decodeSlots,
       memoryPieces: this.figures.memoryPieces,
       runs: this.heldRuns(),
--- a/packages/fakes/src/engines/port.ts
+++ b/packages/fakes/src/engines/port.ts
@@ -70,10 +70,9 @@
     connection.onBroken.add(() => {
       if (!detached) how.sink({ kind: "failed", failure: { kind: "lost" } });
     });
+    // What is under way when the caller detaches still arrives.
     const relay = (event: StreamEvent) =>
-      network.reply(connection, () => {
-        if (!detached) how.sink(event);
-      });
+      network.reply(connection, () => how.sink(event));
     network.send(connection, () => {
       far = open(engine, relay);
       if (detached) far.detach();
@@ -127,7 +126,8 @@
           engine instanceof FakePrefillEngine ? engine.cacheEvents(after) : [],
         )),
     order: (endpoint, order, how) =>
-      call(endpoint, how, (engine) => {
+      call(endpoint, how, async (engine) => {
+        if (engine.orderDelayMs > 0) await wait(engine.orderDelayMs);
         const code = engine.order(order);
         return code
           ? Promise.resolve(err({ kind: "rejected", code }))
@@ -136,6 +136,10 @@
   };
 }
 
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
 function done<T>(value: T): Promise<Result<T, EngineFailure>> {
   return Promise.resolve(ok(value));
 }
