--- a/packages/bench/src/fuzz/domains/faults.ts
+++ b/packages/bench/src/fuzz/domains/faults.ts
@@ -196,7 +196,8 @@
   mutants: [],
   heal(model, world) {
     const part = partOf<FaultsPart>(model, FAULTS);
-    for (const name of [...part.frozen]) thaw(part, { world, name });
+    part.frozen.clear();
+    for (const name of world.vms.keys()) world.network.thaw(name);
     healPaths(part, world);
     healPlatform(world);
     restartAll(part, world);
--- a/packages/bench/src/fuzz/domains/orders.ts
+++ b/packages/bench/src/fuzz/domains/orders.ts
@@ -29,6 +29,8 @@
   readonly stale: string[];
   /** The highest fencing number that engines were told before an order. */
   announced: number;
+  /** True once all faults are healed; no further VM is frozen. */
+  healed: boolean;
 }
 
 function step(
@@ -161,7 +163,9 @@
         const mayOrder = lease && !lease.released &&
           lease.incarnation === vm.context.identity.incarnation &&
           part.announced >= lease.fencingNumber;
-        if (mayOrder && endpoint.id === MOVED_ENGINE && left >= 0) {
+        if (
+          mayOrder && !part.healed && endpoint.id === MOVED_ENGINE && left >= 0
+        ) {
           left -= 1;
           if (left >= 0) return report(endpoint, options);
           world.network.freeze(name);
@@ -183,6 +187,7 @@
     submitted: 0,
     stale: [],
     announced: 0,
+    healed: false,
   }),
   // Enough of each that the faults don't drown them.
   commands: [
@@ -199,7 +204,9 @@
     createVm: (context: VmContext) =>
       new Vm(context, { orders: { checksLease: false } }),
   }],
-  heal(_model, world) {
+  heal(model, world) {
+    // A trap that has not sprung must not freeze a VM after all faults are healed.
+    partOf<OrdersPart>(model, ORDERS).healed = true;
     for (const engine of world.engines.values()) engine.orderDelayMs = 0;
   },
 };
