--- a/packages/bench/src/configuration_world_test.ts
+++ b/packages/bench/src/configuration_world_test.ts
@@ -155,6 +155,18 @@
   expect(joined.configuration.version()).toBe(2);
 });
 
+test("A VM that is gone but still in view doesn't keep a new VM from starting", async () => {
+  await create({ vms: 3 });
+  const members = firstVm().membership.members();
+  await submit("vm-1", workspaces("second", { ids: ["lenders"] }));
+  world.killVm("vm-2");
+  world.platformFaults.down = true;
+  const joined = world.addVm();
+  joined.membership.members = () => members;
+  await world.advance(IN_FORCE_LIMIT_MS);
+  expect(joined.configuration.version()).toBe(2);
+});
+
 test("A data centre that was cut off has the configuration soon after it is back", async () => {
   await create();
   const inside = ["vm-3", "vm-6"];
--- a/packages/core/src/configuration/peer_versions.ts
+++ b/packages/core/src/configuration/peer_versions.ts
@@ -1,13 +1,13 @@
 /** Learns of versions from peers while the head can't be read. */
 import type { Member } from "../membership/types.ts";
 import type { PeerPort } from "../ports/peers.ts";
-import { askPeer } from "./fetch.ts";
 import type { VersionInForce } from "./types.ts";
 
 /** Peers that a VM without a configuration hears before it takes the highest. */
 const START_PEERS = 3;
 /** Peers that it asks, as some don't answer. */
 const START_ASKED_PEERS = 8;
+const ASK_TIMEOUT_MS = 1_000;
 /** A cursor that no peer is ahead of, so that it answers its version alone. */
 const VERSION_ONLY = Number.MAX_SAFE_INTEGER;
 
@@ -36,18 +36,32 @@
     .map(({ peer }) => peer);
 }
 
-/** Asks peers for the versions that they have in force; those that don't answer are left out. */
+/** What asked peers said. */
+export interface VersionsHeard {
+  readonly heard: readonly PeerVersion[];
+  /** Peers that refused the connection: no process of theirs is there. */
+  readonly refused: ReadonlySet<string>;
+}
+
+/** Asks peers for the versions that they have in force. */
 export async function askVersions(
   asked: readonly Member[],
   peers: PeerPort,
-): Promise<PeerVersion[]> {
-  const answers = await Promise.all(asked.map(async (peer) => {
-    const answer = await askPeer(peer, { peers, after: VERSION_ONLY });
-    return answer?.kind === "current"
-      ? [{ peer, version: answer.version }]
-      : [];
+): Promise<VersionsHeard> {
+  const heard: PeerVersion[] = [];
+  const refused = new Set<string>();
+  await Promise.all(asked.map(async (peer) => {
+    const answer = await peers.call(peer, "configuration/fetch", {
+      params: { after: VERSION_ONLY },
+      timeoutMs: ASK_TIMEOUT_MS,
+    });
+    if (answer.isErr()) {
+      if (answer.error.kind === "notSent") refused.add(peer.id);
+    } else if (answer.value.kind === "current") {
+      heard.push({ peer, version: answer.value.version });
+    }
   }));
-  return answers.flat();
+  return { heard, refused };
 }
 
 /**
@@ -59,9 +73,10 @@
   options: { self: string; random: () => number; peers: PeerPort },
 ): Promise<HighestHeard> {
   const asked = drawPeers(members, { ...options, count: START_ASKED_PEERS });
-  const heard = await askVersions(asked, options.peers);
+  const { heard, refused } = await askVersions(asked, options.peers);
   const live = members.filter((member) =>
-    member.state === "live" && member.id !== options.self
+    member.state === "live" && member.id !== options.self &&
+    !refused.has(member.id)
   );
   const isEnough = heard.length >= Math.min(START_PEERS, live.length);
   const [highest] = heard
@@ -77,7 +92,7 @@
 ): Promise<VersionInForce[]> {
   const { self, version, peers } = options;
   const others = members.filter((member) => member.id !== self);
-  const heard = await askVersions(others, peers);
+  const { heard } = await askVersions(others, peers);
   const versions = new Map<string, number>(
     heard.map((one) => [one.peer.id, one.version]),
   );
--- a/packages/core/src/configuration/task.ts
+++ b/packages/core/src/configuration/task.ts
@@ -278,7 +278,7 @@
 
   async #askPeers(options: { atLeast: number }): Promise<void> {
     const { peers } = this.#context.ports;
-    const heard = await askVersions(this.#drawPeers(ASKED_PEERS), peers);
+    const { heard } = await askVersions(this.#drawPeers(ASKED_PEERS), peers);
     for (const { peer, version } of heard) {
       if (version >= options.atLeast) this.#noticePeer(version, peer);
     }
