--- a/packages/bench/src/fuzz/domains/summaries.ts
+++ b/packages/bench/src/fuzz/domains/summaries.ts
@@ -220,7 +220,6 @@
     attachments: [],
     calmSinceMs: Date.now(),
     everCut: false,
-    everParted: false,
   }),
   commands: [
     sendNew,
--- a/packages/bench/src/fuzz/domains/summaries_checks.ts
+++ b/packages/bench/src/fuzz/domains/summaries_checks.ts
@@ -160,12 +160,10 @@
     return others.length > 0 ? [] : [`${nameOf(attachment)}: superseded`];
   }));
 
-// VMs that are cut off from each other keep suspicions apart: KNOWN-RED.txt.
 const poisonLosses = check("replicas lost to one request", "always", (
-  part,
+  _part,
   at,
 ) => {
-  const islands = part.everParted ? at.world.vmsCreated : 1;
   const lost = new Map<string, number>();
   for (const engine of at.world.engines.values()) {
     if (!(engine instanceof FakeDecodeEngine)) continue;
@@ -174,7 +172,7 @@
     }
   }
   return [...lost]
-    .filter(([, count]) => count > MAX_REPLICAS_LOST * islands)
+    .filter(([, count]) => count > MAX_REPLICAS_LOST)
     .map(([prompt, count]) => `${prompt} cost ${count} replicas`);
 });
 
@@ -215,10 +213,6 @@
 const noteFaults = check("faults", "always", (part, at) => {
   const { faults, world } = at;
   if (faults.cuts.size > 0) part.everCut = true;
-  const parted = [...faults.cuts.values()].some((pair) =>
-    pair.every((host) => host.startsWith("vm-"))
-  );
-  if (parted) part.everParted = true;
   const hindered = faults.cuts.size > 0 || faults.frozen.size > 0 ||
     [...world.engines.values()].some((engine) => engine.reportsFrozen) ||
     world.platformFaults.down;
--- a/packages/bench/src/fuzz/domains/summaries_part.ts
+++ b/packages/bench/src/fuzz/domains/summaries_part.ts
@@ -30,6 +30,4 @@
   calmSinceMs: number;
   /** True once a path was cut in this run. */
   everCut: boolean;
-  /** True once VMs were cut off from each other in this run. */
-  everParted: boolean;
 }
