Connections that time out together are answered a few in a turn

Cause: 5,000 idle connections that were opened together were refused in one turn, which held the event loop for 662 ms and made the VM take itself for frozen. Change: refused connections wait in a queue, 20 a turn of the event loop.

--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -52,6 +52,7 @@
 
 // Callers that arrive together fill Node's usual queue of 511.
 const LISTEN_BACKLOG = 4_096;
+const REFUSED_IN_A_TURN = 20;
 const CHECK_INTERVAL_MS = 1_000;
 /** Time that a closing interface leaves for headers that are on their way. */
 const CLOSE_UNUSED_INTERVAL_MS = 500;
@@ -77,6 +78,7 @@
   #server: Server;
   #sweep: ConnectionSweep;
   #responses = new Set<ServerResponse>();
+  #refused: { socket: Socket; problem: RawProblem }[] = [];
   #closing = false;
   #closeTimer: ReturnType<typeof setInterval> | undefined;
 
@@ -236,12 +238,21 @@
     else this.#refuse(exchange.response, mayHaveRun("internal-error"));
   }
 
+  // Connections that were opened together time out together; answering them all
+  // in one turn would hold up every other request.
   #refuseSocket(socket: Socket, problem: RawProblem): void {
     this.#options.observer.count("refusals", problem.refusal.reason);
-    if (!socket.writable) return void socket.destroy();
-    socket.end(formatRawProblem(problem.refusal, problem.status), () => {
-      socket.destroy();
-    });
+    this.#refused.push({ socket, problem });
+    if (this.#refused.length === 1) setImmediate(() => this.#answerRefused());
+  }
+
+  #answerRefused(): void {
+    for (
+      const { socket, problem } of this.#refused.splice(0, REFUSED_IN_A_TURN)
+    ) {
+      endWithProblem(socket, problem);
+    }
+    if (this.#refused.length > 0) setImmediate(() => this.#answerRefused());
   }
 
   #logRequest(
@@ -310,6 +321,13 @@
     : null;
 }
 
+function endWithProblem(socket: Socket, problem: RawProblem): void {
+  if (!socket.writable) return void socket.destroy();
+  socket.end(formatRawProblem(problem.refusal, problem.status), () => {
+    socket.destroy();
+  });
+}
+
 function refusalOf(error: Error): RawProblem {
   const { code } = error as { code?: string };
   if (code === "HPE_HEADER_OVERFLOW") {
