An interrupted demonstration kills its processes also before it is up

Cause: a signal while the deployment started ended the program without its children. Change: a deployment kills its processes and removes its directory at the program's exit; a test interrupts the demonstration.

--- a/packages/bench/src/demo/programs_test.ts
+++ b/packages/bench/src/demo/programs_test.ts
@@ -8,6 +8,11 @@
 import { afterAll, beforeAll, expect, test } from "vitest";
 import { PROGRAMS } from "../processes/process_group.ts";
 
+const DEMO = PROGRAMS.daemon.replace(
+  "daemon/dist/teaselvalved.js",
+  "bench/dist/demo.js",
+);
+
 interface Ended {
   readonly exitCode: number;
   readonly stdout: string;
@@ -125,12 +130,24 @@
   expect({ exitCode, stderr }).toEqual({ exitCode: 0, stderr: "" });
 });
 
+test("an interrupted demonstration leaves nothing", async () => {
+  const child = spawn(process.execPath, [DEMO]);
+  let stdout = "";
+  const address = await new Promise<string>((resolve) => {
+    child.stdout.on("data", (chunk) => {
+      stdout += chunk;
+      const found = /told to use \S+ \((127[^)]*)\)/.exec(stdout)?.[1];
+      if (found) resolve(found);
+    });
+  });
+  child.kill("SIGINT");
+  const [exitCode] = await once(child, "close");
+  expect(exitCode).toBe(1);
+  await expect(fetch(`http://${address}/health/live`)).rejects.toThrow();
+});
+
 test("the demonstration ends by itself with 0 and leaves nothing", async () => {
-  const demo = PROGRAMS.daemon.replace(
-    "daemon/dist/teaselvalved.js",
-    "bench/dist/demo.js",
-  );
-  const { exitCode, stdout, stderr } = await run(demo);
+  const { exitCode, stdout, stderr } = await run(DEMO);
   expect(stderr).toBe("");
   expect(stdout).toMatch(
     /Summary: vm-\d had prefill-\d prefill it and decode-/,
--- a/packages/bench/src/processes/deployment.ts
+++ b/packages/bench/src/processes/deployment.ts
@@ -1,6 +1,7 @@
 /** A small deployment of true processes on loopback. */
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
+import process from "node:process";
 import { join } from "node:path";
 import { createHash } from "node:crypto";
 import { request } from "undici";
@@ -57,6 +58,12 @@
   const { vms: vmCount = 3, prefills = 2, decodes = 3 } = options;
   const directory = mkdtempSync(join(tmpdir(), "teaselvalve-"));
   const group = new ProcessGroup();
+  // Holds also for a program that is interrupted before the deployment is up.
+  const cleanUp = () => {
+    group.killAll();
+    rmSync(directory, { recursive: true, force: true });
+  };
+  process.once("exit", cleanUp);
   const ports = await freePorts(2 + prefills + decodes + vmCount * 3);
   const next = () => `127.0.0.1:${ports.pop()}`;
   const platform = next();
@@ -123,6 +130,7 @@
     adminTokenFile,
     callerToken: "caller-token-of-this-run",
     async close() {
+      process.off("exit", cleanUp);
       await group.endAll();
       rmSync(directory, { recursive: true, force: true });
     },
--- a/packages/bench/src/processes/process_group.ts
+++ b/packages/bench/src/processes/process_group.ts
@@ -58,6 +58,11 @@
     await exited;
   }
 
+  /** Kills all processes without waiting for their exit. */
+  killAll(): void {
+    for (const child of this.#children.values()) child.kill("SIGKILL");
+  }
+
   /** Ends all processes. */
   async endAll(): Promise<void> {
     await Promise.all(
