--- a/packages/bench/src/processes/process_group.ts
+++ b/packages/bench/src/processes/process_group.ts
@@ -2,8 +2,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { createWriteStream } from "node:fs";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+import { createServer, type Server } from "node:net";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
 
@@ -66,19 +65,29 @@
   }
 }
 
+// Below the ports that the kernel hands to outgoing connections, which could take one before it is used.
+const FIRST_PORT = 10_000;
+const LAST_PORT = 30_000;
+
 /** Finds ports that are free on loopback. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
-    ports.push((server.address() as AddressInfo).port);
+  const servers = new Map<number, Server>();
+  while (servers.size < count) {
+    const port = FIRST_PORT +
+      Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    const server = createServer();
+    const listening = await new Promise<boolean>((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => resolve(true));
+    });
+    if (listening) servers.set(port, server);
   }
   await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
+    [...servers.values()].map((server) =>
+      new Promise((resolve) => server.close(resolve))
+    ),
   );
-  return ports;
+  return [...servers.keys()];
 }
 
 // Holds for the source as well as for the bundle, which lie at different depths.
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -27,6 +27,8 @@
   // Less source text to keep in memory; names stay, so that stack traces can be read.
   minifyWhitespace: true,
   minifySyntax: true,
+  // Node prints the whole line of an error that nobody caught.
+  lineLimit: 160,
   sourcemap: true,
   logLevel: "warning",
   external: ["dtrace-provider", "moment", "mv", "safe-json-stringify"],
