--- a/packages/core/src/vm/planned_stop.ts
+++ b/packages/core/src/vm/planned_stop.ts
@@ -19,7 +19,7 @@
   | {
     readonly kind: "cut";
     readonly reason: CutReason;
-    /** Requests that were cut off. */
+    /** Requests that had no final answer. */
     readonly inProgress: number;
   };
 
@@ -43,6 +43,8 @@
   inProgress: InProgressCount;
   /** Work that is counted elsewhere, for instance rows that are still to be written. */
   otherWork?: () => number;
+  /** Requests that have no final answer yet. */
+  openRequests: () => number;
   /** How long callers may keep an answer to the address question. */
   addressTtlMs: () => number;
   policies?: Partial<StopPolicies>;
@@ -122,7 +124,8 @@
         return this.#settle({ kind: "drained" });
       case "cutOff": {
         const { reason } = effect.params;
-        this.#settle({ kind: "cut", reason, inProgress: this.#count() });
+        const inProgress = this.#options.openRequests();
+        this.#settle({ kind: "cut", reason, inProgress });
         return this.stop();
       }
     }
--- a/packages/core/src/vm/request_gate.ts
+++ b/packages/core/src/vm/request_gate.ts
@@ -94,6 +94,11 @@
     };
   }
 
+  /** Requests that have no final answer yet. */
+  get openCount(): number {
+    return this.#cuts.size;
+  }
+
   /** Tells all whose requests are in progress that they are cut off. */
   cutOff(): void {
     for (const cut of [...this.#cuts]) cut();
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -71,6 +71,7 @@
       membership,
       inProgress,
       otherWork: () => this.calls.inProgress,
+      openRequests: () => this.gate.openCount,
       addressTtlMs: () => deployment()?.addressTtlMs ?? DEFAULT_ADDRESS_TTL_MS,
       policies: policies.stop,
     });
