--- /dev/null
+++ b/packages/bench/src/bench/main.ts
@@ -0,0 +1,27 @@
+/** `npm run bench`: grant decisions and relay, printed as JSON. */
+import process from "node:process";
+import { type GrantsFigures, measureGrants } from "./grants.ts";
+import { measureRelay } from "./relay.ts";
+
+/** Sizes from today's deployments to the size that is designed for. */
+const SIZES = [
+  { replicas: 12, models: 1 },
+  { replicas: 150, models: 6 },
+  { replicas: 600, models: 23 },
+  { replicas: 1_200, models: 23 },
+];
+const TARGET = { replicas: 600, medianUs: 50 };
+const RELAY_TARGETS = { tokensPerCoreSecond: 50_000, addedFirstTokenP99Ms: 5 };
+
+const grants: GrantsFigures[] = SIZES.map((size) => measureGrants(size));
+process.stderr.write(`${JSON.stringify(grants)}\n`);
+const relay = await measureRelay();
+const atTarget = grants.find((one) => one.replicas === TARGET.replicas)!;
+const ratios = {
+  grantMedianToTarget: atTarget.medianUs / TARGET.medianUs,
+  relayTokensToTarget: relay.tokensPerCoreSecond /
+    RELAY_TARGETS.tokensPerCoreSecond,
+  addedFirstTokenToTarget: relay.addedFirstTokenP99Ms /
+    RELAY_TARGETS.addedFirstTokenP99Ms,
+};
+process.stdout.write(`${JSON.stringify({ grants, relay, ratios }, null, 2)}\n`);
--- a/packages/core/src/grants/availability.ts
+++ b/packages/core/src/grants/availability.ts
@@ -4,6 +4,9 @@
 /** After a failure a replica gets nothing for this long. */
 const FAILURE_PAUSE_MS = 1_000;
 
+/** Polls without an answer after which a replica gets nothing. */
+const MISSES = 2;
+
 /** Common to prefill and decode replicas. */
 export abstract class Availability {
   /** When the last report was taken; undefined before the first. */
@@ -12,12 +15,12 @@
   leavingByManifest = false;
   #boot: string | undefined;
   #leaving = false;
-  #unreachable = false;
+  #missed = 0;
   #failedAtMs = Number.NEGATIVE_INFINITY;
 
   /** Whether new work may go here now; never before a first report. */
   mayGrant(nowMs: number): boolean {
-    if (this.leavingByManifest || this.#leaving || this.#unreachable) {
+    if (this.leavingByManifest || this.#leaving || this.#missed >= MISSES) {
       return false;
     }
     if (this.reportTakenAtMs === undefined) return false;
@@ -29,9 +32,9 @@
     this.#failedAtMs = nowMs;
   }
 
-  /** Notes that a poll found no one. */
-  missReport(): void {
-    this.#unreachable = true;
+  /** Notes a poll without an answer; a refused connection proves at once that no one is there. */
+  missReport(isRefused: boolean): void {
+    this.#missed += isRefused ? MISSES : 1;
   }
 
   /** Takes in a report's state; true when the replica has restarted since the last one. */
@@ -39,7 +42,7 @@
     const restarted = this.#boot !== undefined && this.#boot !== report.boot;
     this.#boot = report.boot;
     this.#leaving = report.state === "leaving";
-    this.#unreachable = false;
+    this.#missed = 0;
     this.reportTakenAtMs = takenAtMs;
     return restarted;
   }
--- a/packages/core/src/grants/report_poll.ts
+++ b/packages/core/src/grants/report_poll.ts
@@ -47,7 +47,7 @@
     });
     const { book } = this.#shard;
     if (report.isOk()) book.report(report.value, performance.now());
-    else book.missReport(endpoint.id);
+    else book.missReport(endpoint.id, report.error.kind === "notSent");
     this.#shard.dispatch();
   }
 
--- a/packages/core/src/grants/shard_book.ts
+++ b/packages/core/src/grants/shard_book.ts
@@ -189,9 +189,9 @@
   }
 
   /** Notes that a replica did not answer a poll. */
-  missReport(endpoint: EndpointId): void {
-    this.#prefills.get(endpoint)?.missReport();
-    this.#decodes.get(endpoint)?.missReport();
+  missReport(endpoint: EndpointId, isRefused: boolean): void {
+    this.#prefills.get(endpoint)?.missReport(isRefused);
+    this.#decodes.get(endpoint)?.missReport(isRefused);
   }
 
   /** The number of the last cache event that was taken in from a prefill replica. */
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -15,6 +15,7 @@
   "packages/bench/dist/slopes": "packages/bench/src/slopes/main.ts",
   "packages/bench/dist/bench_calls": "packages/bench/src/calls_bench/main.ts",
   "packages/bench/dist/experiment": "packages/bench/src/experiment/main.ts",
+  "packages/bench/dist/bench": "packages/bench/src/bench/main.ts",
 };
 
 await build({
