Slopes: a grant is measured where one is given

Cause: with the first guess of step times no replica kept 28 ms between tokens at 72 members, so the request waited and only the failing search was timed. Change: the shard is taught its speeds first, and the measurement fails when no grant is given. Relay is measured over longer streams.

--- a/packages/bench/src/slopes/quantities/processes.ts
+++ b/packages/bench/src/slopes/quantities/processes.ts
@@ -130,7 +130,7 @@
   shared("process-relay", {
     unit: "us",
     per: `token of ${STREAMS} streams, over all daemons`,
-    sizes: [50, 100, 150, 200].map((tokens) => tokens * STREAMS),
+    sizes: [200, 400, 600, 800].map((tokens) => tokens * STREAMS),
     method: TICKS,
     measure: (tokens, { deployment, idleMicrosPerMs }) =>
       busyMicros(deployment, {
--- a/packages/bench/src/slopes/quantities/processor.ts
+++ b/packages/bench/src/slopes/quantities/processor.ts
@@ -35,6 +35,7 @@
 const WORKSPACE_SIZES = [725, 1_450, 2_900, 5_800];
 const VM_SIZES = [100, 200, 400, 800];
 const ADOPTIONS = 5;
+const STEPS_OBSERVED = 2_000;
 const FASTEST = "fastest of 7 batches in one process";
 
 /** Quantities of processor time. */
@@ -153,10 +154,15 @@
   };
 }
 
-function prepareGrant(replicas: number): Operation {
+async function prepareGrant(replicas: number): Promise<Operation> {
   const shard = createShard(replicas);
   reportAll(shard, replicas);
-  // A new home leaves a share free and has no grants yet; neither changes the work.
+  const answer = await Promise.race([
+    shard.request(sampleGrantRequest(0)),
+    new Promise<null>((resolve) => setImmediate(() => resolve(null))),
+  ]);
+  if (answer?.kind !== "granted") throw new Error("No grant was given");
+  shard.withdraw(sampleGrantRequest(0).key);
   return (at) => {
     const request = sampleGrantRequest(at);
     void shard.request(request);
@@ -164,7 +170,16 @@
   };
 }
 
+/** Teaches a shard how fast its replicas are, as reports would over time. */
+function teachSpeeds(shard: Shard): void {
+  for (let at = 0; at < STEPS_OBSERVED; at += 1) {
+    const members = 1 + at % 96;
+    shard.book.speeds.stepMs.observe(members, 12 + 0.2 * members);
+  }
+}
+
 function reportAll(shard: Shard, replicas: number): void {
+  teachSpeeds(shard);
   for (const endpoint of sampleEndpoints(replicas)) {
     const runs = endpoint.kind === "decode" ? RUNS : 0;
     shard.book.report(sampleReport(endpoint, runs), performance.now());
