--- a/packages/core/src/configuration/difference.ts
+++ b/packages/core/src/configuration/difference.ts
@@ -1,11 +1,11 @@
 /** Differences between the bodies of a scope: as data for peers, as lines for operators. */
-import diff from "microdiff";
+import diff, { type Difference } from "microdiff";
 import { digest } from "../shared/hash.ts";
 import type { Digest } from "../shared/ids.ts";
-import { emptyBodies } from "./store.ts";
 import {
   type Configuration,
   type ConfigurationChange,
+  emptyBodies,
   type Scope,
   type ScopeBodies,
   type ScopeChange,
@@ -21,7 +21,8 @@
   roles: "hash",
 };
 
-const MAX_VALUE_CHARACTERS = 120;
+const MAX_VALUE_CHARACTERS = 240;
+const SHOWN_HASH_CHARACTERS = 8;
 
 /** Gives a body in the one order under which it is stored, compared and digested. */
 export function canonicalBody<S extends Scope>(
@@ -35,9 +36,13 @@
   ) as unknown as ScopeBodies[S];
 }
 
-/** Names a body by its digest. */
-export function bodyDigest(body: unknown): Digest {
-  return digest(JSON.stringify(body));
+// Items are replaced and never changed in place, so that a change of one costs one digest.
+const itemDigests = new WeakMap<Item, Digest>();
+
+/** Names a body: by the digests of its items where it is a list. */
+export function bodyDigest(scope: Scope, body: unknown): Digest {
+  if (ITEM_KEYS[scope] === undefined) return digest(JSON.stringify(body));
+  return digest(itemsOf(body).map(itemDigest).join("\n"));
 }
 
 /** Finds what changed between two bodies of a scope. */
@@ -51,13 +56,15 @@
   const before = new Map(
     itemsOf(bodies.before).map((item) => [keyOf(scope, item), item]),
   );
+  const isSame = (item: Item) => {
+    const earlier = before.get(keyOf(scope, item));
+    return earlier !== undefined && itemDigest(earlier) === itemDigest(item);
+  };
   const after = itemsOf(bodies.after);
   const kept = new Set(after.map((item) => keyOf(scope, item)));
   return {
     kind: "items",
-    put: after.filter((item) =>
-      JSON.stringify(before.get(keyOf(scope, item))) !== JSON.stringify(item)
-    ),
+    put: after.filter((item) => !isSame(item)),
     removed: [...before.keys()].filter((key) => !kept.has(key)),
   };
 }
@@ -73,7 +80,9 @@
     const scopeChange = change.scopes[scope];
     if (!scopeChange) continue;
     const body = applyScope(scope, { body: bodies[scope], scopeChange });
-    if (bodyDigest(body) !== change.head.scopes[scope]?.digest) return null;
+    if (bodyDigest(scope, body) !== change.head.scopes[scope]?.digest) {
+      return null;
+    }
     (bodies as unknown as Record<Scope, unknown>)[scope] = body;
   }
   return { head: change.head, bodies };
@@ -86,22 +95,33 @@
 ): string[] {
   const before = byKey(scope, bodies.before);
   const after = byKey(scope, bodies.after);
-  return diff(before, after).map((one) => {
-    const path = [scope, ...one.path].join(".");
-    switch (one.type) {
-      case "CREATE":
-        return `+ ${path}: ${valueText(one.value)}`;
-      case "REMOVE":
-        return `- ${path}: ${valueText(one.oldValue)}`;
-      case "CHANGE":
-        return `~ ${path}: ${valueText(one.oldValue)} -> ${
-          valueText(one.value)
-        }`;
-    }
-  });
+  return diff(before, after).map((one) =>
+    shortenHashes(describeOne(scope, one))
+  );
+}
+
+function describeOne(scope: Scope, one: Difference): string {
+  const path = [scope, ...one.path].join(".");
+  switch (one.type) {
+    case "CREATE":
+      return `+ ${path}: ${valueText(one.value)}`;
+    case "REMOVE":
+      return `- ${path}: ${valueText(one.oldValue)}`;
+    case "CHANGE":
+      return `~ ${path}: ${valueText(one.oldValue)} -> ${valueText(one.value)}`;
+  }
+}
+
+// Leaves of a token's hash only what tells two apart: lines are read by people and kept in logs.
+function shortenHashes(line: string): string {
+  return line.replaceAll(
+    /[0-9a-f]{64}/g,
+    (hash) => `${hash.slice(0, SHOWN_HASH_CHARACTERS)}...`,
+  );
 }
 
-function applyScope(
+/** Applies the change of one scope to a body. */
+export function applyScope(
   scope: Scope,
   options: { body: unknown; scopeChange: ScopeChange },
 ): unknown {
@@ -111,10 +131,13 @@
     itemsOf(body).map((item) => [keyOf(scope, item), item]),
   );
   for (const key of scopeChange.removed) items.delete(key);
+  let isOrdered = true;
   for (const item of scopeChange.put as Item[]) {
+    isOrdered &&= items.has(keyOf(scope, item));
     items.set(keyOf(scope, item), item);
   }
-  return canonicalBody(scope, [...items.values()] as never);
+  const changed = [...items.values()];
+  return isOrdered ? changed : canonicalBody(scope, changed as never);
 }
 
 function byKey(scope: Scope, body: unknown): Item {
@@ -124,6 +147,15 @@
   );
 }
 
+function itemDigest(item: Item): Digest {
+  let known = itemDigests.get(item);
+  if (known === undefined) {
+    known = digest(JSON.stringify(item));
+    itemDigests.set(item, known);
+  }
+  return known;
+}
+
 function itemsOf(body: unknown): Item[] {
   return (body ?? []) as Item[];
 }
@@ -133,7 +165,7 @@
 }
 
 function valueText(value: unknown): string {
-  const text = JSON.stringify(value) ?? "nothing";
+  const text = shortenHashes(JSON.stringify(value) ?? "nothing");
   return text.length <= MAX_VALUE_CHARACTERS
     ? text
     : `${text.slice(0, MAX_VALUE_CHARACTERS)}...`;
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./http/calls.ts";
 export * from "./lifecycle/manager.ts";
 export * from "./observe/log.ts";
+export * from "./platform/port.ts";
 export * from "./settings/load.ts";
 export * from "./settings/schema.ts";
 export * from "./callers/authenticate.ts";
