--- a/packages/bench/src/fuzz/domains/summaries.ts
+++ b/packages/bench/src/fuzz/domains/summaries.ts
@@ -19,6 +19,8 @@
 /** Longer than a run of the fuzzer; its caller goes or its deadline passes first. */
 const ENDLESS_TOKENS = 8_000;
 const MAX_DELAY_MS = 400;
+/** Longer than a cancel waits for its acknowledgement. */
+const CUT_MS = 600;
 /** Characters of a prompt whose prefill and transfer take a while. */
 const LONG_PROMPT = 40_000;
 
@@ -182,8 +184,10 @@
   })
 );
 
-/** Cuts a VM off from all engines, where one of its callers has a stream. */
-const cutFromEngines = index.map((at): FuzzCommand => ({
+/** Cuts a VM off from all engines, where one of its callers has a stream; the caller may leave. */
+const cutFromEngines = fc.tuple(index, fc.boolean()).map((
+  [at, leaves],
+): FuzzCommand => ({
   check: () => true,
   run(model, world) {
     const part = partOf<SummariesPart>(model, SUMMARIES);
@@ -194,9 +198,10 @@
     for (const engine of world.engines.keys()) {
       cut(faults, { world, pair: [known.summary.vm, engine] });
     }
-    return Promise.resolve();
+    if (leaves) known.summary.leave();
+    return world.advance(CUT_MS);
   },
-  toString: () => `cutFromEngines(${at})`,
+  toString: () => `cutFromEngines(${at}, ${leaves})`,
 }));
 
 const shortly = fc.integer({ min: 1, max: 60 }).map((ms): FuzzCommand => ({
