--- a/packages/core/src/membership/task.ts
+++ b/packages/core/src/membership/task.ts
@@ -80,8 +80,13 @@
     });
   }
 
-  async start(): Promise<void> {
+  /** Reads who the others are, without making this VM known to them. */
+  async seed(): Promise<void> {
     await this.#readList();
+  }
+
+  /** Makes this VM known and begins to probe. */
+  async start(): Promise<void> {
     await this.#tell(this.#prober.sample(FIRST_PROBES));
     // VMs that start together shouldn't probe in step.
     const firstMs = this.#context.random() * PROBE_INTERVAL_MS;
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -150,8 +150,10 @@
 
   /** Starts the tasks, what others depend on first. */
   async start(): Promise<void> {
-    await this.membership.start();
+    await this.membership.seed();
+    // The others give this VM keys as soon as they know it, and it can't serve them before it is configured.
     await this.configuration.start();
+    await this.membership.start();
     this.quotas.start();
     this.orders.start();
     this.#plannedStop.start();
