--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -71,6 +71,7 @@
       membership,
       inProgress,
       otherWork: () => this.calls.inProgress,
+      openRequests: () => this.gate.openCount,
       addressTtlMs: () => deployment()?.addressTtlMs ?? DEFAULT_ADDRESS_TTL_MS,
       policies: policies.stop,
     });
@@ -149,8 +150,10 @@
 
   /** Starts the tasks, what others depend on first. */
   async start(): Promise<void> {
-    await this.membership.start();
+    await this.membership.seed();
+    // The others give this VM keys as soon as they know it, and it can't serve them before it is configured.
     await this.configuration.start();
+    await this.membership.start();
     this.quotas.start();
     this.orders.start();
     this.#plannedStop.start();
