--- a/packages/bench/src/fuzz/domains/summaries.ts
+++ b/packages/bench/src/fuzz/domains/summaries.ts
@@ -21,6 +21,10 @@
 const MAX_DELAY_MS = 400;
 /** Longer than a cancel waits for its acknowledgement. */
 const CUT_MS = 600;
+/** Longer than VMs take to agree again who owns a stream. */
+const FROZEN_MS = 5_000;
+/** Longer than a request takes from its caller to a VM. */
+const ARRIVAL_MS = 10;
 /** Characters of a prompt whose prefill and transfer take a while. */
 const LONG_PROMPT = 40_000;
 
@@ -204,6 +208,32 @@
   toString: () => `cutFromEngines(${at}, ${leaves})`,
 }));
 
+/** Freezes a VM that has a stream, and resumes it at another VM before the first one thaws. */
+const resumeWhileFrozen = fc.tuple(index, index, deadline).map((
+  [at, to, deadlineMs],
+): FuzzCommand => ({
+  check: () => true,
+  async run(model, world) {
+    const part = partOf<SummariesPart>(model, SUMMARIES);
+    const known = pick(part.attachments.slice(-3), at);
+    const name = known?.summary.vm;
+    const faults = partOf<FaultsPart>(model, FAULTS);
+    if (!known || !name || world.network.isFrozen(name)) return;
+    faults.any = true;
+    faults.touchedVms.add(name);
+    // What was asked just before must have arrived.
+    await world.advance(ARRIVAL_MS);
+    world.network.freeze(name);
+    const { wanted, summary } = known;
+    const fromOffset = summary.nextOffset;
+    const sending = { vm: to, deadlineMs, fromOffset };
+    send(part, world, { wanted, sending });
+    await world.advance(FROZEN_MS);
+    world.network.thaw(name);
+  },
+  toString: () => `resumeWhileFrozen(${at}, ${to}, ${deadlineMs})`,
+}));
+
 const shortly = fc.integer({ min: 1, max: 60 }).map((ms): FuzzCommand => ({
   check: () => true,
   run: (_model, world) => world.advance(ms),
@@ -236,6 +266,7 @@
     sendPoison,
     delayNext,
     cutFromEngines,
+    resumeWhileFrozen,
     shortly,
   ],
   checks: SUMMARY_CHECKS,
--- a/packages/bench/src/fuzz/domains/summaries_checks.ts
+++ b/packages/bench/src/fuzz/domains/summaries_checks.ts
@@ -21,6 +21,8 @@
 const LAST_EVENT_LIMIT_MS = 1_000;
 /** Time in which VMs that froze or lost a home agree again who owns a stream. */
 const SETTLE_MS = 3_000;
+/** Longer than a request takes from its caller to a VM. */
+const ARRIVAL_MS = 10;
 const MAX_REPLICAS_LOST = 3;
 const SHOWN_LENGTH = 60;
 /** Refusals that a request may get where nothing has failed. */
@@ -197,6 +199,12 @@
     if (last?.kind !== "refused" || FAIR_REFUSALS.has(last.refusal.reason)) {
       return [];
     }
+    // A caller that closes one connection while it resumes on another ends the run.
+    const ended = attachment.summary.request.fromOffset > 0 &&
+      part.attachments.some((one) =>
+        one.identity === attachment.identity && one.summary.left
+      );
+    if (ended) return [];
     return [`${nameOf(attachment)}: ${last.refusal.reason}`];
   });
 });
@@ -219,6 +227,11 @@
     pair.every((host) => host.startsWith("vm-"))
   );
   if (parted) part.everParted = true;
+  for (const attachment of part.attachments) {
+    const { askedAtMs, vm } = attachment.summary;
+    const underWay = Date.now() - askedAtMs < ARRIVAL_MS;
+    if (underWay && faults.frozen.has(vm)) attachment.askedFrozen = true;
+  }
   const hindered = faults.cuts.size > 0 || faults.frozen.size > 0 ||
     [...world.engines.values()].some((engine) => engine.reportsFrozen) ||
     world.platformFaults.down;
--- a/packages/bench/src/fuzz/domains/summaries_part.ts
+++ b/packages/bench/src/fuzz/domains/summaries_part.ts
@@ -18,8 +18,8 @@
   readonly wanted: WantedSummary;
   /** Tells apart what the home keeps apart: caller, request and body. */
   readonly identity: string;
-  /** The VM was frozen when it was asked, so that it heard of this connection later. */
-  readonly askedFrozen: boolean;
+  /** The VM was frozen when the request reached it, so that it heard of this connection later. */
+  askedFrozen: boolean;
 }
 
 /** What the summaries domain knows of a run. */
