Late requests wait no longer than their owner does, and everything that waits expires

Cause: owners wait for an answer until the first token is due and 1.5 s more, but a request too long for the target could wait 10 s. A new test then found that such a request never expired while it had to yield, and by reading, that neither did one that was held back for being over its share. Change: both are refused when due.

--- a/packages/bench/src/experiment/recovery.ts
+++ b/packages/bench/src/experiment/recovery.ts
@@ -4,15 +4,16 @@
 
 const BUCKET_MS = 500;
 const SHOWN_MS = 12_000;
-/** Goodput is back once it is at least this share of what it was before the fault. */
+/** Goodput is back once it is at least this share of what is usual before and well after the fault. */
 const BACK_SHARE = 0.9;
 const SMOOTHED_BUCKETS = 2;
+const SETTLED_MS = 6_000;
 
 /** Time from the fault until goodput by arrival is back, over the runs of one policy and load. */
 export interface Recovery {
   readonly policy: string;
   readonly load: number;
-  readonly beforeShare: number;
+  readonly usualShare: number;
   readonly buckets: readonly number[];
   readonly backAfterMs: number | undefined;
 }
@@ -36,6 +37,12 @@
     fromMs: (result) => result.measuredFromMs,
     toMs: (result) => result.faultAtMs - 500,
   });
+  // Requests that the fault cut arrived before it, so the time after it may tell more.
+  const after = goodShare(results, {
+    fromMs: (result) => result.faultAtMs + SETTLED_MS,
+    toMs: (result) => result.measuredToMs,
+  });
+  const usual = Math.max(before, after);
   const buckets: number[] = [];
   for (let atMs = 0; atMs < SHOWN_MS; atMs += BUCKET_MS) {
     buckets.push(goodShare(results, {
@@ -46,12 +53,12 @@
   const back = buckets.findIndex((_, at) => {
     const near = buckets.slice(at, at + SMOOTHED_BUCKETS);
     const mean = near.reduce((sum, one) => sum + one, 0) / near.length;
-    return mean >= BACK_SHARE * before;
+    return mean >= BACK_SHARE * usual;
   });
   return {
     policy,
     load,
-    beforeShare: before,
+    usualShare: usual,
     buckets,
     backAfterMs: back === -1 ? undefined : back * BUCKET_MS,
   };
@@ -81,9 +88,9 @@
 }
 
 function format(recovery: Recovery): string {
-  const { policy, load, beforeShare, buckets, backAfterMs } = recovery;
+  const { policy, load, usualShare, buckets, backAfterMs } = recovery;
   const series = buckets.map((one) => one.toFixed(2)).join(" ");
   const back = backAfterMs === undefined ? "not back" : `${backAfterMs} ms`;
-  return `${policy} load ${load}: before ${beforeShare.toFixed(3)}, ` +
+  return `${policy} load ${load}: usually ${usualShare.toFixed(3)}, ` +
     `back after ${back}; each ${BUCKET_MS} ms: ${series}`;
 }
--- a/packages/core/src/grants/shard.ts
+++ b/packages/core/src/grants/shard.ts
@@ -42,8 +42,8 @@
   nextGrant: () => string;
 }
 
-/** A late request waits this long for the shard to have room to spare. */
-const LATE_WAIT_MS = 10_000;
+/** A late request waits at least this long for the shard to have room to spare. */
+const LATE_WAIT_MS = 200;
 /** Share of a decode replica that late requests leave to others. */
 const LATE_RESERVE = 0.2;
 /** Late requests are refused at once for this long after one that could be in time was shed. */
@@ -138,7 +138,10 @@
     for (const queued of this.#ordered(nowMs, over)) {
       const isOver = over.has(queued.request.workspace);
       // What a workspace within its share waits for is not taken by one that is over it.
-      if (isOver && isHeldBack) continue;
+      if (isOver && isHeldBack) {
+        this.#expire(queued, nowMs);
+        continue;
+      }
       const isPlaced = this.#place(queued, nowMs);
       isHeldBack ||= !isPlaced && !isOver && !queued.late;
     }
@@ -183,14 +186,13 @@
       return null;
     }
     const late = idleMs > request.firstTokenInMs;
-    const waitMs = late || request.alone
-      ? Math.min(request.deadlineInMs, idleMs + LATE_WAIT_MS)
-      : request.firstTokenInMs;
+    // An owner waits for its answer no longer than until its first token is due.
+    const waitMs = Math.max(request.firstTokenInMs, LATE_WAIT_MS);
     return {
       request,
       answer,
       late,
-      idleMs,
+      idleMs: late ? 0 : idleMs,
       dueAtMs: nowMs + waitMs,
       expectedTokens: this.book.lengths.expect(
         request.workspace,
@@ -206,7 +208,7 @@
     if (queued.late && policy.waits && this.#mustYield(nowMs)) {
       const isOverloaded = nowMs - this.#shedAtMs < OVERLOAD_MS;
       if (isOverloaded) this.#refuseForLoad(queued);
-      return isOverloaded;
+      return isOverloaded || this.#expire(queued, nowMs);
     }
     const view = this.#view(nowMs, request, queued.late ? LATE_RESERVE : 0);
     const isReady = policy.isReady?.(view) ?? true;
@@ -215,10 +217,16 @@
       this.#grant(queued, { placement, nowMs });
       return true;
     }
-    const isHopeless = !policy.waits ||
-      nowMs + queued.idleMs > queued.dueAtMs;
-    if (isHopeless) this.#refuseForLoad(queued);
-    return isHopeless;
+    if (policy.waits) return this.#expire(queued, nowMs);
+    this.#refuseForLoad(queued);
+    return true;
+  }
+
+  /** Refuses a request that can no longer be in time. */
+  #expire(queued: QueuedRequest, nowMs: number): boolean {
+    const isExpired = nowMs + queued.idleMs >= queued.dueAtMs;
+    if (isExpired) this.#refuseForLoad(queued);
+    return isExpired;
   }
 
   /** Late requests let those in time go first, and keep to one prefill replica of several. */
--- a/packages/core/src/grants/shard_test.ts
+++ b/packages/core/src/grants/shard_test.ts
@@ -254,3 +254,15 @@
   await vi.advanceTimersByTimeAsync(700);
   expect(await answer).toMatchObject({ kind: "refused" });
 });
+
+test("A prompt too long for the target is served when there is room, and answered while its owner waits", async () => {
+  const shard = createShard(createPlan(2, 1));
+  const long = { promptTokens: 9_000, firstTokenInMs: 300 };
+  expect(await shard.request(request("served", long))).toMatchObject({
+    kind: "granted",
+  });
+  // Its prefill keeps one of two replicas busy, and late requests leave the other to the rest.
+  const second = shard.request(request("second", long));
+  await vi.advanceTimersByTimeAsync(301);
+  expect(await second).toMatchObject({ kind: "refused" });
+});
