--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -23,6 +23,7 @@
 import { InProgressCount } from "./in_progress.ts";
 import { PlannedStop, type StopOutcome } from "./planned_stop.ts";
 import type { CutReason } from "./stop_machine.ts";
+import type { Refusal } from "../shared/verdict.ts";
 import type { VmContext, VmPolicies } from "./types.ts";
 
 const DEFAULT_CONVICTION_MS = 3_600_000;
@@ -70,6 +71,7 @@
       membership,
       inProgress,
       otherWork: () => this.calls.inProgress,
+      openRequests: () => this.gate.openCount,
       addressTtlMs: () => deployment()?.addressTtlMs ?? DEFAULT_ADDRESS_TTL_MS,
       policies: policies.stop,
     });
@@ -111,9 +113,15 @@
       retries: this.retries,
       policies: policies.summaries,
     });
+    const countRefusal = (reason: Refusal["reason"]) =>
+      context.observer.count("refusals", reason);
     this.gate = new RequestGate({
       calls: limitCalls(this.calls, this.quotas),
-      summaries: limitSummaries(this.summaries, this.quotas),
+      summaries: limitSummaries(this.summaries, {
+        quotas: this.quotas,
+        countRefusal,
+      }),
+      countRefusal,
       inProgress,
       refusesWork: () => this.refusesWork,
     });
@@ -142,8 +150,10 @@
 
   /** Starts the tasks, what others depend on first. */
   async start(): Promise<void> {
-    await this.membership.start();
+    await this.membership.seed();
+    // The others give this VM keys as soon as they know it, and it can't serve them before it is configured.
     await this.configuration.start();
+    await this.membership.start();
     this.quotas.start();
     this.orders.start();
     this.#plannedStop.start();
