--- a/packages/bench/src/slopes/roles/control.ts
+++ b/packages/bench/src/slopes/roles/control.ts
@@ -152,7 +152,7 @@
       budget: BUDGET.controlBytesPerSecond,
     },
     {
-      what: "bytes of changes by snapshot, mean of a day",
+      what: "the same by snapshots, which differences replaced",
       formula: `${changesPerDay} × \`wire-snapshot\` at ${workspaces} / day`,
       value: changesPerDay * snapshot / DAY_SECONDS,
       unit: PER_SECOND,
