--- a/packages/bench/src/fuzz/domains/calls_checks.ts
+++ b/packages/bench/src/fuzz/domains/calls_checks.ts
@@ -172,7 +172,7 @@
 const answeredWithoutFaults = check(
   "refused although nothing failed",
   "quiescence",
-  (part, _world, model) => {
+  (part, world, model) => {
     const quiet = !partOf<FaultsPart>(model, FAULTS).any &&
       part.everStopped.size === 0;
     if (!quiet) return [];
@@ -180,6 +180,7 @@
       const sent = part.submissions.filter((one) => one.filing === filing);
       const [only] = sent;
       if (!only || sent.length > 1 || only.call.left) return [];
+      if (world.wasUnlisted(only.call)) return [];
       const { request, askedAtMs, verdict } = only.call;
       const isEasy = request.deadlineAtMs - askedAtMs >= EASY_DEADLINE_MS;
       return isEasy && !verdict?.isOk() ? [nameOf(only)] : [];
--- a/packages/bench/src/fuzz/domains/summaries_checks.ts
+++ b/packages/bench/src/fuzz/domains/summaries_checks.ts
@@ -197,6 +197,7 @@
     if (last?.kind !== "refused" || FAIR_REFUSALS.has(last.refusal.reason)) {
       return [];
     }
+    if (at.world.wasUnlisted(attachment.summary)) return [];
     // A caller that closes one connection while it resumes on another ends the run.
     const ended = attachment.summary.request.fromOffset > 0 &&
       part.attachments.some((one) =>
--- a/packages/bench/src/fuzz/domains/vms.ts
+++ b/packages/bench/src/fuzz/domains/vms.ts
@@ -91,7 +91,10 @@
   step(`leaveByReport(${at})`, (part, world) => {
     const address = pick(world.engines.keys(), at);
     if (!address || !hasPeerThatStays(part, { world, address })) return;
-    world.engines.get(address)!.leave();
+    const engine = world.engines.get(address)!;
+    // Nothing shows that it leaves while its reports stand still.
+    if (engine.reportsFrozen) return;
+    engine.leave();
     watchLeaving(part, { world, endpoint: address });
   })
 );
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -70,6 +70,8 @@
 /** The plain service of a world. */
 export const SERVICE = "kirjaamo";
 
+/** A new VM is known to others, and so in address answers, after it has read its configuration. */
+const JOIN_MS = 1_000;
 const NEAR_LATENCY_MS = 0.5;
 const CALLER_LATENCY_MS = 3;
 const PLATFORM_LATENCY_MS = 2;
@@ -82,6 +84,8 @@
   readonly platformFaults: PlatformFaults = noPlatformFaults();
   readonly engines = new Map<string, AnyFakeEngine>();
   readonly services = new Map<string, PlainService>();
+  /** When each VM was added, on the clock of `Date.now`. */
+  readonly addedAtMs = new Map<Host, number>();
   /** Every summary that a caller has asked for. */
   readonly summaries: CallerSummary[] = [];
   /** VMs that are up, frozen ones included. */
@@ -131,6 +135,12 @@
     return world;
   }
 
+  /** Whether a request went to a VM so new that no address answer can have listed it. */
+  wasUnlisted(asked: { vm: Host; askedAtMs: number }): boolean {
+    const addedAtMs = this.addedAtMs.get(asked.vm) ?? 0;
+    return asked.askedAtMs - addedAtMs < JOIN_MS;
+  }
+
   /** Lets time pass. */
   advance(ms: number): Promise<void> {
     return this.timers.advance(ms);
@@ -145,6 +155,7 @@
   addVm(): Vm {
     this.vmsCreated += 1;
     const name = `vm-${this.vmsCreated}`;
+    this.addedAtMs.set(name, Date.now());
     const placeOf = this.#options.placeOf ?? placeInTurn;
     const identity = {
       id: asId<VmId>(name),
--- a/packages/fakes/src/engines/engine_base.ts
+++ b/packages/fakes/src/engines/engine_base.ts
@@ -125,9 +125,9 @@
     this.state = "leaving";
   }
 
-  /** Keeps reports as they are, or lets them go on. */
+  /** Keeps reports as they are, or lets them go on; an engine that leaves goes on reporting it. */
   freezeReports(frozen: boolean): void {
-    this.#reportsFrozen = frozen;
+    this.#reportsFrozen = frozen && this.state === "live";
   }
 
   /** Remembers a cancel for a start that has not arrived yet. */
