Leave more memory for answers to grow, and judge stuck answers by their wait

Answers that had not ended were judged by their last token, so stuck ones counted as in time. Change: room for 3 to 5 s of growth in place of 0.5 to 1.5 s; an answer that has not ended counts its wait until the run's end.

--- a/packages/bench/src/experiment/measure.ts
+++ b/packages/bench/src/experiment/measure.ts
@@ -85,7 +85,7 @@
   const failed = outcome.lost || outcome.refusedBy !== undefined;
   return !failed && firstTokenMs !== undefined &&
     firstTokenMs <= FIRST_TOKEN_TARGET_MS &&
-    outcome.meanGapMs <= BETWEEN_TOKENS_TARGET_MS;
+    outcome.meanGapMs(result.endedAtMs) <= BETWEEN_TOKENS_TARGET_MS;
 }
 
 /** First-token times, in tenths of a millisecond. */
--- a/packages/bench/src/experiment/outcome.ts
+++ b/packages/bench/src/experiment/outcome.ts
@@ -58,10 +58,14 @@
     return this.firstTokenAtMs - originMs - this.item.arrivesAtMs;
   }
 
-  /** Mean time between tokens. */
-  get meanGapMs(): number {
+  /** Mean time between tokens; one that has not ended counts its wait until the run's end. */
+  meanGapMs(endedAtMs: number): number {
+    if (this.firstTokenAtMs === undefined) return 0;
+    if (!this.done) {
+      return (endedAtMs - this.firstTokenAtMs) / this.tokens;
+    }
     if (this.tokens < 2) return 0;
-    return (this.lastTokenAtMs! - this.firstTokenAtMs!) / (this.tokens - 1);
+    return (this.lastTokenAtMs! - this.firstTokenAtMs) / (this.tokens - 1);
   }
 
   #countGap(gapMs: number): void {
--- a/packages/bench/src/experiment/page.ts
+++ b/packages/bench/src/experiment/page.ts
@@ -100,7 +100,7 @@
       .filter((outcome) => outcome.tokens > 1)
       .map((outcome) => ({
         policy: result.options.policy,
-        ms: Math.min(outcome.meanGapMs, 60),
+        ms: Math.min(outcome.meanGapMs(result.endedAtMs), 60),
       }))
   );
   return plotDistribution(values, {
--- a/packages/bench/src/experiment/run.ts
+++ b/packages/bench/src/experiment/run.ts
@@ -33,6 +33,8 @@
   readonly measuredFromMs: number;
   readonly measuredToMs: number;
   readonly faultAtMs: number;
+  /** When the run ended, on the clock of its origin. */
+  readonly endedAtMs: number;
 }
 
 /** Arrivals go on for a while, so that the last measured ones meet the same load. */
@@ -76,6 +78,7 @@
       measuredFromMs: fromMs,
       measuredToMs: toMs,
       faultAtMs,
+      endedAtMs: performance.now(),
     };
   } finally {
     rig.close();
--- a/packages/core/src/grants/policies/reserve_then_prefill.ts
+++ b/packages/core/src/grants/policies/reserve_then_prefill.ts
@@ -8,7 +8,7 @@
 /** A prefill is granted once the replica's earlier work is within this of its end. */
 const LOOKAHEAD_MS = 10;
 /** Members may grow this long before one of them ends; weighted by how much waste matters. */
-const GROWTH_MS: readonly [number, number] = [500, 1_500];
+const GROWTH_MS: readonly [number, number] = [3_000, 5_000];
 const NO_ROOM = Number.NEGATIVE_INFINITY;
 
 /** Our own policy. */
