--- a/packages/core/src/grants/shard.ts
+++ b/packages/core/src/grants/shard.ts
@@ -7,7 +7,11 @@
 } from "../shared/ids.ts";
 import type { NotRunReason } from "../shared/verdict.ts";
 import { chooseVictims } from "./commands/shed.ts";
-import { afterTransferMs, estimateIdleMs } from "./policies/estimate.ts";
+import {
+  afterTransferMs,
+  estimateIdleMs,
+  promptPieces,
+} from "./policies/estimate.ts";
 import type { GrantPolicy, Placement, ShardView } from "./policies/types.ts";
 import { expectedSupply, needs } from "./queries/forecast.ts";
 import { GrantQueue, type QueuedRequest } from "./queue.ts";
@@ -38,8 +42,8 @@
   nextGrant: () => string;
 }
 
-/** A late request waits this long for the shard to have room to spare. */
-const LATE_WAIT_MS = 10_000;
+/** A late request waits at least this long for the shard to have room to spare. */
+const LATE_WAIT_MS = 200;
 /** Share of a decode replica that late requests leave to others. */
 const LATE_RESERVE = 0.2;
 /** Late requests are refused at once for this long after one that could be in time was shed. */
@@ -49,6 +53,7 @@
 const WARM_UP_RESERVE = 0.1;
 const RETRY_AFTER_MS: readonly [number, number] = [250, 10_000];
 const MIN_WAKE_MS = 1;
+const NONE: ReadonlySet<WorkspaceId> = new Set();
 
 /** Grants the slots of one shard. */
 export class Shard {
@@ -128,11 +133,48 @@
   dispatch(): void {
     if (this.#queue.all.length === 0) return;
     const nowMs = performance.now();
-    for (const queued of this.#queue.ordered()) this.#place(queued, nowMs);
+    const over = this.#overShare(nowMs);
+    let isHeldBack = false;
+    for (const queued of this.#ordered(nowMs, over)) {
+      const isOver = over.has(queued.request.workspace);
+      // What a workspace within its share waits for is not taken by one that is over it.
+      if (isOver && isHeldBack) {
+        this.#expire(queued, nowMs);
+        continue;
+      }
+      const isPlaced = this.#place(queued, nowMs);
+      isHeldBack ||= !isPlaced && !isOver && !queued.late;
+    }
     this.#shed(nowMs);
     this.#wakeLater(nowMs);
   }
 
+  /** Workspaces that are over their share, in a time of overload. */
+  #overShare(nowMs: number): ReadonlySet<WorkspaceId> {
+    const isOverloaded = nowMs - this.#shedAtMs < OVERLOAD_MS;
+    if (!isOverloaded) return NONE;
+    const workspaces = this.#queue.all.map((one) => one.request.workspace);
+    return this.#shares.overShare(workspaces, nowMs);
+  }
+
+  #ordered(
+    nowMs: number,
+    overShare: ReadonlySet<WorkspaceId>,
+  ): QueuedRequest[] {
+    const isOverloaded = nowMs - this.#shedAtMs < OVERLOAD_MS;
+    if (!isOverloaded) return this.#queue.byDeadline();
+    return this.#queue.byHolding({ overShare, holdingOf: this.#holding() });
+  }
+
+  /** What a request is expected to hold, in slots or in memory of a slot's size, times its tokens. */
+  #holding(): (queued: QueuedRequest) => number {
+    const [decode] = this.book.decodes;
+    const slotPieces = decode ? decode.memoryPieces / decode.slots : 1;
+    return ({ request, expectedTokens }) =>
+      expectedTokens *
+      Math.max(1, promptPieces(request.promptTokens) / slotPieces);
+  }
+
   #admit(
     request: GrantRequest,
     options: { nowMs: number; answer: (answer: GrantAnswer) => void },
@@ -144,14 +186,13 @@
       return null;
     }
     const late = idleMs > request.firstTokenInMs;
-    const waitMs = late || request.alone
-      ? Math.min(request.deadlineInMs, idleMs + LATE_WAIT_MS)
-      : request.firstTokenInMs;
+    // An owner waits for its answer no longer than until its first token is due.
+    const waitMs = Math.max(request.firstTokenInMs, LATE_WAIT_MS);
     return {
       request,
       answer,
       late,
-      idleMs,
+      idleMs: late ? 0 : idleMs,
       dueAtMs: nowMs + waitMs,
       expectedTokens: this.book.lengths.expect(
         request.workspace,
@@ -160,22 +201,32 @@
     };
   }
 
-  #place(queued: QueuedRequest, nowMs: number): void {
+  /** Grants or refuses a request, or lets it wait; true when it no longer waits. */
+  #place(queued: QueuedRequest, nowMs: number): boolean {
     const { request } = queued;
     const { policy } = this.#options;
     if (queued.late && policy.waits && this.#mustYield(nowMs)) {
-      if (nowMs - this.#shedAtMs < OVERLOAD_MS) this.#refuseForLoad(queued);
-      return;
+      const isOverloaded = nowMs - this.#shedAtMs < OVERLOAD_MS;
+      if (isOverloaded) this.#refuseForLoad(queued);
+      return isOverloaded || this.#expire(queued, nowMs);
     }
     const view = this.#view(nowMs, request, queued.late ? LATE_RESERVE : 0);
     const isReady = policy.isReady?.(view) ?? true;
     const placement = isReady ? policy.place(view, request) : null;
     if (placement && (!policy.waits || inTime(queued, placement, nowMs))) {
-      return this.#grant(queued, { placement, nowMs });
-    }
-    if (!policy.waits || nowMs + queued.idleMs > queued.dueAtMs) {
-      this.#refuseForLoad(queued);
+      this.#grant(queued, { placement, nowMs });
+      return true;
     }
+    if (policy.waits) return this.#expire(queued, nowMs);
+    this.#refuseForLoad(queued);
+    return true;
+  }
+
+  /** Refuses a request that can no longer be in time. */
+  #expire(queued: QueuedRequest, nowMs: number): boolean {
+    const isExpired = nowMs + queued.idleMs >= queued.dueAtMs;
+    if (isExpired) this.#refuseForLoad(queued);
+    return isExpired;
   }
 
   /** Late requests let those in time go first, and keep to one prefill replica of several. */
