Grants: a prompt that fits no replica is refused at once, and a home waits for its first load reports

Change: a prompt is compared with the replicas' memory first; nothing is shed in the first second of a home as long as no replica has reported.

--- a/packages/core/src/grants/shard.ts
+++ b/packages/core/src/grants/shard.ts
@@ -51,6 +51,8 @@
 /** A new home leaves a share free until reports taken after its start show what its predecessor granted. */
 const WARM_UP_MS = 2_500;
 const WARM_UP_RESERVE = 0.1;
+/** Until the first load reports after its start, a home can't tell whether there is room. */
+const OPENING_MS = 1_000;
 const RETRY_AFTER_MS: readonly [number, number] = [250, 10_000];
 const MIN_WAKE_MS = 1;
 const NONE: ReadonlySet<WorkspaceId> = new Set();
@@ -185,6 +187,10 @@
       answer(refusal("deadline-unreachable", RETRY_AFTER_MS[1]));
       return null;
     }
+    if (!this.#fitsSomewhere(request)) {
+      answer(refusal("no-capacity", RETRY_AFTER_MS[1]));
+      return null;
+    }
     const late = idleMs > request.firstTokenInMs;
     // An owner waits for its answer no longer than until its first token is due.
     const waitMs = Math.max(request.firstTokenInMs, LATE_WAIT_MS);
@@ -201,6 +207,17 @@
     };
   }
 
+  /** Whether any decode replica could hold the prompt with nothing else on it. */
+  #fitsSomewhere(request: GrantRequest): boolean {
+    const pieces = promptPieces(request.promptTokens);
+    return this.book.decodes.some((one) => one.memoryPieces >= pieces);
+  }
+
+  #awaitsFirstReports(nowMs: number): boolean {
+    return nowMs - this.#openedAtMs < OPENING_MS &&
+      !this.book.decodes.some((one) => one.mayGrant(nowMs));
+  }
+
   /** Grants or refuses a request, or lets it wait; true when it no longer waits. */
   #place(queued: QueuedRequest, nowMs: number): boolean {
     const { request } = queued;
@@ -272,6 +289,7 @@
 
   #shed(nowMs: number): void {
     if (!this.#options.policy.waits) return;
+    if (this.#awaitsFirstReports(nowMs)) return;
     const waiting = this.#queue.inTime.filter((one) => !one.request.alone);
     const [first] = waiting;
     if (waiting.length < 2 || !first) return;
