--- /dev/null
+++ b/packages/bench/src/slopes/count_bytes.ts
@@ -0,0 +1,157 @@
+/** Counts bytes of the daemon's own clients and servers as they pass a relay. */
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import {
+  type PeerHandlers,
+  type PeerPort,
+  type PlatformPort,
+  SILENT_OBSERVER,
+} from "@teaselvalve/core";
+import {
+  createHttpPart,
+  createPeerHandler,
+  createPeerPort,
+  createPlatformPort,
+  type HttpPartOptions,
+  type Limits,
+} from "@teaselvalve/daemon";
+import {
+  type FakePlatform,
+  noPlatformFaults,
+  servePlatform,
+} from "@teaselvalve/fakes";
+import { freePorts } from "../processes/process_group.ts";
+import { CountingRelay } from "./counting_relay.ts";
+import { vmName } from "./samples.ts";
+import { createStubVm, WILLING_PEERS } from "./stub_vm.ts";
+
+const SECRET = "a secret of thirty-two letters..";
+/** Limit of bodies at the interfaces. */
+export const BODY_LIMIT_BYTES = 64 * 1_048_576;
+/** Limit of one call. */
+export const TIMEOUT_MS = 10_000;
+const LIMITS: Limits = {
+  bodyBytes: BODY_LIMIT_BYTES,
+  headerBytes: 16_384,
+  headerCount: 100,
+  connections: 100,
+  idleMs: 30_000,
+  headersMs: 10_000,
+  requestMs: 60_000,
+  slowReaderMs: 15_000,
+  stopTimeoutMs: 1_000,
+};
+const CALLS = 20;
+/** Counts the bytes of one operation, the connection's first one left out. */
+export async function countBytes(
+  target: string,
+  options: {
+    connect: (address: string) => (at: number) => Promise<void>;
+  },
+): Promise<number> {
+  const relay = await CountingRelay.open(target);
+  const operate = options.connect(relay.address);
+  try {
+    await operate(0);
+    const before = relay.sizeBytes;
+    for (let at = 1; at <= CALLS; at += 1) await operate(at);
+    return (relay.sizeBytes - before) / CALLS;
+  } finally {
+    relay.close();
+  }
+}
+
+/** Counts the bytes of one call to a peer. */
+export async function peerBytes<Name extends keyof PeerHandlers>(
+  method: Name,
+  paramsOf: (at: number) => Parameters<PeerHandlers[Name]>[0],
+  handlers: Partial<PeerHandlers> = WILLING_PEERS as Partial<PeerHandlers>,
+): Promise<number> {
+  const own = createStubVm().peerHandlers;
+  const handle = createPeerHandler({
+    handlers: { ...own, ...handlers },
+    secret: SECRET,
+    bodyLimitBytes: BODY_LIMIT_BYTES,
+  });
+  return await withHttpPart(handle, (address) =>
+    countBytes(address, {
+      connect: (relayed) => {
+        const peers = createClient();
+        return async (at) => {
+          const answer = await peers.call(
+            { id: vmName(1), peerAddress: relayed },
+            method,
+            { params: paramsOf(at) as never, timeoutMs: TIMEOUT_MS },
+          );
+          if (answer.isErr()) throw new Error(answer.error.kind);
+        };
+      },
+    }));
+}
+
+function createClient(): PeerPort {
+  return createPeerPort({
+    secret: SECRET,
+    own: {
+      peerAddress: "nowhere:0",
+      handlers: () => {
+        throw new Error("No call goes to this VM itself");
+      },
+    },
+  });
+}
+
+/** Serves one of the daemon's interfaces while it is used. */
+export async function withHttpPart(
+  handle: HttpPartOptions["handle"],
+  use: (address: string) => Promise<number>,
+): Promise<number> {
+  const [port] = await freePorts(1);
+  const address = `127.0.0.1:${port}`;
+  const part = createHttpPart({
+    name: "peers",
+    address,
+    handle,
+    observer: SILENT_OBSERVER,
+    limits: LIMITS,
+    requestLevel: "debug",
+  });
+  await part.start();
+  try {
+    return await use(address);
+  } finally {
+    void part.stop();
+  }
+}
+
+/** Counts the bytes of one operation at a stand-in. */
+export async function withServer(
+  server: Server,
+  connect: (relayed: string) => (at: number) => Promise<void>,
+): Promise<number> {
+  const { port } = server.address() as AddressInfo;
+  try {
+    return await countBytes(`127.0.0.1:${port}`, { connect });
+  } finally {
+    server.close();
+  }
+}
+
+/** Counts the bytes of one operation at the platform. */
+export async function platformBytes(
+  platform: FakePlatform,
+  operate: (port: PlatformPort, at: number) => Promise<{ isErr(): boolean }>,
+): Promise<number> {
+  const server = await servePlatform(platform, {
+    host: "127.0.0.1",
+    port: 0,
+    faults: noPlatformFaults(),
+  });
+  return await withServer(server, (address) => {
+    const port = createPlatformPort({ address, timeoutMs: TIMEOUT_MS });
+    return async (at) => {
+      const answer = await operate(port, at);
+      if (answer.isErr()) throw new Error("The platform did not answer");
+    };
+  });
+}
