Slopes: a view is filled by seed and start, and checked to be whole

Cause: membership no longer reads the platform's list at its start, so views were empty and wire-address showed 431 bytes, that of an answer with one VM. Change: fillView seeds, starts and fails when a listed VM is missing.

--- a/packages/bench/src/slopes/quantities/processor.ts
+++ b/packages/bench/src/slopes/quantities/processor.ts
@@ -27,7 +27,7 @@
   sha256,
   tokenText,
 } from "../samples.ts";
-import { createStubVm } from "../stub_vm.ts";
+import { createStubVm, fillView } from "../stub_vm.ts";
 import type { Quantity } from "../types.ts";
 import { createShard, firstProbe } from "./state.ts";
 
@@ -211,8 +211,7 @@
 export async function createView(count: number): Promise<Vm> {
   const listed = sampleVms(count);
   const vm = createStubVm({ listed });
-  await vm.membership.start();
-  vm.membership.stop();
+  await fillView(vm);
   for (const { id } of listed) vm.membership.answerProbe(firstProbe(id));
   // Queued news is passed on a few times and then no longer.
   for (let round = 0; round < 40; round += 1) {
@@ -252,8 +251,7 @@
 async function reportHomesMicros(count: number): Promise<number> {
   const { vm, adoptSnapshot } = createAdoptingVm({ listed: sampleVms(count) });
   await adoptSnapshot(snapshotText({ workspaces: 1, models: LETTER.models }));
-  await vm.membership.start();
-  vm.membership.stop();
+  await fillView(vm);
   return await operationMicros(async (turns) => {
     for (let turn = 0; turn < turns; turn += 1) await vm.reports.poll();
   });
--- a/packages/bench/src/slopes/quantities/state.ts
+++ b/packages/bench/src/slopes/quantities/state.ts
@@ -22,7 +22,7 @@
   sampleVms,
   uuidOf,
 } from "../samples.ts";
-import { createStubVm, WILLING_PEERS } from "../stub_vm.ts";
+import { createStubVm, fillView, WILLING_PEERS } from "../stub_vm.ts";
 import type { Quantity } from "../types.ts";
 
 const CALL_BODY_CHARACTERS = 2_000;
@@ -185,8 +185,7 @@
 
 async function buildHomeKeys(count: number): Promise<Vm> {
   const vm = createStubVm({ listed: sampleVms(LETTER.nodes) });
-  await vm.membership.start();
-  vm.membership.stop();
+  await fillView(vm);
   for (let at = 0; at < count; at += 1) vm.membership.homeOf(sampleKey(at));
   return vm;
 }
@@ -251,8 +250,7 @@
 async function buildView(count: number): Promise<Vm> {
   const listed = sampleVms(count);
   const vm = createStubVm({ listed: JSON.parse(JSON.stringify(listed)) });
-  await vm.membership.start();
-  vm.membership.stop();
+  await fillView(vm);
   for (const { id } of listed) vm.membership.answerProbe(firstProbe(id));
   vm.membership.homeOf("a key");
   return vm;
--- a/packages/bench/src/slopes/quantities/wire.ts
+++ b/packages/bench/src/slopes/quantities/wire.ts
@@ -37,6 +37,7 @@
   uuidOf,
   vmName,
 } from "../samples.ts";
+import { fillView } from "../stub_vm.ts";
 import type { Quantity } from "../types.ts";
 import { createView } from "./processor.ts";
 import { firstProbe } from "./state.ts";
@@ -309,8 +310,7 @@
 async function addressBytes(vms: number): Promise<number> {
   const { vm, adoptSnapshot } = createAdoptingVm({ listed: sampleVms(vms) });
   await adoptSnapshot(snapshotText({ workspaces: 1, models: 1 }));
-  await vm.membership.start();
-  vm.membership.stop();
+  await fillView(vm);
   // A VM that was only listed is not told to callers.
   for (const { id } of sampleVms(vms)) {
     vm.membership.answerProbe(firstProbe(id));
--- a/packages/bench/src/slopes/stub_vm.ts
+++ b/packages/bench/src/slopes/stub_vm.ts
@@ -64,6 +64,18 @@
   });
 }
 
+/** Fills a VM's view from the platform's list. Throws when the view lacks a listed VM. */
+export async function fillView(vm: Vm): Promise<void> {
+  const listed = await vm.context.ports.platform.listVms();
+  await vm.membership.seed();
+  await vm.membership.start();
+  vm.membership.stop();
+  const missing = listed.unwrapOr([]).filter(({ id }) =>
+    !vm.membership.member(id)
+  );
+  if (missing.length > 0) throw new Error(`${missing.length} VMs are missing`);
+}
+
 function createStubPorts(options: StubVmOptions): VmPorts {
   const { listed = [], peers = {} } = options;
   const underWay: unknown[] = [];
