--- a/packages/cli/src/commands/cancel_summary.ts
+++ b/packages/cli/src/commands/cancel_summary.ts
@@ -1,8 +1,8 @@
 /** `teaselvalve summaries cancel` */
 import type { CancelOutcome } from "@teaselvalve/daemon";
 import { command, positional, string } from "cmd-ts";
-import { commandAdmin, connectionArgs } from "../shared/client.ts";
-import { outputArgs, printJson, printLine } from "../shared/output.ts";
+import { commandAdmin, connectionArgs } from "../common/client.ts";
+import { outputArgs, printJson, printLine } from "../common/output.ts";
 
 /** Cancels a running summary. */
 export const cancelSummary = command({
--- a/packages/cli/src/commands/submit_manifest.ts
+++ b/packages/cli/src/commands/submit_manifest.ts
@@ -9,16 +9,16 @@
   connectionArgs,
   EXIT_CODES,
   queryAdmin,
-} from "../shared/client.ts";
-import { ToolFailure } from "../shared/failure.ts";
-import { outputArgs, printJson, printLine } from "../shared/output.ts";
+} from "../common/client.ts";
+import { ToolFailure } from "../common/failure.ts";
+import { outputArgs, printJson, printLine } from "../common/output.ts";
 import {
   describeOutcome,
   endWith,
   isOutcome,
   type ManifestOutcome,
   readManifest,
-} from "../shared/outcome.ts";
+} from "../common/outcome.ts";
 
 const DEFAULT_TIMEOUT_SECONDS = 60;
 const POLL_MS = 500;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,7 +2,7 @@
 import process from "node:process";
 import { runSafely } from "cmd-ts";
 import { program } from "./program.ts";
-import { EXIT_CODES, ToolFailure } from "./shared/failure.ts";
+import { EXIT_CODES, ToolFailure } from "./common/failure.ts";
 
 // A reader such as head may close the pipe before all is written.
 process.stdout.on("error", (error: NodeJS.ErrnoException) => {
--- a/packages/cli/src/queries/addresses.ts
+++ b/packages/cli/src/queries/addresses.ts
@@ -1,8 +1,8 @@
 /** `teaselvalve addresses` */
 import type { AddressAnswer } from "@teaselvalve/core";
 import { command, option, optional, string } from "cmd-ts";
-import { connectionArgs, queryAdmin } from "../shared/client.ts";
-import { outputArgs, printJson, printRows } from "../shared/output.ts";
+import { connectionArgs, queryAdmin } from "../common/client.ts";
+import { outputArgs, printJson, printRows } from "../common/output.ts";
 
 /** Lists the addresses that callers are told. */
 export const addresses = command({
--- a/packages/cli/src/queries/calls.ts
+++ b/packages/cli/src/queries/calls.ts
@@ -1,8 +1,8 @@
 /** `teaselvalve calls show` */
 import type { CallStatus } from "@teaselvalve/daemon";
 import { command, positional, string, subcommands } from "cmd-ts";
-import { connectionArgs, queryAdmin } from "../shared/client.ts";
-import { outputArgs, printFields } from "../shared/output.ts";
+import { connectionArgs, queryAdmin } from "../common/client.ts";
+import { outputArgs, printFields } from "../common/output.ts";
 
 const show = command({
   name: "show",
--- a/packages/cli/src/queries/configuration.ts
+++ b/packages/cli/src/queries/configuration.ts
@@ -1,8 +1,8 @@
 /** `teaselvalve configuration` */
 import type { Configuration } from "@teaselvalve/core";
 import { command } from "cmd-ts";
-import { connectionArgs, queryAdmin } from "../shared/client.ts";
-import { outputArgs, printFields, printJson } from "../shared/output.ts";
+import { connectionArgs, queryAdmin } from "../common/client.ts";
+import { outputArgs, printFields, printJson } from "../common/output.ts";
 
 /** Shows the configuration in force on a VM. */
 export const configuration = command({
--- a/packages/cli/src/queries/endpoints.ts
+++ b/packages/cli/src/queries/endpoints.ts
@@ -1,8 +1,8 @@
 /** `teaselvalve endpoints` */
 import type { EndpointStatus } from "@teaselvalve/daemon";
 import { command } from "cmd-ts";
-import { connectionArgs, queryAdmin } from "../shared/client.ts";
-import { outputArgs, printRows } from "../shared/output.ts";
+import { connectionArgs, queryAdmin } from "../common/client.ts";
+import { outputArgs, printRows } from "../common/output.ts";
 
 /** Lists the endpoints with their load. */
 export const endpoints = command({
--- a/packages/cli/src/queries/manifests.ts
+++ b/packages/cli/src/queries/manifests.ts
@@ -5,20 +5,20 @@
   VersionDifference,
 } from "@teaselvalve/core";
 import { command, number, option, optional, positional, string } from "cmd-ts";
-import { callAdmin, connectionArgs, queryAdmin } from "../shared/client.ts";
-import { ToolFailure } from "../shared/failure.ts";
+import { callAdmin, connectionArgs, queryAdmin } from "../common/client.ts";
+import { ToolFailure } from "../common/failure.ts";
 import {
   describeOutcome,
   endWith,
   isOutcome,
   readManifest,
-} from "../shared/outcome.ts";
+} from "../common/outcome.ts";
 import {
   outputArgs,
   printJson,
   printLine,
   printRows,
-} from "../shared/output.ts";
+} from "../common/output.ts";
 
 const DEFAULT_HISTORY_ENTRIES = 20;
 const args = { ...connectionArgs, ...outputArgs };
--- a/packages/cli/src/queries/metrics.ts
+++ b/packages/cli/src/queries/metrics.ts
@@ -1,8 +1,8 @@
 /** `teaselvalve metrics` */
 import type { MetricStatus } from "@teaselvalve/daemon";
 import { command, flag } from "cmd-ts";
-import { connectionArgs, queryAdmin } from "../shared/client.ts";
-import { outputArgs, printRows } from "../shared/output.ts";
+import { connectionArgs, queryAdmin } from "../common/client.ts";
+import { outputArgs, printRows } from "../common/output.ts";
 
 const OWN_PREFIX = "teaselvalve_";
 
--- a/packages/cli/src/queries/summaries.ts
+++ b/packages/cli/src/queries/summaries.ts
@@ -1,8 +1,8 @@
 /** `teaselvalve summaries list` */
 import type { SummaryStatus } from "@teaselvalve/daemon";
 import { command } from "cmd-ts";
-import { connectionArgs, queryAdmin } from "../shared/client.ts";
-import { outputArgs, printRows } from "../shared/output.ts";
+import { connectionArgs, queryAdmin } from "../common/client.ts";
+import { outputArgs, printRows } from "../common/output.ts";
 
 /** Lists the summaries that engines hold memory for. */
 export const listSummaries = command({
--- a/packages/cli/src/queries/vms.ts
+++ b/packages/cli/src/queries/vms.ts
@@ -1,8 +1,8 @@
 /** `teaselvalve vms` */
 import type { Member } from "@teaselvalve/core";
 import { command } from "cmd-ts";
-import { connectionArgs, queryAdmin } from "../shared/client.ts";
-import { outputArgs, printRows } from "../shared/output.ts";
+import { connectionArgs, queryAdmin } from "../common/client.ts";
+import { outputArgs, printRows } from "../common/output.ts";
 
 /** Lists the VMs in view. */
 export const vms = command({
--- a/packages/core/src/calls/app.ts
+++ b/packages/core/src/calls/app.ts
@@ -1,6 +1,6 @@
 /** Peer methods of calls to plain services. */
-import { type App, createApp } from "../shared/app.ts";
-import type { Incarnation, RequestKey } from "../shared/ids.ts";
+import { type App, createApp } from "../common/app.ts";
+import type { Incarnation, RequestKey } from "../common/ids.ts";
 import type { CallOutcome } from "./types.ts";
 
 /** What a VM asks the claimant of a call. */
--- a/packages/core/src/calls/commands/claim_store.ts
+++ b/packages/core/src/calls/commands/claim_store.ts
@@ -6,7 +6,7 @@
   RowExpectation,
   RowWrite,
 } from "../../ports/platform.ts";
-import type { RequestKey } from "../../shared/ids.ts";
+import type { RequestKey } from "../../common/ids.ts";
 import type { VmContext } from "../../vm/types.ts";
 import type { CallPolicies } from "../policies.ts";
 import type { CallRow } from "../types.ts";
--- a/packages/core/src/calls/commands/claim_store_test.ts
+++ b/packages/core/src/calls/commands/claim_store_test.ts
@@ -6,8 +6,8 @@
   StoreFailure,
   TransactionOutcome,
 } from "../../ports/platform.ts";
-import { asId } from "../../shared/ids.ts";
-import { SILENT_OBSERVER } from "../../shared/observe.ts";
+import { asId } from "../../common/ids.ts";
+import { SILENT_OBSERVER } from "../../common/observe.ts";
 import type { VmContext } from "../../vm/types.ts";
 import { CALL_POLICIES } from "../policies.ts";
 import type { CallRow } from "../types.ts";
--- a/packages/core/src/calls/commands/forward.ts
+++ b/packages/core/src/calls/commands/forward.ts
@@ -1,10 +1,10 @@
 /** Sends a call that may be repeated, and repeats it within its deadline and budget. */
 import { err, ok } from "neverthrow";
 import type { Endpoint, Service } from "../../configuration/types.ts";
-import type { EndpointId } from "../../shared/ids.ts";
+import type { EndpointId } from "../../common/ids.ts";
 import type { SendFailure } from "../../ports/services.ts";
 import { backOffMs, type RetryBudget } from "../../retries/budget.ts";
-import { mayHaveRun, notRun, type Refusal } from "../../shared/verdict.ts";
+import { mayHaveRun, notRun, type Refusal } from "../../common/verdict.ts";
 import type { VmContext } from "../../vm/types.ts";
 import type { CallRequest, CallVerdict } from "../types.ts";
 
--- a/packages/core/src/calls/follow.ts
+++ b/packages/core/src/calls/follow.ts
@@ -2,7 +2,7 @@
 import type { IncarnationCheck, MembershipView } from "../membership/types.ts";
 import type { Row } from "../ports/platform.ts";
 import type { ServiceAnswer } from "../ports/services.ts";
-import { mayHaveRun, type MayHaveRunReason } from "../shared/verdict.ts";
+import { mayHaveRun, type MayHaveRunReason } from "../common/verdict.ts";
 import type { VmContext } from "../vm/types.ts";
 import type { ClaimStore } from "./commands/claim_store.ts";
 import type { CallPolicies } from "./policies.ts";
--- a/packages/core/src/calls/machine.ts
+++ b/packages/core/src/calls/machine.ts
@@ -6,7 +6,7 @@
   type MayHaveRunReason,
   type NotRun,
   type Refusal,
-} from "../shared/verdict.ts";
+} from "../common/verdict.ts";
 import type { CallRowState } from "./types.ts";
 
 /** What happens to a call. */
--- a/packages/core/src/calls/queries/call_digest.ts
+++ b/packages/core/src/calls/queries/call_digest.ts
@@ -1,6 +1,6 @@
 /** Tells a resend from another call under the same key. */
-import { digest } from "../../shared/hash.ts";
-import type { Digest } from "../../shared/ids.ts";
+import { digest } from "../../common/hash.ts";
+import type { Digest } from "../../common/ids.ts";
 import type { CallRequest, CallRow } from "../types.ts";
 
 /** Digests all that a call consists of. */
--- a/packages/core/src/calls/queries/choose_endpoint.ts
+++ b/packages/core/src/calls/queries/choose_endpoint.ts
@@ -1,6 +1,6 @@
 /** Chooses the replica of a plain service that gets a call. */
 import type { Endpoint } from "../../configuration/types.ts";
-import type { DataCentre, EndpointId, ServiceName } from "../../shared/ids.ts";
+import type { DataCentre, EndpointId, ServiceName } from "../../common/ids.ts";
 
 /** Options of {@link chooseEndpoint}. */
 export interface ChooseOptions {
--- a/packages/core/src/calls/queries/key_time.ts
+++ b/packages/core/src/calls/queries/key_time.ts
@@ -1,5 +1,5 @@
 /** Reads the time that a caller's key carries. */
-import type { RequestId } from "../../shared/ids.ts";
+import type { RequestId } from "../../common/ids.ts";
 
 const UUID_V7 =
   /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
--- a/packages/core/src/calls/refused_endpoints.ts
+++ b/packages/core/src/calls/refused_endpoints.ts
@@ -1,5 +1,5 @@
 /** Remembers which replicas lately refused a connection. */
-import type { EndpointId } from "../shared/ids.ts";
+import type { EndpointId } from "../common/ids.ts";
 
 const AVOID_MS = 2_000;
 
--- a/packages/core/src/calls/run.ts
+++ b/packages/core/src/calls/run.ts
@@ -2,14 +2,14 @@
 import type { Endpoint, Service } from "../configuration/types.ts";
 import type { Row, RowExpectation } from "../ports/platform.ts";
 import type { SendFailure } from "../ports/services.ts";
-import { asId, type EndpointId, type RequestKey } from "../shared/ids.ts";
-import { type Effect, MachineTask } from "../shared/machine_task.ts";
+import { asId, type EndpointId, type RequestKey } from "../common/ids.ts";
+import { type Effect, MachineTask } from "../common/machine_task.ts";
 import {
   mayHaveRun,
   type MayHaveRunReason,
   type NotRun,
   notRun,
-} from "../shared/verdict.ts";
+} from "../common/verdict.ts";
 import type { VmContext } from "../vm/types.ts";
 import type { ClaimStore, PendingWrite } from "./commands/claim_store.ts";
 import { storeAnswer } from "./commands/kept_answer.ts";
--- a/packages/core/src/calls/submission.ts
+++ b/packages/core/src/calls/submission.ts
@@ -1,7 +1,7 @@
 /** One connection's request for a call that may not be repeated. */
 import type { Service } from "../configuration/types.ts";
-import type { RequestKey } from "../shared/ids.ts";
-import type { Refusal } from "../shared/verdict.ts";
+import type { RequestKey } from "../common/ids.ts";
+import type { Refusal } from "../common/verdict.ts";
 import type { CallRequest, CallRow, CallWaiter } from "./types.ts";
 
 /** A request with what was derived of it. */
--- a/packages/core/src/calls/task.ts
+++ b/packages/core/src/calls/task.ts
@@ -11,8 +11,8 @@
   type RequestId,
   type RequestKey,
   requestKey,
-} from "../shared/ids.ts";
-import { mayHaveRun, notRun, type Refusal } from "../shared/verdict.ts";
+} from "../common/ids.ts";
+import { mayHaveRun, notRun, type Refusal } from "../common/verdict.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
 import type { AwaitParams } from "./app.ts";
 import { ClaimStore } from "./commands/claim_store.ts";
--- a/packages/core/src/calls/types.ts
+++ b/packages/core/src/calls/types.ts
@@ -8,8 +8,8 @@
   ServiceName,
   VmId,
   WorkspaceId,
-} from "../shared/ids.ts";
-import type { Refusal, Verdict } from "../shared/verdict.ts";
+} from "../common/ids.ts";
+import type { Refusal, Verdict } from "../common/verdict.ts";
 import type { ServiceAnswer } from "../ports/services.ts";
 
 /** A call as it comes from a caller. */
--- a/packages/core/src/calls/waiters.ts
+++ b/packages/core/src/calls/waiters.ts
@@ -1,5 +1,5 @@
 /** Connections that wait for a call: the newest gets the outcome, an older one is superseded. */
-import { mayHaveRun } from "../shared/verdict.ts";
+import { mayHaveRun } from "../common/verdict.ts";
 import type { CallResult } from "./machine.ts";
 
 /** What a connection that waits is told. */
--- a/packages/core/src/configuration/app.ts
+++ b/packages/core/src/configuration/app.ts
@@ -1,6 +1,6 @@
 /** Peer methods of configuration. */
-import { type App, createApp } from "../shared/app.ts";
-import type { VmId } from "../shared/ids.ts";
+import { type App, createApp } from "../common/app.ts";
+import type { VmId } from "../common/ids.ts";
 import type { Configuration, ConfigurationChange } from "./types.ts";
 
 /** A peer that holds a version. */
--- a/packages/core/src/configuration/commands/submit.ts
+++ b/packages/core/src/configuration/commands/submit.ts
@@ -1,8 +1,8 @@
 /** Accepts a manifest: one transaction on the head, the submission's row and the history. */
 import { err, ok, type Result } from "neverthrow";
 import type { PlatformPort, RowWrite } from "../../ports/platform.ts";
-import { digest } from "../../shared/hash.ts";
-import type { Digest, VmId, WorkspaceId } from "../../shared/ids.ts";
+import { digest } from "../../common/hash.ts";
+import type { Digest, VmId, WorkspaceId } from "../../common/ids.ts";
 import { fetchScope, storeScope } from "../bodies.ts";
 import {
   canonicalBody,
--- a/packages/core/src/configuration/commands/validate.ts
+++ b/packages/core/src/configuration/commands/validate.ts
@@ -10,7 +10,7 @@
   SCOPES,
   type Workspace,
 } from "../types.ts";
-import type { WorkspaceId } from "../../shared/ids.ts";
+import type { WorkspaceId } from "../../common/ids.ts";
 import { compareScope } from "../difference.ts";
 
 /** What a manifest would put in force, and what it would replace. */
--- a/packages/core/src/configuration/difference.ts
+++ b/packages/core/src/configuration/difference.ts
@@ -1,7 +1,7 @@
 /** Differences between the bodies of a scope: as data for peers, as lines for operators. */
 import diff, { type Difference } from "microdiff";
-import { digest } from "../shared/hash.ts";
-import type { Digest } from "../shared/ids.ts";
+import { digest } from "../common/hash.ts";
+import type { Digest } from "../common/ids.ts";
 import {
   type Configuration,
   type ConfigurationChange,
--- a/packages/core/src/configuration/machine_test.ts
+++ b/packages/core/src/configuration/machine_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { type Effect, MachineTask } from "../shared/machine_task.ts";
+import { type Effect, MachineTask } from "../common/machine_task.ts";
 import { type HoldingEvent, holdingMachine } from "./machine.ts";
 import { emptyBodies } from "./types.ts";
 
--- a/packages/core/src/configuration/store.ts
+++ b/packages/core/src/configuration/store.ts
@@ -1,8 +1,8 @@
 /** Reads and writes the configuration in the platform's services. */
 import { err, ok, type Result } from "neverthrow";
 import type { Json, PlatformPort, StoreFailure } from "../ports/platform.ts";
-import { digest } from "../shared/hash.ts";
-import type { Digest } from "../shared/ids.ts";
+import { digest } from "../common/hash.ts";
+import type { Digest } from "../common/ids.ts";
 import type {
   ConfigurationChange,
   ConfigurationHead,
--- a/packages/core/src/configuration/task.ts
+++ b/packages/core/src/configuration/task.ts
@@ -2,8 +2,8 @@
 import type { Result } from "neverthrow";
 import type { Member } from "../membership/types.ts";
 import type { StoreFailure } from "../ports/platform.ts";
-import type { Digest } from "../shared/ids.ts";
-import { type Effect, MachineTask } from "../shared/machine_task.ts";
+import type { Digest } from "../common/ids.ts";
+import { type Effect, MachineTask } from "../common/machine_task.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
 import type { FetchAnswer, VersionHolder } from "./app.ts";
 import { ChangeLog } from "./change_log.ts";
--- a/packages/core/src/configuration/token_index.ts
+++ b/packages/core/src/configuration/token_index.ts
@@ -1,5 +1,5 @@
 /** Finds tokens by hash, at any number of workspaces. */
-import type { Digest } from "../shared/ids.ts";
+import type { Digest } from "../common/ids.ts";
 import type { Configuration, Token, Workspace } from "./types.ts";
 
 /** A token with the workspace that it belongs to. */
--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -9,7 +9,7 @@
   ServiceName,
   VmId,
   WorkspaceId,
-} from "../shared/ids.ts";
+} from "../common/ids.ts";
 
 function name<T extends string>() {
   return z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/).transform((text) =>
--- a/packages/core/src/directory/addresses.ts
+++ b/packages/core/src/directory/addresses.ts
@@ -1,7 +1,7 @@
 /** The address question: which VMs a caller should use. */
 import type { Member, MembershipView } from "../membership/types.ts";
-import { hashNumber } from "../shared/hash.ts";
-import type { DataCentre, Region, VmId } from "../shared/ids.ts";
+import { hashNumber } from "../common/hash.ts";
+import type { DataCentre, Region, VmId } from "../common/ids.ts";
 
 const MAX_ADDRESSES = 4;
 
--- a/packages/core/src/directory/addresses_test.ts
+++ b/packages/core/src/directory/addresses_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
 import type { Member, MembershipView, VmState } from "../membership/types.ts";
-import { asId } from "../shared/ids.ts";
+import { asId } from "../common/ids.ts";
 import { listAddresses } from "./addresses.ts";
 
 const PLACES = [
--- a/packages/core/src/grants/app.ts
+++ b/packages/core/src/grants/app.ts
@@ -1,6 +1,6 @@
 /** Peer methods of grants. */
-import { type App, createApp } from "../shared/app.ts";
-import type { GrantId, ModelName, RequestKey } from "../shared/ids.ts";
+import { type App, createApp } from "../common/app.ts";
+import type { GrantId, ModelName, RequestKey } from "../common/ids.ts";
 import type {
   GrantAnswer,
   GrantProgress,
--- a/packages/core/src/grants/commands/shed.ts
+++ b/packages/core/src/grants/commands/shed.ts
@@ -9,7 +9,7 @@
   type Waiting,
   worstRatio,
 } from "../queries/forecast.ts";
-import type { WorkspaceId } from "../../shared/ids.ts";
+import type { WorkspaceId } from "../../common/ids.ts";
 import type { WorkspaceShares } from "../shares.ts";
 
 /** Mean requests that may wait beyond what is forecast to be served. */
--- a/packages/core/src/grants/decode_replica.ts
+++ b/packages/core/src/grants/decode_replica.ts
@@ -1,7 +1,7 @@
 /** The slot and memory book of one decode replica: its last report plus what was granted since. */
 import type { Endpoint } from "../configuration/types.ts";
 import type { HeldRun, LoadReport } from "../ports/engines.ts";
-import type { EndpointId, StreamId } from "../shared/ids.ts";
+import type { EndpointId, StreamId } from "../common/ids.ts";
 import { Availability } from "./availability.ts";
 
 /** Tokens of one memory piece. */
--- a/packages/core/src/grants/home.ts
+++ b/packages/core/src/grants/home.ts
@@ -1,7 +1,7 @@
 /** The home of pool shards: reserves decode slots and names the prefill replica. */
 import type { ConfigurationView } from "../configuration/task.ts";
 import type { MembershipView } from "../membership/types.ts";
-import type { DataCentre, GrantId, ModelName } from "../shared/ids.ts";
+import type { DataCentre, GrantId, ModelName } from "../common/ids.ts";
 import type { VmContext } from "../vm/types.ts";
 import type { GrantsHandlers } from "./app.ts";
 import { reserveThenPrefill } from "./policies/reserve_then_prefill.ts";
--- a/packages/core/src/grants/lengths.ts
+++ b/packages/core/src/grants/lengths.ts
@@ -1,5 +1,5 @@
 /** Running estimate of output length for each workspace. */
-import type { WorkspaceId } from "../shared/ids.ts";
+import type { WorkspaceId } from "../common/ids.ts";
 
 const FIRST_GUESS_TOKENS = 300;
 const FIRST_GUESS_WEIGHT = 4;
--- a/packages/core/src/grants/link_book.ts
+++ b/packages/core/src/grants/link_book.ts
@@ -1,5 +1,5 @@
 /** The transfers out of one prefill replica, which share its link evenly. */
-import type { StreamId } from "../shared/ids.ts";
+import type { StreamId } from "../common/ids.ts";
 
 /** A transfer that will start. */
 export interface PlannedTransfer {
--- a/packages/core/src/grants/link_book_test.ts
+++ b/packages/core/src/grants/link_book_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { asId } from "../shared/ids.ts";
+import { asId } from "../common/ids.ts";
 import { LinkBook } from "./link_book.ts";
 
 test("Transfers share a link evenly", () => {
--- a/packages/core/src/grants/prefill_replica.ts
+++ b/packages/core/src/grants/prefill_replica.ts
@@ -1,7 +1,7 @@
 /** The queue and link book of one prefill replica. */
 import type { Endpoint } from "../configuration/types.ts";
 import type { LoadReport } from "../ports/engines.ts";
-import type { EndpointId, StreamId } from "../shared/ids.ts";
+import type { EndpointId, StreamId } from "../common/ids.ts";
 import { Availability } from "./availability.ts";
 import { LinkBook, type PlannedTransfer } from "./link_book.ts";
 import { PrefixHints } from "./prefixes.ts";
--- a/packages/core/src/grants/queries/choose_shard.ts
+++ b/packages/core/src/grants/queries/choose_shard.ts
@@ -1,8 +1,8 @@
 /** Splits a model's pool into shards, and orders them for one request. */
 import type { Endpoint } from "../../configuration/types.ts";
 import type { MembershipView } from "../../membership/types.ts";
-import { rankByRendezvous } from "../../shared/hash.ts";
-import type { DataCentre, ModelName, RequestKey } from "../../shared/ids.ts";
+import { rankByRendezvous } from "../../common/hash.ts";
+import type { DataCentre, ModelName, RequestKey } from "../../common/ids.ts";
 import type { ShardPlan } from "../types.ts";
 
 /** Replicas that one home can scan for each grant within its time. */
--- a/packages/core/src/grants/queries/choose_shard_test.ts
+++ b/packages/core/src/grants/queries/choose_shard_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
 import { EndpointSchema } from "../../configuration/types.ts";
-import { asId } from "../../shared/ids.ts";
+import { asId } from "../../common/ids.ts";
 import { chooseShards, planShards, SHARD_REPLICAS } from "./choose_shard.ts";
 
 function pool(prefills: number, decodes: number, dataCentres: string[]) {
--- a/packages/core/src/grants/queue.ts
+++ b/packages/core/src/grants/queue.ts
@@ -1,5 +1,5 @@
 /** Requests that wait at a shard's home for their grant. */
-import type { RequestKey, WorkspaceId } from "../shared/ids.ts";
+import type { RequestKey, WorkspaceId } from "../common/ids.ts";
 import type { Waiting } from "./queries/forecast.ts";
 import type { GrantAnswer } from "./types.ts";
 
--- a/packages/core/src/grants/shard.ts
+++ b/packages/core/src/grants/shard.ts
@@ -4,8 +4,8 @@
   type GrantId,
   type RequestKey,
   type WorkspaceId,
-} from "../shared/ids.ts";
-import type { NotRunReason } from "../shared/verdict.ts";
+} from "../common/ids.ts";
+import type { NotRunReason } from "../common/verdict.ts";
 import { chooseVictims } from "./commands/shed.ts";
 import {
   afterTransferMs,
--- a/packages/core/src/grants/shard_book.ts
+++ b/packages/core/src/grants/shard_book.ts
@@ -1,7 +1,7 @@
 /** The books of a shard's replicas, and the grants that fill them. */
 import type { Endpoint } from "../configuration/types.ts";
 import type { CacheEvent, LoadReport } from "../ports/engines.ts";
-import type { EndpointId, GrantId, StreamId } from "../shared/ids.ts";
+import type { EndpointId, GrantId, StreamId } from "../common/ids.ts";
 import { DecodeReplica } from "./decode_replica.ts";
 import { LengthEstimates } from "./lengths.ts";
 import type { Placement } from "./policies/types.ts";
--- a/packages/core/src/grants/shard_test.ts
+++ b/packages/core/src/grants/shard_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { EndpointSchema } from "../configuration/types.ts";
 import type { LoadReport } from "../ports/engines.ts";
-import { asId, type EndpointId, type RequestKey } from "../shared/ids.ts";
+import { asId, type EndpointId, type RequestKey } from "../common/ids.ts";
 import { reserveThenPrefill } from "./policies/reserve_then_prefill.ts";
 import { Shard } from "./shard.ts";
 import type { GrantAnswer, GrantRequest, ShardPlan } from "./types.ts";
--- a/packages/core/src/grants/shares.ts
+++ b/packages/core/src/grants/shares.ts
@@ -1,5 +1,5 @@
 /** Weighted shares of a shard between workspaces. */
-import type { WorkspaceId } from "../shared/ids.ts";
+import type { WorkspaceId } from "../common/ids.ts";
 
 /** Time after which earlier use counts a third. */
 const MEMORY_MS = 5_000;
--- a/packages/core/src/grants/types.ts
+++ b/packages/core/src/grants/types.ts
@@ -7,9 +7,9 @@
   StreamId,
   VmId,
   WorkspaceId,
-} from "../shared/ids.ts";
+} from "../common/ids.ts";
 import type { Endpoint } from "../configuration/types.ts";
-import type { NotRunReason } from "../shared/verdict.ts";
+import type { NotRunReason } from "../common/verdict.ts";
 
 /** What an owner asks of a shard's home. */
 export interface GrantRequest {
--- a/packages/core/src/membership/app.ts
+++ b/packages/core/src/membership/app.ts
@@ -1,6 +1,6 @@
 /** Peer methods of membership. */
-import { type App, createApp } from "../shared/app.ts";
-import type { Incarnation, VmId } from "../shared/ids.ts";
+import { type App, createApp } from "../common/app.ts";
+import type { Incarnation, VmId } from "../common/ids.ts";
 import type { MemberNews } from "./types.ts";
 
 /** What a probe carries, both ways. */
--- a/packages/core/src/membership/gone.ts
+++ b/packages/core/src/membership/gone.ts
@@ -1,6 +1,6 @@
 /** Finds evidence that one start of a VM has ended. */
 import type { RunOwner } from "../ports/engines.ts";
-import type { VmId } from "../shared/ids.ts";
+import type { VmId } from "../common/ids.ts";
 import { SUSPICION_MS } from "./machine.ts";
 import type { Prober } from "./prober.ts";
 import type { ViewTable } from "./view.ts";
--- a/packages/core/src/membership/machine.ts
+++ b/packages/core/src/membership/machine.ts
@@ -1,6 +1,6 @@
 /** What is believed of one other VM, as a pure machine. */
 import { assign, setup } from "xstate";
-import type { Incarnation } from "../shared/ids.ts";
+import type { Incarnation } from "../common/ids.ts";
 
 /** How long a VM may be unlisted and silent before it counts as dead. */
 export const SUSPICION_MS = 5_000;
--- a/packages/core/src/membership/machine_test.ts
+++ b/packages/core/src/membership/machine_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { asId } from "../shared/ids.ts";
+import { asId } from "../common/ids.ts";
 import type { MemberEvent } from "./machine.ts";
 import { SUSPICION_MS } from "./machine.ts";
 import { MemberRecord } from "./record.ts";
--- a/packages/core/src/membership/news_exchange.ts
+++ b/packages/core/src/membership/news_exchange.ts
@@ -1,5 +1,5 @@
 /** Puts news on probes and takes it off them. */
-import type { VmId } from "../shared/ids.ts";
+import type { VmId } from "../common/ids.ts";
 import type { VmContext } from "../vm/types.ts";
 import type { Probe } from "./app.ts";
 import type { Listing, MemberStatus } from "./machine.ts";
--- a/packages/core/src/membership/news_queue.ts
+++ b/packages/core/src/membership/news_queue.ts
@@ -1,5 +1,5 @@
 /** News of VMs that still has to be passed on, within a limit of bytes for each message. */
-import type { VmId } from "../shared/ids.ts";
+import type { VmId } from "../common/ids.ts";
 import type { MemberNews } from "./types.ts";
 
 /** Most bytes of news on one probe or answer. */
--- a/packages/core/src/membership/prober.ts
+++ b/packages/core/src/membership/prober.ts
@@ -1,5 +1,5 @@
 /** Probes VMs: directly, on a fresh connection, and through others. */
-import type { VmId } from "../shared/ids.ts";
+import type { VmId } from "../common/ids.ts";
 import type { VmContext } from "../vm/types.ts";
 import type { NewsExchange } from "./news_exchange.ts";
 import type { MemberRecord } from "./record.ts";
--- a/packages/core/src/membership/queries/home.ts
+++ b/packages/core/src/membership/queries/home.ts
@@ -1,5 +1,5 @@
 /** Finds the homes of keys by rendezvous hashing, fast enough for every request. */
-import { hashNumber } from "../../shared/hash.ts";
+import { hashNumber } from "../../common/hash.ts";
 import type { Member } from "../types.ts";
 
 const MAX_CACHED_KEYS = 10_000;
--- a/packages/core/src/membership/queries/home_test.ts
+++ b/packages/core/src/membership/queries/home_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { asId } from "../../shared/ids.ts";
+import { asId } from "../../common/ids.ts";
 import type { Member } from "../types.ts";
 import { HomeRanking } from "./home.ts";
 
--- a/packages/core/src/membership/record.ts
+++ b/packages/core/src/membership/record.ts
@@ -1,6 +1,6 @@
 /** One other VM: its place and the machine that says what is believed of it. */
-import type { VmId } from "../shared/ids.ts";
-import { MachineTask } from "../shared/machine_task.ts";
+import type { VmId } from "../common/ids.ts";
+import { MachineTask } from "../common/machine_task.ts";
 import {
   type Listing,
   type MemberEvent,
--- a/packages/core/src/membership/task.ts
+++ b/packages/core/src/membership/task.ts
@@ -1,6 +1,6 @@
 /** Keeps the view of VMs: seeded by the platform's list, kept fresh by probes. */
 import type { RunOwner } from "../ports/engines.ts";
-import type { VmId } from "../shared/ids.ts";
+import type { VmId } from "../common/ids.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
 import type { Probe } from "./app.ts";
 import { GoneCheck } from "./gone.ts";
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -1,6 +1,6 @@
 /** The VMs of the deployment as one of them sees them. */
 import type { RunOwner } from "../ports/engines.ts";
-import type { DataCentre, Incarnation, Region, VmId } from "../shared/ids.ts";
+import type { DataCentre, Incarnation, Region, VmId } from "../common/ids.ts";
 
 /** A VM's own identity, from its settings and its start. */
 export interface VmIdentity {
--- a/packages/core/src/membership/view.ts
+++ b/packages/core/src/membership/view.ts
@@ -1,6 +1,6 @@
 /** The table of VMs that one VM keeps, with what is derived from it. */
-import { hashNumber } from "../shared/hash.ts";
-import type { VmId } from "../shared/ids.ts";
+import { hashNumber } from "../common/hash.ts";
+import type { VmId } from "../common/ids.ts";
 import { HomeRanking } from "./queries/home.ts";
 import type { MemberRecord } from "./record.ts";
 import type {
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -1,10 +1,10 @@
 /** The decisions of teaselvalve, free of sockets. */
-export * from "./shared/ids.ts";
-export * from "./shared/verdict.ts";
-export * from "./shared/hash.ts";
-export * from "./shared/app.ts";
-export * from "./shared/machine_task.ts";
-export * from "./shared/observe.ts";
+export * from "./common/ids.ts";
+export * from "./common/verdict.ts";
+export * from "./common/hash.ts";
+export * from "./common/app.ts";
+export * from "./common/machine_task.ts";
+export * from "./common/observe.ts";
 export * from "./ports/platform.ts";
 export * from "./ports/engines.ts";
 export * from "./ports/services.ts";
--- a/packages/core/src/orders/lease.ts
+++ b/packages/core/src/orders/lease.ts
@@ -1,7 +1,7 @@
 /** Carries out what a shard's lease asks of the table service. */
 import type { Json, PlatformPort } from "../ports/platform.ts";
-import type { ModelName } from "../shared/ids.ts";
-import { type Effect, MachineTask } from "../shared/machine_task.ts";
+import type { ModelName } from "../common/ids.ts";
+import { type Effect, MachineTask } from "../common/machine_task.ts";
 import type { VmContext } from "../vm/types.ts";
 import {
   type LeaseEffect,
--- a/packages/core/src/orders/task.ts
+++ b/packages/core/src/orders/task.ts
@@ -3,7 +3,7 @@
 import type { Deployment, Endpoint } from "../configuration/types.ts";
 import type { MembershipView } from "../membership/types.ts";
 import type { LoadReport } from "../ports/engines.ts";
-import type { EndpointId, ModelName } from "../shared/ids.ts";
+import type { EndpointId, ModelName } from "../common/ids.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
 import { ShardLease } from "./lease.ts";
 import {
--- a/packages/core/src/orders/types.ts
+++ b/packages/core/src/orders/types.ts
@@ -1,5 +1,5 @@
 /** Orders to engines and the lease under which they are given. */
-import type { Incarnation, ModelName } from "../shared/ids.ts";
+import type { Incarnation, ModelName } from "../common/ids.ts";
 
 /** The table of leases. */
 export const ORDERS_TABLE = "orders";
--- a/packages/core/src/ports/engines.ts
+++ b/packages/core/src/ports/engines.ts
@@ -7,7 +7,7 @@
   RequestKey,
   StreamId,
   VmId,
-} from "../shared/ids.ts";
+} from "../common/ids.ts";
 
 /** Where an engine is reached. */
 export interface EndpointRef {
--- a/packages/core/src/ports/peers.ts
+++ b/packages/core/src/ports/peers.ts
@@ -1,6 +1,6 @@
 /** Calls to the other VMs. */
 import type { Result } from "neverthrow";
-import type { ParamsOf, ResultOf } from "../shared/app.ts";
+import type { ParamsOf, ResultOf } from "../common/app.ts";
 import type { PeerHandlers } from "../peers/types.ts";
 
 /** Where a VM's peer interface is reached. */
--- a/packages/core/src/ports/platform.ts
+++ b/packages/core/src/ports/platform.ts
@@ -1,6 +1,6 @@
 /** The platform's services as the system sees them. */
 import type { Result } from "neverthrow";
-import type { DataCentre, Region, VmId } from "../shared/ids.ts";
+import type { DataCentre, Region, VmId } from "../common/ids.ts";
 
 /** A value that a row can hold. */
 export type Json =
--- a/packages/core/src/quotas/app.ts
+++ b/packages/core/src/quotas/app.ts
@@ -1,6 +1,6 @@
 /** Peer methods of quotas. */
-import { type App, createApp } from "../shared/app.ts";
-import type { Incarnation, WorkspaceId } from "../shared/ids.ts";
+import { type App, createApp } from "../common/app.ts";
+import type { Incarnation, WorkspaceId } from "../common/ids.ts";
 
 /** What a VM asks of a workspace's home; one question at a time for each workspace. */
 export interface DrawRequest {
--- a/packages/core/src/quotas/home.ts
+++ b/packages/core/src/quotas/home.ts
@@ -1,6 +1,6 @@
 /** The home of a workspace's quota: admits requests of all VMs out of one account. */
 import type { Quota } from "../configuration/types.ts";
-import type { Incarnation, WorkspaceId } from "../shared/ids.ts";
+import type { Incarnation, WorkspaceId } from "../common/ids.ts";
 import type { DrawAnswer, DrawRequest } from "./app.ts";
 import { RateBucket } from "./bucket.ts";
 
--- a/packages/core/src/quotas/limited.ts
+++ b/packages/core/src/quotas/limited.ts
@@ -8,13 +8,13 @@
   SummaryRequest,
   SummarySink,
 } from "../summaries/types.ts";
-import { requestKey } from "../shared/ids.ts";
+import { requestKey } from "../common/ids.ts";
 import {
   type NotRun,
   notRun,
   type Refusal,
   refuse,
-} from "../shared/verdict.ts";
+} from "../common/verdict.ts";
 import type { Admitted, QuotaAdmission } from "./task.ts";
 
 /** Calls that ask for admission first; they cost no tokens. */
--- a/packages/core/src/reports/task_test.ts
+++ b/packages/core/src/reports/task_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
 import type { Member, MembershipView } from "../membership/types.ts";
-import { asId } from "../shared/ids.ts";
+import { asId } from "../common/ids.ts";
 import type { VmContext } from "../vm/types.ts";
 import { rankHomes } from "./homes.ts";
 import { ReportsTask } from "./task.ts";
--- a/packages/core/src/retries/budget.ts
+++ b/packages/core/src/retries/budget.ts
@@ -1,5 +1,5 @@
 /** Keeps retries to a share of the load that was admitted, for each workspace. */
-import type { WorkspaceId } from "../shared/ids.ts";
+import type { WorkspaceId } from "../common/ids.ts";
 import type { VmContext } from "../vm/types.ts";
 
 /** Retries that a workspace may make before it has admitted anything. */
--- a/packages/core/src/retries/budget_test.ts
+++ b/packages/core/src/retries/budget_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { asId, type WorkspaceId } from "../shared/ids.ts";
+import { asId, type WorkspaceId } from "../common/ids.ts";
 import type { VmContext } from "../vm/types.ts";
 import { backOffMs, RetryBudget } from "./budget.ts";
 
--- a/packages/core/src/summaries/admission.ts
+++ b/packages/core/src/summaries/admission.ts
@@ -2,7 +2,7 @@
 import type { GrantRequest } from "../grants/types.ts";
 import type { SuspectBook } from "../suspects/book.ts";
 import type { SuspectHash, SuspectRun } from "../suspects/types.ts";
-import { notRun, type Refusal } from "../shared/verdict.ts";
+import { notRun, type Refusal } from "../common/verdict.ts";
 import type { GrantHold, GrantsClient } from "./grants_client.ts";
 
 /** What an attempt was told. */
--- a/packages/core/src/summaries/admission_stage.ts
+++ b/packages/core/src/summaries/admission_stage.ts
@@ -1,7 +1,7 @@
 /** Gets an attempt admitted: a suspect's record and a grant, after back-off where it is a retry. */
 import type { GrantRequest } from "../grants/types.ts";
 import { backOffMs } from "../retries/budget.ts";
-import { notRun } from "../shared/verdict.ts";
+import { notRun } from "../common/verdict.ts";
 import {
   type AdmissionOptions,
   type AdmissionOutcome,
--- a/packages/core/src/summaries/alive.ts
+++ b/packages/core/src/summaries/alive.ts
@@ -1,6 +1,6 @@
 /** Asks a VM whether it runs, over a connection that can't have gone silent. */
 import type { PeerPort, PeerRef } from "../ports/peers.ts";
-import type { Incarnation } from "../shared/ids.ts";
+import type { Incarnation } from "../common/ids.ts";
 
 const ALIVE_TIMEOUT_MS = 300;
 
--- a/packages/core/src/summaries/app.ts
+++ b/packages/core/src/summaries/app.ts
@@ -1,7 +1,7 @@
 /** Peer methods of summaries. */
-import { type App, createApp } from "../shared/app.ts";
+import { type App, createApp } from "../common/app.ts";
 import type { EndpointRef, RunOwner } from "../ports/engines.ts";
-import type { Incarnation, RequestKey, StreamId } from "../shared/ids.ts";
+import type { Incarnation, RequestKey, StreamId } from "../common/ids.ts";
 import type { Registration } from "./types.ts";
 
 /** A home's answer to a registration. */
--- a/packages/core/src/summaries/attempt.ts
+++ b/packages/core/src/summaries/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt at a summary: a stream id and all that holds something for it. */
 import type { Endpoint } from "../configuration/types.ts";
 import type { GrantRequest } from "../grants/types.ts";
-import type { StreamId } from "../shared/ids.ts";
+import type { StreamId } from "../common/ids.ts";
 import type { SuspectRun } from "../suspects/types.ts";
 import type { GrantHold } from "./grants_client.ts";
 import type { RunLocation } from "./types.ts";
--- a/packages/core/src/summaries/cancels.ts
+++ b/packages/core/src/summaries/cancels.ts
@@ -1,7 +1,7 @@
 /** Cancels runs at engines until each engine has acknowledged, or no longer lists the run. */
 import type { Endpoint } from "../configuration/types.ts";
 import type { ConfigurationView } from "../configuration/task.ts";
-import type { StreamId } from "../shared/ids.ts";
+import type { StreamId } from "../common/ids.ts";
 import type { VmContext } from "../vm/types.ts";
 
 const CANCEL_TIMEOUT_MS = 500;
--- a/packages/core/src/summaries/engine_stage.ts
+++ b/packages/core/src/summaries/engine_stage.ts
@@ -5,7 +5,7 @@
   StreamEvent,
 } from "../ports/engines.ts";
 import type { RetryReason } from "../retries/budget.ts";
-import { mayHaveRun } from "../shared/verdict.ts";
+import { mayHaveRun } from "../common/verdict.ts";
 import type { Attempt } from "./attempt.ts";
 import { type FailureStage, planAfterFailure } from "./failures.ts";
 import { MAX_ATTACHES } from "./machine.ts";
--- a/packages/core/src/summaries/home.ts
+++ b/packages/core/src/summaries/home.ts
@@ -1,5 +1,5 @@
 /** The home of request keys: knows which VM runs a summary. */
-import type { RequestKey } from "../shared/ids.ts";
+import type { RequestKey } from "../common/ids.ts";
 import type { RegisterAnswer } from "./app.ts";
 import type { Registration } from "./types.ts";
 
--- a/packages/core/src/summaries/home_test.ts
+++ b/packages/core/src/summaries/home_test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { asId } from "../shared/ids.ts";
+import { asId } from "../common/ids.ts";
 import { ANSWERED_KEPT_MS, SummariesHome } from "./home.ts";
 import type { Registration } from "./types.ts";
 
--- a/packages/core/src/summaries/keys.ts
+++ b/packages/core/src/summaries/keys.ts
@@ -1,6 +1,6 @@
 /** Keys of summaries: a request id belongs to the caller that made it. */
-import { asId, type Digest, type RequestKey } from "../shared/ids.ts";
-import { digest } from "../shared/hash.ts";
+import { asId, type Digest, type RequestKey } from "../common/ids.ts";
+import { digest } from "../common/hash.ts";
 import type { SummaryRequest } from "./types.ts";
 
 const DIGEST_LENGTH = 16;
--- a/packages/core/src/summaries/machine.ts
+++ b/packages/core/src/summaries/machine.ts
@@ -1,6 +1,6 @@
 /** The life of one summary at the VM that owns it. Tokens pass by it. */
 import { assign, setup } from "xstate";
-import type { Refusal } from "../shared/verdict.ts";
+import type { Refusal } from "../common/verdict.ts";
 
 /** Attachments in a row without a token before the run is given up. */
 export const MAX_ATTACHES = 2;
--- a/packages/core/src/summaries/prompt.ts
+++ b/packages/core/src/summaries/prompt.ts
@@ -1,6 +1,6 @@
 /** What the router derives of a prompt. */
 import type { Prompt } from "../ports/engines.ts";
-import { digest } from "../shared/hash.ts";
+import { digest } from "../common/hash.ts";
 
 /** Characters that make a token, on average; engines bill by their own count. */
 export const CHARACTERS_PER_TOKEN = 4;
--- a/packages/core/src/summaries/relay.ts
+++ b/packages/core/src/summaries/relay.ts
@@ -1,6 +1,6 @@
 /** Passes an answer's tokens to the caller: each token once, in order, of one text. */
 import type { StreamEvent } from "../ports/engines.ts";
-import type { Refusal } from "../shared/verdict.ts";
+import type { Refusal } from "../common/verdict.ts";
 import type { SummarySink } from "./types.ts";
 
 type TokensEvent = Extract<StreamEvent, { kind: "tokens" }>;
--- a/packages/core/src/summaries/relay_test.ts
+++ b/packages/core/src/summaries/relay_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { mayHaveRun } from "../shared/verdict.ts";
+import { mayHaveRun } from "../common/verdict.ts";
 import { SUMMARY_POLICIES } from "./policies.ts";
 import { AnswerRelay } from "./relay.ts";
 import type { SummaryEvent } from "./types.ts";
--- a/packages/core/src/summaries/run.ts
+++ b/packages/core/src/summaries/run.ts
@@ -1,7 +1,7 @@
 /** One summary at the VM that owns it: carries out what its machine decides. */
-import { type RequestKey, requestKey, type StreamId } from "../shared/ids.ts";
-import { type Effect, MachineTask } from "../shared/machine_task.ts";
-import { mayHaveRun, notRun, type Refusal } from "../shared/verdict.ts";
+import { type RequestKey, requestKey, type StreamId } from "../common/ids.ts";
+import { type Effect, MachineTask } from "../common/machine_task.ts";
+import { mayHaveRun, notRun, type Refusal } from "../common/verdict.ts";
 import { AdmissionStage } from "./admission_stage.ts";
 import { ClaimStage } from "./claim_stage.ts";
 import { EngineStage } from "./engine_stage.ts";
--- a/packages/core/src/summaries/run_state.ts
+++ b/packages/core/src/summaries/run_state.ts
@@ -10,9 +10,9 @@
   type EndpointId,
   type RequestKey,
   type StreamId,
-} from "../shared/ids.ts";
-import type { MachineTask } from "../shared/machine_task.ts";
-import { mayHaveRun, notRun, type Refusal } from "../shared/verdict.ts";
+} from "../common/ids.ts";
+import type { MachineTask } from "../common/machine_task.ts";
+import { mayHaveRun, notRun, type Refusal } from "../common/verdict.ts";
 import { type SuspectBook, suspectHash } from "../suspects/book.ts";
 import type { SuspectHash } from "../suspects/types.ts";
 import type { VmContext } from "../vm/types.ts";
--- a/packages/core/src/summaries/sweep.ts
+++ b/packages/core/src/summaries/sweep.ts
@@ -4,7 +4,7 @@
 import type { MembershipView } from "../membership/types.ts";
 import type { HeldRun, RunOwner } from "../ports/engines.ts";
 import type { ReceivedReport, ReportsView } from "../reports/types.ts";
-import type { RequestKey, StreamId } from "../shared/ids.ts";
+import type { RequestKey, StreamId } from "../common/ids.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
 import { askIncarnation } from "./alive.ts";
 import type { ListedRun } from "./app.ts";
--- a/packages/core/src/summaries/types.ts
+++ b/packages/core/src/summaries/types.ts
@@ -9,8 +9,8 @@
   RequestKey,
   StreamId,
   WorkspaceId,
-} from "../shared/ids.ts";
-import type { Refusal } from "../shared/verdict.ts";
+} from "../common/ids.ts";
+import type { Refusal } from "../common/verdict.ts";
 
 /** A summary as it comes from a caller. */
 export interface SummaryRequest {
--- a/packages/core/src/suspects/app.ts
+++ b/packages/core/src/suspects/app.ts
@@ -1,5 +1,5 @@
 /** Peer methods of suspects. */
-import { type App, createApp } from "../shared/app.ts";
+import { type App, createApp } from "../common/app.ts";
 import type { Admission, RunEnding, SuspectNews, SuspectRun } from "./types.ts";
 
 /** Peer methods of suspects. */
--- a/packages/core/src/suspects/book.ts
+++ b/packages/core/src/suspects/book.ts
@@ -1,9 +1,9 @@
 /** Asks before each run whether a request may run, and tells what became of it. */
 import type { Member, MembershipView } from "../membership/types.ts";
 import { rankHomes } from "../reports/homes.ts";
-import type { EndpointId, WorkspaceId } from "../shared/ids.ts";
-import { asId } from "../shared/ids.ts";
-import { digest } from "../shared/hash.ts";
+import type { EndpointId, WorkspaceId } from "../common/ids.ts";
+import { asId } from "../common/ids.ts";
+import { digest } from "../common/hash.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
 import type { SuspectsHandlers } from "./app.ts";
 import { readConvictions, writeConviction } from "./convictions.ts";
--- a/packages/core/src/suspects/home.ts
+++ b/packages/core/src/suspects/home.ts
@@ -1,6 +1,6 @@
 /** The home of request bodies: decides which may run, and which alone. */
 import type { MembershipView } from "../membership/types.ts";
-import { MachineTask } from "../shared/machine_task.ts";
+import { MachineTask } from "../common/machine_task.ts";
 import { standingMachine } from "./machine.ts";
 import type {
   Admission,
--- a/packages/core/src/suspects/home_test.ts
+++ b/packages/core/src/suspects/home_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import type { MembershipView } from "../membership/types.ts";
-import { asId } from "../shared/ids.ts";
+import { asId } from "../common/ids.ts";
 import { SuspectsHome } from "./home.ts";
 import type { SuspectHash, SuspectNews, SuspectRun } from "./types.ts";
 
--- a/packages/core/src/suspects/suspicions.ts
+++ b/packages/core/src/suspects/suspicions.ts
@@ -1,6 +1,6 @@
 /** Suspicions as rows of the table service: they hold where VMs can't reach each other. */
 import type { Json, PlatformPort, Row } from "../ports/platform.ts";
-import type { EndpointId } from "../shared/ids.ts";
+import type { EndpointId } from "../common/ids.ts";
 import type { SuspectHash, SuspectRun, SuspectRunId } from "./types.ts";
 
 /** The table of suspicions, by hash. */
--- a/packages/core/src/suspects/types.ts
+++ b/packages/core/src/suspects/types.ts
@@ -1,5 +1,5 @@
 /** Requests that crash what runs them: suspicion, a run alone, conviction. */
-import type { EndpointId, Id, Incarnation, VmId } from "../shared/ids.ts";
+import type { EndpointId, Id, Incarnation, VmId } from "../common/ids.ts";
 
 /** Hash of a request's workspace and body; a resend under a new key has the same. */
 export type SuspectHash = Id<"suspect-hash">;
--- a/packages/core/src/vm/planned_stop.ts
+++ b/packages/core/src/vm/planned_stop.ts
@@ -1,6 +1,6 @@
 /** Stops a VM without cutting off what it has in progress. */
 import type { MembershipTask } from "../membership/task.ts";
-import { MachineTask } from "../shared/machine_task.ts";
+import { MachineTask } from "../common/machine_task.ts";
 import type { InProgressCount } from "./in_progress.ts";
 import {
   type CutReason,
--- a/packages/core/src/vm/request_gate.ts
+++ b/packages/core/src/vm/request_gate.ts
@@ -1,8 +1,8 @@
 /** Where requests of callers enter a VM: counted, refused while it stops, cut off at its end. */
 import type { CallsTask } from "../calls/task.ts";
 import type { CallVerdict } from "../calls/types.ts";
-import { requestKey } from "../shared/ids.ts";
-import { mayHaveRun, notRun, type Refusal, refuse } from "../shared/verdict.ts";
+import { requestKey } from "../common/ids.ts";
+import { mayHaveRun, notRun, type Refusal, refuse } from "../common/verdict.ts";
 import type { SummariesTask } from "../summaries/task.ts";
 import type {
   SummaryEvent,
--- a/packages/core/src/vm/request_gate_test.ts
+++ b/packages/core/src/vm/request_gate_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
-import { asId, type RequestKey } from "../shared/ids.ts";
-import { notRun } from "../shared/verdict.ts";
+import { asId, type RequestKey } from "../common/ids.ts";
+import { notRun } from "../common/verdict.ts";
 import type {
   SummaryEvent,
   SummaryHandle,
--- a/packages/core/src/vm/types.ts
+++ b/packages/core/src/vm/types.ts
@@ -9,7 +9,7 @@
 import type { MembershipPolicies } from "../membership/view.ts";
 import type { VmIdentity } from "../membership/types.ts";
 import type { SummaryPolicies } from "../summaries/policies.ts";
-import type { Observer } from "../shared/observe.ts";
+import type { Observer } from "../common/observe.ts";
 import type { InProgress } from "./in_progress.ts";
 import type { StopPolicies } from "./planned_stop.ts";
 
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -23,7 +23,7 @@
 import { InProgressCount } from "./in_progress.ts";
 import { PlannedStop, type StopOutcome } from "./planned_stop.ts";
 import type { CutReason } from "./stop_machine.ts";
-import type { Refusal } from "../shared/verdict.ts";
+import type { Refusal } from "../common/verdict.ts";
 import type { VmContext, VmPolicies } from "./types.ts";
 
 const DEFAULT_CONVICTION_MS = 3_600_000;
