Summaries: a hand-over that nobody takes is cancelled; a new VM probes while it waits for its configuration

Change: the earlier owner looks at the replica's load report after 2 s and cancels what is still listed under it. A new VM joins after 500 ms at the latest, as the probes tell it which peers live while the platform is down.

--- a/packages/bench/src/fuzz/domains/summaries_checks.ts
+++ b/packages/bench/src/fuzz/domains/summaries_checks.ts
@@ -6,6 +6,7 @@
   lengthFromPrompt,
   tokenAt,
 } from "@teaselvalve/fakes";
+import type { CallerSummary } from "../../world/caller.ts";
 import type { World } from "../../world/world.ts";
 import { type Check, type FuzzModel, partOf } from "../frame.ts";
 import { FAULTS, type FaultsPart } from "./faults.ts";
@@ -24,6 +25,8 @@
 /** Longer than a request takes from its caller to a VM. */
 const ARRIVAL_MS = 10;
 const MAX_REPLICAS_LOST = 3;
+/** How long callers keep an address answer in a world. */
+const ADDRESS_TTL_MS = 10_000;
 const SHOWN_LENGTH = 60;
 /** Refusals that a request may get where nothing has failed. */
 const FAIR_REFUSALS = new Set([
@@ -198,6 +201,7 @@
       return [];
     }
     if (at.world.wasUnlisted(attachment.summary)) return [];
+    if (wasToldElsewhere(at.world, attachment.summary)) return [];
     // A caller that closes one connection while it resumes on another ends the run.
     const ended = attachment.summary.request.fromOffset > 0 &&
       part.attachments.some((one) =>
@@ -218,6 +222,17 @@
     )
   ));
 
+/** Whether every address answer that named the VM had run out when it was asked. */
+function wasToldElsewhere(
+  world: World,
+  { vm, askedAtMs, last }: CallerSummary,
+): boolean {
+  const wallAtStartMs = Date.now() - performance.now();
+  const begunAtMs = wallAtStartMs + (world.stopsBegunAtMs.get(vm) ?? Infinity);
+  return last?.kind === "refused" && last.refusal.reason === "stopping" &&
+    askedAtMs - begunAtMs >= ADDRESS_TTL_MS;
+}
+
 /** Notes what the checks need to know of faults; the first check of each step. */
 const noteFaults = check("faults", "always", (part, at) => {
   const { faults, world } = at;
--- /dev/null
+++ b/packages/core/src/summaries/hand_overs_test.ts
@@ -0,0 +1,63 @@
+import { ok } from "neverthrow";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { EndpointSchema } from "../configuration/types.ts";
+import { asId, type StreamId } from "../common/ids.ts";
+import type { VmContext } from "../vm/types.ts";
+import type { CancelBook } from "./cancels.ts";
+import { HandOverBook } from "./hand_overs.ts";
+
+const STREAM = asId<StreamId>("vm-1-s1");
+const DECODE = EndpointSchema.parse({
+  id: "decode-1",
+  kind: "decode",
+  address: "decode-1",
+  dataCentre: "a",
+  model: "m",
+});
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+/** Hands a run over and lists the streams that were cancelled 10 s later. */
+async function handOver(
+  listedOwner: string | null,
+  holds = false,
+): Promise<StreamId[]> {
+  const cancelled: StreamId[] = [];
+  const runs = listedOwner === null
+    ? []
+    : [{ stream: STREAM, owner: { vm: "vm", incarnation: listedOwner } }];
+  const context = {
+    identity: { id: "vm-1", incarnation: "vm-1-boot" },
+    ports: {
+      engines: { report: () => Promise.resolve(ok({ ageMs: 800, runs })) },
+    },
+    observer: { log() {}, count() {} },
+  } as unknown as VmContext;
+  const cancels = {
+    cancel: (_endpoint: unknown, stream: StreamId) => cancelled.push(stream),
+  } as unknown as CancelBook;
+  const book = new HandOverBook(context, { cancels, holds: () => holds });
+  book.watch(DECODE, STREAM);
+  await vi.advanceTimersByTimeAsync(10_000);
+  book.stop();
+  return cancelled;
+}
+
+test("A run that was handed over and not taken is cancelled", async () => {
+  expect(await handOver("vm-1-boot")).toEqual([STREAM]);
+});
+
+test("A run that another VM has taken, or that ended, is left alone", async () => {
+  expect(await handOver("vm-2-boot")).toEqual([]);
+  expect(await handOver(null)).toEqual([]);
+});
+
+test("A run that came back to this VM is left alone", async () => {
+  expect(await handOver("vm-1-boot", true)).toEqual([]);
+});
--- a/packages/core/src/summaries/run.ts
+++ b/packages/core/src/summaries/run.ts
@@ -93,6 +93,11 @@
     return registration;
   }
 
+  /** Whether this run is what an engine lists under a stream. */
+  holds(stream: StreamId): boolean {
+    return this.#state.attempt?.stream === stream;
+  }
+
   /** Whether an operator's name for a summary means this one. */
   hasName(key: RequestKey): boolean {
     const { workspace, request } = this.#state.request;
--- a/packages/core/src/summaries/run_state.ts
+++ b/packages/core/src/summaries/run_state.ts
@@ -18,6 +18,7 @@
 import type { VmContext } from "../vm/types.ts";
 import { type Attempt, locationOf } from "./attempt.ts";
 import type { CancelBook } from "./cancels.ts";
+import type { HandOverBook } from "./hand_overs.ts";
 import type { FreezeWatch } from "./freeze_watch.ts";
 import type { GrantsClient } from "./grants_client.ts";
 import { engineKey, summaryBody, summaryDigest, summaryKey } from "./keys.ts";
@@ -35,6 +36,7 @@
   registrar: Registrar;
   grants: GrantsClient;
   cancels: CancelBook;
+  handOvers: HandOverBook;
   suspects: SuspectBook;
   retries: RetryBudget;
   policies: SummaryPolicies;
@@ -183,6 +185,9 @@
     this.send({ type: "superseded", refusal, keepsRun });
     const attempt = this.attempt;
     if (!keepsRun || !attempt) return;
+    for (const holder of attempt.holders) {
+      this.options.handOvers.watch(holder, attempt.stream);
+    }
     if (attempt.suspect) this.options.suspects.released(attempt.suspect);
     if (attempt.hold) this.options.grants.handOver(attempt.hold);
   }
--- a/packages/core/src/summaries/task.ts
+++ b/packages/core/src/summaries/task.ts
@@ -9,6 +9,7 @@
 import type { VmContext, VmTask } from "../vm/types.ts";
 import type { SummariesHandlers } from "./app.ts";
 import { CancelBook } from "./cancels.ts";
+import { HandOverBook } from "./hand_overs.ts";
 import { FreezeWatch } from "./freeze_watch.ts";
 import { GrantsClient } from "./grants_client.ts";
 import { SummariesHome } from "./home.ts";
@@ -44,6 +45,7 @@
   #registrar: Registrar;
   #grants: GrantsClient;
   #cancels: CancelBook;
+  #handOvers: HandOverBook;
   #sweep: OrphanSweep;
   #watch: FreezeWatch;
   #timer: ReturnType<typeof setInterval> | undefined;
@@ -60,6 +62,11 @@
       configuration,
       repeats: this.#policies.repeatsCancel,
     });
+    this.#handOvers = new HandOverBook(context, {
+      cancels: this.#cancels,
+      holds: (stream) =>
+        [...this.#runs.values()].some((run) => run.holds(stream)),
+    });
     this.#home = new SummariesHome({
       onReplaced: (older, newer) => {
         const owner = membership.member(older.owner.vm);
@@ -100,6 +107,7 @@
   stop(): void {
     this.#removeListener();
     this.#sleep();
+    this.#handOvers.stop();
     this.#sweep.stop();
     this.#home.stop();
   }
@@ -150,6 +158,7 @@
       registrar: this.#registrar,
       grants: this.#grants,
       cancels: this.#cancels,
+      handOvers: this.#handOvers,
       suspects,
       retries,
       policies: this.#policies,
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -29,6 +29,9 @@
 const DEFAULT_CONVICTION_MS = 3_600_000;
 const DEFAULT_ADDRESS_TTL_MS = 10_000;
 
+/** How long a new VM stays unknown to others while it reads its configuration. */
+const FIRST_READ_MS = 500;
+
 /** One entry VM: its tasks and the methods that its peers may call. */
 export class Vm {
   readonly context: VmContext;
@@ -152,8 +155,11 @@
   async start(): Promise<void> {
     await this.membership.seed();
     // The others give this VM keys as soon as they know it, and it can't serve them before it is configured.
-    await this.configuration.start();
+    const configured = this.configuration.start();
+    await Promise.race([configured, wait(FIRST_READ_MS)]);
+    // With the platform down it is the probes that tell which peers can be asked.
     await this.membership.start();
+    await configured;
     this.quotas.start();
     this.orders.start();
     this.#plannedStop.start();
@@ -192,3 +198,7 @@
     this.membership.stop();
   }
 }
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
