--- a/packages/core/src/reports/task.ts
+++ b/packages/core/src/reports/task.ts
@@ -9,7 +9,7 @@
 import type { ShardPlan } from "../grants/types.ts";
 import type { Member, MembershipView } from "../membership/types.ts";
 import type { VmContext, VmTask } from "../vm/types.ts";
-import { rankHomes } from "./homes.ts";
+import { rankShardHomes } from "./homes.ts";
 import type { ReceivedReport, ReportListener, ReportsView } from "./types.ts";
 
 const POLL_INTERVAL_MS = 1_000;
@@ -71,7 +71,7 @@
   /** The home looks after a shard; the next in turn does while it doesn't answer. */
   async #looksAfter(shard: ShardPlan): Promise<boolean> {
     const { membership, answers } = this.#options;
-    const ranked = rankHomes(membership, shardHomeKey(shard), MAX_HOMES);
+    const ranked = rankShardHomes(membership, shardHomeKey(shard), MAX_HOMES);
     const own = ranked.findIndex((member) => member.id === membership.self.id);
     if (own === -1) return false;
     const before = await Promise.all(ranked.slice(0, own).map(answers));
--- a/packages/core/src/summaries/grants_client.ts
+++ b/packages/core/src/summaries/grants_client.ts
@@ -12,7 +12,7 @@
   HeldGrant,
 } from "../grants/types.ts";
 import type { Member, MembershipView } from "../membership/types.ts";
-import { rankHomes } from "../reports/homes.ts";
+import { rankShardHomes } from "../reports/homes.ts";
 import type { VmContext } from "../vm/types.ts";
 import { askIncarnation } from "./alive.ts";
 
@@ -125,7 +125,9 @@
     request: GrantRequest,
     homeKey: string,
   ): Promise<GrantOutcome> {
-    for (const home of rankHomes(this.#options.membership, homeKey, HOMES)) {
+    for (
+      const home of rankShardHomes(this.#options.membership, homeKey, HOMES)
+    ) {
       const answer = await this.#askHome(home, request);
       if (!answer) {
         this.#withdrawAt(home, request);
--- a/packages/core/src/summaries/registrar.ts
+++ b/packages/core/src/summaries/registrar.ts
@@ -3,7 +3,7 @@
 import type { PeerRef } from "../ports/peers.ts";
 import type { ConfigurationView } from "../configuration/task.ts";
 import { planShards, shardHomeKey } from "../grants/queries/choose_shard.ts";
-import { rankHomes } from "../reports/homes.ts";
+import { rankHomes, rankShardHomes } from "../reports/homes.ts";
 import type { ModelName, RequestKey } from "../common/ids.ts";
 import { mayHaveRun, notRun, type Refusal } from "../common/verdict.ts";
 import type { VmContext } from "../vm/types.ts";
@@ -169,7 +169,7 @@
     const { configuration, membership } = this.#options;
     const endpoints = configuration.current()?.bodies.endpoints ?? [];
     const homes = planShards(endpoints, { model }).flatMap((shard) =>
-      rankHomes(membership, shardHomeKey(shard), HOMES)
+      rankShardHomes(membership, shardHomeKey(shard), HOMES)
     );
     for (const home of homes) {
       const answer = await this.#context.ports.peers.call(
--- a/packages/core/src/suspects/book.ts
+++ b/packages/core/src/suspects/book.ts
@@ -22,7 +22,8 @@
 const TELL_TIMEOUT_MS = 1_000;
 const TELL_ATTEMPTS = 5;
 const UPKEEP_INTERVAL_MS = 1_000;
-const READ_INTERVAL_MS = 10_000;
+/** Convictions reach the VMs that are up by news; the rows are for what the news missed. */
+const READ_INTERVAL_MS = 60_000;
 /** A home and the witness of its runs alone. */
 const HOMES = 2;
 const BUSY_RETRY_MS = 500;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -58,6 +58,7 @@
     address: listen.peers,
     tls: tls.peers,
     requestLevel: "debug",
+    bareAnswers: true,
     handle: createPeerHandler({
       handlers: vm.peerHandlers,
       secret: secrets.peerSecret,
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -34,6 +34,8 @@
   tls?: TlsFiles | undefined;
   /** Level of the line that each answered request is logged with. */
   requestLevel: "debug" | "info";
+  /** Leaves out the headers that help people alone, as the VMs' own calls are many. */
+  bareAnswers?: boolean;
   stopTimeoutMs?: number;
 }
 
@@ -185,7 +187,8 @@
   ): Promise<void> {
     const id = randomUUID();
     const startedMs = performance.now();
-    response.setHeader("request-id", id);
+    if (this.#options.bareAnswers) response.sendDate = false;
+    else response.setHeader("request-id", id);
     if (this.#closing) response.setHeader("connection", "close");
     // A connection that breaks shows as the response's close.
     incoming.on("error", () => {});
