One wait and one seeded source of random numbers

A promise over setTimeout stood eleven times and the seeded generator twice; both are now in core and fakes and called from there.

--- a/packages/bench/src/bench/grants.ts
+++ b/packages/bench/src/bench/grants.ts
@@ -1,4 +1,5 @@
 /** Times grant decisions at shard homes. */
+import { seededRandom } from "@teaselvalve/fakes";
 import {
   asId,
   type Endpoint,
@@ -12,7 +13,6 @@
   Shard,
 } from "@teaselvalve/core";
 import { build } from "hdr-histogram-js";
-import { seededRandom } from "../world/world.ts";
 
 /** What a measurement of grants came to. */
 export interface GrantsFigures {
--- a/packages/bench/src/experiment/random.ts
+++ b/packages/bench/src/experiment/random.ts
@@ -1,5 +1,5 @@
 /** Seeded draws from the distributions that workloads use. */
-import { seededRandom } from "../world/world.ts";
+import { seededRandom } from "@teaselvalve/fakes";
 
 /** Draws numbers; the same seed gives the same draws. */
 export class Draw {
--- a/packages/bench/src/experiment/rig.ts
+++ b/packages/bench/src/experiment/rig.ts
@@ -35,9 +35,9 @@
   FakeDecodeEngine,
   FakeNetwork,
   FakePrefillEngine,
+  seededRandom,
 } from "@teaselvalve/fakes";
 import { HostTimers } from "../world/host_timers.ts";
-import { seededRandom } from "../world/world.ts";
 import type { ExperimentDeployment } from "./deployments.ts";
 import { Owner } from "./owner.ts";
 
--- a/packages/bench/src/fuzz/domains/vms_part.ts
+++ b/packages/bench/src/fuzz/domains/vms_part.ts
@@ -1,6 +1,7 @@
 /** What the fuzzer's domain of VMs knows of a run. */
+import { seededRandom } from "@teaselvalve/fakes";
 import { AddressCaller } from "../../world/address_caller.ts";
-import { seededRandom, type World } from "../../world/world.ts";
+import { type World } from "../../world/world.ts";
 import { type FuzzModel, partOf } from "../frame.ts";
 import { FAULTS, type FaultsPart } from "./faults.ts";
 
--- a/packages/bench/src/processes/measure_vms.ts
+++ b/packages/bench/src/processes/measure_vms.ts
@@ -1,4 +1,5 @@
 /** `npm run measure:vms -- --vms 9,30 --json`: what daemons cost when idle and under manifests. */
+import { wait } from "@teaselvalve/core";
 import { readFileSync } from "node:fs";
 import { totalmem } from "node:os";
 import { join } from "node:path";
@@ -228,7 +229,3 @@
     max: round(Math.max(...values)),
   };
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
-}
--- a/packages/bench/src/quotas_world_test.ts
+++ b/packages/bench/src/quotas_world_test.ts
@@ -1,6 +1,7 @@
+import { seededRandom } from "@teaselvalve/fakes";
 import { asId, type CallerId, type WorkspaceId } from "@teaselvalve/core";
 import { afterEach, expect, test } from "vitest";
-import { MODEL, seededRandom, SERVICE, World } from "./world/world.ts";
+import { MODEL, SERVICE, World } from "./world/world.ts";
 
 const WORKSPACE = asId<WorkspaceId>("lenders");
 const TOLERANCE = 0.1;
--- a/packages/bench/src/slopes/measure.ts
+++ b/packages/bench/src/slopes/measure.ts
@@ -1,4 +1,5 @@
 /** Takes single measurements: heap growth, processor time, memory and time of other processes. */
+import { wait } from "@teaselvalve/core";
 import { readFileSync } from "node:fs";
 import process from "node:process";
 
@@ -65,11 +66,6 @@
   return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]) * 1_024;
 }
 
-/** Waits. */
-export function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** Collects until the heap no longer shrinks; what only promises hold is freed after they have settled. */
 async function collectGarbage(): Promise<void> {
   const { gc } = globalThis as { gc?: () => void };
--- a/packages/bench/src/slopes/quantities/processes.ts
+++ b/packages/bench/src/slopes/quantities/processes.ts
@@ -1,4 +1,5 @@
 /** Processor time and memory of true daemons between stand-ins, all as processes. */
+import { wait } from "@teaselvalve/core";
 import { spawn } from "node:child_process";
 import { once } from "node:events";
 import process from "node:process";
@@ -8,7 +9,7 @@
   startDeployment,
 } from "../../processes/deployment.ts";
 import { CountingRelay } from "../counting_relay.ts";
-import { ownMicros, residentBytes, wait } from "../measure.ts";
+import { ownMicros, residentBytes } from "../measure.ts";
 import {
   busyMicros,
   daemonPids,
--- a/packages/bench/src/slopes/running_deployment.ts
+++ b/packages/bench/src/slopes/running_deployment.ts
@@ -1,4 +1,5 @@
 /** One deployment of processes that the measurements of a run share. */
+import { wait } from "@teaselvalve/core";
 import { request } from "undici";
 import {
   type Deployment,
@@ -7,7 +8,7 @@
   startDeployment,
   waitForHttp,
 } from "../processes/deployment.ts";
-import { processMicros, wait } from "./measure.ts";
+import { processMicros } from "./measure.ts";
 import { sampleWorkspace } from "./samples.ts";
 
 const SETTLE_MS = 1_500;
--- a/packages/bench/src/slopes/stub_vm.ts
+++ b/packages/bench/src/slopes/stub_vm.ts
@@ -1,4 +1,5 @@
 /** A VM between ports that answer at once and keep nothing, so that only the VM's own cost is measured. */
+import { seededRandom } from "@teaselvalve/fakes";
 import {
   asId,
   type ListedVm,
@@ -8,7 +9,6 @@
   Vm,
   type VmPorts,
 } from "@teaselvalve/core";
-import { seededRandom } from "../world/world.ts";
 import { err, ok } from "neverthrow";
 import { SAMPLE_MODEL, uuidOf, vmName } from "./samples.ts";
 
--- a/packages/bench/src/world/planned_stop_test.ts
+++ b/packages/bench/src/world/planned_stop_test.ts
@@ -1,8 +1,9 @@
+import { seededRandom } from "@teaselvalve/fakes";
 import type { StopOutcome, VmPolicies } from "@teaselvalve/core";
 import { Vm } from "@teaselvalve/core";
 import { afterEach, expect, test } from "vitest";
 import { AddressCaller, describeFailure } from "./address_caller.ts";
-import { seededRandom, World, type WorldOptions } from "./world.ts";
+import { World, type WorldOptions } from "./world.ts";
 
 const REQUEST_INTERVAL_MS = 150;
 
--- a/packages/bench/src/world/world.ts
+++ b/packages/bench/src/world/world.ts
@@ -30,9 +30,9 @@
   noPlatformFaults,
   PlainService,
   type PlatformFaults,
+  seededRandom,
   TODAY_FIGURES,
 } from "@teaselvalve/fakes";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { CallerCall, CallerSummary } from "./caller.ts";
 import { HostTimers } from "./host_timers.ts";
 
@@ -367,9 +367,3 @@
   if (hosts.includes("platform")) return PLATFORM_LATENCY_MS;
   return NEAR_LATENCY_MS;
 }
-
-/** Gives a seeded source of numbers from 0 up to 1. */
-export function seededRandom(seed: number): () => number {
-  const generator = xoroshiro128plus(seed);
-  return () => (generator.next() >>> 0) / 0x1_0000_0000;
-}
--- a/packages/core/src/calls/follow.ts
+++ b/packages/core/src/calls/follow.ts
@@ -1,4 +1,5 @@
 /** Follows a claim that another VM holds: asks the claimant, or finds that it is gone. */
+import { wait } from "../common/wait.ts";
 import type { IncarnationCheck, MembershipView } from "../membership/types.ts";
 import type { Row } from "../ports/platform.ts";
 import type { ServiceAnswer } from "../ports/services.ts";
@@ -139,7 +140,3 @@
 function lost(reason: MayHaveRunReason): Step<ServiceAnswer> {
   return { kind: "refused", refusal: mayHaveRun(reason) };
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/core/src/calls/run.ts
+++ b/packages/core/src/calls/run.ts
@@ -1,4 +1,5 @@
 /** One call at the VM that claims its key: feeds the machine and carries its effects out. */
+import { wait } from "../common/wait.ts";
 import type { Endpoint, Service } from "../configuration/types.ts";
 import type { Row, RowExpectation } from "../ports/platform.ts";
 import type { SendFailure } from "../ports/services.ts";
@@ -335,7 +336,3 @@
 export function claimToken(context: VmContext, number: number): string {
   return asId(`${context.identity.incarnation}-c${number}`);
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/core/src/configuration/commands/submit.ts
+++ b/packages/core/src/configuration/commands/submit.ts
@@ -1,4 +1,5 @@
 /** Accepts a manifest: one transaction on the head, the submission's row and the history. */
+import { wait } from "../../common/wait.ts";
 import { err, ok, type Result } from "neverthrow";
 import type { PlatformPort, RowWrite } from "../../ports/platform.ts";
 import { digest } from "../../common/hash.ts";
@@ -366,7 +367,3 @@
 function setScope(bodies: ScopeBodies, scope: Scope, body: unknown): void {
   (bodies as unknown as Record<Scope, unknown>)[scope] = body;
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/core/src/configuration/holders.ts
+++ b/packages/core/src/configuration/holders.ts
@@ -1,4 +1,5 @@
 /** Finds VMs in other data centres that hold a version, before its acceptance is told. */
+import { wait } from "../common/wait.ts";
 import type { Member } from "../membership/types.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import type { VersionHolder } from "./app.ts";
@@ -91,7 +92,3 @@
   });
   return answer.isOk() && answer.value.version >= version;
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./common/machine_task.ts";
 export * from "./common/observe.ts";
 export * from "./common/verdict.ts";
+export * from "./common/wait.ts";
 export * from "./configuration/app.ts";
 export * from "./configuration/commands/validate.ts";
 export * from "./configuration/difference.ts";
--- a/packages/core/src/summaries/grants_client.ts
+++ b/packages/core/src/summaries/grants_client.ts
@@ -1,4 +1,5 @@
 /** Asks shard homes for grants, tells them how the runs go on, and tells new homes what runs. */
+import { wait } from "../common/wait.ts";
 import type { ConfigurationView } from "../configuration/task.ts";
 import {
   chooseShards,
@@ -215,7 +216,3 @@
     });
   }
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/core/src/suspects/book.ts
+++ b/packages/core/src/suspects/book.ts
@@ -1,4 +1,5 @@
 /** Asks before each run whether a request may run, and tells what became of it. */
+import { wait } from "../common/wait.ts";
 import type { Member, MembershipView } from "../membership/types.ts";
 import { rankHomes } from "../reports/homes.ts";
 import type { EndpointId, WorkspaceId } from "../common/ids.ts";
@@ -350,7 +351,3 @@
     return rankHomes(this.#options.membership, `suspect/${hash}`, HOMES);
   }
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -1,4 +1,5 @@
 /** Puts the tasks of one VM together. */
+import { wait } from "../common/wait.ts";
 import { createCallsApp } from "../calls/app.ts";
 import { CallsTask } from "../calls/task.ts";
 import { createConfigurationApp } from "../configuration/app.ts";
@@ -198,7 +199,3 @@
     this.membership.stop();
   }
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/fakes/src/engines/port.ts
+++ b/packages/fakes/src/engines/port.ts
@@ -1,4 +1,5 @@
 /** The engine port over fake engines in the same process. */
+import { wait } from "@teaselvalve/core";
 import { err, ok, type Result } from "neverthrow";
 import type {
   Attachment,
@@ -136,10 +137,6 @@
   };
 }
 
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 function done<T>(value: T): Promise<Result<T, EngineFailure>> {
   return Promise.resolve(ok(value));
 }
--- a/packages/fakes/src/main.ts
+++ b/packages/fakes/src/main.ts
@@ -2,7 +2,6 @@
 import type { Server } from "node:http";
 import process from "node:process";
 import { asId } from "@teaselvalve/core";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { command, number, option, run, string, subcommands } from "cmd-ts";
 import { FakeDecodeEngine } from "./engines/decode_engine.ts";
 import { TODAY_FIGURES } from "./engines/figures.ts";
@@ -10,6 +9,7 @@
 import { serveEngine } from "./engines/server.ts";
 import { noPlatformFaults } from "./platform/faults.ts";
 import { FakePlatform } from "./platform/platform.ts";
+import { seededRandom } from "./random.ts";
 import { servePlatform } from "./platform/server.ts";
 import { PlainService } from "./services/plain_service.ts";
 import { serveService } from "./services/server.ts";
@@ -114,8 +114,3 @@
   process.once("SIGTERM", close);
   process.once("SIGINT", close);
 }
-
-function seededRandom(seed: number): () => number {
-  const generator = xoroshiro128plus(seed);
-  return () => (generator.next() >>> 0) / 0x1_0000_0000;
-}
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -16,6 +16,7 @@
 export * from "./platform/platform.ts";
 export * from "./platform/port.ts";
 export * from "./platform/server.ts";
+export * from "./random.ts";
 export * from "./services/plain_service.ts";
 export * from "./services/port.ts";
 export * from "./services/server.ts";
--- a/packages/fakes/src/platform/faults.ts
+++ b/packages/fakes/src/platform/faults.ts
@@ -1,4 +1,5 @@
 /** Switches that tests turn to make the platform fail. */
+import { wait } from "@teaselvalve/core";
 
 /** Faults of the platform as its clients see them. */
 export interface PlatformFaults {
@@ -37,7 +38,3 @@
 function never<T>(): Promise<T> {
   return new Promise(() => {});
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
