--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -23,7 +23,8 @@
   | "suspicions"
   | "convictions"
   | "vm_states"
-  | "orders";
+  | "orders"
+  | "broken_streams";
 
 /** Receives events and counts; both are cheap and never fail. */
 export interface Observer {
--- a/packages/core/src/membership/news_exchange.ts
+++ b/packages/core/src/membership/news_exchange.ts
@@ -1,6 +1,6 @@
 /** Puts news on probes and takes it off them. */
 import type { VmId } from "../common/ids.ts";
-import type { VmContext } from "../vm/types.ts";
+import type { MembershipContext } from "./types.ts";
 import type { Probe } from "./app.ts";
 import type { Listing, MemberStatus } from "./machine.ts";
 import { NEWS_LIMIT_BYTES, NewsQueue, sizeOf } from "./news_queue.ts";
@@ -16,13 +16,13 @@
 
 /** Keeps the table in step with what other VMs say. */
 export class NewsExchange {
-  #context: VmContext;
+  #context: MembershipContext;
   #table: ViewTable;
   #options: NewsExchangeOptions;
   #queue = new NewsQueue();
   #cursor = 0;
 
-  constructor(context: VmContext, options: NewsExchangeOptions) {
+  constructor(context: MembershipContext, options: NewsExchangeOptions) {
     this.#context = context;
     this.#table = options.table;
     this.#options = options;
@@ -89,6 +89,7 @@
     const record = this.#table.records.get(id);
     if (record) {
       const before = record.state;
+      if (place) record.place = place;
       if (record.context.listing === listing) return;
       record.send({ type: "listed", listing });
       this.#table.changed({ visible: record.state !== before });
@@ -129,6 +130,8 @@
     if (id === this.#table.self.id) return;
     const record = this.#table.records.get(id);
     if (record) {
+      const newer = rest.statusVersion > record.context.statusVersion;
+      if (place && newer) record.place = place;
       this.#send(record, { type: "heard", ...rest });
       return;
     }
--- a/packages/core/src/membership/prober.ts
+++ b/packages/core/src/membership/prober.ts
@@ -1,6 +1,6 @@
 /** Probes VMs: directly, on a fresh connection, and through others. */
-import type { VmId } from "../common/ids.ts";
-import type { VmContext } from "../vm/types.ts";
+import { asId, type VmId } from "../common/ids.ts";
+import type { MembershipContext } from "./types.ts";
 import type { NewsExchange } from "./news_exchange.ts";
 import type { MemberRecord } from "./record.ts";
 import type { Probe } from "./app.ts";
@@ -27,12 +27,12 @@
 
 /** Sends probes and keeps the order in which VMs are probed. */
 export class Prober {
-  #context: VmContext;
+  #context: MembershipContext;
   #options: ProberOptions;
   #round: VmId[] = [];
   #turns = 0;
 
-  constructor(context: VmContext, options: ProberOptions) {
+  constructor(context: MembershipContext, options: ProberOptions) {
     this.#context = context;
     this.#options = options;
   }
@@ -99,6 +99,21 @@
     return answer.value;
   }
 
+  /** Probes whichever VM has an address, so that both come to know each other. */
+  async greet(peerAddress: string): Promise<void> {
+    const { exchange } = this.#options;
+    const answer = await this.#context.ports.peers.call(
+      { id: peerAddress, peerAddress },
+      "membership/probe",
+      {
+        params: exchange.compose(asId<VmId>(peerAddress)),
+        timeoutMs: PROBE_TIMEOUT_MS,
+        fresh: true,
+      },
+    );
+    if (answer.isOk()) this.#options.onAnswer(answer.value);
+  }
+
   async #through(helper: MemberRecord, target: VmId): Promise<boolean> {
     const answer = await this.#context.ports.peers.call(
       { id: helper.id, ...helper.place },
--- a/packages/core/src/membership/record.ts
+++ b/packages/core/src/membership/record.ts
@@ -26,7 +26,8 @@
 /** Keeps what one VM knows of another. */
 export class MemberRecord {
   readonly id: VmId;
-  readonly place: MemberPlace;
+  /** Where the VM is; another address once it was replaced under its id. */
+  place: MemberPlace;
   /** When the VM was last found dead, on the monotonic clock. */
   deadAtMs = 0;
   /** False while only others get an answer from it; local, and not passed on. */
--- a/packages/core/src/membership/task.ts
+++ b/packages/core/src/membership/task.ts
@@ -1,7 +1,7 @@
 /** Keeps the view of VMs: seeded by the platform's list, kept fresh by probes. */
 import type { RunOwner } from "../ports/engines.ts";
 import type { VmId } from "../common/ids.ts";
-import type { VmContext, VmTask } from "../vm/types.ts";
+import type { VmTask } from "../vm/types.ts";
 import type { Probe } from "./app.ts";
 import { GoneCheck } from "./gone.ts";
 import { NewsExchange } from "./news_exchange.ts";
@@ -10,6 +10,7 @@
 import type {
   IncarnationCheck,
   Member,
+  MembershipContext,
   MembershipView,
   ViewChanges,
   ViewListener,
@@ -39,6 +40,10 @@
   configurationVersion: () => number;
   /** Told of each probe and answer, with the versions that it carries. */
   onProbe?: (probe: Probe) => void;
+  /** Peer addresses to ask while no other VM is known, for instance with the platform down. */
+  contacts?: readonly string[];
+  /** How often the platform's list is read at most; its cost grows with the number of VMs. */
+  listIntervalMs?: number;
   policies?: Partial<MembershipPolicies>;
 }
 
@@ -46,7 +51,7 @@
 export class MembershipTask
   implements MembershipView, ViewChanges, IncarnationCheck, VmTask {
   readonly self: VmIdentity;
-  #context: VmContext;
+  #context: MembershipContext;
   #options: MembershipTaskOptions;
   #table: ViewTable;
   #exchange: NewsExchange;
@@ -56,7 +61,7 @@
   #listReadAtMs = -Infinity;
   #listCount = 0;
 
-  constructor(context: VmContext, options: MembershipTaskOptions) {
+  constructor(context: MembershipContext, options: MembershipTaskOptions) {
     this.self = context.identity;
     this.#context = context;
     this.#options = options;
@@ -87,6 +92,7 @@
 
   /** Makes this VM known and begins to probe. */
   async start(): Promise<void> {
+    if (!this.#knowsOthers()) void this.#contact();
     await this.#tell(this.#prober.sample(FIRST_PROBES));
     // VMs that start together shouldn't probe in step.
     const firstMs = this.#context.random() * PROBE_INTERVAL_MS;
@@ -147,6 +153,7 @@
   }
 
   #tick(): void {
+    if (!this.#knowsOthers()) void this.#contact();
     void this.#probeNext();
     this.#expire();
     const dueMs = this.#listReadAtMs + this.#listIntervalMs();
@@ -157,7 +164,23 @@
   #listIntervalMs(): number {
     const listBytes = this.#listCount * LISTED_VM_BYTES;
     const intervalMs = listBytes / LIST_BYTES_PER_SECOND * 1_000;
-    return Math.max(LIST_MIN_INTERVAL_MS, intervalMs);
+    const { listIntervalMs = LIST_MIN_INTERVAL_MS } = this.#options;
+    return Math.max(listIntervalMs, intervalMs);
+  }
+
+  #knowsOthers(): boolean {
+    return [...this.#table.records.values()].some(
+      ({ state, reachable, context }) =>
+        reachable && state === "live" && context.incarnation !== null,
+    );
+  }
+
+  // Their answers carry who they are and where, and whom they know.
+  async #contact(): Promise<void> {
+    const others = (this.#options.contacts ?? []).filter(
+      (address) => address !== this.self.peerAddress,
+    );
+    await Promise.all(others.map((address) => this.#prober.greet(address)));
   }
 
   async #probeNext(): Promise<void> {
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -1,7 +1,22 @@
 /** The VMs of the deployment as one of them sees them. */
+import type { Observer } from "../common/observe.ts";
 import type { RunOwner } from "../ports/engines.ts";
+import type { PeerPort } from "../ports/peers.ts";
+import type { PlatformPort } from "../ports/platform.ts";
 import type { DataCentre, Incarnation, Region, VmId } from "../common/ids.ts";
 
+/** What membership needs of the VM that it runs in. */
+export interface MembershipContext {
+  readonly identity: VmIdentity;
+  readonly ports: {
+    readonly platform: Pick<PlatformPort, "listVms">;
+    readonly peers: PeerPort;
+  };
+  readonly observer: Observer;
+  /** A number from 0 up to 1; seeded in tests. */
+  readonly random: () => number;
+}
+
 /** A VM's own identity, from its settings and its start. */
 export interface VmIdentity {
   readonly id: VmId;
--- a/packages/core/src/peers/types.ts
+++ b/packages/core/src/peers/types.ts
@@ -5,6 +5,7 @@
 import type { GrantsHandlers } from "../grants/app.ts";
 import type { CallsHandlers } from "../calls/app.ts";
 import type { QuotasHandlers } from "../quotas/app.ts";
+import type { RoutingHandlers } from "../routing/app.ts";
 import type { SuspectsHandlers } from "../suspects/app.ts";
 
 /** Methods of the peer interface, by name. */
@@ -15,4 +16,5 @@
   & GrantsHandlers
   & CallsHandlers
   & QuotasHandlers
+  & RoutingHandlers
   & SuspectsHandlers;
--- /dev/null
+++ b/packages/core/src/routing/routing_vm.ts
@@ -0,0 +1,183 @@
+/** One VM that routes by host and path: its view of VMs, its tables, its endpoints. */
+import type { Observer } from "../common/observe.ts";
+import { MembershipTask } from "../membership/task.ts";
+import type { Member, MembershipContext, VmIdentity } from "../membership/types.ts";
+import { createMembershipApp } from "../membership/app.ts";
+import type { PeerPort } from "../ports/peers.ts";
+import type { PlatformPort } from "../ports/platform.ts";
+import { createRoutingApp } from "./app.ts";
+import { EndpointBook } from "./endpoint_book.ts";
+import type { RoutedEndpointPort } from "./port.ts";
+import { Router } from "./router.ts";
+import { type BudgetLimits, ServiceBudget } from "./service_budget.ts";
+import { type FollowedTable, TableFeed } from "./table_feed.ts";
+import type { EndpointChange, RoutingTable } from "./types.ts";
+
+const PEER_FETCH_TIMEOUT_MS = 500;
+/** VMs come and go rarely, and tell each other; the list serves those that know nobody. */
+const LIST_INTERVAL_MS = 10_000;
+
+/** The outside as a routing VM reaches it. */
+export interface RoutingVmPorts {
+  readonly tables: FollowedTable<RoutingTable>;
+  readonly endpoints: FollowedTable<EndpointChange>;
+  readonly vms: VmRegistry;
+  readonly peers: PeerPort;
+  readonly calls: RoutedEndpointPort;
+}
+
+/** The platform's list of VMs. */
+export interface VmRegistry extends Pick<PlatformPort, "listVms"> {
+  /** Puts this VM on the list. */
+  register(identity: VmIdentity): Promise<void>;
+}
+
+/** Options of {@link RoutingVm}. */
+export interface RoutingVmOptions {
+  identity: VmIdentity;
+  ports: RoutingVmPorts;
+  observer: Observer;
+  random: () => number;
+  budget: BudgetLimits;
+  /** Peer addresses for first contact. */
+  contacts: readonly string[];
+  /** Told of each table that comes into force. */
+  onTable?: (table: RoutingTable) => void;
+}
+
+/** Owns the tasks of one routing VM. */
+export class RoutingVm {
+  readonly membership: MembershipTask;
+  readonly endpoints: EndpointBook;
+  readonly router: Router;
+  readonly peerHandlers;
+  #options: RoutingVmOptions;
+  #feeds: readonly { start(): Promise<void>; stop(): void }[];
+  #endpointsKnown = false;
+
+  constructor(options: RoutingVmOptions) {
+    this.#options = options;
+    const { identity, ports, observer, random } = options;
+    const context: MembershipContext = {
+      identity,
+      ports: { platform: ports.vms, peers: ports.peers },
+      observer,
+      random,
+    };
+    this.membership = new MembershipTask(context, {
+      configurationVersion: () => this.#version(),
+      onProbe: ({ from, configurationVersion }) =>
+        this.#noticeVersion(configurationVersion, this.membership.member(from)),
+      contacts: options.contacts,
+      listIntervalMs: LIST_INTERVAL_MS,
+    });
+    this.endpoints = new EndpointBook(observer);
+    this.router = new Router({
+      dataCentre: identity.dataCentre,
+      endpoints: this.endpoints,
+      budget: new ServiceBudget({
+        limits: options.budget,
+        vmCount: () => this.#liveCount(),
+      }),
+      port: ports.calls,
+      observer,
+      random,
+    });
+    this.#feeds = [this.#tableFeed(), this.#endpointFeed()];
+    this.peerHandlers = {
+      ...createMembershipApp({
+        answerProbe: (probe) => this.membership.answerProbe(probe),
+        probeFor: (target) => this.membership.probeFor(target),
+      }).handlers,
+      ...createRoutingApp({
+        "routing/table": ({ after }) => ({
+          table: after < this.#version() ? this.router.table : null,
+        }),
+      }).handlers,
+    };
+  }
+
+  /** True once requests can be served. */
+  get ready(): boolean {
+    return this.router.table !== null && this.#endpointsKnown;
+  }
+
+  /** Starts the tasks. What the platform can't give now comes later. */
+  async start(): Promise<void> {
+    const { ports, identity } = this.#options;
+    for (const feed of this.#feeds) void feed.start();
+    void ports.vms.register(identity);
+    await this.membership.seed();
+    await this.membership.start();
+  }
+
+  stop(): void {
+    for (const feed of this.#feeds) feed.stop();
+    this.router.stop();
+    this.membership.stop();
+  }
+
+  #tableFeed(): TableFeed<RoutingTable> {
+    const { ports, observer, random } = this.#options;
+    const take = (tables: readonly RoutingTable[]) => {
+      for (const table of tables) this.#setTable(table);
+    };
+    return new TableFeed({
+      name: "routing-table",
+      table: ports.tables,
+      listener: { onAll: take, onChanges: take },
+      observer,
+      random,
+    });
+  }
+
+  #endpointFeed(): TableFeed<EndpointChange> {
+    const { ports, observer, random } = this.#options;
+    return new TableFeed({
+      name: "endpoints",
+      table: ports.endpoints,
+      listener: {
+        onAll: (changes) => {
+          this.endpoints.replace(
+            changes.flatMap(({ entry }) => entry ? [entry] : []),
+          );
+          this.#endpointsKnown = true;
+        },
+        onChanges: (changes) => {
+          for (const change of changes) this.endpoints.apply(change);
+        },
+        onReachable: (reachable) => this.endpoints.setReachable(reachable),
+      },
+      observer,
+      random,
+    });
+  }
+
+  #version(): number {
+    return this.router.table?.version ?? 0;
+  }
+
+  #noticeVersion(version: number, peer: Member | undefined): void {
+    if (!peer || version <= this.#version()) return;
+    void this.#fetchTable(peer);
+  }
+
+  async #fetchTable(peer: Member): Promise<void> {
+    const answer = await this.#options.ports.peers.call(peer, "routing/table", {
+      params: { after: this.#version() },
+      timeoutMs: PEER_FETCH_TIMEOUT_MS,
+    });
+    if (answer.isErr()) return;
+    const { table } = answer.value;
+    if (table) this.#setTable(table);
+  }
+
+  #setTable(table: RoutingTable): void {
+    if (this.router.setTable(table)) this.#options.onTable?.(table);
+  }
+
+  #liveCount(): number {
+    return this.membership.members()
+      .filter(({ state }) => state === "live" || state === "leaving").length;
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/stream_run.ts
@@ -0,0 +1,281 @@
+/** One stream: its place at a decode endpoint, its prefill, its events, and where it goes on. */
+import { err, ok, type Result } from "neverthrow";
+import type { EndpointId, ServiceName } from "../common/ids.ts";
+import { notRun, type Refusal } from "../common/verdict.ts";
+import { noteOutcome } from "./call_run.ts";
+import type { RoutingContext } from "./context.ts";
+import type { DecodePlace, DecodeQueue } from "./decode_queue.ts";
+import type { EndpointRecord } from "./endpoint_record.ts";
+import type { KvSource, SendFailure } from "./port.ts";
+import { choosePrefillEndpoint } from "./queries/choose_prefill_endpoint.ts";
+import { RequestClock } from "./request_clock.ts";
+import { type AnswerSink, StreamRelay } from "./stream_relay.ts";
+import type { EnginePool, PromptFields, Route, RoutedRequest } from "./types.ts";
+import { provesNotRun, refusalOfFailure } from "./verdicts.ts";
+
+/** Sends of one stream, those included that the endpoints did not run. */
+const MAX_SENDS = 4;
+/** Prefill endpoints that are tried for one send. */
+const MAX_PREFILLS = 2;
+/** Expected reading speed before anything was measured. */
+const PREFILL_TOKENS_PER_MS = 30;
+/** A prefill is given up after this many times its expected time. */
+const PREFILL_PATIENCE = 4;
+const MIN_PREFILL_TIMEOUT_MS = 300;
+/** Expected output where the request names no limit. */
+const DEFAULT_OUTPUT_TOKENS = 256;
+
+/** What a stream is run with. */
+export interface StreamRunOptions {
+  request: RoutedRequest;
+  route: Route;
+  service: ServiceName;
+  pool: EnginePool;
+  queue: DecodeQueue;
+  sink: AnswerSink;
+  /** Ends the stream when its caller leaves. */
+  signal: AbortSignal;
+}
+
+/** How a stream ended for its caller. */
+export type StreamEnd =
+  | { readonly kind: "complete" }
+  /** Nothing was passed on yet. */
+  | { readonly kind: "refused"; readonly refusal: Refusal }
+  /** Events were passed on, and no more will come. */
+  | { readonly kind: "broken"; readonly reason: string };
+
+type SendResult = Result<void, SendFailure>;
+
+/** Runs a stream to its end. */
+export class StreamRun {
+  #context: RoutingContext;
+  #options: StreamRunOptions;
+  #clock: RequestClock;
+  #relay: StreamRelay;
+  #avoid = new Set<EndpointId>();
+  /** Endpoints that may have run the request. */
+  #ran = 0;
+
+  constructor(context: RoutingContext, options: StreamRunOptions) {
+    this.#context = context;
+    this.#options = options;
+    this.#clock = new RequestClock(options.request, options.route);
+    this.#relay = new StreamRelay({
+      sink: options.sink,
+      lastEventId: options.request.lastEventId,
+    });
+  }
+
+  /** Sends the stream until it is complete or can't go on. */
+  async run(): Promise<StreamEnd> {
+    let last: SendResult = err({ kind: "notSent" });
+    for (let sends = 1; sends <= MAX_SENDS; sends += 1) {
+      if (sends > 1 && !this.#takeRepeat(last)) break;
+      const place = await this.#place();
+      if (place.isErr()) return this.#endWithout(place.error);
+      last = await this.#sendTo(place.value, sends);
+      if (last.isOk()) return { kind: "complete" };
+      if (!this.#mayGoOn(last.error)) break;
+    }
+    return this.#endOf(last);
+  }
+
+  #place(): Promise<Result<DecodePlace, Refusal>> {
+    const { queue, pool, signal } = this.#options;
+    return queue.enter({
+      clock: this.#clock,
+      tokens: this.#tokens(),
+      prefillMs: this.#promptTokens() / PREFILL_TOKENS_PER_MS,
+      avoid: this.#avoid.size < pool.slots ? this.#avoid : new Set(),
+      mustBeOnTime: !this.#relay.begun,
+      signal,
+    });
+  }
+
+  async #sendTo(place: DecodePlace, sends: number): Promise<SendResult> {
+    const { endpoint } = place;
+    const tokens = this.#tokens();
+    endpoint.inFlight += 1;
+    endpoint.inFlightTokens += tokens;
+    const startedMs = performance.now();
+    const source = await this.#prefill(endpoint);
+    const prefilledMs = performance.now();
+    const outcome = await this.#decode(place, source);
+    endpoint.inFlight -= 1;
+    endpoint.inFlightTokens -= tokens;
+    this.#settle(place, { source, outcome });
+    this.#context.observer.log({
+      event: "stream-sent",
+      request: this.#options.request.id,
+      route: this.#options.route.name,
+      endpoint: endpoint.entry.id,
+      prefill: source?.endpoint.entry.id,
+      send: sends,
+      outcome: outcome.isOk() ? "complete" : outcome.error.kind,
+      detail: outcome.isErr() && outcome.error.kind === "lost"
+        ? outcome.error.detail
+        : undefined,
+      queuedMs: Math.round(startedMs - this.#clock.startedAtMs),
+      prefillMs: Math.round(prefilledMs - startedMs),
+      decodeMs: Math.round(performance.now() - prefilledMs),
+      firstEventMs: Math.round(this.#relay.firstEventAtMs - this.#clock.startedAtMs),
+      events: this.#relay.events,
+      promptTokens: this.#promptTokens(),
+    });
+    return outcome;
+  }
+
+  // Reads the prompt at a prefill endpoint; without one, the decode endpoint reads it itself.
+  async #prefill(
+    decode: EndpointRecord,
+  ): Promise<(KvSource & { endpoint: EndpointRecord }) | null> {
+    const { request, service, signal } = this.#options;
+    const { endpoints, port, budget, random } = this.#context;
+    const tried = new Set<EndpointId>();
+    const tokens = this.#promptTokens();
+    const expectedMs = tokens / PREFILL_TOKENS_PER_MS;
+    for (let tries = 0; tries < MAX_PREFILLS; tries += 1) {
+      if (tries > 0 && !budget.take(service)) return null;
+      const endpoint = choosePrefillEndpoint(
+        endpoints.usable(service, "prefill"),
+        {
+          decodeDataCentre: decode.entry.dataCentre,
+          tried,
+          nowMs: performance.now(),
+          random,
+        },
+      );
+      if (!endpoint || signal.aborted) return null;
+      tried.add(endpoint.entry.id);
+      const startedMs = performance.now();
+      endpoint.inFlightTokens += tokens;
+      const outcome = await port.prefill(endpoint.entry, {
+        request,
+        timeLeftMs: this.#clock.patienceLeftMs(),
+        firstByteMs: Math.max(
+          MIN_PREFILL_TIMEOUT_MS,
+          PREFILL_PATIENCE * expectedMs,
+        ),
+        signal,
+      });
+      endpoint.inFlightTokens -= tokens;
+      const tookMs = performance.now() - startedMs;
+      noteOutcome(this.#context, { endpoint, outcome, tookMs });
+      if (outcome.isOk()) {
+        const { handle } = outcome.value;
+        return { endpoint, address: endpoint.entry.address, handle };
+      }
+      this.#context.observer.log({
+        event: "prefill-failed",
+        request: request.id,
+        endpoint: endpoint.entry.id,
+        reason: outcome.error.kind,
+        tookMs: Math.round(tookMs),
+      });
+    }
+    return null;
+  }
+
+  async #decode(
+    place: DecodePlace,
+    source: KvSource | null,
+  ): Promise<SendResult> {
+    const { request, signal } = this.#options;
+    if (signal.aborted) return err({ kind: "aborted" });
+    const timeout = AbortSignal.timeout(Math.max(1, this.#clock.leftMs()));
+    const stream = this.#context.port.stream(place.endpoint.entry, {
+      request,
+      timeLeftMs: this.#clock.patienceLeftMs(),
+      firstByteMs: this.#clock.leftMs(),
+      signal: AbortSignal.any([signal, timeout]),
+      lastEventId: this.#relay.lastEventId,
+      reservation: place.reservation,
+      kvSource: source && { address: source.address, handle: source.handle },
+      listener: this.#relay.listen({
+        resume: () => stream.resume(),
+      }),
+    });
+    const ended = await stream.ended;
+    if (ended.isErr() && timeout.aborted && !signal.aborted) {
+      return err({ kind: "timeout" });
+    }
+    return ended.andThen(() => this.#relay.finish());
+  }
+
+  #settle(
+    place: DecodePlace,
+    { source, outcome }: {
+      source: (KvSource & { endpoint: EndpointRecord }) | null;
+      outcome: SendResult;
+    },
+  ): void {
+    const { endpoint, reservation } = place;
+    if (outcome.isOk()) return endpoint.noteSuccess(0);
+    noteOutcome(this.#context, { endpoint, outcome, tookMs: 0 });
+    if (provesNotRun(outcome.error) || outcome.error.kind === "aborted") {
+      this.#context.port.releaseReservation(endpoint.entry, reservation);
+      if (source) {
+        this.#context.port.freeHandle(source.endpoint.entry, source.handle);
+        this.#context.observer.count("prefills_wasted", outcome.error.kind);
+      }
+    }
+    if (!provesNotRun(outcome.error)) {
+      this.#ran += 1;
+      this.#avoid.add(endpoint.entry.id);
+    }
+  }
+
+  #mayGoOn(failure: SendFailure): boolean {
+    const { route, signal } = this.#options;
+    if (signal.aborted || this.#clock.leftMs() <= 0) return false;
+    if (provesNotRun(failure)) return true;
+    return route.resumable && this.#ran < route.maxAttempts;
+  }
+
+  #takeRepeat(last: SendResult): boolean {
+    const reason = last.isErr() ? last.error.kind : "server-error";
+    const { budget, observer } = this.#context;
+    if (reason !== "notSent" && !budget.take(this.#options.service)) {
+      observer.count("retries", `spent-${reason}`);
+      return false;
+    }
+    observer.count("retries", reason);
+    return true;
+  }
+
+  #endWithout(refusal: Refusal): StreamEnd {
+    if (this.#relay.begun) return { kind: "broken", reason: refusal.reason };
+    // An earlier send may have run even though no place was found for the next one.
+    return {
+      kind: "refused",
+      refusal: this.#ran === 0 ? refusal : refusalOfFailure({
+        kind: "lost",
+        detail: "An earlier send failed",
+      }),
+    };
+  }
+
+  #endOf(last: SendResult): StreamEnd {
+    if (last.isOk()) return { kind: "complete" };
+    return this.#endWithout(
+      last.error.kind === "notSent" && this.#ran === 0
+        ? notRun("no-endpoint", { retryAfterMs: 200 })
+        : refusalOfFailure(last.error),
+    );
+  }
+
+  #promptTokens(): number {
+    return this.#options.request.prompt?.promptTokens ?? 0;
+  }
+
+  #tokens(): number {
+    const { prompt } = this.#options.request;
+    return prompt ? prompt.promptTokens + outputTokens(prompt) : 0;
+  }
+}
+
+function outputTokens(prompt: PromptFields): number {
+  return prompt.maxOutputTokens || prompt.expectedOutputTokens ||
+    DEFAULT_OUTPUT_TOKENS;
+}
--- /dev/null
+++ b/packages/core/src/routing/verdicts.ts
@@ -0,0 +1,33 @@
+/** What callers are told when a routed request has no answer. */
+import {
+  mayHaveRun,
+  notRun,
+  type Refusal,
+} from "../common/verdict.ts";
+import type { SendFailure } from "./port.ts";
+
+/** When to come back after a failure that another endpoint may not have. */
+const RETRY_SOON_MS = 100;
+
+/** Whether a failed send proves that the request did not run. */
+export function provesNotRun(failure: SendFailure): boolean {
+  return failure.kind === "notSent" || failure.kind === "notExecuted" ||
+    failure.kind === "misdirected";
+}
+
+/** The refusal that tells how the last send of a request failed. */
+export function refusalOfFailure(failure: SendFailure): Refusal {
+  switch (failure.kind) {
+    case "notSent":
+      return notRun("no-endpoint", { retryAfterMs: RETRY_SOON_MS });
+    case "notExecuted":
+    case "misdirected":
+      return notRun("endpoint-refused", { retryAfterMs: RETRY_SOON_MS });
+    case "lost":
+      return mayHaveRun("connection-lost", failure.detail);
+    case "timeout":
+      return mayHaveRun("endpoint-timeout");
+    case "aborted":
+      return mayHaveRun("cancelled");
+  }
+}
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -9,6 +9,7 @@
 import { createMembershipApp } from "../membership/app.ts";
 import { MembershipTask } from "../membership/task.ts";
 import { OrdersTask } from "../orders/task.ts";
+import { createRoutingApp } from "../routing/app.ts";
 import type { PeerHandlers } from "../peers/types.ts";
 import { createQuotasApp } from "../quotas/app.ts";
 import { limitCalls, limitSummaries } from "../quotas/limited.ts";
@@ -148,6 +149,9 @@
       ...createQuotasApp(this.quotas.handlers).handlers,
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
+      // A VM that routes by the manifest has no routing table of its own.
+      ...createRoutingApp({ "routing/table": () => ({ table: null }) })
+        .handlers,
       ...createSummariesApp(this.summaries.handlers).handlers,
     };
   }
--- a/packages/daemon/src/callers/handler.ts
+++ b/packages/daemon/src/callers/handler.ts
@@ -49,7 +49,7 @@
       const build = COMPLETIONS.has(url.pathname)
         ? completionProblem
         : problemOf;
-      sendProblem(response, refusal, build(refusal));
+      sendProblem(response, refusal, { problem: build(refusal) });
     };
     const refuse = (refusal: Refusal) => {
       options.observer.count("refusals", refusal.reason);
--- /dev/null
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -0,0 +1,248 @@
+/** Puts a VM that routes by host and path together. */
+import { randomUUID } from "node:crypto";
+import {
+  asId,
+  InProgressCount,
+  type Incarnation,
+  type Observer,
+} from "@teaselvalve/core";
+import {
+  type FollowedTable,
+  type EndpointChange,
+  RoutingStop,
+  type RoutingTable,
+  RoutingVm,
+  type VmRegistry,
+} from "@teaselvalve/core/routing";
+import type { Exchange } from "../http/exchange.ts";
+import { sendText } from "../http/exchange.ts";
+import { createHttpPart, type HttpPart } from "../http/server.ts";
+import { LifecycleManager } from "../lifecycle/manager.ts";
+import { Metrics } from "../observe/metrics.ts";
+import type { Log } from "../observe/log.ts";
+import { createPeerPort } from "../peers/port.ts";
+import { createPeerHandler } from "../peers/server.ts";
+import type { Limits, RoutingSettings } from "../settings/schema.ts";
+import { createRoutedEndpointPort } from "./endpoint_port.ts";
+import { createGatewayHandler } from "./handler.ts";
+import type { EndpointProtocol } from "./protocol.ts";
+
+/** What the VM's interfaces are asked and answer with, in the platform's format. */
+export interface GatewayInterfaces {
+  readiness: (exchange: Exchange, state: GatewayState) => void;
+  directory: (exchange: Exchange, state: GatewayState) => void;
+  formatRetryAfter: (retryAfterMs: number) => string;
+}
+
+/** What the interfaces tell of the VM. */
+export interface GatewayState {
+  readonly vm: RoutingVm;
+  /** True while requests can be served and the VM isn't leaving. */
+  readonly ready: boolean;
+  readonly addressTtlMs: number;
+}
+
+/** What a gateway is made from. */
+export interface GatewayOptions {
+  settings: RoutingSettings;
+  log: Log;
+  tables: FollowedTable<RoutingTable>;
+  endpoints: FollowedTable<EndpointChange>;
+  vms: VmRegistry;
+  protocol: EndpointProtocol;
+  interfaces: GatewayInterfaces;
+}
+
+/** A gateway that can be started and stopped. */
+export interface Gateway {
+  start(): Promise<void>;
+  /** Leaves without cutting off work, within the grace period. */
+  leave(): Promise<void>;
+}
+
+/** How long callers may keep an address; some keep it three times as long. */
+const ADDRESS_TTL_MS = 1_000;
+const ADDRESS_KEPT_TTLS = 3;
+/** Time before the end of the grace period at which a stop cuts what is left. */
+const CUT_MARGIN_MS = 400;
+const MS_PER_S = 1_000;
+/** Headers may be larger here than callers may send, so that the refusal can be told. */
+const HEADER_BYTES = 65_536;
+const PEER_BODY_BYTES = 16 * 1_024 * 1_024;
+/** Descriptors that are kept for endpoints, peers and files. */
+const RESERVED_DESCRIPTORS = 1_200;
+
+const INTERFACE_LIMITS: Limits = {
+  bodyBytes: PEER_BODY_BYTES,
+  headerBytes: HEADER_BYTES,
+  headerCount: 200,
+  connections: 1_000,
+  idleMs: 15_000,
+  headersMs: 5_000,
+  requestMs: 60_000,
+  slowReaderMs: 15_000,
+  stopTimeoutMs: 5_000,
+};
+
+/** Creates a gateway. */
+export function createGateway(options: GatewayOptions): Gateway {
+  return new RoutingGateway(options);
+}
+
+class RoutingGateway implements Gateway {
+  #options: GatewayOptions;
+  #observer: Observer;
+  #metrics = new Metrics();
+  #vm: RoutingVm;
+  #stop: RoutingStop;
+  #inProgress: InProgressCount;
+  #manager: LifecycleManager;
+  #callers: HttpPart;
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    this.#observer = {
+      log: options.log,
+      count: (counter, reason) => this.#metrics.count(counter, reason),
+    };
+    this.#manager = new LifecycleManager(this.#observer);
+    this.#inProgress = new InProgressCount(() => this.#stop.idle());
+    this.#vm = this.#createVm();
+    this.#stop = new RoutingStop({
+      observer: this.#observer,
+      servingMs: ADDRESS_TTL_MS * ADDRESS_KEPT_TTLS,
+      announce: () => this.#vm.membership.leave(),
+      inProgress: () => this.#inProgress.count,
+    });
+    this.#callers = this.#createCallers();
+  }
+
+  async start(): Promise<void> {
+    const { settings, interfaces } = this.#options;
+    const peers = this.#createPart("peers", createPeerHandler({
+      handlers: this.#vm.peerHandlers,
+      secret: null,
+      bodyLimitBytes: PEER_BODY_BYTES,
+      observer: this.#observer,
+    }));
+    const parts = [
+      peers,
+      this.#createPart(
+        "readiness",
+        (exchange) => interfaces.readiness(exchange, this.#state()),
+      ),
+      this.#createPart(
+        "directory",
+        (exchange) => interfaces.directory(exchange, this.#state()),
+      ),
+      this.#callers,
+      this.#createPart("metrics", (exchange) => this.#sendMetrics(exchange)),
+      {
+        name: "vm",
+        start: () => this.#vm.start(),
+        stop: () => this.#vm.stop(),
+      },
+    ];
+    this.#metrics.watchInterfaces([this.#callers, peers]);
+    await this.#manager.start(parts);
+    this.#observer.log({ event: "gateway-started", vm: settings.vm.id });
+  }
+
+  async leave(): Promise<void> {
+    const graceMs = this.#options.settings.stop.graceS * MS_PER_S;
+    const limit = setTimeout(
+      () => this.#stop.cut("time-limit"),
+      graceMs - CUT_MARGIN_MS,
+    );
+    await this.#stop.begin();
+    clearTimeout(limit);
+    this.#observer.log({ event: "gateway-stopped", inProgress: this.#inProgress.count });
+  }
+
+  #state(): GatewayState {
+    return {
+      vm: this.#vm,
+      ready: this.#vm.ready && !this.#stop.leaving,
+      addressTtlMs: Math.min(
+        ADDRESS_TTL_MS,
+        this.#options.settings.directory.ttlMaxS * MS_PER_S,
+      ),
+    };
+  }
+
+  #createVm(): RoutingVm {
+    const { settings, tables, endpoints, vms, protocol } = this.#options;
+    const { listen } = settings;
+    return new RoutingVm({
+      identity: {
+        ...settings.vm,
+        incarnation: asId<Incarnation>(randomUUID()),
+        callerAddress: listen.callers,
+        peerAddress: listen.peers,
+      },
+      ports: {
+        tables,
+        endpoints,
+        vms,
+        peers: createPeerPort({
+          secret: null,
+          own: {
+            peerAddress: listen.peers,
+            handlers: () => this.#vm.peerHandlers,
+          },
+        }),
+        calls: createRoutedEndpointPort({ protocol, observer: this.#observer }),
+      },
+      observer: this.#observer,
+      random: Math.random,
+      budget: settings.retries,
+      contacts: settings.peers.contacts,
+      onTable: ({ limits }) => this.#callers.setTimes(limits),
+    });
+  }
+
+  #createCallers(): HttpPart {
+    const { settings, protocol, interfaces } = this.#options;
+    const connections = settings.limits.descriptors - RESERVED_DESCRIPTORS;
+    return createHttpPart({
+      name: "callers",
+      address: settings.listen.callers,
+      observer: this.#observer,
+      limits: {
+        ...INTERFACE_LIMITS,
+        connections: Math.max(connections, INTERFACE_LIMITS.connections),
+      },
+      requestLevel: "info",
+      bareAnswers: true,
+      closesConnections: () => this.#stop.leaving,
+      handle: createGatewayHandler({
+        router: this.#vm.router,
+        protocol,
+        observer: this.#observer,
+        formatRetryAfter: interfaces.formatRetryAfter,
+        refusesWork: () => this.#stop.refusesWork,
+        track: () => this.#inProgress.track(),
+      }),
+    });
+  }
+
+  #createPart(
+    name: keyof RoutingSettings["listen"],
+    handle: (exchange: Exchange) => Promise<void> | void,
+  ): HttpPart {
+    return createHttpPart({
+      name,
+      address: this.#options.settings.listen[name],
+      observer: this.#observer,
+      limits: INTERFACE_LIMITS,
+      requestLevel: "debug",
+      bareAnswers: true,
+      handle,
+    });
+  }
+
+  async #sendMetrics({ response }: Exchange): Promise<void> {
+    const { registry } = this.#metrics;
+    sendText(response, await registry.metrics(), registry.contentType);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/mod.ts
@@ -0,0 +1,10 @@
+/** The gateway: routing by host and path, over true sockets. */
+export * from "../http/calls.ts";
+export * from "../http/exchange.ts";
+export * from "../http/json.ts";
+export * from "../observe/log.ts";
+export * from "../settings/load.ts";
+export * from "../settings/schema.ts";
+export * from "./daemon.ts";
+export * from "./endpoint_port.ts";
+export * from "./protocol.ts";
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -16,10 +16,19 @@
 }
 
 /** Reads a request's body as text, up to a limit. */
-export function readBody(
+export async function readBody(
   incoming: IncomingMessage,
   limitBytes: number,
 ): Promise<Result<string, Refusal>> {
+  const bytes = await readBytes(incoming, limitBytes);
+  return bytes.map((body) => body.toString("utf8"));
+}
+
+/** Reads a request's body, up to a limit. */
+export function readBytes(
+  incoming: IncomingMessage,
+  limitBytes: number,
+): Promise<Result<Buffer, Refusal>> {
   const tooLarge = notRun("body-too-large", {
     detail: `The body may have ${limitBytes} bytes`,
   });
@@ -30,7 +39,7 @@
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
     // Leaves the connection whole, unlike a loop over the stream, so that the refusal arrives.
-    const end = (result: Result<string, Refusal>) => {
+    const end = (result: Result<Buffer, Refusal>) => {
       incoming.removeAllListeners("data");
       incoming.resume();
       resolve(result);
@@ -41,7 +50,7 @@
       chunks.push(chunk);
     });
     incoming.once("end", () => {
-      end(ok(Buffer.concat(chunks).toString("utf8")));
+      end(ok(Buffer.concat(chunks)));
     });
     incoming.once("close", () => {
       end(err(notRun("bad-request", { detail: "The body ended early" })));
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -70,18 +70,27 @@
   };
 }
 
-/** Answers a request with a refusal, by default as its problem document. */
+/** Options of {@link sendProblem}. */
+export interface SendProblemOptions {
+  /** Defaults to the refusal's own document. */
+  problem?: ProblemBody;
+  /** Writes the time after which to come back; whole seconds by default. */
+  formatRetryAfter?: (retryAfterMs: number) => string;
+}
+
+/** Answers a request with a refusal. */
 export function sendProblem(
   response: ServerResponse,
   refusal: Refusal,
-  problem: ProblemBody = problemOf(refusal),
+  options: SendProblemOptions = {},
 ): void {
+  const { problem = problemOf(refusal), formatRetryAfter = wholeSeconds } =
+    options;
   const headers: Record<string, string> = {
     "content-type": PROBLEM_TYPE,
   };
   if (refusal.kind === "notRun") {
-    const seconds = Math.max(1, Math.ceil(refusal.retryAfterMs / 1_000));
-    headers["retry-after"] = String(seconds);
+    headers["retry-after"] = formatRetryAfter(refusal.retryAfterMs);
   }
   if (NOT_TO_REPEAT.has(refusal.reason)) headers["x-should-retry"] = "false";
   // The refusal may come after the caller has gone or the answer has begun.
@@ -90,6 +99,10 @@
   response.end(JSON.stringify(problem));
 }
 
+function wholeSeconds(retryAfterMs: number): string {
+  return String(Math.max(1, Math.ceil(retryAfterMs / 1_000)));
+}
+
 /** Formats a refusal for a connection on which no request could be read. */
 export function formatRawProblem(refusal: Refusal, status: number): string {
   const body = JSON.stringify({ ...problemOf(refusal), status });
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -36,6 +36,8 @@
   requestLevel: "debug" | "info";
   /** Leaves out the headers that help people alone, as the VMs' own calls are many. */
   bareAnswers?: boolean;
+  /** True while each answer ends its connection, for instance before a stop. */
+  closesConnections?: () => boolean;
   stopTimeoutMs?: number;
 }
 
@@ -50,6 +52,8 @@
 /** A part that serves one interface. */
 export interface HttpPart extends Part {
   activity(): Activity;
+  /** Changes how long connections may be idle and headers may take, in force for what comes next. */
+  setTimes(times: { idleMs: number; headersMs: number }): void;
 }
 
 // Callers that arrive together fill Node's usual queue of 511.
@@ -71,6 +75,7 @@
     stop: () => http.close(),
     abort: () => http.abort(),
     activity: () => http.activity(),
+    setTimes: (times) => http.setTimes(times),
   };
 }
 
@@ -156,6 +161,11 @@
     };
   }
 
+  setTimes(times: { idleMs: number; headersMs: number }): void {
+    this.#server.keepAliveTimeout = times.idleMs;
+    this.#server.headersTimeout = times.headersMs;
+  }
+
   #endTimers(): void {
     this.#sweep.stop();
     clearInterval(this.#closeTimer);
@@ -189,7 +199,9 @@
     const startedMs = performance.now();
     if (this.#options.bareAnswers) response.sendDate = false;
     else response.setHeader("request-id", id);
-    if (this.#closing) response.setHeader("connection", "close");
+    if (this.#closing || this.#options.closesConnections?.()) {
+      response.setHeader("connection", "close");
+    }
     // A connection that breaks shows as the response's close.
     incoming.on("error", () => {});
     response.on("error", () => {});
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -18,6 +18,7 @@
   convictions: "Requests convicted of crashing engines, by kind",
   vm_states: "Changes of the state of VMs in this one's view, by state",
   orders: "Orders to engines, by outcome",
+  broken_streams: "Answers cut after they had begun, by reason",
 };
 
 const GAUGES = {
--- a/packages/daemon/src/peers/port.ts
+++ b/packages/daemon/src/peers/port.ts
@@ -11,11 +11,12 @@
 
 /** Options of {@link createPeerPort}. */
 export interface PeerPortOptions {
-  secret: string;
+  /** Shared by the VMs; null where the network alone keeps others away. */
+  secret: string | null;
   /** Plain when absent. */
   tls?: CallTls | undefined;
   /** This VM's own peer address and handlers; calls to it take no socket. */
-  own: { peerAddress: string; handlers: () => PeerHandlers };
+  own: { peerAddress: string; handlers: () => Partial<PeerHandlers> };
 }
 
 /** Connects to the other VMs. */
@@ -34,7 +35,9 @@
         method: "POST",
         address: peer.peerAddress,
         path: "/",
-        headers: { authorization: `Bearer ${options.secret}` },
+        headers: options.secret === null
+          ? {}
+          : { authorization: `Bearer ${options.secret}` },
         body: JSON.stringify(createJSONRPCRequest(lastId, method, params)),
         timeoutMs,
       });
@@ -53,7 +56,7 @@
 }
 
 async function callOwn(
-  handlers: PeerHandlers,
+  handlers: Partial<PeerHandlers>,
   call: { method: keyof PeerHandlers; params: unknown },
 ): Promise<Result<never, PeerFailure>> {
   const handler = handlers[call.method] as (params: unknown) => unknown;
--- a/packages/daemon/src/peers/server.ts
+++ b/packages/daemon/src/peers/server.ts
@@ -19,8 +19,10 @@
 
 /** Options of {@link createPeerHandler}. */
 export interface PeerHandlerOptions {
-  handlers: PeerHandlers;
-  secret: string;
+  /** Methods that aren't given are unknown to the callers. */
+  handlers: Partial<PeerHandlers>;
+  /** Shared by the VMs; null where the network alone keeps others away. */
+  secret: string | null;
   bodyLimitBytes: number;
   observer?: Observer;
 }
@@ -44,7 +46,10 @@
       observer.count("refusals", refusal.reason);
       sendProblem(response, refusal);
     };
-    if (!sameSecret(bearerToken(incoming) ?? "", options.secret)) {
+    const { secret } = options;
+    if (
+      secret !== null && !sameSecret(bearerToken(incoming) ?? "", secret)
+    ) {
       return refuse(notRun("unauthenticated"));
     }
     const body = await readBody(incoming, options.bodyLimitBytes);
--- a/packages/daemon/src/settings/load.ts
+++ b/packages/daemon/src/settings/load.ts
@@ -41,6 +41,19 @@
   readonly tls: Readonly<Partial<Record<InterfaceName, TlsFiles>>>;
 }
 
+/** Parses settings text and checks it against a schema; answers all errors at once. */
+export function parseSettings<T>(
+  text: string,
+  schema: z.ZodType<T>,
+): Result<T, SettingsError[]> {
+  const parsed = schema.safeParse(toPlain(parse(text)), {
+    error: describeMissing,
+  });
+  return parsed.success
+    ? ok(parsed.data)
+    : err(parsed.error.issues.flatMap(toErrors));
+}
+
 type Sections = Record<string, Record<string, unknown>>;
 
 const MIN_SECRET_LENGTH = 16;
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -95,6 +95,67 @@
   }).prefault({}),
 });
 
+function fraction() {
+  return z.string("Expected a number").regex(
+    /^\d{1,9}(\.\d{1,9})?$/,
+    "Expected a number of 0 or more",
+  ).transform(Number);
+}
+
+/** Sections and keys of the settings of a VM that routes by host and path. */
+export const RoutingSettingsSchema = z.object({
+  vm: z.object({
+    id: label<VmId>(),
+    dataCentre: label<DataCentre>(),
+    region: label<Region>(),
+  }),
+  listen: z.object({
+    /** Where callers connect. */
+    callers: address,
+    /** Where the platform asks whether this VM takes requests. */
+    readiness: address,
+    /** Where callers ask which addresses to use. */
+    directory: address,
+    /** Where the other VMs connect. */
+    peers: address,
+    /** Where metrics are read. */
+    metrics: address,
+  }),
+  peers: z.object({
+    /** Peer addresses for first contact, separated by commas; they may be stale. */
+    contacts: z.string().default("").transform((text) =>
+      text.split(",").map((one) => one.trim()).filter(Boolean)
+    ),
+  }).prefault({}),
+  platform: z.object({ address }),
+  retries: z.object({
+    /** Repeats for each request that all VMs together may make. */
+    share: fraction(),
+    /** Repeats on top of the share in one window. */
+    slack: fraction(),
+  }),
+  stop: z.object({
+    /** Time between the signal to stop and the end of the process. */
+    graceS: fraction(),
+  }),
+  directory: z.object({
+    /** The longest time that callers keep an answer. */
+    ttlMaxS: fraction(),
+  }),
+  limits: z.object({
+    memoryMb: wholeNumber({ min: 32, default: 64 }),
+    descriptors: wholeNumber({ min: 64, default: 4_096 }),
+  }).prefault({}),
+  log: z.object({
+    level: z.enum(
+      ["debug", "info", "warn", "error"],
+      "Expected debug, info, warn or error",
+    ).default("info"),
+  }).prefault({}),
+});
+
+/** Checked settings of a VM that routes by host and path. */
+export type RoutingSettings = z.infer<typeof RoutingSettingsSchema>;
 /** Checked settings. */
 export type Settings = z.infer<typeof SettingsSchema>;
 /** TLS settings of one interface. */
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,7 +1,13 @@
 // Bundles each program into one file, so that the daemon starts fast and needs no loader process.
+import process from "node:process";
 import { build } from "esbuild";
 
+const PLATFORM_PROGRAMS = {
+  "target/teaselvalve": "platform/src/main.ts",
+};
+
 const PROGRAMS = {
+  ...PLATFORM_PROGRAMS,
   "packages/daemon/dist/teaselvalved": "packages/daemon/src/main.ts",
   "packages/cli/dist/teaselvalve": "packages/cli/src/main.ts",
   "packages/fakes/dist/fakes": "packages/fakes/src/main.ts",
@@ -18,8 +24,11 @@
   "packages/bench/dist/bench": "packages/bench/src/bench/main.ts",
 };
 
+// `platform` builds just what runs on the platform.
+const platformOnly = process.argv[2] === "platform";
+
 await build({
-  entryPoints: PROGRAMS,
+  entryPoints: platformOnly ? PLATFORM_PROGRAMS : PROGRAMS,
   outdir: ".",
   bundle: true,
   platform: "node",
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
   test: {
-    include: ["packages/*/src/**/*_test.ts"],
+    include: ["packages/*/src/**/*_test.ts", "platform/src/**/*_test.ts"],
     pool: "forks",
     testTimeout: 180_000,
     hookTimeout: 180_000,
