--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -23,6 +23,8 @@
   readonly timeLeftMs: number;
   /** How long the first byte of the answer may take. */
   readonly firstByteMs: number;
+  /** How long the whole answer may take; unlimited when absent. */
+  readonly wholeMs?: number;
   /** Ends the send at once. */
   readonly signal: AbortSignal;
   /** 0 is first and 9 last. */
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -183,12 +183,12 @@
   ): Promise<SendResult> {
     const { request, signal } = this.#options;
     if (signal.aborted) return err({ kind: "aborted" });
-    const timeout = AbortSignal.timeout(Math.max(1, this.#clock.leftMs()));
     const stream = this.#context.port.stream(place.endpoint.entry, {
       request,
       timeLeftMs: this.#clock.patienceLeftMs(),
       firstByteMs: this.#clock.leftMs(),
-      signal: AbortSignal.any([signal, timeout]),
+      wholeMs: this.#clock.leftMs(),
+      signal,
       lastEventId: this.#relay.lastEventId,
       reservation: place.reservation,
       kvSource: source && { address: source.address, handle: source.handle },
@@ -197,9 +197,6 @@
       }),
     });
     const ended = await stream.ended;
-    if (ended.isErr() && timeout.aborted && !signal.aborted) {
-      return err({ kind: "timeout" });
-    }
     return ended.andThen(() => this.#relay.finish());
   }
 
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -191,6 +191,7 @@
       body: request.body,
       connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, send.firstByteMs),
       firstByteMs: send.firstByteMs,
+      wholeMs: send.wholeMs,
       signal: send.signal,
     };
   }
--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -14,7 +14,7 @@
   /** The connection never stood. */
   | { readonly kind: "notSent"; readonly detail: string }
   | { readonly kind: "lost"; readonly detail: string }
-  /** The first byte of the answer did not come in time. */
+  /** The first byte of the answer, or its end, did not come in time. */
   | { readonly kind: "timeout" }
   | { readonly kind: "aborted" };
 
@@ -28,6 +28,8 @@
   readonly connectTimeoutMs: number;
   /** How long the first byte of the answer may take, the connection included. */
   readonly firstByteMs: number;
+  /** How long the whole answer may take; unlimited when absent. */
+  readonly wholeMs?: number | undefined;
   readonly signal?: AbortSignal;
 }
 
@@ -61,6 +63,7 @@
   #signal: AbortSignal | undefined;
   #controller: Dispatcher.DispatchController | undefined;
   #firstByteTimer: ReturnType<typeof setTimeout> | undefined;
+  #wholeTimer: ReturnType<typeof setTimeout> | undefined;
   #connected = false;
   #done = false;
 
@@ -81,6 +84,12 @@
       () => this.#fail({ kind: "timeout" }),
       Math.max(1, request.firstByteMs),
     );
+    if (request.wholeMs !== undefined) {
+      this.#wholeTimer = setTimeout(
+        () => this.#fail({ kind: "timeout" }),
+        Math.max(1, request.wholeMs),
+      );
+    }
     if (request.signal?.aborted) {
       this.#failLater({ kind: "aborted" });
       return;
@@ -159,6 +168,7 @@
     if (this.#done) return false;
     this.#done = true;
     clearTimeout(this.#firstByteTimer);
+    clearTimeout(this.#wholeTimer);
     this.#signal?.removeEventListener("abort", this.#onAbort);
     // The outcome is settled; what the connection still says of itself changes nothing.
     this.#client.destroy().catch(() => {});
