--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -22,8 +22,14 @@
 /** A prefill is given up after this many times its expected time. */
 const PREFILL_PATIENCE = 4;
 const MIN_PREFILL_TIMEOUT_MS = 300;
-/** Expected output where the request names no limit. */
+/** Expected output where the request says nothing of it. */
 const DEFAULT_OUTPUT_TOKENS = 256;
+/**
+ * The share of its expected output that a stream reserves memory for. Streams of
+ * one endpoint are at different places, so that on average half of their output
+ * has been made.
+ */
+const RESERVED_OUTPUT_SHARE = 0.5;
 
 /** What a stream is run with. */
 export interface StreamRunOptions {
@@ -122,6 +128,8 @@
       firstEventMs: Math.round(this.#relay.firstEventAtMs - this.#clock.startedAtMs),
       events: this.#relay.events,
       promptTokens: this.#promptTokens(),
+      maxOutputTokens: this.#options.request.prompt?.maxOutputTokens,
+      hint: this.#options.request.prompt?.expectedOutputTokens ?? undefined,
     });
     return outcome;
   }
@@ -268,11 +276,14 @@
 
   #tokens(): number {
     const { prompt } = this.#options.request;
-    return prompt ? prompt.promptTokens + outputTokens(prompt) : 0;
+    if (!prompt) return 0;
+    const output = RESERVED_OUTPUT_SHARE * outputTokens(prompt);
+    return prompt.promptTokens + Math.ceil(output);
   }
 }
 
 function outputTokens(prompt: PromptFields): number {
-  return prompt.maxOutputTokens || prompt.expectedOutputTokens ||
-    DEFAULT_OUTPUT_TOKENS;
+  const limit = prompt.maxOutputTokens || Infinity;
+  const expected = prompt.expectedOutputTokens ?? prompt.maxOutputTokens;
+  return Math.min(limit, expected || DEFAULT_OUTPUT_TOKENS);
 }
