--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -27,6 +27,8 @@
   request: RoutedRequest;
   route: Route;
   service: ServiceName;
+  /** What the caller waited before this attempt. */
+  waitedMs: number;
   /** Ends the call when its caller leaves. */
   signal: AbortSignal;
 }
@@ -45,7 +47,11 @@
   constructor(context: RoutingContext, options: CallRunOptions) {
     this.#context = context;
     this.#options = options;
-    this.#clock = new RequestClock(options.request, options.route);
+    this.#clock = new RequestClock(
+      options.request,
+      options.route,
+      options.waitedMs,
+    );
   }
 
   /** Sends the call until it is answered or can't be. */
--- a/packages/core/src/routing/request_clock.ts
+++ b/packages/core/src/routing/request_clock.ts
@@ -8,7 +8,8 @@
   readonly #patienceEndsAtMs: number;
   readonly #targetAtMs: number;
 
-  constructor(request: RoutedRequest, route: Route) {
+  /** `waitedMs` is what the caller waited before this attempt. */
+  constructor(request: RoutedRequest, route: Route, waitedMs = 0) {
     this.startedAtMs = request.receivedAtMs;
     this.#patienceEndsAtMs = request.receivedAtMs +
       (request.patienceMs ?? route.timeoutMs);
@@ -16,7 +17,8 @@
       this.#patienceEndsAtMs,
       request.receivedAtMs + route.timeoutMs,
     );
-    this.#targetAtMs = request.receivedAtMs + route.targetLatencyMs;
+    this.#targetAtMs = request.receivedAtMs + route.targetLatencyMs -
+      waitedMs;
   }
 
   /** Time since the request came. */
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -36,6 +36,8 @@
   request: RoutedRequest;
   route: Route;
   service: ServiceName;
+  /** What the caller waited before this attempt. */
+  waitedMs: number;
   pool: EnginePool;
   queue: DecodeQueue;
   sink: AnswerSink;
@@ -66,7 +68,11 @@
   constructor(context: RoutingContext, options: StreamRunOptions) {
     this.#context = context;
     this.#options = options;
-    this.#clock = new RequestClock(options.request, options.route);
+    this.#clock = new RequestClock(
+      options.request,
+      options.route,
+      options.waitedMs,
+    );
     this.#relay = new StreamRelay({
       sink: options.sink,
       lastEventId: options.request.lastEventId,
