--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -29,6 +29,8 @@
   #begun = false;
   #passesEvents = true;
   #firstEventAtMs = NaN;
+  #lastEventAtMs = NaN;
+  #longestGapMs = 0;
   #events = 0;
 
   constructor(options: StreamRelayOptions) {
@@ -51,6 +53,11 @@
     return this.#firstEventAtMs;
   }
 
+  /** The longest pause between two events. */
+  get longestGapMs(): number {
+    return this.#longestGapMs;
+  }
+
   get events(): number {
     return this.#events;
   }
@@ -85,8 +92,14 @@
   #pass(bytes: Uint8Array): boolean {
     if (!this.#passesEvents) return this.#sink.write(bytes);
     let writable = true;
+    const nowMs = performance.now();
     for (const event of this.#splitter.push(bytes)) {
-      if (this.#events === 0) this.#firstEventAtMs = performance.now();
+      if (this.#events === 0) this.#firstEventAtMs = nowMs;
+      else {
+        const gapMs = nowMs - this.#lastEventAtMs;
+        this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
+      }
+      this.#lastEventAtMs = nowMs;
       this.#events += 1;
       this.#lastEventId = event.id ?? this.#lastEventId;
       writable = this.#sink.write(event.bytes);
