--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -27,8 +27,6 @@
   request: RoutedRequest;
   route: Route;
   service: ServiceName;
-  /** What the caller waited before this attempt. */
-  waitedMs: number;
   /** Ends the call when its caller leaves. */
   signal: AbortSignal;
 }
@@ -47,11 +45,7 @@
   constructor(context: RoutingContext, options: CallRunOptions) {
     this.#context = context;
     this.#options = options;
-    this.#clock = new RequestClock(
-      options.request,
-      options.route,
-      options.waitedMs,
-    );
+    this.#clock = new RequestClock(options.request, options.route);
   }
 
   /** Sends the call until it is answered or can't be. */
--- a/packages/core/src/routing/request_clock.ts
+++ b/packages/core/src/routing/request_clock.ts
@@ -8,8 +8,7 @@
   readonly #patienceEndsAtMs: number;
   readonly #targetAtMs: number;
 
-  /** `waitedMs` is what the caller waited before this attempt. */
-  constructor(request: RoutedRequest, route: Route, waitedMs = 0) {
+  constructor(request: RoutedRequest, route: Route) {
     this.startedAtMs = request.receivedAtMs;
     this.#patienceEndsAtMs = request.receivedAtMs +
       (request.patienceMs ?? route.timeoutMs);
@@ -17,8 +16,7 @@
       this.#patienceEndsAtMs,
       request.receivedAtMs + route.timeoutMs,
     );
-    this.#targetAtMs = request.receivedAtMs + route.targetLatencyMs -
-      waitedMs;
+    this.#targetAtMs = request.receivedAtMs + route.targetLatencyMs;
   }
 
   /** Time since the request came. */
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -4,7 +4,6 @@
 import { CallRun } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
 import { DecodeQueue } from "./decode_queue.ts";
-import { EarlierWaits } from "./earlier_waits.ts";
 import type { EndpointAnswer } from "./port.ts";
 import { chooseService, RouteIndex } from "./queries/match_route.ts";
 import type { AnswerSink } from "./stream_relay.ts";
@@ -33,7 +32,6 @@
   #table: RoutingTable | null = null;
   #index = new RouteIndex([]);
   #services = new Map<ServiceName, Service>();
-  #earlierWaits = new EarlierWaits();
   #queues = new Map<ServiceName, DecodeQueue>();
 
   constructor(context: RoutingContext) {
@@ -50,7 +48,6 @@
     if (this.#table && table.version <= this.#table.version) return false;
     this.#table = table;
     this.#index = new RouteIndex(table.routes);
-    this.#earlierWaits.keepOnly(table.routes);
     this.#services = new Map(table.services.map((one) => [one.name, one]));
     this.#context.observer.count("configuration_changes", "in-force");
     this.#context.observer.log({
@@ -78,8 +75,7 @@
     const service = chooseService(route, request.id);
     this.#context.budget.earn(service);
     const pool = this.#services.get(service)?.engines ?? null;
-    const waitedMs = this.#earlierWaits.note(route, request);
-    const common = { request, route, service, waitedMs, signal };
+    const common = { request, route, service, signal };
     if (route.kind === "stream" && pool) {
       const queue = this.#queueOf(service);
       const run = new StreamRun(this.#context, { ...common, pool, queue, sink });
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -36,8 +36,6 @@
   request: RoutedRequest;
   route: Route;
   service: ServiceName;
-  /** What the caller waited before this attempt. */
-  waitedMs: number;
   pool: EnginePool;
   queue: DecodeQueue;
   sink: AnswerSink;
@@ -68,11 +66,7 @@
   constructor(context: RoutingContext, options: StreamRunOptions) {
     this.#context = context;
     this.#options = options;
-    this.#clock = new RequestClock(
-      options.request,
-      options.route,
-      options.waitedMs,
-    );
+    this.#clock = new RequestClock(options.request, options.route);
     this.#relay = new StreamRelay({
       sink: options.sink,
       lastEventId: options.request.lastEventId,
@@ -134,7 +128,6 @@
       firstEventMs: Math.round(this.#relay.firstEventAtMs - this.#clock.startedAtMs),
       longestGapMs: Math.round(this.#relay.longestGapMs),
       events: this.#relay.events,
-      waitedMs: Math.round(this.#options.waitedMs),
       promptTokens: this.#promptTokens(),
       maxOutputTokens: this.#options.request.prompt?.maxOutputTokens,
       hint: this.#options.request.prompt?.expectedOutputTokens ?? undefined,
