--- a/packages/core/src/orders/lease.ts
+++ b/packages/core/src/orders/lease.ts
@@ -1,8 +1,7 @@
 /** Carries out what a shard's lease asks of the table service. */
 import type { Json, PlatformPort } from "../ports/platform.ts";
-import type { ModelName } from "../common/ids.ts";
+import type { Incarnation, ModelName } from "../common/ids.ts";
 import { type Effect, MachineTask } from "../common/machine_task.ts";
-import type { VmContext } from "../vm/types.ts";
 import {
   type LeaseEffect,
   leaseMachine,
@@ -19,14 +18,22 @@
 
 const STORE_TIMEOUT_MS = 1_000;
 
+/** What a lease needs of the VM that may hold it. */
+export interface LeaseContext {
+  readonly identity: { readonly incarnation: Incarnation };
+  readonly ports: {
+    readonly platform: Pick<PlatformPort, "transact" | "read">;
+  };
+}
+
 /** One shard's lease at one VM. */
 export class ShardLease {
-  #context: VmContext;
+  #context: LeaseContext;
   #model: ModelName;
   #machine: MachineTask<typeof leaseMachine>;
   #writes = 0;
 
-  constructor(context: VmContext, model: ModelName) {
+  constructor(context: LeaseContext, model: ModelName) {
     this.#context = context;
     this.#model = model;
     this.#machine = new MachineTask(leaseMachine, {
@@ -132,7 +139,7 @@
     };
   }
 
-  get #platform(): PlatformPort {
+  get #platform(): LeaseContext["ports"]["platform"] {
     return this.#context.ports.platform;
   }
 }
--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -1,7 +1,12 @@
 /** One call to a plain service: its endpoint, its repeats, its answer or refusal. */
 import type { Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
-import { notRun, type Refusal, refuse, type Verdict } from "../common/verdict.ts";
+import {
+  notRun,
+  type Refusal,
+  refuse,
+  type Verdict,
+} from "../common/verdict.ts";
 import type { RoutingContext } from "./context.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { EndpointAnswer, SendFailure } from "./port.ts";
@@ -180,4 +185,3 @@
       });
   }
 }
-
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -1,9 +1,10 @@
 /** What the runs of routed requests share. */
-import type { DataCentre } from "../common/ids.ts";
+import type { DataCentre, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
 import type { RoutedEndpointPort } from "./port.ts";
 import type { ServiceBudget } from "./service_budget.ts";
+import type { StreamCost } from "./stages/demand.ts";
 
 /** Shared by all runs of one VM. */
 export interface RoutingContext {
@@ -12,6 +13,8 @@
   readonly budget: ServiceBudget;
   readonly port: RoutedEndpointPort;
   readonly observer: Observer;
+  /** Told what each stream took that ended well. */
+  readonly noteStream: (service: ServiceName, cost: StreamCost) => void;
   /** A number from 0 up to 1; seeded in tests. */
   readonly random: () => number;
 }
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -7,7 +7,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
-import { notRun, type NotRun } from "../common/verdict.ts";
+import { type NotRun, notRun } from "../common/verdict.ts";
 import type { RoutingContext } from "./context.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { rankDecodeEndpoints } from "./queries/rank_decode_endpoints.ts";
--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -1,6 +1,12 @@
 /** Calls to endpoints, as the router makes them. */
 import type { Result } from "neverthrow";
-import type { EndpointEntry, KvHandle, ReservationId, RoutedRequest } from "./types.ts";
+import type {
+  EndpointEntry,
+  KvHandle,
+  ReservationId,
+  RoutedRequest,
+  Stage,
+} from "./types.ts";
 
 /** How a request sent to an endpoint failed. */
 export type SendFailure =
@@ -83,6 +89,26 @@
   readonly signal: AbortSignal;
 }
 
+/** An order to change the stage. */
+export interface StageOrder {
+  readonly stage: Stage;
+  /** Who gives the order. */
+  readonly holder: string;
+  readonly fencingNumber: number;
+  /** Orders that the endpoint must have accepted before. */
+  readonly expectedSequence: number;
+  readonly timeoutMs: number;
+}
+
+/** What became of an order; `lost` may be carried out later. */
+export type OrderOutcome =
+  | "accepted"
+  | "conflict"
+  | "fenced"
+  | "refused"
+  | "not-sent"
+  | "lost";
+
 /** Calls to endpoints. None is ever repeated by the port itself. */
 export interface RoutedEndpointPort {
   /** Sends a request and reads the whole answer. */
@@ -107,6 +133,11 @@
   ): Promise<Result<ReservationId, SendFailure>>;
   /** Gives a reservation back. Failures are logged; it lapses by itself. */
   releaseReservation(endpoint: EndpointEntry, id: ReservationId): void;
+  /** Orders an engine to change its stage. */
+  orderStage(
+    endpoint: EndpointEntry,
+    order: StageOrder,
+  ): Promise<OrderOutcome>;
   /** Frees KV cache that nobody will fetch. Failures are logged; it lapses by itself. */
   freeHandle(endpoint: EndpointEntry, handle: KvHandle): void;
 }
--- a/packages/core/src/routing/queries/choose_prefill_endpoint.ts
+++ b/packages/core/src/routing/queries/choose_prefill_endpoint.ts
@@ -26,7 +26,9 @@
   const untried = usable.filter(({ entry }) => !tried.has(entry.id));
   const sound = untried.filter((one) => one.isSound(nowMs));
   return minimumBy(sound.length > 0 ? sound : untried, (one) => {
-    const remote = one.entry.dataCentre === decodeDataCentre ? 0 : REMOTE_TOKENS;
+    const remote = one.entry.dataCentre === decodeDataCentre
+      ? 0
+      : REMOTE_TOKENS;
     return one.inFlightTokens + remote + TIE_TOKENS * random();
   });
 }
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -59,6 +59,11 @@
     return true;
   }
 
+  /** A service of the table in force. */
+  service(name: ServiceName): Service | undefined {
+    return this.#services.get(name);
+  }
+
   /** Finds a request's route, or why it has none. */
   match(host: string, target: string): Route | Refusal {
     if (!this.#table) {
@@ -78,7 +83,12 @@
     const common = { request, route, service, signal };
     if (route.kind === "stream" && pool) {
       const queue = this.#queueOf(service);
-      const run = new StreamRun(this.#context, { ...common, pool, queue, sink });
+      const run = new StreamRun(this.#context, {
+        ...common,
+        pool,
+        queue,
+        sink,
+      });
       return await run.run();
     }
     const verdict = await new CallRun(this.#context, common).run();
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -1,7 +1,12 @@
 /** One VM that routes by host and path: its view of VMs, its tables, its endpoints. */
+import type { ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
 import { MembershipTask } from "../membership/task.ts";
-import type { Member, MembershipContext, VmIdentity } from "../membership/types.ts";
+import type {
+  Member,
+  MembershipContext,
+  VmIdentity,
+} from "../membership/types.ts";
 import { createMembershipApp } from "../membership/app.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
@@ -11,6 +16,8 @@
 import { Router } from "./router.ts";
 import { type BudgetLimits, ServiceBudget } from "./service_budget.ts";
 import { type FollowedTable, TableFeed } from "./table_feed.ts";
+import { StageDemand } from "./stages/demand.ts";
+import { StagesTask } from "./stages/task.ts";
 import type { EndpointChange, RoutingTable } from "./types.ts";
 
 const PEER_FETCH_TIMEOUT_MS = 500;
@@ -21,13 +28,14 @@
 export interface RoutingVmPorts {
   readonly tables: FollowedTable<RoutingTable>;
   readonly endpoints: FollowedTable<EndpointChange>;
-  readonly vms: VmRegistry;
+  readonly store: RoutingStore;
   readonly peers: PeerPort;
   readonly calls: RoutedEndpointPort;
 }
 
-/** The platform's list of VMs. */
-export interface VmRegistry extends Pick<PlatformPort, "listVms"> {
+/** What the VMs keep at the platform: who they are, and who may give orders. */
+export interface RoutingStore
+  extends Pick<PlatformPort, "listVms" | "transact" | "read"> {
   /** Puts this VM on the list. */
   register(identity: VmIdentity): Promise<void>;
 }
@@ -54,13 +62,14 @@
   #options: RoutingVmOptions;
   #feeds: readonly { start(): Promise<void>; stop(): void }[];
   #endpointsKnown = false;
+  #stages = new Map<ServiceName, { demand: StageDemand; task: StagesTask }>();
 
   constructor(options: RoutingVmOptions) {
     this.#options = options;
     const { identity, ports, observer, random } = options;
     const context: MembershipContext = {
       identity,
-      ports: { platform: ports.vms, peers: ports.peers },
+      ports: { platform: ports.store, peers: ports.peers },
       observer,
       random,
     };
@@ -82,6 +91,7 @@
       port: ports.calls,
       observer,
       random,
+      noteStream: (service, cost) => this.#stagesOf(service).demand.note(cost),
     });
     this.#feeds = [this.#tableFeed(), this.#endpointFeed()];
     this.peerHandlers = {
@@ -106,17 +116,38 @@
   async start(): Promise<void> {
     const { ports, identity } = this.#options;
     for (const feed of this.#feeds) void feed.start();
-    void ports.vms.register(identity);
+    void ports.store.register(identity);
     await this.membership.seed();
     await this.membership.start();
   }
 
   stop(): void {
     for (const feed of this.#feeds) feed.stop();
+    for (const { task } of this.#stages.values()) task.stop();
     this.router.stop();
     this.membership.stop();
   }
 
+  #stagesOf(service: ServiceName): { demand: StageDemand; task: StagesTask } {
+    const known = this.#stages.get(service);
+    if (known) return known;
+    const { identity, ports, observer } = this.#options;
+    const demand = new StageDemand();
+    const task = new StagesTask({
+      context: { identity, ports: { platform: ports.store } },
+      service,
+      pool: () => this.router.service(service)?.engines ?? null,
+      demand,
+      endpoints: this.endpoints,
+      port: ports.calls,
+      membership: this.membership,
+      observer,
+    });
+    task.start();
+    this.#stages.set(service, { demand, task });
+    return { demand, task };
+  }
+
   #tableFeed(): TableFeed<RoutingTable> {
     const { ports, observer, random } = this.#options;
     const take = (tables: readonly RoutingTable[]) => {
--- a/packages/core/src/routing/stop.ts
+++ b/packages/core/src/routing/stop.ts
@@ -1,7 +1,11 @@
 /** The planned stop of a routing VM, within the time that the platform gives it. */
 import { MachineTask } from "../common/machine_task.ts";
 import type { Observer } from "../common/observe.ts";
-import { type CutReason, type StopEffect, stopMachine } from "../vm/stop_machine.ts";
+import {
+  type CutReason,
+  type StopEffect,
+  stopMachine,
+} from "../vm/stop_machine.ts";
 
 /** Options of {@link RoutingStop}. */
 export interface RoutingStopOptions {
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -10,7 +10,12 @@
 import { choosePrefillEndpoint } from "./queries/choose_prefill_endpoint.ts";
 import { RequestClock } from "./request_clock.ts";
 import { type AnswerSink, StreamRelay } from "./stream_relay.ts";
-import type { EnginePool, PromptFields, Route, RoutedRequest } from "./types.ts";
+import type {
+  EnginePool,
+  PromptFields,
+  Route,
+  RoutedRequest,
+} from "./types.ts";
 import { provesNotRun, refusalOfFailure } from "./verdicts.ts";
 
 /** Sends of one stream, those included that the endpoints did not run. */
@@ -111,6 +116,13 @@
     endpoint.inFlight -= 1;
     endpoint.inFlightTokens -= tokens;
     this.#settle(place, { source, outcome });
+    const decodeMs = performance.now() - prefilledMs;
+    if (outcome.isOk()) {
+      const promptTokens = this.#promptTokens();
+      const heldTokens = tokens;
+      const cost = { promptTokens, heldTokens, decodeMs };
+      this.#context.noteStream(this.#options.service, cost);
+    }
     this.#context.observer.log({
       event: "stream-sent",
       request: this.#options.request.id,
@@ -124,8 +136,10 @@
         : undefined,
       queuedMs: Math.round(startedMs - this.#clock.startedAtMs),
       prefillMs: Math.round(prefilledMs - startedMs),
-      decodeMs: Math.round(performance.now() - prefilledMs),
-      firstEventMs: Math.round(this.#relay.firstEventAtMs - this.#clock.startedAtMs),
+      decodeMs: Math.round(decodeMs),
+      firstEventMs: Math.round(
+        this.#relay.firstEventAtMs - this.#clock.startedAtMs,
+      ),
       longestGapMs: Math.round(this.#relay.longestGapMs),
       events: this.#relay.events,
       promptTokens: this.#promptTokens(),
--- a/packages/core/src/routing/verdicts.ts
+++ b/packages/core/src/routing/verdicts.ts
@@ -1,9 +1,5 @@
 /** What callers are told when a routed request has no answer. */
-import {
-  mayHaveRun,
-  notRun,
-  type Refusal,
-} from "../common/verdict.ts";
+import { mayHaveRun, notRun, type Refusal } from "../common/verdict.ts";
 import type { SendFailure } from "./port.ts";
 
 /** When to come back after a failure that another endpoint may not have. */
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -2,17 +2,17 @@
 import { randomUUID } from "node:crypto";
 import {
   asId,
-  InProgressCount,
   type Incarnation,
+  InProgressCount,
   type Observer,
 } from "@teaselvalve/core";
 import {
-  type FollowedTable,
   type EndpointChange,
+  type FollowedTable,
   RoutingStop,
+  type RoutingStore,
   type RoutingTable,
   RoutingVm,
-  type VmRegistry,
 } from "@teaselvalve/core/routing";
 import type { Exchange } from "../http/exchange.ts";
 import { sendText } from "../http/exchange.ts";
@@ -48,7 +48,7 @@
   log: Log;
   tables: FollowedTable<RoutingTable>;
   endpoints: FollowedTable<EndpointChange>;
-  vms: VmRegistry;
+  store: RoutingStore;
   protocol: EndpointProtocol;
   interfaces: GatewayInterfaces;
 }
@@ -119,12 +119,15 @@
 
   async start(): Promise<void> {
     const { settings, interfaces } = this.#options;
-    const peers = this.#createPart("peers", createPeerHandler({
-      handlers: this.#vm.peerHandlers,
-      secret: null,
-      bodyLimitBytes: PEER_BODY_BYTES,
-      observer: this.#observer,
-    }));
+    const peers = this.#createPart(
+      "peers",
+      createPeerHandler({
+        handlers: this.#vm.peerHandlers,
+        secret: null,
+        bodyLimitBytes: PEER_BODY_BYTES,
+        observer: this.#observer,
+      }),
+    );
     const parts = [
       peers,
       this.#createPart(
@@ -156,7 +159,10 @@
     );
     await this.#stop.begin();
     clearTimeout(limit);
-    this.#observer.log({ event: "gateway-stopped", inProgress: this.#inProgress.count });
+    this.#observer.log({
+      event: "gateway-stopped",
+      inProgress: this.#inProgress.count,
+    });
   }
 
   #state(): GatewayState {
@@ -171,7 +177,7 @@
   }
 
   #createVm(): RoutingVm {
-    const { settings, tables, endpoints, vms, protocol } = this.#options;
+    const { settings, tables, endpoints, store, protocol } = this.#options;
     const { listen } = settings;
     return new RoutingVm({
       identity: {
@@ -183,7 +189,7 @@
       ports: {
         tables,
         endpoints,
-        vms,
+        store,
         peers: createPeerPort({
           secret: null,
           own: {
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -7,11 +7,13 @@
   AnswerHead,
   EndpointAnswer,
   EndpointEntry,
+  OrderOutcome,
   Prefilled,
   ReservationId,
   RoutedEndpointPort,
   Send,
   SendFailure,
+  StageOrder,
   StreamListener,
 } from "@teaselvalve/core/routing";
 import { type ExchangeFailure, openExchange } from "./fresh_exchange.ts";
@@ -91,7 +93,10 @@
         onHead: (status, headers) => {
           const failure = this.#refusalOf(send, { status, headers });
           if (!failure) {
-            return send.listener.onHead({ status, headers: passedHeaders(headers) });
+            return send.listener.onHead({
+              status,
+              headers: passedHeaders(headers),
+            });
           }
           settle(err(failure));
           exchange.abort();
@@ -109,15 +114,17 @@
     send: Send,
   ): ReturnType<RoutedEndpointPort["prefill"]> {
     const whole = await this.#send(endpoint, { send, prefill: true });
-    return whole.andThen<Prefilled, SendFailure>(({ status, headers, body }) => {
-      const fields = this.#protocol.readAnswer(status, headers);
-      if (fields.misdirected) return err({ kind: "misdirected" });
-      if (status !== SUCCESS) return err({ kind: "notExecuted", status });
-      const prefilled = this.#protocol.readPrefilled(body.toString());
-      return prefilled
-        ? ok(prefilled)
-        : err({ kind: "lost", detail: "Unreadable answer to a prefill" });
-    });
+    return whole.andThen<Prefilled, SendFailure>(
+      ({ status, headers, body }) => {
+        const fields = this.#protocol.readAnswer(status, headers);
+        if (fields.misdirected) return err({ kind: "misdirected" });
+        if (status !== SUCCESS) return err({ kind: "notExecuted", status });
+        const prefilled = this.#protocol.readPrefilled(body.toString());
+        return prefilled
+          ? ok(prefilled)
+          : err({ kind: "lost", detail: "Unreadable answer to a prefill" });
+      },
+    );
   }
 
   async reserve(
@@ -153,6 +160,22 @@
     void this.#giveBack(endpoint, this.#protocol.freeHandleCall(handle));
   }
 
+  async orderStage(
+    endpoint: EndpointEntry,
+    order: StageOrder,
+  ): Promise<OrderOutcome> {
+    const call = this.#protocol.orderCall(order, { endpointId: endpoint.id });
+    const whole = await readWhole({
+      ...exchangeOf(endpoint, call),
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      firstByteMs: order.timeoutMs,
+    });
+    return whole.match(
+      ({ status }) => this.#protocol.readOrderStatus(status),
+      (failure) => failure.kind === "notSent" ? "not-sent" : "lost",
+    );
+  }
+
   async #giveBack(endpoint: EndpointEntry, call: EndpointCall): Promise<void> {
     const whole = await readWhole({
       ...exchangeOf(endpoint, call),
--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -142,7 +142,8 @@
       onResponseEnd: () => {
         if (this.#close()) this.#listener.onEnd();
       },
-      onResponseError: (_controller, error) => this.#fail(this.#describe(error)),
+      onResponseError: (_controller, error) =>
+        this.#fail(this.#describe(error)),
     };
   }
 
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -1,19 +1,14 @@
 /** Answers callers whose requests are routed by host and path. */
 import type { ServerResponse } from "node:http";
-import {
-  asId,
-  notRun,
-  type Observer,
-  type Refusal,
-} from "@teaselvalve/core";
+import { asId, notRun, type Observer, type Refusal } from "@teaselvalve/core";
 import type {
   AnswerHead,
   AnswerSink,
   AttemptId,
   EndpointAnswer,
+  Route,
   RoutedEnd,
   RoutedRequest,
-  Route,
   Router,
 } from "@teaselvalve/core/routing";
 import { type Exchange, readBytes } from "../http/exchange.ts";
@@ -61,15 +56,21 @@
   const { router, protocol } = options;
   const fields = protocol.readCaller(incoming.headers);
   exchange.fields.attempt = fields.attemptId ?? undefined;
-  const refuse = (refusal: Refusal) => refuseRequest(exchange, { options, refusal });
+  const refuse = (refusal: Refusal) =>
+    refuseRequest(exchange, { options, refusal });
   const limits = router.table?.limits;
   if (limits && headerBytes(incoming.rawHeaders) > limits.headerBytes) {
     return refuse(notRun("headers-too-large"));
   }
-  const route = router.match(hostOf(incoming.headers.host), incoming.url ?? "/");
+  const route = router.match(
+    hostOf(incoming.headers.host),
+    incoming.url ?? "/",
+  );
   if (!("prefix" in route)) return refuse(route);
   exchange.fields.route = route.name;
-  if (options.refusesWork()) return refuse(notRun("stopping", { retryAfterMs: 50 }));
+  if (options.refusesWork()) {
+    return refuse(notRun("stopping", { retryAfterMs: 50 }));
+  }
   if (fields.attemptId === null) {
     return refuse(notRun("bad-request", { detail: "The request has no id" }));
   }
@@ -146,7 +147,9 @@
   fields.reason = refusal.reason;
   fields.verdict = refusal.kind;
   options.observer.count("refusals", refusal.reason);
-  sendProblem(response, refusal, { formatRetryAfter: options.formatRetryAfter });
+  sendProblem(response, refusal, {
+    formatRetryAfter: options.formatRetryAfter,
+  });
 }
 
 function sendAnswer(response: ServerResponse, answer: EndpointAnswer): void {
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -2,10 +2,12 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type {
   KvHandle,
+  OrderOutcome,
   Prefilled,
   PromptFields,
   ReservationId,
   Send,
+  StageOrder,
 } from "@teaselvalve/core/routing";
 
 /** What a caller's headers say of its request. */
@@ -54,4 +56,6 @@
   readReservation(body: string): ReservationId | null;
   releaseCall(id: ReservationId): EndpointCall;
   freeHandleCall(handle: KvHandle): EndpointCall;
+  orderCall(order: StageOrder, options: { endpointId: string }): EndpointCall;
+  readOrderStatus(status: number): OrderOutcome;
 }
