Routing: endpoints change their stage under a lease, by what streams need

An order names the orders that the engine has accepted, which its report tells; the directory's count is of another kind (trial: all orders were refused).

--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -100,6 +100,15 @@
   readonly timeoutMs: number;
 }
 
+/** What an engine says of itself, as of some hundred milliseconds ago. */
+export interface EngineReport {
+  readonly stage: Stage;
+  /** True while an order is carried out. */
+  readonly busy: boolean;
+  /** Orders that it has accepted since its start. */
+  readonly orderSequence: number;
+}
+
 /** What became of an order; `lost` may be carried out later. */
 export type OrderOutcome =
   | "accepted"
@@ -133,6 +142,11 @@
   ): Promise<Result<ReservationId, SendFailure>>;
   /** Gives a reservation back. Failures are logged; it lapses by itself. */
   releaseReservation(endpoint: EndpointEntry, id: ReservationId): void;
+  /** Asks an engine for its report. */
+  report(
+    endpoint: EndpointEntry,
+    options: { timeoutMs: number },
+  ): Promise<Result<EngineReport, SendFailure>>;
   /** Orders an engine to change its stage. */
   orderStage(
     endpoint: EndpointEntry,
--- a/packages/core/src/routing/stages/task.ts
+++ b/packages/core/src/routing/stages/task.ts
@@ -19,6 +19,8 @@
 const TICK_MS = 1_000;
 /** Pause after an order, so that its effect shows in the directory and in what streams need. */
 const ORDER_PAUSE_MS = 8_000;
+/** Pause after a report that forbids an order. */
+const REPORT_PAUSE_MS = 2_000;
 /** An order without an answer may be carried out this much later. */
 const UNCERTAIN_MS = 15_000;
 /** Reading speed of an engine; only its relation to the decode time matters. */
@@ -31,7 +33,7 @@
   pool: () => EnginePool | null;
   demand: StageDemand;
   endpoints: EndpointBook;
-  port: Pick<RoutedEndpointPort, "orderStage">;
+  port: Pick<RoutedEndpointPort, "orderStage" | "report">;
   membership: MembershipView;
   observer: Observer;
 }
@@ -100,12 +102,20 @@
     if (fencingNumber === null) return;
     const { port, membership, observer, service } = this.#options;
     const { endpoint, stage } = change;
+    const report = await port.report(endpoint, { timeoutMs: ORDER_LIMIT_MS });
+    if (report.isErr() || report.value.busy || report.value.stage === stage) {
+      this.#restsUntilMs = performance.now() + REPORT_PAUSE_MS;
+      return;
+    }
+    const expectedSequence = report.value.orderSequence;
+    // The report took time, so that the lease is checked again.
+    if (this.#fencingNumber() !== fencingNumber) return;
     this.#restsUntilMs = performance.now() + ORDER_PAUSE_MS;
     const outcome = await port.orderStage(endpoint, {
       stage,
       holder: membership.self.id,
       fencingNumber,
-      expectedSequence: endpoint.orderSequence,
+      expectedSequence,
       timeoutMs: ORDER_LIMIT_MS,
     });
     if (outcome === "fenced") this.#lease.fenced();
@@ -120,7 +130,7 @@
       stage,
       outcome,
       fencingNumber,
-      expectedSequence: endpoint.orderSequence,
+      expectedSequence,
       ratePerSecond: round(change.ratePerSecond),
       newRatePerSecond: round(change.newRatePerSecond),
     });
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -1,5 +1,5 @@
 /** One stream: its place at a decode endpoint, its prefill, its events, and where it goes on. */
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import { notRun, type Refusal } from "../common/verdict.ts";
 import { noteOutcome } from "./call_run.ts";
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -104,8 +104,6 @@
   readonly stage: Stage | null;
   /** Start of this incarnation, which tells a restart under the same id. */
   readonly bornAtMs: number;
-  /** Orders that the engine has accepted since its start. */
-  readonly orderSequence: number;
 }
 
 /** A change in the directory of endpoints; a null entry was removed or can't be read. */
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -7,6 +7,7 @@
   AnswerHead,
   EndpointAnswer,
   EndpointEntry,
+  EngineReport,
   OrderOutcome,
   Prefilled,
   ReservationId,
@@ -160,6 +161,24 @@
     void this.#giveBack(endpoint, this.#protocol.freeHandleCall(handle));
   }
 
+  async report(
+    endpoint: EndpointEntry,
+    options: { timeoutMs: number },
+  ): Promise<Result<EngineReport, SendFailure>> {
+    const whole = await readWhole({
+      ...exchangeOf(endpoint, this.#protocol.reportCall()),
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      firstByteMs: options.timeoutMs,
+    });
+    return whole.andThen<EngineReport, SendFailure>(({ status, body }) => {
+      if (status !== SUCCESS) return err({ kind: "notExecuted", status });
+      const report = this.#protocol.readReport(body.toString());
+      return report
+        ? ok(report)
+        : err({ kind: "lost", detail: "Unreadable report" });
+    });
+  }
+
   async orderStage(
     endpoint: EndpointEntry,
     order: StageOrder,
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -51,7 +51,7 @@
   exchange: Exchange,
   options: GatewayHandlerOptions,
 ): Promise<void> {
-  const { incoming, response } = exchange;
+  const { incoming } = exchange;
   const receivedAtMs = performance.now();
   const { router, protocol } = options;
   const fields = protocol.readCaller(incoming.headers);
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -1,6 +1,7 @@
 /** How requests, answers and calls are written for endpoints; given by whoever knows their protocol. */
 import type { IncomingHttpHeaders } from "node:http";
 import type {
+  EngineReport,
   KvHandle,
   OrderOutcome,
   Prefilled,
@@ -56,6 +57,9 @@
   readReservation(body: string): ReservationId | null;
   releaseCall(id: ReservationId): EndpointCall;
   freeHandleCall(handle: KvHandle): EndpointCall;
+  reportCall(): EndpointCall;
+  /** Reads an engine's report, or null where it is none. */
+  readReport(body: string): EngineReport | null;
   orderCall(order: StageOrder, options: { endpointId: string }): EndpointCall;
   readOrderStatus(status: number): OrderOutcome;
 }
