--- a/packages/core/src/routing/app.ts
+++ b/packages/core/src/routing/app.ts
@@ -1,5 +1,7 @@
 /** Peer methods of routing. */
 import { type App, createApp } from "../common/app.ts";
+import type { ServiceName } from "../common/ids.ts";
+import type { DemandSample } from "./stages/demand.ts";
 import type { RoutingTable } from "./types.ts";
 
 /** Peer methods of routing. */
@@ -8,6 +10,8 @@
   "routing/table": (
     params: { after: number },
   ) => { table: RoutingTable | null };
+  /** Tells what streams of a service needed at this VM. */
+  "routing/demand": (params: { service: ServiceName }) => DemandSample;
 }
 
 /** Lists the peer methods of routing. */
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -16,7 +16,7 @@
 import { Router } from "./router.ts";
 import { type BudgetLimits, ServiceBudget } from "./service_budget.ts";
 import { type FollowedTable, TableFeed } from "./table_feed.ts";
-import { StageDemand } from "./stages/demand.ts";
+import { NO_DEMAND, StageDemand } from "./stages/demand.ts";
 import { StagesTask } from "./stages/task.ts";
 import type { EndpointChange, RoutingTable } from "./types.ts";
 
@@ -103,6 +103,8 @@
         "routing/table": ({ after }) => ({
           table: after < this.#version() ? this.router.table : null,
         }),
+        "routing/demand": ({ service }) =>
+          this.#stages.get(service)?.demand.sample() ?? NO_DEMAND,
       }).handlers,
     };
   }
@@ -140,6 +142,7 @@
       demand,
       endpoints: this.endpoints,
       port: ports.calls,
+      peers: ports.peers,
       membership: this.membership,
       observer,
     });
--- a/packages/core/src/routing/stages/demand.ts
+++ b/packages/core/src/routing/stages/demand.ts
@@ -1,9 +1,11 @@
 /** Measures what streams need of prefill and of decode endpoints. */
 
 /** Weight of the newest stream in the moving averages. */
-const WEIGHT = 0.1;
+const WEIGHT = 0.05;
 /** Streams before the averages are used. */
-const MIN_STREAMS = 6;
+const MIN_STREAMS = 12;
+/** Streams that one VM's averages stand for at most, as older ones have faded from them. */
+const MAX_STREAMS = 1 / WEIGHT;
 
 /** What one stream took. */
 export interface StreamCost {
@@ -13,20 +15,36 @@
   readonly decodeMs: number;
 }
 
+/** One VM's averages, as it tells them to others. */
+export interface DemandSample {
+  /** Streams that the averages stand for. */
+  readonly streams: number;
+  readonly promptTokens: number;
+  /** Memory at a decode endpoint times how long it is held. */
+  readonly tokenMs: number;
+}
+
+/** The sample of a VM that has seen no stream. */
+export const NO_DEMAND: DemandSample = {
+  streams: 0,
+  promptTokens: 0,
+  tokenMs: 0,
+};
+
 /** What an average stream needs, in time of a whole endpoint. */
 export interface StageNeeds {
   readonly prefillMs: number;
   readonly decodeMs: number;
 }
 
-/** Options of {@link StageDemand.needs}. */
-export interface StageDemandOptions {
+/** Options of {@link needsOf}. */
+export interface NeedsOptions {
   /** Memory of a decode endpoint. */
   kvTokens: number;
   prefillTokensPerMs: number;
 }
 
-/** Averages over the streams of one service that this VM has seen end. */
+/** Averages over the streams of one service that this VM has seen. */
 export class StageDemand {
   #streams = 0;
   #promptTokens = 0;
@@ -41,12 +59,27 @@
     this.#tokenMs += weight * (tokenMs - this.#tokenMs);
   }
 
-  /** What a stream needs, or null before enough were seen. */
-  needs(options: StageDemandOptions): StageNeeds | null {
-    if (this.#streams < MIN_STREAMS) return null;
+  /** The averages, for this VM or another. */
+  sample(): DemandSample {
     return {
-      prefillMs: this.#promptTokens / options.prefillTokensPerMs,
-      decodeMs: this.#tokenMs / options.kvTokens,
+      streams: Math.min(this.#streams, MAX_STREAMS),
+      promptTokens: this.#promptTokens,
+      tokenMs: this.#tokenMs,
     };
   }
 }
+
+/** What a stream needs by the averages of several VMs, or null before enough streams were seen. */
+export function needsOf(
+  samples: readonly DemandSample[],
+  options: NeedsOptions,
+): StageNeeds | null {
+  const streams = samples.reduce((sum, one) => sum + one.streams, 0);
+  if (streams < MIN_STREAMS) return null;
+  const mean = (valueOf: (sample: DemandSample) => number) =>
+    samples.reduce((sum, one) => sum + one.streams * valueOf(one), 0) / streams;
+  return {
+    prefillMs: mean((one) => one.promptTokens) / options.prefillTokensPerMs,
+    decodeMs: mean((one) => one.tokenMs) / options.kvTokens,
+  };
+}
--- a/packages/core/src/routing/stages/task.ts
+++ b/packages/core/src/routing/stages/task.ts
@@ -10,13 +10,18 @@
 import type { MembershipView } from "../../membership/types.ts";
 import { type LeaseContext, ShardLease } from "../../orders/lease.ts";
 import { ORDER_LIMIT_MS } from "../../orders/types.ts";
+import type { PeerPort } from "../../ports/peers.ts";
 import type { EndpointBook } from "../endpoint_book.ts";
 import type { RoutedEndpointPort } from "../port.ts";
 import type { EnginePool } from "../types.ts";
-import type { StageDemand } from "./demand.ts";
+import { type DemandSample, needsOf, type StageDemand } from "./demand.ts";
 import { planStageChange, type StageChange } from "./plan.ts";
 
 const TICK_MS = 1_000;
+/** How often other VMs are asked what streams needed there, and how many of them. */
+const SAMPLE_INTERVAL_MS = 4_000;
+const SAMPLED_VMS = 8;
+const SAMPLE_TIMEOUT_MS = 500;
 /** Pause after an order, so that its effect shows in the directory and in what streams need. */
 const ORDER_PAUSE_MS = 8_000;
 /** Pause after a report that forbids an order. */
@@ -34,6 +39,7 @@
   demand: StageDemand;
   endpoints: EndpointBook;
   port: Pick<RoutedEndpointPort, "orderStage" | "report">;
+  peers: PeerPort;
   membership: MembershipView;
   observer: Observer;
 }
@@ -45,6 +51,8 @@
   #leaseMark = new ClockMark();
   #timer: ReturnType<typeof setInterval> | undefined;
   #restsUntilMs = 0;
+  #samples: DemandSample[] = [];
+  #sampledAtMs = -Infinity;
   #busy = false;
 
   constructor(options: StagesTaskOptions) {
@@ -64,27 +72,59 @@
   }
 
   async #tick(): Promise<void> {
-    const change = this.#busy ? null : this.#plan();
-    if (!change) return;
+    if (this.#busy || !this.#isHome()) return;
     this.#busy = true;
     try {
-      await this.#order(change);
+      await this.#askPeers();
+      const change = this.#plan();
+      if (change) await this.#order(change);
     } finally {
       this.#busy = false;
     }
   }
 
+  #isHome(): boolean {
+    const { membership, service } = this.#options;
+    const home = membership.homeOf(`stages/${service}`);
+    return home.id === membership.self.id;
+  }
+
+  async #askPeers(): Promise<void> {
+    const nowMs = performance.now();
+    if (nowMs - this.#sampledAtMs < SAMPLE_INTERVAL_MS) return;
+    this.#sampledAtMs = nowMs;
+    const { membership, peers, service } = this.#options;
+    const others = membership.members().filter(({ id, state }) =>
+      state === "live" && id !== membership.self.id
+    ).slice(0, SAMPLED_VMS);
+    const answers = await Promise.all(
+      others.map((peer) =>
+        peers.call(peer, "routing/demand", {
+          params: { service },
+          timeoutMs: SAMPLE_TIMEOUT_MS,
+        })
+      ),
+    );
+    this.#samples = answers.flatMap((one) => one.isOk() ? [one.value] : []);
+  }
+
   #plan(): StageChange | null {
-    const { membership, service, demand, endpoints } = this.#options;
+    const { service, demand, endpoints } = this.#options;
     const pool = this.#options.pool();
     if (!pool || performance.now() < this.#restsUntilMs) return null;
-    if (membership.homeOf(`stages/${service}`).id !== membership.self.id) {
-      return null;
-    }
-    const needs = demand.needs({
+    const samples = [demand.sample(), ...this.#samples];
+    const needs = needsOf(samples, {
       kvTokens: pool.kvTokens,
       prefillTokensPerMs: PREFILL_TOKENS_PER_MS,
     });
+    this.#options.observer.log({
+      event: "stage-needs",
+      level: "debug",
+      service,
+      streams: samples.reduce((sum, one) => sum + one.streams, 0),
+      prefillMs: needs ? Math.round(needs.prefillMs) : undefined,
+      decodeMs: needs ? Math.round(needs.decodeMs) : undefined,
+    });
     if (!needs) return null;
     const usable = [
       ...endpoints.usable(service, "prefill"),
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -10,6 +10,7 @@
 import { MembershipTask } from "../membership/task.ts";
 import { OrdersTask } from "../orders/task.ts";
 import { createRoutingApp } from "../routing/app.ts";
+import { NO_DEMAND } from "../routing/stages/demand.ts";
 import type { PeerHandlers } from "../peers/types.ts";
 import { createQuotasApp } from "../quotas/app.ts";
 import { limitCalls, limitSummaries } from "../quotas/limited.ts";
@@ -150,8 +151,10 @@
       ...createGrantsApp(grants.handlers).handlers,
       ...createSuspectsApp(this.suspects.handlers).handlers,
       // A VM that routes by the manifest has no routing table of its own.
-      ...createRoutingApp({ "routing/table": () => ({ table: null }) })
-        .handlers,
+      ...createRoutingApp({
+        "routing/table": () => ({ table: null }),
+        "routing/demand": () => NO_DEMAND,
+      }).handlers,
       ...createSummariesApp(this.summaries.handlers).handlers,
     };
   }
