Calls end in time where connections are never taken

Cause: undici hears of an abort only once a connection stands or has failed, after ten seconds by default. Probes of VMs without power therefore took ten seconds, the view kept them for as long, and a VM that started beside one gave up its start.

--- a/packages/daemon/src/http/calls.ts
+++ b/packages/daemon/src/http/calls.ts
@@ -55,6 +55,8 @@
 }
 
 const KEEP_ALIVE_MS = 10_000;
+/** A lost packet of the handshake is sent again after one second. */
+const CONNECT_TIMEOUT_MS = 1_500;
 const ANSWER_LIMIT_BYTES = 64 * 1_024 * 1_024;
 
 /**
@@ -149,6 +151,26 @@
 async function sendCall(
   dispatcher: Dispatcher,
   { call, options }: { call: HttpCall; options: CallerOptions },
+): Promise<Result<HttpAnswer, HttpFailure>> {
+  const timeoutMs = Math.max(1, Math.ceil(call.timeoutMs));
+  const signal = AbortSignal.timeout(timeoutMs);
+  // The library hears of an abort only once a connection stands, or can't.
+  const expired = new Promise<Result<HttpAnswer, HttpFailure>>((resolve) => {
+    signal.addEventListener("abort", () => resolve(err({ kind: "timeout" })));
+  });
+  return await Promise.race([
+    requestWhole(dispatcher, { call, options, signal }),
+    expired,
+  ]);
+}
+
+async function requestWhole(
+  dispatcher: Dispatcher,
+  { call, options, signal }: {
+    call: HttpCall;
+    options: CallerOptions;
+    signal: AbortSignal;
+  },
 ): Promise<Result<HttpAnswer, HttpFailure>> {
   try {
     const answer = await dispatcher.request({
@@ -157,7 +179,7 @@
       path: call.path,
       headers: call.headers,
       body: call.body,
-      signal: AbortSignal.timeout(Math.max(1, Math.ceil(call.timeoutMs))),
+      signal,
     });
     return ok({
       status: answer.statusCode,
@@ -187,6 +209,7 @@
 function connectionOptions({ tls, answerLimitBytes }: CallerOptions) {
   return {
     allowH2: false,
+    connectTimeout: CONNECT_TIMEOUT_MS,
     maxResponseSize: answerLimitBytes ?? ANSWER_LIMIT_BYTES,
     ...(tls
       ? {
--- a/packages/daemon/src/http/calls_test.ts
+++ b/packages/daemon/src/http/calls_test.ts
@@ -1,6 +1,9 @@
+import { spawn } from "node:child_process";
 import { once } from "node:events";
+import process from "node:process";
 import {
   type AddressInfo,
+  connect,
   createServer,
   type Server,
   type Socket,
@@ -229,3 +232,42 @@
   const answer = await limited.call(post());
   expect(answer._unsafeUnwrapErr()).toEqual({ kind: "lost" });
 });
+
+test("A call ends in time where connections are never taken", async () => {
+  const silent = await startSilentHost();
+  try {
+    for (const kind of ["kept", "fresh"] as const) {
+      const startedMs = performance.now();
+      const answer = await caller(kind).call(
+        post({ address: silent.address, timeoutMs: 300 }),
+      );
+      expect(answer.isErr()).toBe(true);
+      expect(performance.now() - startedMs).toBeLessThan(900);
+    }
+  } finally {
+    silent.stop();
+  }
+});
+
+/** Stops a listening process once its queue of connections is full, so that it answers no handshake. */
+async function startSilentHost() {
+  const child = spawn(process.execPath, [
+    "-e",
+    `const server = require("node:net").createServer();
+     server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () => console.log(server.address().port));`,
+  ]);
+  const [port] = await once(child.stdout, "data");
+  child.kill("SIGSTOP");
+  const sockets = Array.from({ length: 4 }, () => {
+    const socket = connect({ port: Number(port), host: "127.0.0.1" });
+    return socket.on("error", () => {});
+  });
+  await once(sockets[0]!, "connect");
+  return {
+    address: `127.0.0.1:${Number(port)}`,
+    stop() {
+      for (const socket of sockets) socket.destroy();
+      child.kill("SIGKILL");
+    },
+  };
+}
