--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -3,6 +3,7 @@
 import type { Observer } from "../common/observe.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
 import type { RoutedEndpointPort } from "./port.ts";
+import type { PrefillTimes } from "./prefill_times.ts";
 import type { ServiceBudget } from "./service_budget.ts";
 import type { StreamCost } from "./stages/demand.ts";
 
@@ -11,6 +12,7 @@
   readonly dataCentre: DataCentre;
   readonly endpoints: EndpointBook;
   readonly budget: ServiceBudget;
+  readonly prefillTimes: PrefillTimes;
   readonly port: RoutedEndpointPort;
   readonly observer: Observer;
   /** Told what each stream took that ended well. */
--- /dev/null
+++ b/packages/core/src/routing/prefill_times.ts
@@ -0,0 +1,59 @@
+/** Estimates how long the prefill of a prompt takes, from those that ended lately. */
+import type { ServiceName } from "../common/ids.ts";
+
+/** Reading speed before anything was measured. */
+const FIRST_TOKENS_PER_MS = 30;
+/** Weight of the newest prefill in the average delay. */
+const DELAY_WEIGHT = 0.15;
+/** The speed follows faster prefills at once and slower ones by this share. */
+const SPEED_WEIGHT = 0.02;
+/** Shorter prompts say more of the connection than of the speed. */
+const MIN_TOKENS = 500;
+
+interface Estimate {
+  tokensPerMs: number;
+  /** Time beyond the reading itself: queues, connections. */
+  delayMs: number;
+}
+
+/** Owns the estimates of the services. */
+export class PrefillTimes {
+  #estimates = new Map<ServiceName, Estimate>();
+
+  /** Notes a prefill that ended well. */
+  note(
+    service: ServiceName,
+    prefill: { tokens: number; tookMs: number },
+  ): void {
+    const { tokens, tookMs } = prefill;
+    const estimate = this.#of(service);
+    if (tokens >= MIN_TOKENS && tookMs > 0) {
+      const speed = tokens / tookMs;
+      estimate.tokensPerMs = speed > estimate.tokensPerMs
+        ? speed
+        : estimate.tokensPerMs +
+          SPEED_WEIGHT * (speed - estimate.tokensPerMs);
+    }
+    const delayMs = Math.max(0, tookMs - tokens / estimate.tokensPerMs);
+    estimate.delayMs += DELAY_WEIGHT * (delayMs - estimate.delayMs);
+  }
+
+  /** Time that a prompt takes with the queues of the moment. */
+  expectedMs(service: ServiceName, tokens: number): number {
+    const { tokensPerMs, delayMs } = this.#of(service);
+    return tokens / tokensPerMs + delayMs;
+  }
+
+  /** Tokens that an endpoint reads in a millisecond. */
+  tokensPerMs(service: ServiceName): number {
+    return this.#of(service).tokensPerMs;
+  }
+
+  #of(service: ServiceName): Estimate {
+    const known = this.#estimates.get(service);
+    if (known) return known;
+    const first = { tokensPerMs: FIRST_TOKENS_PER_MS, delayMs: 0 };
+    this.#estimates.set(service, first);
+    return first;
+  }
+}
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -12,6 +12,7 @@
 import type { PlatformPort } from "../ports/platform.ts";
 import { createRoutingApp } from "./app.ts";
 import { EndpointBook } from "./endpoint_book.ts";
+import { PrefillTimes } from "./prefill_times.ts";
 import type { RoutedEndpointPort } from "./port.ts";
 import { Router } from "./router.ts";
 import { type BudgetLimits, ServiceBudget } from "./service_budget.ts";
@@ -62,6 +63,7 @@
   #options: RoutingVmOptions;
   #feeds: readonly { start(): Promise<void>; stop(): void }[];
   #endpointsKnown = false;
+  #prefillTimes = new PrefillTimes();
   #stages = new Map<ServiceName, { demand: StageDemand; task: StagesTask }>();
 
   constructor(options: RoutingVmOptions) {
@@ -88,6 +90,7 @@
         limits: options.budget,
         vmCount: () => this.#liveCount(),
       }),
+      prefillTimes: this.#prefillTimes,
       port: ports.calls,
       observer,
       random,
@@ -140,6 +143,7 @@
       service,
       pool: () => this.router.service(service)?.engines ?? null,
       demand,
+      prefillTokensPerMs: () => this.#prefillTimes.tokensPerMs(service),
       endpoints: this.endpoints,
       port: ports.calls,
       peers: ports.peers,
--- a/packages/core/src/routing/stages/task.ts
+++ b/packages/core/src/routing/stages/task.ts
@@ -28,8 +28,6 @@
 const REPORT_PAUSE_MS = 2_000;
 /** An order without an answer may be carried out this much later. */
 const UNCERTAIN_MS = 15_000;
-/** Reading speed of an engine; only its relation to the decode time matters. */
-const PREFILL_TOKENS_PER_MS = 30;
 
 /** Options of {@link StagesTask}. */
 export interface StagesTaskOptions {
@@ -37,6 +35,8 @@
   service: ServiceName;
   pool: () => EnginePool | null;
   demand: StageDemand;
+  /** Tokens that an endpoint reads in a millisecond. */
+  prefillTokensPerMs: () => number;
   endpoints: EndpointBook;
   port: Pick<RoutedEndpointPort, "orderStage" | "report">;
   peers: PeerPort;
@@ -115,7 +115,7 @@
     const samples = [demand.sample(), ...this.#samples];
     const needs = needsOf(samples, {
       kvTokens: pool.kvTokens,
-      prefillTokensPerMs: PREFILL_TOKENS_PER_MS,
+      prefillTokensPerMs: this.#options.prefillTokensPerMs(),
     });
     this.#options.observer.log({
       event: "stage-needs",
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -10,31 +10,22 @@
 import { choosePrefillEndpoint } from "./queries/choose_prefill_endpoint.ts";
 import { RequestClock } from "./request_clock.ts";
 import { type AnswerSink, StreamRelay } from "./stream_relay.ts";
-import type {
-  EnginePool,
-  PromptFields,
-  Route,
-  RoutedRequest,
-} from "./types.ts";
+import type { EnginePool, Route, RoutedRequest } from "./types.ts";
 import { provesNotRun, refusalOfFailure } from "./verdicts.ts";
 
 /** Sends of one stream, those included that the endpoints did not run. */
 const MAX_SENDS = 4;
 /** Prefill endpoints that are tried for one send. */
 const MAX_PREFILLS = 2;
-/** Expected reading speed before anything was measured. */
-const PREFILL_TOKENS_PER_MS = 30;
 /** A prefill is given up after this many times its expected time. */
 const PREFILL_PATIENCE = 4;
 const MIN_PREFILL_TIMEOUT_MS = 300;
-/** Expected output where the request says nothing of it. */
-const DEFAULT_OUTPUT_TOKENS = 256;
 /**
- * The share of its expected output that a stream reserves memory for. Streams of
- * one endpoint are at different places, so that on average half of their output
- * has been made.
+ * The share of an endpoint's memory that a stream reserves beyond its prompt, for
+ * the output of all that run there: it grows until the next one ends, whatever
+ * the new one's own output will be.
  */
-const RESERVED_OUTPUT_SHARE = 0.5;
+const GROWTH_SHARE = 0.03;
 
 /** What a stream is run with. */
 export interface StreamRunOptions {
@@ -97,7 +88,7 @@
     return queue.enter({
       clock: this.#clock,
       tokens: this.#tokens(),
-      prefillMs: this.#promptTokens() / PREFILL_TOKENS_PER_MS,
+      prefillMs: this.#prefillMs(),
       avoid: this.#avoid.size < pool.slots ? this.#avoid : new Set(),
       mustBeOnTime: !this.#relay.begun,
       signal,
@@ -154,10 +145,10 @@
     decode: EndpointRecord,
   ): Promise<(KvSource & { endpoint: EndpointRecord }) | null> {
     const { request, service, signal } = this.#options;
-    const { endpoints, port, budget, random } = this.#context;
+    const { endpoints, port, budget, prefillTimes, random } = this.#context;
     const tried = new Set<EndpointId>();
     const tokens = this.#promptTokens();
-    const expectedMs = tokens / PREFILL_TOKENS_PER_MS;
+    const expectedMs = this.#prefillMs();
     for (let tries = 0; tries < MAX_PREFILLS; tries += 1) {
       if (tries > 0 && !budget.take(service)) return null;
       const endpoint = choosePrefillEndpoint(
@@ -186,6 +177,7 @@
       const tookMs = performance.now() - startedMs;
       noteOutcome(this.#context, { endpoint, outcome, tookMs });
       if (outcome.isOk()) {
+        prefillTimes.note(service, { tokens, tookMs });
         const { handle } = outcome.value;
         return { endpoint, address: endpoint.entry.address, handle };
       }
@@ -285,20 +277,17 @@
     );
   }
 
+  #prefillMs(): number {
+    const { prefillTimes } = this.#context;
+    return prefillTimes.expectedMs(this.#options.service, this.#promptTokens());
+  }
+
   #promptTokens(): number {
     return this.#options.request.prompt?.promptTokens ?? 0;
   }
 
   #tokens(): number {
-    const { prompt } = this.#options.request;
-    if (!prompt) return 0;
-    const output = RESERVED_OUTPUT_SHARE * outputTokens(prompt);
-    return prompt.promptTokens + Math.ceil(output);
+    const { pool } = this.#options;
+    return this.#promptTokens() + Math.ceil(GROWTH_SHARE * pool.kvTokens);
   }
 }
-
-function outputTokens(prompt: PromptFields): number {
-  const limit = prompt.maxOutputTokens || Infinity;
-  const expected = prompt.expectedOutputTokens ?? prompt.maxOutputTokens;
-  return Math.min(limit, expected || DEFAULT_OUTPUT_TOKENS);
-}
