An answer without a length that was reset is not complete

Cause: undici takes a reset for the end of an answer without a length; its comment says so. Each connection now keeps its own socket error, and an answer that ends with one has failed.

--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -7,7 +7,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
-import { Client, type Dispatcher } from "undici";
+import { buildConnector, Client, type Dispatcher } from "undici";
 
 /** How an exchange failed. */
 export type ExchangeFailure =
@@ -65,6 +65,7 @@
   #firstByteTimer: ReturnType<typeof setTimeout> | undefined;
   #wholeTimer: ReturnType<typeof setTimeout> | undefined;
   #connected = false;
+  #socketError: Error | undefined;
   #done = false;
 
   constructor(request: ExchangeRequest, listener: ExchangeListener) {
@@ -72,14 +73,11 @@
     this.#signal = request.signal;
     this.#client = new Client(`http://${request.address}`, {
       pipelining: 1,
-      connectTimeout: request.connectTimeoutMs,
+      connect: this.#connector(request.connectTimeoutMs),
       // The exchange's own timer covers the first byte; gaps are the caller's matter.
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    this.#client.once("connect", () => {
-      this.#connected = true;
-    });
     this.#firstByteTimer = setTimeout(
       () => this.#fail({ kind: "timeout" }),
       Math.max(1, request.firstByteMs),
@@ -106,6 +104,20 @@
     this.#fail({ kind: "aborted" });
   }
 
+  // The library takes a reset for the end of an answer without a length.
+  #connector(timeoutMs: number): buildConnector.connector {
+    const connect = buildConnector({ timeout: timeoutMs, allowH2: false });
+    return (options, callback) =>
+      connect(options, (...result) => {
+        const [error, socket] = result;
+        if (!error && socket) {
+          this.#connected = true;
+          socket.on("error", (reason) => (this.#socketError = reason));
+        }
+        callback(...result);
+      });
+  }
+
   #onAbort = () => this.abort();
 
   #dispatch(request: ExchangeRequest): void {
@@ -140,6 +152,9 @@
         if (!this.#listener.onData(bytes)) controller.pause();
       },
       onResponseEnd: () => {
+        if (this.#socketError) {
+          return this.#fail(this.#describe(this.#socketError));
+        }
         if (this.#close()) this.#listener.onEnd();
       },
       onResponseError: (_controller, error) =>
