--- a/packages/core/src/routing/endpoint_record.ts
+++ b/packages/core/src/routing/endpoint_record.ts
@@ -6,6 +6,8 @@
 /** How long an endpoint rests after its first failure in a row; doubles with each further one. */
 const EJECTION_BASE_MS = 500;
 const EJECTION_MAX_MS = 8_000;
+/** How long an endpoint whose KV cache lapsed too early reads no prompts; doubles with each further one. */
+const LAPSE_BASE_MS = 1_000;
 /** Failures in a row after which an endpoint rests. */
 const EJECTION_FAILURES = 2;
 
@@ -17,6 +19,8 @@
   #ejectedUntilMs = -Infinity;
   #fullUntilMs = -Infinity;
   #latencyMs: number | null = null;
+  #lapsesInRow = 0;
+  #lapsedUntilMs = -Infinity;
   /** Requests of this VM that the endpoint works on. */
   inFlight = 0;
   /** Memory that this VM's requests take there. */
@@ -101,6 +105,23 @@
     return true;
   }
 
+  /** Notes whether KV cache that it had read could be fetched. */
+  noteHandle(fetched: boolean): void {
+    this.#lapsesInRow = fetched ? 0 : this.#lapsesInRow + 1;
+    if (fetched) {
+      this.#lapsedUntilMs = -Infinity;
+      return;
+    }
+    const restMs = LAPSE_BASE_MS * 2 ** (this.#lapsesInRow - 1);
+    this.#lapsedUntilMs = performance.now() +
+      Math.min(EJECTION_MAX_MS, restMs);
+  }
+
+  /** False while KV cache that it reads is likely to lapse before it is fetched. */
+  keepsHandles(nowMs: number): boolean {
+    return nowMs >= this.#lapsedUntilMs;
+  }
+
   /** Rests for a time whatever its record, as its address answers for another. */
   eject(untilMs: number): void {
     this.#ejectedUntilMs = Math.max(this.#ejectedUntilMs, untilMs);
--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -73,6 +73,8 @@
   readonly ended: Promise<Result<void, SendFailure>>;
   /** Goes on after a pause. */
   resume(): void;
+  /** Gives the answer up and closes its connection. */
+  abort(): void;
 }
 
 /** The outcome of a prefill. */
--- a/packages/core/src/routing/queries/choose_prefill_endpoint.ts
+++ b/packages/core/src/routing/queries/choose_prefill_endpoint.ts
@@ -24,7 +24,9 @@
 ): EndpointRecord | undefined {
   const { tried, nowMs, decodeDataCentre, random } = options;
   const untried = usable.filter(({ entry }) => !tried.has(entry.id));
-  const sound = untried.filter((one) => one.isSound(nowMs));
+  const sound = untried.filter((one) =>
+    one.isSound(nowMs) && one.keepsHandles(nowMs)
+  );
   return minimumBy(sound.length > 0 ? sound : untried, (one) => {
     const remote = one.entry.dataCentre === decodeDataCentre
       ? 0
--- a/packages/core/src/routing/service_budget.ts
+++ b/packages/core/src/routing/service_budget.ts
@@ -43,6 +43,11 @@
     return true;
   }
 
+  /** Counts a repeat that was not foreseen; the budget may fall below nothing. */
+  charge(service: ServiceName): void {
+    this.#left.set(service, this.left(service) - 1);
+  }
+
   /** Repeats that this VM may make now. */
   left(service: ServiceName): number {
     return this.#left.get(service) ?? this.#burst();
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -15,6 +15,10 @@
 
 /** Sends of one stream, those included that the endpoints did not run. */
 const MAX_SENDS = 4;
+/** A resumable stream leaves an endpoint that is silent for this many times the gap that is on time. */
+const SILENCE_GAPS = 5;
+/** Preempted streams are read in again within this time. */
+const MIN_SILENCE_MS = 1_500;
 /** Prefill endpoints that are tried for one send. */
 const MAX_PREFILLS = 2;
 /** A prefill is given up after this many times its expected time. */
@@ -56,6 +60,10 @@
   #clock: RequestClock;
   #relay: StreamRelay;
   #avoid = new Set<EndpointId>();
+  /** Prefill endpoints whose KV cache could not be fetched. */
+  #lapsed = new Set<EndpointId>();
+  /** Prefills that were sent. */
+  #prefills = 0;
   /** Endpoints that may have run the request. */
   #ran = 0;
 
@@ -146,11 +154,13 @@
   ): Promise<(KvSource & { endpoint: EndpointRecord }) | null> {
     const { request, service, signal } = this.#options;
     const { endpoints, port, budget, prefillTimes, random } = this.#context;
-    const tried = new Set<EndpointId>();
+    const tried = new Set<EndpointId>(this.#lapsed);
     const tokens = this.#promptTokens();
     const expectedMs = this.#prefillMs();
     for (let tries = 0; tries < MAX_PREFILLS; tries += 1) {
-      if (tries > 0 && !budget.take(service)) return null;
+      // Only the first prefill of a request costs nothing of the budget.
+      if (this.#prefills > 0 && !budget.take(service)) return null;
+      this.#prefills += 1;
       const endpoint = choosePrefillEndpoint(
         endpoints.usable(service, "prefill"),
         {
@@ -181,6 +191,9 @@
         const { handle } = outcome.value;
         return { endpoint, address: endpoint.entry.address, handle };
       }
+      if (this.#prefills === 1 && outcome.error.kind !== "notSent") {
+        budget.charge(service);
+      }
       this.#context.observer.log({
         event: "prefill-failed",
         request: request.id,
@@ -198,6 +211,12 @@
   ): Promise<SendResult> {
     const { request, signal } = this.#options;
     if (signal.aborted) return err({ kind: "aborted" });
+    let silent = false;
+    const silence = this.#watchSilence(() => {
+      silent = true;
+      stream.abort();
+    });
+    const listener = this.#relay.listen({ resume: () => stream.resume() });
     const stream = this.#context.port.stream(place.endpoint.entry, {
       request,
       timeLeftMs: this.#clock.patienceLeftMs(),
@@ -207,14 +226,39 @@
       lastEventId: this.#relay.lastEventId,
       reservation: place.reservation,
       kvSource: source && { address: source.address, handle: source.handle },
-      listener: this.#relay.listen({
-        resume: () => stream.resume(),
-      }),
+      listener: {
+        onHead: (head) => listener.onHead(head),
+        onData: (bytes) => {
+          silence.restart();
+          return listener.onData(bytes);
+        },
+      },
     });
     const ended = await stream.ended;
+    silence.stop();
+    if (silent) return err({ kind: "timeout" });
     return ended.andThen(() => this.#relay.finish());
   }
 
+  // Where a stream can go on elsewhere, the silence of one endpoint does not end it.
+  #watchSilence(onSilence: () => void) {
+    const { route } = this.#options;
+    const movable = route.resumable && this.#ran + 1 < route.maxAttempts;
+    const limitMs = Math.max(
+      MIN_SILENCE_MS,
+      SILENCE_GAPS * (route.maxEventGapMs ?? 0),
+    );
+    const start = () => movable ? setTimeout(onSilence, limitMs) : undefined;
+    let timer = start();
+    return {
+      restart() {
+        clearTimeout(timer);
+        timer = start();
+      },
+      stop: () => clearTimeout(timer),
+    };
+  }
+
   #settle(
     place: DecodePlace,
     { source, outcome }: {
@@ -223,14 +267,20 @@
     },
   ): void {
     const { endpoint, reservation } = place;
-    if (outcome.isOk()) return endpoint.noteSuccess(0);
+    const refused = outcome.isErr() && outcome.error.kind === "notExecuted";
+    // With a reservation held, it is the KV cache that can't be had.
+    if (source && refused) {
+      source.endpoint.noteHandle(false);
+      this.#lapsed.add(source.endpoint.entry.id);
+    }
+    if (outcome.isOk()) {
+      source?.endpoint.noteHandle(true);
+      return endpoint.noteSuccess(0);
+    }
     noteOutcome(this.#context, { endpoint, outcome, tookMs: 0 });
     if (provesNotRun(outcome.error) || outcome.error.kind === "aborted") {
       this.#context.port.releaseReservation(endpoint.entry, reservation);
-      if (source) {
-        this.#context.port.freeHandle(source.endpoint.entry, source.handle);
-        this.#context.observer.count("prefills_wasted", outcome.error.kind);
-      }
+      if (source) this.#wastePrefill(source, outcome.error.kind);
     }
     if (!provesNotRun(outcome.error)) {
       this.#ran += 1;
@@ -238,6 +288,14 @@
     }
   }
 
+  #wastePrefill(
+    source: KvSource & { endpoint: EndpointRecord },
+    reason: SendFailure["kind"],
+  ): void {
+    this.#context.port.freeHandle(source.endpoint.entry, source.handle);
+    this.#context.observer.count("prefills_wasted", reason);
+  }
+
   #mayGoOn(failure: SendFailure): boolean {
     const { route, signal } = this.#options;
     if (signal.aborted || this.#clock.leftMs() <= 0) return false;
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -107,7 +107,11 @@
         onFailure: (failure) => settle(err(toSendFailure(failure))),
       },
     );
-    return { ended, resume: () => exchange.resume() };
+    return {
+      ended,
+      resume: () => exchange.resume(),
+      abort: () => exchange.abort(),
+    };
   }
 
   async prefill(
