--- a/packages/daemon/src/observe/log.ts
+++ b/packages/daemon/src/observe/log.ts
@@ -1,8 +1,8 @@
 /** Writes bunyan records as one line of key=value pairs each. */
-import { Writable } from "node:stream";
 import process from "node:process";
 import bunyan from "bunyan";
 import type { LogEvent, VmId } from "@teaselvalve/core";
+import { createBoundedOutput, type LineOutput } from "./bounded_output.ts";
 
 const PLAIN_VALUE = /^[\w.:/@+-]+$/;
 const HIDDEN_FIELDS = new Set(["v", "hostname", "name", "msg", "level", "pid"]);
@@ -11,7 +11,8 @@
 export interface LogOptions {
   vm: VmId;
   level: "debug" | "info" | "warn" | "error";
-  output?: NodeJS.WritableStream;
+  /** Standard output by default, where lines are dropped rather than waited for. */
+  output?: Pick<LineOutput, "write">;
 }
 
 /** Writes an event's line. */
@@ -19,19 +20,31 @@
 
 /** Creates the log of one daemon. */
 export function createLog(options: LogOptions): Log {
-  const output = options.output ?? process.stdout;
-  const lines = new Writable({
-    objectMode: true,
-    write(record, _encoding, done) {
-      output.write(formatRecord(record), done);
-    },
-  });
+  const output = options.output ??
+    createStandardOutput((lines) =>
+      log({ event: "log-lines-dropped", level: "warn", lines })
+    );
+  const lines = {
+    write: (record: Record<string, unknown>) =>
+      output.write(formatRecord(record)),
+  };
   const logger = bunyan.createLogger({
     name: "teaselvalved",
     vm: options.vm,
-    streams: [{ type: "raw", level: options.level, stream: lines }],
+    streams: [{
+      type: "raw",
+      level: options.level,
+      stream: lines as unknown as NodeJS.WritableStream,
+    }],
   });
-  return ({ level = "info", ...fields }) => logger[level](fields);
+  const log: Log = ({ level = "info", ...fields }) => logger[level](fields);
+  return log;
+}
+
+function createStandardOutput(onDropped: (lines: number) => void): LineOutput {
+  const output = createBoundedOutput({ onDropped });
+  process.on("exit", () => output.flush());
+  return output;
 }
 
 /** Formats one bunyan record as key=value pairs. */
