--- /dev/null
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -0,0 +1,219 @@
+import { err, ok } from "neverthrow";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { DecodeQueue } from "./decode_queue.ts";
+import type { SendFailure } from "./port.ts";
+import { StreamRun } from "./stream_run.ts";
+import {
+  context,
+  entry,
+  event,
+  EVENT_HEAD,
+  FakeEndpoints,
+  POOL,
+  request,
+  route,
+  SERVICE,
+} from "./testing/fake_endpoints.ts";
+import type { Route } from "./types.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+const ENTRIES = [
+  entry("d1", { stage: "decode", address: "10.0.0.1:1" }),
+  entry("d2", { stage: "decode", address: "10.0.0.2:1" }),
+  entry("p1", { stage: "prefill", address: "10.0.0.3:1" }),
+  entry("p2", { stage: "prefill", address: "10.0.0.4:1" }),
+];
+
+const PROMPT = {
+  model: "m",
+  promptTokens: 3_000,
+  maxOutputTokens: 500,
+  expectedOutputTokens: 300,
+  parts: [],
+};
+
+function start(
+  port: FakeEndpoints,
+  options: { route?: Partial<Route>; slack?: number } = {},
+) {
+  const left = new AbortController();
+  const out: string[] = [];
+  const shared = context(port, ENTRIES, options);
+  const run = new StreamRun(shared, {
+    request: request({ patienceMs: 14_000, prompt: PROMPT }),
+    route: route({
+      kind: "stream",
+      resumable: true,
+      timeoutMs: 14_000,
+      targetLatencyMs: 900,
+      maxEventGapMs: 300,
+      ...options.route,
+    }),
+    service: SERVICE,
+    pool: POOL,
+    queue: new DecodeQueue(shared, { service: SERVICE, pool: () => POOL }),
+    sink: {
+      head: (head) => out.push(`head ${head.status}`),
+      write: (bytes) => out.push(new TextDecoder().decode(bytes)) > 0,
+      onDrain() {},
+    },
+    signal: left.signal,
+  });
+  return { ended: run.run(), out, left, shared };
+}
+
+function eventsOf(out: readonly string[]): string[] {
+  return [...out.join("").matchAll(/id: (\d+)/g)].map(([, id]) => id!);
+}
+
+test("A place is reserved before the prompt is read, and the stream starts with both", async () => {
+  const port = new FakeEndpoints();
+  const { ended, out } = start(port);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(port.log[0]).toMatch(/^reserve d/);
+  expect(port.log[1]).toMatch(/^prefill p/);
+  expect(port.log[2]).toMatch(/^stream d\d from 10\.0\.0\.[34]:1$/);
+  expect(eventsOf(out)).toEqual(["1"]);
+});
+
+test("Nothing is read while no endpoint has room, and the stream is refused before it is late", async () => {
+  const full: SendFailure = { kind: "notExecuted", status: 503 };
+  const port = new FakeEndpoints({ reserve: () => err(full) });
+  const { ended } = start(port);
+  const startedMs = performance.now();
+  let refusedAfterMs = Infinity;
+  void ended.then(() => (refusedAfterMs = performance.now() - startedMs));
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(await ended).toMatchObject({
+    kind: "refused",
+    refusal: { kind: "notRun", reason: "no-capacity" },
+  });
+  expect(refusedAfterMs).toBeLessThan(900);
+  expect(port.log.filter((line) => line.startsWith("prefill"))).toEqual([]);
+});
+
+test("A resumable stream goes on elsewhere after its last event, none twice and none missing", async () => {
+  let sends = 0;
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener, lastEventId }) => {
+      sends += 1;
+      listener.onHead(EVENT_HEAD);
+      if (sends === 1) {
+        listener.onData(event(1));
+        listener.onData(event(2));
+        // Half of the next event, which the endpoint never finished.
+        listener.onData(event(3).subarray(0, 5));
+        return Promise.resolve(err({ kind: "lost", detail: "reset" }));
+      }
+      expect(lastEventId).toBe("2");
+      listener.onData(event(3));
+      return Promise.resolve(ok(undefined));
+    },
+  });
+  const { ended, out } = start(port);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(eventsOf(out)).toEqual(["1", "2", "3"]);
+  expect(out.filter((part) => part.startsWith("head"))).toHaveLength(1);
+  const streamed = port.log.filter((line) => line.startsWith("stream"));
+  expect(streamed[0]!.slice(0, 9)).not.toBe(streamed[1]!.slice(0, 9));
+});
+
+test("A stream that can't be resumed is broken off, never joined", async () => {
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener }) => {
+      listener.onHead(EVENT_HEAD);
+      listener.onData(event(1));
+      return Promise.resolve(err({ kind: "lost", detail: "reset" }));
+    },
+  });
+  const { ended } = start(port, { route: { resumable: false } });
+  expect(await ended).toMatchObject({ kind: "broken" });
+  expect(port.log.filter((line) => line.startsWith("stream"))).toHaveLength(1);
+});
+
+test("A stream that ends inside an event is not complete", async () => {
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener }) => {
+      listener.onHead(EVENT_HEAD);
+      listener.onData(event(1).subarray(0, 6));
+      return Promise.resolve(ok(undefined));
+    },
+  });
+  const { ended } = start(port, { route: { resumable: false } });
+  expect(await ended).toMatchObject({ kind: "broken" });
+});
+
+test("An endpoint that goes silent is left where the stream may go on", async () => {
+  let sends = 0;
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener }) => {
+      sends += 1;
+      listener.onHead(EVENT_HEAD);
+      listener.onData(event(sends));
+      return sends === 1
+        ? new Promise(() => {})
+        : Promise.resolve(ok(undefined));
+    },
+  });
+  const { ended, out } = start(port);
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(eventsOf(out)).toEqual(["1", "2"]);
+});
+
+test("Where KV cache can't be fetched, another endpoint reads the prompt next", async () => {
+  let sends = 0;
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener }) => {
+      sends += 1;
+      if (sends === 1) {
+        return Promise.resolve(err({ kind: "notExecuted", status: 503 }));
+      }
+      listener.onHead(EVENT_HEAD);
+      return Promise.resolve(ok(undefined));
+    },
+  });
+  const { ended } = start(port);
+  expect(await ended).toEqual({ kind: "complete" });
+  const readers = port.log.filter((line) => line.startsWith("prefill"));
+  expect(new Set(readers).size).toBe(2);
+});
+
+test("A repeat after a lapsed handle is charged for its prefill and for its send", async () => {
+  let sends = 0;
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener }) => {
+      sends += 1;
+      if (sends === 1) {
+        return Promise.resolve(err({ kind: "notExecuted", status: 503 }));
+      }
+      listener.onHead(EVENT_HEAD);
+      return Promise.resolve(ok(undefined));
+    },
+  });
+  const { ended, shared } = start(port);
+  const before = shared.budget.left(SERVICE);
+  await ended;
+  expect(before - shared.budget.left(SERVICE)).toBe(2);
+});
+
+test("A caller that leaves ends the send and frees what was held for it", async () => {
+  const port = new FakeEndpoints({ stream: () => new Promise(() => {}) });
+  const { ended, left } = start(port);
+  await vi.advanceTimersByTimeAsync(10);
+  left.abort();
+  await ended;
+  expect(port.released).toEqual(["hold"]);
+  expect(port.freed).toEqual(["kv"]);
+});
+
+test("Without a prefill endpoint the decode endpoint reads the prompt itself", async () => {
+  const port = new FakeEndpoints({
+    prefill: () => Promise.resolve(err({ kind: "notSent" })),
+  });
+  const { ended } = start(port);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(port.log.at(-1)).toMatch(/^stream d\d$/);
+});
--- /dev/null
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -0,0 +1,254 @@
+/** Endpoints in process, for tests of routing on a paused clock. */
+import { Buffer } from "node:buffer";
+import { err, ok, type Result } from "neverthrow";
+import {
+  asId,
+  type DataCentre,
+  type EndpointId,
+  type ServiceName,
+} from "../../common/ids.ts";
+import { SILENT_OBSERVER } from "../../common/observe.ts";
+import type { RoutingContext } from "../context.ts";
+import { EndpointBook } from "../endpoint_book.ts";
+import type {
+  EndpointAnswer,
+  EngineReport,
+  OrderOutcome,
+  Prefilled,
+  RoutedEndpointPort,
+  Send,
+  SendFailure,
+  StageOrder,
+  StreamListener,
+} from "../port.ts";
+import { PrefillTimes } from "../prefill_times.ts";
+import { ServiceBudget } from "../service_budget.ts";
+import type {
+  EndpointEntry,
+  EnginePool,
+  ReservationId,
+  Route,
+  RoutedRequest,
+  RoutingTable,
+  Stage,
+} from "../types.ts";
+
+export const SERVICE = asId<ServiceName>("readers");
+export const HOME = asId<DataCentre>("north-a");
+
+/** Makes an entry. */
+export function entry(
+  id: string,
+  options: Partial<EndpointEntry> = {},
+): EndpointEntry {
+  return {
+    id: asId<EndpointId>(id),
+    service: SERVICE,
+    address: `10.0.0.1:${id.length}`,
+    dataCentre: HOME,
+    slots: 6,
+    state: "ready",
+    stage: null,
+    bornAtMs: 1,
+    ...options,
+  };
+}
+
+/** Makes a route. */
+export function route(options: Partial<Route> = {}): Route {
+  return {
+    name: asId("r"),
+    host: "a.example",
+    prefix: "/a/",
+    kind: "safe",
+    destinations: [{ service: SERVICE, weight: 1 }],
+    timeoutMs: 1_000,
+    targetLatencyMs: 150,
+    priority: 1,
+    maxAttempts: 2,
+    resumable: false,
+    maxEventGapMs: null,
+    ...options,
+  };
+}
+
+/** Makes a request that came just now. */
+export function request(options: Partial<RoutedRequest> = {}): RoutedRequest {
+  return {
+    id: asId("attempt-1"),
+    method: "GET",
+    host: "a.example",
+    target: "/a/b",
+    rawHeaders: [],
+    body: Buffer.alloc(0),
+    receivedAtMs: performance.now(),
+    patienceMs: 1_500,
+    lastEventId: null,
+    prompt: null,
+    ...options,
+  };
+}
+
+export const POOL: EnginePool = {
+  slots: 24,
+  kvTokens: 33_000,
+  kvTokenBytes: 1,
+  linkMbps: 1_000,
+  handleTtlMs: 500,
+  reconfigureMs: 6_000,
+  reservationTtlMs: 2_000,
+  models: [],
+};
+
+/** Makes a table of one service. */
+export function table(
+  version: number,
+  options: { routes?: Route[]; engines?: EnginePool | null } = {},
+): RoutingTable {
+  return {
+    version,
+    routes: options.routes ?? [route()],
+    services: [{
+      name: SERVICE,
+      maxConnections: 100,
+      engines: options.engines ?? null,
+    }],
+    limits: {
+      headerBytes: 16_384,
+      bodyBytes: 1_048_576,
+      headersMs: 3_000,
+      idleMs: 15_000,
+    },
+  };
+}
+
+/** An answer. */
+export function answer(status = 200, text = "ok"): EndpointAnswer {
+  return { status, headers: [], body: Buffer.from(text) };
+}
+
+type Outcome<T> = Result<T, SendFailure>;
+
+/** What endpoints do; each may be replaced by a test. */
+export interface FakeBehaviour {
+  call(endpoint: EndpointEntry, send: Send): Promise<Outcome<EndpointAnswer>>;
+  reserve(endpoint: EndpointEntry, tokens: number): Outcome<ReservationId>;
+  prefill(endpoint: EndpointEntry, send: Send): Promise<Outcome<Prefilled>>;
+  /** Streams to the listener, and resolves with its end. */
+  stream(
+    endpoint: EndpointEntry,
+    send: Send & { listener: StreamListener },
+  ): Promise<Outcome<void>>;
+  report(endpoint: EndpointEntry): Outcome<EngineReport>;
+  order(endpoint: EndpointEntry, order: StageOrder): OrderOutcome;
+}
+
+/** Endpoints that do as they are told, and keep what was asked of them. */
+export class FakeEndpoints implements RoutedEndpointPort {
+  readonly log: string[] = [];
+  readonly released: string[] = [];
+  readonly freed: string[] = [];
+  #behaviour: FakeBehaviour;
+
+  constructor(behaviour: Partial<FakeBehaviour> = {}) {
+    this.#behaviour = {
+      call: () => Promise.resolve(ok(answer())),
+      reserve: () => ok(asId<ReservationId>("hold")),
+      prefill: () => Promise.resolve(ok({ handle: asId("kv"), tokens: 1 })),
+      stream: (_endpoint, { listener }) => {
+        listener.onHead(EVENT_HEAD);
+        listener.onData(event(1));
+        return Promise.resolve(ok(undefined));
+      },
+      report: ({ stage }) =>
+        ok({ stage: stage as Stage, busy: false, orderSequence: 0 }),
+      order: () => "accepted",
+      ...behaviour,
+    };
+  }
+
+  call(endpoint: EndpointEntry, send: Send) {
+    this.log.push(`call ${endpoint.id}`);
+    return this.#behaviour.call(endpoint, send);
+  }
+
+  stream(
+    endpoint: EndpointEntry,
+    send: Send & { listener: StreamListener },
+  ) {
+    const from = send.kvSource ? ` from ${send.kvSource.address}` : "";
+    const after = send.lastEventId ? ` after ${send.lastEventId}` : "";
+    this.log.push(`stream ${endpoint.id}${from}${after}`);
+    let abort: () => void = () => {};
+    const aborted = new Promise<Outcome<void>>((resolve) => {
+      abort = () => resolve(err({ kind: "aborted" }));
+      send.signal.addEventListener("abort", abort);
+    });
+    const ended = Promise.race([
+      this.#behaviour.stream(endpoint, send),
+      aborted,
+    ]);
+    return { ended, resume() {}, abort };
+  }
+
+  prefill(endpoint: EndpointEntry, send: Send) {
+    this.log.push(`prefill ${endpoint.id}`);
+    return this.#behaviour.prefill(endpoint, send);
+  }
+
+  reserve(endpoint: EndpointEntry, { tokens }: { tokens: number }) {
+    this.log.push(`reserve ${endpoint.id}`);
+    return Promise.resolve(this.#behaviour.reserve(endpoint, tokens));
+  }
+
+  releaseReservation(_endpoint: EndpointEntry, id: string): void {
+    this.released.push(id);
+  }
+
+  freeHandle(_endpoint: EndpointEntry, handle: string): void {
+    this.freed.push(handle);
+  }
+
+  report(endpoint: EndpointEntry) {
+    return Promise.resolve(this.#behaviour.report(endpoint));
+  }
+
+  orderStage(endpoint: EndpointEntry, order: StageOrder) {
+    this.log.push(`order ${endpoint.id} ${order.stage}`);
+    return Promise.resolve(this.#behaviour.order(endpoint, order));
+  }
+}
+
+/** The head of a stream of events. */
+export const EVENT_HEAD = {
+  status: 200,
+  headers: [["content-type", "text/event-stream"]] as [string, string][],
+};
+
+/** One event. */
+export function event(id: number): Buffer {
+  return Buffer.from(`id: ${id}\ndata: ${id}\n\n`);
+}
+
+/** What runs share, over stand-ins. */
+export function context(
+  port: RoutedEndpointPort,
+  entries: readonly EndpointEntry[],
+  options: { share?: number; slack?: number } = {},
+): RoutingContext {
+  const endpoints = new EndpointBook(SILENT_OBSERVER);
+  endpoints.replace(entries);
+  return {
+    dataCentre: HOME,
+    endpoints,
+    budget: new ServiceBudget({
+      limits: { share: options.share ?? 0.2, slack: options.slack ?? 50 },
+      vmCount: () => 1,
+    }),
+    prefillTimes: new PrefillTimes(),
+    port,
+    observer: SILENT_OBSERVER,
+    noteStream() {},
+    random: () => 0.5,
+  };
+}
