--- a/packages/core/src/routing/app.ts
+++ b/packages/core/src/routing/app.ts
@@ -2,7 +2,8 @@
 import { type App, createApp } from "../common/app.ts";
 import type { ServiceName } from "../common/ids.ts";
 import type { DemandSample } from "./stages/demand.ts";
-import type { RoutingTable } from "./types.ts";
+import type { Crash } from "./crash_book.ts";
+import type { EndpointEntry, RoutingTable } from "./types.ts";
 
 /** Peer methods of routing. */
 export interface RoutingHandlers {
@@ -10,6 +11,12 @@
   "routing/table": (
     params: { after: number },
   ) => { table: RoutingTable | null };
+  /** Gives all endpoints that the VM knows, for one that can't read the directory. */
+  "routing/endpoints": () => {
+    entries: readonly EndpointEntry[] | null;
+  };
+  /** Tells of requests that were lost in crashes. */
+  "routing/crashes": (params: { crashes: readonly Crash[] }) => null;
   /** Tells what streams of a service needed at this VM. */
   "routing/demand": (params: { service: ServiceName }) => DemandSample;
 }
--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -8,6 +8,7 @@
   type Verdict,
 } from "../common/verdict.ts";
 import type { RoutingContext } from "./context.ts";
+import { fingerprintOf } from "./crash_book.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { EndpointAnswer, SendFailure } from "./port.ts";
 import { chooseEndpoint } from "./queries/choose_endpoint.ts";
@@ -91,7 +92,7 @@
     endpoint.inFlight -= 1;
     const tookMs = performance.now() - startedMs;
     if (outcome.isOk() || !provesNotRun(outcome.error)) this.#ran += 1;
-    noteOutcome(this.#context, { endpoint, outcome, tookMs });
+    noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
     this.#context.observer.log({
       event: "call-sent",
       request: request.id,
@@ -158,14 +159,23 @@
 /** Notes in the endpoint's record how it answered. */
 export function noteOutcome(
   context: RoutingContext,
-  { endpoint, outcome, tookMs }: {
+  { endpoint, request, outcome, tookMs }: {
     endpoint: EndpointRecord;
+    request: RoutedRequest;
     outcome: Result<unknown, SendFailure>;
     tookMs: number;
   },
 ): void {
   const nowMs = performance.now();
-  if (outcome.isOk()) return endpoint.noteSuccess(tookMs);
+  const { crashes } = context;
+  if (outcome.isOk()) {
+    if (crashes.watches) crashes.clear(fingerprintOf(request));
+    return endpoint.noteSuccess(tookMs);
+  }
+  if (outcome.error.kind === "lost") {
+    crashes.noteLoss(fingerprintOf(request), endpoint.entry.id);
+  }
+  if (outcome.error.kind === "notSent") crashes.noteCrash(endpoint.entry.id);
   switch (outcome.error.kind) {
     case "aborted":
       return;
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -1,6 +1,7 @@
 /** What the runs of routed requests share. */
 import type { DataCentre, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
+import type { CrashBook } from "./crash_book.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
 import type { RoutedEndpointPort } from "./port.ts";
 import type { PrefillTimes } from "./prefill_times.ts";
@@ -14,6 +15,7 @@
   readonly budget: ServiceBudget;
   readonly prefillTimes: PrefillTimes;
   readonly port: RoutedEndpointPort;
+  readonly crashes: CrashBook;
   readonly observer: Observer;
   /** Told what each stream took that ended well. */
   readonly noteStream: (service: ServiceName, cost: StreamCost) => void;
--- a/packages/core/src/routing/endpoint_book.ts
+++ b/packages/core/src/routing/endpoint_book.ts
@@ -15,13 +15,16 @@
 /** Owns the records of all endpoints. */
 export class EndpointBook {
   #observer: Observer;
+  #onEnd: (id: EndpointId) => void;
   #records = new Map<EndpointId, EndpointRecord>();
   #departed = new Set<string>();
   #reachable = true;
   #reachableSinceMs = -Infinity;
 
-  constructor(observer: Observer) {
+  /** `onEnd` is told of endpoints that are gone or have started anew. */
+  constructor(observer: Observer, onEnd: (id: EndpointId) => void = () => {}) {
     this.#observer = observer;
+    this.#onEnd = onEnd;
   }
 
   /** Takes a whole reading of the directory. */
@@ -83,6 +86,7 @@
       known.update(taken);
       return;
     }
+    if (known) this.#onEnd(entry.id);
     this.#records.set(entry.id, new EndpointRecord(taken));
     this.#observer.log({
       event: "endpoint-known",
@@ -101,6 +105,7 @@
     const graceEndsMs = this.#reachableSinceMs + RETURN_GRACE_MS;
     const goneAtMs = Math.max(performance.now(), graceEndsMs);
     record.setMissing(goneAtMs);
+    this.#onEnd(id);
     this.#observer.log({
       event: "endpoint-gone",
       endpoint: id,
--- /dev/null
+++ b/packages/core/src/routing/endpoint_book_test.ts
@@ -0,0 +1,62 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { SILENT_OBSERVER } from "../common/observe.ts";
+import { EndpointBook } from "./endpoint_book.ts";
+import { entry, SERVICE } from "./testing/fake_endpoints.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+function idsOf(book: EndpointBook): string[] {
+  return book.usable(SERVICE, null).map((record) => record.entry.id).sort();
+}
+
+test("A draining endpoint takes no work, and a late entry doesn't bring it back", () => {
+  const book = new EndpointBook(SILENT_OBSERVER);
+  book.replace([entry("a"), entry("b")]);
+  book.apply({ id: entry("a").id, entry: entry("a", { state: "draining" }) });
+  expect(idsOf(book)).toEqual(["b"]);
+  book.apply({ id: entry("a").id, entry: entry("a") });
+  expect(idsOf(book)).toEqual(["b"]);
+  // Another start under the same id is another endpoint.
+  book.apply({ id: entry("a").id, entry: entry("a", { bornAtMs: 2 }) });
+  expect(idsOf(book)).toEqual(["a", "b"]);
+});
+
+test("An older start doesn't replace a newer one", () => {
+  const book = new EndpointBook(SILENT_OBSERVER);
+  book.replace([entry("a", { bornAtMs: 5, address: "10.0.0.5:1" })]);
+  book.apply({ id: entry("a").id, entry: entry("a", { bornAtMs: 4 }) });
+  expect(book.get(entry("a").id)?.entry.address).toBe("10.0.0.5:1");
+});
+
+test("A missing endpoint is gone at once while the directory can be read", () => {
+  const book = new EndpointBook(SILENT_OBSERVER);
+  book.replace([entry("a"), entry("b")]);
+  book.apply({ id: entry("a").id, entry: null });
+  expect(idsOf(book)).toEqual(["b"]);
+});
+
+test("What lapsed while the directory was away is kept for a while after its return", async () => {
+  const book = new EndpointBook(SILENT_OBSERVER);
+  book.replace([entry("a"), entry("b")]);
+  book.setReachable(false);
+  expect(idsOf(book)).toEqual(["a", "b"]);
+  book.setReachable(true);
+  book.replace([entry("b")]);
+  expect(idsOf(book)).toEqual(["a", "b"]);
+  await vi.advanceTimersByTimeAsync(1_900);
+  expect(idsOf(book)).toEqual(["a", "b"]);
+  await vi.advanceTimersByTimeAsync(400);
+  expect(idsOf(book)).toEqual(["b"]);
+});
+
+test("An entry that came back in time stays", async () => {
+  const book = new EndpointBook(SILENT_OBSERVER);
+  book.replace([entry("a")]);
+  book.setReachable(false);
+  book.setReachable(true);
+  book.replace([]);
+  book.apply({ id: entry("a").id, entry: entry("a") });
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect(idsOf(book)).toEqual(["a"]);
+});
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -3,6 +3,7 @@
 import { notRun, type Refusal } from "../common/verdict.ts";
 import { CallRun } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
+import { fingerprintOf } from "./crash_book.ts";
 import { DecodeQueue } from "./decode_queue.ts";
 import type { EndpointAnswer } from "./port.ts";
 import { chooseService, RouteIndex } from "./queries/match_route.ts";
@@ -13,6 +14,9 @@
 /** When to come back to a VM that has no table yet. */
 const NO_TABLE_RETRY_MS = 300;
 
+/** A request that crashes endpoints is worth no early return. */
+const CONVICTED_RETRY_MS = 60_000;
+
 /** How a request ended. */
 export type RoutedEnd =
   | { readonly kind: "answered"; readonly answer: EndpointAnswer }
@@ -77,6 +81,13 @@
     request: RoutedRequest,
     { route, sink, signal }: HandleOptions & { route: Route },
   ): Promise<RoutedEnd> {
+    const { crashes } = this.#context;
+    if (crashes.watches && crashes.isConvicted(fingerprintOf(request))) {
+      return {
+        kind: "refused",
+        refusal: notRun("convicted", { retryAfterMs: CONVICTED_RETRY_MS }),
+      };
+    }
     const service = chooseService(route, request.id);
     this.#context.budget.earn(service);
     const pool = this.#services.get(service)?.engines ?? null;
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -11,6 +11,7 @@
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
 import { createRoutingApp } from "./app.ts";
+import { type Crash, CrashBook } from "./crash_book.ts";
 import { EndpointBook } from "./endpoint_book.ts";
 import { PrefillTimes } from "./prefill_times.ts";
 import type { RoutedEndpointPort } from "./port.ts";
@@ -19,9 +20,13 @@
 import { type FollowedTable, TableFeed } from "./table_feed.ts";
 import { NO_DEMAND, StageDemand } from "./stages/demand.ts";
 import { StagesTask } from "./stages/task.ts";
-import type { EndpointChange, RoutingTable } from "./types.ts";
+import type { EndpointChange, EndpointEntry, RoutingTable } from "./types.ts";
 
 const PEER_FETCH_TIMEOUT_MS = 500;
+/** How often a VM that knows no endpoints asks another. */
+const ASK_INTERVAL_MS = 500;
+/** VMs that are told of a crash; callers that come again come to any. */
+const TOLD_VMS = 16;
 /** VMs come and go rarely, and tell each other; the list serves those that know nobody. */
 const LIST_INTERVAL_MS = 10_000;
 
@@ -62,7 +67,9 @@
   readonly peerHandlers;
   #options: RoutingVmOptions;
   #feeds: readonly { start(): Promise<void>; stop(): void }[];
+  #crashes: CrashBook;
   #endpointsKnown = false;
+  #askTimer: ReturnType<typeof setInterval> | undefined;
   #prefillTimes = new PrefillTimes();
   #stages = new Map<ServiceName, { demand: StageDemand; task: StagesTask }>();
 
@@ -82,7 +89,11 @@
       contacts: options.contacts,
       listIntervalMs: LIST_INTERVAL_MS,
     });
-    this.endpoints = new EndpointBook(observer);
+    this.#crashes = new CrashBook((crashes) => this.#tellCrashes(crashes));
+    this.endpoints = new EndpointBook(
+      observer,
+      (id) => this.#crashes.noteCrash(id),
+    );
     this.router = new Router({
       dataCentre: identity.dataCentre,
       endpoints: this.endpoints,
@@ -91,6 +102,7 @@
         vmCount: () => this.#liveCount(),
       }),
       prefillTimes: this.#prefillTimes,
+      crashes: this.#crashes,
       port: ports.calls,
       observer,
       random,
@@ -106,6 +118,11 @@
         "routing/table": ({ after }) => ({
           table: after < this.#version() ? this.router.table : null,
         }),
+        "routing/endpoints": () => ({ entries: this.#endpointEntries() }),
+        "routing/crashes": ({ crashes }) => {
+          this.#crashes.suspect(crashes);
+          return null;
+        },
         "routing/demand": ({ service }) =>
           this.#stages.get(service)?.demand.sample() ?? NO_DEMAND,
       }).handlers,
@@ -124,9 +141,11 @@
     void ports.store.register(identity);
     await this.membership.seed();
     await this.membership.start();
+    this.#askTimer = setInterval(() => this.#askPeers(), ASK_INTERVAL_MS);
   }
 
   stop(): void {
+    clearInterval(this.#askTimer);
     for (const feed of this.#feeds) feed.stop();
     for (const { task } of this.#stages.values()) task.stop();
     this.router.stop();
@@ -214,6 +233,59 @@
     if (this.router.setTable(table)) this.#options.onTable?.(table);
   }
 
+  // While the platform can't be read, the others know what this VM lacks.
+  #askPeers(): void {
+    if (this.#endpointsKnown) return clearInterval(this.#askTimer);
+    const [peer] = this.#livePeers(1);
+    if (peer) void this.#fetchEndpoints(peer);
+  }
+
+  async #fetchEndpoints(peer: Member): Promise<void> {
+    const answer = await this.#options.ports.peers.call(
+      peer,
+      "routing/endpoints",
+      { params: undefined, timeoutMs: PEER_FETCH_TIMEOUT_MS },
+    );
+    const entries = answer.isOk() ? answer.value.entries : null;
+    if (!entries || this.#endpointsKnown) return;
+    this.endpoints.replace(entries);
+    this.#endpointsKnown = true;
+    this.#options.observer.log({
+      event: "endpoints-from-peer",
+      peer: peer.id,
+      endpoints: entries.length,
+    });
+  }
+
+  #endpointEntries(): readonly EndpointEntry[] | null {
+    if (!this.#endpointsKnown) return null;
+    const nowMs = performance.now();
+    return [...this.endpoints.all()]
+      .filter((record) => !record.isGone(nowMs))
+      .map(({ entry }) => entry);
+  }
+
+  #tellCrashes(crashes: readonly Crash[]): void {
+    this.#options.observer.count("suspicions", "crash");
+    for (const peer of this.#livePeers(TOLD_VMS)) {
+      void this.#options.ports.peers.call(peer, "routing/crashes", {
+        params: { crashes },
+        timeoutMs: PEER_FETCH_TIMEOUT_MS,
+      });
+    }
+  }
+
+  /** Live VMs other than this one, in a random order. */
+  #livePeers(count: number): Member[] {
+    const { identity, random } = this.#options;
+    return this.membership.members()
+      .filter(({ id, state }) => id !== identity.id && state === "live")
+      .map((member) => ({ member, order: random() }))
+      .sort((a, b) => a.order - b.order)
+      .slice(0, count)
+      .map(({ member }) => member);
+  }
+
   #liveCount(): number {
     return this.membership.members()
       .filter(({ state }) => state === "live" || state === "leaving").length;
--- /dev/null
+++ b/packages/core/src/routing/stages/plan_test.ts
@@ -0,0 +1,75 @@
+import { expect, test } from "vitest";
+import { entry } from "../testing/fake_endpoints.ts";
+import type { EndpointEntry } from "../types.ts";
+import { needsOf, StageDemand } from "./demand.ts";
+import { planStageChange } from "./plan.ts";
+
+function pool(prefill: number, decode: number): EndpointEntry[] {
+  return [
+    ...Array.from(
+      { length: prefill },
+      (_, n) => entry(`p${n}`, { stage: "prefill" }),
+    ),
+    ...Array.from(
+      { length: decode },
+      (_, n) => entry(`d${n}`, { stage: "decode" }),
+    ),
+  ];
+}
+
+function plan(
+  endpoints: EndpointEntry[],
+  needs: { prefillMs: number; decodeMs: number },
+) {
+  return planStageChange(endpoints, {
+    needs,
+    reconfigureMs: 6_000,
+    loadOf: ({ id }) => id === "p1" ? 0 : 100,
+  });
+}
+
+test("An endpoint goes to the stage that is short, the idlest first", () => {
+  const change = plan(pool(5, 8), { prefillMs: 100, decodeMs: 400 });
+  expect(change).toMatchObject({ stage: "decode", endpoint: { id: "p1" } });
+  expect(change!.newRatePerSecond).toBeGreaterThan(change!.ratePerSecond);
+});
+
+test("A split that fits stays as it is", () => {
+  expect(plan(pool(4, 9), { prefillMs: 100, decodeMs: 320 })).toBeNull();
+});
+
+test("The last endpoint of a stage is kept", () => {
+  expect(plan(pool(1, 3), { prefillMs: 1, decodeMs: 1_000 })).toBeNull();
+  expect(plan(pool(3, 1), { prefillMs: 1_000, decodeMs: 1 })).toBeNull();
+});
+
+test("Repeated plans end in a split that stays", () => {
+  let endpoints = pool(9, 4);
+  let changes = 0;
+  for (; changes < 20; changes += 1) {
+    const change = plan(endpoints, { prefillMs: 100, decodeMs: 300 });
+    if (!change) break;
+    endpoints = endpoints.map((one) =>
+      one.id === change.endpoint.id ? { ...one, stage: change.stage } : one
+    );
+  }
+  expect(changes).toBeGreaterThan(0);
+  expect(changes).toBeLessThan(9);
+});
+
+test("Needs are averaged over VMs by what they saw, and unknown before enough was seen", () => {
+  const a = new StageDemand();
+  const b = new StageDemand();
+  const options = { kvTokens: 1_000, prefillTokensPerMs: 10 };
+  a.note({ promptTokens: 100, heldTokens: 500, decodeMs: 100 });
+  expect(needsOf([a.sample(), b.sample()], options)).toBeNull();
+  for (let n = 0; n < 15; n += 1) {
+    a.note({ promptTokens: 100, heldTokens: 500, decodeMs: 100 });
+    b.note({ promptTokens: 300, heldTokens: 500, decodeMs: 300 });
+  }
+  const needs = needsOf([a.sample(), b.sample()], options)!;
+  expect(needs.prefillMs).toBeGreaterThan(10);
+  expect(needs.prefillMs).toBeLessThan(30);
+  expect(needs.decodeMs).toBeGreaterThan(50);
+  expect(needs.decodeMs).toBeLessThan(150);
+});
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -185,7 +185,7 @@
       });
       endpoint.inFlightTokens -= tokens;
       const tookMs = performance.now() - startedMs;
-      noteOutcome(this.#context, { endpoint, outcome, tookMs });
+      noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
       if (outcome.isOk()) {
         prefillTimes.note(service, { tokens, tookMs });
         const { handle } = outcome.value;
@@ -273,11 +273,10 @@
       source.endpoint.noteHandle(false);
       this.#lapsed.add(source.endpoint.entry.id);
     }
-    if (outcome.isOk()) {
-      source?.endpoint.noteHandle(true);
-      return endpoint.noteSuccess(0);
-    }
-    noteOutcome(this.#context, { endpoint, outcome, tookMs: 0 });
+    if (outcome.isOk()) source?.endpoint.noteHandle(true);
+    const { request } = this.#options;
+    noteOutcome(this.#context, { endpoint, request, outcome, tookMs: 0 });
+    if (outcome.isOk()) return;
     if (provesNotRun(outcome.error) || outcome.error.kind === "aborted") {
       this.#context.port.releaseReservation(endpoint.entry, reservation);
       if (source) this.#wastePrefill(source, outcome.error.kind);
--- /dev/null
+++ b/packages/core/src/routing/table_feed_test.ts
@@ -0,0 +1,103 @@
+import { err, ok } from "neverthrow";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { SILENT_OBSERVER } from "../common/observe.ts";
+import { type FollowedTable, TableFeed } from "./table_feed.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+const LOST = { kind: "unknown", detail: "lost" } as const;
+
+function follow(table: FollowedTable<string>) {
+  const seen: string[] = [];
+  const feed = new TableFeed({
+    name: "t",
+    table,
+    listener: {
+      onAll: (items) => seen.push(`all ${items}`),
+      onChanges: (items) => seen.push(`changes ${items}`),
+      onReachable: (reachable) => seen.push(reachable ? "back" : "away"),
+    },
+    observer: SILENT_OBSERVER,
+    random: () => 0.5,
+  });
+  return { feed, seen };
+}
+
+/** Waits like a store that has no change. */
+function quiet(): Promise<never> {
+  return new Promise(() => {});
+}
+
+test("Changes are read from where the last call ended", async () => {
+  const afters: number[] = [];
+  const { feed, seen } = follow({
+    readAll: () => Promise.resolve(ok({ items: ["a"], version: 7 })),
+    readChanges({ after }) {
+      afters.push(after);
+      return afters.length > 2
+        ? quiet()
+        : Promise.resolve(ok({ items: ["b"], version: after + 1 }));
+    },
+  });
+  void feed.start();
+  await vi.advanceTimersByTimeAsync(100);
+  expect(afters).toEqual([7, 8, 9]);
+  expect(seen).toEqual(["all a", "changes b", "changes b"]);
+  feed.stop();
+});
+
+test.each([
+  ["history that is gone", ok("expired" as const)],
+  ["a version that went back", ok({ items: [], version: 3 })],
+])("After %s the whole table is read again", async (_name, answer) => {
+  let reads = 0;
+  let calls = 0;
+  const { feed, seen } = follow({
+    readAll() {
+      reads += 1;
+      return Promise.resolve(ok({ items: [`r${reads}`], version: 7 }));
+    },
+    readChanges() {
+      calls += 1;
+      return calls === 1 ? Promise.resolve(answer) : quiet();
+    },
+  });
+  void feed.start();
+  await vi.advanceTimersByTimeAsync(100);
+  expect(seen).toEqual(["all r1", "all r2"]);
+  feed.stop();
+});
+
+test("Failed calls are repeated with pauses, and told as a loss and a return", async () => {
+  let calls = 0;
+  const { feed, seen } = follow({
+    readAll: () => Promise.resolve(ok({ items: [], version: 1 })),
+    readChanges() {
+      calls += 1;
+      return calls <= 5 ? Promise.resolve(err(LOST)) : quiet();
+    },
+  });
+  void feed.start();
+  await vi.advanceTimersByTimeAsync(400);
+  expect(calls).toBeLessThan(5);
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect(calls).toBe(6);
+  expect(seen).toEqual(["all ", "away"]);
+  feed.stop();
+});
+
+test("The return is told before the rows that were read", async () => {
+  let fails = true;
+  const { feed, seen } = follow({
+    readAll: () =>
+      Promise.resolve(fails ? err(LOST) : ok({ items: ["a"], version: 1 })),
+    readChanges: quiet,
+  });
+  void feed.start();
+  await vi.advanceTimersByTimeAsync(50);
+  fails = false;
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(seen).toEqual(["away", "back", "all a"]);
+  feed.stop();
+});
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -9,6 +9,7 @@
 } from "../../common/ids.ts";
 import { SILENT_OBSERVER } from "../../common/observe.ts";
 import type { RoutingContext } from "../context.ts";
+import { CrashBook } from "../crash_book.ts";
 import { EndpointBook } from "../endpoint_book.ts";
 import type {
   EndpointAnswer,
@@ -246,6 +247,7 @@
       vmCount: () => 1,
     }),
     prefillTimes: new PrefillTimes(),
+    crashes: new CrashBook(() => {}),
     port,
     observer: SILENT_OBSERVER,
     noteStream() {},
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -153,6 +153,8 @@
       // A VM that routes by the manifest has no routing table of its own.
       ...createRoutingApp({
         "routing/table": () => ({ table: null }),
+        "routing/endpoints": () => ({ entries: null }),
+        "routing/crashes": () => null,
         "routing/demand": () => NO_DEMAND,
       }).handlers,
       ...createSummariesApp(this.summaries.handlers).handlers,
