--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -14,7 +14,7 @@
 /** A slot and memory that a decode endpoint keeps for one request. */
 export type ReservationId = Id<"reservation">;
 /** KV cache that a prefill endpoint keeps for one request. */
-export type KvHandle = Id<"kv-handle">;
+export type KvHandle = Id<"kv-cache">;
 
 /**
  * What may be done again: `safe` requests may run more than once, `unsafe` ones
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -56,6 +56,8 @@
 /** A gateway that can be started and stopped. */
 export interface Gateway {
   start(): Promise<void>;
+  /** Stops at once, as far as the time limits of the parts allow. */
+  stop(): Promise<void>;
   /** Leaves without cutting off work, within the grace period. */
   leave(): Promise<void>;
 }
@@ -151,6 +153,10 @@
     this.#observer.log({ event: "gateway-started", vm: settings.vm.id });
   }
 
+  stop(): Promise<void> {
+    return this.#manager.stop();
+  }
+
   async leave(): Promise<void> {
     const graceMs = this.#options.settings.stop.graceS * MS_PER_S;
     const limit = setTimeout(
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -5,6 +5,7 @@
 export * from "../observe/log.ts";
 export * from "../settings/load.ts";
 export * from "../settings/schema.ts";
+export * from "../testing/ports.ts";
 export * from "./daemon.ts";
 export * from "./endpoint_port.ts";
 export * from "./protocol.ts";
