--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -24,7 +24,9 @@
   | "convictions"
   | "vm_states"
   | "orders"
-  | "broken_streams";
+  | "broken_streams"
+  | "ejections"
+  | "store_calls";
 
 /** Receives events and counts; both are cheap and never fail. */
 export interface Observer {
--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -185,6 +185,7 @@
       return endpoint.eject(nowMs + MISDIRECTED_REST_MS);
     default:
       if (!endpoint.noteFailure(nowMs)) return;
+      context.observer.count("ejections", outcome.error.kind);
       context.observer.log({
         event: "endpoint-ejected",
         level: "warn",
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -6,8 +6,28 @@
 import type { RoutedEndpointPort } from "./port.ts";
 import type { PrefillTimes } from "./prefill_times.ts";
 import type { ServiceBudget } from "./service_budget.ts";
+import type { RouteKind } from "./types.ts";
 import type { StreamCost } from "./stages/demand.ts";
 
+/** Parts of a request that are timed. */
+export type RequestPhase =
+  /** From the request to its place at a decode endpoint. */
+  | "queue"
+  | "prefill"
+  /** From the request to its first event. */
+  | "first-event"
+  /** The longest pause between two events. */
+  | "gap"
+  | "whole";
+
+/** Receives how long parts of requests took, by kind of route. */
+export interface RequestTimes {
+  note(phase: RequestPhase, kind: RouteKind, tookMs: number): void;
+}
+
+/** Keeps no times. */
+export const NO_TIMES: RequestTimes = { note() {} };
+
 /** Shared by all runs of one VM. */
 export interface RoutingContext {
   readonly dataCentre: DataCentre;
@@ -17,6 +37,7 @@
   readonly port: RoutedEndpointPort;
   readonly crashes: CrashBook;
   readonly observer: Observer;
+  readonly times: RequestTimes;
   /** Told what each stream took that ended well. */
   readonly noteStream: (service: ServiceName, cost: StreamCost) => void;
   /** A number from 0 up to 1; seeded in tests. */
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -80,6 +80,16 @@
   async handle(
     request: RoutedRequest,
     { route, sink, signal }: HandleOptions & { route: Route },
+  ): Promise<RoutedEnd> {
+    const end = await this.#run(request, { route, sink, signal });
+    const tookMs = performance.now() - request.receivedAtMs;
+    this.#context.times.note("whole", route.kind, tookMs);
+    return end;
+  }
+
+  async #run(
+    request: RoutedRequest,
+    { route, sink, signal }: HandleOptions & { route: Route },
   ): Promise<RoutedEnd> {
     const { crashes } = this.#context;
     if (crashes.watches && crashes.isConvicted(fingerprintOf(request))) {
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -11,6 +11,7 @@
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
 import { createRoutingApp } from "./app.ts";
+import { NO_TIMES, type RequestTimes } from "./context.ts";
 import { type Crash, CrashBook } from "./crash_book.ts";
 import { EndpointBook } from "./endpoint_book.ts";
 import { PrefillTimes } from "./prefill_times.ts";
@@ -55,6 +56,7 @@
   budget: BudgetLimits;
   /** Peer addresses for first contact. */
   contacts: readonly string[];
+  times?: RequestTimes;
   /** Told of each table that comes into force. */
   onTable?: (table: RoutingTable) => void;
 }
@@ -66,7 +68,7 @@
   readonly router: Router;
   readonly peerHandlers;
   #options: RoutingVmOptions;
-  #feeds: readonly { start(): Promise<void>; stop(): void }[];
+  #feeds: readonly Pick<TableFeed<unknown>, "start" | "stop" | "ageMs">[];
   #crashes: CrashBook;
   #endpointsKnown = false;
   #askTimer: ReturnType<typeof setInterval> | undefined;
@@ -106,6 +108,7 @@
       port: ports.calls,
       observer,
       random,
+      times: options.times ?? NO_TIMES,
       noteStream: (service, cost) => this.#stagesOf(service).demand.note(cost),
     });
     this.#feeds = [this.#tableFeed(), this.#endpointFeed()];
@@ -129,6 +132,15 @@
     };
   }
 
+  /** Time since the platform was last heard of what each belief comes from. */
+  beliefAgesMs(): { routingTable: number; endpoints: number } {
+    const [table, endpoints] = this.#feeds;
+    return {
+      routingTable: table!.ageMs(),
+      endpoints: endpoints!.ageMs(),
+    };
+  }
+
   /** True once requests can be served. */
   get ready(): boolean {
     return this.router.table !== null && this.#endpointsKnown;
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -122,6 +122,7 @@
       const cost = { promptTokens, heldTokens, decodeMs };
       this.#context.noteStream(this.#options.service, cost);
     }
+    this.#noteTimes({ startedMs, prefilledMs });
     this.#context.observer.log({
       event: "stream-sent",
       request: this.#options.request.id,
@@ -148,6 +149,17 @@
     return outcome;
   }
 
+  #noteTimes(at: { startedMs: number; prefilledMs: number }): void {
+    const { times } = this.#context;
+    const { kind } = this.#options.route;
+    const { startedAtMs } = this.#clock;
+    times.note("queue", kind, at.startedMs - startedAtMs);
+    times.note("prefill", kind, at.prefilledMs - at.startedMs);
+    if (this.#relay.events === 0) return;
+    times.note("first-event", kind, this.#relay.firstEventAtMs - startedAtMs);
+    times.note("gap", kind, this.#relay.longestGapMs);
+  }
+
   // Reads the prompt at a prefill endpoint; without one, the decode endpoint reads it itself.
   async #prefill(
     decode: EndpointRecord,
--- a/packages/core/src/routing/table_feed.ts
+++ b/packages/core/src/routing/table_feed.ts
@@ -56,6 +56,7 @@
   #version: number | null = null;
   #failures = 0;
   #stopped = false;
+  #heardAtMs = performance.now();
   #timer: ReturnType<typeof setTimeout> | undefined;
 
   constructor(options: TableFeedOptions<Item>) {
@@ -72,6 +73,11 @@
     clearTimeout(this.#timer);
   }
 
+  /** Time since the last call that succeeded, or since the start. */
+  ageMs(): number {
+    return performance.now() - this.#heardAtMs;
+  }
+
   async #step(): Promise<void> {
     const failure = this.#version === null
       ? await this.#readAll()
@@ -118,6 +124,7 @@
   #noteReach(failure: StoreFailure | null): void {
     const { listener, observer, name } = this.#options;
     const before = this.#failures;
+    if (!failure) this.#heardAtMs = performance.now();
     this.#failures = failure ? before + 1 : 0;
     if (failure) observer.count("store_failures", failure.kind);
     if ((before > 0) === (this.#failures > 0)) return;
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -8,7 +8,7 @@
   type ServiceName,
 } from "../../common/ids.ts";
 import { SILENT_OBSERVER } from "../../common/observe.ts";
-import type { RoutingContext } from "../context.ts";
+import { NO_TIMES, type RoutingContext } from "../context.ts";
 import { CrashBook } from "../crash_book.ts";
 import { EndpointBook } from "../endpoint_book.ts";
 import type {
@@ -250,6 +250,7 @@
     crashes: new CrashBook(() => {}),
     port,
     observer: SILENT_OBSERVER,
+    times: NO_TIMES,
     noteStream() {},
     random: () => 0.5,
   };
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -18,8 +18,7 @@
 import { sendText } from "../http/exchange.ts";
 import { createHttpPart, type HttpPart } from "../http/server.ts";
 import { LifecycleManager } from "../lifecycle/manager.ts";
-import { Metrics } from "../observe/metrics.ts";
-import type { Log } from "../observe/log.ts";
+import type { Metrics } from "../observe/metrics.ts";
 import { createPeerPort } from "../peers/port.ts";
 import { createPeerHandler } from "../peers/server.ts";
 import type { Limits, RoutingSettings } from "../settings/schema.ts";
@@ -45,7 +44,8 @@
 /** What a gateway is made from. */
 export interface GatewayOptions {
   settings: RoutingSettings;
-  log: Log;
+  observer: Observer;
+  metrics: Metrics;
   tables: FollowedTable<RoutingTable>;
   endpoints: FollowedTable<EndpointChange>;
   store: RoutingStore;
@@ -94,7 +94,6 @@
 class RoutingGateway implements Gateway {
   #options: GatewayOptions;
   #observer: Observer;
-  #metrics = new Metrics();
   #vm: RoutingVm;
   #stop: RoutingStop;
   #inProgress: InProgressCount;
@@ -103,10 +102,7 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    this.#observer = {
-      log: options.log,
-      count: (counter, reason) => this.#metrics.count(counter, reason),
-    };
+    this.#observer = options.observer;
     this.#manager = new LifecycleManager(this.#observer);
     this.#inProgress = new InProgressCount(() => this.#stop.idle());
     this.#vm = this.#createVm();
@@ -148,7 +144,9 @@
         stop: () => this.#vm.stop(),
       },
     ];
-    this.#metrics.watchInterfaces([this.#callers, peers]);
+    const { metrics } = this.#options;
+    metrics.watchInterfaces([this.#callers, peers]);
+    metrics.watchBeliefs(() => ({ ...this.#vm.beliefAgesMs() }));
     await this.#manager.start(parts);
     this.#observer.log({ event: "gateway-started", vm: settings.vm.id });
   }
@@ -209,6 +207,7 @@
       random: Math.random,
       budget: settings.retries,
       contacts: settings.peers.contacts,
+      times: this.#options.metrics,
       onTable: ({ limits }) => this.#callers.setTimes(limits),
     });
   }
@@ -254,7 +253,7 @@
   }
 
   async #sendMetrics({ response }: Exchange): Promise<void> {
-    const { registry } = this.#metrics;
+    const { registry } = this.#options.metrics;
     sendText(response, await registry.metrics(), registry.contentType);
   }
 }
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -3,6 +3,7 @@
 export * from "../http/exchange.ts";
 export * from "../http/json.ts";
 export * from "../observe/log.ts";
+export * from "../observe/metrics.ts";
 export * from "../settings/load.ts";
 export * from "../settings/schema.ts";
 export * from "../testing/ports.ts";
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -1,6 +1,17 @@
 /** Counters and gauges of one daemon. */
 import type { CounterName } from "@teaselvalve/core";
-import { collectDefaultMetrics, Counter, Gauge, Registry } from "prom-client";
+import type {
+  RequestPhase,
+  RequestTimes,
+  RouteKind,
+} from "@teaselvalve/core/routing";
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from "prom-client";
 import type { TrafficCounter } from "./traffic.ts";
 import type { HttpPart } from "../http/server.ts";
 
@@ -18,6 +29,8 @@
   convictions: "Requests convicted of crashing engines, by kind",
   vm_states: "Changes of the state of VMs in this one's view, by state",
   orders: "Orders to engines, by outcome",
+  ejections: "Endpoints that rest after failures, by kind of failure",
+  store_calls: "Calls to the platform's store, by call",
   broken_streams: "Answers cut after they had begun, by reason",
 };
 
@@ -33,12 +46,34 @@
   },
 } as const;
 
+const TIME_BUCKETS_MS = [
+  5,
+  20,
+  50,
+  100,
+  200,
+  300,
+  500,
+  900,
+  1_500,
+  3_000,
+  8_000,
+  15_000,
+];
+
 // Node measures the delay of its event loop with a timer; the usual 10 ms wake an idle daemon too often.
 const EVENT_LOOP_PRECISION_MS = 200;
 
 /** Owns a daemon's registry of metrics. */
-export class Metrics {
+export class Metrics implements RequestTimes {
   readonly registry = new Registry();
+  #times = new Histogram({
+    name: "teaselvalve_request_ms",
+    help: "Time that parts of requests took, by part and kind of route",
+    labelNames: ["phase", "kind"],
+    buckets: TIME_BUCKETS_MS,
+    registers: [this.registry],
+  });
   #counters = new Map<CounterName, Counter<"reason">>();
 
   constructor() {
@@ -103,6 +138,26 @@
     });
   }
 
+  /** Shows how old what the VM believes is, read at each scrape. */
+  watchBeliefs(agesMs: () => Readonly<Record<string, number>>): void {
+    new Gauge({
+      name: "teaselvalve_belief_age_ms",
+      help: "Time since the platform was last heard of a belief's source",
+      labelNames: ["belief"],
+      registers: [this.registry],
+      collect() {
+        for (const [belief, ageMs] of Object.entries(agesMs())) {
+          this.set({ belief }, ageMs);
+        }
+      },
+    });
+  }
+
+  /** Notes how long a part of a request took. */
+  note(phase: RequestPhase, kind: RouteKind, tookMs: number): void {
+    this.#times.observe({ phase, kind }, tookMs);
+  }
+
   /** Adds one to a counter under a reason. */
   count(counter: CounterName, reason: string): void {
     this.#counters.get(counter)?.inc({ reason });
