--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -95,7 +95,7 @@
     noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
     this.#context.observer.log({
       event: "call-sent",
-      request: request.id,
+      attempt: request.id,
       route: route.name,
       endpoint: endpoint.entry.id,
       send: sends,
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -12,7 +12,7 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { rankDecodeEndpoints } from "./queries/rank_decode_endpoints.ts";
 import type { RequestClock } from "./request_clock.ts";
-import type { EnginePool, ReservationId } from "./types.ts";
+import type { AttemptId, EnginePool, ReservationId } from "./types.ts";
 
 /** How soon a queue that found all endpoints full asks again. */
 const FULL_RETRY_MS = 40;
@@ -32,6 +32,7 @@
 
 /** A stream that waits. */
 export interface DecodeDemand {
+  readonly attempt: AttemptId;
   readonly clock: RequestClock;
   /** Memory for the prompt and the output. */
   readonly tokens: number;
@@ -128,11 +129,34 @@
   #dropHopeless(): void {
     this.#waiting = this.#waiting.filter(({ demand, settle }) => {
       if (!demand.signal.aborted && !isHopeless(demand)) return true;
-      settle(err(notRun("no-capacity", { retryAfterMs: this.#comeBackMs() })));
+      const retryAfterMs = this.#comeBackMs();
+      this.#logRefusal(demand, retryAfterMs);
+      const reason = demand.signal.aborted ? "cancelled" : "no-capacity";
+      settle(err(notRun(reason, { retryAfterMs })));
       return false;
     });
   }
 
+  #logRefusal(demand: DecodeDemand, retryAfterMs: number): void {
+    const nowMs = performance.now();
+    const usable = this.#context.endpoints.usable(this.#service, "decode");
+    this.#context.observer.log({
+      event: "stream-refused",
+      attempt: demand.attempt,
+      service: this.#service,
+      reason: demand.signal.aborted ? "cancelled" : "no-capacity",
+      waitedMs: Math.round(demand.clock.elapsedMs()),
+      targetLeftMs: Math.round(demand.clock.targetLeftMs()),
+      prefillMs: Math.round(demand.prefillMs),
+      tokens: demand.tokens,
+      waiting: this.#waiting.length,
+      endpoints: usable.length,
+      full: usable.filter((one) => one.isFull(nowMs)).length,
+      resting: usable.filter((one) => !one.isSound(nowMs)).length,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+  }
+
   // Spread, so that those who were refused together don't come back together.
   #comeBackMs(): number {
     return 300 + 700 * this.#context.random();
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -94,6 +94,7 @@
   #place(): Promise<Result<DecodePlace, Refusal>> {
     const { queue, pool, signal } = this.#options;
     return queue.enter({
+      attempt: this.#options.request.id,
       clock: this.#clock,
       tokens: this.#tokens(),
       prefillMs: this.#prefillMs(),
@@ -125,7 +126,7 @@
     this.#noteTimes({ startedMs, prefilledMs });
     this.#context.observer.log({
       event: "stream-sent",
-      request: this.#options.request.id,
+      attempt: this.#options.request.id,
       route: this.#options.route.name,
       endpoint: endpoint.entry.id,
       prefill: source?.endpoint.entry.id,
@@ -208,7 +209,7 @@
       }
       this.#context.observer.log({
         event: "prefill-failed",
-        request: request.id,
+        attempt: request.id,
         endpoint: endpoint.entry.id,
         reason: outcome.error.kind,
         tookMs: Math.round(tookMs),
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -68,6 +68,7 @@
   );
   if (!("prefix" in route)) return refuse(route);
   exchange.fields.route = route.name;
+  exchange.fields.table = router.table?.version;
   if (options.refusesWork()) {
     return refuse(notRun("stopping", { retryAfterMs: 50 }));
   }
