--- a/packages/core/src/membership/task.ts
+++ b/packages/core/src/membership/task.ts
@@ -41,7 +41,7 @@
   /** Told of each probe and answer, with the versions that it carries. */
   onProbe?: (probe: Probe) => void;
   /** Peer addresses to ask while no other VM is known, for instance with the platform down. */
-  contacts?: readonly string[];
+  contacts?: () => readonly string[];
   /** How often the platform's list is read at most; its cost grows with the number of VMs. */
   listIntervalMs?: number;
   policies?: Partial<MembershipPolicies>;
@@ -177,7 +177,7 @@
 
   // Their answers carry who they are and where, and whom they know.
   async #contact(): Promise<void> {
-    const others = (this.#options.contacts ?? []).filter(
+    const others = (this.#options.contacts?.() ?? []).filter(
       (address) => address !== this.self.peerAddress,
     );
     await Promise.all(others.map((address) => this.#prober.greet(address)));
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -53,9 +53,9 @@
   ports: RoutingVmPorts;
   observer: Observer;
   random: () => number;
-  budget: BudgetLimits;
+  budget: () => BudgetLimits;
   /** Peer addresses for first contact. */
-  contacts: readonly string[];
+  contacts: () => readonly string[];
   times?: RequestTimes;
   /** Told of each table that comes into force. */
   onTable?: (table: RoutingTable) => void;
--- a/packages/core/src/routing/service_budget.ts
+++ b/packages/core/src/routing/service_budget.ts
@@ -14,7 +14,7 @@
 
 /** Options of {@link ServiceBudget}. */
 export interface ServiceBudgetOptions {
-  limits: BudgetLimits;
+  limits: () => BudgetLimits;
   /** VMs that share the budget. */
   vmCount: () => number;
 }
@@ -30,7 +30,7 @@
 
   /** Notes a request, which earns its service a share of a repeat. */
   earn(service: ServiceName): void {
-    const { share } = this.#options.limits;
+    const { share } = this.#options.limits();
     const left = this.left(service) + share * USED_SHARE;
     this.#left.set(service, Math.min(this.#burst(), left));
   }
@@ -55,6 +55,6 @@
 
   #burst(): number {
     const vmCount = Math.max(1, this.#options.vmCount());
-    return Math.max(1, this.#options.limits.slack * USED_SHARE / vmCount);
+    return Math.max(1, this.#options.limits().slack * USED_SHARE / vmCount);
   }
 }
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -243,7 +243,10 @@
     dataCentre: HOME,
     endpoints,
     budget: new ServiceBudget({
-      limits: { share: options.share ?? 0.2, slack: options.slack ?? 50 },
+      limits: () => ({
+        share: options.share ?? 0.2,
+        slack: options.slack ?? 50,
+      }),
       vmCount: () => 1,
     }),
     prefillTimes: new PrefillTimes(),
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -58,6 +58,8 @@
   start(): Promise<void>;
   /** Stops at once, as far as the time limits of the parts allow. */
   stop(): Promise<void>;
+  /** Takes changed settings; addresses and the VM's own identity need a restart. */
+  reload(settings: RoutingSettings): void;
   /** Leaves without cutting off work, within the grace period. */
   leave(): Promise<void>;
 }
@@ -94,6 +96,7 @@
 class RoutingGateway implements Gateway {
   #options: GatewayOptions;
   #observer: Observer;
+  #settings: RoutingSettings;
   #vm: RoutingVm;
   #stop: RoutingStop;
   #inProgress: InProgressCount;
@@ -103,6 +106,7 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     this.#observer = options.observer;
+    this.#settings = options.settings;
     this.#manager = new LifecycleManager(this.#observer);
     this.#inProgress = new InProgressCount(() => this.#stop.idle());
     this.#vm = this.#createVm();
@@ -155,8 +159,16 @@
     return this.#manager.stop();
   }
 
+  reload(settings: RoutingSettings): void {
+    const fixed = ({ vm, listen, platform }: RoutingSettings) =>
+      JSON.stringify([vm, listen, platform]);
+    const needsRestart = fixed(settings) !== fixed(this.#settings);
+    this.#settings = settings;
+    this.#observer.log({ event: "settings-reloaded", needsRestart });
+  }
+
   async leave(): Promise<void> {
-    const graceMs = this.#options.settings.stop.graceS * MS_PER_S;
+    const graceMs = this.#settings.stop.graceS * MS_PER_S;
     const limit = setTimeout(
       () => this.#stop.cut("time-limit"),
       graceMs - CUT_MARGIN_MS,
@@ -175,7 +187,7 @@
       ready: this.#vm.ready && !this.#stop.leaving,
       addressTtlMs: Math.min(
         ADDRESS_TTL_MS,
-        this.#options.settings.directory.ttlMaxS * MS_PER_S,
+        this.#settings.directory.ttlMaxS * MS_PER_S,
       ),
     };
   }
@@ -205,8 +217,8 @@
       },
       observer: this.#observer,
       random: Math.random,
-      budget: settings.retries,
-      contacts: settings.peers.contacts,
+      budget: () => this.#settings.retries,
+      contacts: () => this.#settings.peers.contacts,
       times: this.#options.metrics,
       onTable: ({ limits }) => this.#callers.setTimes(limits),
     });
