An address belongs to the endpoint that started there last; refused streams come back after a burst

Changes: an entry that began later takes the address; reservations name the endpoint; a 421 takes the endpoint out until its entry changes. A refused stream is told to come back after 1.5 to 4.5 s.

--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -24,8 +24,6 @@
 const SILENCE_TARGETS = 2;
 /** How long an endpoint that had no room is passed over. */
 const FULL_REST_MS = 50;
-/** How long an address that answers for another endpoint is passed over. */
-const MISDIRECTED_REST_MS = 3_000;
 const FIRST_SERVER_ERROR = 500;
 
 /** What a call is run with. */
@@ -182,7 +180,8 @@
     case "notExecuted":
       return endpoint.noteFull(nowMs + FULL_REST_MS);
     case "misdirected":
-      return endpoint.eject(nowMs + MISDIRECTED_REST_MS);
+      // Its entry says otherwise if it is there again.
+      return endpoint.setMissing(nowMs);
     default:
       if (!endpoint.noteFailure(nowMs)) return;
       context.observer.count("ejections", outcome.error.kind);
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -20,6 +20,9 @@
 const FULL_REST_MS = 40;
 /** Endpoints that are asked in one round. */
 const ASKED_AT_ONCE = 4;
+/** A refused stream is late when it comes back, so that it may as well come when a burst of some seconds is over. */
+const COME_BACK_MIN_MS = 1_500;
+const COME_BACK_SPREAD_MS = 3_000;
 const RESERVE_TIMEOUT_MS = 250;
 /** Time that prefill and hand-over take at the least, for the estimate of the first event. */
 const HAND_OVER_MS = 20;
@@ -159,7 +162,8 @@
 
   // Spread, so that those who were refused together don't come back together.
   #comeBackMs(): number {
-    return 300 + 700 * this.#context.random();
+    const { random } = this.#context;
+    return COME_BACK_MIN_MS + COME_BACK_SPREAD_MS * random();
   }
 
   async #reserve(demand: DecodeDemand): Promise<DecodePlace | null> {
@@ -189,6 +193,7 @@
     const nowMs = performance.now();
     if (kind === "notExecuted") return endpoint.noteFull(nowMs + FULL_REST_MS);
     if (kind === "aborted") return;
+    if (kind === "misdirected") return endpoint.setMissing(nowMs);
     endpoint.noteFailure(nowMs);
     this.#context.observer.log({
       event: "reservation-failed",
--- a/packages/core/src/routing/endpoint_book.ts
+++ b/packages/core/src/routing/endpoint_book.ts
@@ -75,6 +75,7 @@
   #put(entry: EndpointEntry): void {
     const known = this.#records.get(entry.id);
     if (known && known.entry.bornAtMs > entry.bornAtMs) return;
+    if (!this.#takeAddress(entry)) return;
     const departed = this.#departed.has(incarnationKey(entry));
     const draining = departed || entry.state === "draining";
     if (draining) this.#depart(entry);
@@ -99,6 +100,23 @@
     });
   }
 
+  // An address is used by one endpoint at a time: the one that started last.
+  #takeAddress(entry: EndpointEntry): boolean {
+    for (const [id, { entry: other }] of this.#records) {
+      if (id === entry.id || other.address !== entry.address) continue;
+      if (other.bornAtMs > entry.bornAtMs) return false;
+      this.#observer.log({
+        event: "endpoint-replaced",
+        endpoint: id,
+        by: entry.id,
+        address: entry.address,
+      });
+      this.#records.delete(id);
+      this.#onEnd(id);
+    }
+    return true;
+  }
+
   #remove(id: EndpointId): void {
     const record = this.#records.get(id);
     if (!record || record.missing) return;
--- a/packages/core/src/routing/endpoint_book_test.ts
+++ b/packages/core/src/routing/endpoint_book_test.ts
@@ -22,6 +22,18 @@
   expect(idsOf(book)).toEqual(["a", "b"]);
 });
 
+test("An address belongs to the endpoint that started there last", () => {
+  const book = new EndpointBook(SILENT_OBSERVER);
+  const address = "10.0.0.7:1";
+  book.replace([entry("old", { address }), entry("b")]);
+  const newer = entry("new", { address, bornAtMs: 9 });
+  book.apply({ id: newer.id, entry: newer });
+  expect(idsOf(book)).toEqual(["b", "new"]);
+  // A late word of the one before, which can't be there any more.
+  book.apply({ id: entry("old").id, entry: entry("old", { address }) });
+  expect(idsOf(book)).toEqual(["b", "new"]);
+});
+
 test("An older start doesn't replace a newer one", () => {
   const book = new EndpointBook(SILENT_OBSERVER);
   book.replace([entry("a", { bornAtMs: 5, address: "10.0.0.5:1" })]);
--- a/packages/core/src/routing/endpoint_record.ts
+++ b/packages/core/src/routing/endpoint_record.ts
@@ -121,9 +121,4 @@
   keepsHandles(nowMs: number): boolean {
     return nowMs >= this.#lapsedUntilMs;
   }
-
-  /** Rests for a time whatever its record, as its address answers for another. */
-  eject(untilMs: number): void {
-    this.#ejectedUntilMs = Math.max(this.#ejectedUntilMs, untilMs);
-  }
 }
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -45,7 +45,7 @@
   return {
     id: asId<EndpointId>(id),
     service: SERVICE,
-    address: `10.0.0.1:${id.length}`,
+    address: `10.0.1.${id.charCodeAt(0)}:${id.length}`,
     dataCentre: HOME,
     slots: 6,
     state: "ready",
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -137,12 +137,18 @@
     options: Parameters<RoutedEndpointPort["reserve"]>[1],
   ): ReturnType<RoutedEndpointPort["reserve"]> {
     const whole = await readWhole({
-      ...exchangeOf(endpoint, this.#protocol.reserveCall(options)),
+      ...exchangeOf(
+        endpoint,
+        this.#protocol.reserveCall(options, { endpointId: endpoint.id }),
+      ),
       connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, options.timeoutMs),
       firstByteMs: options.timeoutMs,
       signal: options.signal,
     });
-    return whole.andThen<ReservationId, SendFailure>(({ status, body }) => {
+    return whole.andThen<ReservationId, SendFailure>((answer) => {
+      const { status, headers, body } = answer;
+      const fields = this.#protocol.readAnswer(status, headers);
+      if (fields.misdirected) return err({ kind: "misdirected" });
       if (status !== SUCCESS) return err({ kind: "notExecuted", status });
       const id = this.#protocol.readReservation(body.toString());
       return id
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -52,7 +52,10 @@
   readAnswer(status: number, headers: IncomingHttpHeaders): AnswerFields;
   /** Reads the answer to a prefill, or null where it is none. */
   readPrefilled(body: string): Prefilled | null;
-  reserveCall(options: { tokens: number; ttlMs: number }): EndpointCall;
+  reserveCall(
+    options: { tokens: number; ttlMs: number },
+    target: { endpointId: string },
+  ): EndpointCall;
   /** Reads the answer to a reservation, or null where it is none. */
   readReservation(body: string): ReservationId | null;
   releaseCall(id: ReservationId): EndpointCall;
