--- /dev/null
+++ b/packages/core/src/routing/prefill_stage.ts
@@ -0,0 +1,157 @@
+/** The prefill of one stream: where its prompt is read, and what becomes of the KV cache. */
+import { err, ok, type Result } from "neverthrow";
+import type { EndpointId, ServiceName } from "../common/ids.ts";
+import { noteOutcome } from "./call_run.ts";
+import type { RoutingContext } from "./context.ts";
+import type { EndpointRecord } from "./endpoint_record.ts";
+import type { KvSource, Prefilled, SendFailure } from "./port.ts";
+import { choosePrefillEndpoint } from "./queries/choose_prefill_endpoint.ts";
+import type { RequestClock } from "./request_clock.ts";
+import type { RoutedRequest } from "./types.ts";
+
+/** Prefill endpoints that are tried for one send. */
+const MAX_PREFILLS = 2;
+/** A prefill is given up after this many times its expected time. */
+const PREFILL_PATIENCE = 4;
+/** Prompts that come together queue for about this long. */
+const MIN_PREFILL_TIMEOUT_MS = 600;
+
+/** KV cache, and the endpoint that read it. */
+export interface PrefillSource extends KvSource {
+  readonly endpoint: EndpointRecord;
+}
+
+/** What a prefill is made for. */
+export interface PrefillStageOptions {
+  request: RoutedRequest;
+  service: ServiceName;
+  clock: RequestClock;
+  /** Ends the prefill when its caller leaves. */
+  signal: AbortSignal;
+}
+
+/** Owns the prefills of one stream. */
+export class PrefillStage {
+  #context: RoutingContext;
+  #options: PrefillStageOptions;
+  /** Endpoints whose KV cache could not be fetched. */
+  #lapsed = new Set<EndpointId>();
+  #sent = 0;
+
+  constructor(context: RoutingContext, options: PrefillStageOptions) {
+    this.#context = context;
+    this.#options = options;
+  }
+
+  /** Tokens of the prompt. */
+  get tokens(): number {
+    return this.#options.request.prompt?.promptTokens ?? 0;
+  }
+
+  /** How long the prefill takes with the queues of the moment. */
+  expectedMs(): number {
+    const { prefillTimes } = this.#context;
+    return prefillTimes.expectedMs(this.#options.service, this.tokens);
+  }
+
+  /**
+   * Reads the prompt at a prefill endpoint. Where none can be reached, the decode
+   * endpoint reads it itself, which holds up all streams there; so it does not
+   * stand in for prefill endpoints that are merely busy.
+   */
+  async read(
+    decode: EndpointRecord,
+  ): Promise<Result<PrefillSource | null, SendFailure>> {
+    const tried = new Set<EndpointId>(this.#lapsed);
+    for (let tries = 0; tries < MAX_PREFILLS; tries += 1) {
+      const endpoint = this.#choosePrefill(decode, tried);
+      if (!endpoint || !this.#takePrefill()) return ok(null);
+      tried.add(endpoint.entry.id);
+      const outcome = await this.#sendPrefill(endpoint);
+      if (outcome.isOk()) {
+        const { handle } = outcome.value;
+        return ok({ endpoint, address: endpoint.entry.address, handle });
+      }
+      const { kind } = outcome.error;
+      if (kind === "aborted") return err(outcome.error);
+      const busy = kind === "timeout" || kind === "notExecuted";
+      if (busy && tries + 1 === MAX_PREFILLS) return err({ kind: "notSent" });
+    }
+    return ok(null);
+  }
+
+  #choosePrefill(
+    decode: EndpointRecord,
+    tried: ReadonlySet<EndpointId>,
+  ): EndpointRecord | undefined {
+    const { endpoints, random } = this.#context;
+    return choosePrefillEndpoint(
+      endpoints.usable(this.#options.service, "prefill"),
+      {
+        decodeDataCentre: decode.entry.dataCentre,
+        tried,
+        nowMs: performance.now(),
+        random,
+      },
+    );
+  }
+
+  // Only the first prefill of a request costs nothing of the budget.
+  #takePrefill(): boolean {
+    const { budget } = this.#context;
+    if (this.#sent > 0 && !budget.take(this.#options.service)) return false;
+    this.#sent += 1;
+    return true;
+  }
+
+  async #sendPrefill(
+    endpoint: EndpointRecord,
+  ): Promise<Result<Prefilled, SendFailure>> {
+    const { request, service, signal } = this.#options;
+    const { port, budget, prefillTimes, observer } = this.#context;
+    const { tokens } = this;
+    const expectedMs = this.expectedMs();
+    const startedMs = performance.now();
+    endpoint.inFlightTokens += tokens;
+    const outcome = await port.prefill(endpoint.entry, {
+      request,
+      timeLeftMs: this.#options.clock.patienceLeftMs(),
+      firstByteMs: Math.max(
+        MIN_PREFILL_TIMEOUT_MS,
+        PREFILL_PATIENCE * expectedMs,
+      ),
+      signal,
+    });
+    endpoint.inFlightTokens -= tokens;
+    const tookMs = performance.now() - startedMs;
+    noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
+    const kind = outcome.isOk() ? "ok" : outcome.error.kind;
+    // One that was given up took at least so long.
+    if (kind === "ok" || kind === "timeout") {
+      prefillTimes.note(service, { tokens, tookMs });
+    }
+    if (kind === "ok") return outcome;
+    if (this.#sent === 1 && kind !== "notSent") budget.charge(service);
+    observer.log({
+      event: "prefill-failed",
+      attempt: request.id,
+      endpoint: endpoint.entry.id,
+      reason: kind,
+      expectedMs: Math.round(expectedMs),
+      tookMs: Math.round(tookMs),
+    });
+    return outcome;
+  }
+
+  /** Notes whether the decode endpoint could fetch the KV cache. */
+  noteFetched(source: PrefillSource, fetched: boolean): void {
+    source.endpoint.noteHandle(fetched);
+    if (!fetched) this.#lapsed.add(source.endpoint.entry.id);
+  }
+
+  /** Frees KV cache that nobody will fetch. */
+  waste(source: PrefillSource, reason: SendFailure["kind"]): void {
+    this.#context.port.freeHandle(source.endpoint.entry, source.handle);
+    this.#context.observer.count("prefills_wasted", reason);
+  }
+}
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -5,9 +5,8 @@
 import { noteOutcome } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
 import type { DecodePlace, DecodeQueue } from "./decode_queue.ts";
-import type { EndpointRecord } from "./endpoint_record.ts";
 import type { KvSource, SendFailure } from "./port.ts";
-import { choosePrefillEndpoint } from "./queries/choose_prefill_endpoint.ts";
+import { type PrefillSource, PrefillStage } from "./prefill_stage.ts";
 import { RequestClock } from "./request_clock.ts";
 import { type AnswerSink, StreamRelay } from "./stream_relay.ts";
 import type { EnginePool, Route, RoutedRequest } from "./types.ts";
@@ -19,11 +18,6 @@
 const SILENCE_GAPS = 5;
 /** Preempted streams are read in again within this time. */
 const MIN_SILENCE_MS = 1_500;
-/** Prefill endpoints that are tried for one send. */
-const MAX_PREFILLS = 2;
-/** A prefill is given up after this many times its expected time. */
-const PREFILL_PATIENCE = 4;
-const MIN_PREFILL_TIMEOUT_MS = 300;
 /**
  * The share of an endpoint's memory that a stream reserves beyond its prompt, for
  * the output of all that run there: it grows until the next one ends, whatever
@@ -60,10 +54,7 @@
   #clock: RequestClock;
   #relay: StreamRelay;
   #avoid = new Set<EndpointId>();
-  /** Prefill endpoints whose KV cache could not be fetched. */
-  #lapsed = new Set<EndpointId>();
-  /** Prefills that were sent. */
-  #prefills = 0;
+  #prefill: PrefillStage;
   /** Endpoints that may have run the request. */
   #ran = 0;
 
@@ -71,6 +62,13 @@
     this.#context = context;
     this.#options = options;
     this.#clock = new RequestClock(options.request, options.route);
+    const { request, service, signal } = options;
+    this.#prefill = new PrefillStage(context, {
+      request,
+      service,
+      clock: this.#clock,
+      signal,
+    });
     this.#relay = new StreamRelay({
       sink: options.sink,
       lastEventId: options.request.lastEventId,
@@ -97,7 +95,7 @@
       attempt: this.#options.request.id,
       clock: this.#clock,
       tokens: this.#tokens(),
-      prefillMs: this.#prefillMs(),
+      prefillMs: this.#prefill.expectedMs(),
       avoid: this.#avoid.size < pool.slots ? this.#avoid : new Set(),
       mustBeOnTime: !this.#relay.begun,
       signal,
@@ -110,15 +108,18 @@
     endpoint.inFlight += 1;
     endpoint.inFlightTokens += tokens;
     const startedMs = performance.now();
-    const source = await this.#prefill(endpoint);
+    const prefilled = await this.#prefill.read(endpoint);
     const prefilledMs = performance.now();
-    const outcome = await this.#decode(place, source);
+    const source = prefilled.unwrapOr(null);
+    const outcome = prefilled.isErr()
+      ? this.#giveUp(place, prefilled.error)
+      : await this.#decode(place, source);
     endpoint.inFlight -= 1;
     endpoint.inFlightTokens -= tokens;
-    this.#settle(place, { source, outcome });
+    if (prefilled.isOk()) this.#settle(place, { source, outcome });
     const decodeMs = performance.now() - prefilledMs;
     if (outcome.isOk()) {
-      const promptTokens = this.#promptTokens();
+      const promptTokens = this.#prefill.tokens;
       const heldTokens = tokens;
       const cost = { promptTokens, heldTokens, decodeMs };
       this.#context.noteStream(this.#options.service, cost);
@@ -143,7 +144,7 @@
       ),
       longestGapMs: Math.round(this.#relay.longestGapMs),
       events: this.#relay.events,
-      promptTokens: this.#promptTokens(),
+      promptTokens: this.#prefill.tokens,
       maxOutputTokens: this.#options.request.prompt?.maxOutputTokens,
       hint: this.#options.request.prompt?.expectedOutputTokens ?? undefined,
     });
@@ -161,63 +162,6 @@
     times.note("gap", kind, this.#relay.longestGapMs);
   }
 
-  // Reads the prompt at a prefill endpoint; without one, the decode endpoint reads it itself.
-  async #prefill(
-    decode: EndpointRecord,
-  ): Promise<(KvSource & { endpoint: EndpointRecord }) | null> {
-    const { request, service, signal } = this.#options;
-    const { endpoints, port, budget, prefillTimes, random } = this.#context;
-    const tried = new Set<EndpointId>(this.#lapsed);
-    const tokens = this.#promptTokens();
-    const expectedMs = this.#prefillMs();
-    for (let tries = 0; tries < MAX_PREFILLS; tries += 1) {
-      // Only the first prefill of a request costs nothing of the budget.
-      if (this.#prefills > 0 && !budget.take(service)) return null;
-      this.#prefills += 1;
-      const endpoint = choosePrefillEndpoint(
-        endpoints.usable(service, "prefill"),
-        {
-          decodeDataCentre: decode.entry.dataCentre,
-          tried,
-          nowMs: performance.now(),
-          random,
-        },
-      );
-      if (!endpoint || signal.aborted) return null;
-      tried.add(endpoint.entry.id);
-      const startedMs = performance.now();
-      endpoint.inFlightTokens += tokens;
-      const outcome = await port.prefill(endpoint.entry, {
-        request,
-        timeLeftMs: this.#clock.patienceLeftMs(),
-        firstByteMs: Math.max(
-          MIN_PREFILL_TIMEOUT_MS,
-          PREFILL_PATIENCE * expectedMs,
-        ),
-        signal,
-      });
-      endpoint.inFlightTokens -= tokens;
-      const tookMs = performance.now() - startedMs;
-      noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
-      if (outcome.isOk()) {
-        prefillTimes.note(service, { tokens, tookMs });
-        const { handle } = outcome.value;
-        return { endpoint, address: endpoint.entry.address, handle };
-      }
-      if (this.#prefills === 1 && outcome.error.kind !== "notSent") {
-        budget.charge(service);
-      }
-      this.#context.observer.log({
-        event: "prefill-failed",
-        attempt: request.id,
-        endpoint: endpoint.entry.id,
-        reason: outcome.error.kind,
-        tookMs: Math.round(tookMs),
-      });
-    }
-    return null;
-  }
-
   async #decode(
     place: DecodePlace,
     source: KvSource | null,
@@ -272,27 +216,32 @@
     };
   }
 
+  // Nothing was sent to the decode endpoint, whose record this says nothing of.
+  #giveUp(place: DecodePlace, failure: SendFailure): SendResult {
+    const { endpoint, reservation } = place;
+    this.#context.port.releaseReservation(endpoint.entry, reservation);
+    return err(failure);
+  }
+
   #settle(
     place: DecodePlace,
     { source, outcome }: {
-      source: (KvSource & { endpoint: EndpointRecord }) | null;
+      source: PrefillSource | null;
       outcome: SendResult;
     },
   ): void {
     const { endpoint, reservation } = place;
     const refused = outcome.isErr() && outcome.error.kind === "notExecuted";
     // With a reservation held, it is the KV cache that can't be had.
-    if (source && refused) {
-      source.endpoint.noteHandle(false);
-      this.#lapsed.add(source.endpoint.entry.id);
+    if (source && (refused || outcome.isOk())) {
+      this.#prefill.noteFetched(source, !refused);
     }
-    if (outcome.isOk()) source?.endpoint.noteHandle(true);
     const { request } = this.#options;
     noteOutcome(this.#context, { endpoint, request, outcome, tookMs: 0 });
     if (outcome.isOk()) return;
     if (provesNotRun(outcome.error) || outcome.error.kind === "aborted") {
       this.#context.port.releaseReservation(endpoint.entry, reservation);
-      if (source) this.#wastePrefill(source, outcome.error.kind);
+      if (source) this.#prefill.waste(source, outcome.error.kind);
     }
     if (!provesNotRun(outcome.error)) {
       this.#ran += 1;
@@ -300,14 +249,6 @@
     }
   }
 
-  #wastePrefill(
-    source: KvSource & { endpoint: EndpointRecord },
-    reason: SendFailure["kind"],
-  ): void {
-    this.#context.port.freeHandle(source.endpoint.entry, source.handle);
-    this.#context.observer.count("prefills_wasted", reason);
-  }
-
   #mayGoOn(failure: SendFailure): boolean {
     const { route, signal } = this.#options;
     if (signal.aborted || this.#clock.leftMs() <= 0) return false;
@@ -347,17 +288,8 @@
     );
   }
 
-  #prefillMs(): number {
-    const { prefillTimes } = this.#context;
-    return prefillTimes.expectedMs(this.#options.service, this.#promptTokens());
-  }
-
-  #promptTokens(): number {
-    return this.#options.request.prompt?.promptTokens ?? 0;
-  }
-
   #tokens(): number {
     const { pool } = this.#options;
-    return this.#promptTokens() + Math.ceil(GROWTH_SHARE * pool.kvTokens);
+    return this.#prefill.tokens + Math.ceil(GROWTH_SHARE * pool.kvTokens);
   }
 }
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -217,3 +217,20 @@
   expect(await ended).toEqual({ kind: "complete" });
   expect(port.log.at(-1)).toMatch(/^stream d\d$/);
 });
+
+test("Busy prefill endpoints are not made up for by a decode endpoint, which would hold up its streams", async () => {
+  const port = new FakeEndpoints({
+    prefill: (_endpoint, { firstByteMs }) =>
+      new Promise((resolve) =>
+        setTimeout(() => resolve(err({ kind: "timeout" })), firstByteMs)
+      ),
+  });
+  const { ended } = start(port);
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(await ended).toMatchObject({
+    kind: "refused",
+    refusal: { kind: "notRun" },
+  });
+  expect(port.log.filter((line) => line.startsWith("stream"))).toEqual([]);
+  expect(port.released).toEqual(["hold"]);
+});
