--- a/packages/core/src/routing/app.ts
+++ b/packages/core/src/routing/app.ts
@@ -2,11 +2,12 @@
 import { type App, createApp } from "../common/app.ts";
 import type { ServiceName } from "../common/ids.ts";
 import type { DemandSample } from "./stages/demand.ts";
+import type { PlacementHandlers } from "./placement/client.ts";
 import type { Crash } from "./crash_book.ts";
 import type { EndpointEntry, RoutingTable } from "./types.ts";
 
 /** Peer methods of routing. */
-export interface RoutingHandlers {
+export interface RoutingHandlers extends PlacementHandlers {
   /** Gives the table in force where it is newer than the one that the caller has. */
   "routing/table": (
     params: { after: number },
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -4,6 +4,7 @@
 import type { CrashBook } from "./crash_book.ts";
 import type { EndpointBook } from "./endpoint_book.ts";
 import type { RoutedEndpointPort } from "./port.ts";
+import type { Placement } from "./placement/client.ts";
 import type { PrefillTimes } from "./prefill_times.ts";
 import type { ServiceBudget } from "./service_budget.ts";
 import type { RouteKind } from "./types.ts";
@@ -33,6 +34,7 @@
   readonly dataCentre: DataCentre;
   readonly endpoints: EndpointBook;
   readonly budget: ServiceBudget;
+  readonly placement: Placement;
   readonly prefillTimes: PrefillTimes;
   readonly port: RoutedEndpointPort;
   readonly crashes: CrashBook;
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -10,7 +10,6 @@
 import { type NotRun, notRun } from "../common/verdict.ts";
 import type { RoutingContext } from "./context.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
-import { rankDecodeEndpoints } from "./queries/rank_decode_endpoints.ts";
 import type { RequestClock } from "./request_clock.ts";
 import type { AttemptId, EnginePool, ReservationId } from "./types.ts";
 
@@ -169,12 +168,14 @@
   async #reserve(demand: DecodeDemand): Promise<DecodePlace | null> {
     const pool = this.#pool();
     if (!pool) return null;
-    const { endpoints, port, dataCentre, random } = this.#context;
-    const nowMs = performance.now();
-    const ranked = rankDecodeEndpoints(
-      endpoints.usable(this.#service, "decode"),
-      { dataCentre, random, nowMs, avoid: demand.avoid },
-    );
+    const { placement, port, dataCentre, random } = this.#context;
+    const ranked = await placement.rankDecode(this.#service, {
+      dataCentre,
+      random,
+      nowMs: performance.now(),
+      avoid: demand.avoid,
+      tokens: demand.tokens,
+    });
     for (const endpoint of ranked.slice(0, ASKED_AT_ONCE)) {
       const reserved = await port.reserve(endpoint.entry, {
         tokens: Math.min(demand.tokens, pool.kvTokens),
--- a/packages/core/src/routing/prefill_stage.ts
+++ b/packages/core/src/routing/prefill_stage.ts
@@ -5,7 +5,6 @@
 import type { RoutingContext } from "./context.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { KvSource, Prefilled, SendFailure } from "./port.ts";
-import { choosePrefillEndpoint } from "./queries/choose_prefill_endpoint.ts";
 import type { RequestClock } from "./request_clock.ts";
 import type { RoutedRequest } from "./types.ts";
 
@@ -64,7 +63,7 @@
   ): Promise<Result<PrefillSource | null, SendFailure>> {
     const tried = new Set<EndpointId>(this.#lapsed);
     for (let tries = 0; tries < MAX_PREFILLS; tries += 1) {
-      const endpoint = this.#choosePrefill(decode, tried);
+      const endpoint = await this.#choose(decode, tried);
       if (!endpoint || !this.#takePrefill()) return ok(null);
       tried.add(endpoint.entry.id);
       const outcome = await this.#sendPrefill(endpoint);
@@ -80,20 +79,18 @@
     return ok(null);
   }
 
-  #choosePrefill(
+  #choose(
     decode: EndpointRecord,
     tried: ReadonlySet<EndpointId>,
-  ): EndpointRecord | undefined {
-    const { endpoints, random } = this.#context;
-    return choosePrefillEndpoint(
-      endpoints.usable(this.#options.service, "prefill"),
-      {
-        decodeDataCentre: decode.entry.dataCentre,
-        tried,
-        nowMs: performance.now(),
-        random,
-      },
-    );
+  ): Promise<EndpointRecord | undefined> {
+    const { placement, random } = this.#context;
+    return placement.choosePrefill(this.#options.service, {
+      decodeDataCentre: decode.entry.dataCentre,
+      tried,
+      nowMs: performance.now(),
+      random,
+      tokens: this.tokens,
+    });
   }
 
   // Only the first prefill of a request costs nothing of the budget.
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -14,6 +14,11 @@
 import { NO_TIMES, type RequestTimes } from "./context.ts";
 import { type Crash, CrashBook } from "./crash_book.ts";
 import { EndpointBook } from "./endpoint_book.ts";
+import {
+  createPlacementHandlers,
+  PlacementClient,
+} from "./placement/client.ts";
+import { PlacementHome } from "./placement/home.ts";
 import { PrefillTimes } from "./prefill_times.ts";
 import type { RoutedEndpointPort } from "./port.ts";
 import { Router } from "./router.ts";
@@ -70,6 +75,7 @@
   #options: RoutingVmOptions;
   #feeds: readonly Pick<TableFeed<unknown>, "start" | "stop" | "ageMs">[];
   #crashes: CrashBook;
+  #placement: PlacementClient;
   #endpointsKnown = false;
   #askTimer: ReturnType<typeof setInterval> | undefined;
   #prefillTimes = new PrefillTimes();
@@ -96,6 +102,15 @@
       observer,
       (id) => this.#crashes.noteCrash(id),
     );
+    const placementHome = new PlacementHome();
+    this.#placement = new PlacementClient({
+      endpoints: this.endpoints,
+      membership: this.membership,
+      peers: ports.peers,
+      prefillTimes: this.#prefillTimes,
+      observer,
+      random,
+    });
     this.router = new Router({
       dataCentre: identity.dataCentre,
       endpoints: this.endpoints,
@@ -103,6 +118,7 @@
         limits: options.budget,
         vmCount: () => this.#liveCount(),
       }),
+      placement: this.#placement,
       prefillTimes: this.#prefillTimes,
       crashes: this.#crashes,
       port: ports.calls,
@@ -121,6 +137,7 @@
         "routing/table": ({ after }) => ({
           table: after < this.#version() ? this.router.table : null,
         }),
+        ...createPlacementHandlers(placementHome),
         "routing/endpoints": () => ({ entries: this.#endpointEntries() }),
         "routing/crashes": ({ crashes }) => {
           this.#crashes.suspect(crashes);
@@ -153,6 +170,7 @@
     void ports.store.register(identity);
     await this.membership.seed();
     await this.membership.start();
+    this.#placement.start();
     this.#askTimer = setInterval(() => this.#askPeers(), ASK_INTERVAL_MS);
   }
 
@@ -161,6 +179,7 @@
     for (const feed of this.#feeds) feed.stop();
     for (const { task } of this.#stages.values()) task.stop();
     this.router.stop();
+    this.#placement.stop();
     this.membership.stop();
   }
 
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -22,6 +22,7 @@
   StageOrder,
   StreamListener,
 } from "../port.ts";
+import { LocalPlacement } from "../placement/client.ts";
 import { PrefillTimes } from "../prefill_times.ts";
 import { ServiceBudget } from "../service_budget.ts";
 import type {
@@ -249,6 +250,7 @@
       }),
       vmCount: () => 1,
     }),
+    placement: new LocalPlacement(endpoints),
     prefillTimes: new PrefillTimes(),
     crashes: new CrashBook(() => {}),
     port,
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -10,6 +10,8 @@
 import { MembershipTask } from "../membership/task.ts";
 import { OrdersTask } from "../orders/task.ts";
 import { createRoutingApp } from "../routing/app.ts";
+import { createPlacementHandlers } from "../routing/placement/client.ts";
+import { PlacementHome } from "../routing/placement/home.ts";
 import { NO_DEMAND } from "../routing/stages/demand.ts";
 import type { PeerHandlers } from "../peers/types.ts";
 import { createQuotasApp } from "../quotas/app.ts";
@@ -155,6 +157,7 @@
         "routing/table": () => ({ table: null }),
         "routing/endpoints": () => ({ entries: null }),
         "routing/crashes": () => null,
+        ...createPlacementHandlers(new PlacementHome()),
         "routing/demand": () => NO_DEMAND,
       }).handlers,
       ...createSummariesApp(this.summaries.handlers).handlers,
