--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -29,6 +29,8 @@
 import type { EndpointChange, EndpointEntry, RoutingTable } from "./types.ts";
 
 const PEER_FETCH_TIMEOUT_MS = 500;
+/** Endpoints that come and go together are read together; far below the time in which a leaving one is left. */
+const ENDPOINTS_GATHER_MS = 400;
 /** How often a VM that knows no endpoints asks another. */
 const ASK_INTERVAL_MS = 500;
 /** VMs that are told of a crash; callers that come again come to any. */
@@ -62,6 +64,8 @@
   /** Peer addresses for first contact. */
   contacts: () => readonly string[];
   times?: RequestTimes;
+  /** How long the store may hold a call that waits for changes. */
+  feedWaitMs?: number;
   /** Told of each table that comes into force. */
   onTable?: (table: RoutingTable) => void;
 }
@@ -216,6 +220,7 @@
       listener: { onAll: take, onChanges: take },
       observer,
       random,
+      waitMs: this.#options.feedWaitMs,
     });
   }
 
@@ -238,6 +243,8 @@
       },
       observer,
       random,
+      waitMs: this.#options.feedWaitMs,
+      gatherMs: ENDPOINTS_GATHER_MS,
     });
   }
 
--- a/packages/core/src/routing/table_feed.ts
+++ b/packages/core/src/routing/table_feed.ts
@@ -3,8 +3,8 @@
 import type { Observer } from "../common/observe.ts";
 import type { StoreFailure } from "../ports/platform.ts";
 
-/** How long the store may hold a call that waits for changes. */
-const WAIT_MS = 2_500;
+/** How long the store holds a call that waits for changes, where nothing else is said. */
+const DEFAULT_WAIT_MS = 2_500;
 /** Time beyond the wait after which a call's connection counts as silent. */
 const ANSWER_MS = 900;
 const READ_TIMEOUT_MS = 1_500;
@@ -46,6 +46,11 @@
   listener: FeedListener<Item>;
   observer: Observer;
   random: () => number;
+  /**
+   * How long the store may hold a call. A connection that has gone silent shows
+   * only after this time, so that it bounds how late a change may be noticed.
+   */
+  waitMs?: number;
   /** Time that changes may gather before the next call; 0 asks again at once. */
   gatherMs?: number;
 }
@@ -101,10 +106,11 @@
 
   async #readChanges(after: number): Promise<StoreFailure | null> {
     const { table, listener, observer, name } = this.#options;
+    const { waitMs = DEFAULT_WAIT_MS } = this.#options;
     const read = await table.readChanges({
       after,
-      waitMs: WAIT_MS,
-      timeoutMs: WAIT_MS + ANSWER_MS,
+      waitMs,
+      timeoutMs: waitMs + ANSWER_MS,
     });
     if (read.isErr()) return read.error;
     if (this.#stopped) return null;
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -88,6 +88,10 @@
   stopTimeoutMs: 5_000,
 };
 
+/** Time from a silent connection's discovery to the change being in force. */
+const FEED_MARGIN_MS = 1_200;
+const MIN_FEED_WAIT_MS = 1_000;
+
 /** Creates a gateway. */
 export function createGateway(options: GatewayOptions): Gateway {
   return new RoutingGateway(options);
@@ -220,6 +224,7 @@
       budget: () => this.#settings.retries,
       contacts: () => this.#settings.peers.contacts,
       times: this.#options.metrics,
+      feedWaitMs: feedWaitMs(settings.bounds),
       onTable: ({ limits }) => this.#callers.setTimes(limits),
     });
   }
@@ -269,3 +274,10 @@
     sendText(response, await registry.metrics(), registry.contentType);
   }
 }
+
+// A connection may go silent when the disturbance ends; by then the bounds begin to run.
+function feedWaitMs(bounds: RoutingSettings["bounds"]): number {
+  const { contactMs, configMs, drainMs } = bounds;
+  const boundMs = contactMs + Math.min(configMs, drainMs);
+  return Math.max(MIN_FEED_WAIT_MS, boundMs - FEED_MARGIN_MS);
+}
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -138,6 +138,14 @@
     /** Time between the signal to stop and the end of the process. */
     graceS: fraction(),
   }),
+  bounds: z.object({
+    /** Time without disturbance after which a VM is held to the bounds below. */
+    contactMs: wholeNumber({ min: 0, default: 3_000 }),
+    /** Time in which a change of the configuration is in force. */
+    configMs: wholeNumber({ min: 500, default: 2_000 }),
+    /** Time in which an endpoint that leaves gets no more work. */
+    drainMs: wholeNumber({ min: 500, default: 2_000 }),
+  }).prefault({}),
   directory: z.object({
     /** The longest time that callers keep an answer. */
     ttlMaxS: fraction(),
