A reset that comes with an answer's last bytes is not its end

Cause: where data and a reset arrive together, libuv reports an end instead of an error, so that the socket's own error told nothing. A connection that was reset has no peer any more; one that the peer closed still has.

--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -7,6 +7,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 
 /** How an exchange failed. */
@@ -65,7 +66,9 @@
   #firstByteTimer: ReturnType<typeof setTimeout> | undefined;
   #wholeTimer: ReturnType<typeof setTimeout> | undefined;
   #connected = false;
+  #socket: Socket | undefined;
   #socketError: Error | undefined;
+  #endsWithConnection = false;
   #done = false;
 
   constructor(request: ExchangeRequest, listener: ExchangeListener) {
@@ -112,6 +115,7 @@
         const [error, socket] = result;
         if (!error && socket) {
           this.#connected = true;
+          this.#socket = socket;
           socket.on("error", (reason) => (this.#socketError = reason));
         }
         callback(...result);
@@ -145,6 +149,8 @@
       onResponseStart: (_controller, status, headers) => {
         if (this.#done || status < 200) return;
         clearTimeout(this.#firstByteTimer);
+        this.#endsWithConnection = headers["content-length"] === undefined &&
+          headers["transfer-encoding"] === undefined;
         this.#listener.onHead(status, headers as IncomingHttpHeaders);
       },
       onResponseData: (controller, bytes) => {
@@ -152,8 +158,8 @@
         if (!this.#listener.onData(bytes)) controller.pause();
       },
       onResponseEnd: () => {
-        if (this.#socketError) {
-          return this.#fail(this.#describe(this.#socketError));
+        if (this.#endsWithConnection && this.#wasReset()) {
+          return this.#fail({ kind: "lost", detail: "ECONNRESET" });
         }
         if (this.#close()) this.#listener.onEnd();
       },
@@ -162,6 +168,14 @@
     };
   }
 
+  // A reset that comes with the last bytes shows as their end, without an error;
+  // but a connection that was reset has no peer any more, which one that the peer
+  // closed still has.
+  #wasReset(): boolean {
+    return this.#socketError !== undefined ||
+      this.#socket?.remoteAddress === undefined;
+  }
+
   #describe(error: Error): ExchangeFailure {
     const detail = (error as { code?: string }).code ?? error.message;
     return { kind: this.#connected ? "lost" : "notSent", detail };
--- a/packages/daemon/src/gateway/fresh_exchange_test.ts
+++ b/packages/daemon/src/gateway/fresh_exchange_test.ts
@@ -88,6 +88,14 @@
   });
 });
 
+test("A reset that comes with the last bytes is not taken for an end", async () => {
+  behave = (socket) => {
+    socket.write("HTTP/1.1 200 OK\r\n\r\npart");
+    socket.resetAndDestroy();
+  };
+  expect(await exchange()).toMatchObject({ failure: { kind: "lost" } });
+});
+
 test.each([
   ["with a length", "Content-Length: 10\r\n\r\npart"],
   ["in chunks", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"],
