An engine under an order gets no work; needs are known once long streams have ended

Change: the VM that orders tells the others; an engine that refuses after it reserved rests; averages are used eight seconds after the first stream.

--- a/packages/core/src/routing/app.ts
+++ b/packages/core/src/routing/app.ts
@@ -1,6 +1,6 @@
 /** Peer methods of routing. */
 import { type App, createApp } from "../common/app.ts";
-import type { ServiceName } from "../common/ids.ts";
+import type { EndpointId, ServiceName } from "../common/ids.ts";
 import type { DemandSample } from "./stages/demand.ts";
 import type { PlacementHandlers } from "./placement/client.ts";
 import type { Crash } from "./crash_book.ts";
@@ -16,6 +16,10 @@
   "routing/endpoints": () => {
     entries: readonly EndpointEntry[] | null;
   };
+  /** Tells that an engine has been ordered to change its stage. */
+  "routing/ordered": (
+    params: { endpoint: EndpointId; forMs: number },
+  ) => null;
   /** Tells of requests that were lost in crashes. */
   "routing/crashes": (params: { crashes: readonly Crash[] }) => null;
   /** Tells what streams of a service needed at this VM. */
--- a/packages/core/src/routing/endpoint_book_test.ts
+++ b/packages/core/src/routing/endpoint_book_test.ts
@@ -22,6 +22,23 @@
   expect(idsOf(book)).toEqual(["a", "b"]);
 });
 
+test("An endpoint that was ordered to change its stage takes no work until it has", async () => {
+  const book = new EndpointBook(SILENT_OBSERVER);
+  const engine = (stage: "prefill" | "decode") => entry("e", { stage });
+  const usable = () => [
+    ...book.usable(SERVICE, "prefill"),
+    ...book.usable(SERVICE, "decode"),
+  ];
+  book.replace([engine("decode")]);
+  const { id } = engine("decode");
+  book.get(id)!.noteOrdered(performance.now() + 8_000);
+  expect(usable()).toEqual([]);
+  await vi.advanceTimersByTimeAsync(6_000);
+  expect(usable()).toEqual([]);
+  book.apply({ id, entry: engine("prefill") });
+  expect(usable().map((one) => one.entry.stage)).toEqual(["prefill"]);
+});
+
 test("An address belongs to the endpoint that started there last", () => {
   const book = new EndpointBook(SILENT_OBSERVER);
   const address = "10.0.0.7:1";
--- a/packages/core/src/routing/endpoint_record.ts
+++ b/packages/core/src/routing/endpoint_record.ts
@@ -18,6 +18,7 @@
   #failuresInRow = 0;
   #ejectedUntilMs = -Infinity;
   #fullUntilMs = -Infinity;
+  #reconfiguresUntilMs = -Infinity;
   #latencyMs: number | null = null;
   #lapsesInRow = 0;
   #lapsedUntilMs = -Infinity;
@@ -55,6 +56,10 @@
 
   /** Takes a newer entry of the same incarnation. */
   update(entry: EndpointEntry): void {
+    // The order has been carried out.
+    if (entry.stage !== this.#entry.stage) {
+      this.#reconfiguresUntilMs = -Infinity;
+    }
     this.#entry = entry;
     this.#goneAtMs = Infinity;
   }
@@ -70,7 +75,13 @@
 
   /** Whether new work may be sent, apart from its health. */
   mayTakeWork(nowMs: number): boolean {
-    return this.#entry.state === "ready" && !this.isGone(nowMs);
+    return this.#entry.state === "ready" && !this.isGone(nowMs) &&
+      nowMs >= this.#reconfiguresUntilMs;
+  }
+
+  /** Takes no work while an order is carried out; its entry says so only later. */
+  noteOrdered(untilMs: number): void {
+    this.#reconfiguresUntilMs = untilMs;
   }
 
   /** False while it rests after failures. */
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -1,5 +1,5 @@
 /** One VM that routes by host and path: its view of VMs, its tables, its endpoints. */
-import type { ServiceName } from "../common/ids.ts";
+import type { EndpointId, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
 import { MembershipTask } from "../membership/task.ts";
 import type {
@@ -35,6 +35,8 @@
 const ASK_INTERVAL_MS = 500;
 /** VMs that are told of a crash; callers that come again come to any. */
 const TOLD_VMS = 16;
+/** VMs that are told of an order. */
+const TOLD_OF_ORDERS = 100;
 /** VMs come and go rarely, and tell each other; the list serves those that know nobody. */
 const LIST_INTERVAL_MS = 10_000;
 
@@ -143,6 +145,10 @@
         }),
         ...createPlacementHandlers(placementHome),
         "routing/endpoints": () => ({ entries: this.#endpointEntries() }),
+        "routing/ordered": ({ endpoint, forMs }) => {
+          this.endpoints.get(endpoint)?.noteOrdered(performance.now() + forMs);
+          return null;
+        },
         "routing/crashes": ({ crashes }) => {
           this.#crashes.suspect(crashes);
           return null;
@@ -202,6 +208,7 @@
       port: ports.calls,
       peers: ports.peers,
       membership: this.membership,
+      onOrdered: (endpoint, forMs) => this.#tellOrdered(endpoint, forMs),
       observer,
     });
     task.start();
@@ -303,6 +310,17 @@
       .map(({ entry }) => entry);
   }
 
+  // Orders are rare, so that all VMs can be told; the rest learns by refusals.
+  #tellOrdered(endpoint: EndpointId, forMs: number): void {
+    this.endpoints.get(endpoint)?.noteOrdered(performance.now() + forMs);
+    for (const peer of this.#livePeers(TOLD_OF_ORDERS)) {
+      void this.#options.ports.peers.call(peer, "routing/ordered", {
+        params: { endpoint, forMs },
+        timeoutMs: PEER_FETCH_TIMEOUT_MS,
+      });
+    }
+  }
+
   #tellCrashes(crashes: readonly Crash[]): void {
     this.#options.observer.count("suspicions", "crash");
     for (const peer of this.#livePeers(TOLD_VMS)) {
--- a/packages/core/src/routing/stages/demand.ts
+++ b/packages/core/src/routing/stages/demand.ts
@@ -2,6 +2,8 @@
 
 /** Weight of the newest stream in the moving averages. */
 const WEIGHT = 0.05;
+/** Time before the averages are used: the first streams to end are the short ones. */
+const MIN_AGE_MS = 8_000;
 /** Streams before the averages are used. */
 const MIN_STREAMS = 12;
 /** Streams that one VM's averages stand for at most, as older ones have faded from them. */
@@ -47,12 +49,15 @@
 /** Averages over the streams of one service that this VM has seen. */
 export class StageDemand {
   #streams = 0;
+  #firstAtMs = Infinity;
   #promptTokens = 0;
   #tokenMs = 0;
 
   /** Notes a stream that ended well. */
   note(cost: StreamCost): void {
     this.#streams += 1;
+    const beganAtMs = performance.now() - cost.decodeMs;
+    this.#firstAtMs = Math.min(this.#firstAtMs, beganAtMs);
     const weight = Math.max(WEIGHT, 1 / this.#streams);
     const tokenMs = cost.heldTokens * cost.decodeMs;
     this.#promptTokens += weight * (cost.promptTokens - this.#promptTokens);
@@ -61,6 +66,7 @@
 
   /** The averages, for this VM or another. */
   sample(): DemandSample {
+    if (performance.now() - this.#firstAtMs < MIN_AGE_MS) return NO_DEMAND;
     return {
       streams: Math.min(this.#streams, MAX_STREAMS),
       promptTokens: this.#promptTokens,
--- a/packages/core/src/routing/stages/plan_test.ts
+++ b/packages/core/src/routing/stages/plan_test.ts
@@ -1,9 +1,12 @@
-import { expect, test } from "vitest";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { entry } from "../testing/fake_endpoints.ts";
 import type { EndpointEntry } from "../types.ts";
 import { needsOf, StageDemand } from "./demand.ts";
 import { planStageChange } from "./plan.ts";
 
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
 function pool(prefill: number, decode: number): EndpointEntry[] {
   return [
     ...Array.from(
@@ -62,7 +65,7 @@
   expect(changes).toBeLessThan(9);
 });
 
-test("Needs are averaged over VMs by what they saw, and unknown before enough was seen", () => {
+test("Needs are averaged over VMs by what they saw, and unknown before enough was seen", async () => {
   const a = new StageDemand();
   const b = new StageDemand();
   const options = { kvTokens: 1_000, prefillTokensPerMs: 10 };
@@ -72,6 +75,9 @@
     a.note({ promptTokens: 100, heldTokens: 500, decodeMs: 100 });
     b.note({ promptTokens: 300, heldTokens: 500, decodeMs: 300 });
   }
+  // Streams that ended by now are the short ones.
+  expect(needsOf([a.sample(), b.sample()], options)).toBeNull();
+  await vi.advanceTimersByTimeAsync(8_000);
   const needs = needsOf([a.sample(), b.sample()], options)!;
   expect(needs.prefillMs).toBeGreaterThan(10);
   expect(needs.prefillMs).toBeLessThan(30);
--- a/packages/core/src/routing/stages/task.ts
+++ b/packages/core/src/routing/stages/task.ts
@@ -26,6 +26,8 @@
 const ORDER_PAUSE_MS = 8_000;
 /** Pause after a report that forbids an order. */
 const REPORT_PAUSE_MS = 2_000;
+/** Time from an engine's return until its entry shows it. */
+const SETTLE_MS = 2_000;
 /** An order without an answer may be carried out this much later. */
 const UNCERTAIN_MS = 15_000;
 
@@ -41,6 +43,8 @@
   port: Pick<RoutedEndpointPort, "orderStage" | "report">;
   peers: PeerPort;
   membership: MembershipView;
+  /** Told of each order that is being carried out, or may be. */
+  onOrdered: (endpoint: EndpointId, forMs: number) => void;
   observer: Observer;
 }
 
@@ -159,6 +163,10 @@
       timeoutMs: ORDER_LIMIT_MS,
     });
     if (outcome === "fenced") this.#lease.fenced();
+    if (outcome === "accepted") {
+      const { reconfigureMs = 0 } = this.#options.pool() ?? {};
+      this.#options.onOrdered(endpoint.id, reconfigureMs + SETTLE_MS);
+    }
     if (outcome === "lost") {
       this.#restsUntilMs = performance.now() + UNCERTAIN_MS;
     }
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -239,6 +239,8 @@
     const { request } = this.#options;
     noteOutcome(this.#context, { endpoint, request, outcome, tookMs: 0 });
     if (outcome.isOk()) return;
+    // It had reserved a place; one that refuses again and again has another reason.
+    if (refused) endpoint.noteFailure(performance.now());
     if (provesNotRun(outcome.error) || outcome.error.kind === "aborted") {
       this.#context.port.releaseReservation(endpoint.entry, reservation);
       if (source) this.#prefill.waste(source, outcome.error.kind);
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -157,6 +157,7 @@
         "routing/table": () => ({ table: null }),
         "routing/endpoints": () => ({ entries: null }),
         "routing/crashes": () => null,
+        "routing/ordered": () => null,
         ...createPlacementHandlers(new PlacementHome()),
         "routing/demand": () => NO_DEMAND,
       }).handlers,
