--- a/packages/core/src/routing/stages/plan.ts
+++ b/packages/core/src/routing/stages/plan.ts
@@ -8,7 +8,7 @@
 import type { StageNeeds } from "./demand.ts";
 
 /** How busy prefill endpoints may be; beyond it prompts queue for too long. */
-const PREFILL_UTILISATION = 0.6;
+const PREFILL_UTILISATION = 0.75;
 /** A change must raise what the pool can serve by this share, as it may be undone soon. */
 const MIN_GAIN = 0.06;
 /** Time over which a change must pay for itself. */
