--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -40,6 +40,8 @@
   readonly crashes: CrashBook;
   readonly observer: Observer;
   readonly times: RequestTimes;
+  /** Told of the prompt of each stream that comes. */
+  readonly noteArrival: (service: ServiceName, promptTokens: number) => void;
   /** Told what each stream took that ended well. */
   readonly noteStream: (service: ServiceName, cost: StreamCost) => void;
   /** A number from 0 up to 1; seeded in tests. */
--- a/packages/core/src/routing/prefill_stage.ts
+++ b/packages/core/src/routing/prefill_stage.ts
@@ -56,15 +56,17 @@
   /**
    * Reads the prompt at a prefill endpoint. Where none can be reached, the decode
    * endpoint reads it itself, which holds up all streams there; so it does not
-   * stand in for prefill endpoints that are merely busy.
+   * stand in for several prefill endpoints that are merely busy. For a single one
+   * it does, as prefill is then what the pool is short of.
    */
   async read(
     decode: EndpointRecord,
   ): Promise<Result<PrefillSource | null, SendFailure>> {
     const tried = new Set<EndpointId>(this.#lapsed);
+    let busyEngines = 0;
     for (let tries = 0; tries < MAX_PREFILLS; tries += 1) {
       const endpoint = await this.#choose(decode, tried);
-      if (!endpoint || !this.#takePrefill()) return ok(null);
+      if (!endpoint || !this.#takePrefill()) break;
       tried.add(endpoint.entry.id);
       const outcome = await this.#sendPrefill(endpoint);
       if (outcome.isOk()) {
@@ -73,10 +75,9 @@
       }
       const { kind } = outcome.error;
       if (kind === "aborted") return err(outcome.error);
-      const busy = kind === "timeout" || kind === "notExecuted";
-      if (busy && tries + 1 === MAX_PREFILLS) return err({ kind: "notSent" });
+      if (kind === "timeout" || kind === "notExecuted") busyEngines += 1;
     }
-    return ok(null);
+    return busyEngines > 1 ? err({ kind: "notSent" }) : ok(null);
   }
 
   #choose(
--- a/packages/core/src/routing/prefill_times.ts
+++ b/packages/core/src/routing/prefill_times.ts
@@ -5,8 +5,11 @@
 const FIRST_TOKENS_PER_MS = 30;
 /** Weight of the newest prefill in the average delay. */
 const DELAY_WEIGHT = 0.15;
-/** The speed follows faster prefills at once and slower ones by this share. */
-const SPEED_WEIGHT = 0.02;
+/** The speed follows faster prefills sooner than slower ones, which queued. */
+const FASTER_WEIGHT = 0.1;
+const SLOWER_WEIGHT = 0.02;
+/** A prefill faster than this many times the speed found its prompt in the cache. */
+const CACHED_RATIO = 1.3;
 /** Shorter prompts say more of the connection than of the speed. */
 const MIN_TOKENS = 500;
 
@@ -28,11 +31,10 @@
     const { tokens, tookMs } = prefill;
     const estimate = this.#of(service);
     if (tokens >= MIN_TOKENS && tookMs > 0) {
-      const speed = tokens / tookMs;
-      estimate.tokensPerMs = speed > estimate.tokensPerMs
-        ? speed
-        : estimate.tokensPerMs +
-          SPEED_WEIGHT * (speed - estimate.tokensPerMs);
+      const known = estimate.tokensPerMs;
+      const speed = Math.min(tokens / tookMs, CACHED_RATIO * known);
+      const weight = speed > known ? FASTER_WEIGHT : SLOWER_WEIGHT;
+      estimate.tokensPerMs += weight * (speed - known);
     }
     const delayMs = Math.max(0, tookMs - tokens / estimate.tokensPerMs);
     estimate.delayMs += DELAY_WEIGHT * (delayMs - estimate.delayMs);
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -131,6 +131,8 @@
       observer,
       random,
       times: options.times ?? NO_TIMES,
+      noteArrival: (service, promptTokens) =>
+        this.#stagesOf(service).demand.noteArrival(promptTokens),
       noteStream: (service, cost) => this.#stagesOf(service).demand.note(cost),
     });
     this.#feeds = [this.#tableFeed(), this.#endpointFeed()];
--- a/packages/core/src/routing/stages/demand.ts
+++ b/packages/core/src/routing/stages/demand.ts
@@ -2,6 +2,8 @@
 
 /** Weight of the newest stream in the moving averages. */
 const WEIGHT = 0.05;
+/** The same for the prompts of streams that came, of which there are more. */
+const ARRIVAL_WEIGHT = 0.02;
 /** Time before the averages are used: the first streams to end are the short ones. */
 const MIN_AGE_MS = 8_000;
 /** Streams before the averages are used. */
@@ -11,7 +13,6 @@
 
 /** What one stream took. */
 export interface StreamCost {
-  readonly promptTokens: number;
   /** Memory held at the decode endpoint, on average over the stream. */
   readonly heldTokens: number;
   readonly decodeMs: number;
@@ -50,9 +51,17 @@
 export class StageDemand {
   #streams = 0;
   #firstAtMs = Infinity;
+  #arrivals = 0;
   #promptTokens = 0;
   #tokenMs = 0;
 
+  /** Notes a stream that came, whatever becomes of it. */
+  noteArrival(promptTokens: number): void {
+    this.#arrivals += 1;
+    const weight = Math.max(ARRIVAL_WEIGHT, 1 / this.#arrivals);
+    this.#promptTokens += weight * (promptTokens - this.#promptTokens);
+  }
+
   /** Notes a stream that ended well. */
   note(cost: StreamCost): void {
     this.#streams += 1;
@@ -60,7 +69,6 @@
     this.#firstAtMs = Math.min(this.#firstAtMs, beganAtMs);
     const weight = Math.max(WEIGHT, 1 / this.#streams);
     const tokenMs = cost.heldTokens * cost.decodeMs;
-    this.#promptTokens += weight * (cost.promptTokens - this.#promptTokens);
     this.#tokenMs += weight * (tokenMs - this.#tokenMs);
   }
 
--- a/packages/core/src/routing/stages/plan_test.ts
+++ b/packages/core/src/routing/stages/plan_test.ts
@@ -69,11 +69,14 @@
   const a = new StageDemand();
   const b = new StageDemand();
   const options = { kvTokens: 1_000, prefillTokensPerMs: 10 };
-  a.note({ promptTokens: 100, heldTokens: 500, decodeMs: 100 });
+  a.noteArrival(100);
+  a.note({ heldTokens: 500, decodeMs: 100 });
   expect(needsOf([a.sample(), b.sample()], options)).toBeNull();
   for (let n = 0; n < 15; n += 1) {
-    a.note({ promptTokens: 100, heldTokens: 500, decodeMs: 100 });
-    b.note({ promptTokens: 300, heldTokens: 500, decodeMs: 300 });
+    a.noteArrival(100);
+    b.noteArrival(300);
+    a.note({ heldTokens: 500, decodeMs: 100 });
+    b.note({ heldTokens: 500, decodeMs: 300 });
   }
   // Streams that ended by now are the short ones.
   expect(needsOf([a.sample(), b.sample()], options)).toBeNull();
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -77,6 +77,8 @@
 
   /** Sends the stream until it is complete or can't go on. */
   async run(): Promise<StreamEnd> {
+    const { service } = this.#options;
+    this.#context.noteArrival(service, this.#prefill.tokens);
     let last: SendResult = err({ kind: "notSent" });
     for (let sends = 1; sends <= MAX_SENDS; sends += 1) {
       if (sends > 1 && !this.#takeRepeat(last)) break;
@@ -119,9 +121,7 @@
     if (prefilled.isOk()) this.#settle(place, { source, outcome });
     const decodeMs = performance.now() - prefilledMs;
     if (outcome.isOk()) {
-      const promptTokens = this.#prefill.tokens;
-      const heldTokens = tokens;
-      const cost = { promptTokens, heldTokens, decodeMs };
+      const cost = { heldTokens: tokens, decodeMs };
       this.#context.noteStream(this.#options.service, cost);
     }
     this.#noteTimes({ startedMs, prefilledMs });
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -234,3 +234,17 @@
   expect(port.log.filter((line) => line.startsWith("stream"))).toEqual([]);
   expect(port.released).toEqual(["hold"]);
 });
+
+test("A single prefill endpoint that is busy is helped out by the decode endpoint", async () => {
+  const port = new FakeEndpoints({
+    prefill: (_endpoint, { firstByteMs }) =>
+      new Promise((resolve) =>
+        setTimeout(() => resolve(err({ kind: "timeout" })), firstByteMs)
+      ),
+  });
+  const { ended, shared } = start(port);
+  shared.endpoints.apply({ id: ENTRIES[3]!.id, entry: null });
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(port.log.at(-1)).toMatch(/^stream d\d$/);
+});
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -256,6 +256,7 @@
     port,
     observer: SILENT_OBSERVER,
     times: NO_TIMES,
+    noteArrival() {},
     noteStream() {},
     random: () => 0.5,
   };
