Requests that come while a VM starts wait for its tables; leases of orders are given back

After a home had gone, the next one waited twelve seconds for its lease; a home that leaves now gives it back.

--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -1,6 +1,7 @@
 /** One VM that routes by host and path: its view of VMs, its tables, its endpoints. */
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
+import { wait } from "../common/wait.ts";
 import { MembershipTask } from "../membership/task.ts";
 import type {
   Member,
@@ -35,6 +36,8 @@
 const ASK_INTERVAL_MS = 500;
 /** VMs that are told of a crash; callers that come again come to any. */
 const TOLD_VMS = 16;
+/** How often requests that came before the tables look for them. */
+const READY_CHECK_MS = 15;
 /** VMs that are told of an order. */
 const TOLD_OF_ORDERS = 100;
 /** VMs come and go rarely, and tell each other; the list serves those that know nobody. */
@@ -175,6 +178,14 @@
     return this.router.table !== null && this.#endpointsKnown;
   }
 
+  /** Waits until requests can be served, but not for long. */
+  async waitReady(limitMs: number): Promise<void> {
+    const endsAtMs = performance.now() + limitMs;
+    while (!this.ready && performance.now() < endsAtMs) {
+      await wait(READY_CHECK_MS);
+    }
+  }
+
   /** Starts the tasks. What the platform can't give now comes later. */
   async start(): Promise<void> {
     const { ports, identity } = this.#options;
--- a/packages/core/src/routing/stages/task.ts
+++ b/packages/core/src/routing/stages/task.ts
@@ -55,6 +55,8 @@
   #leaseMark = new ClockMark();
   #timer: ReturnType<typeof setInterval> | undefined;
   #restsUntilMs = 0;
+  /** Until when an order without an answer may be carried out. */
+  #uncertainUntilMs = 0;
   #samples: DemandSample[] = [];
   #sampledAtMs = -Infinity;
   #busy = false;
@@ -76,7 +78,8 @@
   }
 
   async #tick(): Promise<void> {
-    if (this.#busy || !this.#isHome()) return;
+    if (this.#busy) return;
+    if (!this.#isHome()) return this.#giveBack();
     this.#busy = true;
     try {
       await this.#askPeers();
@@ -87,6 +90,13 @@
     }
   }
 
+  // Another VM is home now, or this one is leaving; the next need not wait the lease out.
+  #giveBack(): void {
+    if (this.#lease.held && performance.now() >= this.#uncertainUntilMs) {
+      this.#lease.done();
+    }
+  }
+
   #isHome(): boolean {
     const { membership, service } = this.#options;
     const home = membership.homeOf(`stages/${service}`);
@@ -168,7 +178,8 @@
       this.#options.onOrdered(endpoint.id, reconfigureMs + SETTLE_MS);
     }
     if (outcome === "lost") {
-      this.#restsUntilMs = performance.now() + UNCERTAIN_MS;
+      this.#uncertainUntilMs = performance.now() + UNCERTAIN_MS;
+      this.#restsUntilMs = this.#uncertainUntilMs;
     }
     observer.count("orders", outcome);
     observer.log({
--- /dev/null
+++ b/packages/core/src/routing/stages/task_test.ts
@@ -0,0 +1,153 @@
+import { ok } from "neverthrow";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { asId, type Incarnation, type VmId } from "../../common/ids.ts";
+import { SILENT_OBSERVER } from "../../common/observe.ts";
+import type { Row, RowWrite } from "../../ports/platform.ts";
+import { EndpointBook } from "../endpoint_book.ts";
+import type { OrderOutcome, StageOrder } from "../port.ts";
+import {
+  entry,
+  FakeEndpoints,
+  POOL,
+  SERVICE,
+} from "../testing/fake_endpoints.ts";
+import { StageDemand } from "./demand.ts";
+import { StagesTask } from "./task.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+/** One row store that all VMs of a test share. */
+class Rows {
+  #rows = new Map<string, Row>();
+  #version = 0;
+
+  transact(writes: readonly RowWrite[]) {
+    for (const { table, key, expect: expected } of writes) {
+      const version = this.#rows.get(`${table}/${key}`)?.version ?? 0;
+      const wanted = expected.kind === "version" ? expected.version : 0;
+      if (expected.kind !== "any" && version !== wanted) {
+        return Promise.resolve(
+          ok({ kind: "conflict" as const, conflicts: [] }),
+        );
+      }
+    }
+    this.#version += 1;
+    for (const { table, key, value } of writes) {
+      const version = this.#version;
+      this.#rows.set(`${table}/${key}`, { table, key, value, version });
+    }
+    return Promise.resolve(ok({ kind: "committed" as const }));
+  }
+
+  read(table: string, key: string) {
+    return Promise.resolve(ok(this.#rows.get(`${table}/${key}`) ?? null));
+  }
+}
+
+function vm(
+  name: string,
+  options: { rows: Rows; home: () => string; outcome?: OrderOutcome },
+) {
+  const orders: StageOrder[] = [];
+  const times: number[] = [];
+  const ordered: string[] = [];
+  const endpoints = new EndpointBook(SILENT_OBSERVER);
+  const stages = ["p1", "p2", "p3", "p4", "p5"].map((id) =>
+    entry(id, { stage: "prefill", address: `${id}:1` })
+  );
+  const decodes = ["d1", "d2"].map((id) =>
+    entry(id, { stage: "decode", address: `${id}:1` })
+  );
+  endpoints.replace([...stages, ...decodes]);
+  const demand = new StageDemand();
+  for (let n = 0; n < 20; n += 1) {
+    demand.noteArrival(3_000);
+    demand.note({ heldTokens: 4_000, decodeMs: 3_000 });
+  }
+  const port = new FakeEndpoints({
+    order: (_endpoint, order) => {
+      orders.push(order);
+      times.push(performance.now());
+      return options.outcome ?? "accepted";
+    },
+  });
+  const self = { id: asId<VmId>(name) };
+  const task = new StagesTask({
+    context: {
+      identity: { incarnation: asId<Incarnation>(name) },
+      ports: { platform: options.rows },
+    },
+    service: SERVICE,
+    pool: () => POOL,
+    demand,
+    prefillTokensPerMs: () => 30,
+    endpoints,
+    port,
+    peers: { call: () => Promise.resolve(ok(null as never)) },
+    membership: {
+      self,
+      members: () => [],
+      member: () => undefined,
+      homeOf: () => ({ id: asId<VmId>(options.home()) }),
+    } as never,
+    onOrdered: (id) => ordered.push(id),
+    observer: SILENT_OBSERVER,
+  });
+  task.start();
+  return { task, orders, times, ordered };
+}
+
+test("The home orders one engine at a time, with its fencing number and the orders before", async () => {
+  const home = vm("a", { rows: new Rows(), home: () => "a" });
+  await vi.advanceTimersByTimeAsync(30_000);
+  expect(home.orders.length).toBeGreaterThan(1);
+  // An engine is away while it changes its stage; the next one waits for it.
+  for (let n = 1; n < home.times.length; n += 1) {
+    const pauseMs = home.times[n]! - home.times[n - 1]!;
+    expect(pauseMs).toBeGreaterThanOrEqual(POOL.reconfigureMs);
+  }
+  expect(home.orders[0]).toMatchObject({
+    stage: "decode",
+    holder: "a",
+    fencingNumber: 1,
+    expectedSequence: 0,
+  });
+  expect(home.ordered).toHaveLength(home.orders.length);
+  home.task.stop();
+});
+
+test("Who isn't home gives no order, and who takes over has a higher fencing number", async () => {
+  const rows = new Rows();
+  let home = "a";
+  const a = vm("a", { rows, home: () => home });
+  const b = vm("b", { rows, home: () => home });
+  await vi.advanceTimersByTimeAsync(12_000);
+  expect(b.orders).toEqual([]);
+  const before = a.orders.length;
+  expect(before).toBeGreaterThan(0);
+  home = "b";
+  await vi.advanceTimersByTimeAsync(15_000);
+  expect(a.orders).toHaveLength(before);
+  expect(b.orders.length).toBeGreaterThan(0);
+  expect(b.orders[0]!.fencingNumber).toBeGreaterThan(
+    a.orders.at(-1)!.fencingNumber,
+  );
+  a.task.stop();
+  b.task.stop();
+});
+
+test("After a suspension no order is given under the old lease", async () => {
+  const home = vm("a", { rows: new Rows(), home: () => "a" });
+  await vi.advanceTimersByTimeAsync(9_500);
+  const before = home.orders.length;
+  // The time of day jumps, as after a suspension that the monotonic clock doesn't count.
+  vi.setSystemTime(Date.now() + 5_000);
+  await vi.advanceTimersByTimeAsync(11_000);
+  expect(home.orders.slice(before).map((one) => one.fencingNumber)).toEqual([]);
+  await vi.advanceTimersByTimeAsync(20_000);
+  expect(home.orders.at(-1)!.fencingNumber).toBeGreaterThan(
+    home.orders[0]!.fencingNumber,
+  );
+  home.task.stop();
+});
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -88,6 +88,8 @@
   stopTimeoutMs: 5_000,
 };
 
+/** A VM that starts has its tables within a tenth of a second, where the store answers. */
+const START_WAIT_MS = 250;
 /** Time from a silent connection's discovery to the change being in force. */
 const FEED_MARGIN_MS = 1_200;
 const MIN_FEED_WAIT_MS = 1_000;
@@ -248,6 +250,7 @@
         protocol,
         observer: this.#observer,
         formatRetryAfter: interfaces.formatRetryAfter,
+        waitReady: () => this.#vm.waitReady(START_WAIT_MS),
         refusesWork: () => this.#stop.refusesWork,
         track: () => this.#inProgress.track(),
       }),
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -22,6 +22,8 @@
   observer: Observer;
   /** Writes the time after which to come back. */
   formatRetryAfter: (retryAfterMs: number) => string;
+  /** Resolves once requests can be served, or after a short while. */
+  waitReady: () => Promise<void>;
   /** True once new requests are refused. */
   refusesWork: () => boolean;
   /** Told of each request's begin; the function returned tells of its end. */
@@ -58,6 +60,7 @@
   exchange.fields.attempt = fields.attemptId ?? undefined;
   const refuse = (refusal: Refusal) =>
     refuseRequest(exchange, { options, refusal });
+  await options.waitReady();
   const limits = router.table?.limits;
   if (limits && headerBytes(incoming.rawHeaders) > limits.headerBytes) {
     return refuse(notRun("headers-too-large"));
