A stream isn't sent to an endpoint that began to leave while its prompt was read

Found by reading: between the reservation and the send lie up to a few prefill times, which may exceed the time in which a leaving endpoint must be left. Loads are reported by service.

--- a/packages/core/src/routing/placement/client.ts
+++ b/packages/core/src/routing/placement/client.ts
@@ -81,7 +81,8 @@
   #local: LocalPlacement;
   #restsUntilMs = new Map<string, number>();
   #services = new Set<ServiceName>();
-  #reported = "";
+  /** What the homes were told last, by service. */
+  #reported = new Map<ServiceName, string>();
   #timer: ReturnType<typeof setInterval> | undefined;
 
   constructor(options: PlacementClientOptions) {
@@ -188,8 +189,8 @@
     for (const service of this.#services) {
       const loads = this.#loads(service);
       const text = JSON.stringify(loads);
-      if (text === this.#reported) continue;
-      this.#reported = text;
+      if (text === this.#reported.get(service)) continue;
+      this.#reported.set(service, text);
       const { membership, peers } = this.#options;
       const { shardCount } = this.#chooseShard(service);
       for (let shard = 0; shard < shardCount; shard += 1) {
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -92,13 +92,13 @@
   }
 
   #place(): Promise<Result<DecodePlace, Refusal>> {
-    const { queue, pool, signal } = this.#options;
+    const { queue, signal } = this.#options;
     return queue.enter({
       attempt: this.#options.request.id,
       clock: this.#clock,
       tokens: this.#tokens(),
       prefillMs: this.#prefill.expectedMs(),
-      avoid: this.#avoid.size < pool.slots ? this.#avoid : new Set(),
+      avoid: this.#avoid,
       mustBeOnTime: !this.#relay.begun,
       signal,
     });
@@ -113,12 +113,17 @@
     const prefilled = await this.#prefill.read(endpoint);
     const prefilledMs = performance.now();
     const source = prefilled.unwrapOr(null);
-    const outcome = prefilled.isErr()
-      ? this.#giveUp(place, prefilled.error)
-      : await this.#decode(place, source);
+    // The endpoint may have begun to leave while the prompt was read.
+    const usable = prefilled.isOk() && endpoint.mayTakeWork(prefilledMs);
+    const outcome = usable
+      ? await this.#decode(place, source)
+      : this.#giveUp(place, {
+        source,
+        failure: prefilled.isErr() ? prefilled.error : { kind: "notSent" },
+      });
     endpoint.inFlight -= 1;
     endpoint.inFlightTokens -= tokens;
-    if (prefilled.isOk()) this.#settle(place, { source, outcome });
+    if (usable) this.#settle(place, { source, outcome });
     const decodeMs = performance.now() - prefilledMs;
     if (outcome.isOk()) {
       const cost = { heldTokens: tokens, decodeMs };
@@ -217,9 +222,13 @@
   }
 
   // Nothing was sent to the decode endpoint, whose record this says nothing of.
-  #giveUp(place: DecodePlace, failure: SendFailure): SendResult {
+  #giveUp(
+    place: DecodePlace,
+    { source, failure }: { source: PrefillSource | null; failure: SendFailure },
+  ): SendResult {
     const { endpoint, reservation } = place;
     this.#context.port.releaseReservation(endpoint.entry, reservation);
+    if (source) this.#prefill.waste(source, failure.kind);
     return err(failure);
   }
 
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -1,5 +1,6 @@
 import { err, ok } from "neverthrow";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { asId } from "../common/ids.ts";
 import { DecodeQueue } from "./decode_queue.ts";
 import type { SendFailure } from "./port.ts";
 import { StreamRun } from "./stream_run.ts";
@@ -248,3 +249,26 @@
   expect(await ended).toEqual({ kind: "complete" });
   expect(port.log.at(-1)).toMatch(/^stream d\d$/);
 });
+
+test("An endpoint that began to leave while the prompt was read gets nothing more", async () => {
+  const port = new FakeEndpoints({
+    prefill: () =>
+      new Promise((resolve) =>
+        setTimeout(() => resolve(ok({ handle: asId("kv"), tokens: 1 })), 200)
+      ),
+  });
+  const { ended, shared } = start(port);
+  await vi.advanceTimersByTimeAsync(100);
+  const reserved = port.log.find((line) => line.startsWith("reserve"))!
+    .slice("reserve ".length);
+  const leaving = ENTRIES.find(({ id }) => id === reserved)!;
+  shared.endpoints.apply({
+    id: leaving.id,
+    entry: { ...leaving, state: "draining" },
+  });
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(await ended).toEqual({ kind: "complete" });
+  const streamed = port.log.filter((line) => line.startsWith("stream"));
+  expect(streamed).toHaveLength(1);
+  expect(streamed[0]).not.toContain(`stream ${reserved}`);
+});
