--- a/packages/core/src/routing/table_feed.ts
+++ b/packages/core/src/routing/table_feed.ts
@@ -106,7 +106,11 @@
 
   async #readChanges(after: number): Promise<StoreFailure | null> {
     const { table, listener, observer, name } = this.#options;
-    const { waitMs = DEFAULT_WAIT_MS } = this.#options;
+    // The return shows at once, and not with the next change: what is missing then
+    // may have lapsed meanwhile, what goes missing later has gone.
+    const waitMs = this.#failures > 0
+      ? 0
+      : this.#options.waitMs ?? DEFAULT_WAIT_MS;
     const read = await table.readChanges({
       after,
       waitMs,
--- a/packages/core/src/routing/table_feed_test.ts
+++ b/packages/core/src/routing/table_feed_test.ts
@@ -87,6 +87,27 @@
   feed.stop();
 });
 
+test("After a failure a call doesn't wait for changes, so that the return is noticed at once", async () => {
+  const waits: number[] = [];
+  const { feed, seen } = follow({
+    readAll: () => Promise.resolve(ok({ items: [], version: 1 })),
+    readChanges({ after, waitMs }) {
+      waits.push(waitMs);
+      if (waits.length === 1) return Promise.resolve(err(LOST));
+      // Nothing has changed: a call that waits gets no answer for now.
+      return waitMs === 0
+        ? Promise.resolve(ok({ items: [], version: after }))
+        : quiet();
+    },
+  });
+  void feed.start();
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(seen).toEqual(["all ", "away", "back"]);
+  expect(waits[1]).toBe(0);
+  expect(waits[2]).toBeGreaterThan(0);
+  feed.stop();
+});
+
 test("The return is told before the rows that were read", async () => {
   let fails = true;
   const { feed, seen } = follow({
