Say why a stream is not continued, and whether a busy connection timed out

Cause: when a stream ended as broken, the logs did not tell a silent endpoint from the end of the request's time (both outcome=timeout), gave no reason for the missing second send, and a connection that the server itself closed as idle left no line.

Change: stream-sent gets silentMs, the time since the last byte; stream-not-continued names the obstacle (retry-budget-spent, attempts-used, not-resumable, deadline-passed, a refusal's reason) with the retries and the time left; timeout-while-busy is written when the server times out a connection with a request in progress; routing-table-in-force has the two timeouts that a change sets.

--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -61,6 +61,8 @@
       version: table.version,
       routes: table.routes.length,
       services: table.services.length,
+      idleMs: table.limits.idleMs,
+      headersMs: table.limits.headersMs,
     });
     return true;
   }
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -54,6 +54,15 @@
 
 type SendResult = Result<void, SendFailure>;
 
+/** Why a stream that is not complete is not sent again. */
+type Obstacle =
+  | "caller-left"
+  | "deadline-passed"
+  | "not-resumable"
+  | "attempts-used"
+  | "sends-used"
+  | "retry-budget-spent";
+
 /** Sends one stream, with retries, until it has an outcome. */
 export class StreamRun {
   #context: RoutingContext;
@@ -64,6 +73,8 @@
   #prefill: PrefillRun;
   /** Number of sends after which an endpoint may have run the request. */
   #runs = 0;
+  /** When the current send began or last received bytes, on the monotonic clock. */
+  #lastByteAtMs = NaN;
 
   constructor(context: RoutingContext, options: StreamRunOptions) {
     this.#context = context;
@@ -87,14 +98,24 @@
     const { service } = this.#options;
     this.#context.noteArrival(service, this.#prefill.tokens);
     let last: SendResult = err({ kind: "notSent" });
+    let obstacle: Obstacle | null = "sends-used";
     for (let sends = 1; sends <= MAX_SENDS; sends += 1) {
-      if (sends > 1 && !this.#takeRetry(last)) break;
+      if (sends > 1 && !this.#takeRetry(last)) {
+        obstacle = "retry-budget-spent";
+        break;
+      }
       const reservation = await this.#reserve();
-      if (reservation.isErr()) return this.#endWithRefusal(reservation.error);
+      if (reservation.isErr()) {
+        if (sends > 1) this.#logObstacle(reservation.error.reason, last);
+        return this.#endWithRefusal(reservation.error);
+      }
       last = await this.#sendTo(reservation.value, sends);
       if (last.isOk()) return { kind: "complete" };
-      if (!this.#canContinue(last.error)) break;
+      obstacle = this.#findObstacle(last.error);
+      if (obstacle) break;
+      obstacle = "sends-used";
     }
+    this.#logObstacle(obstacle, last);
     return this.#outcomeOf(last);
   }
 
@@ -151,6 +172,7 @@
       detail: outcome.isErr() && outcome.error.kind === "lost"
         ? outcome.error.detail
         : undefined,
+      silentMs: Math.round(performance.now() - this.#lastByteAtMs),
       queuedMs: Math.round(startedMs - this.#clock.startedAtMs),
       prefillMs: Math.round(prefilledMs - startedMs),
       decodeMs: Math.round(decodeMs),
@@ -189,6 +211,7 @@
       stream.abort();
     });
     const listener = this.#relay.listen({ resume: () => stream.resume() });
+    this.#lastByteAtMs = performance.now();
     const stream = this.#context.port.stream(reservation.endpoint.entry, {
       request,
       timeLeftMs: this.#clock.callerTimeLeftMs(),
@@ -201,6 +224,7 @@
       listener: {
         onHead: (head) => listener.onHead(head),
         onData: (bytes) => {
+          this.#lastByteAtMs = performance.now();
           idleTimer.restart();
           return listener.onData(bytes);
         },
@@ -274,11 +298,32 @@
     }
   }
 
-  #canContinue(failure: SendFailure): boolean {
+  // Returns why no further send may follow a failed one, or null if one may.
+  #findObstacle(failure: SendFailure): Obstacle | null {
     const { route, signal } = this.#options;
-    if (signal.aborted || this.#clock.leftMs() <= 0) return false;
-    if (provesNotRun(failure)) return true;
-    return route.resumable && this.#runs < route.maxAttempts;
+    if (signal.aborted) return "caller-left";
+    if (this.#clock.leftMs() <= 0) return "deadline-passed";
+    if (provesNotRun(failure)) return null;
+    if (!route.resumable) return "not-resumable";
+    return this.#runs < route.maxAttempts ? null : "attempts-used";
+  }
+
+  #logObstacle(
+    obstacle: Obstacle | Refusal["reason"],
+    last: SendResult,
+  ): void {
+    this.#context.observer.log({
+      event: "stream-not-continued",
+      attempt: this.#options.request.id,
+      service: this.#options.service,
+      reason: obstacle,
+      lastOutcome: last.isErr() ? last.error.kind : undefined,
+      runs: this.#runs,
+      retriesLeft: Math.floor(
+        this.#context.budget.left(this.#options.service),
+      ),
+      leftMs: Math.round(this.#clock.leftMs()),
+    });
   }
 
   #takeRetry(last: SendResult): boolean {
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -124,6 +124,7 @@
       const refusal = notRun("bad-request", { detail });
       this.#refuseSocket(socket as Socket, { refusal, status: 400 });
     });
+    this.#server.on("timeout", (socket) => this.#closeIdle(socket));
     this.#server.on("clientError", (error, socket) => {
       this.#refuseMalformed(socket as Socket, problemForClientError(error));
     });
@@ -183,9 +184,7 @@
   // Until its first request, Node counts a connection as active, however long that
   // takes.
   #closeUnusedConnections(options: { onlyWithoutBytes: boolean }): void {
-    const socketsInUse = new Set(
-      [...this.#responses].map((response) => response.socket),
-    );
+    const socketsInUse = this.#socketsInUse();
     for (const socket of this.#sweep.connections()) {
       if (socketsInUse.has(socket)) continue;
       if (options.onlyWithoutBytes && socket.bytesRead > 0) continue;
@@ -193,6 +192,23 @@
     }
   }
 
+  #socketsInUse(): Set<Socket | null> {
+    return new Set([...this.#responses].map(({ socket }) => socket));
+  }
+
+  // Node leaves the connection open if there is a listener for its timeout.
+  #closeIdle(socket: Socket): void {
+    const { observer, name } = this.#options;
+    if (this.#socketsInUse().has(socket)) {
+      observer.log({
+        event: "timeout-while-busy",
+        level: "warn",
+        interface: name,
+      });
+    }
+    socket.destroy();
+  }
+
   #admit(socket: Socket): void {
     if (this.#sweep.size < this.#options.limits.connections) {
       this.#sweep.add(socket);
