Known red: a stream is closed at its silent endpoint before it can be continued

Three tests fail on the present code: the endpoint sends one event, is silent for two seconds and would then go on. The stream ends as broken, with endpoint-timeout when no retry is left, no-capacity when no other endpoint has a place, and connection-lost when the second endpoint fails. The caller's connection is closed without the rest and without a refusal.

--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -1,6 +1,7 @@
 import { err, ok } from "neverthrow";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId } from "../common/ids.ts";
+import { wait } from "../common/wait.ts";
 import { DecodeQueue } from "./decode_queue.ts";
 import type { SendFailure } from "./port.ts";
 import { StreamRun } from "./stream_run.ts";
@@ -9,13 +10,14 @@
   entry,
   event,
   EVENT_HEAD,
+  type FakeBehaviour,
   FakeEndpoints,
   POOL,
   request,
   route,
   SERVICE,
 } from "./testing/fake_endpoints.ts";
-import type { Route } from "./types.ts";
+import type { ReservationId, Route } from "./types.ts";
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
@@ -164,6 +166,64 @@
   expect(eventsOf(out)).toEqual(["1", "2"]);
 });
 
+const SILENCE_MS = 2_000;
+const DEADLINE_MS = 14_000;
+
+/** Endpoints of which the first that streams is silent between its two events. */
+function createSilentEndpoints(
+  behaviour: Partial<FakeBehaviour> = {},
+): FakeEndpoints {
+  let sends = 0;
+  return new FakeEndpoints({
+    ...behaviour,
+    stream: async (endpoint, send) => {
+      sends += 1;
+      if (sends > 1 && behaviour.stream) {
+        return behaviour.stream(endpoint, send);
+      }
+      send.listener.onHead(EVENT_HEAD);
+      send.listener.onData(event(1));
+      await wait(SILENCE_MS);
+      send.listener.onData(event(2));
+      return ok(undefined);
+    },
+  });
+}
+
+test("A stream is not lost at a silent endpoint when the retry budget is spent", async () => {
+  const { ended, out, shared } = start(createSilentEndpoints());
+  while (shared.budget.take(SERVICE));
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(eventsOf(out)).toEqual(["1", "2"]);
+});
+
+test("A stream is not lost at a silent endpoint when no other has capacity", async () => {
+  let reservations = 0;
+  const port = createSilentEndpoints({
+    reserve: () => {
+      reservations += 1;
+      return reservations === 1
+        ? ok(asId<ReservationId>("hold"))
+        : err({ kind: "notExecuted", status: 503 });
+    },
+  });
+  const { ended, out } = start(port);
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(eventsOf(out)).toEqual(["1", "2"]);
+});
+
+test("A stream is not lost at a silent endpoint when the endpoint that should continue it fails", async () => {
+  const port = createSilentEndpoints({
+    stream: () => Promise.resolve(err({ kind: "lost", detail: "reset" })),
+  });
+  const { ended, out } = start(port);
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(eventsOf(out)).toEqual(["1", "2"]);
+});
+
 /** Decode endpoints that can't fetch the KV cache for the first send. */
 function createEndpointsWithExpiredHandle(): FakeEndpoints {
   let sends = 0;
