Keep a silent endpoint's stream open until another one continues it

What callers saw: a stream ended without its rest and without a refusal, its connection just closed.

Cause: StreamRun closed the connection to an endpoint that had sent nothing for 1.5 s, and only then looked for a retry in the budget, a place and a prefill at another endpoint. When one was missing, or the second endpoint failed, the stream was broken although its first endpoint would have gone on. The class of fault: what works is given up on suspicion, before its replacement is certain.

Change: a silence starts a backup, a second send that is reserved and prefilled while the first one stays open. Whichever receives bytes first continues the stream and the other one is closed; if neither a retry nor a place is to be had, or the backup fails, the first one goes on being read. Sends that are still open count towards the route's attempts, and a retry whose backup got no place is given back. The time during which the caller does not read is no silence, and after a freeze of the process the silence is judged only once what had arrived is read.

--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -49,7 +49,7 @@
   readonly prefillMs: number;
   /** Endpoints that may have run an earlier send of this stream, which failed. */
   readonly avoid: ReadonlySet<EndpointId>;
-  /** False once events were passed on: the stream then continues even if it is late. */
+  /** False for a stream that continues, even if it is late. */
   readonly mustBeOnTime: boolean;
   readonly signal: AbortSignal;
 }
@@ -130,13 +130,15 @@
       if (!reservation) return;
       const index = this.#waiting.indexOf(first);
       if (index >= 0) this.#waiting.splice(index, 1);
-      if (index < 0 || first.request.signal.aborted) {
-        this.#context.port.releaseReservation(
-          reservation.endpoint.entry,
-          reservation.reservationId,
-        );
+      if (index >= 0 && !first.request.signal.aborted) {
+        first.settle(ok(reservation));
+        continue;
       }
-      first.settle(ok(reservation));
+      this.#context.port.releaseReservation(
+        reservation.endpoint.entry,
+        reservation.reservationId,
+      );
+      first.settle(err(notRun("cancelled")));
     }
   }
 
@@ -155,7 +157,9 @@
     const nowMs = performance.now();
     const usable = this.#context.endpoints.usable(this.#service, "decode");
     this.#context.observer.log({
-      event: "stream-refused",
+      event: reason === "cancelled"
+        ? "stream-wait-cancelled"
+        : "stream-refused",
       attempt: request.attempt,
       service: this.#service,
       reason,
--- a/packages/core/src/routing/prefill_run.ts
+++ b/packages/core/src/routing/prefill_run.ts
@@ -25,8 +25,6 @@
   request: RoutedRequest;
   service: ServiceName;
   clock: RequestClock;
-  /** Aborted when the caller disconnects. */
-  signal: AbortSignal;
 }
 
 /** Prefills the prompt of one stream, again for each send of it. */
@@ -59,10 +57,11 @@
    * the decode endpoint then prefills the prompt itself. That delays all streams
    * there, so if several prefill endpoints are merely busy, this fails with
    * `notSent` instead. A single busy one still gives null, since the pool is then
-   * short of prefill capacity.
+   * short of prefill capacity. Fails with `aborted` once `signal` is.
    */
   async run(
     decode: EndpointRecord,
+    { signal }: { signal: AbortSignal },
   ): Promise<Result<PrefillSource | null, SendFailure>> {
     const tried = new Set<EndpointId>(this.#expired);
     let busyEngines = 0;
@@ -70,7 +69,7 @@
       const endpoint = await this.#choose(decode, tried);
       if (!endpoint || !this.#takePrefill()) break;
       tried.add(endpoint.entry.id);
-      const outcome = await this.#sendPrefill(endpoint);
+      const outcome = await this.#sendPrefill(endpoint, signal);
       if (outcome.isOk()) {
         const { handle } = outcome.value;
         return ok({ endpoint, address: endpoint.entry.address, handle });
@@ -107,8 +106,9 @@
 
   async #sendPrefill(
     endpoint: EndpointRecord,
+    signal: AbortSignal,
   ): Promise<Result<PrefillAnswer, SendFailure>> {
-    const { request, service, signal } = this.#options;
+    const { request, service } = this.#options;
     const { port, budget, prefillTimes, observer } = this.#context;
     const { tokens } = this;
     const expectedMs = this.expectedMs();
--- a/packages/core/src/routing/service_budget.ts
+++ b/packages/core/src/routing/service_budget.ts
@@ -43,6 +43,14 @@
     return true;
   }
 
+  /** Returns a retry that was taken but not made. */
+  giveBack(service: ServiceName): void {
+    this.#left.set(
+      service,
+      Math.min(this.#capacity(), this.left(service) + 1),
+    );
+  }
+
   /** Charges a retry that can't be prevented any more; the budget may become negative. */
   charge(service: ServiceName): void {
     this.#left.set(service, this.left(service) - 1);
--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -1,7 +1,7 @@
 /** Passes a stream's events on to its caller, across all sends of the stream. */
 import { err, ok, type Result } from "neverthrow";
 import { EventSplitter } from "./event_splitter.ts";
-import type { AnswerHead, SendFailure, StreamListener } from "./port.ts";
+import type { AnswerHead, SendFailure } from "./port.ts";
 
 const EVENT_STREAM = "text/event-stream";
 
@@ -21,12 +21,21 @@
   lastEventId: string | null;
 }
 
+/** Receives the answer of one send. */
+export interface RelaySource {
+  onHead(head: AnswerHead): void;
+  /** Receives bytes; returns false to pause the answer until `resume` is called. */
+  onData(bytes: Uint8Array): boolean;
+  /** Checks the end of the answer; fails with `lost` if it ended inside an event. */
+  finish(): Result<void, SendFailure>;
+}
+
 /** Splits a stream into events, passes them on whole, and measures the gaps between them. */
 export class StreamRelay {
   #sink: AnswerSink;
   #lastEventId: string | null;
-  #splitter = new EventSplitter();
-  #begun = false;
+  /** The head that was passed on, or null before that. */
+  #head: AnswerHead | null = null;
   #passesEvents = true;
   #firstEventAtMs = NaN;
   #lastEventAtMs = NaN;
@@ -40,7 +49,7 @@
 
   /** True once the head of an answer was passed on. */
   get begun(): boolean {
-    return this.#begun;
+    return this.#head !== null;
   }
 
   /** Id of the last event passed on, or the one that the caller resumes from. */
@@ -63,40 +72,39 @@
   }
 
   /**
-   * Creates the listener of the next send. Only the head of the first send is
-   * passed on, and an incomplete event of the previous send is dropped.
+   * Creates the receiver of another send, which begins after `lastEventId`. Only
+   * the first head is passed on, and an incomplete event of an earlier send is
+   * dropped. Of several sends at a time, only one may deliver bytes.
    */
-  listen({ resume }: { resume: () => void }): StreamListener {
-    this.#splitter = new EventSplitter();
+  listen({ resume }: { resume: () => void }): RelaySource {
+    const splitter = new EventSplitter();
     return {
       onHead: (head) => this.#takeHead(head),
       onData: (bytes) => {
-        if (this.#pass(bytes)) return true;
+        if (this.#pass(bytes, splitter)) return true;
         this.#sink.onDrain(resume);
         return false;
       },
+      finish: () =>
+        splitter.pendingBytes === 0 ? ok(undefined) : err({
+          kind: "lost",
+          detail: "The stream ended inside an event",
+        }),
     };
   }
 
-  /** Checks the end of the last send; fails with `lost` if it ended inside an event. */
-  finish(): Result<void, SendFailure> {
-    if (this.#splitter.pendingBytes === 0) return ok(undefined);
-    return err({ kind: "lost", detail: "The stream ended inside an event" });
-  }
-
   #takeHead(head: AnswerHead): void {
-    if (this.#begun) return;
-    this.#begun = true;
-    const type = head.headers.find(([name]) => name === "content-type")?.[1];
-    this.#passesEvents = type?.startsWith(EVENT_STREAM) ?? false;
+    if (this.#head) return;
+    this.#head = head;
+    this.#passesEvents = isEventStream(head);
     this.#sink.head(head);
   }
 
-  #pass(bytes: Uint8Array): boolean {
+  #pass(bytes: Uint8Array, splitter: EventSplitter): boolean {
     if (!this.#passesEvents) return this.#sink.write(bytes);
     let writable = true;
     const nowMs = performance.now();
-    for (const event of this.#splitter.push(bytes)) {
+    for (const event of splitter.push(bytes)) {
       if (this.#events === 0) this.#firstEventAtMs = nowMs;
       else {
         const gapMs = nowMs - this.#lastEventAtMs;
@@ -110,3 +118,8 @@
     return writable;
   }
 }
+
+function isEventStream({ headers }: AnswerHead): boolean {
+  const type = headers.find(([name]) => name === "content-type")?.[1];
+  return type?.startsWith(EVENT_STREAM) ?? false;
+}
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -1,17 +1,20 @@
 /**
  * Runs one stream: reserves a slot at a decode endpoint, prefills the prompt,
  * passes the events on, and continues at another endpoint after a failure.
+ *
+ * An endpoint that stops sending is not given up: a backup is prepared at another
+ * one, and whichever of the two sends bytes first continues the stream.
  */
 import { err, type Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import { notRun, type Refusal } from "../common/verdict.ts";
-import { noteOutcome, takeRetry } from "./call_run.ts";
+import { takeRetry } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
 import type { DecodeQueue, DecodeReservation } from "./decode_queue.ts";
-import type { KvSource, SendFailure } from "./port.ts";
-import { PrefillRun, type PrefillSource } from "./prefill_run.ts";
+import { PrefillRun } from "./prefill_run.ts";
 import { RequestClock } from "./request_clock.ts";
 import { type AnswerSink, StreamRelay } from "./stream_relay.ts";
+import { type SendResult, StreamSend } from "./stream_send.ts";
 import type { EnginePool, Route, RoutedRequest } from "./types.ts";
 import {
   provesNotRun,
@@ -21,10 +24,6 @@
 
 /** Maximum sends of one stream, including those that endpoints rejected without running it. */
 const MAX_SENDS = 4;
-/** Idle timeout of a resumable stream, in multiples of the route's `maxEventGapMs`. */
-const IDLE_TIMEOUT_GAPS = 5;
-/** Minimum idle timeout; an engine recomputes a preempted stream within this time. */
-const MIN_IDLE_TIMEOUT_MS = 1_500;
 /**
  * Share of an endpoint's memory that a stream reserves beyond its prompt. It covers
  * the growth of the outputs of all streams there until the next one ends, which
@@ -52,9 +51,7 @@
   /** The answer was passed on in part, and can't be continued. */
   | { readonly kind: "broken"; readonly reason: string };
 
-type SendResult = Result<void, SendFailure>;
-
-/** Why a stream that is not complete is not sent again. */
+/** Why a stream is not sent again, or why a silent send gets no backup. */
 type Obstacle =
   | "caller-left"
   | "deadline-passed"
@@ -63,7 +60,15 @@
   | "sends-used"
   | "retry-budget-spent";
 
-/** Sends one stream, with retries, until it has an outcome. */
+/** A second send, prepared because the first one is silent. */
+interface Backup {
+  /** Ends it, as the first send continues. */
+  cancel(): void;
+  /** Its result, or null if it got no place at another endpoint. */
+  readonly ended: Promise<SendResult | null>;
+}
+
+/** Sends one stream, with retries and backups, until it has an outcome. */
 export class StreamRun {
   #context: RoutingContext;
   #options: StreamRunOptions;
@@ -71,21 +76,24 @@
   #relay: StreamRelay;
   #avoid = new Set<EndpointId>();
   #prefill: PrefillRun;
+  /** Number of sends that have begun. */
+  #sends = 0;
+  /** Number of decodes that have not ended. */
+  #decoding = 0;
   /** Number of sends after which an endpoint may have run the request. */
   #runs = 0;
-  /** When the current send began or last received bytes, on the monotonic clock. */
-  #lastByteAtMs = NaN;
+  /** The last logged reason why a silent send has no backup. */
+  #loggedObstacle: Obstacle | null = null;
 
   constructor(context: RoutingContext, options: StreamRunOptions) {
     this.#context = context;
     this.#options = options;
     this.#clock = new RequestClock(options.request, options.route);
-    const { request, service, signal } = options;
+    const { request, service } = options;
     this.#prefill = new PrefillRun(context, {
       request,
       service,
       clock: this.#clock,
-      signal,
     });
     this.#relay = new StreamRelay({
       sink: options.sink,
@@ -95,233 +103,180 @@
 
   /** Sends the stream until it is complete or can't be continued. */
   async run(): Promise<StreamOutcome> {
-    const { service } = this.#options;
+    const { service, signal } = this.#options;
     this.#context.noteArrival(service, this.#prefill.tokens);
     let last: SendResult = err({ kind: "notSent" });
-    let obstacle: Obstacle | null = "sends-used";
-    for (let sends = 1; sends <= MAX_SENDS; sends += 1) {
-      if (sends > 1 && !this.#takeRetry(last)) {
-        obstacle = "retry-budget-spent";
-        break;
+    for (;;) {
+      const obstacle = this.#sends > 0 ? this.#prepareRetry(last) : null;
+      if (obstacle) {
+        this.#logNotContinued(obstacle, last);
+        return this.#outcomeOf(last);
       }
-      const reservation = await this.#reserve();
+      const reservation = await this.#reserve({
+        signal,
+        avoid: this.#avoid,
+        mustBeOnTime: !this.#relay.begun,
+      });
       if (reservation.isErr()) {
-        if (sends > 1) this.#logObstacle(reservation.error.reason, last);
+        const { reason } = reservation.error;
+        if (this.#sends > 0) this.#logNotContinued(reason, last);
         return this.#endWithRefusal(reservation.error);
       }
-      last = await this.#sendTo(reservation.value, sends);
+      last = await this.#send(reservation.value, { signal });
       if (last.isOk()) return { kind: "complete" };
-      obstacle = this.#findObstacle(last.error);
-      if (obstacle) break;
-      obstacle = "sends-used";
     }
-    this.#logObstacle(obstacle, last);
-    return this.#outcomeOf(last);
   }
 
-  #reserve(): Promise<Result<DecodeReservation, Refusal>> {
-    const { queue, signal } = this.#options;
-    return queue.enqueue({
+  // Takes a retry from the budget, or returns why the stream is not sent again.
+  #prepareRetry(last: SendResult): Obstacle | null {
+    const obstacle = this.#findObstacle(last);
+    if (obstacle) return obstacle;
+    return this.#takeRetry(last) ? null : "retry-budget-spent";
+  }
+
+  #reserve(
+    options: {
+      signal: AbortSignal;
+      avoid: ReadonlySet<EndpointId>;
+      mustBeOnTime: boolean;
+    },
+  ): Promise<Result<DecodeReservation, Refusal>> {
+    return this.#options.queue.enqueue({
       attempt: this.#options.request.id,
       clock: this.#clock,
       tokens: this.#tokens(),
       prefillMs: this.#prefill.expectedMs(),
-      avoid: this.#avoid,
-      mustBeOnTime: !this.#relay.begun,
-      signal,
-    });
-  }
-
-  async #sendTo(
-    reservation: DecodeReservation,
-    sends: number,
-  ): Promise<SendResult> {
-    const { endpoint } = reservation;
-    const tokens = this.#tokens();
-    endpoint.inFlight += 1;
-    endpoint.inFlightTokens += tokens;
-    const startedMs = performance.now();
-    const prefilled = await this.#prefill.run(endpoint);
-    const prefilledMs = performance.now();
-    const source = prefilled.unwrapOr(null);
-    // The endpoint may have started draining during the prefill.
-    const usable = prefilled.isOk() && endpoint.mayTakeWork(prefilledMs);
-    const outcome = usable
-      ? await this.#decode(reservation, source)
-      : this.#abandon(reservation, {
-        source,
-        failure: prefilled.isErr() ? prefilled.error : { kind: "notSent" },
-      });
-    endpoint.inFlight -= 1;
-    endpoint.inFlightTokens -= tokens;
-    if (usable) this.#recordOutcome(reservation, { source, outcome });
-    const decodeMs = performance.now() - prefilledMs;
-    if (outcome.isOk()) {
-      const cost = { heldTokens: tokens, decodeMs };
-      this.#context.noteStreamCost(this.#options.service, cost);
-    }
-    this.#noteTimes({ startedMs, prefilledMs });
-    this.#context.observer.log({
-      event: "stream-sent",
-      attempt: this.#options.request.id,
-      route: this.#options.route.name,
-      endpoint: endpoint.entry.id,
-      prefill: source?.endpoint.entry.id,
-      send: sends,
-      outcome: outcome.isOk() ? "complete" : outcome.error.kind,
-      detail: outcome.isErr() && outcome.error.kind === "lost"
-        ? outcome.error.detail
-        : undefined,
-      silentMs: Math.round(performance.now() - this.#lastByteAtMs),
-      queuedMs: Math.round(startedMs - this.#clock.startedAtMs),
-      prefillMs: Math.round(prefilledMs - startedMs),
-      decodeMs: Math.round(decodeMs),
-      firstEventMs: Math.round(
-        this.#relay.firstEventAtMs - this.#clock.startedAtMs,
-      ),
-      longestGapMs: Math.round(this.#relay.longestGapMs),
-      events: this.#relay.events,
-      promptTokens: this.#prefill.tokens,
-      maxOutputTokens: this.#options.request.prompt?.maxOutputTokens,
-      hint: this.#options.request.prompt?.expectedOutputTokens ?? undefined,
+      ...options,
     });
-    return outcome;
-  }
-
-  #noteTimes(timestamps: { startedMs: number; prefilledMs: number }): void {
-    const { times } = this.#context;
-    const { kind } = this.#options.route;
-    const { startedAtMs } = this.#clock;
-    times.note("queue", kind, timestamps.startedMs - startedAtMs);
-    times.note("prefill", kind, timestamps.prefilledMs - timestamps.startedMs);
-    if (this.#relay.events === 0) return;
-    times.note("first-event", kind, this.#relay.firstEventAtMs - startedAtMs);
-    times.note("gap", kind, this.#relay.longestGapMs);
   }
 
-  async #decode(
+  /** Sends the stream once; while the send is silent, a backup may take its place. */
+  async #send(
     reservation: DecodeReservation,
-    source: KvSource | null,
+    options: { signal: AbortSignal; onProgress?: () => void },
   ): Promise<SendResult> {
-    const { request, signal } = this.#options;
-    if (signal.aborted) return err({ kind: "aborted" });
-    let idle = false;
-    const idleTimer = this.#startIdleTimer(() => {
-      idle = true;
-      stream.abort();
-    });
-    const listener = this.#relay.listen({ resume: () => stream.resume() });
-    this.#lastByteAtMs = performance.now();
-    const stream = this.#context.port.stream(reservation.endpoint.entry, {
-      request,
-      timeLeftMs: this.#clock.callerTimeLeftMs(),
-      firstByteMs: this.#clock.leftMs(),
-      wholeMs: this.#clock.leftMs(),
-      signal,
-      lastEventId: this.#relay.lastEventId,
-      reservation: reservation.reservationId,
-      kvSource: source && { address: source.address, handle: source.handle },
-      listener: {
-        onHead: (head) => listener.onHead(head),
-        onData: (bytes) => {
-          this.#lastByteAtMs = performance.now();
-          idleTimer.restart();
-          return listener.onData(bytes);
-        },
+    const held: { backup: Backup | null } = { backup: null };
+    this.#sends += 1;
+    const send = new StreamSend(this.#context, {
+      ...this.#options,
+      clock: this.#clock,
+      relay: this.#relay,
+      prefill: this.#prefill,
+      reservation,
+      ordinal: this.#sends,
+      tokens: this.#tokens(),
+      signal: options.signal,
+      onDecode: () => (this.#decoding += 1),
+      onProgress: () => {
+        options.onProgress?.();
+        held.backup?.cancel();
+        held.backup = null;
+        this.#loggedObstacle = null;
+      },
+      onSilent: () => {
+        held.backup ??= this.#startBackup(send, () => (held.backup = null));
       },
     });
-    const ended = await stream.ended;
-    idleTimer.stop();
-    if (idle) return err({ kind: "timeout" });
-    return ended.andThen(() => this.#relay.finish());
+    const result = await send.run();
+    if (send.decodeBegun) this.#recordDecode(send, result);
+    if (result.isOk()) held.backup?.cancel();
+    if (result.isOk() || !held.backup) return result;
+    return await held.backup.ended ?? result;
   }
 
-  // An idle endpoint is given up only if the stream may continue at another one;
-  // otherwise no timer runs.
-  #startIdleTimer(onIdle: () => void) {
-    const { route } = this.#options;
-    const movable = route.resumable &&
-      this.#runs + 1 < route.maxAttempts;
-    const limitMs = Math.max(
-      MIN_IDLE_TIMEOUT_MS,
-      IDLE_TIMEOUT_GAPS * (route.maxEventGapMs ?? 0),
-    );
-    const start = () => movable ? setTimeout(onIdle, limitMs) : undefined;
-    let timer = start();
-    return {
-      restart() {
-        clearTimeout(timer);
-        timer = start();
-      },
-      stop: () => clearTimeout(timer),
-    };
+  #recordDecode(send: StreamSend, result: SendResult): void {
+    this.#decoding -= 1;
+    if (result.isOk() || provesNotRun(result.error)) return;
+    this.#runs += 1;
+    this.#avoid.add(send.endpoint.entry.id);
   }
 
-  // Nothing was sent to the decode endpoint, so its record is not updated.
-  #abandon(
-    reservation: DecodeReservation,
-    { source, failure }: { source: PrefillSource | null; failure: SendFailure },
-  ): SendResult {
-    const { endpoint, reservationId } = reservation;
-    this.#context.port.releaseReservation(endpoint.entry, reservationId);
-    if (source) this.#prefill.discard(source, failure.kind);
-    return err(failure);
+  // The first send is not closed yet: its endpoint may go on at any moment, and the
+  // backup may still fail.
+  #startBackup(silent: StreamSend, onFailed: () => void): Backup | null {
+    const { service } = this.#options;
+    const obstacle = this.#findBackupObstacle() ??
+      (takeRetry(this.#context, { service, reason: "silent" })
+        ? null
+        : "retry-budget-spent");
+    this.#logSilence(silent, obstacle);
+    if (obstacle) return null;
+    const cancellation = new AbortController();
+    const ended = this.#runBackup(silent, cancellation.signal);
+    void ended.then((result) => {
+      if (result === null || result.isErr()) onFailed();
+    });
+    return { cancel: () => cancellation.abort(), ended };
   }
 
-  #recordOutcome(
-    reservation: DecodeReservation,
-    { source, outcome }: {
-      source: PrefillSource | null;
-      outcome: SendResult;
-    },
-  ): void {
-    const { endpoint, reservationId } = reservation;
-    const refused = outcome.isErr() && outcome.error.kind === "notExecuted";
-    // The stream holds a reservation, so a refusal means that the KV cache could
-    // not be fetched.
-    if (source && (refused || outcome.isOk())) {
-      this.#prefill.noteFetched(source, !refused);
-    }
-    const { request } = this.#options;
-    noteOutcome(this.#context, { endpoint, request, outcome, tookMs: 0 });
-    if (outcome.isOk()) return;
-    // A refusal despite the reservation counts as a failure, so that an endpoint
-    // which keeps refusing for another reason is ejected.
-    if (refused) endpoint.noteFailure(performance.now());
-    if (provesNotRun(outcome.error) || outcome.error.kind === "aborted") {
-      this.#context.port.releaseReservation(endpoint.entry, reservationId);
-      if (source) this.#prefill.discard(source, outcome.error.kind);
-    }
-    if (!provesNotRun(outcome.error)) {
-      this.#runs += 1;
-      this.#avoid.add(endpoint.entry.id);
+  async #runBackup(
+    silent: StreamSend,
+    cancelled: AbortSignal,
+  ): Promise<SendResult | null> {
+    const signal = AbortSignal.any([this.#options.signal, cancelled]);
+    const avoid = new Set([...this.#avoid, silent.endpoint.entry.id]);
+    const reservation = await this.#reserve({
+      signal,
+      avoid,
+      mustBeOnTime: false,
+    });
+    if (reservation.isErr()) {
+      this.#context.budget.giveBack(this.#options.service);
+      return null;
     }
+    return await this.#send(reservation.value, {
+      signal,
+      onProgress: () => silent.replace(),
+    });
   }
 
   // Returns why no further send may follow a failed one, or null if one may.
-  #findObstacle(failure: SendFailure): Obstacle | null {
+  #findObstacle(last: SendResult): Obstacle | null {
     const { route, signal } = this.#options;
     if (signal.aborted) return "caller-left";
     if (this.#clock.leftMs() <= 0) return "deadline-passed";
-    if (provesNotRun(failure)) return null;
+    if (this.#sends >= MAX_SENDS) return "sends-used";
+    if (last.isErr() && provesNotRun(last.error)) return null;
     if (!route.resumable) return "not-resumable";
     return this.#runs < route.maxAttempts ? null : "attempts-used";
   }
 
-  #logObstacle(
-    obstacle: Obstacle | Refusal["reason"],
+  // The decodes in progress may have run the request as well.
+  #findBackupObstacle(): Obstacle | null {
+    const { maxAttempts } = this.#options.route;
+    if (this.#clock.leftMs() <= 0) return "deadline-passed";
+    if (this.#sends >= MAX_SENDS) return "sends-used";
+    return this.#runs + this.#decoding < maxAttempts ? null : "attempts-used";
+  }
+
+  // One line for each change, as a long silence is reported again and again.
+  #logSilence(silent: StreamSend, obstacle: Obstacle | null): void {
+    if (obstacle && obstacle === this.#loggedObstacle) return;
+    this.#loggedObstacle = obstacle;
+    this.#context.observer.log({
+      event: "stream-silent",
+      attempt: this.#options.request.id,
+      endpoint: silent.endpoint.entry.id,
+      send: silent.ordinal,
+      silentMs: Math.round(silent.silentMs()),
+      events: this.#relay.events,
+      backup: obstacle ?? "started",
+    });
+  }
+
+  #logNotContinued(
+    reason: Obstacle | Refusal["reason"],
     last: SendResult,
   ): void {
+    const { request, service } = this.#options;
     this.#context.observer.log({
       event: "stream-not-continued",
-      attempt: this.#options.request.id,
-      service: this.#options.service,
-      reason: obstacle,
+      attempt: request.id,
+      service,
+      reason,
       lastOutcome: last.isErr() ? last.error.kind : undefined,
       runs: this.#runs,
-      retriesLeft: Math.floor(
-        this.#context.budget.left(this.#options.service),
-      ),
+      retriesLeft: Math.floor(this.#context.budget.left(service)),
       leftMs: Math.round(this.#clock.leftMs()),
     });
   }
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -4,6 +4,7 @@
 import { wait } from "../common/wait.ts";
 import { DecodeQueue } from "./decode_queue.ts";
 import type { SendFailure } from "./port.ts";
+import type { AnswerSink } from "./stream_relay.ts";
 import { StreamRun } from "./stream_run.ts";
 import {
   context,
@@ -39,7 +40,11 @@
 
 function start(
   port: FakeEndpoints,
-  options: { route?: Partial<Route>; slack?: number } = {},
+  options: {
+    route?: Partial<Route>;
+    slack?: number;
+    sink?: Partial<AnswerSink>;
+  } = {},
 ) {
   const caller = new AbortController();
   const out: string[] = [];
@@ -61,6 +66,7 @@
       head: (head) => out.push(`head ${head.status}`),
       write: (bytes) => out.push(new TextDecoder().decode(bytes)) > 0,
       onDrain() {},
+      ...options.sink,
     },
     signal: caller.signal,
   });
@@ -224,6 +230,60 @@
   expect(eventsOf(out)).toEqual(["1", "2"]);
 });
 
+test("A backup for a silent endpoint is given up when the endpoint goes on", async () => {
+  let prefills = 0;
+  const port = createSilentEndpoints({
+    prefill: async () => {
+      prefills += 1;
+      if (prefills > 1) await wait(1_000);
+      return ok({ handle: asId(`kv-${prefills}`), tokens: 1 });
+    },
+  });
+  const { ended, out } = start(port);
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(eventsOf(out)).toEqual(["1", "2"]);
+  const sent = port.log.filter((line) => line.startsWith("stream"));
+  expect(sent).toHaveLength(1);
+  expect(port.released).toEqual(["hold"]);
+  expect(port.freed).toEqual(["kv-2"]);
+});
+
+test("The head comes from the backup if the first endpoint is silent before its own", async () => {
+  let sends = 0;
+  const port = new FakeEndpoints({
+    stream: async (_endpoint, { listener }) => {
+      sends += 1;
+      if (sends === 1) {
+        await wait(DEADLINE_MS);
+        return ok(undefined);
+      }
+      listener.onHead(EVENT_HEAD);
+      await wait(200);
+      listener.onData(event(1));
+      return ok(undefined);
+    },
+  });
+  const { ended, out } = start(port);
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(out).toEqual(["head 200", "id: 1\ndata: 1\n\n"]);
+  expect(sends).toBe(2);
+});
+
+test("An endpoint is not silent while the caller doesn't read", async () => {
+  const port = createSilentEndpoints();
+  const drains: (() => void)[] = [];
+  const { ended } = start(port, {
+    sink: { write: () => false, onDrain: (drain) => void drains.push(drain) },
+  });
+  await vi.advanceTimersByTimeAsync(SILENCE_MS + 500);
+  for (const drain of drains) drain();
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(port.log.filter((line) => line.startsWith("stream"))).toHaveLength(1);
+});
+
 /** Decode endpoints that can't fetch the KV cache for the first send. */
 function createEndpointsWithExpiredHandle(): FakeEndpoints {
   let sends = 0;
--- /dev/null
+++ b/packages/core/src/routing/stream_send.ts
@@ -0,0 +1,262 @@
+/** One send of a stream: the prefill of its prompt, and the decode at one endpoint. */
+import { err, type Result } from "neverthrow";
+import type { ServiceName } from "../common/ids.ts";
+import { noteOutcome } from "./call_run.ts";
+import type { RoutingContext } from "./context.ts";
+import type { DecodeReservation } from "./decode_queue.ts";
+import type { EndpointRecord } from "./endpoint_record.ts";
+import type {
+  AnswerHead,
+  EndpointStream,
+  KvSource,
+  SendFailure,
+} from "./port.ts";
+import type { PrefillRun, PrefillSource } from "./prefill_run.ts";
+import type { RequestClock } from "./request_clock.ts";
+import { SilenceWatch } from "./silence_watch.ts";
+import type { StreamRelay } from "./stream_relay.ts";
+import type { Route, RoutedRequest } from "./types.ts";
+import { provesNotRun } from "./verdicts.ts";
+
+/** Silence after which a stream may need another endpoint, in multiples of the route's `maxEventGapMs`. */
+const SILENCE_GAPS = 5;
+/** Minimum of that silence; an engine recomputes a preempted stream within this time. */
+const MIN_SILENCE_MS = 1_500;
+
+/** Result of a send; a failure says whether the endpoint may have run the request. */
+export type SendResult = Result<void, SendFailure>;
+
+/** Options of {@link StreamSend}. */
+export interface StreamSendOptions {
+  request: RoutedRequest;
+  route: Route;
+  service: ServiceName;
+  clock: RequestClock;
+  relay: StreamRelay;
+  prefill: PrefillRun;
+  reservation: DecodeReservation;
+  /** Position among the sends of the stream, from 1. */
+  ordinal: number;
+  /** KV cache that is reserved for it, in tokens. */
+  tokens: number;
+  /** Aborted when the caller disconnects or the send is no longer needed. */
+  signal: AbortSignal;
+  /** Called when the request is sent to the decode endpoint. */
+  onDecode: () => void;
+  /** Called while a resumable stream receives nothing, after a silence and then repeatedly. */
+  onSilent: () => void;
+  /** Called for each part of the answer that arrives. */
+  onProgress: () => void;
+}
+
+/** Sends a stream once and passes its events on to the relay. */
+export class StreamSend {
+  #context: RoutingContext;
+  #options: StreamSendOptions;
+  #stream: EndpointStream | undefined;
+  #lastByteAtMs = NaN;
+  #replaced = false;
+  #decodeBegun = false;
+
+  constructor(context: RoutingContext, options: StreamSendOptions) {
+    this.#context = context;
+    this.#options = options;
+  }
+
+  get endpoint(): EndpointRecord {
+    return this.#options.reservation.endpoint;
+  }
+
+  get ordinal(): number {
+    return this.#options.ordinal;
+  }
+
+  /** Whether the request was sent to the decode endpoint. */
+  get decodeBegun(): boolean {
+    return this.#decodeBegun;
+  }
+
+  /** Time since the decode began or bytes arrived. */
+  silentMs(): number {
+    return performance.now() - this.#lastByteAtMs;
+  }
+
+  /** Ends the send with `timeout`, because another send continues the stream. */
+  replace(): void {
+    this.#replaced = true;
+    this.#stream?.abort();
+  }
+
+  /** Prefills and decodes; resolves when the stream is complete or has failed. */
+  async run(): Promise<SendResult> {
+    const { reservation, tokens, prefill, signal, clock } = this.#options;
+    const { endpoint } = reservation;
+    endpoint.inFlight += 1;
+    endpoint.inFlightTokens += tokens;
+    const startedMs = performance.now();
+    const prefilled = await prefill.run(endpoint, { signal });
+    const prefilledMs = performance.now();
+    const source = prefilled.unwrapOr(null);
+    // The endpoint may have started draining during the prefill.
+    const usable = prefilled.isOk() && endpoint.mayTakeWork(prefilledMs);
+    const outcome = usable ? await this.#decode(source) : this.#abandon({
+      source,
+      failure: prefilled.isErr() ? prefilled.error : { kind: "notSent" },
+    });
+    endpoint.inFlight -= 1;
+    endpoint.inFlightTokens -= tokens;
+    if (usable) this.#recordOutcome({ source, outcome });
+    const decodeMs = performance.now() - prefilledMs;
+    if (outcome.isOk()) {
+      const cost = { heldTokens: tokens, decodeMs };
+      this.#context.noteStreamCost(this.#options.service, cost);
+    }
+    this.#noteTimes({ startedMs, prefilledMs });
+    this.#logOutcome(outcome, {
+      prefill: source?.endpoint.entry.id,
+      queuedMs: Math.round(startedMs - clock.startedAtMs),
+      prefillMs: Math.round(prefilledMs - startedMs),
+      decodeMs: Math.round(decodeMs),
+    });
+    return outcome;
+  }
+
+  async #decode(source: KvSource | null): Promise<SendResult> {
+    const { request, clock, relay, reservation, signal } = this.#options;
+    if (signal.aborted) return err({ kind: "aborted" });
+    const silence = this.#watchSilence();
+    const listener = relay.listen({
+      resume: () => {
+        silence.restart();
+        stream.resume();
+      },
+    });
+    this.#lastByteAtMs = performance.now();
+    this.#decodeBegun = true;
+    this.#options.onDecode();
+    const stream = this.#context.port.stream(reservation.endpoint.entry, {
+      request,
+      timeLeftMs: clock.callerTimeLeftMs(),
+      firstByteMs: clock.leftMs(),
+      wholeMs: clock.leftMs(),
+      signal,
+      lastEventId: relay.lastEventId,
+      reservation: reservation.reservationId,
+      kvSource: source && { address: source.address, handle: source.handle },
+      listener: {
+        onHead: (head: AnswerHead) => {
+          const isFirst = !relay.begun;
+          listener.onHead(head);
+          // The answer has to come from the endpoint whose head was passed on.
+          if (isFirst) this.#options.onProgress();
+        },
+        onData: (bytes) => {
+          this.#lastByteAtMs = performance.now();
+          silence.restart();
+          this.#options.onProgress();
+          const writable = listener.onData(bytes);
+          if (!writable) silence.stop();
+          return writable;
+        },
+      },
+    });
+    this.#stream = stream;
+    const ended = await stream.ended;
+    silence.end();
+    if (this.#replaced) return err({ kind: "timeout" });
+    return ended.andThen(() => listener.finish());
+  }
+
+  // While the caller doesn't read, nothing is expected from the endpoint either:
+  // the watch is stopped until the caller can be written to again.
+  #watchSilence(): SilenceWatch {
+    const { route, onSilent } = this.#options;
+    const watch = new SilenceWatch({
+      limitMs: Math.max(
+        MIN_SILENCE_MS,
+        SILENCE_GAPS * (route.maxEventGapMs ?? 0),
+      ),
+      onSilent,
+    });
+    if (route.resumable) watch.start();
+    return watch;
+  }
+
+  // Nothing was sent to the decode endpoint, so its record is not updated.
+  #abandon(
+    { source, failure }: { source: PrefillSource | null; failure: SendFailure },
+  ): SendResult {
+    const { reservation, prefill } = this.#options;
+    const { endpoint, reservationId } = reservation;
+    this.#context.port.releaseReservation(endpoint.entry, reservationId);
+    if (source) prefill.discard(source, failure.kind);
+    return err(failure);
+  }
+
+  #recordOutcome(
+    { source, outcome }: {
+      source: PrefillSource | null;
+      outcome: SendResult;
+    },
+  ): void {
+    const { reservation, prefill, request } = this.#options;
+    const { endpoint, reservationId } = reservation;
+    const refused = outcome.isErr() && outcome.error.kind === "notExecuted";
+    // The stream holds a reservation, so a refusal means that the KV cache could
+    // not be fetched.
+    if (source && (refused || outcome.isOk())) {
+      prefill.noteFetched(source, !refused);
+    }
+    noteOutcome(this.#context, { endpoint, request, outcome, tookMs: 0 });
+    if (outcome.isOk()) return;
+    // A refusal despite the reservation counts as a failure, so that an endpoint
+    // which keeps refusing for another reason is ejected.
+    if (refused) endpoint.noteFailure(performance.now());
+    if (provesNotRun(outcome.error) || outcome.error.kind === "aborted") {
+      this.#context.port.releaseReservation(endpoint.entry, reservationId);
+      if (source) prefill.discard(source, outcome.error.kind);
+    }
+  }
+
+  #noteTimes(timestamps: { startedMs: number; prefilledMs: number }): void {
+    const { times } = this.#context;
+    const { relay, clock, route } = this.#options;
+    const { startedAtMs } = clock;
+    times.note("queue", route.kind, timestamps.startedMs - startedAtMs);
+    times.note(
+      "prefill",
+      route.kind,
+      timestamps.prefilledMs - timestamps.startedMs,
+    );
+    if (relay.events === 0) return;
+    times.note("first-event", route.kind, relay.firstEventAtMs - startedAtMs);
+    times.note("gap", route.kind, relay.longestGapMs);
+  }
+
+  #logOutcome(
+    outcome: SendResult,
+    fields: Record<string, string | number | undefined>,
+  ): void {
+    const { request, route, clock, relay, ordinal, prefill } = this.#options;
+    this.#context.observer.log({
+      event: "stream-sent",
+      attempt: request.id,
+      route: route.name,
+      endpoint: this.endpoint.entry.id,
+      send: ordinal,
+      outcome: outcome.isOk() ? "complete" : outcome.error.kind,
+      detail: outcome.isErr() && outcome.error.kind === "lost"
+        ? outcome.error.detail
+        : undefined,
+      replaced: this.#replaced || undefined,
+      ...fields,
+      silentMs: Math.round(this.silentMs()),
+      firstEventMs: Math.round(relay.firstEventAtMs - clock.startedAtMs),
+      longestGapMs: Math.round(relay.longestGapMs),
+      events: relay.events,
+      promptTokens: prefill.tokens,
+      maxOutputTokens: request.prompt?.maxOutputTokens,
+      hint: request.prompt?.expectedOutputTokens ?? undefined,
+    });
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,9 +3,9 @@
 export default defineConfig({
   test: {
     include: ["packages/*/src/**/*_test.ts", "platform/src/**/*_test.ts"],
-    // Known red; see KNOWN-RED.txt.
+    // Known red: fail now and then beside load; see KNOWN-RED.txt.
     testNamePattern:
-      /^(?!(A stream is not lost at a silent endpoint when (the retry budget is spent|no other has capacity|the endpoint that should continue it fails)|A stream that a killed VM broke goes on whole at another|handles no request that it refuses with a timeout, even under load)$)/,
+      /^(?!(A stream that a killed VM broke goes on whole at another|handles no request that it refuses with a timeout, even under load)$)/,
     pool: "forks",
     testTimeout: 180_000,
     hookTimeout: 180_000,
