Do not take an endpoint's error for the rest of a stream

What callers saw: possibly a stream that looked complete without its last events.

Cause: when a stream continued at a second endpoint, the head of that answer was ignored. An error without a body counted as the end.

Change: an answer continues a stream only with the status and the kind of content of the first one; any other fails as lost.

Evidence: the new test got complete before, and gets broken now.

--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -23,7 +23,8 @@
 
 /** Receives the answer of one send. */
 export interface RelaySource {
-  onHead(head: AnswerHead): void;
+  /** Returns false if an answer with this head can't continue the stream. */
+  onHead(head: AnswerHead): boolean;
   /** Receives bytes; returns false to pause the answer until `resume` is called. */
   onData(bytes: Uint8Array): boolean;
   /** Checks the end of the answer; fails with `lost` if it ended inside an event. */
@@ -93,11 +94,15 @@
     };
   }
 
-  #takeHead(head: AnswerHead): void {
-    if (this.#head) return;
+  #takeHead(head: AnswerHead): boolean {
+    if (this.#head) {
+      return head.status === this.#head.status &&
+        isEventStream(head) === this.#passesEvents;
+    }
     this.#head = head;
     this.#passesEvents = isEventStream(head);
     this.#sink.head(head);
+    return true;
   }
 
   #pass(bytes: Uint8Array, splitter: EventSplitter): boolean {
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -271,6 +271,26 @@
   expect(sends).toBe(2);
 });
 
+test("An endpoint's error is not taken for the rest of a stream", async () => {
+  let sends = 0;
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener }) => {
+      sends += 1;
+      if (sends === 1) {
+        listener.onHead(EVENT_HEAD);
+        listener.onData(event(1));
+        return Promise.resolve(err({ kind: "lost", detail: "reset" }));
+      }
+      listener.onHead({ status: 500, headers: [] });
+      return Promise.resolve(ok(undefined));
+    },
+  });
+  const { ended, out } = start(port);
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  expect(await ended).toMatchObject({ kind: "broken" });
+  expect(eventsOf(out)).toEqual(["1"]);
+});
+
 test("An endpoint is not silent while the caller doesn't read", async () => {
   const port = createSilentEndpoints();
   const drains: (() => void)[] = [];
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -131,6 +131,7 @@
         stream.resume();
       },
     });
+    let rejectedStatus: number | null = null;
     this.#lastByteAtMs = performance.now();
     this.#decodeBegun = true;
     this.#options.onDecode();
@@ -146,7 +147,10 @@
       listener: {
         onHead: (head: AnswerHead) => {
           const isFirst = !relay.begun;
-          listener.onHead(head);
+          if (!listener.onHead(head)) {
+            rejectedStatus = head.status;
+            return this.#stream?.abort();
+          }
           // The answer has to come from the endpoint whose head was passed on.
           if (isFirst) this.#options.onProgress();
         },
@@ -161,9 +165,14 @@
       },
     });
     this.#stream = stream;
+    if (rejectedStatus !== null) stream.abort();
     const ended = await stream.ended;
     silence.end();
     if (this.#replaced) return err({ kind: "timeout" });
+    if (rejectedStatus !== null) {
+      const detail = `Status ${rejectedStatus} does not continue the stream`;
+      return err({ kind: "lost", detail });
+    }
     return ended.andThen(() => listener.finish());
   }
 
