Hedge a call at a silent endpoint instead of giving the first send up

The first send of a retryable call was ended by a first-byte timeout, and only then a retry and another endpoint were looked for.

Change: after that time the call is sent to another endpoint, if there is a healthy one and a retry in the budget, while the first send stays open. The first answer counts; the others are cancelled. The silence counts as a failure of its endpoint at once, as the timeout did, and an answer undoes it. The test of the timeout, whose value is no longer passed to the port, became one of the second send's time.

--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -2,7 +2,7 @@
  * Runs one call to a service without engines: chooses an endpoint, sends the
  * request, retries where that is safe, and returns the answer or a refusal.
  */
-import type { Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import {
   notRun,
@@ -16,6 +16,7 @@
 import type { EndpointAnswer, SendFailure } from "./port.ts";
 import { chooseEndpoint } from "./queries/choose_endpoint.ts";
 import { RequestClock } from "./request_clock.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 import { isRetryable, type Route, type RoutedRequest } from "./types.ts";
 import {
   provesNotRun,
@@ -27,8 +28,8 @@
 const MIN_SEND_MS = 5;
 /** Maximum sends of one request, including those that endpoints rejected without running it. */
 const MAX_SENDS = 4;
-/** First-byte timeout of a retryable request, in multiples of its target latency. */
-const FIRST_BYTE_TIMEOUT_TARGETS = 2;
+/** Time without an answer after which a retryable request is hedged, in multiples of its target latency. */
+const HEDGE_AFTER_TARGETS = 2;
 /** How long an endpoint that refused a call for lack of capacity counts as full. */
 const FULL_FOR_MS = 50;
 const FIRST_SERVER_ERROR = 500;
@@ -50,6 +51,8 @@
   #options: CallRunOptions;
   #clock: RequestClock;
   #tried = new Set<EndpointId>();
+  /** Number of sends that have begun. */
+  #sends = 0;
   /** Number of sends after which an endpoint may have run the request. */
   #runs = 0;
 
@@ -62,17 +65,57 @@
   /** Sends the call until it is answered, or no further send is possible or allowed. */
   async run(): Promise<Verdict<EndpointAnswer>> {
     let last: SendResult | null = null;
-    for (let sends = 1; sends <= MAX_SENDS; sends += 1) {
+    while (this.#sends < MAX_SENDS) {
       if (last && !this.#takeRetry(last)) break;
       if (this.#clock.leftMs() < MIN_SEND_MS) break;
       const endpoint = this.#choose();
       if (!endpoint) break;
-      last = await this.#send(endpoint, sends);
+      last = await this.#sendWithHedge(endpoint);
       if (!this.#shouldRetry(last)) break;
     }
     return this.#verdictOf(last);
   }
 
+  // A silent endpoint is not given up for another one: the first answer counts, and
+  // the sends that are still open then are cancelled.
+  #sendWithHedge(endpoint: EndpointRecord): Promise<SendResult> {
+    return new Promise((resolve) => {
+      const open = new Set<AbortController>();
+      let best: SendResult | null = null;
+      const start = async (endpoint: EndpointRecord) => {
+        const cancellation = new AbortController();
+        open.add(cancellation);
+        const result = await this.#send(endpoint, {
+          cancelled: cancellation.signal,
+          onSilent: () => {
+            const next = this.#takeHedge(open.size);
+            if (next) void start(next);
+          },
+        });
+        open.delete(cancellation);
+        best = best?.isOk() ? best : result;
+        if (open.size > 0 && !isFinal(result)) return;
+        resolve(isFinal(result) ? result : best);
+        for (const other of open) other.abort();
+      };
+      void start(endpoint);
+    });
+  }
+
+  // Returns the endpoint of a hedge, whose retry has been taken from the budget, or
+  // null if the call may not be hedged now.
+  #takeHedge(openSends: number): EndpointRecord | null {
+    const { route, service } = this.#options;
+    if (this.#runs + openSends >= route.maxAttempts) return null;
+    if (this.#sends >= MAX_SENDS) return null;
+    if (this.#clock.leftMs() < MIN_SEND_MS) return null;
+    const endpoint = this.#choose();
+    if (!endpoint?.isHealthy(performance.now())) return null;
+    return takeRetry(this.#context, { service, reason: "silent" })
+      ? endpoint
+      : null;
+  }
+
   #choose(): EndpointRecord | undefined {
     const { endpoints, dataCentre, random } = this.#context;
     return chooseEndpoint(endpoints.usable(this.#options.service, null), {
@@ -83,17 +126,24 @@
     });
   }
 
-  async #send(endpoint: EndpointRecord, sends: number): Promise<SendResult> {
+  async #send(
+    endpoint: EndpointRecord,
+    { cancelled, onSilent }: { cancelled: AbortSignal; onSilent: () => void },
+  ): Promise<SendResult> {
     const { request, route, signal } = this.#options;
     this.#tried.add(endpoint.entry.id);
+    this.#sends += 1;
+    const send = this.#sends;
     const startedMs = performance.now();
     endpoint.inFlight += 1;
+    const silence = this.#watchSilence(endpoint, onSilent);
     const outcome = await this.#context.port.call(endpoint.entry, {
       request,
       timeLeftMs: this.#clock.callerTimeLeftMs(),
-      firstByteMs: this.#firstByteMs(),
-      signal,
+      firstByteMs: this.#clock.leftMs(),
+      signal: AbortSignal.any([signal, cancelled]),
     });
+    silence.end();
     endpoint.inFlight -= 1;
     const tookMs = performance.now() - startedMs;
     if (outcome.isOk() || !provesNotRun(outcome.error)) this.#runs += 1;
@@ -103,7 +153,7 @@
       attempt: request.id,
       route: route.name,
       endpoint: endpoint.entry.id,
-      send: sends,
+      send,
       outcome: outcome.isOk() ? outcome.value.status : outcome.error.kind,
       tookMs: Math.round(tookMs),
       leftMs: Math.round(this.#clock.leftMs()),
@@ -111,15 +161,23 @@
     return outcome;
   }
 
-  // An unresponsive endpoint must not use up the whole deadline while another
-  // endpoint could still answer.
-  #firstByteMs(): number {
-    const leftMs = this.#clock.leftMs();
-    const { route } = this.#options;
-    return isRetryable(route) &&
-        this.#runs + 1 < route.maxAttempts
-      ? Math.min(leftMs, FIRST_BYTE_TIMEOUT_TARGETS * route.targetLatencyMs)
-      : leftMs;
+  // The silence counts as a failure of the endpoint, which an answer undoes.
+  #watchSilence(endpoint: EndpointRecord, onSilent: () => void): SilenceWatch {
+    const { request, route } = this.#options;
+    let noted = false;
+    const watch = new SilenceWatch({
+      limitMs: HEDGE_AFTER_TARGETS * route.targetLatencyMs,
+      onSilent: () => {
+        const outcome = err<never, SendFailure>({ kind: "timeout" });
+        if (!noted) {
+          noteOutcome(this.#context, { endpoint, request, outcome, tookMs: 0 });
+        }
+        noted = true;
+        onSilent();
+      },
+    });
+    if (isRetryable(route)) watch.start();
+    return watch;
   }
 
   #shouldRetry(outcome: SendResult): boolean {
@@ -127,10 +185,7 @@
     if (signal.aborted) return false;
     if (outcome.isErr() && provesNotRun(outcome.error)) return true;
     if (!isRetryable(route) || this.#runs >= route.maxAttempts) return false;
-    return outcome.match(
-      (answer) => answer.status >= FIRST_SERVER_ERROR,
-      () => true,
-    );
+    return !isFinal(outcome);
   }
 
   // If the connection was never established, no endpoint received the request,
@@ -161,6 +216,10 @@
   }
 }
 
+function isFinal(result: SendResult): boolean {
+  return result.isOk() && result.value.status < FIRST_SERVER_ERROR;
+}
+
 /** Takes a retry from the budget and counts it; returns false if the budget is spent. */
 export function takeRetry(
   { budget, observer }: RoutingContext,
