A stream that avoids engines does not hold up the decode queue

What callers saw: new streams refused for lack of capacity while one stream waited to continue.

Cause: the queue serves the earliest target first and ends its round when that stream gets no place. A stream that continues has the earliest target, and may not use the engines that it avoids, although others may. Found while backups were added, which wait in the same queue.

Change: the round goes on behind such a stream.

Evidence: the new test got no place before ([] instead of [started]) and gets one now; 75 tests of routing pass.

--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -122,12 +122,18 @@
   }
 
   async #serveWaiting(): Promise<void> {
+    const skipped = new Set<WaitingStream>();
     for (;;) {
       this.#refuseLate();
-      const [first] = this.#waiting;
+      const first = this.#waiting.find((waiting) => !skipped.has(waiting));
       if (!first) return;
       const reservation = await this.#reserve(first);
-      if (!reservation) return;
+      if (!reservation) {
+        // The engines that it avoids may have room for the streams after it.
+        if (first.request.avoid.size === 0) return;
+        skipped.add(first);
+        continue;
+      }
       const index = this.#waiting.indexOf(first);
       if (index >= 0) this.#waiting.splice(index, 1);
       if (index >= 0 && !first.request.signal.aborted) {
--- a/packages/core/src/routing/decode_queue_test.ts
+++ b/packages/core/src/routing/decode_queue_test.ts
@@ -138,3 +138,18 @@
   expect((await waiting)._unsafeUnwrapErr().reason).toBe("cancelled");
   expect(queue.length).toBe(0);
 });
+
+test("A stream that avoids engines doesn't hold up those that may use them", async () => {
+  const { queue } = setUp();
+  const avoid = new Set(ENGINES.map(({ id }) => id));
+  const continued = queue.enqueue(
+    decodeRequest({ avoid, mustBeOnTime: false }),
+  );
+  const placed: string[] = [];
+  void continued.then(() => placed.push("continued"));
+  void queue.enqueue(decodeRequest()).then((result) => {
+    if (result.isOk()) placed.push("started");
+  });
+  await vi.advanceTimersByTimeAsync(100);
+  expect(placed).toEqual(["started"]);
+});
