The expected delay of a prefill fades while no prefill is measured

What callers saw: a VM that refused every stream with no-capacity for good, with free engines, after a silence of its prefill engines.

Cause: prefills that time out raise the estimate; once it exceeds the latency target, streams are refused before any prefill, so that nothing measures a lower one.

Change: the delay halves every two seconds without a measurement, and a prefill that did not complete is no measure of the speed.

--- a/packages/core/src/routing/prefill_run.ts
+++ b/packages/core/src/routing/prefill_run.ts
@@ -129,7 +129,7 @@
     const kind = outcome.isOk() ? "ok" : outcome.error.kind;
     // A prefill that timed out would have taken at least this long.
     if (kind === "ok" || kind === "timeout") {
-      prefillTimes.note(service, { tokens, tookMs });
+      prefillTimes.note(service, { tokens, tookMs, completed: kind === "ok" });
     }
     if (kind === "ok") return outcome;
     if (this.#sent === 1 && kind !== "notSent") budget.charge(service);
--- a/packages/core/src/routing/prefill_times.ts
+++ b/packages/core/src/routing/prefill_times.ts
@@ -5,6 +5,11 @@
 const INITIAL_TOKENS_PER_MS = 30;
 /** Weight of the newest prefill in the moving average of the delay. */
 const DELAY_WEIGHT = 0.15;
+/**
+ * Half-life of the delay while no prefill is measured. Without it, a VM that refuses
+ * all streams because of a high estimate would never measure a lower one.
+ */
+const DELAY_HALF_LIFE_MS = 2_000;
 /** Faster prefills weigh more in the speed, since slower ones include queueing. */
 const FASTER_WEIGHT = 0.1;
 const SLOWER_WEIGHT = 0.02;
@@ -15,35 +20,42 @@
 
 interface Estimate {
   tokensPerMs: number;
-  /** Time on top of the computation: queues, connections. */
+  /** Time on top of the computation, as of the last measurement: queues, connections. */
   delayMs: number;
+  measuredAtMs: number;
 }
 
 /** Keeps the estimates of prefill speed and delay for each service. */
 export class PrefillTimes {
   #estimates = new Map<ServiceName, Estimate>();
 
-  /** Records a prefill that completed, or that took at least `tookMs`. */
+  /**
+   * Records a prefill. One that was not `completed` took at least `tookMs`; it says
+   * nothing about the speed.
+   */
   note(
     service: ServiceName,
-    prefill: { tokens: number; tookMs: number },
+    prefill: { tokens: number; tookMs: number; completed: boolean },
   ): void {
-    const { tokens, tookMs } = prefill;
+    const { tokens, tookMs, completed } = prefill;
     const estimate = this.#estimateOf(service);
-    if (tokens >= MIN_SPEED_SAMPLE_TOKENS && tookMs > 0) {
+    if (completed && tokens >= MIN_SPEED_SAMPLE_TOKENS && tookMs > 0) {
       const current = estimate.tokensPerMs;
       const speed = Math.min(tokens / tookMs, CACHED_RATIO * current);
       const weight = speed > current ? FASTER_WEIGHT : SLOWER_WEIGHT;
       estimate.tokensPerMs += weight * (speed - current);
     }
     const delayMs = Math.max(0, tookMs - tokens / estimate.tokensPerMs);
-    estimate.delayMs += DELAY_WEIGHT * (delayMs - estimate.delayMs);
+    const recentDelayMs = currentDelayMs(estimate);
+    estimate.delayMs = recentDelayMs +
+      DELAY_WEIGHT * (delayMs - recentDelayMs);
+    estimate.measuredAtMs = performance.now();
   }
 
   /** Estimated duration of a prefill, including the current queueing delay. */
   expectedMs(service: ServiceName, tokens: number): number {
-    const { tokensPerMs, delayMs } = this.#estimateOf(service);
-    return tokens / tokensPerMs + delayMs;
+    const estimate = this.#estimateOf(service);
+    return tokens / estimate.tokensPerMs + currentDelayMs(estimate);
   }
 
   /** Estimated prefill speed of one endpoint of the service. */
@@ -54,8 +66,17 @@
   #estimateOf(service: ServiceName): Estimate {
     const existing = this.#estimates.get(service);
     if (existing) return existing;
-    const initial = { tokensPerMs: INITIAL_TOKENS_PER_MS, delayMs: 0 };
+    const initial = {
+      tokensPerMs: INITIAL_TOKENS_PER_MS,
+      delayMs: 0,
+      measuredAtMs: performance.now(),
+    };
     this.#estimates.set(service, initial);
     return initial;
   }
 }
+
+function currentDelayMs({ delayMs, measuredAtMs }: Estimate): number {
+  const ageMs = performance.now() - measuredAtMs;
+  return delayMs * 2 ** (-ageMs / DELAY_HALF_LIFE_MS);
+}
