Pass a stream's head on with its first bytes

What callers saw: a request that got a head and nothing more, neither an event nor a refusal, when its endpoint was lost or fell silent between its head and its first event and the stream could not be sent again.

Cause: the head was passed on as soon as it arrived. From then on the stream could only be broken off, although no event of it had been delivered.

Change: the relay keeps the head until the first bytes of the same send, or until a complete answer without any. Before that the request is refused or sent again as if nothing had arrived. A head and the events after it always come from the same endpoint.

Evidence: the new test got broken before (1 failed, 20 passed) and gets a refusal now; 97 tests of routing and the gateway pass.

--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -48,7 +48,7 @@
     this.#lastEventId = options.lastEventId;
   }
 
-  /** True once the head of an answer was passed on. */
+  /** True once a part of an answer was passed on. */
   get begun(): boolean {
     return this.#head !== null;
   }
@@ -73,36 +73,48 @@
   }
 
   /**
-   * Creates the receiver of another send, which begins after `lastEventId`. Only
-   * the first head is passed on, and an incomplete event of an earlier send is
-   * dropped. Of several sends at a time, only one may deliver bytes.
+   * Creates the receiver of another send, which begins after `lastEventId`. The
+   * first head is passed on together with the first bytes of its own send; an
+   * incomplete event of an earlier send is dropped. Of several sends at a time,
+   * only one may deliver bytes.
    */
   listen({ resume }: { resume: () => void }): RelaySource {
     const splitter = new EventSplitter();
+    let head: AnswerHead;
     return {
-      onHead: (head) => this.#takeHead(head),
+      onHead: (received) => {
+        head = received;
+        return this.#mayContinueWith(head);
+      },
       onData: (bytes) => {
+        this.#begin(head);
         if (this.#pass(bytes, splitter)) return true;
         this.#sink.onDrain(resume);
         return false;
       },
-      finish: () =>
-        splitter.pendingBytes === 0 ? ok(undefined) : err({
-          kind: "lost",
-          detail: "The stream ended inside an event",
-        }),
+      finish: () => {
+        if (splitter.pendingBytes > 0) {
+          const detail = "The stream ended inside an event";
+          return err({ kind: "lost", detail });
+        }
+        this.#begin(head);
+        return ok(undefined);
+      },
     };
   }
 
-  #takeHead(head: AnswerHead): boolean {
-    if (this.#head) {
-      return head.status === this.#head.status &&
-        isEventStream(head) === this.#passesEvents;
-    }
+  // An answer continues the stream only with the status and the kind of the first one.
+  #mayContinueWith(head: AnswerHead): boolean {
+    if (!this.#head) return true;
+    return isEventStream(head) === this.#passesEvents &&
+      head.status === this.#head.status;
+  }
+
+  #begin(head: AnswerHead): void {
+    if (this.#head) return;
     this.#head = head;
     this.#passesEvents = isEventStream(head);
     this.#sink.head(head);
-    return true;
   }
 
   #pass(bytes: Uint8Array, splitter: EventSplitter): boolean {
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -271,6 +271,21 @@
   expect(sends).toBe(2);
 });
 
+test("A request gets a refusal if its endpoint is lost between the head and the first event", async () => {
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener }) => {
+      listener.onHead(EVENT_HEAD);
+      return Promise.resolve(err({ kind: "lost", detail: "reset" }));
+    },
+  });
+  const { ended, out } = start(port, { route: { resumable: false } });
+  expect(await ended).toMatchObject({
+    kind: "refused",
+    refusal: { kind: "mayHaveRun" },
+  });
+  expect(out).toEqual([]);
+});
+
 test("An endpoint's error is not taken for the rest of a stream", async () => {
   let sends = 0;
   const port = new FakeEndpoints({
