Do not join the bodies of two answers that are no event streams

What callers saw: possibly a complete answer made of the parts of two.

Cause: on a resumable route, an incomplete body that is no stream of events was followed by the body of the next send.

Change: only a stream of events is continued.

--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -103,10 +103,10 @@
     };
   }
 
-  // An answer continues the stream only with the status and the kind of the first one.
+  // An answer that is no stream of events can't be continued by another.
   #mayContinueWith(head: AnswerHead): boolean {
     if (!this.#head) return true;
-    return isEventStream(head) === this.#passesEvents &&
+    return this.#passesEvents && isEventStream(head) &&
       head.status === this.#head.status;
   }
 
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -306,6 +306,27 @@
   expect(eventsOf(out)).toEqual(["1"]);
 });
 
+test("An incomplete body that is no event stream is not followed by the body of another answer", async () => {
+  let sends = 0;
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener }) => {
+      sends += 1;
+      listener.onHead({
+        status: 422,
+        headers: [["content-type", "application/json"]],
+      });
+      const body = sends === 1 ? '{"a' : '{"a":1}';
+      listener.onData(new TextEncoder().encode(body));
+      return Promise.resolve(
+        sends === 1 ? err({ kind: "lost", detail: "reset" }) : ok(undefined),
+      );
+    },
+  });
+  const { ended } = start(port);
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  expect(await ended).toMatchObject({ kind: "broken" });
+});
+
 test("An endpoint is not silent while the caller doesn't read", async () => {
   const port = createSilentEndpoints();
   const drains: (() => void)[] = [];
