One race for a stream's sends: the first bytes close all other sends

What callers would have seen: events twice, or a stream that hangs after its last event.

Cause: each send held its own backup. A backup of a backup was not tied to the first send, a cancelled backup that ended late cleared the reference to its successor, only bytes and not a complete end closed the silent send, and backups that were given up before their decode used up the sends of their stream.

Change: SendRace owns all open sends of a stream and at most one backup that is being prepared. Bytes or a complete end of one send close all others; an older one counts as timed out, a newer one as cancelled. The retry is taken once the backup has its place, and given back if its decode did not begin.

--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -1,9 +1,6 @@
 /**
  * Runs one stream: reserves a slot at a decode endpoint, prefills the prompt,
  * passes the events on, and continues at another endpoint after a failure.
- *
- * An endpoint that stops sending is not given up: a backup is prepared at another
- * one, and whichever of the two sends bytes first continues the stream.
  */
 import { err, type Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
@@ -14,6 +11,7 @@
 import { PrefillRun } from "./prefill_run.ts";
 import { RequestClock } from "./request_clock.ts";
 import { type AnswerSink, StreamRelay } from "./stream_relay.ts";
+import { SendRace } from "./send_race.ts";
 import { type SendResult, StreamSend } from "./stream_send.ts";
 import type { EnginePool, Route, RoutedRequest } from "./types.ts";
 import {
@@ -60,14 +58,6 @@
   | "sends-used"
   | "retry-budget-spent";
 
-/** A second send, prepared because the first one is silent. */
-interface Backup {
-  /** Ends it, as the first send continues. */
-  cancel(): void;
-  /** Its result, or null if it got no place at another endpoint. */
-  readonly ended: Promise<SendResult | null>;
-}
-
 /** Sends one stream, with retries and backups, until it has an outcome. */
 export class StreamRun {
   #context: RoutingContext;
@@ -76,7 +66,9 @@
   #relay: StreamRelay;
   #avoid = new Set<EndpointId>();
   #prefill: PrefillRun;
-  /** Number of sends that have begun. */
+  /** Position of the last send that was created. */
+  #ordinal = 0;
+  /** Number of sends, without backups that ended before their decode. */
   #sends = 0;
   /** Number of decodes that have not ended. */
   #decoding = 0;
@@ -107,7 +99,7 @@
     this.#context.noteArrival(service, this.#prefill.tokens);
     let last: SendResult = err({ kind: "notSent" });
     for (;;) {
-      const obstacle = this.#sends > 0 ? this.#prepareRetry(last) : null;
+      const obstacle = this.#ordinal > 0 ? this.#prepareRetry(last) : null;
       if (obstacle) {
         this.#logNotContinued(obstacle, last);
         return this.#outcomeOf(last);
@@ -119,17 +111,18 @@
       });
       if (reservation.isErr()) {
         const { reason } = reservation.error;
-        if (this.#sends > 0) this.#logNotContinued(reason, last);
+        if (this.#ordinal > 0) this.#logNotContinued(reason, last);
         return this.#endWithRefusal(reservation.error);
       }
-      last = await this.#send(reservation.value, { signal });
+      this.#sends += 1;
+      last = await this.#createRace().run(reservation.value);
       if (last.isOk()) return { kind: "complete" };
     }
   }
 
   // Takes a retry from the budget, or returns why the stream is not sent again.
   #prepareRetry(last: SendResult): Obstacle | null {
-    const obstacle = this.#findObstacle(last);
+    const obstacle = this.#findObstacle();
     if (obstacle) return obstacle;
     return this.#takeRetry(last) ? null : "retry-budget-spent";
   }
@@ -150,38 +143,42 @@
     });
   }
 
-  /** Sends the stream once; while the send is silent, a backup may take its place. */
-  async #send(
-    reservation: DecodeReservation,
-    options: { signal: AbortSignal; onProgress?: () => void },
-  ): Promise<SendResult> {
-    const held: { backup: Backup | null } = { backup: null };
-    this.#sends += 1;
-    const send = new StreamSend(this.#context, {
-      ...this.#options,
-      clock: this.#clock,
-      relay: this.#relay,
-      prefill: this.#prefill,
-      reservation,
-      ordinal: this.#sends,
-      tokens: this.#tokens(),
-      signal: options.signal,
-      onDecode: () => (this.#decoding += 1),
-      onProgress: () => {
-        options.onProgress?.();
-        held.backup?.cancel();
-        held.backup = null;
-        this.#loggedObstacle = null;
+  #createRace(): SendRace {
+    const { service, signal } = this.#options;
+    const { port, budget } = this.#context;
+    const unsentBackups = new Set<StreamSend>();
+    return new SendRace({
+      signal,
+      createSend: (reservation, { isBackup, ...hooks }) => {
+        this.#ordinal += 1;
+        const send = new StreamSend(this.#context, {
+          ...this.#options,
+          ...hooks,
+          clock: this.#clock,
+          relay: this.#relay,
+          prefill: this.#prefill,
+          reservation,
+          ordinal: this.#ordinal,
+          tokens: this.#tokens(),
+          onDecode: () => {
+            this.#decoding += 1;
+            if (unsentBackups.delete(send)) this.#sends += 1;
+          },
+        });
+        if (isBackup) unsentBackups.add(send);
+        return send;
       },
-      onSilent: () => {
-        held.backup ??= this.#startBackup(send, () => (held.backup = null));
+      reserveBackup: (open, backupSignal) =>
+        this.#reserveBackup(open, backupSignal),
+      release: ({ endpoint, reservationId }) => {
+        port.releaseReservation(endpoint.entry, reservationId);
+        budget.giveBack(service);
+      },
+      onEnd: (send, result) => {
+        if (unsentBackups.has(send)) budget.giveBack(service);
+        if (send.decodeBegun) this.#recordDecode(send, result);
       },
     });
-    const result = await send.run();
-    if (send.decodeBegun) this.#recordDecode(send, result);
-    if (result.isOk()) held.backup?.cancel();
-    if (result.isOk() || !held.backup) return result;
-    return await held.backup.ended ?? result;
   }
 
   #recordDecode(send: StreamSend, result: SendResult): void {
@@ -191,62 +188,49 @@
     this.#avoid.add(send.endpoint.entry.id);
   }
 
-  // The first send is not closed yet: its endpoint may go on at any moment, and the
-  // backup may still fail.
-  #startBackup(silent: StreamSend, onFailed: () => void): Backup | null {
+  async #reserveBackup(
+    open: readonly StreamSend[],
+    signal: AbortSignal,
+  ): Promise<DecodeReservation | null> {
     const { service } = this.#options;
-    const obstacle = this.#findBackupObstacle() ??
-      (takeRetry(this.#context, { service, reason: "silent" })
-        ? null
-        : "retry-budget-spent");
-    this.#logSilence(silent, obstacle);
+    const obstacle = this.#findBackupObstacle();
+    this.#logSilence(open.at(-1)!, obstacle);
     if (obstacle) return null;
-    const cancellation = new AbortController();
-    const ended = this.#runBackup(silent, cancellation.signal);
-    void ended.then((result) => {
-      if (result === null || result.isErr()) onFailed();
-    });
-    return { cancel: () => cancellation.abort(), ended };
-  }
-
-  async #runBackup(
-    silent: StreamSend,
-    cancelled: AbortSignal,
-  ): Promise<SendResult | null> {
-    const signal = AbortSignal.any([this.#options.signal, cancelled]);
-    const avoid = new Set([...this.#avoid, silent.endpoint.entry.id]);
+    const openIds = open.map(({ endpoint }) => endpoint.entry.id);
     const reservation = await this.#reserve({
       signal,
-      avoid,
+      avoid: new Set([...this.#avoid, ...openIds]),
       mustBeOnTime: false,
     });
-    if (reservation.isErr()) {
-      this.#context.budget.giveBack(this.#options.service);
-      return null;
+    if (reservation.isErr()) return null;
+    if (takeRetry(this.#context, { service, reason: "silent" })) {
+      this.#loggedObstacle = null;
+      return reservation.value;
     }
-    return await this.#send(reservation.value, {
-      signal,
-      onProgress: () => silent.replace(),
-    });
+    const { endpoint, reservationId } = reservation.value;
+    this.#context.port.releaseReservation(endpoint.entry, reservationId);
+    return null;
   }
 
   // Returns why no further send may follow a failed one, or null if one may.
-  #findObstacle(last: SendResult): Obstacle | null {
+  #findObstacle(): Obstacle | null {
     const { route, signal } = this.#options;
     if (signal.aborted) return "caller-left";
     if (this.#clock.leftMs() <= 0) return "deadline-passed";
     if (this.#sends >= MAX_SENDS) return "sends-used";
-    if (last.isErr() && provesNotRun(last.error)) return null;
+    if (this.#runs === 0) return null;
     if (!route.resumable) return "not-resumable";
     return this.#runs < route.maxAttempts ? null : "attempts-used";
   }
 
   // The decodes in progress may have run the request as well.
   #findBackupObstacle(): Obstacle | null {
-    const { maxAttempts } = this.#options.route;
+    const { route, service } = this.#options;
     if (this.#clock.leftMs() <= 0) return "deadline-passed";
     if (this.#sends >= MAX_SENDS) return "sends-used";
-    return this.#runs + this.#decoding < maxAttempts ? null : "attempts-used";
+    const runs = this.#runs + this.#decoding;
+    if (runs >= route.maxAttempts) return "attempts-used";
+    return this.#context.budget.left(service) < 1 ? "retry-budget-spent" : null;
   }
 
   // One line for each change, as a long silence is reported again and again.
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -26,8 +26,18 @@
 /** Result of a send; a failure says whether the endpoint may have run the request. */
 export type SendResult = Result<void, SendFailure>;
 
+/** How a send is cancelled, and what it reports while it runs. */
+export interface StreamSendHooks {
+  /** Aborted when the caller disconnects or the send is no longer needed. */
+  signal: AbortSignal;
+  /** Called while a resumable stream receives nothing, after a silence and then repeatedly. */
+  onSilent: () => void;
+  /** Called for each part of the body that arrives, before it is passed on. */
+  onProgress: () => void;
+}
+
 /** Options of {@link StreamSend}. */
-export interface StreamSendOptions {
+export interface StreamSendOptions extends StreamSendHooks {
   request: RoutedRequest;
   route: Route;
   service: ServiceName;
@@ -39,14 +49,8 @@
   ordinal: number;
   /** KV cache that is reserved for it, in tokens. */
   tokens: number;
-  /** Aborted when the caller disconnects or the send is no longer needed. */
-  signal: AbortSignal;
   /** Called when the request is sent to the decode endpoint. */
   onDecode: () => void;
-  /** Called while a resumable stream receives nothing, after a silence and then repeatedly. */
-  onSilent: () => void;
-  /** Called for each part of the answer that arrives. */
-  onProgress: () => void;
 }
 
 /** Sends a stream once and passes its events on to the relay. */
@@ -146,13 +150,9 @@
       kvSource: source && { address: source.address, handle: source.handle },
       listener: {
         onHead: (head: AnswerHead) => {
-          const isFirst = !relay.begun;
-          if (!listener.onHead(head)) {
-            rejectedStatus = head.status;
-            return this.#stream?.abort();
-          }
-          // The answer has to come from the endpoint whose head was passed on.
-          if (isFirst) this.#options.onProgress();
+          if (listener.onHead(head)) return;
+          rejectedStatus = head.status;
+          this.#stream?.abort();
         },
         onData: (bytes) => {
           this.#lastByteAtMs = performance.now();
