Read and log software versions of endpoints, and which stream a request resumes

Change: both are decoded in the adapter; endpoint-known and stream-sent show the version, stream-sent the event after which it continues, request the resumed attempt and event. Nothing is decided by them yet.

--- a/packages/core/src/routing/endpoint_registry.ts
+++ b/packages/core/src/routing/endpoint_registry.ts
@@ -106,6 +106,7 @@
       address: entry.address,
       state: effective.state,
       stage: entry.stage ?? undefined,
+      version: entry.softwareVersion,
       bornAtMs: entry.bornAtMs,
     });
   }
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -61,6 +61,8 @@
   #lastByteAtMs = NaN;
   #replaced = false;
   #decodeBegun = false;
+  /** Id of the event after which the send begins. */
+  #lastEventId: string | null = null;
 
   constructor(context: RoutingContext, options: StreamSendOptions) {
     this.#context = context;
@@ -138,6 +140,7 @@
     let rejectedStatus: number | null = null;
     this.#lastByteAtMs = performance.now();
     this.#decodeBegun = true;
+    this.#lastEventId = relay.lastEventId;
     this.#options.onDecode();
     const stream = this.#context.port.stream(reservation.endpoint.entry, {
       request,
@@ -145,7 +148,7 @@
       firstByteMs: clock.leftMs(),
       wholeMs: clock.leftMs(),
       signal,
-      lastEventId: relay.lastEventId,
+      lastEventId: this.#lastEventId,
       reservation: reservation.reservationId,
       kvSource: source && { address: source.address, handle: source.handle },
       listener: {
@@ -252,7 +255,9 @@
       attempt: request.id,
       route: route.name,
       endpoint: this.endpoint.entry.id,
+      version: this.endpoint.entry.softwareVersion,
       send: ordinal,
+      after: this.#lastEventId ?? undefined,
       outcome: outcome.isOk() ? "complete" : outcome.error.kind,
       detail: outcome.isErr() && outcome.error.kind === "lost"
         ? outcome.error.detail
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -51,6 +51,7 @@
     slots: 6,
     state: "ready",
     stage: null,
+    softwareVersion: asId("v1"),
     bornAtMs: 1,
     ...options,
   };
@@ -86,6 +87,7 @@
     receivedAtMs: performance.now(),
     callerTimeoutMs: 1_500,
     lastEventId: null,
+    resumes: null,
     prompt: null,
     ...options,
   };
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -13,6 +13,8 @@
 export type AttemptId = Id<"attempt">;
 /** Id of a slot and memory that a decode endpoint holds for one request. */
 export type ReservationId = Id<"reservation">;
+/** Version of an endpoint's software; versions have no order. */
+export type SoftwareVersion = Id<"software-version">;
 /** Id of KV cache that a prefill endpoint holds for one request. */
 export type KvHandle = Id<"kv-cache">;
 
@@ -105,6 +107,7 @@
   readonly state: "ready" | "draining";
   /** Null for services without engines. */
   readonly stage: Stage | null;
+  readonly softwareVersion: SoftwareVersion;
   /** Start time of this incarnation; distinguishes a restart under the same id. */
   readonly bornAtMs: number;
 }
@@ -145,7 +148,10 @@
   readonly receivedAtMs: number;
   /** How long the caller waits, from `receivedAtMs` on; null if it gave no limit. */
   readonly callerTimeoutMs: number | null;
+  /** Id of the event after which the caller resumes a stream; null for a new one. */
   readonly lastEventId: string | null;
+  /** The attempt that brought the first event of the resumed stream; null if not given. */
+  readonly resumes: AttemptId | null;
   /** Null if the request has no prompt. */
   readonly prompt: PromptFields | null;
 }
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -58,6 +58,8 @@
   const { router, protocol } = options;
   const fields = protocol.readCallerHeaders(incoming.headers);
   exchange.logFields.attempt = fields.attemptId ?? undefined;
+  exchange.logFields.resumes = fields.resumes ?? undefined;
+  exchange.logFields.after = fields.lastEventId ?? undefined;
   const refuse = (refusal: Refusal) =>
     refuseRequest(exchange, { options, refusal });
   await options.waitReady();
@@ -93,6 +95,7 @@
     receivedAtMs,
     callerTimeoutMs: fields.timeoutMs,
     lastEventId: fields.lastEventId,
+    resumes: fields.resumes === null ? null : asId<AttemptId>(fields.resumes),
     prompt: fields.prompt,
   };
   const outcome = await routeRequest(exchange, { request, route, options });
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -19,6 +19,8 @@
   readonly timeoutMs: number | null;
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId: string | null;
+  /** The attempt that brought the first event of a resumed stream; null if not given. */
+  readonly resumes: string | null;
   readonly prompt: PromptFields | null;
 }
 
