--- /dev/null
+++ b/packages/core/src/routing/software_version_test.ts
@@ -0,0 +1,157 @@
+import { Buffer } from "node:buffer";
+import { err, ok } from "neverthrow";
+import { expect, test } from "vitest";
+import { asId } from "../common/ids.ts";
+import { Router } from "./router.ts";
+import {
+  context,
+  entry,
+  event,
+  EVENT_HEAD,
+  FakeEndpoints,
+  POOL,
+  request,
+  route,
+  table,
+} from "./testing/fake_endpoints.ts";
+import type { RoutedRequest } from "./types.ts";
+
+const ROUTE = route({
+  kind: "stream",
+  resumable: true,
+  maxAttempts: 3,
+  timeoutMs: 14_000,
+  targetLatencyMs: 900,
+});
+
+function engine(id: string, version: string) {
+  return entry(id, {
+    stage: "decode",
+    address: `${id}:1`,
+    softwareVersion: asId(version),
+  });
+}
+
+/** A router over engines that lose each stream after its first event, or after its second send complete it. */
+function setUp(engines: ReturnType<typeof engine>[]) {
+  let sends = 0;
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener, lastEventId }) => {
+      sends += 1;
+      listener.onHead(EVENT_HEAD);
+      listener.onData(event(Number(lastEventId ?? 0) + 1));
+      return Promise.resolve(
+        sends % 2 === 1
+          ? err({ kind: "lost", detail: "reset" })
+          : ok(undefined),
+      );
+    },
+  });
+  const shared = { ...context(port, engines), random: Math.random };
+  const router = new Router(shared);
+  router.setTable(table(1, { routes: [ROUTE], engines: POOL }));
+  const handle = async (fields: Partial<RoutedRequest>) => {
+    const out: Buffer[] = [];
+    const from = port.log.length;
+    const outcome = await router.handle(
+      request({ callerTimeoutMs: 14_000, ...fields }),
+      {
+        route: ROUTE,
+        sink: {
+          head() {},
+          write: (bytes) => out.push(Buffer.from(bytes)) > 0,
+          onDrain() {},
+        },
+        signal: new AbortController().signal,
+      },
+    );
+    const engineIds = port.log.slice(from)
+      .filter((line) => line.startsWith("stream"))
+      .map((line) => line.split(" ")[1]);
+    const versions = engineIds.map((id) =>
+      engines.find((known) => known.id === id)!.softwareVersion
+    );
+    return { outcome, versions };
+  };
+  return { handle, shared };
+}
+
+const TWO_VERSIONS = [
+  engine("a1", "v1"),
+  engine("a2", "v1"),
+  engine("b1", "v2"),
+  engine("b2", "v2"),
+];
+
+test("A stream whose endpoint is lost continues only at the software version that began it", async () => {
+  const { handle } = setUp(TWO_VERSIONS);
+  for (let n = 0; n < 20; n += 1) {
+    const { outcome, versions } = await handle({ id: asId(`attempt-${n}`) });
+    expect(outcome).toEqual({ kind: "complete" });
+    expect(versions).toHaveLength(2);
+    expect(new Set(versions).size).toBe(1);
+  }
+});
+
+test("A stream is broken off if no other endpoint has the software version that began it", async () => {
+  const { handle } = setUp([engine("a1", "v1"), engine("b1", "v2")]);
+  const { outcome, versions } = await handle({});
+  expect(outcome).toMatchObject({ kind: "broken" });
+  expect(versions).toHaveLength(1);
+});
+
+test("A stream that a caller resumes continues only at the software version that began it", async () => {
+  const { handle } = setUp(TWO_VERSIONS);
+  for (let n = 0; n < 20; n += 1) {
+    const first = await handle({ id: asId(`first-${n}`) });
+    const second = await handle({
+      id: asId(`second-${n}`),
+      lastEventId: "2",
+      resumes: asId(`first-${n}`),
+    });
+    expect(second.outcome).toEqual({ kind: "complete" });
+    expect(new Set([...first.versions, ...second.versions]).size).toBe(1);
+  }
+});
+
+test("A resumed stream is refused as not run if its software version accepts no work", async () => {
+  const { handle, shared } = setUp(TWO_VERSIONS);
+  const first = await handle({ id: asId("first") });
+  for (const known of TWO_VERSIONS) {
+    if (known.softwareVersion !== first.versions[0]) continue;
+    const draining = { ...known, state: "draining" as const };
+    shared.endpoints.apply({ id: known.id, entry: draining });
+  }
+  const { outcome, versions } = await handle({
+    id: asId("second"),
+    lastEventId: "2",
+    resumes: asId("first"),
+  });
+  expect(outcome).toMatchObject({
+    kind: "refused",
+    refusal: { kind: "notRun", reason: "version-unavailable" },
+  });
+  expect(versions).toEqual([]);
+});
+
+test("A resumed stream of unknown origin is refused while several software versions serve", async () => {
+  const { handle } = setUp(TWO_VERSIONS);
+  const { outcome, versions } = await handle({
+    lastEventId: "2",
+    resumes: asId("elsewhere"),
+  });
+  expect(outcome).toMatchObject({
+    kind: "refused",
+    refusal: { kind: "notRun", reason: "origin-unknown" },
+  });
+  expect(versions).toEqual([]);
+});
+
+test("A resumed stream of unknown origin continues while one software version serves", async () => {
+  const { handle } = setUp([engine("a1", "v1"), engine("a2", "v1")]);
+  const { outcome } = await handle({
+    lastEventId: "2",
+    resumes: asId("elsewhere"),
+  });
+  expect(outcome).toEqual({ kind: "complete" });
+});
