A stream continues only at the software version that began it

Cause: the version of an endpoint was not read. The router continued a stream at any endpoint, and routed a caller's resuming attempt like a new stream; no VM remembered what it had begun. The class of fault: a choice that an earlier step has bound is made anew, from less information.

Change: the first event binds a stream to the version of its endpoint; retries, backups and the decode queue are restricted to it. The origin (service and version) goes with the first event to one other VM in each data centre, by rendezvous hashing on the attempt that began the stream, as the VM that relayed it may be gone when the caller resumes. A resuming attempt asks two VMs in each data centre, stays at that service and version, and is refused at once as not run if no endpoint of it accepts work, or if nobody knows the origin and several versions serve.

--- a/packages/cli/src/explain/reasons.ts
+++ b/packages/cli/src/explain/reasons.ts
@@ -34,6 +34,8 @@
   "no-configuration": "the VM had no configuration yet",
   "no-endpoint": "no endpoint of its service could be reached",
   "not-found": "no route matches its host and path",
+  "origin-unknown":
+    "no reachable VM knew which software version began the resumed stream",
   "quota-exceeded": "the workspace has exceeded its quota",
   "request-timeout": "the caller didn't send the whole request in time",
   "retry-budget-spent": "the retry budget was used up",
@@ -46,6 +48,8 @@
   "too-many-connections": "the VM had too many connections",
   unauthenticated: "the token is unknown",
   "unknown-model": "no model of this name is served",
+  "version-unavailable":
+    "no endpoint of the software version that began the stream accepts work",
 };
 
 /** Describes a reason in words; returns an unknown reason unchanged. */
--- a/packages/core/src/common/verdict.ts
+++ b/packages/core/src/common/verdict.ts
@@ -23,6 +23,8 @@
   "store-unavailable",
   "no-configuration",
   "no-endpoint",
+  "version-unavailable",
+  "origin-unknown",
   "endpoint-refused",
   "convicted",
   "suspect-busy",
--- a/packages/core/src/routing/app.ts
+++ b/packages/core/src/routing/app.ts
@@ -4,10 +4,11 @@
 import type { DemandSample } from "./stages/demand.ts";
 import type { PlacementHandlers } from "./placement/client.ts";
 import type { Crash } from "./crash_tracker.ts";
+import type { OriginHandlers } from "./stream_origins.ts";
 import type { EndpointEntry, RoutingTable } from "./types.ts";
 
 /** Handlers of the peer methods, by method name. */
-export interface RoutingHandlers extends PlacementHandlers {
+export interface RoutingHandlers extends PlacementHandlers, OriginHandlers {
   /** Returns the active table if its version is above `after`, otherwise null. */
   "routing/table": (
     params: { after: number },
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -7,6 +7,7 @@
 import type { Placement } from "./placement/client.ts";
 import type { PrefillTimes } from "./prefill_times.ts";
 import type { ServiceBudget } from "./service_budget.ts";
+import type { StreamOrigins } from "./stream_origins.ts";
 import type { RouteKind } from "./types.ts";
 import type { StreamCost } from "./stages/demand.ts";
 
@@ -38,6 +39,7 @@
   readonly prefillTimes: PrefillTimes;
   readonly port: RoutedEndpointPort;
   readonly crashes: CrashTracker;
+  readonly origins: StreamOrigins;
   readonly observer: Observer;
   readonly times: RequestTimes;
   /** Called with the prompt length of each stream that arrives. */
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -13,7 +13,13 @@
 import type { RoutingContext } from "./context.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { RequestClock } from "./request_clock.ts";
-import type { AttemptId, EnginePool, ReservationId } from "./types.ts";
+import type {
+  AttemptId,
+  EnginePool,
+  ReservationId,
+  SoftwareVersion,
+} from "./types.ts";
+import { refusalOfMissingVersion } from "./verdicts.ts";
 
 /** Delay until the next round after one that left streams waiting. */
 const FULL_RETRY_MS = 40;
@@ -49,6 +55,8 @@
   readonly prefillMs: number;
   /** Endpoints that may have run an earlier send of this stream, which failed. */
   readonly avoid: ReadonlySet<EndpointId>;
+  /** The software version that began the stream, where it has to continue; null for a new one. */
+  readonly version: SoftwareVersion | null;
   /** False for a stream that continues, even if it is late. */
   readonly mustBeOnTime: boolean;
   readonly signal: AbortSignal;
@@ -129,8 +137,8 @@
       if (!first) return;
       const reservation = await this.#reserve(first);
       if (!reservation) {
-        // The engines that it avoids may have room for the streams after it.
-        if (first.request.avoid.size === 0) return;
+        // Engines that it may not use may have room for the streams after it.
+        if (!isRestricted(first.request)) return;
         skipped.add(first);
         continue;
       }
@@ -150,15 +158,29 @@
 
   #refuseLate(): void {
     this.#waiting = this.#waiting.filter(({ request, settle }) => {
-      if (!request.signal.aborted && !cannotMeetDeadline(request)) return true;
-      const reason = request.signal.aborted ? "cancelled" : "no-capacity";
-      const refusal = notRun(reason, { retryAfterMs: this.#retryAfterMs() });
+      const refusal = this.#findRefusal(request);
+      if (!refusal) return true;
       this.#logRefusal(request, refusal);
       settle(err(refusal));
       return false;
     });
   }
 
+  #findRefusal(request: DecodeRequest): NotRun | null {
+    const retryAfterMs = this.#retryAfterMs();
+    if (request.signal.aborted) return notRun("cancelled", { retryAfterMs });
+    if (!this.#hasVersion(request.version)) return refusalOfMissingVersion();
+    return cannotMeetDeadline(request)
+      ? notRun("no-capacity", { retryAfterMs })
+      : null;
+  }
+
+  #hasVersion(version: SoftwareVersion | null): boolean {
+    return version === null ||
+      this.#context.endpoints.usable(this.#service, "decode")
+        .some(({ entry }) => entry.softwareVersion === version);
+  }
+
   #logRefusal(request: DecodeRequest, { reason, retryAfterMs }: NotRun): void {
     const nowMs = performance.now();
     const usable = this.#context.endpoints.usable(this.#service, "decode");
@@ -169,6 +191,7 @@
       attempt: request.attempt,
       service: this.#service,
       reason,
+      version: request.version ?? undefined,
       waitedMs: Math.round(request.clock.elapsedMs()),
       targetLeftMs: Math.round(request.clock.targetLeftMs()),
       prefillMs: Math.round(request.prefillMs),
@@ -199,6 +222,7 @@
       random,
       nowMs: performance.now(),
       avoid: request.avoid,
+      version: request.version,
       tokens: request.tokens,
     });
     for (const endpoint of ranked.slice(0, count)) {
@@ -229,6 +253,10 @@
   }
 }
 
+function isRestricted({ avoid, version }: DecodeRequest): boolean {
+  return avoid.size > 0 || version !== null;
+}
+
 function cannotMeetDeadline(request: DecodeRequest): boolean {
   const leftMs = request.mustBeOnTime
     ? request.clock.targetLeftMs()
--- a/packages/core/src/routing/decode_queue_test.ts
+++ b/packages/core/src/routing/decode_queue_test.ts
@@ -65,6 +65,7 @@
     tokens: 1_000,
     prefillMs: 100,
     avoid: new Set(),
+    version: null,
     mustBeOnTime: true,
     signal: new AbortController().signal,
     ...options,
--- a/packages/core/src/routing/endpoint_registry.ts
+++ b/packages/core/src/routing/endpoint_registry.ts
@@ -2,7 +2,12 @@
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
 import { EndpointRecord } from "./endpoint_record.ts";
-import type { EndpointChange, EndpointEntry, Stage } from "./types.ts";
+import type {
+  EndpointChange,
+  EndpointEntry,
+  SoftwareVersion,
+  Stage,
+} from "./types.ts";
 
 /**
  * How long missing entries are kept after the directory becomes reachable again:
@@ -77,6 +82,23 @@
     return usable;
   }
 
+  /** Returns the entries of all endpoints that aren't gone, draining ones included. */
+  entries(): EndpointEntry[] {
+    const nowMs = performance.now();
+    return [...this.#records.values()]
+      .filter((record) => !record.isRemoved(nowMs))
+      .map(({ entry }) => entry);
+  }
+
+  /** Returns the software versions of a service's endpoints, of those that leave or are gone too. */
+  versions(service: ServiceName): Set<SoftwareVersion> {
+    return new Set(
+      [...this.#records.values()].map(({ entry }) => entry)
+        .filter((entry) => entry.service === service)
+        .map(({ softwareVersion }) => softwareVersion),
+    );
+  }
+
   /** Iterates over all records, including draining and missing endpoints. */
   all(): Iterable<EndpointRecord> {
     return this.#records.values();
--- a/packages/core/src/routing/queries/rank_decode_endpoints.ts
+++ b/packages/core/src/routing/queries/rank_decode_endpoints.ts
@@ -1,26 +1,33 @@
 /** Ranks decode endpoints for a new stream. */
 import type { DataCentre, EndpointId } from "../../common/ids.ts";
 import type { EndpointRecord } from "../endpoint_record.ts";
+import type { SoftwareVersion } from "../types.ts";
 
 /** Options of {@link rankDecodeEndpoints}. */
 export interface RankDecodeOptions {
   dataCentre: DataCentre;
   avoid: ReadonlySet<EndpointId>;
+  /** The only software version that may be used; null for any. */
+  version: SoftwareVersion | null;
   nowMs: number;
   random: () => number;
 }
 
 /**
  * Sorts endpoints by health, then by free capacity, then by the tokens of this
- * VM's streams there, with ties broken at random. Leaves out those in `avoid`.
+ * VM's streams there, with ties broken at random. Leaves out those in `avoid` and those of
+ * other versions than `version`.
  */
 export function rankDecodeEndpoints(
   usable: readonly EndpointRecord[],
   options: RankDecodeOptions,
 ): EndpointRecord[] {
-  const { avoid, nowMs, random } = options;
+  const { avoid, version, nowMs, random } = options;
   return usable
-    .filter(({ entry }) => !avoid.has(entry.id))
+    .filter(({ entry }) =>
+      !avoid.has(entry.id) &&
+      (version === null || entry.softwareVersion === version)
+    )
     .map((endpoint) => ({
       endpoint,
       unhealthy: endpoint.isHealthy(nowMs) ? 0 : 1,
--- /dev/null
+++ b/packages/core/src/routing/resumption.ts
@@ -0,0 +1,67 @@
+/** Decides where a stream that a caller resumes may continue. */
+import { err, ok, type Result } from "neverthrow";
+import type { ServiceName } from "../common/ids.ts";
+import { type NotRun, notRun } from "../common/verdict.ts";
+import type { RoutingContext } from "./context.ts";
+import { chooseService } from "./queries/match_route.ts";
+import type { StreamOrigin } from "./stream_origins.ts";
+import type { Route, RoutedRequest, SoftwareVersion } from "./types.ts";
+import { refusalOfMissingVersion } from "./verdicts.ts";
+
+/** Retry delay while the VMs that know the origin of a stream can't be reached. */
+const UNKNOWN_ORIGIN_RETRY_MS = 1_000;
+
+/** Service of a request, and the software version that it is restricted to. */
+export interface Destined {
+  readonly service: ServiceName;
+  /** Null for requests that any version may run. */
+  readonly version: SoftwareVersion | null;
+}
+
+/**
+ * Chooses the service of a request. A resumed stream stays at the service and the
+ * software version that began it, and is refused if they are unknown or the route
+ * no longer leads there.
+ */
+export async function chooseDestination(
+  context: RoutingContext,
+  { request, route }: { request: RoutedRequest; route: Route },
+): Promise<Result<Destined, NotRun>> {
+  if (route.kind !== "stream" || request.lastEventId === null) {
+    return ok({ service: chooseService(route, request.id), version: null });
+  }
+  const known = request.resumes === null
+    ? null
+    : await context.origins.find(request.resumes);
+  const origin = known ?? guessOrigin(context, { request, route });
+  context.observer.log({
+    event: "stream-resumed",
+    attempt: request.id,
+    resumes: request.resumes ?? undefined,
+    after: request.lastEventId,
+    service: origin?.service,
+    version: origin?.version,
+    origin: known ? "known" : origin ? "only-version" : "unknown",
+  });
+  if (!origin) {
+    return err(
+      notRun("origin-unknown", { retryAfterMs: UNKNOWN_ORIGIN_RETRY_MS }),
+    );
+  }
+  const isDestination = route.destinations.some(({ service }) =>
+    service === origin.service
+  );
+  return isDestination ? ok(origin) : err(refusalOfMissingVersion());
+}
+
+// If a service has endpoints of one version only, its streams began there.
+function guessOrigin(
+  { endpoints }: RoutingContext,
+  { request, route }: { request: RoutedRequest; route: Route },
+): StreamOrigin | null {
+  const service = chooseService(route, request.resumes ?? request.id);
+  const [version, ...others] = endpoints.versions(service);
+  return version !== undefined && others.length === 0
+    ? { service, version }
+    : null;
+}
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -6,7 +6,8 @@
 import { fingerprintOf } from "./crash_tracker.ts";
 import { DecodeQueue } from "./decode_queue.ts";
 import type { EndpointAnswer } from "./port.ts";
-import { chooseService, RouteIndex } from "./queries/match_route.ts";
+import { RouteIndex } from "./queries/match_route.ts";
+import { chooseDestination } from "./resumption.ts";
 import type { AnswerSink } from "./stream_relay.ts";
 import { type StreamOutcome, StreamRun } from "./stream_run.ts";
 import type { Route, RoutedRequest, RoutingTable, Service } from "./types.ts";
@@ -102,7 +103,14 @@
         refusal: notRun("convicted", { retryAfterMs: QUARANTINED_RETRY_MS }),
       };
     }
-    const service = chooseService(route, request.id);
+    const destination = await chooseDestination(this.#context, {
+      request,
+      route,
+    });
+    if (destination.isErr()) {
+      return { kind: "refused", refusal: destination.error };
+    }
+    const { service, version } = destination.value;
     this.#context.budget.earn(service);
     const pool = this.#services.get(service)?.engines ?? null;
     const common = { request, route, service, signal };
@@ -112,6 +120,7 @@
         ...common,
         pool,
         queue,
+        version,
         sink,
       });
       return await run.run();
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -32,6 +32,7 @@
 } from "./queries/local_view.ts";
 import { Router } from "./router.ts";
 import { type BudgetLimits, ServiceBudget } from "./service_budget.ts";
+import { SharedOrigins } from "./stream_origins.ts";
 import { type FollowedTable, TableFeed } from "./table_feed.ts";
 import { NO_DEMAND, StageDemand } from "./stages/demand.ts";
 import { StagesTask } from "./stages/task.ts";
@@ -120,6 +121,10 @@
       (id) => this.#crashes.noteCrash(id),
     );
     const placementHome = new PlacementHome();
+    const origins = new SharedOrigins({
+      membership: this.membership,
+      peers: ports.peers,
+    });
     this.#placement = new PlacementClient({
       endpoints: this.endpoints,
       membership: this.membership,
@@ -138,6 +143,7 @@
       placement: this.#placement,
       prefillTimes: this.#prefillTimes,
       crashes: this.#crashes,
+      origins,
       port: ports.calls,
       observer,
       random,
@@ -158,6 +164,7 @@
           table: after < this.#tableVersion() ? this.router.table : null,
         }),
         ...createPlacementHandlers(placementHome),
+        ...origins.handlers,
         "routing/endpoints": () => ({ entries: this.#endpointEntries() }),
         "routing/ordered": ({ endpoint, forMs }) => {
           this.endpoints.get(endpoint)?.noteStageOrder(
@@ -349,11 +356,7 @@
   }
 
   #endpointEntries(): readonly EndpointEntry[] | null {
-    if (!this.#endpointsKnown) return null;
-    const nowMs = performance.now();
-    return [...this.endpoints.all()]
-      .filter((record) => !record.isRemoved(nowMs))
-      .map(({ entry }) => entry);
+    return this.#endpointsKnown ? this.endpoints.entries() : null;
   }
 
   // Orders are rare, so nearly all VMs can be notified; any others find out when
--- a/packages/core/src/routing/stream_backup_test.ts
+++ b/packages/core/src/routing/stream_backup_test.ts
@@ -67,6 +67,7 @@
     }),
     service: SERVICE,
     pool: POOL,
+    version: null,
     queue,
     sink: {
       head: (head) => out.push(`head ${head.status}`),
--- /dev/null
+++ b/packages/core/src/routing/stream_origins.ts
@@ -0,0 +1,164 @@
+/**
+ * Remembers where streams began, as a stream may only continue at the software
+ * version that began it. The VM that relayed the first event may be gone when the
+ * caller resumes the stream elsewhere, so each origin is also sent to one other VM
+ * in each data centre.
+ */
+import { rankByRendezvous } from "../common/hash.ts";
+import type { DataCentre, ServiceName, VmId } from "../common/ids.ts";
+import type { Member, MembershipView } from "../membership/types.ts";
+import type { PeerPort } from "../ports/peers.ts";
+import type { AttemptId, SoftwareVersion } from "./types.ts";
+
+/** Longer than callers take to resume a stream, within their deadlines. */
+const RETENTION_MS = 60_000;
+/** Maximum origins that a VM keeps; the oldest are dropped first. */
+const MAX_ORIGINS = 20_000;
+/**
+ * VMs asked in each data centre: the one that has the origin is the first in the
+ * ranking, or the second if the first one relayed the stream.
+ */
+const ASKED_PER_DATA_CENTRE = 2;
+/** A peer answers within a few milliseconds; a caller waits while origins are looked up. */
+const PEER_TIMEOUT_MS = 250;
+
+/** Service and software version of the endpoint that began a stream. */
+export interface StreamOrigin {
+  readonly service: ServiceName;
+  readonly version: SoftwareVersion;
+}
+
+/** Records and finds the origins of streams, by the attempt that brought the first event. */
+export interface StreamOrigins {
+  note(attempt: AttemptId, origin: StreamOrigin): void;
+  /** Resolves with null if no reachable VM knows the origin. */
+  find(attempt: AttemptId): Promise<StreamOrigin | null>;
+}
+
+/** The origins that one VM keeps. */
+export class OriginMemory implements StreamOrigins {
+  #origins = new Map<AttemptId, { origin: StreamOrigin; notedAtMs: number }>();
+
+  note(attempt: AttemptId, origin: StreamOrigin): void {
+    this.#origins.delete(attempt);
+    this.#origins.set(attempt, { origin, notedAtMs: performance.now() });
+    this.#deleteOldest();
+  }
+
+  get(attempt: AttemptId): StreamOrigin | null {
+    const known = this.#origins.get(attempt);
+    return known && known.notedAtMs >= performance.now() - RETENTION_MS
+      ? known.origin
+      : null;
+  }
+
+  find(attempt: AttemptId): Promise<StreamOrigin | null> {
+    return Promise.resolve(this.get(attempt));
+  }
+
+  #deleteOldest(): void {
+    const expiredMs = performance.now() - RETENTION_MS;
+    for (const [attempt, { notedAtMs }] of this.#origins) {
+      const excess = this.#origins.size > MAX_ORIGINS;
+      if (notedAtMs >= expiredMs && !excess) return;
+      this.#origins.delete(attempt);
+    }
+  }
+}
+
+/** Options of {@link SharedOrigins}. */
+export interface SharedOriginsOptions {
+  membership: Pick<MembershipView, "self" | "members">;
+  peers: PeerPort;
+}
+
+/** Origins that are kept at this VM and at others. */
+export class SharedOrigins implements StreamOrigins {
+  /** Peer methods that serve the origins kept at this VM. */
+  readonly handlers: OriginHandlers;
+  #options: SharedOriginsOptions;
+  #memory = new OriginMemory();
+
+  constructor(options: SharedOriginsOptions) {
+    this.#options = options;
+    this.handlers = createOriginHandlers(this.#memory);
+  }
+
+  note(attempt: AttemptId, origin: StreamOrigin): void {
+    this.#memory.note(attempt, origin);
+    const { membership, peers } = this.#options;
+    for (const ranked of this.#rankByDataCentre(attempt)) {
+      const keeper = ranked.find(({ id }) => id !== membership.self.id);
+      if (!keeper) continue;
+      void peers.call(keeper, "routing/note-origin", {
+        params: { attempt, origin },
+        timeoutMs: PEER_TIMEOUT_MS,
+      });
+    }
+  }
+
+  /** Resolves with the first origin that a VM returns. */
+  find(attempt: AttemptId): Promise<StreamOrigin | null> {
+    const known = this.#memory.get(attempt);
+    if (known) return Promise.resolve(known);
+    const answers = this.#rankByDataCentre(attempt)
+      .flatMap((ranked) => ranked.slice(0, ASKED_PER_DATA_CENTRE))
+      .filter(({ id }) => id !== this.#options.membership.self.id)
+      .map((member) => this.#ask(member, attempt));
+    return new Promise((resolve) => {
+      for (const answer of answers) {
+        void answer.then((origin) => origin && resolve(origin));
+      }
+      void Promise.all(answers).then(() => resolve(null));
+    });
+  }
+
+  async #ask(
+    member: Member,
+    attempt: AttemptId,
+  ): Promise<StreamOrigin | null> {
+    const { peers } = this.#options;
+    const answer = await peers.call(member, "routing/find-origin", {
+      params: { attempt },
+      timeoutMs: PEER_TIMEOUT_MS,
+    });
+    return answer.isOk() ? answer.value.origin : null;
+  }
+
+  // The live VMs of each data centre, in the order of rendezvous hashing.
+  #rankByDataCentre(attempt: AttemptId): Member[][] {
+    const byDataCentre = new Map<DataCentre, Map<VmId, Member>>();
+    for (const member of this.#options.membership.members()) {
+      if (member.state !== "live") continue;
+      const members = byDataCentre.get(member.dataCentre) ?? new Map();
+      byDataCentre.set(member.dataCentre, members.set(member.id, member));
+    }
+    return [...byDataCentre.values()].map((members) =>
+      rankByRendezvous(attempt, [...members.keys()])
+        .map((id) => members.get(id)!)
+    );
+  }
+}
+
+/** Peer methods for origins. */
+export interface OriginHandlers {
+  /** Keeps the origin of a stream that began at the calling VM. */
+  "routing/note-origin": (
+    params: { attempt: AttemptId; origin: StreamOrigin },
+  ) => null;
+  /** Returns the origin of a stream, or null if it isn't kept here. */
+  "routing/find-origin": (
+    params: { attempt: AttemptId },
+  ) => { origin: StreamOrigin | null };
+}
+
+/** Creates the peer methods for origins, backed by a VM's memory. */
+export function createOriginHandlers(memory: OriginMemory): OriginHandlers {
+  return {
+    "routing/note-origin": ({ attempt, origin }) => {
+      memory.note(attempt, origin);
+      return null;
+    },
+    "routing/find-origin": ({ attempt }) => ({ origin: memory.get(attempt) }),
+  };
+}
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -13,7 +13,12 @@
 import { type AnswerSink, StreamRelay } from "./stream_relay.ts";
 import { SendRace } from "./send_race.ts";
 import { type SendResult, StreamSend } from "./stream_send.ts";
-import type { EnginePool, Route, RoutedRequest } from "./types.ts";
+import type {
+  EnginePool,
+  Route,
+  RoutedRequest,
+  SoftwareVersion,
+} from "./types.ts";
 import {
   provesNotRun,
   refusalOfEarlierSend,
@@ -36,6 +41,8 @@
   service: ServiceName;
   pool: EnginePool;
   queue: DecodeQueue;
+  /** The software version that began a resumed stream; null for a new one. */
+  version: SoftwareVersion | null;
   sink: AnswerSink;
   /** Aborted when the caller disconnects. */
   signal: AbortSignal;
@@ -74,12 +81,15 @@
   #decoding = 0;
   /** Number of sends after which an endpoint may have run the request. */
   #runs = 0;
+  /** The software version at which the stream has to continue; null before it began. */
+  #version: SoftwareVersion | null;
   /** The last logged reason why a silent send has no backup. */
   #loggedObstacle: Obstacle | null = null;
 
   constructor(context: RoutingContext, options: StreamRunOptions) {
     this.#context = context;
     this.#options = options;
+    this.#version = options.version;
     this.#clock = new RequestClock(options.request, options.route);
     const { request, service } = options;
     this.#prefill = new PrefillRun(context, {
@@ -107,7 +117,7 @@
       const reservation = await this.#reserve({
         signal,
         avoid: this.#avoid,
-        mustBeOnTime: !this.#relay.begun,
+        mustBeOnTime: !this.#relay.begun && this.#version === null,
       });
       if (reservation.isErr()) {
         const { reason } = reservation.error;
@@ -139,6 +149,7 @@
       clock: this.#clock,
       tokens: this.#tokens(),
       prefillMs: this.#prefill.expectedMs(),
+      version: this.#version,
       ...options,
     });
   }
@@ -160,6 +171,7 @@
           reservation,
           ordinal: this.#ordinal,
           tokens: this.#tokens(),
+          onFirstEvent: () => this.#noteOrigin(send),
           onDecode: () => {
             this.#decoding += 1;
             if (unsentBackups.delete(send)) this.#sends += 1;
@@ -181,6 +193,17 @@
     });
   }
 
+  // Callers name the attempt that brought the first event of all.
+  #noteOrigin({ endpoint }: StreamSend): void {
+    const { request, route, service } = this.#options;
+    this.#version = endpoint.entry.softwareVersion;
+    if (!route.resumable) return;
+    this.#context.origins.note(request.resumes ?? request.id, {
+      service,
+      version: this.#version,
+    });
+  }
+
   #recordDecode(send: StreamSend, result: SendResult): void {
     this.#decoding -= 1;
     if (result.isOk() || provesNotRun(result.error)) return;
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -61,6 +61,7 @@
     }),
     service: SERVICE,
     pool: POOL,
+    version: null,
     queue: new DecodeQueue(shared, { service: SERVICE, pool: () => POOL }),
     sink: {
       head: (head) => out.push(`head ${head.status}`),
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -49,6 +49,8 @@
   ordinal: number;
   /** KV cache that is reserved for it, in tokens. */
   tokens: number;
+  /** Called when an endpoint's first event has been passed on, if no event was before. */
+  onFirstEvent: () => void;
   /** Called when the request is sent to the decode endpoint. */
   onDecode: () => void;
 }
@@ -161,7 +163,9 @@
           this.#lastByteAtMs = performance.now();
           silence.restart();
           this.#options.onProgress();
+          const isBegun = relay.events > 0;
           const writable = listener.onData(bytes);
+          if (!isBegun && relay.events > 0) this.#options.onFirstEvent();
           if (!writable) silence.stop();
           return writable;
         },
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -10,6 +10,7 @@
 import { SILENT_OBSERVER } from "../../common/observe.ts";
 import { NO_TIMES, type RoutingContext } from "../context.ts";
 import { CrashTracker } from "../crash_tracker.ts";
+import { OriginMemory } from "../stream_origins.ts";
 import { EndpointRegistry } from "../endpoint_registry.ts";
 import type {
   EndpointAnswer,
@@ -255,6 +256,7 @@
     placement: new LocalPlacement(endpoints),
     prefillTimes: new PrefillTimes(),
     crashes: new CrashTracker(() => {}),
+    origins: new OriginMemory(),
     port,
     observer: SILENT_OBSERVER,
     times: NO_TIMES,
--- a/packages/core/src/routing/verdicts.ts
+++ b/packages/core/src/routing/verdicts.ts
@@ -1,10 +1,25 @@
 /** Maps failed sends to the refusals that callers receive. */
-import { mayHaveRun, notRun, type Refusal } from "../common/verdict.ts";
+import {
+  mayHaveRun,
+  type NotRun,
+  notRun,
+  type Refusal,
+} from "../common/verdict.ts";
 import type { SendFailure } from "./port.ts";
 
 /** Retry delay after a failure that another endpoint may not have. */
 const RETRY_SOON_MS = 100;
 
+/** Retry delay while a software version has no endpoint: one that crashed is back after some seconds. */
+const MISSING_VERSION_RETRY_MS = 2_000;
+
+/** Refusal of a stream that no endpoint of its software version can continue. */
+export function refusalOfMissingVersion(): NotRun {
+  return notRun("version-unavailable", {
+    retryAfterMs: MISSING_VERSION_RETRY_MS,
+  });
+}
+
 /** Whether a failed send proves that the request did not run. */
 export function provesNotRun(failure: SendFailure): boolean {
   return failure.kind === "notSent" || failure.kind === "notExecuted" ||
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -11,6 +11,10 @@
 import { OrdersTask } from "../orders/task.ts";
 import { createRoutingApp } from "../routing/app.ts";
 import { createPlacementHandlers } from "../routing/placement/client.ts";
+import {
+  createOriginHandlers,
+  OriginMemory,
+} from "../routing/stream_origins.ts";
 import { PlacementHome } from "../routing/placement/home.ts";
 import { NO_DEMAND } from "../routing/stages/demand.ts";
 import type { PeerHandlers } from "../peers/types.ts";
@@ -163,6 +167,7 @@
         "routing/crashes": () => null,
         "routing/ordered": () => null,
         ...createPlacementHandlers(new PlacementHome()),
+        ...createOriginHandlers(new OriginMemory()),
         "routing/demand": () => NO_DEMAND,
       }).handlers,
       ...createSummariesApp(this.summaries.handlers).handlers,
