Every call to an endpoint has a limit for its whole answer

Seen by callers: when an endpoint sent a head and stopped inside the body, callers got neither an answer nor a refusal. This held for plain calls, for prefills and for reservations, which also held up the decode queue.

Cause: calls, prefills, reservations, reports, orders and releases were limited until the first byte only; `wholeMs` was set for streams alone. The limit of a prefill was also independent of the time that its request had left.

Change: calls pass what is left by the route's and the caller's clock, the VM's own calls their timeout, and prefills the lesser of their own limit and what the request has left. A prefill that its request gave less time than the prefill is expected to take, and that timed out, counts neither as a failure of the endpoint nor as a measurement: two such timeouts in a row would eject a sound endpoint, and would lower the expected delay.

--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -135,12 +135,14 @@
     this.#sends += 1;
     const send = this.#sends;
     const startedMs = performance.now();
+    const leftMs = this.#clock.leftMs();
     endpoint.inFlight += 1;
     const silence = this.#watchSilence(endpoint, onSilent);
     const outcome = await this.#context.port.call(endpoint.entry, {
       request,
       timeLeftMs: this.#clock.callerTimeLeftMs(),
-      firstByteMs: this.#clock.leftMs(),
+      firstByteMs: leftMs,
+      wholeMs: leftMs,
       signal: AbortSignal.any([signal, cancelled]),
     });
     silence.end();
--- a/packages/core/src/routing/prefill_run.ts
+++ b/packages/core/src/routing/prefill_run.ts
@@ -108,27 +108,30 @@
     endpoint: EndpointRecord,
     signal: AbortSignal,
   ): Promise<Result<PrefillAnswer, SendFailure>> {
-    const { request, service } = this.#options;
+    const { request, service, clock } = this.#options;
     const { port, budget, prefillTimes, observer } = this.#context;
     const { tokens } = this;
     const expectedMs = this.expectedMs();
+    const limitMs = Math.min(timeoutMs(expectedMs), clock.leftMs());
     const startedMs = performance.now();
     endpoint.inFlightTokens += tokens;
     const outcome = await port.prefill(endpoint.entry, {
       request,
-      timeLeftMs: this.#options.clock.callerTimeLeftMs(),
-      firstByteMs: Math.max(
-        MIN_PREFILL_TIMEOUT_MS,
-        PREFILL_TIMEOUT_FACTOR * expectedMs,
-      ),
+      timeLeftMs: clock.callerTimeLeftMs(),
+      firstByteMs: limitMs,
+      wholeMs: limitMs,
       signal,
     });
     endpoint.inFlightTokens -= tokens;
     const tookMs = performance.now() - startedMs;
-    noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
     const kind = outcome.isOk() ? "ok" : outcome.error.kind;
+    // A request with too little time left for a prefill says nothing about the endpoint.
+    const isMeaningful = kind !== "timeout" || limitMs >= expectedMs;
+    if (isMeaningful) {
+      noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
+    }
     // A prefill that timed out would have taken at least this long.
-    if (kind === "ok" || kind === "timeout") {
+    if (kind === "ok" || (kind === "timeout" && isMeaningful)) {
       prefillTimes.note(service, { tokens, tookMs, completed: kind === "ok" });
     }
     if (kind === "ok") return outcome;
@@ -156,3 +159,7 @@
     this.#context.observer.count("prefills_wasted", reason);
   }
 }
+
+function timeoutMs(expectedMs: number): number {
+  return Math.max(MIN_PREFILL_TIMEOUT_MS, PREFILL_TIMEOUT_FACTOR * expectedMs);
+}
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -270,6 +270,7 @@
     body: call.body ?? null,
     connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, options.timeoutMs),
     firstByteMs: options.timeoutMs,
+    wholeMs: options.timeoutMs,
     signal: options.signal,
   });
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/endpoint_port_test.ts
@@ -0,0 +1,88 @@
+import { once } from "node:events";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { asId, SILENT_OBSERVER, wait } from "@teaselvalve/core";
+import type { EndpointEntry } from "@teaselvalve/core/routing";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { createRoutedEndpointPort } from "./endpoint_port.ts";
+import type { EndpointProtocol } from "./protocol.ts";
+
+const LIMIT_MS = 200;
+/** Far more than the limits of the calls. */
+const WAIT_MS = 1_500;
+
+let server: Server;
+let endpoint: EndpointEntry;
+let sockets: Socket[];
+
+beforeEach(async () => {
+  sockets = [];
+  server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{");
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  endpoint = {
+    id: asId("e1"),
+    service: asId("readers"),
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    dataCentre: asId("north-a"),
+    slots: 1,
+    state: "ready",
+    stage: null,
+    bornAtMs: 1,
+  };
+});
+
+afterEach(() => {
+  for (const socket of sockets) socket.destroy();
+  server.close();
+});
+
+const PROTOCOL = {
+  requestHeaders: () => [],
+  readAnswerHeaders: () => ({
+    attemptId: null,
+    notExecuted: false,
+    misdirected: false,
+    isStamped: true,
+  }),
+  reserveCall: () => ({ method: "POST", path: "/reserve" }),
+  reportCall: () => ({ method: "GET", path: "/report" }),
+} as unknown as EndpointProtocol;
+
+function createPort() {
+  return createRoutedEndpointPort({
+    protocol: PROTOCOL,
+    observer: SILENT_OBSERVER,
+  });
+}
+
+/** What a call resolved with, or "pending" after {@link WAIT_MS}. */
+async function outcomeOf(
+  call: Promise<{ isOk(): boolean }>,
+): Promise<"ok" | "failed" | "pending"> {
+  const settled = call.then((result) => result.isOk() ? "ok" : "failed");
+  return await Promise.race([settled, wait(WAIT_MS).then(() => "pending")]) as
+    | "ok"
+    | "failed"
+    | "pending";
+}
+
+test("A reservation whose answer stops inside its body fails after its timeout", async () => {
+  const call = createPort().reserve(endpoint, {
+    tokens: 1,
+    ttlMs: 1_000,
+    timeoutMs: LIMIT_MS,
+    signal: new AbortController().signal,
+  });
+  expect(await outcomeOf(call)).toBe("failed");
+});
