A connection is not closed as stalled before the limit has passed

Cause: the time of the last progress began at 0, the start of the process. A connection that had bytes waiting at its first check, none of them known to be sent, looked stalled since then.

Change: it begins when the connection is tracked.

Evidence: the new test (limit 1 s, a caller that doesn't read) failed before: closed after 231 ms; now it is closed after 1.0 to 1.3 s. packages/daemon/src/http passes (64 tests).

--- a/packages/daemon/src/http/connection_sweep.ts
+++ b/packages/daemon/src/http/connection_sweep.ts
@@ -41,7 +41,10 @@
 
   /** Tracks a connection until it closes. */
   add(socket: Socket): void {
-    this.#connections.set(socket, { sentBytes: 0, lastProgressMs: 0 });
+    this.#connections.set(socket, {
+      sentBytes: 0,
+      lastProgressMs: performance.now(),
+    });
     socket.once("close", () => this.#connections.delete(socket));
   }
 
