A request is in progress until its answer has been written

Seen by callers: when a VM was stopped, the rest of an answer that a slow caller was still reading was cut off, since the process exits when no request is in progress.

Cause: a request counted as ended when its handler returned, with the answer still buffered in the process.

Change: it ends once it has been handled and its response was written to the connection, or the connection was closed. The connection itself is watched, since Node emits no `close` for a pipelined response that waits behind another. A caller that never reads holds up a stop until the grace period ends, or until its connection is closed as stalled.

--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -26,7 +26,10 @@
   waitReady: () => Promise<void>;
   /** True once new requests are refused. */
   refusesWork: () => boolean;
-  /** Called when a request begins; returns a function to call when it ends. */
+  /**
+   * Called when a request begins. The returned function is called once it has been
+   * handled and its response was written to the connection, or this was closed.
+   */
   track: () => () => void;
 }
 
@@ -44,11 +47,30 @@
     try {
       await handleRequest(exchange, options);
     } finally {
-      end();
+      afterResponse(exchange, end);
     }
   };
 }
 
+// The rest of a response is buffered in this process while its caller reads slowly.
+// Node emits no `close` for a response that waits behind an earlier one of its
+// connection, so the connection itself is watched.
+function afterResponse(
+  { incoming: { socket }, response }: Exchange,
+  listener: () => void,
+): void {
+  if (response.writableFinished || socket.destroyed) return listener();
+  const notify = () => {
+    response.off("finish", notify);
+    socket.off("close", notify);
+    listener();
+  };
+  // Any number of pipelined responses may wait for one connection.
+  socket.setMaxListeners(0);
+  response.once("finish", notify);
+  socket.once("close", notify);
+}
+
 async function handleRequest(
   exchange: Exchange,
   options: GatewayHandlerOptions,
--- a/packages/daemon/src/gateway/handler_test.ts
+++ b/packages/daemon/src/gateway/handler_test.ts
@@ -2,11 +2,12 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { connect, type Socket } from "node:net";
-import { SILENT_OBSERVER } from "@teaselvalve/core";
-import type { Route, Router } from "@teaselvalve/core/routing";
+import { InProgressCounter, SILENT_OBSERVER, wait } from "@teaselvalve/core";
+import type { Route, RoutedOutcome, Router } from "@teaselvalve/core/routing";
 import { afterEach, expect, test } from "vitest";
 import { createHttpComponent, type HttpComponent } from "../http/server.ts";
 import { SettingsSchema } from "../settings/schema.ts";
+import { deferred } from "../testing/deferred.ts";
 import { freePort } from "../testing/ports.ts";
 import { createGatewayHandler } from "./handler.ts";
 import type { EndpointProtocol } from "./protocol.ts";
@@ -16,7 +17,9 @@
 
 let component: HttpComponent;
 let caller: Socket;
+let counter: InProgressCounter;
 let responses: ServerResponse[];
+let finishedWhenIdle: boolean[];
 
 afterEach(async () => {
   caller.destroy();
@@ -39,6 +42,10 @@
   limits: { slowReaderMs?: number } = {},
 ): Promise<void> {
   responses = [];
+  finishedWhenIdle = [];
+  counter = new InProgressCounter(() =>
+    finishedWhenIdle.push(responses[0]!.writableFinished)
+  );
   const handler = createGatewayHandler({
     router: {
       table: null,
@@ -50,7 +57,7 @@
     formatRetryAfter: String,
     waitReady: () => Promise.resolve(),
     refusesWork: () => false,
-    track: () => () => {},
+    track: () => counter.track(),
   });
   const address = { host: "127.0.0.1", port: await freePort() };
   component = createHttpComponent({
@@ -68,12 +75,24 @@
   caller = connect(address);
 }
 
+const ABORTED: RoutedOutcome = { kind: "broken", reason: "aborted" };
+
 const answerLarge: Router["handle"] = () =>
   Promise.resolve({
     kind: "answered",
     answer: { status: 200, headers: [], body: Buffer.alloc(BODY_BYTES) },
   });
 
+test("A request is in progress until its answer has been written to the connection", async () => {
+  await start(answerLarge);
+  caller.write("GET / HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n");
+  // A caller that reads only after a while.
+  await wait(500);
+  caller.resume();
+  await once(caller, "close");
+  expect(finishedWhenIdle).toEqual([true]);
+});
+
 test("A connection that doesn't take its first answer is closed only after the limit", async () => {
   const slowReaderMs = 1_000;
   await start(answerLarge, { slowReaderMs });
@@ -86,3 +105,44 @@
   caller.resume();
   await closed;
 });
+
+test("A request of a caller that never reads ends when its connection is closed as stalled", async () => {
+  await start(answerLarge, { slowReaderMs: 200 });
+  caller.write("GET / HTTP/1.1\r\nHost: vm\r\n\r\n");
+  await expect.poll(() => responses.length).toBe(1);
+  expect(counter.count).toBe(1);
+  await expect.poll(() => counter.count).toBe(0);
+});
+
+test("A request whose caller left is in progress until it has been handled", async () => {
+  const handled = deferred();
+  let signal: AbortSignal | undefined;
+  await start((_request, options) => {
+    signal = options.signal;
+    return handled.promise.then(() => ABORTED);
+  });
+  caller.write("GET / HTTP/1.1\r\nHost: vm\r\n\r\n");
+  await expect.poll(() => signal !== undefined).toBe(true);
+  caller.destroy();
+  await expect.poll(() => signal!.aborted).toBe(true);
+  expect(counter.count).toBe(1);
+  handled.resolve();
+  await expect.poll(() => counter.count).toBe(0);
+});
+
+test("A pipelined request ends with its connection, although an earlier one was not answered", async () => {
+  const first = deferred();
+  await start((request, options) =>
+    request.target === "/1"
+      ? first.promise.then(() => ABORTED)
+      : answerLarge(request, options)
+  );
+  caller.write("GET /1 HTTP/1.1\r\nHost: vm\r\n\r\n");
+  caller.write("GET /2 HTTP/1.1\r\nHost: vm\r\n\r\n");
+  await expect.poll(() => responses[1]?.writableEnded).toBe(true);
+  expect(counter.count).toBe(2);
+  caller.destroy();
+  await expect.poll(() => counter.count).toBe(1);
+  first.resolve();
+  await expect.poll(() => counter.count).toBe(0);
+});
