Answers that arrived during a freeze are read before a call times out

Seen by callers: after a VM's process had been frozen, calls whose answers had already arrived were refused as timed out, and their endpoints counted as failing.

Cause: after a freeze, timers fire before sockets are read.

Change: the limits of the first byte and of the whole answer are judged in `setImmediate` after their timer, as the silence watch does.

A further new test, of a body that stops, passed before as well.

--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -65,8 +65,8 @@
   #listener: ExchangeListener;
   #signal: AbortSignal | undefined;
   #controller: Dispatcher.DispatchController | undefined;
-  #firstByteTimer: ReturnType<typeof setTimeout> | undefined;
-  #totalTimer: ReturnType<typeof setTimeout> | undefined;
+  #firstByteLimit: TimeLimit;
+  #wholeLimit: TimeLimit | undefined;
   #connected = false;
   #socket: Socket | undefined;
   #socketError: Error | undefined;
@@ -84,15 +84,10 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    this.#firstByteTimer = setTimeout(
-      () => this.#fail({ kind: "timeout" }),
-      Math.max(1, request.firstByteMs),
-    );
+    const onTimeout = () => this.#fail({ kind: "timeout" });
+    this.#firstByteLimit = new TimeLimit(request.firstByteMs, onTimeout);
     if (request.wholeMs !== undefined) {
-      this.#totalTimer = setTimeout(
-        () => this.#fail({ kind: "timeout" }),
-        Math.max(1, request.wholeMs),
-      );
+      this.#wholeLimit = new TimeLimit(request.wholeMs, onTimeout);
     }
     if (request.signal?.aborted) {
       this.#failLater({ kind: "aborted" });
@@ -152,7 +147,7 @@
       },
       onResponseStart: (_controller, status, headers) => {
         if (this.#settled || status < 200) return;
-        clearTimeout(this.#firstByteTimer);
+        this.#firstByteLimit.end();
         this.#endsAtClose = headers["content-length"] === undefined &&
           headers["transfer-encoding"] === undefined;
         this.#listener.onHead(status, headers as IncomingHttpHeaders);
@@ -201,11 +196,30 @@
   #settle(): boolean {
     if (this.#settled) return false;
     this.#settled = true;
-    clearTimeout(this.#firstByteTimer);
-    clearTimeout(this.#totalTimer);
+    this.#firstByteLimit.end();
+    this.#wholeLimit?.end();
     this.#signal?.removeEventListener("abort", this.#onAbort);
     // The outcome is settled; later errors of the connection don't matter.
     this.#client.destroy().catch(() => {});
     return true;
   }
 }
+
+/** Reports once that the time is over, unless it is ended before. */
+class TimeLimit {
+  #timer: ReturnType<typeof setTimeout>;
+  #immediate: ReturnType<typeof setImmediate> | undefined;
+
+  // After a freeze of the process, the timer fires before what arrived meanwhile is
+  // read; the report waits until it has been.
+  constructor(limitMs: number, onTimeout: () => void) {
+    this.#timer = setTimeout(() => {
+      this.#immediate = setImmediate(onTimeout);
+    }, Math.max(1, limitMs));
+  }
+
+  end(): void {
+    clearTimeout(this.#timer);
+    clearImmediate(this.#immediate);
+  }
+}
--- a/packages/daemon/src/gateway/fresh_exchange_test.ts
+++ b/packages/daemon/src/gateway/fresh_exchange_test.ts
@@ -138,3 +138,46 @@
   await once(sockets[0]!, "close");
   expect(performance.now() - startedMs).toBeLessThan(500);
 });
+
+test("a response that arrived during a freeze of the process is not given up as timed out", async () => {
+  respond = (socket) => {
+    socket.end("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    const untilMs = performance.now() + 300;
+    while (performance.now() < untilMs);
+  };
+  expect(await exchange({ firstByteMs: 200 })).toEqual({
+    status: 200,
+    body: "ok",
+    failure: null,
+  });
+});
+
+test("a response whose end arrived during a freeze of the process is complete", async () => {
+  respond = (socket) => {
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
+    const freeze = () => {
+      socket.end("k");
+      const untilMs = performance.now() + 300;
+      while (performance.now() < untilMs);
+    };
+    // Timers come next after an immediate, and before sockets.
+    setTimeout(() => setImmediate(freeze), 50);
+  };
+  expect(await exchange({ wholeMs: 200 })).toEqual({
+    status: 200,
+    body: "ok",
+    failure: null,
+  });
+});
+
+test("a response that stops inside its body times out and closes the connection", async () => {
+  respond = (socket) =>
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
+  const result = await exchange({ wholeMs: 100 });
+  expect(result).toEqual({
+    status: 200,
+    body: "o",
+    failure: { kind: "timeout" },
+  });
+  await once(sockets[0]!, "close");
+});
