--- a/packages/core/src/routing/stream_backup_test.ts
+++ b/packages/core/src/routing/stream_backup_test.ts
@@ -291,3 +291,28 @@
   expect(await ended).toEqual({ kind: "complete" });
   expect(eventsOf(out)).toEqual(["1", "2", "3"]);
 });
+test("A stream does not outlast its deadline because of the prefill of a late backup", async () => {
+  const startedMs = performance.now();
+  let prefills = 0;
+  const port = scripted([
+    async (send) => {
+      deliver(send, 1);
+      await wait(send.wholeMs!);
+      return "lost";
+    },
+  ], {
+    reserve: (target) =>
+      target.id === "d1" || performance.now() - startedMs > 13_600
+        ? ok(asId("hold"))
+        : err({ kind: "notExecuted", status: 503 }),
+    prefill: async (_endpoint, { firstByteMs }) => {
+      prefills += 1;
+      if (prefills === 1) return ok({ handle: asId("kv"), tokens: 1 });
+      await wait(firstByteMs);
+      return err({ kind: "timeout" });
+    },
+  });
+  const { times } = start(share(port));
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS + 3_000);
+  expect(times.endedAfterMs).toBeLessThan(DEADLINE_MS + 500);
+});
--- a/packages/daemon/src/gateway/endpoint_port_test.ts
+++ b/packages/daemon/src/gateway/endpoint_port_test.ts
@@ -38,6 +38,7 @@
     slots: 1,
     state: "ready",
     stage: null,
+    softwareVersion: asId("v1"),
     bornAtMs: 1,
   };
 });
