--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,8 +1,9 @@
 import { defineConfig } from "vitest/config";
 
+const SOAK = "platform/src/testing/soak/soak_test.ts";
+
 export default defineConfig({
   test: {
-    include: ["packages/*/src/**/*_test.ts", "platform/src/**/*_test.ts"],
     // Known red: fail now and then beside load; see KNOWN-RED.txt.
     testNamePattern:
       /^(?!(A stream that a killed VM broke goes on whole at another|handles no request that it refuses with a timeout, even under load)$)/,
@@ -11,5 +12,24 @@
     hookTimeout: 180_000,
     // Polls wait for what sockets do, which takes longer on a busy machine.
     expect: { poll: { timeout: 20_000, interval: 20 } },
+    projects: [
+      {
+        extends: true,
+        test: {
+          name: "tests",
+          include: ["packages/*/src/**/*_test.ts", "platform/src/**/*_test.ts"],
+          exclude: [SOAK],
+        },
+      },
+      {
+        // Its processes need cores of their own, so it runs after the other tests.
+        extends: true,
+        test: {
+          name: "soak",
+          include: [SOAK],
+          sequence: { groupOrder: 1 },
+        },
+      },
+    ],
   },
 });
