Keep a silent engine's run until a retry is held

What callers saw: a summary whose engine sent nothing for 1.8 s ended with engine-crashed ("The replica that generated this answer was lost"), although the engine went on afterwards and still held the run.

Cause: after a stall and two attachments without a token (300, 300 and 1,200 ms) EngineStage failed the attempt and only then asked whether it may be retried. Without budget, or when the caller had resumed so that the text cannot be compared, that refused the summary, cancelled the run and freed its memory. A transfer that was slow did the same to a request that had not begun. Silence proves neither that the engine nor that the run is lost.

Change: a stall and a slow transfer give a run up only once a retry is taken. Without one the VM attaches again, each time with four times the limit, until the deadline; a connection that ended is attached to again after 300 ms. What proves a loss (connection refused, run not known at the engine, the engine's own refusal) ends the attempt at once, as before. The limits themselves are unchanged.

--- a/packages/core/src/summaries/engine_stage.ts
+++ b/packages/core/src/summaries/engine_stage.ts
@@ -72,11 +72,9 @@
     const idleMs = nowMs - this.#progressAtMs;
     const { stateName } = this.#state;
     if (stateName === "starting") {
-      if (idleMs > this.#transferLimitMs()) {
-        this.#reassignOrFail("transfer-failed");
-      }
+      if (idleMs > this.#transferLimitMs()) this.#handleSlowTransfer(nowMs);
     } else if (stateName === "relaying" || stateName === "attaching") {
-      if (idleMs > this.#stallMs()) this.#handleBroken();
+      if (idleMs > this.#stallMs()) this.#handleStall();
     }
   }
 
@@ -262,21 +260,63 @@
 
   #reassignOrFail(reason: RetryReason): void {
     const attempt = this.#state.attempt!;
-    const retried = this.#state.machineContext.transferRetried;
-    const kept = performance.now() < attempt.keptUntilMs;
-    if (kept && !retried && this.#state.acquireRetry(reason)) {
+    if (this.#mayReassign(attempt) && this.#state.acquireRetry(reason)) {
       return this.#state.send({ type: "resultKept" });
     }
     attempt.failedReplica = attempt.decode;
     this.#state.fail(reason);
   }
 
+  #mayReassign(attempt: Attempt): boolean {
+    const { transferRetried } = this.#state.machineContext;
+    return !transferRetried && performance.now() < attempt.keptUntilMs;
+  }
+
+  /** Without a retry, waits on, as slowness doesn't prove that the transfer failed. */
+  #handleSlowTransfer(nowMs: number): void {
+    this.#progressAtMs = nowMs;
+    const attempt = this.#state.attempt!;
+    if (!this.#state.tryAcquireRetry("transfer-failed")) return;
+    if (this.#mayReassign(attempt)) {
+      return this.#state.send({ type: "resultKept" });
+    }
+    attempt.failedReplica = attempt.decode;
+    this.#state.restart();
+  }
+
+  /**
+   * Restarts a run that stays silent if a retry is available. As silence doesn't
+   * prove that the run is lost, it is attached to again otherwise.
+   */
+  #handleStall(): void {
+    if (this.#mayAttach() || !this.#restartIfAllowed()) this.#attachAgain();
+  }
+
+  /**
+   * Handles an attachment that ended or lacks tokens. After `MAX_ATTACHES` and
+   * without a retry, `tick` attaches again after the shortest stall limit.
+   */
   #handleBroken(): void {
-    const progressed = this.#progressed;
+    if (this.#mayAttach()) return this.#attachAgain();
+    if (this.#restartIfAllowed()) return;
+    this.detach();
+    this.#progressAtMs = performance.now();
+    this.#stallFactor = 1;
+  }
+
+  #mayAttach(): boolean {
     const { attaches } = this.#state.machineContext;
-    if (!progressed && attaches >= MAX_ATTACHES) {
-      return this.#state.fail("connection-lost");
-    }
+    return this.#progressed || attaches < MAX_ATTACHES;
+  }
+
+  #restartIfAllowed(): boolean {
+    if (!this.#state.tryAcquireRetry("connection-lost")) return false;
+    this.#state.restart();
+    return true;
+  }
+
+  #attachAgain(): void {
+    const progressed = this.#progressed;
     this.#stallFactor = progressed
       ? 1
       : this.#stallFactor * STALL_FACTOR_GROWTH;
--- a/packages/core/src/summaries/machine.ts
+++ b/packages/core/src/summaries/machine.ts
@@ -5,7 +5,10 @@
 import { assign, setup } from "xstate";
 import type { Refusal } from "../common/verdict.ts";
 
-/** Consecutive attachments without a token after which the run is abandoned. */
+/**
+ * Consecutive attachments without a token after which the run is abandoned if a
+ * retry is available.
+ */
 export const MAX_ATTACHES = 2;
 
 /** Events of the summary's state machine. */
--- a/packages/core/src/summaries/run_state.ts
+++ b/packages/core/src/summaries/run_state.ts
@@ -164,10 +164,15 @@
    * Ends the attempt; retries where a retry is allowed, and refuses otherwise.
    */
   fail(reason: RetryReason): void {
+    if (this.acquireRetry(reason)) this.restart();
+  }
+
+  /** Ends the attempt and begins another one, for which a retry was acquired. */
+  restart(): void {
     if (this.attempt?.failedReplica) {
       this.avoidedReplicas.add(this.attempt.failedReplica.id);
     }
-    if (this.acquireRetry(reason)) this.send({ type: "failed" });
+    this.send({ type: "failed" });
   }
 
   /**
@@ -176,16 +181,29 @@
    * summary when it may not be retried.
    */
   acquireRetry(reason: RetryReason): boolean {
+    const refusal = this.#takeRetry(reason);
+    if (refusal) this.refuse(refusal);
+    return !refusal;
+  }
+
+  /** Does the same as {@link acquireRetry}, but never refuses the summary. */
+  tryAcquireRetry(reason: RetryReason): boolean {
+    return !this.#takeRetry(reason);
+  }
+
+  /** Takes a retry; returns the refusal to give when there is none. */
+  #takeRetry(reason: RetryReason): Refusal | null {
     const { retries } = this.options;
-    const { workspace } = this.request;
     if (!this.relay.canRestart) {
-      this.refuse(mayHaveRun("engine-crashed", LOST_DETAIL));
-    } else if (this.remainingMs() < MIN_ATTEMPT_MS) {
-      this.refuse(notRun("deadline-unreachable"));
-    } else if (reason !== "home-changed" && !retries.take(workspace, reason)) {
-      this.refuse(notRun("retry-budget-spent"));
-    } else return true;
-    return false;
+      return mayHaveRun("engine-crashed", LOST_DETAIL);
+    }
+    if (this.remainingMs() < MIN_ATTEMPT_MS) {
+      return notRun("deadline-unreachable");
+    }
+    if (reason === "home-changed") return null;
+    return retries.take(this.request.workspace, reason)
+      ? null
+      : notRun("retry-budget-spent");
   }
 
   /** Records that a replica was ordered to run the request. */
