--- a/packages/bench/src/world/silent_engines_test.ts
+++ b/packages/bench/src/world/silent_engines_test.ts
@@ -1,6 +1,6 @@
 /** Engines that send nothing for a while and then go on. */
 import { asId, type SummaryRequest } from "@teaselvalve/core";
-import { expectedAnswer } from "@teaselvalve/fakes";
+import { CURRENT_PROFILE, expectedAnswer } from "@teaselvalve/fakes";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import type { CallerSummary } from "./caller.ts";
 import { MODEL, World } from "./world.ts";
@@ -156,3 +156,24 @@
   const held = [...world.engines.values()].flatMap((one) => one.heldRuns());
   expect(held).toEqual([]);
 });
+
+test("An answer outlasts a silence of its engine when others wait for its place", async () => {
+  world.close();
+  world = await World.create({
+    seed: 1,
+    decodes: 2,
+    profile: { ...CURRENT_PROFILE, decodeSlots: 2 },
+  });
+  const summary = sendSummary("vm-1");
+  await world.advance(1_000);
+  expect(summary.nextOffset).toBeGreaterThan(0);
+  const address = findDecodeEngine();
+  world.network.freeze(address);
+  for (let number = 1; number <= SILENCE_MS / 100; number += 1) {
+    sendSummary("vm-2", { request: asId(`other-${number}`) });
+    await world.advance(100);
+  }
+  world.network.thaw(address);
+  await world.advance(DEADLINE_MS / 2);
+  expectWhole(summary, ANSWER);
+});
