--- a/packages/core/src/routing/send_race.ts
+++ b/packages/core/src/routing/send_race.ts
@@ -76,6 +76,7 @@
   }
 
   #closeOthers(winner: StreamSend): void {
+    if (this.#open.size === 1 && !this.#reserving) return;
     this.#reserving?.abort();
     this.#reserving = null;
     for (const [send, cancellation] of this.#open) {
--- /dev/null
+++ b/packages/daemon/src/http/client_errors.ts
@@ -0,0 +1,30 @@
+/** Refusals that are written to a socket directly, without a request to answer. */
+import type { Socket } from "node:net";
+import { notRun, type Refusal } from "@teaselvalve/core";
+import { formatRawProblem } from "./problem.ts";
+
+/** A refusal and the status that it is sent with. */
+export interface RawProblem {
+  readonly refusal: Refusal;
+  readonly status: number;
+}
+
+/** Writes a refusal and closes the connection. */
+export function endWithProblem(socket: Socket, problem: RawProblem): void {
+  if (!socket.writable) return void socket.destroy();
+  socket.end(formatRawProblem(problem.refusal, problem.status), () => {
+    socket.destroy();
+  });
+}
+
+/** Returns the refusal for an error that Node's HTTP parser reports. */
+export function problemForClientError(error: Error): RawProblem {
+  const { code } = error as { code?: string };
+  if (code === "HPE_HEADER_OVERFLOW") {
+    return { refusal: notRun("headers-too-large"), status: 431 };
+  }
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
+    return { refusal: notRun("request-timeout"), status: 408 };
+  }
+  return { refusal: notRun("bad-request"), status: 400 };
+}
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -18,9 +18,14 @@
 import type { Component } from "../lifecycle/manager.ts";
 import type { TlsCredentials } from "../settings/load.ts";
 import type { Limits } from "../settings/schema.ts";
+import {
+  endWithProblem,
+  problemForClientError,
+  type RawProblem,
+} from "./client_errors.ts";
 import { ConnectionSweep } from "./connection_sweep.ts";
 import type { Exchange } from "./exchange.ts";
-import { formatRawProblem, sendProblem } from "./problem.ts";
+import { sendProblem } from "./problem.ts";
 
 /** Options of {@link createHttpComponent}. */
 export interface HttpComponentOptions {
@@ -342,11 +347,6 @@
   }
 }
 
-interface RawProblem {
-  refusal: Refusal;
-  status: number;
-}
-
 /** Splits `host:port` at its last colon. */
 export function splitAddress(address: string): [string, number] {
   const colonAt = address.lastIndexOf(":");
@@ -382,21 +382,3 @@
     ? new URL(target ?? "/", base)
     : null;
 }
-
-function endWithProblem(socket: Socket, problem: RawProblem): void {
-  if (!socket.writable) return void socket.destroy();
-  socket.end(formatRawProblem(problem.refusal, problem.status), () => {
-    socket.destroy();
-  });
-}
-
-function problemForClientError(error: Error): RawProblem {
-  const { code } = error as { code?: string };
-  if (code === "HPE_HEADER_OVERFLOW") {
-    return { refusal: notRun("headers-too-large"), status: 431 };
-  }
-  if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
-    return { refusal: notRun("request-timeout"), status: 408 };
-  }
-  return { refusal: notRun("bad-request"), status: 400 };
-}
