Answers without end are cut at a bound of bytes

Seen by callers: none yet. An endpoint that sends without end kept a VM reading until the deadline of the call.

Cause: undici bounds headers and trailers (16 KiB), but its parser skips reason phrases, informational responses and chunk extensions of any length. Answers to prefills, reservations, reports and orders were bounded like those to callers, by 8 MiB.

Change: bytes that are not of the body are limited to 64 KiB and 8 bytes for each byte of the body, and answers to the VM's own calls to 64 KiB. Beyond these a call is `lost` and its connection is closed.

Evidence: endless_answers_test.ts, against a raw server that writes forever, for calls and streams. Before, a reason phrase, informational responses and a chunk extension ended as `timeout` after 15.0 s, the limit of the test; now each is `lost` in less than 0.3 s. Endless headers, trailers and bodies were `lost` before and still are. Answers of 65 KiB to a prefill, a reservation and a report were accepted before, and are `lost` now. packages/daemon, routing and platform: 301 tests pass, 1 skipped (known red). Formatter, linter and types pass.

--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -22,6 +22,8 @@
 const CONNECT_TIMEOUT_MS = 250;
 /** Answers of plain services are buffered whole; a larger one fails as lost. */
 const ANSWER_LIMIT_BYTES = 8 * 1_024 * 1_024;
+/** Answers to the VM's own calls, prefills among them, have a few short fields. */
+const OWN_ANSWER_LIMIT_BYTES = 64 * 1_024;
 /** Releasing a reservation or handle is best effort and gets little time. */
 const RELEASE_TIMEOUT_MS = 500;
 const SUCCESS = 200;
@@ -215,7 +217,10 @@
     endpoint: EndpointEntry,
     options: { send: Send; prefill: boolean },
   ): Promise<Result<BufferedAnswer, SendFailure>> {
-    return readAnswer(this.#request(endpoint, options));
+    return readAnswer(
+      this.#request(endpoint, options),
+      options.prefill ? OWN_ANSWER_LIMIT_BYTES : ANSWER_LIMIT_BYTES,
+    );
   }
 
   #request(
@@ -272,11 +277,12 @@
     firstByteMs: options.timeoutMs,
     wholeMs: options.timeoutMs,
     signal: options.signal,
-  });
+  }, OWN_ANSWER_LIMIT_BYTES);
 }
 
 function readAnswer(
   request: Parameters<typeof openExchange>[0],
+  limitBytes: number,
 ): Promise<Result<BufferedAnswer, SendFailure>> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -289,7 +295,7 @@
       onData: (bytes) => {
         sizeBytes += bytes.length;
         chunks.push(bytes);
-        if (sizeBytes > ANSWER_LIMIT_BYTES) {
+        if (sizeBytes > limitBytes) {
           resolve(err({ kind: "lost", detail: "The answer is too large" }));
           exchange.abort();
         }
--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -10,6 +10,11 @@
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 
+/** Bytes of a response other than its body: head, framing of chunks, trailers. */
+const OVERHEAD_LIMIT_BYTES = 65_536;
+/** Bytes of framing allowed for each byte of a body; a chunk of one byte has five. */
+const OVERHEAD_PER_BODY_BYTE = 8;
+
 /** How an exchange failed. */
 export type ExchangeFailure =
   /** The connection was never established. */
@@ -68,6 +73,7 @@
   #firstByteLimit: TimeLimit;
   #wholeLimit: TimeLimit | undefined;
   #connected = false;
+  #bodyBytes = 0;
   #socket: Socket | undefined;
   #socketError: Error | undefined;
   #endsAtClose = false;
@@ -116,11 +122,22 @@
           this.#connected = true;
           this.#socket = socket;
           socket.on("error", (reason) => (this.#socketError = reason));
+          socket.on("readable", () => this.#checkOverhead(socket));
         }
         callback(...result);
       });
   }
 
+  // The parser skips reason phrases, informational responses and chunk extensions
+  // of any length.
+  #checkOverhead({ bytesRead, readableLength }: Socket): void {
+    const overheadBytes = bytesRead - readableLength - this.#bodyBytes;
+    const limitBytes = OVERHEAD_LIMIT_BYTES +
+      OVERHEAD_PER_BODY_BYTE * this.#bodyBytes;
+    if (overheadBytes <= limitBytes) return;
+    this.#fail({ kind: "lost", detail: "The framing is too large" });
+  }
+
   #onAbort = () => this.abort();
 
   #dispatch(request: ExchangeRequest): void {
@@ -154,6 +171,7 @@
       },
       onResponseData: (controller, bytes) => {
         if (this.#settled) return;
+        this.#bodyBytes += bytes.length;
         if (!this.#listener.onData(bytes)) controller.pause();
       },
       onResponseEnd: () => {
