Cut a stream's event without end, and take test ports outside the ephemeral range

Cause: the splitter's bound of 1 MiB for an incomplete event had to end the send. And a port that a test had found free could be taken by a connection of another test before the test listened on it: one file of the daemon's tests did not start for EADDRINUSE beside load, which is also suspected of the one failure of resume_test.

Change: an event that is too large fails its send as lost, and the stream continues elsewhere. Tests take ports from a range of their process below the ephemeral ports.

--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -27,6 +27,8 @@
   onHead(head: AnswerHead): boolean;
   /** Receives bytes; returns false to pause the answer until `resume` is called. */
   onData(bytes: Uint8Array): boolean;
+  /** True once an event was too large to be passed on; the answer has failed then. */
+  readonly overflowed: boolean;
   /** Checks the end of the answer; fails with `lost` if it ended inside an event. */
   finish(): Result<void, SendFailure>;
 }
@@ -82,6 +84,9 @@
     const splitter = new EventSplitter();
     let head: AnswerHead;
     return {
+      get overflowed() {
+        return splitter.overflowed;
+      },
       onHead: (received) => {
         head = received;
         return this.#mayContinueWith(head);
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { err, ok } from "neverthrow";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId } from "../common/ids.ts";
@@ -328,6 +329,30 @@
   expect(await ended).toMatchObject({ kind: "broken" });
 });
 
+test("A stream leaves an endpoint that sends an event without end", async () => {
+  let sends = 0;
+  const port = new FakeEndpoints({
+    stream: async (_endpoint, { listener }) => {
+      sends += 1;
+      listener.onHead(EVENT_HEAD);
+      if (sends > 1) {
+        listener.onData(event(2));
+        return ok(undefined);
+      }
+      listener.onData(event(1));
+      for (let mebibytes = 0; mebibytes < 3; mebibytes += 1) {
+        await wait(10);
+        listener.onData(Buffer.alloc(1_048_576, "x"));
+      }
+      return new Promise(() => {});
+    },
+  });
+  const { ended, out } = start(port);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(await ended).toEqual({ kind: "complete" });
+  expect(eventsOf(out)).toEqual(["1", "2"]);
+});
+
 test("An endpoint is not silent while the caller doesn't read", async () => {
   const port = createSilentEndpoints();
   const drains: (() => void)[] = [];
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -166,13 +166,14 @@
           const isBegun = relay.events > 0;
           const writable = listener.onData(bytes);
           if (!isBegun && relay.events > 0) this.#options.onFirstEvent();
+          if (listener.overflowed) this.#stream?.abort();
           if (!writable) silence.stop();
           return writable;
         },
       },
     });
     this.#stream = stream;
-    if (rejectedStatus !== null) stream.abort();
+    if (rejectedStatus !== null || listener.overflowed) stream.abort();
     const ended = await stream.ended;
     silence.end();
     if (this.#replaced) return err({ kind: "timeout" });
@@ -180,6 +181,9 @@
       const detail = `Status ${rejectedStatus} does not continue the stream`;
       return err({ kind: "lost", detail });
     }
+    if (listener.overflowed) {
+      return err({ kind: "lost", detail: "An event is too large" });
+    }
     return ended.andThen(() => listener.finish());
   }
 
--- a/packages/daemon/src/gateway/endless_answers_test.ts
+++ b/packages/daemon/src/gateway/endless_answers_test.ts
@@ -51,6 +51,7 @@
     slots: 1,
     state: "ready",
     stage: null,
+    softwareVersion: asId("v1"),
     bornAtMs: 1,
   };
 });
@@ -97,6 +98,7 @@
       receivedAtMs: performance.now(),
       callerTimeoutMs: limitMs,
       lastEventId: null,
+      resumes: null,
       prompt: null,
     },
     timeLeftMs: limitMs,
--- a/packages/daemon/src/testing/ports.ts
+++ b/packages/daemon/src/testing/ports.ts
@@ -1,14 +1,37 @@
 /** Free TCP ports for tests. */
 import { once } from "node:events";
-import { type AddressInfo, createServer } from "node:net";
+import { createServer } from "node:net";
+import process from "node:process";
 
-/** Returns a port that was free on loopback a moment ago. */
+/** Below the ephemeral ports, which connections of other tests may take at any time. */
+const FIRST_PORT = 5_000;
+const PORTS_PER_PROCESS = 40;
+const PROCESS_RANGES = 120;
+
+let nextPort = FIRST_PORT + (process.pid % PROCESS_RANGES) * PORTS_PER_PROCESS;
+
+/** Returns a port that is free on loopback and that no other call returned recently. */
 export async function freePort(): Promise<number> {
+  for (;;) {
+    const port = nextPort;
+    nextPort += 1;
+    if (nextPort >= FIRST_PORT + PROCESS_RANGES * PORTS_PER_PROCESS) {
+      nextPort = FIRST_PORT;
+    }
+    if (await isFree(port)) return port;
+  }
+}
+
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
+  server.listen(port, "127.0.0.1");
+  try {
+    await once(server, "listening");
+  } catch {
+    // The port is in use.
+    return false;
+  }
   server.close();
   await once(server, "close");
-  return port;
+  return true;
 }
