A version whose endpoints are gone does not make an origin ambiguous

Cause: the record of an endpoint that is gone stays until the next removal if a request was in progress at it; its version still counted, so that a resumed stream of unknown origin was refused though one version serves. Also: a silence without a free place was logged four times a second.

Change: a version counts while an endpoint of it is listed or in use; one line for each change of a silence.

Evidence: the new test of the registry got two versions before and gets one now; 108 tests of routing and of the log page pass.

--- a/packages/core/src/routing/endpoint_registry.ts
+++ b/packages/core/src/routing/endpoint_registry.ts
@@ -90,12 +90,16 @@
       .map(({ entry }) => entry);
   }
 
-  /** Returns the software versions of a service's endpoints, of those that leave or are gone too. */
+  /** Returns the software versions of a service's endpoints, draining or still in use ones included. */
   versions(service: ServiceName): Set<SoftwareVersion> {
+    const nowMs = performance.now();
     return new Set(
-      [...this.#records.values()].map(({ entry }) => entry)
-        .filter((entry) => entry.service === service)
-        .map(({ softwareVersion }) => softwareVersion),
+      [...this.#records.values()]
+        .filter((record) =>
+          record.entry.service === service &&
+          (!record.isRemoved(nowMs) || record.inFlight > 0)
+        )
+        .map(({ entry }) => entry.softwareVersion),
     );
   }
 
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -83,8 +83,8 @@
   #runs = 0;
   /** The software version at which the stream has to continue; null before it began. */
   #version: SoftwareVersion | null;
-  /** The last logged reason why a silent send has no backup. */
-  #loggedObstacle: Obstacle | null = null;
+  /** The silence that was logged last, and what was done about it. */
+  #loggedSilence = "";
 
   constructor(context: RoutingContext, options: StreamRunOptions) {
     this.#context = context;
@@ -227,7 +227,6 @@
     });
     if (reservation.isErr()) return null;
     if (takeRetry(this.#context, { service, reason: "silent" })) {
-      this.#loggedObstacle = null;
       return reservation.value;
     }
     const { endpoint, reservationId } = reservation.value;
@@ -258,8 +257,10 @@
 
   // One line for each change, as a long silence is reported again and again.
   #logSilence(silent: StreamSend, obstacle: Obstacle | null): void {
-    if (obstacle && obstacle === this.#loggedObstacle) return;
-    this.#loggedObstacle = obstacle;
+    const backup = obstacle ?? "started";
+    const silence = `${silent.ordinal} ${this.#relay.events} ${backup}`;
+    if (silence === this.#loggedSilence) return;
+    this.#loggedSilence = silence;
     this.#context.observer.log({
       event: "stream-silent",
       attempt: this.#options.request.id,
@@ -267,7 +268,7 @@
       send: silent.ordinal,
       silentMs: Math.round(silent.silentMs()),
       events: this.#relay.events,
-      backup: obstacle ?? "started",
+      backup,
     });
   }
 
