Streams leave the decode queue when their time is over, not at its next round

Cause: streams were refused, and cancelled ones removed, only between two reservations, each of which may take 250 ms at up to four engines. The same holds for new streams at their target.

Change: each waiting stream has a timer for the time at which it can't be served any more, and listens to its cancellation.

--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -96,7 +96,16 @@
    * its caller disconnects or the queue is stopped.
    */
   enqueue(request: DecodeRequest): Promise<Result<DecodeReservation, NotRun>> {
-    return new Promise((settle) => {
+    return new Promise((resolve) => {
+      // A round may be waiting for an engine that doesn't answer.
+      const refuseLate = () => this.#refuseLate();
+      const timer = setTimeout(refuseLate, Math.ceil(timeToSpareMs(request)));
+      request.signal.addEventListener("abort", refuseLate);
+      const settle = (result: Result<DecodeReservation, NotRun>) => {
+        clearTimeout(timer);
+        request.signal.removeEventListener("abort", refuseLate);
+        resolve(result);
+      };
       this.#insert({ request, tried: false, settle });
       this.#startServing();
     });
@@ -170,7 +179,7 @@
     const retryAfterMs = this.#retryAfterMs();
     if (request.signal.aborted) return notRun("cancelled", { retryAfterMs });
     if (!this.#hasVersion(request.version)) return refusalOfMissingVersion();
-    return cannotMeetDeadline(request)
+    return timeToSpareMs(request) <= 0
       ? notRun("no-capacity", { retryAfterMs })
       : null;
   }
@@ -257,9 +266,10 @@
   return avoid.size > 0 || version !== null;
 }
 
-function cannotMeetDeadline(request: DecodeRequest): boolean {
+// Time that the stream may still wait; negative once it can't be in time.
+function timeToSpareMs(request: DecodeRequest): number {
   const leftMs = request.mustBeOnTime
     ? request.clock.targetLeftMs()
     : request.clock.leftMs();
-  return leftMs < request.prefillMs + MIN_HANDOVER_MS;
+  return leftMs - request.prefillMs - MIN_HANDOVER_MS;
 }
--- a/packages/core/src/routing/decode_queue_test.ts
+++ b/packages/core/src/routing/decode_queue_test.ts
@@ -1,6 +1,7 @@
 import { err, ok } from "neverthrow";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId } from "../common/ids.ts";
+import { wait } from "../common/wait.ts";
 import { DecodeQueue, type DecodeRequest } from "./decode_queue.ts";
 import { RequestClock } from "./request_clock.ts";
 import {
@@ -154,3 +155,26 @@
   await vi.advanceTimersByTimeAsync(100);
   expect(placed).toEqual(["started"]);
 });
+
+test("A waiting stream is refused in time, and when its caller leaves, while an engine doesn't answer", async () => {
+  const port = new FakeEndpoints();
+  port.reserve = async () => {
+    await wait(10_000);
+    return err({ kind: "timeout" });
+  };
+  const shared = context(port, ENGINES);
+  const queue = new DecodeQueue(shared, { service: SERVICE, pool: () => POOL });
+  const caller = new AbortController();
+  const reasons: string[] = [];
+  for (const signal of [new AbortController().signal, caller.signal]) {
+    void queue.enqueue(decodeRequest({ signal })).then((result) =>
+      reasons.push(result._unsafeUnwrapErr().reason)
+    );
+  }
+  await vi.advanceTimersByTimeAsync(100);
+  caller.abort();
+  await vi.advanceTimersByTimeAsync(1);
+  expect(reasons).toEqual(["cancelled"]);
+  await vi.advanceTimersByTimeAsync(TARGET_MS);
+  expect(reasons).toEqual(["cancelled", "no-capacity"]);
+});
