Tests of streams share their set-up; the silences have a file of their own

The test of a hedged call also checks that neither endpoint is given up before the request times out, as the replaced test did for the last one.

--- a/packages/core/src/routing/call_run_test.ts
+++ b/packages/core/src/routing/call_run_test.ts
@@ -136,14 +136,25 @@
 }
 
 test("A safe call that an endpoint doesn't answer is sent to another in time", async () => {
+  const limitsMs: number[] = [];
   const port = silentFirst("ok");
-  const verdict = run(port, { route: { targetLatencyMs: 100 } });
+  const call = port.call.bind(port);
+  port.call = (endpoint, sent) => {
+    limitsMs.push(sent.firstByteMs);
+    return call(endpoint, sent);
+  };
+  const verdict = run(port, {
+    route: { targetLatencyMs: 100, timeoutMs: 1_000 },
+  });
   await vi.advanceTimersByTimeAsync(199);
   expect(port.log).toHaveLength(1);
   await vi.advanceTimersByTimeAsync(2);
   expect(port.log).toHaveLength(2);
   expect(new TextDecoder().decode((await verdict)._unsafeUnwrap().body))
     .toBe("ok");
+  // Neither endpoint is given up before the request times out.
+  expect(limitsMs[0]).toBe(1_000);
+  expect(limitsMs[1]).toBeGreaterThan(790);
 });
 
 test("A safe call is not refused at a silent endpoint when the retry budget is spent", async () => {
--- a/packages/core/src/routing/stream_backup_test.ts
+++ b/packages/core/src/routing/stream_backup_test.ts
@@ -2,86 +2,34 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId } from "../common/ids.ts";
 import { wait } from "../common/wait.ts";
-import type { RoutingContext } from "./context.ts";
-import { DecodeQueue } from "./decode_queue.ts";
 import type { Send, StreamListener } from "./port.ts";
-import { StreamRun } from "./stream_run.ts";
 import {
-  context,
   entry,
   event,
   EVENT_HEAD,
   type FakeBehaviour,
   FakeEndpoints,
-  POOL,
-  request,
-  route,
-  SERVICE,
 } from "./testing/fake_endpoints.ts";
-import type { EndpointEntry, Route } from "./types.ts";
+import {
+  DEADLINE_MS,
+  ENGINES,
+  eventsOf,
+  type SharedStreams,
+  shareEngines,
+  startStream,
+} from "./testing/streams.ts";
+import type { EndpointEntry } from "./types.ts";
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
 
-const DEADLINE_MS = 14_000;
-const TARGET_MS = 900;
 const ENTRIES = [
-  entry("d1", { stage: "decode", address: "10.0.0.1:1" }),
-  entry("d2", { stage: "decode", address: "10.0.0.2:1" }),
+  ...ENGINES,
   entry("d3", { stage: "decode", address: "10.0.0.5:1" }),
-  entry("p1", { stage: "prefill", address: "10.0.0.3:1" }),
-  entry("p2", { stage: "prefill", address: "10.0.0.4:1" }),
 ];
-const PROMPT = {
-  model: "m",
-  promptTokens: 3_000,
-  maxOutputTokens: 500,
-  expectedOutputTokens: 300,
-  parts: [],
-};
-
-interface Shared {
-  context: RoutingContext;
-  queue: DecodeQueue;
-}
 
-function share(port: FakeEndpoints, entries = ENTRIES): Shared {
-  const shared = context(port, entries);
-  const queue = new DecodeQueue(shared, { service: SERVICE, pool: () => POOL });
-  return { context: shared, queue };
-}
-
-function start({ context, queue }: Shared, options: Partial<Route> = {}) {
-  const out: string[] = [];
-  const startedMs = performance.now();
-  const times = { endedAfterMs: Infinity };
-  const ended = new StreamRun(context, {
-    request: request({ callerTimeoutMs: DEADLINE_MS, prompt: PROMPT }),
-    route: route({
-      kind: "stream",
-      resumable: true,
-      timeoutMs: DEADLINE_MS,
-      targetLatencyMs: TARGET_MS,
-      maxEventGapMs: 300,
-      ...options,
-    }),
-    service: SERVICE,
-    pool: POOL,
-    version: null,
-    queue,
-    sink: {
-      head: (head) => out.push(`head ${head.status}`),
-      write: (bytes) => out.push(new TextDecoder().decode(bytes)) > 0,
-      onDrain() {},
-    },
-    signal: new AbortController().signal,
-  }).run();
-  void ended.then(() => (times.endedAfterMs = performance.now() - startedMs));
-  return { ended, out, times };
-}
-
-function eventsOf(out: readonly string[]): string[] {
-  return [...out.join("").matchAll(/id: (\d+)/g)].map(([, id]) => id!);
+function share(port: FakeEndpoints, entries = ENTRIES): SharedStreams {
+  return shareEngines(port, { entries });
 }
 
 type StreamSendOptions = Send & { listener: StreamListener };
@@ -149,7 +97,9 @@
       return "ok";
     },
   ]);
-  const { ended, out } = start(share(port), { maxAttempts: 3 });
+  const { ended, out } = startStream(share(port), {
+    route: { maxAttempts: 3 },
+  });
   await vi.advanceTimersByTimeAsync(DEADLINE_MS + 1_000);
   expect(await ended).toEqual({ kind: "complete" });
   expect(eventsOf(out)).toEqual(["1", "2", "3"]);
@@ -173,7 +123,9 @@
       return "ok";
     },
   ]);
-  const { ended, out } = start(share(port), { maxAttempts: 3 });
+  const { ended, out } = startStream(share(port), {
+    route: { maxAttempts: 3 },
+  });
   await vi.advanceTimersByTimeAsync(DEADLINE_MS + 1_000);
   expect(await ended).toEqual({ kind: "complete" });
   expect(eventsOf(out)).toEqual(["1", "2", "3"]);
@@ -185,8 +137,8 @@
     never,
     (send) => (deliver(send, 2), Promise.resolve("ok")),
   ]);
-  start(share(port, ENTRIES.filter(({ id }) => id !== "d3")), {
-    maxAttempts: 3,
+  startStream(share(port, ENTRIES.filter(({ id }) => id !== "d3")), {
+    route: { maxAttempts: 3 },
   });
   await vi.advanceTimersByTimeAsync(6_000);
   const sent = port.log.filter((line) => line.startsWith("stream"))
@@ -200,7 +152,7 @@
     never,
     (send) => (deliver(send, 2), Promise.resolve("ok")),
   ]);
-  const { times } = start(share(port), { maxAttempts: 3 });
+  const { times } = startStream(share(port), { route: { maxAttempts: 3 } });
   await vi.advanceTimersByTimeAsync(6_000);
   expect(times.endedAfterMs).toBeLessThan(5_000);
 });
@@ -223,7 +175,7 @@
       return ok({ handle: asId(`kv-${prefills}`), tokens: 1 });
     },
   });
-  const { ended, out } = start(share(port));
+  const { ended, out } = startStream(share(port));
   await vi.advanceTimersByTimeAsync(DEADLINE_MS + 1_000);
   expect(await ended).toEqual({ kind: "complete" });
   expect(eventsOf(out)).toEqual(["1", "2", "3", "4", "5"]);
@@ -234,7 +186,7 @@
     (send) => (deliver(send, 1), never()),
     () => Promise.resolve("ok"),
   ]);
-  const { times } = start(share(port));
+  const { times } = startStream(share(port));
   await vi.advanceTimersByTimeAsync(5_000);
   expect(times.endedAfterMs).toBeLessThan(3_000);
 });
@@ -250,9 +202,9 @@
     (send) => (deliver(send, 1), Promise.resolve("ok")),
   ]);
   const shared = share(port, ENTRIES.filter(({ id }) => !/d[23]/.test(id)));
-  start(shared);
+  startStream(shared);
   await vi.advanceTimersByTimeAsync(3_000);
-  const second = start(shared);
+  const second = startStream(shared);
   await vi.advanceTimersByTimeAsync(DEADLINE_MS);
   expect(await second.ended).toEqual({ kind: "complete" });
 });
@@ -286,7 +238,7 @@
       return ok(undefined);
     },
   });
-  const { ended, out } = start(share(port));
+  const { ended, out } = startStream(share(port));
   await vi.advanceTimersByTimeAsync(DEADLINE_MS);
   expect(await ended).toEqual({ kind: "complete" });
   expect(eventsOf(out)).toEqual(["1", "2", "3"]);
@@ -312,7 +264,7 @@
       return err({ kind: "timeout" });
     },
   });
-  const { times } = start(share(port));
+  const { times } = startStream(share(port));
   await vi.advanceTimersByTimeAsync(DEADLINE_MS + 3_000);
   expect(times.endedAfterMs).toBeLessThan(DEADLINE_MS + 500);
 });
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -3,80 +3,32 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId } from "../common/ids.ts";
 import { wait } from "../common/wait.ts";
-import { DecodeQueue } from "./decode_queue.ts";
 import type { SendFailure } from "./port.ts";
-import type { AnswerSink } from "./stream_relay.ts";
-import { StreamRun } from "./stream_run.ts";
 import {
-  context,
-  entry,
   event,
   EVENT_HEAD,
-  type FakeBehaviour,
   FakeEndpoints,
-  POOL,
-  request,
-  route,
   SERVICE,
 } from "./testing/fake_endpoints.ts";
-import type { ReservationId, Route } from "./types.ts";
+import {
+  DEADLINE_MS,
+  ENGINES,
+  eventsOf,
+  shareEngines,
+  type ShareOptions,
+  type StartOptions,
+  startStream,
+} from "./testing/streams.ts";
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
 
-const ENTRIES = [
-  entry("d1", { stage: "decode", address: "10.0.0.1:1" }),
-  entry("d2", { stage: "decode", address: "10.0.0.2:1" }),
-  entry("p1", { stage: "prefill", address: "10.0.0.3:1" }),
-  entry("p2", { stage: "prefill", address: "10.0.0.4:1" }),
-];
-
-const PROMPT = {
-  model: "m",
-  promptTokens: 3_000,
-  maxOutputTokens: 500,
-  expectedOutputTokens: 300,
-  parts: [],
-};
-
 function start(
   port: FakeEndpoints,
-  options: {
-    route?: Partial<Route>;
-    slack?: number;
-    sink?: Partial<AnswerSink>;
-  } = {},
+  options: ShareOptions & StartOptions = {},
 ) {
-  const caller = new AbortController();
-  const out: string[] = [];
-  const shared = context(port, ENTRIES, options);
-  const run = new StreamRun(shared, {
-    request: request({ callerTimeoutMs: 14_000, prompt: PROMPT }),
-    route: route({
-      kind: "stream",
-      resumable: true,
-      timeoutMs: 14_000,
-      targetLatencyMs: 900,
-      maxEventGapMs: 300,
-      ...options.route,
-    }),
-    service: SERVICE,
-    pool: POOL,
-    version: null,
-    queue: new DecodeQueue(shared, { service: SERVICE, pool: () => POOL }),
-    sink: {
-      head: (head) => out.push(`head ${head.status}`),
-      write: (bytes) => out.push(new TextDecoder().decode(bytes)) > 0,
-      onDrain() {},
-      ...options.sink,
-    },
-    signal: caller.signal,
-  });
-  return { ended: run.run(), out, caller, shared };
-}
-
-function eventsOf(out: readonly string[]): string[] {
-  return [...out.join("").matchAll(/id: (\d+)/g)].map(([, id]) => id!);
+  const shared = shareEngines(port, options);
+  return { ...startStream(shared, options), shared: shared.context };
 }
 
 test("A slot is reserved before the prefill, and the stream fetches the KV cache from the prefill endpoint", async () => {
@@ -156,123 +108,6 @@
   expect(await ended).toMatchObject({ kind: "broken" });
 });
 
-test("A resumable stream leaves an endpoint that stops sending events", async () => {
-  let sends = 0;
-  const port = new FakeEndpoints({
-    stream: (_endpoint, { listener }) => {
-      sends += 1;
-      listener.onHead(EVENT_HEAD);
-      listener.onData(event(sends));
-      return sends === 1
-        ? new Promise(() => {})
-        : Promise.resolve(ok(undefined));
-    },
-  });
-  const { ended, out } = start(port);
-  await vi.advanceTimersByTimeAsync(2_000);
-  expect(await ended).toEqual({ kind: "complete" });
-  expect(eventsOf(out)).toEqual(["1", "2"]);
-});
-
-const SILENCE_MS = 2_000;
-const DEADLINE_MS = 14_000;
-
-/** Endpoints of which the first that streams is silent between its two events. */
-function createSilentEndpoints(
-  behaviour: Partial<FakeBehaviour> = {},
-): FakeEndpoints {
-  let sends = 0;
-  return new FakeEndpoints({
-    ...behaviour,
-    stream: async (endpoint, send) => {
-      sends += 1;
-      if (sends > 1 && behaviour.stream) {
-        return behaviour.stream(endpoint, send);
-      }
-      send.listener.onHead(EVENT_HEAD);
-      send.listener.onData(event(1));
-      await wait(SILENCE_MS);
-      send.listener.onData(event(2));
-      return ok(undefined);
-    },
-  });
-}
-
-test("A stream is not lost at a silent endpoint when the retry budget is spent", async () => {
-  const { ended, out, shared } = start(createSilentEndpoints());
-  while (shared.budget.take(SERVICE));
-  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
-  expect(await ended).toEqual({ kind: "complete" });
-  expect(eventsOf(out)).toEqual(["1", "2"]);
-});
-
-test("A stream is not lost at a silent endpoint when no other has capacity", async () => {
-  let reservations = 0;
-  const port = createSilentEndpoints({
-    reserve: () => {
-      reservations += 1;
-      return reservations === 1
-        ? ok(asId<ReservationId>("hold"))
-        : err({ kind: "notExecuted", status: 503 });
-    },
-  });
-  const { ended, out } = start(port);
-  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
-  expect(await ended).toEqual({ kind: "complete" });
-  expect(eventsOf(out)).toEqual(["1", "2"]);
-});
-
-test("A stream is not lost at a silent endpoint when the endpoint that should continue it fails", async () => {
-  const port = createSilentEndpoints({
-    stream: () => Promise.resolve(err({ kind: "lost", detail: "reset" })),
-  });
-  const { ended, out } = start(port);
-  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
-  expect(await ended).toEqual({ kind: "complete" });
-  expect(eventsOf(out)).toEqual(["1", "2"]);
-});
-
-test("A backup for a silent endpoint is given up when the endpoint goes on", async () => {
-  let prefills = 0;
-  const port = createSilentEndpoints({
-    prefill: async () => {
-      prefills += 1;
-      if (prefills > 1) await wait(1_000);
-      return ok({ handle: asId(`kv-${prefills}`), tokens: 1 });
-    },
-  });
-  const { ended, out } = start(port);
-  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
-  expect(await ended).toEqual({ kind: "complete" });
-  expect(eventsOf(out)).toEqual(["1", "2"]);
-  const sent = port.log.filter((line) => line.startsWith("stream"));
-  expect(sent).toHaveLength(1);
-  expect(port.released).toEqual(["hold"]);
-  expect(port.freed).toEqual(["kv-2"]);
-});
-
-test("The head comes from the backup if the first endpoint is silent before its own", async () => {
-  let sends = 0;
-  const port = new FakeEndpoints({
-    stream: async (_endpoint, { listener }) => {
-      sends += 1;
-      if (sends === 1) {
-        await wait(DEADLINE_MS);
-        return ok(undefined);
-      }
-      listener.onHead(EVENT_HEAD);
-      await wait(200);
-      listener.onData(event(1));
-      return ok(undefined);
-    },
-  });
-  const { ended, out } = start(port);
-  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
-  expect(await ended).toEqual({ kind: "complete" });
-  expect(out).toEqual(["head 200", "id: 1\ndata: 1\n\n"]);
-  expect(sends).toBe(2);
-});
-
 test("A request gets a refusal if its endpoint is lost between the head and the first event", async () => {
   const port = new FakeEndpoints({
     stream: (_endpoint, { listener }) => {
@@ -353,19 +188,6 @@
   expect(eventsOf(out)).toEqual(["1", "2"]);
 });
 
-test("An endpoint is not silent while the caller doesn't read", async () => {
-  const port = createSilentEndpoints();
-  const drains: (() => void)[] = [];
-  const { ended } = start(port, {
-    sink: { write: () => false, onDrain: (drain) => void drains.push(drain) },
-  });
-  await vi.advanceTimersByTimeAsync(SILENCE_MS + 500);
-  for (const drain of drains) drain();
-  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
-  expect(await ended).toEqual({ kind: "complete" });
-  expect(port.log.filter((line) => line.startsWith("stream"))).toHaveLength(1);
-});
-
 /** Decode endpoints that can't fetch the KV cache for the first send. */
 function createEndpointsWithExpiredHandle(): FakeEndpoints {
   let sends = 0;
@@ -441,7 +263,7 @@
       ),
   });
   const { ended, shared } = start(port);
-  shared.endpoints.apply({ id: ENTRIES[3]!.id, entry: null });
+  shared.endpoints.apply({ id: ENGINES[3]!.id, entry: null });
   await vi.advanceTimersByTimeAsync(3_000);
   expect(await ended).toEqual({ kind: "complete" });
   expect(port.log.at(-1)).toMatch(/^stream d\d$/);
@@ -458,7 +280,7 @@
   await vi.advanceTimersByTimeAsync(100);
   const reserved = port.log.find((line) => line.startsWith("reserve"))!
     .slice("reserve ".length);
-  const leaving = ENTRIES.find(({ id }) => id === reserved)!;
+  const leaving = ENGINES.find(({ id }) => id === reserved)!;
   shared.endpoints.apply({
     id: leaving.id,
     entry: { ...leaving, state: "draining" },
--- a/packages/daemon/src/gateway/endless_answers_test.ts
+++ b/packages/daemon/src/gateway/endless_answers_test.ts
@@ -1,11 +1,5 @@
 import { Buffer } from "node:buffer";
-import { once } from "node:events";
-import {
-  type AddressInfo,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import { createServer, type Server, type Socket } from "node:net";
 import { asId, SILENT_OBSERVER } from "@teaselvalve/core";
 import type {
   EndpointEntry,
@@ -14,6 +8,7 @@
 } from "@teaselvalve/core/routing";
 import type { Result } from "neverthrow";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { listenAsEndpoint } from "../testing/endpoint_server.ts";
 import { createRoutedEndpointPort } from "./endpoint_port.ts";
 import type { EndpointProtocol } from "./protocol.ts";
 
@@ -41,19 +36,7 @@
     });
     accepted.on("drain", () => writeForever(accepted));
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  endpoint = {
-    id: asId("e1"),
-    service: asId("readers"),
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    dataCentre: asId("north-a"),
-    slots: 1,
-    state: "ready",
-    stage: null,
-    softwareVersion: asId("v1"),
-    bornAtMs: 1,
-  };
+  endpoint = await listenAsEndpoint(server);
 });
 
 afterEach(() => {
--- a/packages/daemon/src/gateway/endpoint_port_test.ts
+++ b/packages/daemon/src/gateway/endpoint_port_test.ts
@@ -1,13 +1,8 @@
-import { once } from "node:events";
-import {
-  type AddressInfo,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
-import { asId, SILENT_OBSERVER, wait } from "@teaselvalve/core";
+import { createServer, type Server, type Socket } from "node:net";
+import { SILENT_OBSERVER, wait } from "@teaselvalve/core";
 import type { EndpointEntry } from "@teaselvalve/core/routing";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { listenAsEndpoint } from "../testing/endpoint_server.ts";
 import { createRoutedEndpointPort } from "./endpoint_port.ts";
 import type { EndpointProtocol } from "./protocol.ts";
 
@@ -28,19 +23,7 @@
       socket.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{");
     });
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  endpoint = {
-    id: asId("e1"),
-    service: asId("readers"),
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    dataCentre: asId("north-a"),
-    slots: 1,
-    state: "ready",
-    stage: null,
-    softwareVersion: asId("v1"),
-    bornAtMs: 1,
-  };
+  endpoint = await listenAsEndpoint(server);
 });
 
 afterEach(() => {
