--- a/packages/core/src/routing/resumption.ts
+++ b/packages/core/src/routing/resumption.ts
@@ -12,7 +12,7 @@
 const UNKNOWN_ORIGIN_RETRY_MS = 1_000;
 
 /** Service of a request, and the software version that it is restricted to. */
-export interface Destined {
+export interface ServiceChoice {
   readonly service: ServiceName;
   /** Null for requests that any version may run. */
   readonly version: SoftwareVersion | null;
@@ -26,7 +26,7 @@
 export async function chooseDestination(
   context: RoutingContext,
   { request, route }: { request: RoutedRequest; route: Route },
-): Promise<Result<Destined, NotRun>> {
+): Promise<Result<ServiceChoice, NotRun>> {
   if (route.kind !== "stream" || request.lastEventId === null) {
     return ok({ service: chooseService(route, request.id), version: null });
   }
