Log which requests a crash makes suspects, and the parts of a stream's prompt

The record of the crashing prompt part can't tell whether a VM noticed a crash, which requests it suspects and whether they share a part. Lines crash-suspected and crash-reported, and the field parts of stream-sent, say so.

--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -174,6 +174,11 @@
         },
         "routing/crashes": ({ crashes }) => {
           this.#crashes.addCrashes(crashes);
+          observer.log({
+            event: "crash-reported",
+            endpoint: crashes[0]?.endpoint,
+            requests: crashes.length,
+          });
           return null;
         },
         "routing/demand": ({ service }) =>
@@ -372,7 +377,14 @@
   }
 
   #sendCrashes(crashes: readonly Crash[]): void {
-    this.#options.observer.count("suspicions", "crash");
+    const { observer } = this.#options;
+    observer.count("suspicions", "crash");
+    observer.log({
+      event: "crash-suspected",
+      endpoint: crashes[0]?.endpoint,
+      requests: crashes.length,
+      suspects: crashes.map(({ request }) => request.slice(0, 8)).join(),
+    });
     for (const peer of this.#livePeers(CRASH_NOTICE_VMS)) {
       void this.#options.ports.peers.call(peer, "routing/crashes", {
         params: { crashes },
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -279,6 +279,7 @@
       promptTokens: prefill.tokens,
       maxOutputTokens: request.prompt?.maxOutputTokens,
       hint: request.prompt?.expectedOutputTokens ?? undefined,
+      parts: request.prompt?.parts.map(({ id }) => id).join() || undefined,
     });
   }
 }
