Quarantine the prompt parts that crash engines, not only whole requests

Class: evidence is kept for a name that changes with each occurrence, and is cleared by something that proves nothing.

Change: crash records hold traits (parts and whole requests), are cleared by answers, merged among VMs and explained by the most specific traits. A lost connection is checked at once. Probes carry a hash of the evidence, so that VMs that were missed or start later fetch it. Trials end quarantines.

--- a/packages/core/src/common/verdict.ts
+++ b/packages/core/src/common/verdict.ts
@@ -27,6 +27,7 @@
   "origin-unknown",
   "endpoint-refused",
   "convicted",
+  "quarantined",
   "suspect-busy",
   "stopping",
   "superseded",
--- a/packages/core/src/membership/app.ts
+++ b/packages/core/src/membership/app.ts
@@ -11,6 +11,8 @@
   readonly statusVersion: number;
   readonly leaving: boolean;
   readonly configurationVersion: number;
+  /** Equal on VMs that have the same evidence on crashes; absent where none is kept. */
+  readonly evidenceHash?: number;
   /** Equal on VMs whose views agree. */
   readonly viewHash: number;
   /** Set in an answer if the answering VM doesn't know the one that sent the probe. */
--- a/packages/core/src/membership/gossip_exchange.ts
+++ b/packages/core/src/membership/gossip_exchange.ts
@@ -12,6 +12,8 @@
 export interface GossipExchangeOptions {
   table: MemberTable;
   configurationVersion: () => number;
+  /** Hash of the evidence on crashes that this VM has. */
+  evidenceHash?: () => number;
 }
 
 /** Keeps the table up to date by exchanging updates with other VMs. */
@@ -68,6 +70,7 @@
       statusVersion: own.statusVersion,
       leaving: own.announced === "leaving",
       configurationVersion: this.#options.configurationVersion(),
+      evidenceHash: this.#options.evidenceHash?.(),
       viewHash: this.#table.hash(),
       ...(received && !known ? { unknown: true } : {}),
       news,
--- a/packages/core/src/membership/task.ts
+++ b/packages/core/src/membership/task.ts
@@ -62,6 +62,8 @@
 /** Options of {@link MembershipTask}. */
 export interface MembershipTaskOptions {
   configurationVersion: () => number;
+  /** Hash of the evidence on crashes, sent with probes. */
+  evidenceHash?: () => number;
   /** Called for each received probe and answer, with the versions that it carries. */
   onProbe?: (probe: Probe) => void;
   /**
@@ -102,6 +104,7 @@
     this.#exchange = new GossipExchange(context, {
       table: this.#table,
       configurationVersion: options.configurationVersion,
+      evidenceHash: options.evidenceHash,
     });
     this.#prober = new Prober(context, {
       table: this.#table,
--- a/packages/core/src/routing/app.ts
+++ b/packages/core/src/routing/app.ts
@@ -3,12 +3,13 @@
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import type { DemandSample } from "./stages/demand.ts";
 import type { PlacementHandlers } from "./placement/client.ts";
-import type { Crash } from "./crash_tracker.ts";
+import type { CrashHandlers } from "./crashes/exchange.ts";
 import type { OriginHandlers } from "./stream_origins.ts";
 import type { EndpointEntry, RoutingTable } from "./types.ts";
 
 /** Handlers of the peer methods, by method name. */
-export interface RoutingHandlers extends PlacementHandlers, OriginHandlers {
+export interface RoutingHandlers
+  extends PlacementHandlers, OriginHandlers, CrashHandlers {
   /** Returns the active table if its version is above `after`, otherwise null. */
   "routing/table": (
     params: { after: number },
@@ -27,8 +28,6 @@
   "routing/ordered": (
     params: { endpoint: EndpointId; forMs: number },
   ) => null;
-  /** Reports requests whose connections were lost in endpoint crashes. */
-  "routing/crashes": (params: { crashes: readonly Crash[] }) => null;
   /** Returns the recent resource demand of a service's streams at this VM. */
   "routing/demand": (params: { service: ServiceName }) => DemandSample;
 }
--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -11,7 +11,6 @@
   type Verdict,
 } from "../common/verdict.ts";
 import type { RoutingContext } from "./context.ts";
-import { fingerprintOf } from "./crash_tracker.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { EndpointAnswer, SendFailure } from "./port.ts";
 import { chooseEndpoint } from "./queries/choose_endpoint.ts";
@@ -41,6 +40,8 @@
   service: ServiceName;
   /** Aborted when the caller disconnects. */
   signal: AbortSignal;
+  /** Sent once only, to find out whether the request still crashes endpoints. */
+  isTrial?: boolean;
 }
 
 type SendResult = Result<EndpointAnswer, SendFailure>;
@@ -66,6 +67,7 @@
   async run(): Promise<Verdict<EndpointAnswer>> {
     let last: SendResult | null = null;
     while (this.#sends < MAX_SENDS) {
+      if (last && this.#isQuarantined()) break;
       if (last && !this.#takeRetry(last)) break;
       if (this.#clock.leftMs() < MIN_SEND_MS) break;
       const endpoint = this.#choose();
@@ -107,7 +109,7 @@
   #takeHedge(openSends: number): EndpointRecord | null {
     const { route, service } = this.#options;
     if (this.#runs + openSends >= route.maxAttempts) return null;
-    if (this.#sends >= MAX_SENDS) return null;
+    if (this.#sends >= MAX_SENDS || this.#isQuarantined()) return null;
     if (this.#clock.leftMs() < MIN_SEND_MS) return null;
     const endpoint = this.#choose();
     if (!endpoint?.isHealthy(performance.now())) return null;
@@ -116,6 +118,11 @@
       : null;
   }
 
+  #isQuarantined(): boolean {
+    const { request, isTrial } = this.#options;
+    return isTrial || this.#context.crashes.refusalOf(request) !== null;
+  }
+
   #choose(): EndpointRecord | undefined {
     const { endpoints, dataCentre, random } = this.#context;
     return chooseEndpoint(endpoints.usable(this.#options.service, null), {
@@ -150,6 +157,11 @@
     const tookMs = performance.now() - startedMs;
     if (outcome.isOk() || !provesNotRun(outcome.error)) this.#runs += 1;
     noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
+    if (outcome.isOk()) {
+      const { crashes } = this.#context;
+      crashes.noteRunning(endpoint.entry, { sentAtMs: startedMs });
+      crashes.noteAnswered(request);
+    }
     this.#context.observer.log({
       event: "call-sent",
       attempt: request.id,
@@ -235,23 +247,24 @@
 /** Updates the endpoint's record and the crash tracker with the outcome of a send. */
 export function noteOutcome(
   context: RoutingContext,
-  { endpoint, request, outcome, tookMs }: {
+  { endpoint, request, outcome, tookMs, wasAnswering = false }: {
     endpoint: EndpointRecord;
     request: RoutedRequest;
     outcome: Result<unknown, SendFailure>;
     tookMs: number;
+    /** Whether the endpoint had been answering for so long that this is no cause of a crash. */
+    wasAnswering?: boolean;
   },
 ): void {
   const nowMs = performance.now();
   const { crashes } = context;
-  if (outcome.isOk()) {
-    if (crashes.hasSuspects) crashes.clear(fingerprintOf(request));
-    return endpoint.noteSuccess(tookMs);
+  if (outcome.isOk()) return endpoint.noteSuccess(tookMs);
+  if (outcome.error.kind === "lost" && !wasAnswering) {
+    crashes.noteLost(request, endpoint.entry);
   }
-  if (outcome.error.kind === "lost") {
-    crashes.noteLostConnection(fingerprintOf(request), endpoint.entry.id);
+  if (outcome.error.kind === "notSent" && outcome.error.refused) {
+    crashes.noteEnd(endpoint.entry);
   }
-  if (outcome.error.kind === "notSent") crashes.noteCrash(endpoint.entry.id);
   switch (outcome.error.kind) {
     case "aborted":
       return;
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -1,7 +1,7 @@
 /** Dependencies shared by the runs of all routed requests of a VM. */
 import type { DataCentre, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
-import type { CrashTracker } from "./crash_tracker.ts";
+import type { CrashTracker } from "./crashes/tracker.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import type { RoutedEndpointPort } from "./port.ts";
 import type { Placement } from "./placement/client.ts";
--- /dev/null
+++ b/packages/core/src/routing/crashes/queries/find_culprits.ts
@@ -0,0 +1,102 @@
+/** Decides which traits crash endpoints, from the records of crashes. */
+import {
+  type CrashRecord,
+  type TraitId,
+  WHOLE_REQUEST_POSITION,
+} from "../types.ts";
+
+/** Crashes after which a trait is a culprit. */
+export const CULPRIT_CRASHES = 3;
+/**
+ * The same for a trait that many crashes may have in common without being caused by
+ * it: one of requests that were answered shortly before, or a part that is followed
+ * by another suspected part in each crash.
+ */
+const COMMON_CULPRIT_CRASHES = 5;
+/** Crashes of a common trait that no more specific culprit explains. */
+const COMMON_UNEXPLAINED_CRASHES = 3;
+
+/** A trait that crashes endpoints. */
+export interface Culprit {
+  readonly id: TraitId;
+  readonly position: number;
+  readonly crashes: number;
+  readonly lastCrashAtMs: number;
+}
+
+interface Candidate extends Culprit {
+  readonly isTrusted: boolean;
+  /** Whether a more specific part is suspected in each of its crashes. */
+  readonly isFollowed: boolean;
+  readonly isCommon: boolean;
+}
+
+/**
+ * Returns the traits that best explain the crashes. A trait is a candidate where
+ * no request with it was answered after the crash. The most specific candidates
+ * are chosen first, so that a general part is blamed only for crashes that nothing
+ * more specific explains.
+ */
+export function findCulprits(
+  records: Iterable<CrashRecord>,
+): Map<TraitId, Culprit> {
+  const crashes = [...records].filter(({ refuted }) => !refuted);
+  const candidates = [...countCandidates(crashes).values()].sort((a, b) =>
+    Number(a.isCommon) - Number(b.isCommon) || b.position - a.position ||
+    b.crashes - a.crashes || (a.id < b.id ? -1 : 1)
+  );
+  const culprits = new Map<TraitId, Culprit>();
+  let unexplained = crashes;
+  for (const candidate of candidates) {
+    const { id, isCommon } = candidate;
+    if (
+      candidate.crashes < (isCommon ? COMMON_CULPRIT_CRASHES : CULPRIT_CRASHES)
+    ) {
+      continue;
+    }
+    const rest = unexplained.filter((crash) => !isSuspect(crash, id));
+    const explained = unexplained.length - rest.length;
+    if (explained < (isCommon ? COMMON_UNEXPLAINED_CRASHES : 1)) continue;
+    unexplained = rest;
+    culprits.set(candidate.id, candidate);
+  }
+  return culprits;
+}
+
+/** Whether a trait may have caused a crash. */
+export function isSuspect(crash: CrashRecord, id: TraitId): boolean {
+  return crash.traits.has(id) && !crash.cleared.has(id);
+}
+
+function countCandidates(crashes: readonly CrashRecord[]) {
+  const candidates = new Map<TraitId, Candidate>();
+  for (const crash of crashes) {
+    const lastPosition = lastSuspectedPart(crash);
+    for (const [id, position] of crash.traits) {
+      if (crash.cleared.has(id)) continue;
+      const before = candidates.get(id);
+      const isTrusted = crash.trusted.has(id) || (before?.isTrusted ?? false);
+      const isFollowed = position < lastPosition &&
+        (before?.isFollowed ?? true);
+      candidates.set(id, {
+        id,
+        position: Math.max(position, before?.position ?? 0),
+        crashes: (before?.crashes ?? 0) + 1,
+        lastCrashAtMs: Math.max(crash.atMs, before?.lastCrashAtMs ?? -Infinity),
+        isTrusted,
+        isFollowed,
+        isCommon: isTrusted || isFollowed,
+      });
+    }
+  }
+  return candidates;
+}
+
+function lastSuspectedPart({ traits, cleared }: CrashRecord): number {
+  const positions = [...traits]
+    .filter(([id, position]) =>
+      position < WHOLE_REQUEST_POSITION && !cleared.has(id)
+    )
+    .map(([, position]) => position);
+  return Math.max(-1, ...positions);
+}
--- /dev/null
+++ b/packages/core/src/routing/crashes/tracker.ts
@@ -0,0 +1,197 @@
+/**
+ * Finds requests that crash the endpoints that run them, and refuses them.
+ *
+ * When an endpoint crashes, the requests that it may just have begun to answer
+ * become suspects, with the parts of their prompts. Requests that only happened to
+ * run there are answered elsewhere, which clears what they consist of; what remains
+ * after several crashes is quarantined. Now and then one request with a quarantined
+ * trait is let through as a trial, since the endpoints' software may have changed.
+ */
+import { type Observer, SILENT_OBSERVER } from "../../common/observe.ts";
+import { type NotRun, notRun } from "../../common/verdict.ts";
+import {
+  type EndpointEntry,
+  type EndpointIncarnation,
+  incarnationOf,
+  type RoutedRequest,
+} from "../types.ts";
+import { CrashEvidence, type EvidenceListener } from "./evidence.ts";
+import { type Culprit, CULPRIT_CRASHES } from "./queries/find_culprits.ts";
+import { partTraitsOf, traitsOf } from "./traits.ts";
+import type { TraitId } from "./types.ts";
+
+/** A crash is attributed to the connections lost within this time before it was noticed. */
+const LOSS_WINDOW_MS = 6_000;
+/** Delay until an endpoint is checked that lost a connection; others break meanwhile. */
+const CHECK_DELAY_MS = 30;
+/** Time until the first trial of a culprit; multiplied with each further crash. */
+const FIRST_TRIAL_MS = 10_000;
+const TRIAL_FACTOR = 4;
+const MAX_TRIAL_MS = 10 * 60_000;
+/** How long a trait is refused without asking again whether a trial may take place. */
+const DENIAL_MS = 1_000;
+const MIN_RETRY_MS = 1_000;
+
+/** Options of {@link CrashTracker}. */
+export interface CrashTrackerOptions {
+  observer?: Observer;
+  /** Receives changes of the evidence, to pass to other VMs. */
+  onChange?: EvidenceListener;
+  /** Returns whether an endpoint still accepts connections; undefined if that can't be checked. */
+  check?: (entry: EndpointEntry) => Promise<boolean | undefined>;
+  /** Asks for the only trial of a trait in this time; resolves with false if it is refused. */
+  claimTrial?: (trait: TraitId, intervalMs: number) => Promise<boolean>;
+}
+
+/** Whether a request may be sent. `trial`: only once, without retries. */
+export type CrashVerdict = "unsuspected" | "trial" | NotRun;
+
+interface Loss {
+  readonly request: RoutedRequest;
+  readonly atMs: number;
+}
+
+/** Tracks lost connections, crashes and suspected requests at this VM. */
+export class CrashTracker {
+  readonly evidence: CrashEvidence;
+  #options: CrashTrackerOptions;
+  #losses = new Map<EndpointIncarnation, Loss[]>();
+  #checking = new Set<EndpointIncarnation>();
+  #deniedUntilMs = new Map<TraitId, number>();
+
+  constructor(options: CrashTrackerOptions = {}) {
+    this.#options = options;
+    this.evidence = new CrashEvidence((change) => options.onChange?.(change));
+  }
+
+  /** Returns the refusal of a request that crashes endpoints, or null. */
+  refusalOf(request: RoutedRequest): NotRun | null {
+    const [dueAtMs] = this.#findCulprits(request).map(trialDueAtMs)
+      .sort((a, b) => b - a);
+    if (dueAtMs === undefined) return null;
+    const retryAfterMs = Math.max(MIN_RETRY_MS, dueAtMs - performance.now());
+    return notRun("quarantined", { retryAfterMs });
+  }
+
+  /** Decides on a request that has arrived, which may become the trial of its traits. */
+  async admit(request: RoutedRequest): Promise<CrashVerdict> {
+    const refusal = this.refusalOf(request);
+    if (!refusal) return "unsuspected";
+    return await this.#claimTrial(request) ? "trial" : refusal;
+  }
+
+  /**
+   * Records a lost connection, before it is known whether the endpoint crashed.
+   * Requests that the endpoint had already been answering for a while are left out.
+   */
+  noteLost(request: RoutedRequest, entry: EndpointEntry): void {
+    const endpoint = incarnationOf(entry);
+    const losses = this.#recentLosses(endpoint);
+    losses.push({ request, atMs: performance.now() });
+    this.#losses.set(endpoint, losses);
+    if (this.evidence.get(endpoint)) return this.noteEnd(entry);
+    void this.#check(entry);
+  }
+
+  /** Records that an endpoint refuses connections or is gone; a draining one has not crashed. */
+  noteEnd(entry: EndpointEntry): void {
+    const endpoint = incarnationOf(entry);
+    const losses = this.#recentLosses(endpoint);
+    this.#losses.delete(endpoint);
+    if (losses.length === 0 || entry.state === "draining") return;
+    const traits = losses.flatMap(({ request }) => traitsOf(request));
+    const { observer = SILENT_OBSERVER } = this.#options;
+    observer.count("suspicions", "crash");
+    observer.log({
+      event: "crash-suspected",
+      endpoint: entry.id,
+      requests: losses.length,
+      suspects: [...new Set(traits.map(({ id }) => id))].join(),
+    });
+    this.evidence.addCrash(endpoint, { traits, atMs: losses[0]!.atMs });
+  }
+
+  /** Records that an endpoint has answered a call made at `sentAtMs`, so that it was running. */
+  noteRunning(entry: EndpointEntry, { sentAtMs }: { sentAtMs: number }): void {
+    const endpoint = incarnationOf(entry);
+    const later = this.#recentLosses(endpoint)
+      .filter(({ atMs }) => atMs >= sentAtMs);
+    if (later.length > 0) this.#losses.set(endpoint, later);
+    else this.#losses.delete(endpoint);
+    const crash = this.evidence.get(endpoint);
+    if (crash && crash.atMs < sentAtMs) this.evidence.refute(endpoint);
+  }
+
+  /** Records that a request was answered without a crash, which clears its traits. */
+  noteAnswered(request: RoutedRequest): void {
+    this.evidence.noteAnswered(
+      this.evidence.isEmpty ? partTraitsOf(request) : traitsOf(request),
+    );
+  }
+
+  async #check(entry: EndpointEntry): Promise<void> {
+    const endpoint = incarnationOf(entry);
+    const { check } = this.#options;
+    if (!check || this.#checking.has(endpoint)) return;
+    this.#checking.add(endpoint);
+    await new Promise((resolve) => setTimeout(resolve, CHECK_DELAY_MS));
+    const running = await check(entry);
+    this.#checking.delete(endpoint);
+    if (running === false) this.noteEnd(entry);
+  }
+
+  #findCulprits(request: RoutedRequest): Culprit[] {
+    const { culprits } = this.evidence;
+    if (culprits.size === 0) return [];
+    return traitsOf(request).flatMap(({ id }) => culprits.get(id) ?? []);
+  }
+
+  async #claimTrial(request: RoutedRequest): Promise<boolean> {
+    const culprits = this.#findCulprits(request);
+    const nowMs = performance.now();
+    const isDue = culprits.every((culprit) =>
+      nowMs >= trialDueAtMs(culprit) &&
+      nowMs >= (this.#deniedUntilMs.get(culprit.id) ?? -Infinity)
+    );
+    if (!isDue || this.#hasOtherSuspects(request, culprits)) return false;
+    for (const culprit of culprits) {
+      this.#deniedUntilMs.set(culprit.id, nowMs + DENIAL_MS);
+    }
+    const { claimTrial } = this.#options;
+    const granted = await Promise.all(
+      culprits.map((culprit) =>
+        claimTrial?.(culprit.id, trialIntervalMs(culprit)) ?? true
+      ),
+    );
+    return granted.every(Boolean);
+  }
+
+  // A crash in a trial has to say something about the culprits, and not about a more
+  // specific trait that is also suspected.
+  #hasOtherSuspects(
+    request: RoutedRequest,
+    culprits: readonly Culprit[],
+  ): boolean {
+    const positions = culprits.map(({ position }) => position);
+    const lowest = Math.min(...positions);
+    return traitsOf(request).some(({ id, position }) =>
+      position > lowest && !this.evidence.culprits.has(id) &&
+      this.evidence.isSuspected(id)
+    );
+  }
+
+  #recentLosses(endpoint: EndpointIncarnation): Loss[] {
+    const sinceMs = performance.now() - LOSS_WINDOW_MS;
+    const losses = this.#losses.get(endpoint) ?? [];
+    return losses.filter(({ atMs }) => atMs >= sinceMs);
+  }
+}
+
+function trialIntervalMs({ crashes }: Culprit): number {
+  const factor = TRIAL_FACTOR ** Math.max(0, crashes - CULPRIT_CRASHES);
+  return Math.min(MAX_TRIAL_MS, FIRST_TRIAL_MS * factor);
+}
+
+function trialDueAtMs(culprit: Culprit): number {
+  return culprit.lastCrashAtMs + trialIntervalMs(culprit);
+}
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -12,6 +12,7 @@
 import { type NotRun, notRun } from "../common/verdict.ts";
 import type { RoutingContext } from "./context.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
+import type { SendFailure } from "./port.ts";
 import type { RequestClock } from "./request_clock.ts";
 import type {
   AttemptId,
@@ -59,6 +60,8 @@
   readonly version: SoftwareVersion | null;
   /** False for a stream that continues, even if it is late. */
   readonly mustBeOnTime: boolean;
+  /** Returns the refusal of a stream that crashes engines, or null. */
+  readonly findQuarantine: () => NotRun | null;
   readonly signal: AbortSignal;
 }
 
@@ -178,6 +181,8 @@
   #findRefusal(request: DecodeRequest): NotRun | null {
     const retryAfterMs = this.#retryAfterMs();
     if (request.signal.aborted) return notRun("cancelled", { retryAfterMs });
+    const quarantine = request.findQuarantine();
+    if (quarantine) return quarantine;
     if (!this.#hasVersion(request.version)) return refusalOfMissingVersion();
     return timeToSpareMs(request) <= 0
       ? notRun("no-capacity", { retryAfterMs })
@@ -235,21 +240,29 @@
       tokens: request.tokens,
     });
     for (const endpoint of ranked.slice(0, count)) {
+      const sentAtMs = performance.now();
       const reserved = await port.reserve(endpoint.entry, {
         tokens: Math.min(request.tokens, pool.kvTokens),
         ttlMs: pool.reservationTtlMs,
         timeoutMs: RESERVE_TIMEOUT_MS,
         signal: request.signal,
       });
-      if (reserved.isOk()) return { endpoint, reservationId: reserved.value };
-      this.#noteReserveFailure(endpoint, reserved.error.kind);
+      if (reserved.isOk()) {
+        this.#context.crashes.noteRunning(endpoint.entry, { sentAtMs });
+        return { endpoint, reservationId: reserved.value };
+      }
+      this.#noteReserveFailure(endpoint, reserved.error);
       if (request.signal.aborted) return null;
     }
     return null;
   }
 
-  #noteReserveFailure(endpoint: EndpointRecord, kind: string): void {
+  #noteReserveFailure(endpoint: EndpointRecord, failure: SendFailure): void {
     const nowMs = performance.now();
+    const { kind } = failure;
+    if (kind === "notSent" && failure.refused) {
+      this.#context.crashes.noteEnd(endpoint.entry);
+    }
     if (kind === "notExecuted") return endpoint.noteFull(nowMs + FULL_FOR_MS);
     if (kind === "aborted") return;
     if (kind === "misdirected") return endpoint.setMissing(nowMs);
--- a/packages/core/src/routing/decode_queue_test.ts
+++ b/packages/core/src/routing/decode_queue_test.ts
@@ -68,6 +68,7 @@
     avoid: new Set(),
     version: null,
     mustBeOnTime: true,
+    findQuarantine: () => null,
     signal: new AbortController().signal,
     ...options,
   };
--- a/packages/core/src/routing/endpoint_registry.ts
+++ b/packages/core/src/routing/endpoint_registry.ts
@@ -2,11 +2,13 @@
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
 import { EndpointRecord } from "./endpoint_record.ts";
-import type {
-  EndpointChange,
-  EndpointEntry,
-  SoftwareVersion,
-  Stage,
+import {
+  type EndpointChange,
+  type EndpointEntry,
+  type EndpointIncarnation,
+  incarnationOf,
+  type SoftwareVersion,
+  type Stage,
 } from "./types.ts";
 
 /**
@@ -20,10 +22,10 @@
 /** Holds the record of every known endpoint. */
 export class EndpointRegistry {
   #observer: Observer;
-  #onIncarnationEnd: (id: EndpointId) => void;
+  #onIncarnationEnd: (entry: EndpointEntry) => void;
   #records = new Map<EndpointId, EndpointRecord>();
   /** Incarnations that have been draining, oldest first. */
-  #drained = new Set<string>();
+  #drained = new Set<EndpointIncarnation>();
   #directoryReachable = true;
   #reachableSinceMs = -Infinity;
 
@@ -33,7 +35,7 @@
    */
   constructor(
     observer: Observer,
-    onIncarnationEnd: (id: EndpointId) => void = () => {},
+    onIncarnationEnd: (entry: EndpointEntry) => void = () => {},
   ) {
     this.#observer = observer;
     this.#onIncarnationEnd = onIncarnationEnd;
@@ -112,7 +114,7 @@
     const existing = this.#records.get(entry.id);
     if (existing && existing.entry.bornAtMs > entry.bornAtMs) return;
     if (!this.#claimAddress(entry)) return;
-    const wasDraining = this.#drained.has(incarnationKey(entry));
+    const wasDraining = this.#drained.has(incarnationOf(entry));
     const draining = wasDraining || entry.state === "draining";
     if (draining) this.#recordDraining(entry);
     const effective: EndpointEntry = draining
@@ -123,7 +125,7 @@
       existing.update(effective);
       return;
     }
-    if (existing) this.#onIncarnationEnd(entry.id);
+    if (existing) this.#onIncarnationEnd(existing.entry);
     this.#records.set(entry.id, new EndpointRecord(effective));
     this.#observer.log({
       event: "endpoint-known",
@@ -150,7 +152,7 @@
         address: entry.address,
       });
       this.#records.delete(id);
-      this.#onIncarnationEnd(id);
+      this.#onIncarnationEnd(other);
     }
     return true;
   }
@@ -161,7 +163,7 @@
     const graceEndsMs = this.#reachableSinceMs + RECOVERY_GRACE_MS;
     const removedAtMs = Math.max(performance.now(), graceEndsMs);
     record.setMissing(removedAtMs);
-    this.#onIncarnationEnd(id);
+    this.#onIncarnationEnd(record.entry);
     this.#observer.log({
       event: "endpoint-gone",
       endpoint: id,
@@ -180,7 +182,7 @@
   }
 
   #recordDraining(entry: EndpointEntry): void {
-    this.#drained.add(incarnationKey(entry));
+    this.#drained.add(incarnationOf(entry));
     if (this.#drained.size <= MAX_DRAINED) return;
     const [oldest] = this.#drained;
     this.#drained.delete(oldest!);
@@ -199,7 +201,3 @@
     });
   }
 }
-
-function incarnationKey(entry: EndpointEntry): string {
-  return `${entry.id} ${entry.bornAtMs}`;
-}
--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -8,10 +8,15 @@
   Stage,
 } from "./types.ts";
 
+const CHECK_TIMEOUT_MS = 500;
+
 /** How a request sent to an endpoint failed. */
 export type SendFailure =
-  /** No byte of the request was sent. */
-  | { readonly kind: "notSent" }
+  /**
+   * No byte of the request was sent; `refused` if the endpoint's address refuses
+   * connections, which means that the endpoint isn't running.
+   */
+  | { readonly kind: "notSent"; readonly refused?: boolean }
   /** The endpoint answered that it did not run the request. */
   | { readonly kind: "notExecuted"; readonly status: number }
   /** The address belongs to another endpoint, which did not run the request. */
@@ -120,6 +125,21 @@
   | "not-sent"
   | "lost";
 
+/**
+ * Returns whether an engine accepts connections: false if its address refuses them,
+ * undefined if that isn't known, as for endpoints without reports.
+ */
+export async function checkConnection(
+  port: Pick<RoutedEndpointPort, "report">,
+  entry: EndpointEntry,
+): Promise<boolean | undefined> {
+  if (entry.stage === null) return undefined;
+  const report = await port.report(entry, { timeoutMs: CHECK_TIMEOUT_MS });
+  if (report.isOk()) return true;
+  const isRefused = report.error.kind === "notSent" && report.error.refused;
+  return isRefused ? false : undefined;
+}
+
 /** Calls to endpoints. The port itself never retries one. */
 export interface RoutedEndpointPort {
   /** Sends a request and reads the complete answer. */
--- a/packages/core/src/routing/queries/local_view.ts
+++ b/packages/core/src/routing/queries/local_view.ts
@@ -1,6 +1,7 @@
 /** Describes a routing VM's local view for operators. */
 import type { EndpointId, ServiceName, VmId } from "../../common/ids.ts";
 import type { Member, VmState } from "../../membership/types.ts";
+import type { TraitId } from "../crashes/types.ts";
 import type { EndpointRecord } from "../endpoint_record.ts";
 
 /** One VM's local view of routing, with the age of its sources. */
@@ -12,6 +13,11 @@
   readonly endpointsAgeMs: number;
   readonly endpoints: readonly LocalEndpointView[];
   readonly vms: readonly { readonly id: VmId; readonly state: VmState }[];
+  /** Requests and prompt parts that are refused because they crash endpoints. */
+  readonly quarantined: readonly {
+    readonly trait: TraitId;
+    readonly crashes: number;
+  }[];
 }
 
 /** One VM's local view of an endpoint. */
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -3,7 +3,6 @@
 import { notRun, type Refusal } from "../common/verdict.ts";
 import { CallRun } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
-import { fingerprintOf } from "./crash_tracker.ts";
 import { DecodeQueue } from "./decode_queue.ts";
 import type { EndpointAnswer } from "./port.ts";
 import { RouteIndex } from "./queries/match_route.ts";
@@ -15,9 +14,6 @@
 /** Retry delay given to callers while the VM has no routing table. */
 const NO_TABLE_RETRY_MS = 300;
 
-/** Retry delay of a quarantined request: one that crashes endpoints gains nothing from an early retry. */
-const QUARANTINED_RETRY_MS = 60_000;
-
 /** Outcome of a routed request. */
 export type RoutedOutcome =
   | { readonly kind: "answered"; readonly answer: EndpointAnswer }
@@ -96,12 +92,9 @@
     request: RoutedRequest,
     { route, sink, signal }: HandleOptions & { route: Route },
   ): Promise<RoutedOutcome> {
-    const { crashes } = this.#context;
-    if (crashes.hasSuspects && crashes.isQuarantined(fingerprintOf(request))) {
-      return {
-        kind: "refused",
-        refusal: notRun("convicted", { retryAfterMs: QUARANTINED_RETRY_MS }),
-      };
+    const admission = await this.#context.crashes.admit(request);
+    if (typeof admission === "object") {
+      return { kind: "refused", refusal: admission };
     }
     const destination = await chooseDestination(this.#context, {
       request,
@@ -113,7 +106,8 @@
     const { service, version } = destination.value;
     this.#context.budget.earn(service);
     const pool = this.#services.get(service)?.engines ?? null;
-    const common = { request, route, service, signal };
+    const isTrial = admission === "trial";
+    const common = { request, route, service, signal, isTrial };
     if (route.kind === "stream" && pool) {
       const queue = this.#queueOf(service);
       const run = new StreamRun(this.#context, {
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -11,12 +11,13 @@
   MembershipContext,
   VmIdentity,
 } from "../membership/types.ts";
-import { createMembershipApp } from "../membership/app.ts";
+import { createMembershipApp, type Probe } from "../membership/app.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
 import { createRoutingApp } from "./app.ts";
 import { NO_TIMES, type RequestTimes } from "./context.ts";
-import { type Crash, CrashTracker } from "./crash_tracker.ts";
+import { CrashExchange } from "./crashes/exchange.ts";
+import { CrashTracker } from "./crashes/tracker.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 import {
   createPlacementHandlers,
@@ -24,7 +25,7 @@
 } from "./placement/client.ts";
 import { PlacementHome } from "./placement/home.ts";
 import { PrefillTimes } from "./prefill_times.ts";
-import type { RoutedEndpointPort } from "./port.ts";
+import { checkConnection, type RoutedEndpointPort } from "./port.ts";
 import {
   describeEndpoint,
   describeVms,
@@ -43,8 +44,6 @@
 const ENDPOINTS_BATCH_MS = 400;
 /** How often a VM without an endpoint list requests one from another VM. */
 const PEER_POLL_INTERVAL_MS = 500;
-/** Maximum VMs notified of a crash; several, since a caller's retry may arrive at any VM. */
-const CRASH_NOTICE_VMS = 16;
 /** How often requests that arrived before the tables check for them. */
 const READY_CHECK_MS = 15;
 /** Maximum VMs notified of a stage order. */
@@ -93,6 +92,7 @@
   #options: RoutingVmOptions;
   #feeds: readonly Pick<TableFeed<unknown>, "start" | "stop" | "ageMs">[];
   #crashes: CrashTracker;
+  #crashExchange: CrashExchange;
   #placement: PlacementClient;
   #endpointsKnown = false;
   #peerPollTimer: ReturnType<typeof setInterval> | undefined;
@@ -110,15 +110,28 @@
     };
     this.membership = new MembershipTask(context, {
       configurationVersion: () => this.#tableVersion(),
-      onProbe: ({ from, configurationVersion }) =>
-        this.#checkVersion(configurationVersion, this.membership.member(from)),
+      evidenceHash: () => this.#crashes.evidence.hash,
+      onProbe: (probe) => this.#compareWith(probe),
       contacts: options.contacts,
       listIntervalMs: LIST_INTERVAL_MS,
     });
-    this.#crashes = new CrashTracker((crashes) => this.#sendCrashes(crashes));
+    this.#crashExchange = new CrashExchange({
+      membership: this.membership,
+      peers: ports.peers,
+      observer,
+      random,
+      tracker: () => this.#crashes,
+    });
+    this.#crashes = new CrashTracker({
+      observer,
+      onChange: (change) => this.#crashExchange.announce(change),
+      check: (entry) => checkConnection(ports.calls, entry),
+      claimTrial: (trait, intervalMs) =>
+        this.#crashExchange.claimTrial(trait, intervalMs),
+    });
     this.endpoints = new EndpointRegistry(
       observer,
-      (id) => this.#crashes.noteCrash(id),
+      (entry) => this.#crashes.noteEnd(entry),
     );
     const placementHome = new PlacementHome();
     const origins = new SharedOrigins({
@@ -172,15 +185,7 @@
           );
           return null;
         },
-        "routing/crashes": ({ crashes }) => {
-          this.#crashes.addCrashes(crashes);
-          observer.log({
-            event: "crash-reported",
-            endpoint: crashes[0]?.endpoint,
-            requests: crashes.length,
-          });
-          return null;
-        },
+        ...this.#crashExchange.handlers,
         "routing/demand": ({ service }) =>
           this.#stages.get(service)?.demand.sample() ?? NO_DEMAND,
       }).handlers,
@@ -211,6 +216,9 @@
         describeEndpoint(record, nowMs)
       ),
       vms: describeVms(this.membership.members()),
+      quarantined: [...this.#crashes.evidence.culprits.values()].map(
+        ({ id, crashes }) => ({ trait: id, crashes }),
+      ),
     };
   }
 
@@ -248,6 +256,7 @@
     this.router.stop();
     this.#placement.stop();
     this.membership.stop();
+    this.#crashExchange.stop();
   }
 
   #stagesOf(service: ServiceName): { demand: StageDemand; task: StagesTask } {
@@ -317,9 +326,16 @@
     return this.router.table?.version ?? 0;
   }
 
-  #checkVersion(version: number, peer: Member | undefined): void {
-    if (!peer || version <= this.#tableVersion()) return;
-    void this.#fetchTable(peer);
+  // Fetches what the VM that sent a probe has and this one lacks.
+  #compareWith({ from, configurationVersion, evidenceHash }: Probe): void {
+    const peer = this.membership.member(from);
+    if (!peer) return;
+    if (configurationVersion > this.#tableVersion()) {
+      void this.#fetchTable(peer);
+    }
+    if (evidenceHash !== undefined) {
+      void this.#crashExchange.compare(peer, evidenceHash);
+    }
   }
 
   async #fetchTable(peer: Member): Promise<void> {
@@ -376,23 +392,6 @@
     }
   }
 
-  #sendCrashes(crashes: readonly Crash[]): void {
-    const { observer } = this.#options;
-    observer.count("suspicions", "crash");
-    observer.log({
-      event: "crash-suspected",
-      endpoint: crashes[0]?.endpoint,
-      requests: crashes.length,
-      suspects: crashes.map(({ request }) => request.slice(0, 8)).join(),
-    });
-    for (const peer of this.#livePeers(CRASH_NOTICE_VMS)) {
-      void this.#options.ports.peers.call(peer, "routing/crashes", {
-        params: { crashes },
-        timeoutMs: PEER_FETCH_TIMEOUT_MS,
-      });
-    }
-  }
-
   /** Returns up to `count` live VMs other than this one, in random order. */
   #livePeers(count: number): Member[] {
     const { identity, random } = this.#options;
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -4,7 +4,7 @@
  */
 import { err, type Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
-import { notRun, type Refusal } from "../common/verdict.ts";
+import { type NotRun, notRun, type Refusal } from "../common/verdict.ts";
 import { takeRetry } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
 import type { DecodeQueue, DecodeReservation } from "./decode_queue.ts";
@@ -46,6 +46,8 @@
   sink: AnswerSink;
   /** Aborted when the caller disconnects. */
   signal: AbortSignal;
+  /** Sent once only, to find out whether the request still crashes engines. */
+  isTrial?: boolean;
 }
 
 /** Outcome of a stream for its caller. */
@@ -59,6 +61,7 @@
 /** Why a stream is not sent again, or why a silent send gets no backup. */
 type Obstacle =
   | "caller-left"
+  | "quarantined"
   | "deadline-passed"
   | "not-resumable"
   | "attempts-used"
@@ -91,11 +94,12 @@
     this.#options = options;
     this.#version = options.version;
     this.#clock = new RequestClock(options.request, options.route);
-    const { request, service } = options;
+    const { request, service, isTrial } = options;
     this.#prefill = new PrefillRun(context, {
       request,
       service,
       clock: this.#clock,
+      atDecode: isTrial,
     });
     this.#relay = new StreamRelay({
       sink: options.sink,
@@ -150,10 +154,16 @@
       tokens: this.#tokens(),
       prefillMs: this.#prefill.expectedMs(),
       version: this.#version,
+      findQuarantine: () => this.#findQuarantine(),
       ...options,
     });
   }
 
+  #findQuarantine(): NotRun | null {
+    const { request, isTrial } = this.#options;
+    return isTrial ? null : this.#context.crashes.refusalOf(request);
+  }
+
   #createRace(): SendRace {
     const { service, signal } = this.#options;
     const { port, budget } = this.#context;
@@ -171,6 +181,7 @@
           reservation,
           ordinal: this.#ordinal,
           tokens: this.#tokens(),
+          isQuarantined: () => this.#findQuarantine() !== null,
           onFirstEvent: () => this.#noteOrigin(send),
           onDecode: () => {
             this.#decoding += 1;
@@ -238,6 +249,7 @@
   #findObstacle(): Obstacle | null {
     const { route, signal } = this.#options;
     if (signal.aborted) return "caller-left";
+    if (this.#isStopped()) return "quarantined";
     if (this.#clock.leftMs() <= 0) return "deadline-passed";
     if (this.#sends >= MAX_SENDS) return "sends-used";
     if (this.#runs === 0) return null;
@@ -245,9 +257,15 @@
     return this.#runs < route.maxAttempts ? null : "attempts-used";
   }
 
+  // Whether no further send may follow, as the request may crash engines.
+  #isStopped(): boolean {
+    return this.#options.isTrial || this.#findQuarantine() !== null;
+  }
+
   // The decodes in progress may have run the request as well.
   #findBackupObstacle(): Obstacle | null {
     const { route, service } = this.#options;
+    if (this.#isStopped()) return "quarantined";
     if (this.#clock.leftMs() <= 0) return "deadline-passed";
     if (this.#sends >= MAX_SENDS) return "sends-used";
     const runs = this.#runs + this.#decoding;
@@ -311,6 +329,8 @@
 
   #outcomeOf(last: SendResult): StreamOutcome {
     if (last.isOk()) return { kind: "complete" };
+    const quarantine = this.#findQuarantine();
+    if (quarantine) return this.#endWithRefusal(quarantine);
     return this.#endWithRefusal(
       last.error.kind === "notSent" && this.#runs === 0
         ? notRun("no-endpoint", { retryAfterMs: 200 })
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -23,6 +23,9 @@
 /** Minimum of that silence; an engine recomputes a preempted stream within this time. */
 const MIN_SILENCE_MS = 1_500;
 
+/** An engine crashes soon after it has begun to answer a request that crashes engines. */
+const ANSWERING_MS = 1_000;
+
 /** Result of a send; a failure says whether the endpoint may have run the request. */
 export type SendResult = Result<void, SendFailure>;
 
@@ -49,6 +52,8 @@
   ordinal: number;
   /** KV cache that is reserved for it, in tokens. */
   tokens: number;
+  /** Whether the request is now known to crash engines, and must not be decoded. */
+  isQuarantined: () => boolean;
   /** Called when an endpoint's first event has been passed on, if no event was before. */
   onFirstEvent: () => void;
   /** Called when the request is sent to the decode endpoint. */
@@ -63,6 +68,10 @@
   #lastByteAtMs = NaN;
   #replaced = false;
   #decodeBegun = false;
+  #eventsBefore = 0;
+  #answeringSinceMs: number | undefined;
+  /** Whether the endpoint has been answering for so long that this crashes no engine. */
+  #wasAnswering = false;
   /** Id of the event after which the send begins. */
   #lastEventId: string | null = null;
 
@@ -102,11 +111,16 @@
     endpoint.inFlight += 1;
     endpoint.inFlightTokens += tokens;
     const startedMs = performance.now();
-    const prefilled = await prefill.run(endpoint, { signal });
+    const prefilled: Awaited<ReturnType<PrefillRun["run"]>> =
+      this.#options.isQuarantined()
+        ? err({ kind: "notSent" })
+        : await prefill.run(endpoint, { signal });
     const prefilledMs = performance.now();
     const source = prefilled.unwrapOr(null);
-    // The endpoint may have started draining during the prefill.
-    const usable = prefilled.isOk() && endpoint.mayTakeWork(prefilledMs);
+    // During the prefill, the endpoint may have started draining, or the request may
+    // have been quarantined.
+    const usable = prefilled.isOk() && endpoint.mayTakeWork(prefilledMs) &&
+      !this.#options.isQuarantined();
     const outcome = usable ? await this.#decode(source) : this.#abandon({
       source,
       failure: prefilled.isErr() ? prefilled.error : { kind: "notSent" },
@@ -143,6 +157,7 @@
     this.#lastByteAtMs = performance.now();
     this.#decodeBegun = true;
     this.#lastEventId = relay.lastEventId;
+    this.#eventsBefore = relay.events;
     this.#options.onDecode();
     const stream = this.#context.port.stream(reservation.endpoint.entry, {
       request,
@@ -165,6 +180,7 @@
           this.#options.onProgress();
           const isBegun = relay.events > 0;
           const writable = listener.onData(bytes);
+          this.#noteAnswering();
           if (!isBegun && relay.events > 0) this.#options.onFirstEvent();
           if (listener.overflowed) this.#stream?.abort();
           if (!writable) silence.stop();
@@ -187,6 +203,16 @@
     return ended.andThen(() => listener.finish());
   }
 
+  // An engine that has sent events for a while is not crashed by this request.
+  #noteAnswering(): void {
+    if (this.#options.relay.events === this.#eventsBefore) return;
+    this.#answeringSinceMs ??= performance.now();
+    const answeringMs = performance.now() - this.#answeringSinceMs;
+    if (this.#wasAnswering || answeringMs < ANSWERING_MS) return;
+    this.#wasAnswering = true;
+    this.#context.crashes.noteAnswered(this.#options.request);
+  }
+
   // While the caller doesn't read, nothing is expected from the endpoint either:
   // the watch is stopped until the caller can be written to again.
   #watchSilence(): SilenceWatch {
@@ -227,8 +253,14 @@
     if (source && (refused || outcome.isOk())) {
       prefill.noteFetched(source, !refused);
     }
-    noteOutcome(this.#context, { endpoint, request, outcome, tookMs: 0 });
-    if (outcome.isOk()) return;
+    noteOutcome(this.#context, {
+      endpoint,
+      request,
+      outcome,
+      tookMs: 0,
+      wasAnswering: this.#wasAnswering,
+    });
+    if (outcome.isOk()) return this.#context.crashes.noteAnswered(request);
     // A refusal despite the reservation counts as a failure, so that an endpoint
     // which keeps refusing for another reason is ejected.
     if (refused) endpoint.noteFailure(performance.now());
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -9,7 +9,7 @@
 } from "../../common/ids.ts";
 import { SILENT_OBSERVER } from "../../common/observe.ts";
 import { NO_TIMES, type RoutingContext } from "../context.ts";
-import { CrashTracker } from "../crash_tracker.ts";
+import { CrashTracker } from "../crashes/tracker.ts";
 import { OriginMemory } from "../stream_origins.ts";
 import { EndpointRegistry } from "../endpoint_registry.ts";
 import type {
@@ -255,7 +255,7 @@
     }),
     placement: new LocalPlacement(endpoints),
     prefillTimes: new PrefillTimes(),
-    crashes: new CrashTracker(() => {}),
+    crashes: new CrashTracker(),
     origins: new OriginMemory(),
     port,
     observer: SILENT_OBSERVER,
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -1,10 +1,11 @@
 /** Data types of routing: routes, services, endpoints and requests. */
-import type {
-  DataCentre,
-  EndpointId,
-  Id,
-  ModelName,
-  ServiceName,
+import {
+  asId,
+  type DataCentre,
+  type EndpointId,
+  type Id,
+  type ModelName,
+  type ServiceName,
 } from "../common/ids.ts";
 
 /** Name of a route. */
@@ -13,6 +14,8 @@
 export type AttemptId = Id<"attempt">;
 /** Id of a slot and memory that a decode endpoint holds for one request. */
 export type ReservationId = Id<"reservation">;
+/** One start of an endpoint. */
+export type EndpointIncarnation = Id<"endpoint-incarnation">;
 /** Version of an endpoint's software; versions have no order. */
 export type SoftwareVersion = Id<"software-version">;
 /** Id of KV cache that a prefill endpoint holds for one request. */
@@ -112,6 +115,13 @@
   readonly bornAtMs: number;
 }
 
+/** Returns the key of one start of an endpoint. */
+export function incarnationOf(
+  { id, bornAtMs }: Pick<EndpointEntry, "id" | "bornAtMs">,
+): EndpointIncarnation {
+  return asId(`${id} ${bornAtMs}`);
+}
+
 /** A change in the directory of endpoints; a null entry was removed or can't be read. */
 export interface EndpointChange {
   readonly id: EndpointId;
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -165,6 +165,8 @@
         "routing/table": () => ({ table: null }),
         "routing/endpoints": () => ({ entries: null }),
         "routing/crashes": () => null,
+        "routing/crash-evidence": () => ({ reports: [] }),
+        "routing/crash-trial": () => ({ granted: false }),
         "routing/ordered": () => null,
         ...createPlacementHandlers(new PlacementHome()),
         ...createOriginHandlers(new OriginMemory()),
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -27,6 +27,7 @@
 /** Releasing a reservation or handle is best effort and gets little time. */
 const RELEASE_TIMEOUT_MS = 500;
 const SUCCESS = 200;
+const CONNECTION_REFUSED = "ECONNREFUSED";
 
 /** Headers that apply to a single connection and are not forwarded. */
 export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
@@ -308,7 +309,9 @@
 }
 
 function toSendFailure(failure: ExchangeFailure): SendFailure {
-  return failure.kind === "notSent" ? { kind: "notSent" } : failure;
+  return failure.kind === "notSent"
+    ? { kind: "notSent", refused: failure.detail === CONNECTION_REFUSED }
+    : failure;
 }
 
 function forwardedHeaders(headers: IncomingHttpHeaders): AnswerHead["headers"] {
