An event stream that ends with its connection before an event is not complete

Cause: an answer with neither a length nor chunks looks complete when its engine crashes between events. A caller got an empty stream as whole, and the request's parts were cleared of the crash that it caused.

--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -160,7 +160,9 @@
     if (outcome.isOk()) {
       const { crashes } = this.#context;
       crashes.noteRunning(endpoint.entry, { sentAtMs: startedMs });
-      crashes.noteAnswered(request);
+      if (outcome.value.endsWithConnection) {
+        crashes.noteEnded(request, endpoint.entry);
+      } else crashes.noteAnswered(request);
     }
     this.#context.observer.log({
       event: "call-sent",
--- a/packages/core/src/routing/crashes/tracker.ts
+++ b/packages/core/src/routing/crashes/tracker.ts
@@ -48,6 +48,8 @@
 
 interface Loss {
   readonly request: RoutedRequest;
+  /** Whether the answer looked complete. */
+  readonly isAnswered: boolean;
   readonly atMs: number;
 }
 
@@ -85,9 +87,24 @@
    * Requests that the endpoint had already been answering for a while are left out.
    */
   noteLost(request: RoutedRequest, entry: EndpointEntry): void {
+    this.#addLoss(request, { entry, isAnswered: false });
+  }
+
+  /**
+   * Records an answer that ended with its connection. Whether it is complete shows
+   * when the endpoint answers again, or has crashed.
+   */
+  noteEnded(request: RoutedRequest, entry: EndpointEntry): void {
+    this.#addLoss(request, { entry, isAnswered: true });
+  }
+
+  #addLoss(
+    request: RoutedRequest,
+    { entry, isAnswered }: { entry: EndpointEntry; isAnswered: boolean },
+  ): void {
     const endpoint = incarnationOf(entry);
     const losses = this.#recentLosses(endpoint);
-    losses.push({ request, atMs: performance.now() });
+    losses.push({ request, isAnswered, atMs: performance.now() });
     this.#losses.set(endpoint, losses);
     if (this.evidence.get(endpoint)) return this.noteEnd(entry);
     void this.#check(entry);
@@ -114,10 +131,13 @@
   /** Records that an endpoint has answered a call made at `sentAtMs`, so that it was running. */
   noteRunning(entry: EndpointEntry, { sentAtMs }: { sentAtMs: number }): void {
     const endpoint = incarnationOf(entry);
-    const later = this.#recentLosses(endpoint)
-      .filter(({ atMs }) => atMs >= sentAtMs);
+    const losses = this.#losses.get(endpoint) ?? [];
+    const later = losses.filter(({ atMs }) => atMs >= sentAtMs);
     if (later.length > 0) this.#losses.set(endpoint, later);
     else this.#losses.delete(endpoint);
+    for (const { request, isAnswered, atMs } of losses) {
+      if (isAnswered && atMs < sentAtMs) this.noteAnswered(request);
+    }
     const crash = this.evidence.get(endpoint);
     if (crash && crash.atMs < sentAtMs) this.evidence.refute(endpoint);
   }
--- a/packages/core/src/routing/crashes/tracker_test.ts
+++ b/packages/core/src/routing/crashes/tracker_test.ts
@@ -94,6 +94,20 @@
   expect(isQuarantined(tracker, POISON)).toBe(false);
 });
 
+test("An answer that ended with its connection clears a request only once its endpoint answers again", async () => {
+  const tracker = new CrashTracker();
+  crashEach(tracker, [1, 2, 3].map(() => promptWith("shared")));
+  const [running, crashed] = ENDPOINTS.slice(10) as EndpointEntry[];
+  tracker.noteEnded(promptWith("shared"), crashed!);
+  tracker.noteEnd(crashed!);
+  expect(isQuarantined(tracker, promptWith("shared"))).toBe(true);
+  tracker.noteEnded(promptWith("shared"), running!);
+  expect(isQuarantined(tracker, promptWith("shared"))).toBe(true);
+  await vi.advanceTimersByTimeAsync(10);
+  tracker.noteRunning(running!, { sentAtMs: performance.now() });
+  expect(isQuarantined(tracker, promptWith("shared"))).toBe(false);
+});
+
 test("A draining endpoint that closes connections has not crashed", () => {
   const tracker = new CrashTracker();
   for (const endpoint of ENDPOINTS.slice(0, 3)) {
--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -58,6 +58,11 @@
   readonly status: number;
   /** Pairs of name and value, without hop-by-hop headers. */
   readonly headers: readonly [string, string][];
+  /**
+   * True if the body has neither a length nor chunks: the end of the connection is
+   * the end of the body, which also happens if the endpoint crashes.
+   */
+  readonly endsWithConnection?: boolean;
 }
 
 /** An answer that was read completely. */
--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -29,7 +29,10 @@
   onData(bytes: Uint8Array): boolean;
   /** True once an event was too large to be passed on; the answer has failed then. */
   readonly overflowed: boolean;
-  /** Checks the end of the answer; fails with `lost` if it ended inside an event. */
+  /**
+   * Checks the end of the answer; fails with `lost` if it ended inside an event, or
+   * with its connection before the first event.
+   */
   finish(): Result<void, SendFailure>;
 }
 
@@ -82,6 +85,7 @@
    */
   listen({ resume }: { resume: () => void }): RelaySource {
     const splitter = new EventSplitter();
+    const eventsBefore = this.#events;
     let head: AnswerHead;
     return {
       get overflowed() {
@@ -102,6 +106,10 @@
           const detail = "The stream ended inside an event";
           return err({ kind: "lost", detail });
         }
+        const isEmpty = this.#events === eventsBefore;
+        if (isEmpty && isEventStream(head) && head.endsWithConnection) {
+          return err({ kind: "lost", detail: "The stream has no event" });
+        }
         this.#begin(head);
         return ok(undefined);
       },
--- a/packages/core/src/routing/stream_run_test.ts
+++ b/packages/core/src/routing/stream_run_test.ts
@@ -108,6 +108,21 @@
   expect(await ended).toMatchObject({ kind: "broken" });
 });
 
+test("A stream without length or chunks that ends before its first event is not complete", async () => {
+  const port = new FakeEndpoints({
+    stream: (_endpoint, { listener }) => {
+      listener.onHead({ ...EVENT_HEAD, endsWithConnection: true });
+      return Promise.resolve(ok(undefined));
+    },
+  });
+  const { ended, out } = start(port, { route: { resumable: false } });
+  expect(await ended).toMatchObject({
+    kind: "refused",
+    refusal: { kind: "mayHaveRun" },
+  });
+  expect(out).toEqual([]);
+});
+
 test("A request gets a refusal if its endpoint is lost between the head and the first event", async () => {
   const port = new FakeEndpoints({
     stream: (_endpoint, { listener }) => {
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -72,6 +72,7 @@
   #answeringSinceMs: number | undefined;
   /** Whether the endpoint has been answering for so long that this crashes no engine. */
   #wasAnswering = false;
+  #endsWithConnection = false;
   /** Id of the event after which the send begins. */
   #lastEventId: string | null = null;
 
@@ -170,6 +171,7 @@
       kvSource: source && { address: source.address, handle: source.handle },
       listener: {
         onHead: (head: AnswerHead) => {
+          this.#endsWithConnection = head.endsWithConnection ?? false;
           if (listener.onHead(head)) return;
           rejectedStatus = head.status;
           this.#stream?.abort();
@@ -260,7 +262,11 @@
       tookMs: 0,
       wasAnswering: this.#wasAnswering,
     });
-    if (outcome.isOk()) return this.#context.crashes.noteAnswered(request);
+    const { crashes } = this.#context;
+    if (outcome.isOk() && !this.#wasAnswering && this.#endsWithConnection) {
+      return crashes.noteEnded(request, endpoint.entry);
+    }
+    if (outcome.isOk()) return crashes.noteAnswered(request);
     // A refusal despite the reservation counts as a failure, so that an endpoint
     // which keeps refusing for another reason is ejected.
     if (refused) endpoint.noteFailure(performance.now());
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -77,7 +77,7 @@
       const failure = this.#findFailure(send, { status, headers });
       return failure
         ? err(failure)
-        : ok({ status, headers: forwardedHeaders(headers), body });
+        : ok({ ...toHead({ status, headers }), body });
     });
   }
 
@@ -95,10 +95,7 @@
         onHead: (status, headers) => {
           const failure = this.#findFailure(send, { status, headers });
           if (!failure) {
-            return send.listener.onHead({
-              status,
-              headers: forwardedHeaders(headers),
-            });
+            return send.listener.onHead(toHead({ status, headers }));
           }
           settle(err(failure));
           exchange.abort();
@@ -314,6 +311,17 @@
     : failure;
 }
 
+function toHead(
+  { status, headers }: Pick<BufferedAnswer, "status" | "headers">,
+): AnswerHead {
+  return {
+    status,
+    headers: forwardedHeaders(headers),
+    endsWithConnection: headers["content-length"] === undefined &&
+      headers["transfer-encoding"] === undefined,
+  };
+}
+
 function forwardedHeaders(headers: IncomingHttpHeaders): AnswerHead["headers"] {
   const forwarded: [string, string][] = [];
   for (const [name, value] of Object.entries(headers)) {
