Read and log the rate limits that endpoints name in their answers

The record of the endpoint that got more than its limit can't tell whether a VM read the limit. Line endpoint-limit says when a VM learns a limit and when it ends. An answer without one ends it only if this kind of answer had named it.

--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -145,6 +145,22 @@
   return isRefused ? false : undefined;
 }
 
+/** What an answer to any call says about its endpoint. */
+export interface EndpointNotice {
+  /** Requests per second that it accepts from all VMs together; null for no limit. */
+  readonly limitPerSecond: number | null;
+  /** The call that was answered, and whether it was refused; not every kind of answer names a limit. */
+  readonly answerKind: string;
+  /** When the call was sent, on the monotonic clock. */
+  readonly sentAtMs: number;
+}
+
+/** Receives what the answers of endpoints say about them. */
+export type NoticeListener = (
+  endpoint: EndpointEntry,
+  notice: EndpointNotice,
+) => void;
+
 /** Calls to endpoints. The port itself never retries one. */
 export interface RoutedEndpointPort {
   /** Sends a request and reads the complete answer. */
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -15,6 +15,7 @@
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
 import { createRoutingApp } from "./app.ts";
+import { EndpointLimits } from "./limits/endpoint_limits.ts";
 import { NO_TIMES, type RequestTimes } from "./context.ts";
 import { CrashExchange } from "./crashes/exchange.ts";
 import { CrashTracker } from "./crashes/tracker.ts";
@@ -25,7 +26,11 @@
 } from "./placement/client.ts";
 import { PlacementHome } from "./placement/home.ts";
 import { PrefillTimes } from "./prefill_times.ts";
-import { checkConnection, type RoutedEndpointPort } from "./port.ts";
+import {
+  checkConnection,
+  type NoticeListener,
+  type RoutedEndpointPort,
+} from "./port.ts";
 import {
   describeEndpoint,
   describeVms,
@@ -57,7 +62,8 @@
   readonly endpoints: FollowedTable<EndpointChange>;
   readonly store: RoutingStore;
   readonly peers: PeerPort;
-  readonly calls: RoutedEndpointPort;
+  /** Creates the port to the endpoints; the listener is called for each answer. */
+  readonly calls: (listener: NoticeListener) => RoutedEndpointPort;
 }
 
 /** The platform's list of VMs, and the rows that decide which VM may give stage orders. */
@@ -91,6 +97,8 @@
   readonly peerHandlers;
   #options: RoutingVmOptions;
   #feeds: readonly Pick<TableFeed<unknown>, "start" | "stop" | "ageMs">[];
+  #limits: EndpointLimits;
+  #calls: RoutedEndpointPort;
   #crashes: CrashTracker;
   #crashExchange: CrashExchange;
   #placement: PlacementClient;
@@ -115,6 +123,8 @@
       contacts: options.contacts,
       listIntervalMs: LIST_INTERVAL_MS,
     });
+    this.#limits = new EndpointLimits(observer);
+    this.#calls = ports.calls((...notice) => this.#limits.note(...notice));
     this.#crashExchange = new CrashExchange({
       membership: this.membership,
       peers: ports.peers,
@@ -125,7 +135,7 @@
     this.#crashes = new CrashTracker({
       observer,
       onChange: (change) => this.#crashExchange.announce(change),
-      check: (entry) => checkConnection(ports.calls, entry),
+      check: (entry) => checkConnection(this.#calls, entry),
       claimTrial: (trait, intervalMs) =>
         this.#crashExchange.claimTrial(trait, intervalMs),
     });
@@ -157,7 +167,7 @@
       prefillTimes: this.#prefillTimes,
       crashes: this.#crashes,
       origins,
-      port: ports.calls,
+      port: this.#calls,
       observer,
       random,
       times: options.times ?? NO_TIMES,
@@ -271,7 +281,7 @@
       demand,
       prefillTokensPerMs: () => this.#prefillTimes.tokensPerMs(service),
       endpoints: this.endpoints,
-      port: ports.calls,
+      port: this.#calls,
       peers: ports.peers,
       membership: this.membership,
       onOrdered: (endpoint, forMs) => this.#announceOrder(endpoint, forMs),
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -228,7 +228,12 @@
             handlers: () => this.#vm.peerHandlers,
           },
         }),
-        calls: createRoutedEndpointPort({ protocol, observer: this.#observer }),
+        calls: (onNotice) =>
+          createRoutedEndpointPort({
+            protocol,
+            observer: this.#observer,
+            onNotice,
+          }),
       },
       observer: this.#observer,
       random: Math.random,
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -8,6 +8,7 @@
   EndpointAnswer,
   EndpointEntry,
   EngineReport,
+  NoticeListener,
   OrderOutcome,
   RoutedEndpointPort,
   Send,
@@ -15,7 +16,13 @@
   StageOrder,
   StreamListener,
 } from "@teaselvalve/core/routing";
-import { type ExchangeFailure, openExchange } from "./fresh_exchange.ts";
+import {
+  type ExchangeFailure,
+  type ExchangeListener,
+  type ExchangeRequest,
+  openExchange,
+  type OutgoingExchange,
+} from "./fresh_exchange.ts";
 import type { EndpointCall, EndpointProtocol } from "./protocol.ts";
 
 /** A connection is established within a few milliseconds unless a packet is lost. */
@@ -44,6 +51,8 @@
 export interface RoutedEndpointPortOptions {
   protocol: EndpointProtocol;
   observer: Observer;
+  /** Called for each answer of an endpoint. */
+  onNotice?: NoticeListener;
 }
 
 /** Creates the port through which the router calls endpoints. */
@@ -59,13 +68,23 @@
   readonly body: Buffer;
 }
 
+type CallKind =
+  | "request"
+  | "prefill"
+  | "reservation"
+  | "report"
+  | "order"
+  | "release";
+
 class HttpEndpointPort implements RoutedEndpointPort {
   #protocol: EndpointProtocol;
   #observer: Observer;
+  #onNotice: NoticeListener | undefined;
 
-  constructor({ protocol, observer }: RoutedEndpointPortOptions) {
+  constructor({ protocol, observer, onNotice }: RoutedEndpointPortOptions) {
     this.#protocol = protocol;
     this.#observer = observer;
+    this.#onNotice = onNotice;
   }
 
   async call(
@@ -89,8 +108,9 @@
     const ended = new Promise<Result<void, SendFailure>>((resolve) => {
       settle = resolve;
     });
-    const exchange = openExchange(
-      this.#request(endpoint, { send, prefill: false }),
+    const exchange = this.#open(
+      endpoint,
+      { call: "request", ...this.#request(endpoint, { send, prefill: false }) },
       {
         onHead: (status, headers) => {
           const failure = this.#findFailure(send, { status, headers });
@@ -132,7 +152,11 @@
     const call = this.#protocol.reserveCall(options, {
       endpointId: endpoint.id,
     });
-    const answer = await callEndpoint(endpoint, call, options);
+    const answer = await this.#call(endpoint, {
+      call: "reservation",
+      ...call,
+      ...options,
+    });
     return answer.andThen((buffered) =>
       this.#parseAnswer(buffered, {
         read: (text) => this.#protocol.readReservation(text),
@@ -159,8 +183,11 @@
     endpoint: EndpointEntry,
     options: { timeoutMs: number },
   ): Promise<Result<EngineReport, SendFailure>> {
-    const call = this.#protocol.reportCall();
-    const answer = await callEndpoint(endpoint, call, options);
+    const answer = await this.#call(endpoint, {
+      call: "report",
+      ...this.#protocol.reportCall(),
+      ...options,
+    });
     return answer.andThen((buffered) =>
       this.#parseAnswer(buffered, {
         read: (text) => this.#protocol.readReport(text),
@@ -173,8 +200,11 @@
     endpoint: EndpointEntry,
     order: StageOrder,
   ): Promise<OrderOutcome> {
-    const call = this.#protocol.orderCall(order, { endpointId: endpoint.id });
-    const answer = await callEndpoint(endpoint, call, order);
+    const answer = await this.#call(endpoint, {
+      call: "order",
+      ...this.#protocol.orderCall(order, { endpointId: endpoint.id }),
+      timeoutMs: order.timeoutMs,
+    });
     return answer.match(
       ({ status }) => this.#protocol.readOrderStatus(status),
       (failure) => failure.kind === "notSent" ? "not-sent" : "lost",
@@ -182,7 +212,9 @@
   }
 
   async #release(endpoint: EndpointEntry, call: EndpointCall): Promise<void> {
-    const answer = await callEndpoint(endpoint, call, {
+    const answer = await this.#call(endpoint, {
+      call: "release",
+      ...call,
       timeoutMs: RELEASE_TIMEOUT_MS,
     });
     if (answer.isOk()) return;
@@ -215,12 +247,73 @@
     endpoint: EndpointEntry,
     options: { send: Send; prefill: boolean },
   ): Promise<Result<BufferedAnswer, SendFailure>> {
+    const call = options.prefill ? "prefill" : "request";
     return readAnswer(
-      this.#request(endpoint, options),
+      (listener) =>
+        this.#open(
+          endpoint,
+          { call, ...this.#request(endpoint, options) },
+          listener,
+        ),
       options.prefill ? OWN_ANSWER_LIMIT_BYTES : ANSWER_LIMIT_BYTES,
     );
   }
 
+  /** Makes a call for this VM itself, with no caller waiting directly for it. */
+  #call(
+    endpoint: EndpointEntry,
+    { timeoutMs, ...call }: EndpointCall & {
+      call: CallKind;
+      timeoutMs: number;
+      signal?: AbortSignal;
+    },
+  ): Promise<Result<BufferedAnswer, SendFailure>> {
+    const request = {
+      ...call,
+      address: endpoint.address,
+      headers: call.headers ?? {},
+      body: call.body ?? null,
+      connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, timeoutMs),
+      firstByteMs: timeoutMs,
+      wholeMs: timeoutMs,
+    };
+    return readAnswer(
+      (listener) => this.#open(endpoint, request, listener),
+      OWN_ANSWER_LIMIT_BYTES,
+    );
+  }
+
+  #open(
+    endpoint: EndpointEntry,
+    { call, ...request }: ExchangeRequest & { call: CallKind },
+    listener: ExchangeListener,
+  ): OutgoingExchange {
+    const sentAtMs = performance.now();
+    return openExchange(request, {
+      ...listener,
+      onHead: (status, headers) => {
+        this.#notice(endpoint, { call, status, headers, sentAtMs });
+        listener.onHead(status, headers);
+      },
+    });
+  }
+
+  #notice(
+    endpoint: EndpointEntry,
+    { call, status, headers, sentAtMs }: {
+      call: CallKind;
+      status: number;
+      headers: IncomingHttpHeaders;
+      sentAtMs: number;
+    },
+  ): void {
+    const fields = this.#protocol.readAnswerHeaders(status, headers);
+    const { limitPerSecond, notExecuted, misdirected } = fields;
+    if (misdirected || limitPerSecond === undefined) return;
+    const answerKind = notExecuted ? `refused ${call}` : call;
+    this.#onNotice?.(endpoint, { limitPerSecond, answerKind, sentAtMs });
+  }
+
   #request(
     endpoint: EndpointEntry,
     { send, prefill }: { send: Send; prefill: boolean },
@@ -259,34 +352,15 @@
   }
 }
 
-/** Makes a call for this VM itself, with no caller waiting directly for it. */
-function callEndpoint(
-  endpoint: EndpointEntry,
-  call: EndpointCall,
-  options: { timeoutMs: number; signal?: AbortSignal },
-): Promise<Result<BufferedAnswer, SendFailure>> {
-  return readAnswer({
-    address: endpoint.address,
-    method: call.method,
-    path: call.path,
-    headers: call.headers ?? {},
-    body: call.body ?? null,
-    connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, options.timeoutMs),
-    firstByteMs: options.timeoutMs,
-    wholeMs: options.timeoutMs,
-    signal: options.signal,
-  }, OWN_ANSWER_LIMIT_BYTES);
-}
-
 function readAnswer(
-  request: Parameters<typeof openExchange>[0],
+  open: (listener: ExchangeListener) => OutgoingExchange,
   limitBytes: number,
 ): Promise<Result<BufferedAnswer, SendFailure>> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
     let head: Pick<BufferedAnswer, "status" | "headers"> | null = null;
-    const exchange = openExchange(request, {
+    const exchange = open({
       onHead: (status, headers) => {
         head = { status, headers };
       },
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -34,6 +34,11 @@
   readonly misdirected: boolean;
   /** True if a replica of the service produced the answer. */
   readonly isStamped: boolean;
+  /**
+   * Requests per second that the endpoint accepts from all VMs together; null if it
+   * names no limit, undefined if what it names can't be read.
+   */
+  readonly limitPerSecond: number | null | undefined;
 }
 
 /** A call that the router itself makes to an endpoint. */
