Keep the rate limits that endpoints name, for all VMs together

Class: a bound that holds for all VMs together is kept by nobody, as each VM decides alone.

Change: each call to an endpoint that has named a limit needs a permit from the endpoint's home, which holds one token bucket. Surplus goes to other endpoints or is refused at once as endpoint-limited. Homes grant only the share of the VMs that they reach, and wait before they begin.

--- a/packages/cli/src/explain/reasons.ts
+++ b/packages/cli/src/explain/reasons.ts
@@ -15,6 +15,8 @@
     "the connection to the endpoint ended before the response was complete",
   convicted:
     "the request is quarantined because it has crashed endpoints before",
+  "endpoint-limited":
+    "all endpoints that could run it have used up the limits that they name",
   quarantined:
     "the request, or a part of its prompt, is quarantined because it has crashed endpoints before",
   "cut-by-stop": "the VM stopped before the response was complete",
--- a/packages/core/src/common/verdict.ts
+++ b/packages/core/src/common/verdict.ts
@@ -26,6 +26,7 @@
   "version-unavailable",
   "origin-unknown",
   "endpoint-refused",
+  "endpoint-limited",
   "convicted",
   "quarantined",
   "suspect-busy",
--- a/packages/core/src/quotas/bucket.ts
+++ b/packages/core/src/quotas/bucket.ts
@@ -35,6 +35,11 @@
     this.#level -= amount;
   }
 
+  /** Time until a request is admitted, at the given rate; 0 if one is now. */
+  waitMs(perSecond: number): number {
+    return Math.max(0, 1 - this.#level) / perSecond * MS_PER_SECOND;
+  }
+
   /**
    * Schedules the retry of a refused request of this size, after those refused
    * before it. Returns the wait in milliseconds.
@@ -44,7 +49,7 @@
     options: { perSecond: number; nowMs: MonotonicMs },
   ): number {
     const { perSecond, nowMs } = options;
-    const refillMs = Math.max(0, 1 - this.#level) / perSecond * MS_PER_SECOND;
+    const refillMs = this.waitMs(perSecond);
     const ownMs = amount / perSecond * MS_PER_SECOND;
     const readyAtMs = Math.max(nowMs + refillMs, this.#nextRetryAtMs);
     this.#nextRetryAtMs = Math.min(
--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -14,6 +14,7 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { EndpointAnswer, SendFailure } from "./port.ts";
 import { chooseEndpoint } from "./queries/choose_endpoint.ts";
+import { soonestPermitMs } from "./queries/soonest_permit.ts";
 import { RequestClock } from "./request_clock.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 import { isRetryable, type Route, type RoutedRequest } from "./types.ts";
@@ -21,6 +22,7 @@
   provesNotRun,
   refusalOfEarlierSend,
   refusalOfFailure,
+  refusalOfLimit,
 } from "./verdicts.ts";
 
 /** A request with less time left than this is not sent. */
@@ -31,6 +33,8 @@
 const HEDGE_AFTER_TARGETS = 2;
 /** How long an endpoint that refused a call for lack of capacity counts as full. */
 const FULL_FOR_MS = 50;
+/** Spreads the retries of requests that were refused because of limits. */
+const LIMIT_JITTER_MS = 1_000;
 const FIRST_SERVER_ERROR = 500;
 
 /** Options of {@link CallRun}. */
@@ -84,17 +88,21 @@
     return new Promise((resolve) => {
       const open = new Set<AbortController>();
       let best: SendResult | null = null;
-      const start = async (endpoint: EndpointRecord) => {
+      const start = async (
+        endpoint: EndpointRecord,
+        { isHedge = false } = {},
+      ) => {
         const cancellation = new AbortController();
         open.add(cancellation);
         const result = await this.#send(endpoint, {
           cancelled: cancellation.signal,
           onSilent: () => {
             const next = this.#takeHedge(open.size);
-            if (next) void start(next);
+            if (next) void start(next, { isHedge: true });
           },
         });
         open.delete(cancellation);
+        if (isHedge && isLimited(result)) this.#giveBackRetry();
         best = best?.isOk() ? best : result;
         if (open.size > 0 && !isFinal(result)) return;
         resolve(isFinal(result) ? result : best);
@@ -156,6 +164,7 @@
     endpoint.inFlight -= 1;
     const tookMs = performance.now() - startedMs;
     if (outcome.isOk() || !provesNotRun(outcome.error)) this.#runs += 1;
+    if (isLimited(outcome)) this.#sends -= 1;
     noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
     if (outcome.isOk()) {
       const { crashes } = this.#context;
@@ -208,13 +217,17 @@
   // so the retry is not charged to the budget.
   #takeRetry(last: SendResult): boolean {
     const reason = last.isErr() ? last.error.kind : "server-error";
-    if (reason === "notSent") return true;
+    if (reason === "notSent" || reason === "limited") return true;
     return takeRetry(this.#context, {
       service: this.#options.service,
       reason,
     });
   }
 
+  #giveBackRetry(): void {
+    this.#context.budget.giveBack(this.#options.service);
+  }
+
   #verdictOf(last: SendResult | null): Verdict<EndpointAnswer> {
     if (last) return last.mapErr((failure) => this.#refusalOf(failure));
     return refuse(
@@ -226,12 +239,22 @@
 
   // An earlier send may have run the request even if the last one did not.
   #refusalOf(last: SendFailure): Refusal {
+    if (last.kind === "limited" && this.#runs === 0) {
+      const { endpoints, random } = this.#context;
+      const usable = endpoints.usable(this.#options.service, null);
+      const permitMs = soonestPermitMs(usable, performance.now());
+      return refusalOfLimit(permitMs + LIMIT_JITTER_MS * random());
+    }
     const refusal = refusalOfFailure(last);
     if (refusal.kind === "mayHaveRun" || this.#runs === 0) return refusal;
     return refusalOfEarlierSend();
   }
 }
 
+function isLimited(result: SendResult): boolean {
+  return result.isErr() && result.error.kind === "limited";
+}
+
 function isFinal(result: SendResult): boolean {
   return result.isOk() && result.value.status < FIRST_SERVER_ERROR;
 }
@@ -268,6 +291,8 @@
     crashes.noteEnd(endpoint.entry);
   }
   switch (outcome.error.kind) {
+    case "limited":
+      return endpoint.noteLimited(nowMs + outcome.error.retryAfterMs);
     case "aborted":
       return;
     case "notExecuted":
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -12,6 +12,7 @@
 import { type NotRun, notRun } from "../common/verdict.ts";
 import type { RoutingContext } from "./context.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { soonestPermitMs } from "./queries/soonest_permit.ts";
 import type { SendFailure } from "./port.ts";
 import type { RequestClock } from "./request_clock.ts";
 import type {
@@ -20,7 +21,7 @@
   ReservationId,
   SoftwareVersion,
 } from "./types.ts";
-import { refusalOfMissingVersion } from "./verdicts.ts";
+import { refusalOfLimit, refusalOfMissingVersion } from "./verdicts.ts";
 
 /** Delay until the next round after one that left streams waiting. */
 const FULL_RETRY_MS = 40;
@@ -184,9 +185,11 @@
     const quarantine = request.findQuarantine();
     if (quarantine) return quarantine;
     if (!this.#hasVersion(request.version)) return refusalOfMissingVersion();
-    return timeToSpareMs(request) <= 0
-      ? notRun("no-capacity", { retryAfterMs })
-      : null;
+    const spareMs = timeToSpareMs(request);
+    if (spareMs <= 0) return notRun("no-capacity", { retryAfterMs });
+    const usable = this.#context.endpoints.usable(this.#service, "decode");
+    const permitMs = soonestPermitMs(usable, performance.now());
+    return permitMs > spareMs ? refusalOfLimit(permitMs + retryAfterMs) : null;
   }
 
   #hasVersion(version: SoftwareVersion | null): boolean {
@@ -265,6 +268,9 @@
     }
     if (kind === "notExecuted") return endpoint.noteFull(nowMs + FULL_FOR_MS);
     if (kind === "aborted") return;
+    if (kind === "limited") {
+      return endpoint.noteLimited(nowMs + failure.retryAfterMs);
+    }
     if (kind === "misdirected") return endpoint.setMissing(nowMs);
     endpoint.noteFailure(nowMs);
     this.#context.observer.log({
--- a/packages/core/src/routing/endpoint_record.ts
+++ b/packages/core/src/routing/endpoint_record.ts
@@ -18,6 +18,7 @@
   #failuresInRow = 0;
   #ejectedUntilMs = -Infinity;
   #fullUntilMs = -Infinity;
+  #limitedUntilMs = -Infinity;
   #reconfiguringUntilMs = -Infinity;
   #latencyMs: number | null = null;
   #expiriesInRow = 0;
@@ -92,9 +93,18 @@
     return nowMs >= this.#ejectedUntilMs;
   }
 
-  /** True for a short time after it refused work for lack of capacity. */
+  /** True for a short time after it refused work for lack of capacity, and while it is limited. */
   isFull(nowMs: number): boolean {
-    return nowMs < this.#fullUntilMs;
+    return nowMs < this.#fullUntilMs || nowMs < this.#limitedUntilMs;
+  }
+
+  /** Until when the limit that it names is used up. */
+  get limitedUntilMs(): number {
+    return this.#limitedUntilMs;
+  }
+
+  noteLimited(untilMs: number): void {
+    this.#limitedUntilMs = untilMs;
   }
 
   noteFull(untilMs: number): void {
--- /dev/null
+++ b/packages/core/src/routing/limits/limited_port.ts
@@ -0,0 +1,100 @@
+/** Sends to endpoints only as far as the limits that they name allow. */
+import { err, ok, type Result } from "neverthrow";
+import type {
+  EndpointStream,
+  ReserveOptions,
+  RoutedEndpointPort,
+  Send,
+  SendFailure,
+  StageOrder,
+  StreamListener,
+} from "../port.ts";
+import type { EndpointEntry, KvHandle, ReservationId } from "../types.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
+
+/** A reservation is followed by the stream that uses it, or by its release. */
+const REQUESTS_PER_STREAM = 2;
+
+/** Asks for permits before each call to an endpoint with a limit. */
+export class LimitedEndpointPort implements RoutedEndpointPort {
+  #port: RoutedEndpointPort;
+  #limits: Pick<EndpointLimits, "acquire">;
+
+  constructor(
+    port: RoutedEndpointPort,
+    limits: Pick<EndpointLimits, "acquire">,
+  ) {
+    this.#port = port;
+    this.#limits = limits;
+  }
+
+  call(endpoint: EndpointEntry, send: Send) {
+    return this.#ifPermitted(endpoint, () => this.#port.call(endpoint, send));
+  }
+
+  // The permit came with the reservation.
+  stream(
+    endpoint: EndpointEntry,
+    send: Send & { listener: StreamListener },
+  ): EndpointStream {
+    return this.#port.stream(endpoint, send);
+  }
+
+  prefill(endpoint: EndpointEntry, send: Send) {
+    return this.#ifPermitted(
+      endpoint,
+      () => this.#port.prefill(endpoint, send),
+    );
+  }
+
+  reserve(endpoint: EndpointEntry, options: ReserveOptions) {
+    return this.#ifPermitted(
+      endpoint,
+      () => this.#port.reserve(endpoint, options),
+      REQUESTS_PER_STREAM,
+    );
+  }
+
+  // The stream's permit is used for the release.
+  releaseReservation(endpoint: EndpointEntry, id: ReservationId): void {
+    this.#port.releaseReservation(endpoint, id);
+  }
+
+  report(endpoint: EndpointEntry, options: { timeoutMs: number }) {
+    return this.#ifPermitted(
+      endpoint,
+      () => this.#port.report(endpoint, options),
+    );
+  }
+
+  async orderStage(endpoint: EndpointEntry, order: StageOrder) {
+    const permit = await this.#acquire(endpoint, 1);
+    if (permit.isErr()) return "not-sent" as const;
+    return await this.#port.orderStage(endpoint, order);
+  }
+
+  freeHandle(endpoint: EndpointEntry, handle: KvHandle): void {
+    void this.#acquire(endpoint, 1).then((permit) => {
+      if (permit.isOk()) this.#port.freeHandle(endpoint, handle);
+    });
+  }
+
+  async #ifPermitted<T>(
+    endpoint: EndpointEntry,
+    send: () => Promise<Result<T, SendFailure>>,
+    requests = 1,
+  ): Promise<Result<T, SendFailure>> {
+    const permit = await this.#acquire(endpoint, requests);
+    return permit.isErr() ? err(permit.error) : await send();
+  }
+
+  async #acquire(
+    endpoint: EndpointEntry,
+    requests: number,
+  ): Promise<Result<void, SendFailure>> {
+    const permit = await this.#limits.acquire(endpoint, requests);
+    return permit.isOk()
+      ? ok(undefined)
+      : err({ kind: "limited", ...permit.error });
+  }
+}
--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -19,6 +19,8 @@
   | { readonly kind: "notSent"; readonly refused?: boolean }
   /** The endpoint answered that it did not run the request. */
   | { readonly kind: "notExecuted"; readonly status: number }
+  /** Not sent, because the limit that the endpoint names is used up. */
+  | { readonly kind: "limited"; readonly retryAfterMs: number }
   /** The address belongs to another endpoint, which did not run the request. */
   | { readonly kind: "misdirected" }
   /** The connection ended early, or the answer was malformed. */
--- a/packages/core/src/routing/prefill_run.ts
+++ b/packages/core/src/routing/prefill_run.ts
@@ -79,6 +79,10 @@
       }
       const { kind } = outcome.error;
       if (kind === "aborted") return err(outcome.error);
+      if (kind === "limited") {
+        this.#giveBackPrefill();
+        attempts -= 1;
+      }
       if (kind === "timeout" || kind === "notExecuted") busyEngines += 1;
     }
     return busyEngines > 1 ? err({ kind: "notSent" }) : ok(null);
@@ -107,6 +111,11 @@
     return true;
   }
 
+  #giveBackPrefill(): void {
+    this.#sent -= 1;
+    if (this.#sent > 0) this.#context.budget.giveBack(this.#options.service);
+  }
+
   async #sendPrefill(
     endpoint: EndpointRecord,
     signal: AbortSignal,
@@ -138,7 +147,8 @@
       prefillTimes.note(service, { tokens, tookMs, completed: kind === "ok" });
     }
     if (kind === "ok") return outcome;
-    if (this.#sent === 1 && kind !== "notSent") budget.charge(service);
+    const wasSent = kind !== "notSent" && kind !== "limited";
+    if (this.#sent === 1 && wasSent) budget.charge(service);
     observer.log({
       event: "prefill-failed",
       attempt: request.id,
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -16,6 +16,7 @@
 import type { PlatformPort } from "../ports/platform.ts";
 import { createRoutingApp } from "./app.ts";
 import { EndpointLimits } from "./limits/endpoint_limits.ts";
+import { LimitedEndpointPort } from "./limits/limited_port.ts";
 import { NO_TIMES, type RequestTimes } from "./context.ts";
 import { CrashExchange } from "./crashes/exchange.ts";
 import { CrashTracker } from "./crashes/tracker.ts";
@@ -123,8 +124,16 @@
       contacts: options.contacts,
       listIntervalMs: LIST_INTERVAL_MS,
     });
-    this.#limits = new EndpointLimits(observer);
-    this.#calls = ports.calls((...notice) => this.#limits.note(...notice));
+    this.#limits = new EndpointLimits({
+      membership: this.membership,
+      peers: ports.peers,
+      observer,
+    });
+    this.membership.onChange(() => this.#limits.home.noteViewChange());
+    this.#calls = new LimitedEndpointPort(
+      ports.calls((...notice) => this.#limits.note(...notice)),
+      this.#limits,
+    );
     this.#crashExchange = new CrashExchange({
       membership: this.membership,
       peers: ports.peers,
@@ -141,7 +150,10 @@
     });
     this.endpoints = new EndpointRegistry(
       observer,
-      (entry) => this.#crashes.noteEnd(entry),
+      (entry) => {
+        this.#crashes.noteEnd(entry);
+        this.#limits.forget(entry);
+      },
     );
     const placementHome = new PlacementHome();
     const origins = new SharedOrigins({
@@ -196,6 +208,7 @@
           return null;
         },
         ...this.#crashExchange.handlers,
+        ...this.#limits.handlers,
         "routing/demand": ({ service }) =>
           this.#stages.get(service)?.demand.sample() ?? NO_DEMAND,
       }).handlers,
@@ -338,6 +351,7 @@
 
   // Fetches what the VM that sent a probe has and this one lacks.
   #compareWith({ from, configurationVersion, evidenceHash }: Probe): void {
+    this.#limits.home.noteContact();
     const peer = this.membership.member(from);
     if (!peer) return;
     if (configurationVersion > this.#tableVersion()) {
--- a/packages/core/src/routing/verdicts.ts
+++ b/packages/core/src/routing/verdicts.ts
@@ -23,7 +23,7 @@
 /** Whether a failed send proves that the request did not run. */
 export function provesNotRun(failure: SendFailure): boolean {
   return failure.kind === "notSent" || failure.kind === "notExecuted" ||
-    failure.kind === "misdirected";
+    failure.kind === "misdirected" || failure.kind === "limited";
 }
 
 /** Refusal of a request that an earlier send may have run, whatever the last send returned. */
@@ -31,11 +31,20 @@
   return refusalOfFailure({ kind: "lost", detail: "An earlier send failed" });
 }
 
+/** Refusal of a request whose endpoints have all used up their limits. */
+export function refusalOfLimit(retryAfterMs: number): NotRun {
+  return notRun("endpoint-limited", {
+    retryAfterMs: Math.max(RETRY_SOON_MS, retryAfterMs),
+  });
+}
+
 /** Refusal for the way in which the last send of a request failed. */
 export function refusalOfFailure(failure: SendFailure): Refusal {
   switch (failure.kind) {
     case "notSent":
       return notRun("no-endpoint", { retryAfterMs: RETRY_SOON_MS });
+    case "limited":
+      return refusalOfLimit(failure.retryAfterMs);
     case "notExecuted":
     case "misdirected":
       return notRun("endpoint-refused", { retryAfterMs: RETRY_SOON_MS });
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -167,6 +167,12 @@
         "routing/crashes": () => null,
         "routing/crash-evidence": () => ({ reports: [] }),
         "routing/crash-trial": () => ({ granted: false }),
+        "routing/permit": ({ known }) => ({
+          granted: false,
+          retryAfterMs: Infinity,
+          known,
+        }),
+        "routing/limit-ended": () => null,
         "routing/ordered": () => null,
         ...createPlacementHandlers(new PlacementHome()),
         ...createOriginHandlers(new OriginMemory()),
