Test ports leave out those that fetch blocks

Cause: a test process whose port range holds a blocked port (5060 or 6000, say) can't fetch from its own server. Seen once, as hostile_test.ts in a run of npm test: fetch failed, bad port.

--- a/packages/daemon/src/testing/ports.ts
+++ b/packages/daemon/src/testing/ports.ts
@@ -7,6 +7,20 @@
 const FIRST_PORT = 5_000;
 const PORTS_PER_PROCESS = 40;
 const PROCESS_RANGES = 120;
+/** Ports in this range that the Fetch standard blocks. */
+const BLOCKED_PORTS: ReadonlySet<number> = new Set([
+  5_060,
+  5_061,
+  6_000,
+  6_566,
+  6_665,
+  6_666,
+  6_667,
+  6_668,
+  6_669,
+  6_679,
+  6_697,
+]);
 
 let nextPort = FIRST_PORT + (process.pid % PROCESS_RANGES) * PORTS_PER_PROCESS;
 
@@ -18,7 +32,7 @@
     if (nextPort >= FIRST_PORT + PROCESS_RANGES * PORTS_PER_PROCESS) {
       nextPort = FIRST_PORT;
     }
-    if (await isFree(port)) return port;
+    if (!BLOCKED_PORTS.has(port) && await isFree(port)) return port;
   }
 }
 
