--- /dev/null
+++ b/packages/core/src/routing/endpoint_guard.ts
@@ -0,0 +1,97 @@
+/**
+ * Protects the endpoints, together with the other VMs: from requests that crash
+ * them, and from more requests than they accept.
+ */
+import type { Observer } from "../common/observe.ts";
+import type {
+  Member,
+  MembershipView,
+  ViewChanges,
+} from "../membership/types.ts";
+import type { PeerPort } from "../ports/peers.ts";
+import { CrashExchange, type CrashHandlers } from "./crashes/exchange.ts";
+import { CrashTracker } from "./crashes/tracker.ts";
+import {
+  EndpointLimits,
+  type LimitHandlers,
+} from "./limits/endpoint_limits.ts";
+import { LimitedEndpointPort } from "./limits/limited_port.ts";
+import {
+  checkConnection,
+  type NoticeListener,
+  type RoutedEndpointPort,
+} from "./port.ts";
+import type { LocalRoutingView } from "./queries/local_view.ts";
+import type { EndpointEntry } from "./types.ts";
+
+/** Options of {@link EndpointGuard}. */
+export interface EndpointGuardOptions {
+  membership: MembershipView & ViewChanges;
+  peers: PeerPort;
+  /** Creates the port to the endpoints; the listener is called for each answer. */
+  calls: (listener: NoticeListener) => RoutedEndpointPort;
+  observer: Observer;
+  random: () => number;
+}
+
+/** Owns the evidence on crashes and the permits of one VM. */
+export class EndpointGuard {
+  /** Port to the endpoints that keeps their limits. */
+  readonly calls: RoutedEndpointPort;
+  readonly crashes: CrashTracker;
+  /** Peer methods for crashes and permits. */
+  readonly handlers: CrashHandlers & LimitHandlers;
+  #limits: EndpointLimits;
+  #exchange: CrashExchange;
+
+  constructor(options: EndpointGuardOptions) {
+    const { membership, calls, observer } = options;
+    this.#limits = new EndpointLimits(options);
+    membership.onChange(() => this.#limits.home.noteViewChange());
+    this.calls = new LimitedEndpointPort(
+      calls((...notice) => this.#limits.note(...notice)),
+      this.#limits,
+    );
+    this.#exchange = new CrashExchange({
+      ...options,
+      tracker: () => this.crashes,
+    });
+    this.crashes = new CrashTracker({
+      observer,
+      onChange: (change) => this.#exchange.announce(change),
+      check: (entry) => checkConnection(this.calls, entry),
+      claimTrial: (trait, intervalMs) =>
+        this.#exchange.claimTrial(trait, intervalMs),
+    });
+    this.handlers = { ...this.#exchange.handlers, ...this.#limits.handlers };
+  }
+
+  /** Hash of the evidence on crashes, for the probes of other VMs. */
+  get evidenceHash(): number {
+    return this.crashes.evidence.hash;
+  }
+
+  /** Records a probe, or an answer to one; fetches evidence that this VM lacks. */
+  noteProbe(peer: Member | undefined, evidenceHash: number | undefined): void {
+    this.#limits.home.noteContact();
+    if (!peer || evidenceHash === undefined) return;
+    void this.#exchange.compare(peer, evidenceHash);
+  }
+
+  /** Records that an endpoint went missing, restarted or lost its address. */
+  noteEndpointEnd(entry: EndpointEntry): void {
+    this.crashes.noteEnd(entry);
+    this.#limits.forget(entry);
+  }
+
+  /** Lists what is quarantined, for operators. */
+  describeQuarantines(): LocalRoutingView["quarantined"] {
+    return [...this.crashes.evidence.culprits.values()].map(
+      ({ id, crashes }) => ({ trait: id, crashes }),
+    );
+  }
+
+  stop(): void {
+    this.#exchange.stop();
+  }
+}
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -15,11 +15,8 @@
 import type { PeerPort } from "../ports/peers.ts";
 import type { PlatformPort } from "../ports/platform.ts";
 import { createRoutingApp } from "./app.ts";
-import { EndpointLimits } from "./limits/endpoint_limits.ts";
-import { LimitedEndpointPort } from "./limits/limited_port.ts";
 import { NO_TIMES, type RequestTimes } from "./context.ts";
-import { CrashExchange } from "./crashes/exchange.ts";
-import { CrashTracker } from "./crashes/tracker.ts";
+import { EndpointGuard } from "./endpoint_guard.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 import {
   createPlacementHandlers,
@@ -27,11 +24,7 @@
 } from "./placement/client.ts";
 import { PlacementHome } from "./placement/home.ts";
 import { PrefillTimes } from "./prefill_times.ts";
-import {
-  checkConnection,
-  type NoticeListener,
-  type RoutedEndpointPort,
-} from "./port.ts";
+import type { NoticeListener, RoutedEndpointPort } from "./port.ts";
 import {
   describeEndpoint,
   describeVms,
@@ -98,10 +91,7 @@
   readonly peerHandlers;
   #options: RoutingVmOptions;
   #feeds: readonly Pick<TableFeed<unknown>, "start" | "stop" | "ageMs">[];
-  #limits: EndpointLimits;
-  #calls: RoutedEndpointPort;
-  #crashes: CrashTracker;
-  #crashExchange: CrashExchange;
+  #guard: EndpointGuard;
   #placement: PlacementClient;
   #endpointsKnown = false;
   #peerPollTimer: ReturnType<typeof setInterval> | undefined;
@@ -119,41 +109,21 @@
     };
     this.membership = new MembershipTask(context, {
       configurationVersion: () => this.#tableVersion(),
-      evidenceHash: () => this.#crashes.evidence.hash,
+      evidenceHash: () => this.#guard.evidenceHash,
       onProbe: (probe) => this.#compareWith(probe),
       contacts: options.contacts,
       listIntervalMs: LIST_INTERVAL_MS,
     });
-    this.#limits = new EndpointLimits({
-      membership: this.membership,
-      peers: ports.peers,
-      observer,
-    });
-    this.membership.onChange(() => this.#limits.home.noteViewChange());
-    this.#calls = new LimitedEndpointPort(
-      ports.calls((...notice) => this.#limits.note(...notice)),
-      this.#limits,
-    );
-    this.#crashExchange = new CrashExchange({
+    this.#guard = new EndpointGuard({
       membership: this.membership,
       peers: ports.peers,
+      calls: ports.calls,
       observer,
       random,
-      tracker: () => this.#crashes,
-    });
-    this.#crashes = new CrashTracker({
-      observer,
-      onChange: (change) => this.#crashExchange.announce(change),
-      check: (entry) => checkConnection(this.#calls, entry),
-      claimTrial: (trait, intervalMs) =>
-        this.#crashExchange.claimTrial(trait, intervalMs),
     });
     this.endpoints = new EndpointRegistry(
       observer,
-      (entry) => {
-        this.#crashes.noteEnd(entry);
-        this.#limits.forget(entry);
-      },
+      (entry) => this.#guard.noteEndpointEnd(entry),
     );
     const placementHome = new PlacementHome();
     const origins = new SharedOrigins({
@@ -177,9 +147,9 @@
       }),
       placement: this.#placement,
       prefillTimes: this.#prefillTimes,
-      crashes: this.#crashes,
+      crashes: this.#guard.crashes,
       origins,
-      port: this.#calls,
+      port: this.#guard.calls,
       observer,
       random,
       times: options.times ?? NO_TIMES,
@@ -207,8 +177,7 @@
           );
           return null;
         },
-        ...this.#crashExchange.handlers,
-        ...this.#limits.handlers,
+        ...this.#guard.handlers,
         "routing/demand": ({ service }) =>
           this.#stages.get(service)?.demand.sample() ?? NO_DEMAND,
       }).handlers,
@@ -239,9 +208,7 @@
         describeEndpoint(record, nowMs)
       ),
       vms: describeVms(this.membership.members()),
-      quarantined: [...this.#crashes.evidence.culprits.values()].map(
-        ({ id, crashes }) => ({ trait: id, crashes }),
-      ),
+      quarantined: this.#guard.describeQuarantines(),
     };
   }
 
@@ -279,7 +246,7 @@
     this.router.stop();
     this.#placement.stop();
     this.membership.stop();
-    this.#crashExchange.stop();
+    this.#guard.stop();
   }
 
   #stagesOf(service: ServiceName): { demand: StageDemand; task: StagesTask } {
@@ -294,7 +261,7 @@
       demand,
       prefillTokensPerMs: () => this.#prefillTimes.tokensPerMs(service),
       endpoints: this.endpoints,
-      port: this.#calls,
+      port: this.#guard.calls,
       peers: ports.peers,
       membership: this.membership,
       onOrdered: (endpoint, forMs) => this.#announceOrder(endpoint, forMs),
@@ -351,15 +318,10 @@
 
   // Fetches what the VM that sent a probe has and this one lacks.
   #compareWith({ from, configurationVersion, evidenceHash }: Probe): void {
-    this.#limits.home.noteContact();
     const peer = this.membership.member(from);
-    if (!peer) return;
-    if (configurationVersion > this.#tableVersion()) {
-      void this.#fetchTable(peer);
-    }
-    if (evidenceHash !== undefined) {
-      void this.#crashExchange.compare(peer, evidenceHash);
-    }
+    this.#guard.noteProbe(peer, evidenceHash);
+    if (!peer || configurationVersion <= this.#tableVersion()) return;
+    void this.#fetchTable(peer);
   }
 
   async #fetchTable(peer: Member): Promise<void> {
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -169,7 +169,7 @@
         "routing/crash-trial": () => ({ granted: false }),
         "routing/permit": ({ known }) => ({
           granted: false,
-          retryAfterMs: Infinity,
+          retryAfterMs: 0,
           known,
         }),
         "routing/limit-ended": () => null,
--- /dev/null
+++ b/packages/daemon/src/gateway/answers.ts
@@ -0,0 +1,88 @@
+/** Reads the answers of endpoints, and maps them to the types of the router. */
+import { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import type { AnswerHead, SendFailure } from "@teaselvalve/core/routing";
+import type {
+  ExchangeFailure,
+  ExchangeListener,
+  OutgoingExchange,
+} from "./fresh_exchange.ts";
+
+const CONNECTION_REFUSED = "ECONNREFUSED";
+
+/** Headers that apply to a single connection and are not forwarded. */
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** An answer that was read completely. */
+export interface BufferedAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+/** Reads a whole answer; fails as lost if it is larger than the limit. */
+export function readAnswer(
+  open: (listener: ExchangeListener) => OutgoingExchange,
+  limitBytes: number,
+): Promise<Result<BufferedAnswer, SendFailure>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    let head: Pick<BufferedAnswer, "status" | "headers"> | null = null;
+    const exchange = open({
+      onHead: (status, headers) => {
+        head = { status, headers };
+      },
+      onData: (bytes) => {
+        sizeBytes += bytes.length;
+        chunks.push(bytes);
+        if (sizeBytes > limitBytes) {
+          resolve(err({ kind: "lost", detail: "The answer is too large" }));
+          exchange.abort();
+        }
+        return true;
+      },
+      onEnd: () => resolve(ok({ ...head!, body: Buffer.concat(chunks) })),
+      onFailure: (failure) => resolve(err(toSendFailure(failure))),
+    });
+  });
+}
+
+/** Maps the failure of an exchange to that of a send. */
+export function toSendFailure(failure: ExchangeFailure): SendFailure {
+  return failure.kind === "notSent"
+    ? { kind: "notSent", refused: failure.detail === CONNECTION_REFUSED }
+    : failure;
+}
+
+/** Builds the head of an answer as it is passed on to the caller. */
+export function toHead(
+  { status, headers }: Pick<BufferedAnswer, "status" | "headers">,
+): AnswerHead {
+  return {
+    status,
+    headers: forwardedHeaders(headers),
+    endsWithConnection: headers["content-length"] === undefined &&
+      headers["transfer-encoding"] === undefined,
+  };
+}
+
+function forwardedHeaders(headers: IncomingHttpHeaders): AnswerHead["headers"] {
+  const forwarded: [string, string][] = [];
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || CONNECTION_HEADERS.has(name)) continue;
+    for (const item of Array.isArray(value) ? value : [value]) {
+      forwarded.push([name, item]);
+    }
+  }
+  return forwarded;
+}
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -1,10 +1,8 @@
 /** Calls to endpoints over HTTP, each on its own connection. */
-import { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import type { Observer } from "@teaselvalve/core";
 import type {
-  AnswerHead,
   EndpointAnswer,
   EndpointEntry,
   EngineReport,
@@ -17,7 +15,12 @@
   StreamListener,
 } from "@teaselvalve/core/routing";
 import {
-  type ExchangeFailure,
+  type BufferedAnswer,
+  readAnswer,
+  toHead,
+  toSendFailure,
+} from "./answers.ts";
+import {
   type ExchangeListener,
   type ExchangeRequest,
   openExchange,
@@ -34,18 +37,6 @@
 /** Releasing a reservation or handle is best effort and gets little time. */
 const RELEASE_TIMEOUT_MS = 500;
 const SUCCESS = 200;
-const CONNECTION_REFUSED = "ECONNREFUSED";
-
-/** Headers that apply to a single connection and are not forwarded. */
-export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
 
 /** Options of {@link createRoutedEndpointPort}. */
 export interface RoutedEndpointPortOptions {
@@ -62,12 +53,6 @@
   return new HttpEndpointPort(options);
 }
 
-interface BufferedAnswer {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-  readonly body: Buffer;
-}
-
 type CallKind =
   | "request"
   | "prefill"
@@ -351,58 +336,3 @@
     return null;
   }
 }
-
-function readAnswer(
-  open: (listener: ExchangeListener) => OutgoingExchange,
-  limitBytes: number,
-): Promise<Result<BufferedAnswer, SendFailure>> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    let head: Pick<BufferedAnswer, "status" | "headers"> | null = null;
-    const exchange = open({
-      onHead: (status, headers) => {
-        head = { status, headers };
-      },
-      onData: (bytes) => {
-        sizeBytes += bytes.length;
-        chunks.push(bytes);
-        if (sizeBytes > limitBytes) {
-          resolve(err({ kind: "lost", detail: "The answer is too large" }));
-          exchange.abort();
-        }
-        return true;
-      },
-      onEnd: () => resolve(ok({ ...head!, body: Buffer.concat(chunks) })),
-      onFailure: (failure) => resolve(err(toSendFailure(failure))),
-    });
-  });
-}
-
-function toSendFailure(failure: ExchangeFailure): SendFailure {
-  return failure.kind === "notSent"
-    ? { kind: "notSent", refused: failure.detail === CONNECTION_REFUSED }
-    : failure;
-}
-
-function toHead(
-  { status, headers }: Pick<BufferedAnswer, "status" | "headers">,
-): AnswerHead {
-  return {
-    status,
-    headers: forwardedHeaders(headers),
-    endsWithConnection: headers["content-length"] === undefined &&
-      headers["transfer-encoding"] === undefined,
-  };
-}
-
-function forwardedHeaders(headers: IncomingHttpHeaders): AnswerHead["headers"] {
-  const forwarded: [string, string][] = [];
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || CONNECTION_HEADERS.has(name)) continue;
-    for (const item of Array.isArray(value) ? value : [value]) {
-      forwarded.push([name, item]);
-    }
-  }
-  return forwarded;
-}
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -7,6 +7,7 @@
 export * from "../settings/load.ts";
 export * from "../settings/schema.ts";
 export * from "../testing/ports.ts";
+export * from "./answers.ts";
 export * from "./daemon.ts";
 export * from "./endpoint_port.ts";
 export * from "./protocol.ts";
