A retry that no endpoint may get returns the error that the first one answered

Cause: the limits' denial of a retry replaced an endpoint's own 500 by 504. Change: the error is kept and passed on. Measured: the changed test failed (no answer) and passes.

--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -70,6 +70,7 @@
   /** Sends the call until it is answered, or no further send is possible or allowed. */
   async run(): Promise<Verdict<EndpointAnswer>> {
     let last: SendResult | null = null;
+    let answered: SendResult | null = null;
     while (this.#sends < MAX_SENDS) {
       if (last && this.#isQuarantined()) break;
       if (last && !this.#takeRetry(last)) break;
@@ -77,9 +78,11 @@
       const endpoint = this.#choose();
       if (!endpoint) break;
       last = await this.#sendWithHedge(endpoint);
+      if (last.isOk()) answered = last;
       if (!this.#shouldRetry(last)) break;
     }
-    return this.#verdictOf(last);
+    // An endpoint's own error says more than that no other one may get the call.
+    return this.#verdictOf(last && isLimited(last) ? answered ?? last : last);
   }
 
   // A silent endpoint is not given up for another one: the first answer counts, and
--- a/packages/core/src/routing/limits/limited_sends_test.ts
+++ b/packages/core/src/routing/limits/limited_sends_test.ts
@@ -76,16 +76,25 @@
   expect(port.log).toEqual([]);
 });
 
-test("Retries need permits, and one that gets none is not charged to the budget", async () => {
+test("A retry needs a permit; without one the caller gets the endpoint's own error", async () => {
   const port = new FakeEndpoints({
     call: () => Promise.resolve(ok(answer(500))),
   });
   const permits = new Permits({ a: 1, b: 0, c: 0 });
   const { ended } = startCall(port, permits);
-  await ended;
+  expect((await ended)._unsafeUnwrap().status).toBe(500);
   expect(port.log).toEqual(["call a"]);
 });
 
+test("A retry goes to the endpoint that has a permit left", async () => {
+  const port = new FakeEndpoints({
+    call: ({ id }) => Promise.resolve(ok(answer(id === "c" ? 200 : 500))),
+  });
+  const { ended } = startCall(port, new Permits({ a: 1, b: 0 }));
+  expect((await ended)._unsafeUnwrap().status).toBe(200);
+  expect(port.log.at(-1)).toBe("call c");
+});
+
 test("A hedge needs a permit and gives its retry back without one", async () => {
   const port = new FakeEndpoints({
     call: async () => {
