--- a/packages/core/src/routing/crashes/tracker_test.ts
+++ b/packages/core/src/routing/crashes/tracker_test.ts
@@ -84,6 +84,16 @@
   expect(tracker.evidence.isEmpty).toBe(true);
 });
 
+test("A crash that only shows when the directory's entry expires seconds later still counts", async () => {
+  const tracker = new CrashTracker();
+  for (const endpoint of ENDPOINTS.slice(0, 3)) {
+    tracker.noteLost(POISON, endpoint);
+    await vi.advanceTimersByTimeAsync(4_800);
+    tracker.noteEnd(endpoint);
+  }
+  expect(isQuarantined(tracker, POISON)).toBe(true);
+});
+
 test("A crash that an answer of the endpoint refutes does not count, an answer from before it changes nothing", async () => {
   const tracker = new CrashTracker();
   crashEach(tracker, [POISON, POISON, POISON]);
