Don't quarantine sound requests that are lost beside crashing ones

Cause: the most specific traits were blamed first, and a whole request is the most specific. A sound stream that three engines lost within a second, beside requests with crashing parts, was quarantined although the parts explained all of its crashes.

Change: traits that explain the most crashes come first; a request that never is the only suspected one needs five crashes, three of them unexplained.

Measured: the first new test failed and passes; the second failed on the old order too (quarantined at the third crash). Tests of routing pass.

--- a/packages/core/src/routing/crashes/queries/find_culprits.ts
+++ b/packages/core/src/routing/crashes/queries/find_culprits.ts
@@ -9,8 +9,8 @@
 export const CULPRIT_CRASHES = 3;
 /**
  * The same for a trait that many crashes may have in common without being caused by
- * it: one of requests that were answered shortly before, or a part that is followed
- * by another suspected part in each crash.
+ * it: one of requests that were answered shortly before, a part that is followed by
+ * another suspected part in each crash, or a request that is never the only one.
  */
 const COMMON_CULPRIT_CRASHES = 5;
 /** Crashes of a common trait that no more specific culprit explains. */
@@ -26,24 +26,24 @@
 
 interface Candidate extends Culprit {
   readonly isTrusted: boolean;
-  /** Whether a more specific part is suspected in each of its crashes. */
-  readonly isFollowed: boolean;
+  /** Whether a more specific part, or another request, is suspected in each of its crashes. */
+  readonly isAlwaysAccompanied: boolean;
   readonly isCommon: boolean;
 }
 
 /**
  * Returns the traits that best explain the crashes. A trait is a candidate where
- * no request with it was answered after the crash. The most specific candidates
- * are chosen first, so that a general part is blamed only for crashes that nothing
- * more specific explains.
+ * no request with it was answered after the crash. Those that explain the most
+ * crashes are chosen first, of several the most specific one; common ones are blamed
+ * only for crashes that nothing else explains.
  */
 export function findCulprits(
   records: Iterable<CrashRecord>,
 ): Map<TraitId, Culprit> {
   const crashes = [...records].filter(({ refuted }) => !refuted);
   const candidates = [...countCandidates(crashes).values()].sort((a, b) =>
-    Number(a.isCommon) - Number(b.isCommon) || b.position - a.position ||
-    b.crashes - a.crashes || (a.id < b.id ? -1 : 1)
+    Number(a.isCommon) - Number(b.isCommon) || b.crashes - a.crashes ||
+    b.position - a.position || (a.id < b.id ? -1 : 1)
   );
   const culprits = new Map<TraitId, Culprit>();
   let unexplained = crashes;
@@ -72,26 +72,36 @@
   const candidates = new Map<TraitId, Candidate>();
   for (const crash of crashes) {
     const lastPosition = lastSuspectedPart(crash);
+    const hasOtherRequest = countSuspectedRequests(crash) > 1;
     for (const [id, position] of crash.traits) {
       if (crash.cleared.has(id)) continue;
       const before = candidates.get(id);
       const isTrusted = crash.trusted.has(id) || (before?.isTrusted ?? false);
-      const isFollowed = position < lastPosition &&
-        (before?.isFollowed ?? true);
+      const isAccompanied = position < WHOLE_REQUEST_POSITION
+        ? position < lastPosition
+        : hasOtherRequest;
+      const isAlwaysAccompanied = isAccompanied &&
+        (before?.isAlwaysAccompanied ?? true);
       candidates.set(id, {
         id,
         position: Math.max(position, before?.position ?? 0),
         crashes: (before?.crashes ?? 0) + 1,
         lastCrashAtMs: Math.max(crash.atMs, before?.lastCrashAtMs ?? -Infinity),
         isTrusted,
-        isFollowed,
-        isCommon: isTrusted || isFollowed,
+        isAlwaysAccompanied,
+        isCommon: isTrusted || isAlwaysAccompanied,
       });
     }
   }
   return candidates;
 }
 
+function countSuspectedRequests({ traits, cleared }: CrashRecord): number {
+  return [...traits].filter(([id, position]) =>
+    position === WHOLE_REQUEST_POSITION && !cleared.has(id)
+  ).length;
+}
+
 function lastSuspectedPart({ traits, cleared }: CrashRecord): number {
   const positions = [...traits]
     .filter(([id, position]) =>
--- a/packages/core/src/routing/crashes/tracker_test.ts
+++ b/packages/core/src/routing/crashes/tracker_test.ts
@@ -255,6 +255,28 @@
   expect(isQuarantined(tracker, promptWith("hot", "popular"))).toBe(false);
 });
 
+test("A request that is lost in several crashes beside crashing ones is not quarantined before it is answered", () => {
+  const tracker = new CrashTracker();
+  const beside = promptWith("sound");
+  const order = ["bad-1", "bad-2", "bad-1", "bad-2", "bad-1", "bad-2"];
+  for (const [index, part] of order.entries()) {
+    crash(tracker, ENDPOINTS[index]!, beside, promptWith("first", part));
+    expect(isQuarantined(tracker, beside)).toBe(false);
+  }
+  for (const part of ["bad-1", "bad-2"]) {
+    expect(isQuarantined(tracker, promptWith("first", part))).toBe(true);
+  }
+});
+
+test("A request that crashes engines is quarantined although others are lost beside it each time", () => {
+  const tracker = new CrashTracker();
+  for (const endpoint of ENDPOINTS.slice(0, 5)) {
+    expect(isQuarantined(tracker, POISON)).toBe(false);
+    crash(tracker, endpoint, POISON, promptWith(`other to ${endpoint.id}`));
+  }
+  expect(isQuarantined(tracker, POISON)).toBe(true);
+});
+
 test("A part that was answered until now and then crashes every engine is found after five crashes", async () => {
   const tracker = new CrashTracker();
   tracker.noteAnswered(promptWith("shared", "turned"));
