--- a/packages/core/src/routing/crashes/exchange.ts
+++ b/packages/core/src/routing/crashes/exchange.ts
@@ -4,7 +4,6 @@
  * by the hash of the evidence in membership probes, and fetch what they lack.
  */
 import type { Observer } from "../../common/observe.ts";
-import type { VmId } from "../../common/ids.ts";
 import type { Member, MembershipView } from "../../membership/types.ts";
 import type { PeerPort } from "../../ports/peers.ts";
 import type { EndpointIncarnation } from "../types.ts";
@@ -162,7 +161,7 @@
   #randomPeers(): Member[] {
     const { membership, random } = this.#options;
     const others = membership.members().filter(({ id, state }) =>
-      id !== (membership.self.id as VmId) && state === "live"
+      id !== membership.self.id && state === "live"
     );
     const chosen: Member[] = [];
     while (chosen.length < FANOUT && others.length > 0) {
--- a/packages/core/src/routing/crashes/queries/find_culprits.ts
+++ b/packages/core/src/routing/crashes/queries/find_culprits.ts
@@ -13,7 +13,7 @@
  * another suspected part in each crash, or a request that is never the only one.
  */
 const COMMON_CULPRIT_CRASHES = 5;
-/** Crashes of a common trait that no more specific culprit explains. */
+/** Crashes of a common trait that no other culprit explains. */
 const COMMON_UNEXPLAINED_CRASHES = 3;
 
 /** A trait that crashes endpoints. */
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -112,7 +112,7 @@
     endpoint.inFlight += 1;
     endpoint.inFlightTokens += tokens;
     const startedMs = performance.now();
-    const prefilled: Awaited<ReturnType<PrefillRun["run"]>> =
+    const prefilled: Result<PrefillSource | null, SendFailure> =
       this.#options.isQuarantined()
         ? err({ kind: "notSent" })
         : await prefill.run(endpoint, { signal });
