--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -28,7 +28,8 @@
   | "ejections"
   | "link_changes"
   | "forwards"
-  | "store_calls";
+  | "store_calls"
+  | "store_returns";
 
 /** Receives log events and counts. Both methods are cheap and never throw. */
 export interface Observer {
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -45,8 +45,11 @@
     return this.#table;
   }
 
-  /** Activates a table; returns false if its version is not above the active one. */
-  setTable(table: RoutingTable): boolean {
+  /**
+   * Activates a table; returns false if its version is not above the active one.
+   * `source` names where it was read, for the log.
+   */
+  setTable(table: RoutingTable, { source = "store" } = {}): boolean {
     if (this.#table && table.version <= this.#table.version) return false;
     this.#table = table;
     this.#index = new RouteIndex(table.routes);
@@ -58,6 +61,7 @@
     this.#context.observer.log({
       event: "routing-table-in-force",
       version: table.version,
+      source,
       routes: table.routes.length,
       services: table.services.length,
       idleMs: table.limits.idleMs,
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -348,11 +348,11 @@
     });
     if (answer.isErr()) return;
     const { table } = answer.value;
-    if (table) this.#setTable(table);
+    if (table) this.#setTable(table, { source: peer.id });
   }
 
-  #setTable(table: RoutingTable): void {
-    if (!this.router.setTable(table)) return;
+  #setTable(table: RoutingTable, options?: { source: string }): void {
+    if (!this.router.setTable(table, options)) return;
     this.#stages.start(
       table.services.filter(({ engines }) => engines).map(({ name }) => name),
     );
--- a/packages/core/src/routing/table_feed.ts
+++ b/packages/core/src/routing/table_feed.ts
@@ -102,7 +102,7 @@
   }
 
   async #readAll(): Promise<StoreFailure | null> {
-    const { table, listener } = this.#options;
+    const { table, listener, observer, name } = this.#options;
     const read = await table.readAll({ timeoutMs: READ_TIMEOUT_MS });
     if (read.isErr()) return read.error;
     if (this.#stopped) return null;
@@ -110,6 +110,12 @@
     // Reported before the rows: entries that expired during the outage may still be
     // rewritten, and the listener must know that when it sees them missing.
     this.#noteReachability(null);
+    observer.log({
+      event: "feed-began",
+      table: name,
+      version: read.value.version,
+      items: read.value.items.length,
+    });
     listener.onSnapshot(read.value.items);
     return null;
   }
--- a/packages/daemon/src/http/calls.ts
+++ b/packages/daemon/src/http/calls.ts
@@ -7,6 +7,7 @@
  * connection failure also fails that request.
  */
 import { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, Client, type Dispatcher, errors } from "undici";
 
@@ -38,6 +39,8 @@
 /** A response whose body has been read completely. */
 export interface HttpResponse {
   readonly status: number;
+  /** By lower-case name. */
+  readonly headers: IncomingHttpHeaders;
   readonly contentType: string;
   readonly text: string;
 }
@@ -241,6 +244,7 @@
     }
     return ok({
       status: response.statusCode,
+      headers: response.headers,
       contentType: String(response.headers["content-type"] ?? ""),
       text: Buffer.concat(parts).toString("utf8"),
     });
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -34,6 +34,8 @@
     "Checks of the links to a group of endpoints, by outcome, and links lost and back",
   forwards: "Requests sent on to other VMs, by outcome",
   store_calls: "Calls to the platform's store, by call",
+  store_returns:
+    "Returns of the platform's store from an earlier copy, by what was done",
   broken_streams: "Answers cut after they had begun, by reason",
 };
 
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,4 +1,5 @@
 // Bundles each program into one file, so that it starts fast and needs no separate loader process.
+import { spawnSync } from "node:child_process";
 import process from "node:process";
 import { build } from "esbuild";
 
@@ -28,6 +29,12 @@
 // With the argument `platform`, only the programs that run on the platform are built.
 const platformOnly = process.argv[2] === "platform";
 
+// The commit, so that logs tell which build a VM runs; unknown outside a checkout.
+const { stdout } = spawnSync("git", ["rev-parse", "--short", "HEAD"], {
+  encoding: "utf8",
+});
+const commit = stdout?.trim() || "unknown";
+
 await build({
   entryPoints: platformOnly ? PLATFORM_PROGRAMS : PROGRAMS,
   outdir: ".",
@@ -42,6 +49,7 @@
   lineLimit: 160,
   sourcemap: true,
   logLevel: "warning",
+  define: { BUILD_COMMIT: JSON.stringify(commit) },
   external: ["dtrace-provider", "moment", "mv", "safe-json-stringify"],
   banner: {
     js:
