A store that comes back from a copy begins an era: feeds begin anew, leases are void, lost rows are written again

What callers saw: 404 for a route that a confirmed change had added, and answers of a route that it had dropped, at all VMs that followed the table when the store came back from an older copy. Cause: versions were plain numbers, and numbers are given out again after a return. A feed that had followed a table up to 6 went on after 6, while the new change had become 4. Class: a position in one past is used in another. Change: StoreVersion is an era and a number, and can't be compared or sent across eras; EraTracker notes the era of each answer and drops answers of ended ones. Feeds, expectations, leases, fencing numbers, rows of origins, registrations and the endpoint registry follow it (docs/design/store-returns.md).

--- a/packages/bench/src/orders_task_test.ts
+++ b/packages/bench/src/orders_task_test.ts
@@ -8,6 +8,7 @@
   OrdersTask,
   type PlatformPort,
   SILENT_OBSERVER,
+  SINGLE_ERA,
   type VmContext,
 } from "@teaselvalve/core";
 import { FakePlatform } from "@teaselvalve/fakes";
@@ -46,6 +47,7 @@
     },
   } as Partial<EnginePort> as EnginePort;
   const platformPort: Partial<PlatformPort> = {
+    eras: SINGLE_ERA,
     transact: (writes) => Promise.resolve(ok(platform.transact(writes))),
     read: (table, key) => Promise.resolve(ok(platform.read(table, key))),
   };
--- a/packages/bench/src/slopes/stub_vm.ts
+++ b/packages/bench/src/slopes/stub_vm.ts
@@ -9,6 +9,7 @@
   type PeerHandlers,
   type PlatformPort,
   SILENT_OBSERVER,
+  SINGLE_ERA,
   Vm,
   type VmPorts,
 } from "@teaselvalve/core";
@@ -126,6 +127,7 @@
 
 function createStubPlatform(listed: readonly ListedVm[]): PlatformPort {
   return {
+    eras: SINGLE_ERA,
     transact: () => Promise.resolve(ok({ kind: "committed" })),
     read: () => Promise.resolve(ok(null)),
     scan: () => Promise.resolve(ok([])),
--- a/packages/core/src/calls/claim_follower.ts
+++ b/packages/core/src/calls/claim_follower.ts
@@ -76,7 +76,7 @@
       );
       // A read that returns no row, or fails, proves nothing about the claim.
       if (!current || current === "failed") continue;
-      if (current.version !== latest.version) return { kind: "again" };
+      if (!current.version.equals(latest.version)) return { kind: "again" };
       latest = current;
     }
     return refused("in-progress-elsewhere");
--- a/packages/core/src/calls/commands/claim_store_test.ts
+++ b/packages/core/src/calls/commands/claim_store_test.ts
@@ -10,6 +10,7 @@
 import { SILENT_OBSERVER } from "../../common/observe.ts";
 import type { VmContext } from "../../vm/types.ts";
 import { CALL_POLICIES } from "../policies.ts";
+import { StoreVersion } from "../../store/version.ts";
 import type { CallRow } from "../types.ts";
 import { ClaimStore, type WriteOutcome } from "./claim_store.ts";
 
@@ -59,7 +60,7 @@
   });
   if (conflicts.length === 0) {
     for (const { table, key, value } of writes) {
-      rows.set(key, { table, key, version: 1, value });
+      rows.set(key, { table, key, version: new StoreVersion(1), value });
     }
   }
   if (fault === "lost reply") return err({ kind: "unknown", detail: "" });
@@ -87,7 +88,12 @@
 });
 
 test("A conflict on one row doesn't fail the other rows of the batch", async () => {
-  rows.set("b", { table: "calls", key: "b", version: 1, value: {} });
+  rows.set("b", {
+    table: "calls",
+    key: "b",
+    version: new StoreVersion(1),
+    value: {},
+  });
   const outcomes = ["a", "b", "c"].map((key) => claim(key).outcome);
   expect(await outcomesAfter(100, outcomes)).toEqual([
     "written",
--- a/packages/core/src/configuration/commands/submit.ts
+++ b/packages/core/src/configuration/commands/submit.ts
@@ -296,7 +296,7 @@
     {
       table,
       key: HEAD_KEY,
-      expect: row.rowVersion === 0
+      expect: row.rowVersion === null
         ? absent
         : { kind: "version", version: row.rowVersion },
       value: toRowValue(change.head),
--- a/packages/core/src/configuration/store.ts
+++ b/packages/core/src/configuration/store.ts
@@ -1,6 +1,7 @@
 /** Reads and writes configuration rows and objects in the platform's stores. */
 import { err, ok, type Result } from "neverthrow";
 import type { Json, PlatformPort, StoreFailure } from "../ports/platform.ts";
+import type { StoreVersion } from "../store/version.ts";
 import { digest } from "../common/hash.ts";
 import type { Digest } from "../common/ids.ts";
 import type {
@@ -31,8 +32,8 @@
 /** The configuration head and the version of its row, for conditional writes. */
 export interface HeadRow {
   readonly head: ConfigurationHead;
-  /** 0 if the row doesn't exist yet. */
-  readonly rowVersion: number;
+  /** Null if the row doesn't exist yet. */
+  readonly rowVersion: StoreVersion | null;
 }
 
 /** Reads the head; version 0 without scopes if nothing has been committed yet. */
@@ -41,7 +42,7 @@
 ): Promise<Result<HeadRow, StoreFailure>> {
   const row = await platform.read(CONFIGURATION_TABLE, HEAD_KEY);
   return row.map((stored) =>
-    stored === null ? { head: { version: 0, scopes: {} }, rowVersion: 0 } : {
+    stored === null ? { head: { version: 0, scopes: {} }, rowVersion: null } : {
       head: stored.value as unknown as ConfigurationHead,
       rowVersion: stored.version,
     }
--- a/packages/core/src/orders/lease.ts
+++ b/packages/core/src/orders/lease.ts
@@ -22,7 +22,7 @@
 export interface LeaseContext {
   readonly identity: { readonly incarnation: Incarnation };
   readonly ports: {
-    readonly platform: Pick<PlatformPort, "transact" | "read">;
+    readonly platform: Pick<PlatformPort, "transact" | "read" | "eras">;
   };
 }
 
@@ -44,10 +44,13 @@
 
   /**
    * The lease if this VM holds it, else null. It may have ended since: check
-   * `endsAtMs`.
+   * `endsAtMs`. A lease of an earlier era of the store is not held, as its row may
+   * be gone.
    */
   get held(): HeldLease | null {
-    return this.#machine.snapshot.context.held;
+    const { held } = this.#machine.snapshot.context;
+    const { era } = this.#platform.eras.current;
+    return held?.rowVersion.era === era ? held : null;
   }
 
   /**
@@ -55,11 +58,13 @@
    * shows in `held` once the writes are done.
    */
   acquire(): void {
+    this.#dropEndedEra();
     this.#machine.send({ type: "acquire", nowMs: performance.now() });
   }
 
   /** Releases the lease if it is held. */
   release(): void {
+    this.#dropEndedEra();
     this.#machine.send({ type: "release" });
   }
 
@@ -71,6 +76,11 @@
     this.#machine.send({ type: "lost" });
   }
 
+  #dropEndedEra(): void {
+    const { context } = this.#machine.snapshot;
+    if (context.held && !this.held) this.markLost();
+  }
+
   #perform(effect: Effect): void {
     const { type, params } = effect as LeaseEffect;
     switch (type) {
@@ -86,9 +96,12 @@
   async #read(): Promise<void> {
     const seen = await this.#readRow();
     this.#machine.send(
-      seen === "failed"
-        ? { type: "lost" }
-        : { type: "rowSeen", seen, nowMs: performance.now() },
+      seen === "failed" ? { type: "lost" } : {
+        type: "rowSeen",
+        seen,
+        era: this.#platform.eras.current,
+        nowMs: performance.now(),
+      },
     );
   }
 
@@ -98,7 +111,9 @@
     // The row shows the outcome of the write, even if its reply was lost. If it shows
     // an earlier write that arrived late, this one failed, and that lease must run out.
     const seen = await this.#readRow();
+    // A write of an earlier era may be carried out in this one, beside another lease.
     const isOwnWrite = seen !== "failed" && seen !== null &&
+      seen.rowVersion.era === write.lease.era &&
       seen.lease.incarnation === write.lease.incarnation &&
       seen.lease.write === writeNumber;
     this.#machine.send(
--- a/packages/core/src/orders/lease_machine.ts
+++ b/packages/core/src/orders/lease_machine.ts
@@ -3,26 +3,36 @@
  * released.
  */
 import { assign, setup } from "xstate";
+import type { KnownEra } from "../store/eras.ts";
+import { NO_ERA, type StoreEra, type StoreVersion } from "../store/version.ts";
 import {
+  eraOf,
   type HeldLease,
   LEASE_MS,
   type LeaseRow,
+  nextFencingNumber,
   ORDER_TIMEOUT_MS,
   type VersionedLease,
 } from "./types.ts";
 
+/** How long a holder could still act under a lease whose row is seen now. */
+const MAX_HELD_MS = LEASE_MS + ORDER_TIMEOUT_MS;
 /** A lease is renewed once no more than this is left of it. */
 const RENEW_BELOW_MS = LEASE_MS / 2;
 
 /** State of a lease at one VM. */
 export interface LeaseState {
   readonly incarnation: LeaseRow["incarnation"];
-  /** The row version last read (0 without a row), and when this VM first read it. */
+  /** The row version last read, and when this VM first read it; null without a row. */
   readonly observed:
-    | { readonly rowVersion: number; readonly sinceMs: number }
+    | { readonly rowVersion: StoreVersion; readonly sinceMs: number }
     | null;
   /** The row last read; null if there was none. */
   readonly seen: VersionedLease | null;
+  /** The store's era when the row was read. */
+  readonly era: StoreEra;
+  /** Whether no lease of an earlier era, which the row may not show, can still be held. */
+  readonly isSettled: boolean;
   readonly held: HeldLease | null;
 }
 
@@ -33,6 +43,7 @@
   | {
     readonly type: "rowSeen";
     readonly seen: VersionedLease | null;
+    readonly era: KnownEra;
     readonly nowMs: number;
   }
   | { readonly type: "written"; readonly held: HeldLease }
@@ -43,8 +54,8 @@
 /** A conditional write of the lease's row. */
 export interface LeaseWrite {
   /** Version that the row must have; null if there must be no row. */
-  readonly rowVersion: number | null;
-  readonly lease: Omit<LeaseRow, "write">;
+  readonly rowVersion: StoreVersion | null;
+  readonly lease: Omit<LeaseRow, "write"> & { readonly era: StoreEra };
 }
 
 /** Effects of the machine, executed by `ShardLease`. */
@@ -66,13 +77,19 @@
     releaseRow: (_, _params: LeaseWrite) => {},
     observe: assign(({ context, event }) => {
       if (event.type !== "rowSeen") return {};
-      const rowVersion = event.seen?.rowVersion ?? 0;
-      const isSame = context.observed?.rowVersion === rowVersion;
+      const { seen, nowMs } = event;
+      const { era, sinceMs } = event.era;
+      const isSettled = nowMs - sinceMs >= MAX_HELD_MS ||
+        (seen !== null && eraOf(seen.lease) === era);
+      const before = context.observed;
+      const isSame = seen && before?.rowVersion.equals(seen.rowVersion);
       return {
-        seen: event.seen,
+        seen,
+        era,
+        isSettled,
         observed: isSame
-          ? context.observed
-          : { rowVersion, sinceMs: event.nowMs },
+          ? before
+          : seen && { rowVersion: seen.rowVersion, sinceMs: nowMs },
       };
     }),
     hold: assign(({ event }) =>
@@ -82,13 +99,14 @@
   },
   guards: {
     // A lease may be taken if it is absent or released (`isFree`), or if its row has
-    // not changed for as long as its holder could act under it (`isExpired`).
+    // not changed for as long as its holder could act under it (`isExpired`). After the
+    // store has come back from a copy, an absent or released row proves nothing.
     isFree: ({ context }) =>
-      context.seen === null || context.seen.lease.released,
+      context.isSettled &&
+      (context.seen === null || context.seen.lease.released),
     isExpired: ({ context, event }) =>
       event.type === "rowSeen" && context.observed !== null &&
-      context.observed.rowVersion === event.seen?.rowVersion &&
-      event.nowMs - context.observed.sinceMs >= LEASE_MS + ORDER_TIMEOUT_MS,
+      event.nowMs - context.observed.sinceMs >= MAX_HELD_MS,
     hasEnded: ({ context, event }) =>
       event.type === "acquire" && context.held !== null &&
       event.nowMs >= context.held.endsAtMs,
@@ -101,6 +119,8 @@
     incarnation: input.incarnation,
     observed: null,
     seen: null,
+    era: NO_ERA,
+    isSettled: false,
     held: null,
   }),
   initial: "idle",
@@ -126,8 +146,12 @@
         params: ({ context }) => ({
           rowVersion: context.seen?.rowVersion ?? null,
           lease: {
+            era: context.era,
             incarnation: context.incarnation,
-            fencingNumber: (context.seen?.lease.fencingNumber ?? 0) + 1,
+            fencingNumber: nextFencingNumber(
+              context.seen?.lease ?? null,
+              context.era,
+            ),
             released: false,
           },
         }),
@@ -178,6 +202,11 @@
   const { incarnation } = context;
   return {
     rowVersion,
-    lease: { incarnation, fencingNumber, released: options.released },
+    lease: {
+      era: rowVersion.era,
+      incarnation,
+      fencingNumber,
+      released: options.released,
+    },
   };
 }
--- a/packages/core/src/orders/types.ts
+++ b/packages/core/src/orders/types.ts
@@ -1,5 +1,6 @@
 /** Types of the lease that a VM must hold to give orders to engines. */
 import type { Incarnation, ModelName } from "../common/ids.ts";
+import { NO_ERA, type StoreEra, type StoreVersion } from "../store/version.ts";
 
 /** Table of the lease rows. */
 export const ORDERS_TABLE = "orders";
@@ -19,11 +20,17 @@
  */
 export const MAX_SAFE_FREEZE_MS = ORDER_TIMEOUT_MS;
 
+/** Fencing numbers of one era of the store; more than can be taken before the next. */
+const FENCING_NUMBERS_PER_ERA = 2 ** 20;
+
 /**
  * The row of one shard's lease. It is never deleted, so that fencing numbers only
- * rise.
+ * rise. A store that comes back from a copy may have lost it, so each era begins above
+ * all numbers of the earlier ones.
  */
 export interface LeaseRow {
+  /** Era in which it was written; absent in rows of older builds. */
+  readonly era?: StoreEra;
   readonly incarnation: Incarnation;
   readonly fencingNumber: number;
   readonly released: boolean;
@@ -33,14 +40,14 @@
 
 /** A lease row as read, with its row version. */
 export interface VersionedLease {
-  readonly rowVersion: number;
+  readonly rowVersion: StoreVersion;
   readonly lease: LeaseRow;
 }
 
 /** A lease that this VM holds. */
 export interface HeldLease {
   readonly fencingNumber: number;
-  readonly rowVersion: number;
+  readonly rowVersion: StoreVersion;
   /**
    * When the lease ends, counted from before its write was sent, in ms of
    * `performance.now()`.
@@ -52,3 +59,16 @@
 export function leaseKey(model: ModelName): string {
   return `lease/${model}`;
 }
+
+/** Returns the fencing number that follows on a row's, in the era in which it is written. */
+export function nextFencingNumber(row: LeaseRow | null, era: StoreEra): number {
+  return Math.max(
+    (row?.fencingNumber ?? 0) + 1,
+    era * FENCING_NUMBERS_PER_ERA,
+  );
+}
+
+/** Returns the era in which a row was written. */
+export function eraOf(row: LeaseRow): StoreEra {
+  return row.era ?? NO_ERA;
+}
--- a/packages/core/src/ports/platform.ts
+++ b/packages/core/src/ports/platform.ts
@@ -1,6 +1,8 @@
 /** Interface to the platform's services. */
 import type { Result } from "neverthrow";
 import type { DataCentre, Region, VmId } from "../common/ids.ts";
+import type { StoreEras } from "../store/eras.ts";
+import type { StoreVersion } from "../store/version.ts";
 
 /** A JSON value, as a row can hold it. */
 export type Json =
@@ -16,10 +18,10 @@
   readonly table: string;
   readonly key: string;
   /**
-   * Positive, and increases with every write to the row. It may increase by more than
-   * one: a store may use the number of its transaction.
+   * Changes with every write to the row, and has no order: a store may use the number of
+   * its transaction.
    */
-  readonly version: number;
+  readonly version: StoreVersion;
   readonly value: Json;
 }
 
@@ -27,7 +29,7 @@
 export type RowExpectation =
   | { readonly kind: "any" }
   | { readonly kind: "absent" }
-  | { readonly kind: "version"; readonly version: number };
+  | { readonly kind: "version"; readonly version: StoreVersion };
 
 /** One write of a transaction. A value of null deletes the row. */
 export interface RowWrite {
@@ -75,6 +77,8 @@
 
 /** The table service, the object store and the list of VMs. */
 export interface PlatformPort {
+  /** What is known of returns of the store from an earlier copy. */
+  readonly eras: StoreEras;
   /** Commits all writes or none of them. */
   transact(
     writes: readonly RowWrite[],
--- a/packages/core/src/routing/endpoint_registry.ts
+++ b/packages/core/src/routing/endpoint_registry.ts
@@ -15,8 +15,13 @@
  * entries that expired during the outage are rewritten within about two seconds.
  */
 const RECOVERY_GRACE_MS = 2_200;
-/** Maximum number of draining incarnations remembered; an outdated entry doesn't make these ready again. */
-const MAX_DRAINED = 10_000;
+/**
+ * Time after the directory has come back from an earlier copy in which it may list
+ * endpoints that are gone: an entry expires after a few missed heartbeats.
+ */
+const EXPIRY_MS = 4_000;
+/** Maximum number of draining incarnations remembered, and of those that are gone; an outdated entry doesn't make these ready again. */
+const MAX_REMEMBERED = 10_000;
 
 /** Holds the record of every known endpoint. */
 export class EndpointRegistry {
@@ -25,6 +30,11 @@
   #records = new Map<EndpointId, EndpointRecord>();
   /** Incarnations that have been draining, oldest first. */
   #drained = new Set<EndpointIncarnation>();
+  /** Incarnations that are gone, oldest first. */
+  #gone = new Set<EndpointIncarnation>();
+  /** Entries of a copy for incarnations that were gone before the directory came back from it. */
+  #doubtful: EndpointEntry[] = [];
+  #returnedAtMs = -Infinity;
   #directoryReachable = true;
   #reachableSinceMs = -Infinity;
 
@@ -43,7 +53,10 @@
   /** Applies a full listing of the directory; endpoints not in it become missing. */
   replace(entries: readonly EndpointEntry[]): void {
     const seen = new Set(entries.map((entry) => entry.id));
-    for (const entry of entries) this.#upsert(entry);
+    this.#doubtful = entries.filter((entry) => this.#isDoubtful(entry));
+    for (const entry of entries) {
+      if (!this.#doubtful.includes(entry)) this.#upsert(entry);
+    }
     for (const id of [...this.#records.keys()]) {
       if (!seen.has(id)) this.#remove(id);
     }
@@ -51,6 +64,7 @@
 
   /** Applies one change of the directory. */
   apply(change: EndpointChange): void {
+    this.#doubtful = this.#doubtful.filter(({ id }) => id !== change.id);
     if (change.entry) this.#upsert(change.entry);
     else this.#remove(change.id);
   }
@@ -73,6 +87,15 @@
     this.#directoryReachable = reachable;
   }
 
+  /**
+   * Records that the directory has come back from an earlier copy: entries that it lacks
+   * may be written again, and those that it holds may be of endpoints that are gone.
+   */
+  noteDirectoryReturn(): void {
+    this.#returnedAtMs = performance.now();
+    this.#reachableSinceMs = this.#returnedAtMs;
+  }
+
   /** Returns the record of an endpoint, or undefined if there is none. */
   get(id: EndpointId): EndpointRecord | undefined {
     return this.#records.get(id);
@@ -92,6 +115,7 @@
    */
   usable(service: ServiceName, stage: Stage | null): EndpointRecord[] {
     const nowMs = performance.now();
+    this.#acceptDoubtful(nowMs);
     const usable: EndpointRecord[] = [];
     for (const record of this.#records.values()) {
       if (record.entry.service !== service) continue;
@@ -125,10 +149,23 @@
     return this.#records.values();
   }
 
+  #isDoubtful(entry: EndpointEntry): boolean {
+    return performance.now() < this.#returnedAtMs + EXPIRY_MS &&
+      this.#gone.has(incarnationOf(entry));
+  }
+
+  // An endpoint that is still listed when its entry would have expired is running.
+  #acceptDoubtful(nowMs: number): void {
+    if (this.#doubtful.length === 0) return;
+    if (nowMs < this.#returnedAtMs + EXPIRY_MS) return;
+    for (const entry of this.#doubtful.splice(0)) this.#upsert(entry);
+  }
+
   #upsert(entry: EndpointEntry): void {
     const existing = this.#records.get(entry.id);
     if (existing && existing.entry.bornAtMs > entry.bornAtMs) return;
     if (!this.#claimAddress(entry)) return;
+    this.#gone.delete(incarnationOf(entry));
     const wasDraining = this.#drained.has(incarnationOf(entry));
     const draining = wasDraining || entry.state === "draining";
     if (draining) this.#recordDraining(entry);
@@ -176,13 +213,17 @@
     const record = this.#records.get(id);
     if (!record || record.missing) return;
     const graceEndsMs = this.#reachableSinceMs + RECOVERY_GRACE_MS;
-    const removedAtMs = Math.max(performance.now(), graceEndsMs);
+    const nowMs = performance.now();
+    const removedAtMs = Math.max(nowMs, graceEndsMs);
     record.setMissing(removedAtMs);
+    if (removedAtMs === nowMs) {
+      remember(this.#gone, incarnationOf(record.entry));
+    }
     this.#onIncarnationEnd(record.entry);
     this.#observer.log({
       event: "endpoint-gone",
       endpoint: id,
-      keptForMs: Math.round(removedAtMs - performance.now()),
+      keptForMs: Math.round(removedAtMs - nowMs),
     });
     this.#deleteRemoved();
   }
@@ -197,10 +238,7 @@
   }
 
   #recordDraining(entry: EndpointEntry): void {
-    this.#drained.add(incarnationOf(entry));
-    if (this.#drained.size <= MAX_DRAINED) return;
-    const [oldest] = this.#drained;
-    this.#drained.delete(oldest!);
+    remember(this.#drained, incarnationOf(entry));
   }
 
   #logChange(before: EndpointEntry, after: EndpointEntry): void {
@@ -216,3 +254,14 @@
     });
   }
 }
+
+// Adds an incarnation, and drops the oldest one beyond the maximum.
+function remember(
+  incarnations: Set<EndpointIncarnation>,
+  incarnation: EndpointIncarnation,
+): void {
+  incarnations.add(incarnation);
+  if (incarnations.size <= MAX_REMEMBERED) return;
+  const [oldest] = incarnations;
+  incarnations.delete(oldest!);
+}
--- a/packages/core/src/routing/endpoint_registry_test.ts
+++ b/packages/core/src/routing/endpoint_registry_test.ts
@@ -107,3 +107,62 @@
   registry.noteLeaving(entry("b", { bornAtMs: 0 }));
   expect(idsOf(registry)).toEqual(["a", "b"]);
 });
+
+/** The directory comes back from a copy, which lists `copied`. */
+function returnTo(registry: EndpointRegistry, ...copied: string[]): void {
+  registry.noteDirectoryReturn();
+  registry.replace(copied.map((id) => entry(id)));
+}
+
+test("An endpoint that was gone gets no work because a copy of the directory lists it", async () => {
+  const registry = new EndpointRegistry(SILENT_OBSERVER);
+  registry.replace([entry("a"), entry("gone")]);
+  registry.apply({ id: entry("gone").id, entry: null });
+  returnTo(registry, "a", "gone");
+  expect(idsOf(registry)).toEqual(["a"]);
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(idsOf(registry)).toEqual(["a"]);
+  registry.apply({ id: entry("gone").id, entry: null });
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(idsOf(registry)).toEqual(["a"]);
+});
+
+test("An endpoint that was thought gone gets work again when it writes its entry after a return", () => {
+  const registry = new EndpointRegistry(SILENT_OBSERVER);
+  registry.replace([entry("a"), entry("back")]);
+  registry.apply({ id: entry("back").id, entry: null });
+  returnTo(registry, "a", "back");
+  registry.apply({ id: entry("back").id, entry: entry("back") });
+  expect(idsOf(registry)).toEqual(["a", "back"]);
+});
+
+test("An endpoint that is still listed when its entry would have expired gets work again", async () => {
+  const registry = new EndpointRegistry(SILENT_OBSERVER);
+  registry.replace([entry("a"), entry("back")]);
+  registry.apply({ id: entry("back").id, entry: null });
+  returnTo(registry, "a", "back");
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect(idsOf(registry)).toEqual(["a", "back"]);
+});
+
+test("An endpoint that a copy of the directory lacks is kept until it can have written its entry again", async () => {
+  const registry = new EndpointRegistry(SILENT_OBSERVER);
+  registry.replace([entry("a"), entry("newer"), entry("gone")]);
+  returnTo(registry, "a");
+  await vi.advanceTimersByTimeAsync(1_500);
+  expect(idsOf(registry)).toEqual(["a", "gone", "newer"]);
+  registry.apply({ id: entry("newer").id, entry: entry("newer") });
+  await vi.advanceTimersByTimeAsync(1_500);
+  expect(idsOf(registry)).toEqual(["a", "newer"]);
+});
+
+test("An endpoint that drained before the directory came back from a copy gets no work", () => {
+  const registry = new EndpointRegistry(SILENT_OBSERVER);
+  registry.replace([entry("a"), entry("b")]);
+  registry.apply({
+    id: entry("b").id,
+    entry: entry("b", { state: "draining" }),
+  });
+  returnTo(registry, "a", "b");
+  expect(idsOf(registry)).toEqual(["a"]);
+});
--- a/packages/core/src/routing/origin_record.ts
+++ b/packages/core/src/routing/origin_record.ts
@@ -10,6 +10,7 @@
 import type { VmId } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
 import type { StoreFailure } from "../ports/platform.ts";
+import type { StoreEra } from "../store/version.ts";
 import {
   ORIGIN_RETENTION_MS,
   OriginMemory,
@@ -43,6 +44,8 @@
 /** A VM's row. */
 export interface OriginRow {
   readonly vm: VmId;
+  /** The store's era in which it was written. */
+  readonly era: StoreEra;
   /** When it was written, on the store's steady clock. */
   readonly storeTimeMs: number;
   /** Whether the VM knew all versions that had served while streams could begin. */
@@ -55,6 +58,7 @@
 /** All rows, as of one moment on the store's steady clock. */
 export interface OriginRows {
   readonly storeTimeMs: number;
+  readonly era: StoreEra;
   readonly rows: readonly OriginRow[];
 }
 
@@ -88,13 +92,19 @@
   #history: VersionHistory;
   #streams = new OriginMemory({ maxOrigins: MAX_STREAMS });
   #recorded = new Map<AttemptId, StreamOrigin>();
+  /** What the rows said before the store came back from a copy, which may lack them. */
+  #recordedBefore: ReadonlyMap<AttemptId, StreamOrigin> = new Map();
   /** Whether a VM that knew the past told it in its row. */
   #hasPast = false;
   /** Whether this VM's row says that it knows the past, so that later VMs can rely on it. */
   #hasToldPast = false;
   #expired: VmId[] = [];
-  /** The store's clock minus this VM's monotonic one; null until the rows were read. */
-  #clockOffsetMs: number | null = null;
+  /**
+   * The store's clock minus this VM's monotonic one, and its era; null until the rows
+   * were read in this era.
+   */
+  #storeTime: { readonly offsetMs: number; readonly era: StoreEra } | null =
+    null;
   #reading: { readonly atMs: number; readonly done: Promise<void> } | null =
     null;
   #timer: ReturnType<typeof setTimeout> | undefined;
@@ -127,6 +137,23 @@
     );
   }
 
+  /**
+   * Records that the store has come back from an earlier copy: what was read of it no
+   * longer says what it holds, and this VM's row is written again after a delay.
+   */
+  noteReturn(delayMs: number): void {
+    this.#recordedBefore = new Map([
+      ...this.#recordedBefore,
+      ...this.#recorded,
+    ]);
+    this.#storeTime = null;
+    this.#reading = null;
+    this.#hasToldPast = false;
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    this.#writeLater(delayMs);
+  }
+
   /** Called before and after the endpoints change; new versions are written at once. */
   noteEndpoints(): void {
     if (!this.#history.noteEndpoints()) return;
@@ -137,7 +164,8 @@
 
   /** Returns where a stream began, by the rows that were read last. */
   get(attempt: AttemptId): StreamOrigin | null {
-    return this.#recorded.get(attempt) ?? null;
+    return this.#recorded.get(attempt) ?? this.#recordedBefore.get(attempt) ??
+      null;
   }
 
   /** Resolves with where a stream began, after reading the rows anew. */
@@ -182,11 +210,13 @@
   async #writeRow(): Promise<boolean> {
     const { vm, table, observer } = this.#options;
     // Until this VM has read its row of before a restart, it doesn't replace it.
-    if (this.#clockOffsetMs === null) await this.#read();
-    if (this.#clockOffsetMs === null) return false;
+    if (this.#storeTime === null) await this.#read();
+    if (this.#storeTime === null) return false;
+    const { offsetMs, era } = this.#storeTime;
     const row = {
       vm,
-      storeTimeMs: Math.round(performance.now() + this.#clockOffsetMs),
+      era,
+      storeTimeMs: Math.round(performance.now() + offsetMs),
       knowsPast: this.#knowsPast(),
       versions: this.#history.all(),
       streams: this.#streams.all(),
@@ -218,7 +248,7 @@
       observer.count("store_failures", read.error.kind);
       return;
     }
-    const { storeTimeMs } = read.value;
+    const { storeTimeMs, era } = read.value;
     const ageOf = (row: OriginRow) => storeTimeMs - row.storeTimeMs;
     const rows = read.value.rows.filter((row) =>
       ageOf(row) <= ORIGIN_RETENTION_MS
@@ -226,16 +256,17 @@
     this.#expired = read.value.rows.filter((row) => !rows.includes(row))
       .map((row) => row.vm).filter((id) => id !== vm);
     this.#recorded = new Map(rows.flatMap(({ streams }) => [...streams]));
-    this.#hasPast ||= rows.some(({ knowsPast }) => knowsPast);
+    // A row of an earlier era lacks what its VM saw after the copy was taken.
+    this.#hasPast ||= rows.some((row) => row.knowsPast && row.era === era);
     for (const row of rows) {
       for (const { agoMs, ...origin } of row.versions) {
         this.#history.note(origin, Math.max(0, ageOf(row)) + agoMs);
       }
     }
-    if (this.#clockOffsetMs === null) {
+    if (this.#storeTime === null) {
       this.#takeOver(rows.find((row) => row.vm === vm));
     }
-    this.#clockOffsetMs = storeTimeMs - performance.now();
+    this.#storeTime = { offsetMs: storeTimeMs - performance.now(), era };
   }
 
   // The row of this VM's previous start, before what has begun since.
--- a/packages/core/src/routing/origin_record_test.ts
+++ b/packages/core/src/routing/origin_record_test.ts
@@ -3,6 +3,7 @@
 import { asId, type VmId } from "../common/ids.ts";
 import { SILENT_OBSERVER } from "../common/observe.ts";
 import { wait } from "../common/wait.ts";
+import { NO_ERA } from "../store/version.ts";
 import {
   OriginRecord,
   type OriginRow,
@@ -34,6 +35,7 @@
 class FakeTable implements OriginTable {
   readonly rows = new Map<VmId, OriginRow>();
   isAway = false;
+  era = NO_ERA;
   writeMs = 0;
   writes = 0;
   openWrites = 0;
@@ -41,7 +43,8 @@
   readAll() {
     if (this.isAway) return Promise.resolve(this.#failure());
     const storeTimeMs = performance.now() + STORE_CLOCK_MS;
-    return Promise.resolve(ok({ storeTimeMs, rows: [...this.rows.values()] }));
+    const rows = [...this.rows.values()];
+    return Promise.resolve(ok({ storeTimeMs, era: this.era, rows }));
   }
 
   async write(row: OriginRow, { deleted }: { deleted: readonly VmId[] }) {
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -46,6 +46,11 @@
 const READY_CHECK_MS = 15;
 /** Maximum VMs notified of a stage order. */
 const ORDER_NOTICE_VMS = 100;
+/**
+ * Time over which VMs spread what they write again after the store has come back from a
+ * copy, so that all of them together stay within its rate.
+ */
+const REWRITE_SPREAD_MS = 1_500;
 /** VMs rarely change and notify each other; the platform's list only serves VMs without any contact. */
 const LIST_INTERVAL_MS = 10_000;
 
@@ -69,6 +74,8 @@
   #fetchingTable = false;
   #stages: ServiceStages;
   #originRecord: OriginRecord;
+  #rewriteTimer: ReturnType<typeof setTimeout> | undefined;
+  #stopListening: () => void;
 
   constructor(options: RoutingVmOptions) {
     this.#options = options;
@@ -170,6 +177,7 @@
     this.#guard.links.onChange(({ service }, isLost) => {
       if (isLost) this.router.noteLostLinks(service);
     });
+    this.#stopListening = ports.store.eras.onReturn(() => this.#writeAgain());
     this.#feeds = [this.#createTableFeed(), this.#createEndpointFeed()];
     this.peerHandlers = {
       ...createMembershipApp({
@@ -261,6 +269,8 @@
 
   stop(): void {
     clearInterval(this.#peerPollTimer);
+    clearTimeout(this.#rewriteTimer);
+    this.#stopListening();
     for (const feed of this.#feeds) feed.stop();
     this.#stages.stop();
     this.router.stop();
@@ -279,6 +289,7 @@
       name: "routing-table",
       table: ports.tables,
       listener: { onSnapshot: setTables, onChanges: setTables },
+      eras: ports.store.eras,
       observer,
       random,
       waitMs: this.#options.feedWaitMs,
@@ -302,7 +313,9 @@
         },
         onReachable: (reachable) =>
           this.endpoints.setDirectoryReachable(reachable),
+        onReturn: () => this.endpoints.noteDirectoryReturn(),
       },
+      eras: ports.store.eras,
       observer,
       random,
       waitMs: this.#options.feedWaitMs,
@@ -310,6 +323,18 @@
     });
   }
 
+  // The copy from which the store came back may lack this VM's rows.
+  #writeAgain(): void {
+    const { ports, identity, random } = this.#options;
+    const delayMs = REWRITE_SPREAD_MS * random();
+    this.#originRecord.noteReturn(delayMs);
+    clearTimeout(this.#rewriteTimer);
+    this.#rewriteTimer = setTimeout(
+      () => void ports.store.register(identity),
+      delayMs,
+    );
+  }
+
   #replaceEndpoints(entries: readonly EndpointEntry[]): void {
     this.#changeEndpoints(() => this.endpoints.replace(entries));
     this.#endpointsKnown = true;
--- a/packages/core/src/routing/routing_vm_options.ts
+++ b/packages/core/src/routing/routing_vm_options.ts
@@ -27,7 +27,7 @@
 
 /** The platform's list of VMs, and the rows that decide which VM may give stage orders. */
 export interface RoutingStore
-  extends Pick<PlatformPort, "listVms" | "transact" | "read"> {
+  extends Pick<PlatformPort, "listVms" | "transact" | "read" | "eras"> {
   /** Adds this VM to the platform's list. */
   register(identity: VmIdentity): Promise<void>;
 }
--- a/packages/core/src/routing/stages/task_test.ts
+++ b/packages/core/src/routing/stages/task_test.ts
@@ -3,6 +3,8 @@
 import { asId, type Incarnation, type VmId } from "../../common/ids.ts";
 import { SILENT_OBSERVER } from "../../common/observe.ts";
 import type { Row, RowWrite } from "../../ports/platform.ts";
+import { SINGLE_ERA, type StoreEras } from "../../store/eras.ts";
+import { StoreVersion } from "../../store/version.ts";
 import { EndpointRegistry } from "../endpoint_registry.ts";
 import type { OrderOutcome, StageOrder } from "../port.ts";
 import {
@@ -24,16 +26,17 @@
 
 /** In-memory row store that all VMs of a test share. */
 class FakeRowStore {
+  eras: StoreEras = SINGLE_ERA;
   #rows = new Map<string, Row>();
   #version = 0;
 
   transact(writes: readonly RowWrite[]) {
     for (const { table, key, expect: expected } of writes) {
-      const version = this.#rows.get(`${table}/${key}`)?.version ?? 0;
-      const expectedVersion = expected.kind === "version"
-        ? expected.version
-        : 0;
-      if (expected.kind !== "any" && version !== expectedVersion) {
+      const row = this.#rows.get(`${table}/${key}`);
+      const isMet = expected.kind === "version"
+        ? row?.version.equals(expected.version)
+        : expected.kind === "any" || !row;
+      if (!isMet) {
         return Promise.resolve(
           ok({ kind: "conflict" as const, conflicts: [] }),
         );
@@ -41,7 +44,7 @@
     }
     this.#version += 1;
     for (const { table, key, value } of writes) {
-      const version = this.#version;
+      const version = new StoreVersion(this.#version);
       this.#rows.set(`${table}/${key}`, { table, key, value, version });
     }
     return Promise.resolve(ok({ kind: "committed" as const }));
--- a/packages/core/src/routing/table_feed.ts
+++ b/packages/core/src/routing/table_feed.ts
@@ -2,6 +2,8 @@
 import type { Result } from "neverthrow";
 import type { Observer } from "../common/observe.ts";
 import type { StoreFailure } from "../ports/platform.ts";
+import type { StoreEras } from "../store/eras.ts";
+import type { StoreVersion } from "../store/version.ts";
 
 /** Default time for which the store holds a call that waits for changes. */
 const DEFAULT_WAIT_MS = 2_500;
@@ -12,10 +14,10 @@
 const RETRY_DELAY_MS = 150;
 const MAX_RETRY_DELAY_MS = 600;
 
-/** Rows read from a table, and the version up to which they are complete. */
+/** Rows read from a table, and the version as of which they are complete. */
 export interface TableReading<Item> {
   readonly items: readonly Item[];
-  readonly version: number;
+  readonly version: StoreVersion;
 }
 
 /** A table whose changes can be followed. */
@@ -26,10 +28,10 @@
   ): Promise<Result<TableReading<Item>, StoreFailure>>;
   /**
    * Reads the changes after version `after`, waiting up to `waitMs` for the first;
-   * returns `expired` if the store no longer keeps that history.
+   * returns `expired` if the store doesn't have that history.
    */
   readChanges(
-    options: { after: number; waitMs: number; timeoutMs: number },
+    options: { after: StoreVersion; waitMs: number; timeoutMs: number },
   ): Promise<Result<TableReading<Item> | "expired", StoreFailure>>;
 }
 
@@ -38,6 +40,11 @@
   /** Receives all rows of the table, which replace earlier ones. */
   onSnapshot(items: readonly Item[]): void;
   onChanges(items: readonly Item[]): void;
+  /**
+   * Called when the store has come back from an earlier copy, before the next snapshot.
+   * That may lack rows that were seen, and hold rows that were gone.
+   */
+  onReturn?(): void;
   /** Called with false when calls start to fail, and with true when they succeed again. */
   onReachable?(reachable: boolean): void;
 }
@@ -48,6 +55,8 @@
   name: string;
   table: FollowedTable<Item>;
   listener: FeedListener<Item>;
+  /** Returns of the store from an earlier copy, after each of which the table is read anew. */
+  eras: StoreEras;
   observer: Observer;
   random: () => number;
   /**
@@ -62,14 +71,19 @@
 /** Keeps one call to the store open for the changes of one table. */
 export class TableFeed<Item> {
   #options: TableFeedOptions<Item>;
-  #version: number | null = null;
+  /** The version to go on from; null if the table has to be read. */
+  #version: StoreVersion | null = null;
+  /** Counts the whole reads; the result of a call from before the last one is dropped. */
+  #beginning = 0;
   #failures = 0;
   #stopped = false;
   #lastSuccessAtMs = performance.now();
   #timer: ReturnType<typeof setTimeout> | undefined;
+  #stopListening: () => void;
 
   constructor(options: TableFeedOptions<Item>) {
     this.#options = options;
+    this.#stopListening = options.eras.onReturn(() => this.#beginAnew());
   }
 
   /** Follows the table until {@link stop}; resolves after the first call, even if it failed. */
@@ -80,6 +94,7 @@
   stop(): void {
     this.#stopped = true;
     clearTimeout(this.#timer);
+    this.#stopListening();
   }
 
   /** Whether the last call failed. */
@@ -92,35 +107,53 @@
     return performance.now() - this.#lastSuccessAtMs;
   }
 
+  // A call that waits at the store may have lost it without noticing, and would delay
+  // the read.
+  #beginAnew(): void {
+    if (this.#stopped) return;
+    this.#options.listener.onReturn?.();
+    this.#version = null;
+    this.#beginning += 1;
+    clearTimeout(this.#timer);
+    // The caller may be handling an answer of this feed.
+    this.#timer = setTimeout(() => void this.#step(), 0);
+  }
+
   async #step(): Promise<void> {
+    const beginning = this.#beginning;
+    const isCurrent = () => !this.#stopped && beginning === this.#beginning;
     const failure = this.#version === null
-      ? await this.#readAll()
-      : await this.#readChanges(this.#version);
-    if (this.#stopped) return;
+      ? await this.#readAll(isCurrent)
+      : await this.#readChanges(this.#version, isCurrent);
+    if (!isCurrent()) return;
     this.#noteReachability(failure);
     this.#timer = setTimeout(() => void this.#step(), this.#delayMs());
   }
 
-  async #readAll(): Promise<StoreFailure | null> {
+  async #readAll(isCurrent: () => boolean): Promise<StoreFailure | null> {
     const { table, listener, observer, name } = this.#options;
     const read = await table.readAll({ timeoutMs: READ_TIMEOUT_MS });
     if (read.isErr()) return read.error;
-    if (this.#stopped) return null;
-    this.#version = read.value.version;
+    if (!isCurrent()) return null;
+    const { version, items } = read.value;
+    this.#version = version;
     // Reported before the rows: entries that expired during the outage may still be
     // rewritten, and the listener must know that when it sees them missing.
     this.#noteReachability(null);
     observer.log({
       event: "feed-began",
       table: name,
-      version: read.value.version,
-      items: read.value.items.length,
+      version: String(version),
+      items: items.length,
     });
-    listener.onSnapshot(read.value.items);
+    listener.onSnapshot(items);
     return null;
   }
 
-  async #readChanges(after: number): Promise<StoreFailure | null> {
+  async #readChanges(
+    after: StoreVersion,
+    isCurrent: () => boolean,
+  ): Promise<StoreFailure | null> {
     const { table, listener, observer, name } = this.#options;
     // After a failure the call doesn't wait, so that recovery is noticed at once
     // and not with the next change. Rows missing at that moment may have expired
@@ -134,11 +167,14 @@
       timeoutMs: waitMs + ANSWER_MARGIN_MS,
     });
     if (read.isErr()) return read.error;
-    if (this.#stopped) return null;
-    const expired = read.value === "expired";
-    if (read.value === "expired" || read.value.version < after) {
-      const reason = expired ? "expired" : "regress";
-      observer.log({ event: "feed-restarted", table: name, reason, after });
+    if (!isCurrent()) return null;
+    if (read.value === "expired" || !read.value.version.continues(after)) {
+      observer.log({
+        event: "feed-restarted",
+        table: name,
+        reason: read.value === "expired" ? "expired" : "regress",
+        after: String(after),
+      });
       this.#version = null;
       return null;
     }
--- a/packages/core/src/routing/table_feed_test.ts
+++ b/packages/core/src/routing/table_feed_test.ts
@@ -1,6 +1,8 @@
 import { err, ok } from "neverthrow";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { SILENT_OBSERVER } from "../common/observe.ts";
+import { EraTracker, SINGLE_ERA, type StoreEras } from "../store/eras.ts";
+import { type StoreEra, StoreVersion } from "../store/version.ts";
 import { type FollowedTable, TableFeed } from "./table_feed.ts";
 
 beforeEach(() => void vi.useFakeTimers());
@@ -8,7 +10,14 @@
 
 const LOST = { kind: "unknown", detail: "lost" } as const;
 
-function createFeed(table: FollowedTable<string>) {
+function version(number: number, era = 1): StoreVersion {
+  return new StoreVersion(number, era as StoreEra);
+}
+
+function createFeed(
+  table: FollowedTable<string>,
+  eras: StoreEras = SINGLE_ERA,
+) {
   const seen: string[] = [];
   const feed = new TableFeed({
     name: "t",
@@ -17,7 +26,9 @@
       onSnapshot: (items) => seen.push(`all ${items}`),
       onChanges: (items) => seen.push(`changes ${items}`),
       onReachable: (reachable) => seen.push(reachable ? "back" : "away"),
+      onReturn: () => seen.push("return"),
     },
+    eras,
     observer: SILENT_OBSERVER,
     random: () => 0.5,
   });
@@ -30,33 +41,37 @@
 }
 
 test("Each call reads the changes after the version of the last one", async () => {
-  const afters: number[] = [];
+  const afters: string[] = [];
   const { feed, seen } = createFeed({
-    readAll: () => Promise.resolve(ok({ items: ["a"], version: 7 })),
+    readAll: () => Promise.resolve(ok({ items: ["a"], version: version(7) })),
     readChanges({ after }) {
-      afters.push(after);
-      return afters.length > 2
-        ? quiet()
-        : Promise.resolve(ok({ items: ["b"], version: after + 1 }));
+      afters.push(String(after));
+      return afters.length > 2 ? quiet() : Promise.resolve(
+        ok({ items: ["b"], version: version(7 + afters.length) }),
+      );
     },
   });
   void feed.start();
   await vi.advanceTimersByTimeAsync(100);
-  expect(afters).toEqual([7, 8, 9]);
+  expect(afters).toEqual(["1.7", "1.8", "1.9"]);
   expect(seen).toEqual(["all a", "changes b", "changes b"]);
   feed.stop();
 });
 
 test.each([
   ["expired history", ok("expired" as const)],
-  ["a version that went back", ok({ items: [], version: 3 })],
+  ["a version that went back", ok({ items: [], version: version(3) })],
+  [
+    "a higher version of another era",
+    ok({ items: [], version: version(9, 2) }),
+  ],
 ])("After %s the whole table is read again", async (_name, answer) => {
   let reads = 0;
   let calls = 0;
   const { feed, seen } = createFeed({
     readAll() {
       reads += 1;
-      return Promise.resolve(ok({ items: [`r${reads}`], version: 7 }));
+      return Promise.resolve(ok({ items: [`r${reads}`], version: version(7) }));
     },
     readChanges() {
       calls += 1;
@@ -72,7 +87,7 @@
 test("Failed calls are retried with delays, and the loss is reported once", async () => {
   let calls = 0;
   const { feed, seen } = createFeed({
-    readAll: () => Promise.resolve(ok({ items: [], version: 1 })),
+    readAll: () => Promise.resolve(ok({ items: [], version: version(1) })),
     readChanges() {
       calls += 1;
       return calls <= 5 ? Promise.resolve(err(LOST)) : quiet();
@@ -90,7 +105,7 @@
 test("After a failure a call doesn't wait for changes, so that recovery is noticed at once", async () => {
   const waits: number[] = [];
   const { feed, seen } = createFeed({
-    readAll: () => Promise.resolve(ok({ items: [], version: 1 })),
+    readAll: () => Promise.resolve(ok({ items: [], version: version(1) })),
     readChanges({ after, waitMs }) {
       waits.push(waitMs);
       if (waits.length === 1) return Promise.resolve(err(LOST));
@@ -112,7 +127,9 @@
   let fails = true;
   const { feed, seen } = createFeed({
     readAll: () =>
-      Promise.resolve(fails ? err(LOST) : ok({ items: ["a"], version: 1 })),
+      Promise.resolve(
+        fails ? err(LOST) : ok({ items: ["a"], version: version(1) }),
+      ),
     readChanges: quiet,
   });
   void feed.start();
@@ -122,3 +139,45 @@
   expect(seen).toEqual(["away", "back", "all a"]);
   feed.stop();
 });
+
+test("A return of the store is followed by a whole read, although a call still waits for changes", async () => {
+  const eras = new EraTracker(SILENT_OBSERVER);
+  eras.note(1 as StoreEra);
+  const reads = [version(7, 1), version(9, 2)];
+  const { feed, seen } = createFeed({
+    readAll: () =>
+      Promise.resolve(ok({ items: ["a"], version: reads.shift()! })),
+    readChanges: quiet,
+  }, eras);
+  void feed.start();
+  await vi.advanceTimersByTimeAsync(100);
+  eras.note(2 as StoreEra);
+  await vi.advanceTimersByTimeAsync(100);
+  expect(seen).toEqual(["all a", "return", "all a"]);
+  feed.stop();
+});
+
+test("A read that began before the store came back is dropped when it ends after that", async () => {
+  const eras = new EraTracker(SILENT_OBSERVER);
+  eras.note(1 as StoreEra);
+  let endFirst = () => {};
+  let reads = 0;
+  const { feed, seen } = createFeed({
+    async readAll() {
+      reads += 1;
+      if (reads > 1) return ok({ items: ["new"], version: version(3, 2) });
+      await new Promise<void>((resolve) => (endFirst = resolve));
+      return ok({ items: ["old"], version: version(9, 1) });
+    },
+    readChanges: quiet,
+  }, eras);
+  void feed.start();
+  await vi.advanceTimersByTimeAsync(10);
+  eras.note(2 as StoreEra);
+  await vi.advanceTimersByTimeAsync(10);
+  endFirst();
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(seen).toEqual(["return", "all new"]);
+  expect(reads).toBe(2);
+  feed.stop();
+});
--- a/packages/core/src/suspects/quarantines.ts
+++ b/packages/core/src/suspects/quarantines.ts
@@ -2,7 +2,7 @@
  * Stores quarantined bodies as rows of the table service, from which a new VM loads
  * them.
  */
-import type { Json, PlatformPort } from "../ports/platform.ts";
+import type { Json, PlatformPort, Row } from "../ports/platform.ts";
 import type { QuarantineRow } from "./types.ts";
 
 /** The table of quarantined bodies, keyed by hash. */
@@ -50,7 +50,7 @@
 
 async function deleteRow(
   platform: PlatformPort,
-  row: { key: string; version: number },
+  row: Pick<Row, "key" | "version">,
 ): Promise<void> {
   await platform.transact([{
     table: QUARANTINE_TABLE,
--- a/packages/daemon/src/platform/port.ts
+++ b/packages/daemon/src/platform/port.ts
@@ -1,8 +1,15 @@
 /** The platform port over HTTP, on reused connections. */
-import type {
-  PlatformPort,
-  StoreCallOptions,
-  StoreFailure,
+import {
+  decodeOutcome,
+  decodeRow,
+  encodeWrite,
+  type JsonOutcome,
+  type JsonRow,
+  type PlatformPort,
+  type Row,
+  SINGLE_ERA,
+  type StoreCallOptions,
+  type StoreFailure,
 } from "@teaselvalve/core";
 import { err, ok, type Result } from "neverthrow";
 import { createKeepAliveClient } from "../http/calls.ts";
@@ -54,31 +61,37 @@
   }
 
   return {
-    transact: (writes, callOptions) =>
-      call({
+    eras: SINGLE_ERA,
+    async transact(writes, callOptions) {
+      const outcome = await call<JsonOutcome>({
         method: "POST",
         path: "/transact",
-        body: JSON.stringify(writes),
+        body: JSON.stringify(writes.map(encodeWrite)),
         options: callOptions,
-      }),
-    read: (table, key, callOptions) =>
-      call({
+      });
+      return outcome.map(decodeOutcome);
+    },
+    async read(table, key, callOptions) {
+      const row = await call<JsonRow | null>({
         method: "GET",
         path: `/rows?${new URLSearchParams({ table, key })}`,
         options: callOptions,
-      }),
-    scan: (table, prefix, callOptions) => {
+      });
+      return row.map(decodeRow);
+    },
+    async scan(table, prefix, callOptions) {
       const query = new URLSearchParams({
         table,
         prefix,
         limit: String(callOptions.limit),
         ...(callOptions.after ? { after: callOptions.after } : {}),
       });
-      return call({
+      const rows = await call<JsonRow[]>({
         method: "GET",
         path: `/scan?${query}`,
         options: callOptions,
       });
+      return rows.map((found) => found.map((row) => decodeRow(row) as Row));
     },
     putObject: (name, body, callOptions) =>
       call({
--- a/packages/fakes/src/platform/platform.ts
+++ b/packages/fakes/src/platform/platform.ts
@@ -1,10 +1,11 @@
 /** A fake platform: a transactional table, an object store and a delayed list of VMs. */
-import type {
-  Json,
-  ListedVm,
-  Row,
-  RowWrite,
-  TransactionOutcome,
+import {
+  type Json,
+  type ListedVm,
+  type Row,
+  type RowWrite,
+  StoreVersion,
+  type TransactionOutcome,
 } from "@teaselvalve/core";
 
 /** Options of {@link FakePlatform}. */
@@ -108,8 +109,8 @@
 
   #write(write: RowWrite): void {
     const name = rowKey(write);
-    const version = (this.#versions.get(name) ?? 0) + 1;
-    this.#versions.set(name, version);
+    const number = (this.#versions.get(name) ?? 0) + 1;
+    this.#versions.set(name, number);
     if (write.value === null) {
       this.#rows.delete(name);
       return;
@@ -117,6 +118,7 @@
     const { table, key } = write;
     // Copied because a real store doesn't share objects with its clients.
     const value = JSON.parse(JSON.stringify(write.value)) as Json;
+    const version = new StoreVersion(number);
     this.#rows.set(name, { table, key, version, value });
   }
 }
@@ -132,6 +134,6 @@
     case "absent":
       return row === null;
     case "version":
-      return row?.version === write.expect.version;
+      return row?.version.equals(write.expect.version) ?? false;
   }
 }
--- a/packages/fakes/src/platform/port.ts
+++ b/packages/fakes/src/platform/port.ts
@@ -1,8 +1,9 @@
 /** Platform port to a fake platform in the same process. */
-import type {
-  PlatformPort,
-  StoreCallOptions,
-  StoreFailure,
+import {
+  type PlatformPort,
+  SINGLE_ERA,
+  type StoreCallOptions,
+  type StoreFailure,
 } from "@teaselvalve/core";
 import type { Result } from "neverthrow";
 import type { FakeNetwork, Host } from "../network/network.ts";
@@ -57,6 +58,7 @@
     callOptions: StoreCallOptions | undefined,
   ) => call(execute, { service: "store", writes: true, options: callOptions });
   return {
+    eras: SINGLE_ERA,
     transact: (writes, callOptions) =>
       write(() => platform.transact(writes), callOptions),
     read: (table, key, callOptions) =>
--- a/packages/fakes/src/platform/server.ts
+++ b/packages/fakes/src/platform/server.ts
@@ -1,6 +1,12 @@
 /** Serves a fake platform over HTTP. */
 import type { Server } from "node:http";
-import type { ListedVm, RowWrite } from "@teaselvalve/core";
+import {
+  decodeWrite,
+  encodeOutcome,
+  encodeRow,
+  type JsonWrite,
+  type ListedVm,
+} from "@teaselvalve/core";
 import {
   type JsonRequest,
   type JsonResponse,
@@ -48,19 +54,19 @@
 ): JsonResponse {
   const { method, path, query, body } = request;
   if (path === "/transact") {
-    const writes = JSON.parse(body) as RowWrite[];
-    return { status: 200, body: platform.transact(writes) };
+    const writes = (JSON.parse(body) as JsonWrite[]).map(decodeWrite);
+    return { status: 200, body: encodeOutcome(platform.transact(writes)) };
   }
   if (path === "/rows") {
     const row = platform.read(query.get("table")!, query.get("key")!);
-    return { status: 200, body: row };
+    return { status: 200, body: encodeRow(row) };
   }
   if (path === "/scan") {
     const rows = platform.scan(query.get("table")!, query.get("prefix") ?? "", {
       limit: Number(query.get("limit")),
       after: query.get("after") ?? undefined,
     });
-    return { status: 200, body: rows };
+    return { status: 200, body: rows.map(encodeRow) };
   }
   if (path === "/vms" && method === "GET") {
     return { status: 200, body: platform.listVms() };
