A stream of unknown origin goes on at the only possible version only after the store was asked

Cause: after a minute a VM took the versions that it had seen for all that there had been, although it may have been cut off meanwhile. Class: what this VM has not heard of is taken not to exist. Change: rows and endpoints are read anew, with a read that begins after the request came, before the only possible version is relied on; if the store can't be read, the stream is refused as not run.

--- a/packages/core/src/routing/origin_record.ts
+++ b/packages/core/src/routing/origin_record.ts
@@ -17,6 +17,7 @@
   type StreamOrigin,
 } from "./stream_origins.ts";
 import type { AttemptId, EndpointEntry } from "./types.ts";
+import { SharedRead } from "./shared_read.ts";
 import { VersionHistory } from "./version_history.ts";
 
 /** Delay that batches the streams of one write. */
@@ -81,6 +82,10 @@
   table: OriginTable;
   /** The endpoints that serve now, draining ones included. */
   endpoints: () => Iterable<EndpointEntry>;
+  /** Reads the endpoints that serve now from the store. */
+  readEndpoints: (
+    options: { timeoutMs: number },
+  ) => Promise<Result<readonly EndpointEntry[], StoreFailure>>;
   /** Number of VMs that share the store's rate. */
   vmCount: () => number;
   observer: Observer;
@@ -105,8 +110,8 @@
    */
   #storeTime: { readonly offsetMs: number; readonly era: StoreEra } | null =
     null;
-  #reading: { readonly atMs: number; readonly done: Promise<void> } | null =
-    null;
+  #rowsRead = new SharedRead(() => this.#readRows(), READ_INTERVAL_MS);
+  #versionsRead = new SharedRead(() => this.#readVersions(), READ_INTERVAL_MS);
   #timer: ReturnType<typeof setTimeout> | undefined;
   #isWriting = false;
   #stopped = false;
@@ -118,7 +123,7 @@
 
   /** Reads what earlier VMs recorded. */
   start(): void {
-    void this.#read();
+    void this.#rowsRead.run();
   }
 
   stop(): void {
@@ -147,7 +152,7 @@
       ...this.#recorded,
     ]);
     this.#storeTime = null;
-    this.#reading = null;
+    this.#rowsRead.forget();
     this.#hasToldPast = false;
     clearTimeout(this.#timer);
     this.#timer = undefined;
@@ -170,7 +175,7 @@
 
   /** Resolves with where a stream began, after reading the rows anew. */
   async find(attempt: AttemptId): Promise<StreamOrigin | null> {
-    await this.#read();
+    await this.#rowsRead.run();
     return this.get(attempt);
   }
 
@@ -182,6 +187,19 @@
     return this.#knowsPast() ? this.#history.all() : null;
   }
 
+  /**
+   * Adds to {@link possibleOrigins} what the store says about the time until `sinceMs`,
+   * which this VM may have missed while it was cut off or paused. Returns false if the
+   * store can't be read.
+   */
+  async confirmPossible(sinceMs: number): Promise<boolean> {
+    const reads = await Promise.all([
+      this.#rowsRead.runSince(sinceMs),
+      this.#versionsRead.runSince(sinceMs),
+    ]);
+    return reads.every(Boolean);
+  }
+
   #isSettled(): boolean {
     const origins = this.#history.all();
     const services = new Set(origins.map(({ service }) => service));
@@ -210,7 +228,7 @@
   async #writeRow(): Promise<boolean> {
     const { vm, table, observer } = this.#options;
     // Until this VM has read its row of before a restart, it doesn't replace it.
-    if (this.#storeTime === null) await this.#read();
+    if (this.#storeTime === null) await this.#rowsRead.run();
     if (this.#storeTime === null) return false;
     const { offsetMs, era } = this.#storeTime;
     const row = {
@@ -233,20 +251,12 @@
     return true;
   }
 
-  #read(): Promise<void> {
-    const nowMs = performance.now();
-    if (!this.#reading || nowMs >= this.#reading.atMs + READ_INTERVAL_MS) {
-      this.#reading = { atMs: nowMs, done: this.#readRows() };
-    }
-    return this.#reading.done;
-  }
-
-  async #readRows(): Promise<void> {
+  async #readRows(): Promise<boolean> {
     const { vm, table, observer } = this.#options;
     const read = await table.readAll({ timeoutMs: STORE_TIMEOUT_MS });
     if (read.isErr()) {
       observer.count("store_failures", read.error.kind);
-      return;
+      return false;
     }
     const { storeTimeMs, era } = read.value;
     const ageOf = (row: OriginRow) => storeTimeMs - row.storeTimeMs;
@@ -267,6 +277,20 @@
       this.#takeOver(rows.find((row) => row.vm === vm));
     }
     this.#storeTime = { offsetMs: storeTimeMs - performance.now(), era };
+    return true;
+  }
+
+  async #readVersions(): Promise<boolean> {
+    const { readEndpoints, observer } = this.#options;
+    const read = await readEndpoints({ timeoutMs: STORE_TIMEOUT_MS });
+    if (read.isErr()) {
+      observer.count("store_failures", read.error.kind);
+      return false;
+    }
+    for (const { service, softwareVersion: version } of read.value) {
+      this.#history.note({ service, version });
+    }
+    return true;
   }
 
   // The row of this VM's previous start, before what has begun since.
--- a/packages/core/src/routing/origin_record_test.ts
+++ b/packages/core/src/routing/origin_record_test.ts
@@ -66,13 +66,25 @@
 /** Starts a VM's record over endpoints that the test may change. */
 async function startVm(
   table: OriginTable,
-  { vm = "vm-1", engines = [engine("v1")], vmCount = 1 } = {},
+  { vm = "vm-1", engines = [engine("v1")], vmCount = 1, newest }: {
+    vm?: string;
+    engines?: EndpointEntry[];
+    vmCount?: number;
+    /** Endpoints in the store that the VM hasn't read yet. */
+    newest?: EndpointEntry[];
+  } = {},
 ) {
   const endpoints = [...engines];
   const record = new OriginRecord({
     vm: asId(vm),
     table,
     endpoints: () => endpoints,
+    readEndpoints: () =>
+      Promise.resolve(
+        table instanceof FakeTable && table.isAway
+          ? err({ kind: "notSent", detail: "away" })
+          : ok(newest ?? endpoints),
+      ),
     vmCount: () => vmCount,
     observer: SILENT_OBSERVER,
   });
@@ -267,3 +279,23 @@
     record.stop();
   }
 });
+
+test("A version that a VM missed may have begun a stream once the store was asked", async () => {
+  const newest = [engine("v1"), engine("v2")];
+  const { record } = await startVm(new FakeTable(), { newest });
+  await vi.advanceTimersByTimeAsync(61_000);
+  expect(possibleVersions(record)).toEqual(["v1"]);
+  expect(await record.confirmPossible(performance.now())).toBe(true);
+  expect(possibleVersions(record)).toEqual(["v1", "v2"]);
+});
+
+test("What may have begun a stream isn't confirmed by a read from before, nor without the store", async () => {
+  const table = new FakeTable();
+  const { record } = await startVm(table);
+  await vi.advanceTimersByTimeAsync(61_000);
+  await record.find(attempt(1));
+  table.isAway = true;
+  const confirmed = record.confirmPossible(performance.now() + 1);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(await confirmed).toBe(false);
+});
--- a/packages/core/src/routing/resumption.ts
+++ b/packages/core/src/routing/resumption.ts
@@ -35,11 +35,13 @@
   if (route.kind !== "stream" || request.lastEventId === null) {
     return ok({ service: chooseService(route, request.id), version: null });
   }
+  const receivedAtMs = performance.now();
   const known = request.hop?.origin ??
     (request.resumes === null
       ? null
       : await context.origins.find(request.resumes));
-  const origin = known ?? onlyPossibleOrigin(context, callServices);
+  const origin = known ??
+    await confirmOnlyOrigin(context, { callServices, receivedAtMs });
   context.observer.log({
     event: "stream-resumed",
     attempt: request.id,
@@ -60,6 +62,19 @@
   return isDestination ? ok(origin) : err(refusalOfMissingVersion());
 }
 
+// A VM that was cut off or paused may have missed the version that began the stream.
+async function confirmOnlyOrigin(
+  context: RoutingContext,
+  { callServices, receivedAtMs }: {
+    callServices: ReadonlySet<ServiceName>;
+    receivedAtMs: number;
+  },
+): Promise<StreamOrigin | null> {
+  if (!onlyPossibleOrigin(context, callServices)) return null;
+  const isConfirmed = await context.origins.confirmPossible(receivedAtMs);
+  return isConfirmed ? onlyPossibleOrigin(context, callServices) : null;
+}
+
 // The route may have led to any service with streams when the stream began.
 function onlyPossibleOrigin(
   { origins }: RoutingContext,
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -112,6 +112,12 @@
       vm: identity.id,
       table: ports.origins,
       endpoints: () => this.endpoints.entries(),
+      readEndpoints: async (readOptions) => {
+        const read = await ports.endpoints.readAll(readOptions);
+        return read.map(({ items }) =>
+          items.flatMap(({ entry }) => entry ? [entry] : [])
+        );
+      },
       vmCount: () => this.#liveCount(),
       observer,
     });
--- a/packages/core/src/routing/stream_origins.ts
+++ b/packages/core/src/routing/stream_origins.ts
@@ -36,6 +36,11 @@
   find(attempt: AttemptId): Promise<StreamOrigin | null>;
   /** Where a stream of unknown origin may have begun; null if that isn't known. */
   possibleOrigins(): readonly StreamOrigin[] | null;
+  /**
+   * Adds to {@link possibleOrigins} what this VM may have missed until `sinceMs`; false
+   * if that can't be found out.
+   */
+  confirmPossible(sinceMs: number): Promise<boolean>;
 }
 
 /** Options of {@link OriginMemory}. */
@@ -87,7 +92,10 @@
 export interface SharedOriginsOptions {
   membership: Pick<MembershipView, "self" | "members">;
   peers: PeerPort;
-  record: Pick<OriginRecord, "note" | "get" | "find" | "possibleOrigins">;
+  record: Pick<
+    OriginRecord,
+    "note" | "get" | "find" | "possibleOrigins" | "confirmPossible"
+  >;
 }
 
 /** Origins that are kept at this VM and at others. */
@@ -127,6 +135,10 @@
     return this.#options.record.possibleOrigins();
   }
 
+  confirmPossible(sinceMs: number): Promise<boolean> {
+    return this.#options.record.confirmPossible(sinceMs);
+  }
+
   #askPeers(attempt: AttemptId): Promise<StreamOrigin | null> {
     const answers = this.#rankByDataCentre(attempt, ["live", "leaving"])
       .flatMap((ranked) => ranked.slice(0, ASKED_PER_DATA_CENTRE))
--- a/packages/core/src/routing/stream_origins_test.ts
+++ b/packages/core/src/routing/stream_origins_test.ts
@@ -50,6 +50,7 @@
           get: () => null,
           find: () => Promise.resolve(null),
           possibleOrigins: () => null,
+          confirmPossible: () => Promise.resolve(true),
         },
       }),
     );
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -300,5 +300,6 @@
     note: (attempt, origin) => memory.note(attempt, origin),
     find: (attempt) => Promise.resolve(memory.get(attempt)),
     possibleOrigins: () => [...seen.values()],
+    confirmPossible: () => Promise.resolve(true),
   };
 }
