A VM that starts is ready once its table is no older than those of the first peers that answer

Cause: a VM that started before the operator had written a lost change again answered 404 for its route for some 0.3 s and more, by the older table of the store's copy, while its peers had the newer one. Change: readiness waits for the first peers' answers and a fetch that follows, for a second at most, and such a fetch doesn't wait for the store.

--- a/packages/core/src/membership/task.ts
+++ b/packages/core/src/membership/task.ts
@@ -100,6 +100,7 @@
   #listCount = 0;
   #listReads = 0;
   #isListed = false;
+  #contacted = Promise.resolve();
 
   constructor(context: MembershipContext, options: MembershipTaskOptions) {
     this.self = context.identity;
@@ -136,7 +137,7 @@
 
   /** Announces this VM to others and starts to probe. */
   async start(): Promise<void> {
-    if (!this.#knowsLivePeer()) void this.#probeContacts();
+    if (!this.#knowsLivePeer()) this.#contacted = this.#probeContacts();
     await this.#probeAll(this.#prober.sample(START_PROBES));
     // A random delay, so that VMs that start together don't all probe at the same
     // moment.
@@ -148,6 +149,11 @@
     ];
   }
 
+  /** Resolves when the contacts that were probed at the start have answered or failed. */
+  get contacted(): Promise<void> {
+    return this.#contacted;
+  }
+
   stop(): void {
     for (const timer of this.#timers) clearTimeout(timer);
   }
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -38,6 +38,8 @@
 const PEER_FETCH_LIMIT_MS = 5_000;
 /** Time for the store to bring a table that a peer has already; fetching it twice would halve a slow link. */
 const STORE_HEAD_START_MS = 300;
+/** How long a VM that starts waits for its peers' versions before it is ready. */
+const START_COMPARE_MS = 1_000;
 /** Delay that batches endpoint changes; far below the time allowed to stop using a draining endpoint. */
 const ENDPOINTS_BATCH_MS = 400;
 /** How often a VM without an endpoint list requests one from another VM. */
@@ -71,7 +73,9 @@
   #peerPollTimer: ReturnType<typeof setInterval> | undefined;
   #prefillTimes = new PrefillTimes();
   #outputs = new OutputEstimates();
-  #fetchingTable = false;
+  #fetchingTable: Promise<void> | null = null;
+  /** Whether the first peers have not yet told which routing table they have. */
+  #isComparing = true;
   #stages: ServiceStages;
   #originRecord: OriginRecord;
   #rewriteTimer: ReturnType<typeof setTimeout> | undefined;
@@ -245,9 +249,13 @@
     };
   }
 
-  /** True once a routing table and an endpoint list are available. */
+  /**
+   * True once a routing table and an endpoint list are available, and the table is no
+   * older than those of the first peers, as far as these answer in time.
+   */
   get ready(): boolean {
-    return this.router.table !== null && this.#endpointsKnown;
+    return this.router.table !== null && this.#endpointsKnown &&
+      !this.#isComparing;
   }
 
   /** Waits until {@link ready} is true, at most `limitMs`. */
@@ -264,8 +272,8 @@
     this.#originRecord.start();
     for (const feed of this.#feeds) void feed.start();
     void ports.store.register(identity);
-    await this.membership.seed();
-    await this.membership.start();
+    await Promise.race([this.#joinPeers(), wait(START_COMPARE_MS)]);
+    this.#isComparing = false;
     this.#placement.start();
     this.#peerPollTimer = setInterval(
       () => this.#pollPeer(),
@@ -273,6 +281,14 @@
     );
   }
 
+  // The store may have come back from a copy, with an older table than theirs.
+  async #joinPeers(): Promise<void> {
+    await this.membership.seed();
+    await this.membership.start();
+    await this.membership.contacted;
+    await this.#fetchingTable;
+  }
+
   stop(): void {
     clearInterval(this.#peerPollTimer);
     clearTimeout(this.#rewriteTimer);
@@ -363,14 +379,13 @@
     this.#guard.noteProbe(peer, evidenceHash);
     if (!peer || configurationVersion <= this.#tableVersion()) return;
     if (this.#fetchingTable) return;
-    this.#fetchingTable = true;
-    void this.#fetchTable(peer, configurationVersion)
-      .finally(() => (this.#fetchingTable = false));
+    this.#fetchingTable = this.#fetchTable(peer, configurationVersion)
+      .finally(() => (this.#fetchingTable = null));
   }
 
   async #fetchTable(peer: Member, version: number): Promise<void> {
     const [feed] = this.#feeds;
-    if (!feed!.isFailing) await wait(STORE_HEAD_START_MS);
+    if (!feed!.isFailing && !this.#isComparing) await wait(STORE_HEAD_START_MS);
     if (version <= this.#tableVersion()) return;
     const answer = await this.#options.ports.peers.call(peer, "routing/table", {
       params: { after: this.#tableVersion() },
