--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -28,18 +28,16 @@
 import { Router } from "./router.ts";
 import { ServiceBudget } from "./service_budget.ts";
 import { SharedOrigins } from "./stream_origins.ts";
+import {
+  PEER_FETCH_LIMIT_MS,
+  PEER_FETCH_TIMEOUT_MS,
+  TableExchange,
+} from "./table_exchange.ts";
 import { TableFeed } from "./table_feed.ts";
 import type { RoutingVmOptions } from "./routing_vm_options.ts";
 import { ServiceStages } from "./stages/service_stages.ts";
 import type { EndpointChange, EndpointEntry, RoutingTable } from "./types.ts";
 
-const PEER_FETCH_TIMEOUT_MS = 500;
-/** A table with thousands of routes takes seconds over the slowest links. */
-const PEER_FETCH_LIMIT_MS = 5_000;
-/** Time for the store to bring a table that a peer has already; fetching it twice would halve a slow link. */
-const STORE_HEAD_START_MS = 300;
-/** How long a VM that starts waits for its peers' versions before it is ready. */
-const START_COMPARE_MS = 1_000;
 /** Delay that batches endpoint changes; far below the time allowed to stop using a draining endpoint. */
 const ENDPOINTS_BATCH_MS = 400;
 /** How often a VM without an endpoint list requests one from another VM. */
@@ -73,9 +71,7 @@
   #peerPollTimer: ReturnType<typeof setInterval> | undefined;
   #prefillTimes = new PrefillTimes();
   #outputs = new OutputEstimates();
-  #fetchingTable: Promise<void> | null = null;
-  /** Whether the first peers have not yet told which routing table they have. */
-  #isComparing = true;
+  #tables: TableExchange;
   #stages: ServiceStages;
   #originRecord: OriginRecord;
   #rewriteTimer: ReturnType<typeof setTimeout> | undefined;
@@ -91,12 +87,19 @@
       random,
     };
     this.membership = new MembershipTask(context, {
-      configurationVersion: () => this.#tableVersion(),
+      configurationVersion: () => this.#tables.version,
       evidenceHash: () => this.#guard.evidenceHash,
       onProbe: (probe) => this.#compareWith(probe),
       contacts: options.contacts,
       listIntervalMs: LIST_INTERVAL_MS,
     });
+    this.#tables = new TableExchange({
+      membership: this.membership,
+      peers: ports.peers,
+      table: () => this.router.table,
+      setTable: (table, setOptions) => this.#setTable(table, setOptions),
+      isStoreFailing: () => this.#feeds[0]!.isFailing,
+    });
     this.#guard = new EndpointGuard({
       membership: this.membership,
       peers: ports.peers,
@@ -196,7 +199,7 @@
       }).handlers,
       ...createRoutingApp({
         "routing/table": ({ after }) => ({
-          table: after < this.#tableVersion() ? this.router.table : null,
+          table: after < this.#tables.version ? this.router.table : null,
         }),
         ...createPlacementHandlers(placementHome),
         ...origins.handlers,
@@ -237,7 +240,7 @@
     return {
       vm: this.#options.identity.id,
       routingTable: {
-        version: this.#tableVersion(),
+        version: this.#tables.version,
         ageMs: Math.round(ages.routingTable),
       },
       endpointsAgeMs: Math.round(ages.endpoints),
@@ -255,7 +258,7 @@
    */
   get ready(): boolean {
     return this.router.table !== null && this.#endpointsKnown &&
-      !this.#isComparing;
+      !this.#tables.isStarting;
   }
 
   /** Waits until {@link ready} is true, at most `limitMs`. */
@@ -272,8 +275,11 @@
     this.#originRecord.start();
     for (const feed of this.#feeds) void feed.start();
     void ports.store.register(identity);
-    await Promise.race([this.#joinPeers(), wait(START_COMPARE_MS)]);
-    this.#isComparing = false;
+    await this.#tables.start(async () => {
+      await this.membership.seed();
+      await this.membership.start();
+      await this.membership.contacted;
+    });
     this.#placement.start();
     this.#peerPollTimer = setInterval(
       () => this.#pollPeer(),
@@ -281,14 +287,6 @@
     );
   }
 
-  // The store may have come back from a copy, with an older table than theirs.
-  async #joinPeers(): Promise<void> {
-    await this.membership.seed();
-    await this.membership.start();
-    await this.membership.contacted;
-    await this.#fetchingTable;
-  }
-
   stop(): void {
     clearInterval(this.#peerPollTimer);
     clearTimeout(this.#rewriteTimer);
@@ -369,32 +367,11 @@
     this.#originRecord.noteEndpoints();
   }
 
-  #tableVersion(): number {
-    return this.router.table?.version ?? 0;
-  }
-
   // Fetches what the VM that sent a probe has and this one lacks.
-  #compareWith({ from, configurationVersion, evidenceHash }: Probe): void {
-    const peer = this.membership.member(from);
-    this.#guard.noteProbe(peer, evidenceHash);
-    if (!peer || configurationVersion <= this.#tableVersion()) return;
-    if (this.#fetchingTable) return;
-    this.#fetchingTable = this.#fetchTable(peer, configurationVersion)
-      .finally(() => (this.#fetchingTable = null));
-  }
-
-  async #fetchTable(peer: Member, version: number): Promise<void> {
-    const [feed] = this.#feeds;
-    if (!feed!.isFailing && !this.#isComparing) await wait(STORE_HEAD_START_MS);
-    if (version <= this.#tableVersion()) return;
-    const answer = await this.#options.ports.peers.call(peer, "routing/table", {
-      params: { after: this.#tableVersion() },
-      timeoutMs: PEER_FETCH_TIMEOUT_MS,
-      wholeMs: PEER_FETCH_LIMIT_MS,
-    });
-    if (answer.isErr()) return;
-    const { table } = answer.value;
-    if (table) this.#setTable(table, { source: peer.id });
+  #compareWith(probe: Probe): void {
+    const peer = this.membership.member(probe.from);
+    this.#guard.noteProbe(peer, probe.evidenceHash);
+    this.#tables.compare(probe);
   }
 
   #setTable(table: RoutingTable, options?: { source: string }): void {
