--- a/packages/core/src/routing/origin_record.ts
+++ b/packages/core/src/routing/origin_record.ts
@@ -152,6 +152,7 @@
       ...this.#recorded,
     ]);
     this.#storeTime = null;
+    this.#expired = [];
     this.#rowsRead.forget();
     this.#hasToldPast = false;
     clearTimeout(this.#timer);
