--- a/packages/core/src/routing/origin_record.ts
+++ b/packages/core/src/routing/origin_record.ts
@@ -98,7 +98,7 @@
   #streams = new OriginMemory({ maxOrigins: MAX_STREAMS });
   #recorded = new Map<AttemptId, StreamOrigin>();
   /** What the rows said before the store came back from a copy, which may lack them. */
-  #recordedBefore: ReadonlyMap<AttemptId, StreamOrigin> = new Map();
+  #recordedBefore = new OriginMemory();
   /** Whether a VM that knew the past told it in its row. */
   #hasPast = false;
   /** Whether this VM's row says that it knows the past, so that later VMs can rely on it. */
@@ -147,10 +147,9 @@
    * longer says what it holds, and this VM's row is written again after a delay.
    */
   noteReturn(delayMs: number): void {
-    this.#recordedBefore = new Map([
-      ...this.#recordedBefore,
-      ...this.#recorded,
-    ]);
+    for (const [attempt, origin] of this.#recorded) {
+      this.#recordedBefore.note(attempt, origin);
+    }
     this.#storeTime = null;
     this.#expired = [];
     this.#rowsRead.forget();
@@ -170,8 +169,7 @@
 
   /** Returns where a stream began, by the rows that were read last. */
   get(attempt: AttemptId): StreamOrigin | null {
-    return this.#recorded.get(attempt) ?? this.#recordedBefore.get(attempt) ??
-      null;
+    return this.#recorded.get(attempt) ?? this.#recordedBefore.get(attempt);
   }
 
   /** Resolves with where a stream began, after reading the rows anew. */
--- a/packages/core/src/routing/origin_record_test.ts
+++ b/packages/core/src/routing/origin_record_test.ts
@@ -299,3 +299,18 @@
   await vi.advanceTimersByTimeAsync(1_000);
   expect(await confirmed).toBe(false);
 });
+
+test("A stream that was read before the store came back without its row is found, for as long as it can be resumed", async () => {
+  const table = new FakeTable();
+  const { record: relaying } = await startVm(table);
+  relaying.note(attempt(1), V1);
+  await vi.advanceTimersByTimeAsync(300);
+  relaying.stop();
+  const { record } = await startVm(table, { vm: "vm-2" });
+  table.rows.clear();
+  record.noteReturn(100);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(await record.find(attempt(1))).toEqual(V1);
+  await vi.advanceTimersByTimeAsync(60_000);
+  expect(record.get(attempt(1))).toBeNull();
+});
