--- a/packages/core/src/routing/endpoint_registry.ts
+++ b/packages/core/src/routing/endpoint_registry.ts
@@ -53,9 +53,10 @@
   /** Applies a full listing of the directory; endpoints not in it become missing. */
   replace(entries: readonly EndpointEntry[]): void {
     const seen = new Set(entries.map((entry) => entry.id));
-    this.#doubtful = entries.filter((entry) => this.#isDoubtful(entry));
+    this.#doubtful = [];
     for (const entry of entries) {
-      if (!this.#doubtful.includes(entry)) this.#upsert(entry);
+      if (this.#isDoubtful(entry)) this.#doubtful.push(entry);
+      else this.#upsert(entry);
     }
     for (const id of [...this.#records.keys()]) {
       if (!seen.has(id)) this.#remove(id);
