--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -1,99 +1,97 @@
-/** VMs are stopped in turn; a stream that a client takes up again waits for a place meanwhile. */
+/** A replica is replaced, while open connections to the store have gone silent. */
 import { createConfiguration } from "../lib/configuration.ts";
-import { Engine } from "../lib/engine.ts";
-import { runCase, send, TROUBLE, wait } from "../lib/harness.ts";
+import { BOUNDS, runCase, send, TROUBLE, wait } from "../lib/harness.ts";
+import { PlainReplica } from "../lib/plain_replica.ts";
 
-const EVENTS = 71;
-const EVENT_MS = 180;
-const STREAMS = 4;
-const DEADLINE_MS = 14_000;
-/** Clients may use a VM's address for three times the second for which it is given. */
-const BEGIN_AFTER_MS = 2_700;
-/** The next VM is stopped when the first has had its grace period. */
-const NEXT_STOP_AFTER_MS = 8_000;
+const VMS = 5;
+const WORK_MS = 43;
+const CALL_INTERVAL_MS = 40;
+/** The replica serves on for `drain_ms` and a little longer. */
+const LONGER_MS = 900;
+/** Scheduling of this machine, allowed on top of the bound. */
+const SLACK_MS = 100;
 
 await runCase(async ({ record, deployment }) => {
-  let isFull = false;
-  const engines: Engine[] = [];
-  for (const id of ["p-1", "d-1", "d-2"]) {
-    const engine = await Engine.start({
+  const replicas: PlainReplica[] = [];
+  for (const id of ["i-1", "i-2", "i-3"]) {
+    const replica = await PlainReplica.start({
       id,
-      stage: id === "p-1" ? "prefill" : "decode",
-      version: "v1",
-      born: Date.now(),
-      eventMs: EVENT_MS,
-      events: EVENTS,
-      onRun: (requestId, after) =>
-        record.note(`${id} runs ${requestId} after event ${after}`),
-      isFull: () => isFull,
+      workMs: WORK_MS,
+      onArrival: (arrival) => record.note(`${id} runs ${arrival.id}`),
     });
-    engines.push(engine);
-    deployment.store.put("servers", id, engine.entry());
+    replicas.push(replica);
+    deployment.store.put("servers", id, replica.entry());
   }
   deployment.store.put("op", "config", createConfiguration(1));
-  await deployment.addVms(3);
-  await wait(1_000);
-  const [first, second] = deployment.vms;
-  const stops: Promise<void>[] = [];
-  const stop = async () => {
-    stops.push(deployment.terminate(first!));
-    await wait(NEXT_STOP_AFTER_MS);
-    if (TROUBLE) stops.push(deployment.terminate(second!));
-  };
-  const roll = stop();
-  await wait(BEGIN_AFTER_MS);
-  const unanswered: string[] = [];
-  const streams = Array.from({ length: STREAMS }, async (_, index) => {
-    const id = `stream-${index}`;
-    const sentMs = performance.now();
-    const prompt = {
-      "x-model": "m",
-      "x-token-count": "3000,781",
-      "x-prompt-prefix": `aa:200,${index}b:2800`,
-    };
-    record.note(`client sends ${id} to ${first!.id}`);
-    const begun = await send(first!.front, {
-      id,
-      path: "/stream/x",
-      deadlineMs: DEADLINE_MS,
-      headers: prompt,
-    });
-    const events = begun.body.match(/^data: .*$/gm)?.length ?? 0;
-    record.note(
-      `client got ${begun.status} for ${id}, ${events} events, ${
-        begun.complete ? "complete" : "broken off"
-      }`,
-    );
-    if (begun.complete || events === 0) return;
-    isFull = true;
-    const leftMs = Math.floor(DEADLINE_MS - (performance.now() - sentMs));
-    const again = `${id}-again`;
-    record.note(
-      `client sends ${again} to ${second!.id} with ${leftMs} ms left`,
-    );
-    const resumed = await send(second!.front, {
-      id: again,
-      path: "/stream/x",
-      deadlineMs: leftMs,
-      headers: { ...prompt, "last-event-id": String(events), "resumes": id },
-    });
-    record.note(
-      `client got ${
-        resumed.status ?? "no answer"
-      } for ${again} after ${resumed.tookMs} ms, ` +
-        (resumed.complete ? "complete" : "closed without a complete answer") +
-        ` ${resumed.body.slice(0, 200)}`,
-    );
-    if (!resumed.complete && resumed.tookMs < leftMs) {
-      unanswered.push(`${again} (${resumed.tookMs} of ${leftMs} ms)`);
+  await deployment.addVms(VMS);
+  let isOver = false;
+  const sentAtMs = new Map<string, number>();
+  const outcomes: { id: string; status: number | null }[] = [];
+  const clients = deployment.vms.map(async (vm) => {
+    const calls: Promise<void>[] = [];
+    for (let index = 0; !isOver; index += 1) {
+      const id = `${vm.id}-call-${index}`;
+      sentAtMs.set(id, performance.now());
+      record.note(`client sends ${id} to ${vm.id}`);
+      calls.push(
+        send(vm.front, { id, path: "/unsafe/x" }).then((received) => {
+          outcomes.push({ id, status: received.status });
+          record.note(
+            `client got ${received.status} for ${id}: ${received.body.trim()}`,
+          );
+        }),
+      );
+      await wait(CALL_INTERVAL_MS);
     }
+    await Promise.all(calls);
+  });
+  await wait(5_000);
+  // The replacement starts first.
+  const added = await PlainReplica.start({
+    id: "i-4",
+    workMs: WORK_MS,
+    onArrival: (arrival) => record.note(`i-4 runs ${arrival.id}`),
   });
-  await Promise.all(streams);
-  await roll;
-  await Promise.all(stops);
-  for (const engine of engines) await engine.crash();
-  if (unanswered.length === 0) return null;
-  return `${unanswered.length} requests that a VM had read whole ended with its connection, without an answer: ${
-    unanswered.join(", ")
-  }`;
+  replicas.push(added);
+  deployment.store.put("servers", added.id, added.entry());
+  record.note("i-4 registers");
+  await wait(500 + 300 * Math.random());
+  if (TROUBLE) {
+    for (const { id, storeProxy } of deployment.vms) {
+      record.note(`${id}: ${storeProxy.silence()} connections go silent`);
+    }
+  }
+  const silentAtMs = performance.now();
+  await wait(BOUNDS.contactMs + 100);
+  const leaving = replicas[0]!;
+  deployment.store.remove("servers", leaving.id);
+  const removedAtMs = performance.now();
+  record.note(`the store removes ${leaving.id}`);
+  await wait(BOUNDS.drainMs + LONGER_MS);
+  record.note(`${leaving.id} exits`);
+  leaving.exit();
+  const exitedAtMs = performance.now();
+  await wait(500);
+  isOver = true;
+  await Promise.all(clients);
+  for (const replica of replicas) replica.exit();
+  const late = leaving.arrivals.filter(({ id, atMs }) =>
+    atMs > removedAtMs + BOUNDS.drainMs + SLACK_MS &&
+    sentAtMs.get(id)! > silentAtMs + BOUNDS.contactMs
+  );
+  const byVm = new Map<string, number>();
+  for (const { id } of late) {
+    const vm = id.split("-call")[0]!;
+    byVm.set(vm, (byVm.get(vm) ?? 0) + 1);
+  }
+  const cut = leaving.arrivals.filter(({ answeredAtMs, atMs }) =>
+    answeredAtMs === null && atMs < exitedAtMs
+  );
+  if (late.length === 0) return null;
+  const lastMs = Math.max(...late.map(({ atMs }) => atMs)) - removedAtMs;
+  return `${late.length} requests reached ${leaving.id} later than drain_ms after its removal, ` +
+    `the last ${Math.round(lastMs)} ms after it, from ${
+      [...byVm.keys()].join(", ")
+    }; ` +
+    `${cut.length} were cut when it exited`;
 });
--- a/review/lib/configuration.ts
+++ b/review/lib/configuration.ts
@@ -46,7 +46,7 @@
         affinity: true,
         gap_aim_ms: 300,
       },
-    ],
+    ] as { [field: string]: string | number | boolean }[],
     services: [
       { name: PLAIN, health_path: "/health", max_conns: 100 },
       {
--- a/review/lib/engine.ts
+++ b/review/lib/engine.ts
@@ -24,8 +24,6 @@
   readonly eventMs: number;
   readonly events: number;
   readonly onRun?: (requestId: string, lastEventId: number) => void;
-  /** Whether all its slots are taken, so that it refuses reservations. */
-  readonly isFull?: () => boolean;
 }
 
 /** One start of an engine. */
@@ -105,10 +103,6 @@
     }
     this.#names += 1;
     const name = `${born}-${this.#names}`;
-    if (url === "/teaselvalve/hold-take" && this.options.isFull?.()) {
-      response.writeHead(503, { "x-not-executed": "1" });
-      return void response.end();
-    }
     if (url === "/teaselvalve/hold-take") {
       response.setHeader("content-type", "application/json");
       return void response.end(JSON.stringify({ hold: name, born }));
