Collect messages in one buffer, whatever the size of their pieces

What callers saw: an endpoint's answer without end in chunks of one byte ended a VM's process ("Reached heap limit"), and everything that the VM had accepted ended without an answer.

Cause: bodies were collected as a list with an object for each piece, limited by the sum of their bytes only; a piece of one byte takes some hundred bytes of heap. Each event of a stream was a write of its own, with the same effect.

Change: ByteCollector copies pieces into one buffer, with a limit for each message and one for all messages of the process together; when that is used up, the largest message is given up. Answers, forwarded calls, request bodies, events, answers of peers and the store, and answers of engines use it. BatchedWriter joins the pieces that are written to a caller in one turn of the event loop.

--- a/packages/core/src/routing/event_splitter.ts
+++ b/packages/core/src/routing/event_splitter.ts
@@ -1,5 +1,6 @@
 /** Splits bytes of server-sent events at the blank lines between them, without decoding the events. */
 import { Buffer } from "node:buffer";
+import { ByteCollector } from "../common/byte_collector.ts";
 
 /** Maximum bytes of an event without its end that are buffered. */
 export const MAX_EVENT_BYTES = 1_024 * 1_024;
@@ -20,64 +21,71 @@
 
 /** Splits chunks of bytes into events, buffering an incomplete one up to {@link MAX_EVENT_BYTES}. */
 export class EventSplitter {
-  /** Begins with the bytes of an incomplete event; the rest is unused. */
-  #buffer: Buffer = Buffer.alloc(0);
-  #pendingBytes = 0;
-  #overflowed = false;
+  /** The bytes of an incomplete event. */
+  #pending = new ByteCollector({ limitBytes: MAX_EVENT_BYTES });
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes(): number {
-    return this.#pendingBytes;
+    return this.#pending.sizeBytes;
   }
 
   /** True once an event was too large; bytes are discarded from then on. */
   get overflowed(): boolean {
-    return this.#overflowed;
+    return this.#pending.overflowed;
   }
 
   /** Adds bytes and returns the events that they complete. */
   push(bytes: Uint8Array): RawEvent[] {
-    if (this.#overflowed) return [];
-    // An end that has not arrived completely is searched again.
-    const searchFrom = Math.max(0, this.#pendingBytes - END_BYTES + 1);
-    const data = this.#append(bytes);
+    if (this.overflowed) return [];
     const events: RawEvent[] = [];
+    let rest = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+    if (this.pendingBytes > 0) {
+      const first = this.#complete(rest);
+      if (!first) return events;
+      events.push(first.event);
+      rest = rest.subarray(first.usedBytes);
+    }
     let begin = 0;
     for (
-      let end = endOfEvent(data, searchFrom);
+      let end = endOfEvent(rest, 0);
       end > 0;
-      end = endOfEvent(data, begin)
+      end = endOfEvent(rest, begin)
     ) {
-      const event = Buffer.from(data.subarray(begin, end));
-      events.push({ bytes: event, id: idOf(event) });
+      events.push(toEvent(Buffer.from(rest.subarray(begin, end))));
       begin = end;
     }
-    if (begin > 0) this.#keep(data.subarray(begin));
-    if (this.#pendingBytes > MAX_EVENT_BYTES) {
-      this.#overflowed = true;
-      this.#keep(Buffer.alloc(0));
-    }
+    if (begin < rest.length) this.#pending.add(rest.subarray(begin));
     return events;
   }
 
-  #append(bytes: Uint8Array): Buffer {
-    const sizeBytes = this.#pendingBytes + bytes.length;
-    if (sizeBytes > this.#buffer.length) {
-      const larger = Buffer.alloc(Math.max(sizeBytes, 2 * this.#buffer.length));
-      this.#buffer.copy(larger, 0, 0, this.#pendingBytes);
-      this.#buffer = larger;
-    }
-    this.#buffer.set(bytes, this.#pendingBytes);
-    this.#pendingBytes = sizeBytes;
-    return this.#buffer.subarray(0, sizeBytes);
+  /** Drops an incomplete event and frees its memory. */
+  discard(): void {
+    this.#pending.discard();
   }
 
-  #keep(bytes: Buffer): void {
-    this.#buffer = Buffer.from(bytes);
-    this.#pendingBytes = bytes.length;
+  // Completes the buffered event; returns undefined if its end is not in the bytes.
+  #complete(
+    bytes: Buffer,
+  ): { event: RawEvent; usedBytes: number } | undefined {
+    const pendingBytes = this.pendingBytes;
+    // An end that has not arrived completely is searched again.
+    const tail = this.#pending.bytes.subarray(1 - END_BYTES);
+    const joined = Buffer.concat([tail, bytes.subarray(0, END_BYTES - 1)]);
+    const endInJoined = endOfEvent(joined, 0);
+    const end = endInJoined > 0
+      ? endInJoined - tail.length
+      : endOfEvent(bytes, 0);
+    if (end <= 0) return void this.#pending.add(bytes);
+    const event = Buffer.concat([this.#pending.bytes, bytes.subarray(0, end)]);
+    this.#pending.drop(pendingBytes);
+    return { event: toEvent(event), usedBytes: end };
   }
 }
 
+function toEvent(bytes: Buffer): RawEvent {
+  return { bytes, id: idOf(bytes) };
+}
+
 // Returns the index after the blank line that ends the event, or 0 if it has not arrived.
 function endOfEvent(data: Buffer, begin: number): number {
   for (
--- a/packages/core/src/routing/links/forward_request.ts
+++ b/packages/core/src/routing/links/forward_request.ts
@@ -1,7 +1,12 @@
 /** Lets another VM serve a call, or continue a stream. */
-import { Buffer } from "node:buffer";
 import { err, type Result } from "neverthrow";
-import type { AnswerHead, EndpointAnswer } from "../port.ts";
+import { ByteCollector } from "../../common/byte_collector.ts";
+import {
+  ANSWER_LIMIT_BYTES,
+  type AnswerHead,
+  type EndpointAnswer,
+  TOO_LARGE,
+} from "../port.ts";
 import type { RequestClock } from "../request_clock.ts";
 import type { StreamOrigin } from "../stream_origins.ts";
 import type { StreamRelay } from "../stream_relay.ts";
@@ -30,7 +35,8 @@
 ): Promise<Result<EndpointAnswer, ForwardFailure>> {
   if (request.hop) return refuseSecondHop();
   let head: AnswerHead = { status: 0, headers: [] };
-  const chunks: Uint8Array[] = [];
+  const collector = new ByteCollector({ limitBytes: ANSWER_LIMIT_BYTES });
+  let stream: ForwardedStream | undefined;
   const result = await forwarding.send({
     request,
     runs,
@@ -39,12 +45,19 @@
     lastEventId: null,
     resumes: null,
     signal,
+    onStream: (opened) => (stream = opened),
     listener: {
       onHead: (received) => (head = received),
-      onData: (bytes) => chunks.push(bytes) > 0,
+      onData: (bytes) => {
+        if (!collector.add(bytes)) stream?.abort();
+        return true;
+      },
     },
   });
-  return result.map(() => ({ ...head, body: Buffer.concat(chunks) }));
+  const body = collector.take();
+  collector.discard();
+  if (body === null) return err(TOO_LARGE);
+  return result.map(() => ({ ...head, body }));
 }
 
 /** A stream that this VM can't send to endpoints. */
@@ -94,7 +107,11 @@
       },
     },
   });
-  if (continues) return result.andThen(() => source.finish());
+  const finished = source.overflowed || result.isOk()
+    ? source.finish()
+    : result;
+  source.discard();
+  if (continues) return finished;
   const detail = "The answer of the other VM does not continue the stream";
   return err({ kind: "lost", detail });
 }
--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -11,6 +11,8 @@
 } from "./types.ts";
 
 const CHECK_TIMEOUT_MS = 500;
+/** Answers that aren't passed on as they arrive are collected whole; larger ones fail. */
+export const ANSWER_LIMIT_BYTES = 8 * 1_024 * 1_024;
 
 /** How a request sent to an endpoint failed. */
 export type SendFailure =
@@ -36,6 +38,12 @@
   /** The caller disconnected, or the router cancelled the send. */
   | { readonly kind: "aborted" };
 
+/** An answer that is collected whole went beyond its limit, or that of all messages. */
+export const TOO_LARGE = {
+  kind: "lost",
+  detail: "The answer is too large",
+} as const satisfies SendFailure;
+
 /** Returns what a failure says beyond its kind, for the log. */
 export function detailOf(failure: SendFailure): string | undefined {
   return "detail" in failure ? failure.detail : undefined;
--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -34,6 +34,8 @@
    * with its connection before the first event.
    */
   finish(): Result<void, SendFailure>;
+  /** Drops an incomplete event; called once the send has ended, however it did. */
+  discard(): void;
 }
 
 /** Splits a stream into events, passes them on whole, and measures the gaps between them. */
@@ -101,7 +103,11 @@
         this.#sink.onDrain(resume);
         return false;
       },
+      discard: () => splitter.discard(),
       finish: () => {
+        if (splitter.overflowed) {
+          return err({ kind: "lost", detail: "An event is too large" });
+        }
         if (splitter.pendingBytes > 0) {
           const detail = "The stream ended inside an event";
           return err({ kind: "lost", detail });
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -198,15 +198,16 @@
     if (rejectedStatus !== null || listener.overflowed) stream.abort();
     const ended = await stream.ended;
     silence.end();
+    const result = listener.overflowed
+      ? listener.finish()
+      : ended.andThen(() => listener.finish());
+    listener.discard();
     if (this.#replaced) return err({ kind: "timeout" });
     if (rejectedStatus !== null) {
       const detail = `Status ${rejectedStatus} does not continue the stream`;
       return err({ kind: "lost", detail });
     }
-    if (listener.overflowed) {
-      return err({ kind: "lost", detail: "An event is too large" });
-    }
-    return ended.andThen(() => listener.finish());
+    return result;
   }
 
   #noteCost(decodeMs: number): void {
--- a/packages/daemon/src/engines/attachment.ts
+++ b/packages/daemon/src/engines/attachment.ts
@@ -1,13 +1,14 @@
 /** A stream of server-sent events from an engine, on its own connection. */
 import type { Buffer } from "node:buffer";
-import { StringDecoder } from "node:string_decoder";
-import type {
-  Attachment,
-  EndpointRef,
-  EngineFailure,
-  StreamEvent,
-  StreamSink,
+import {
+  type Attachment,
+  ByteCollector,
+  type EndpointRef,
+  type EngineFailure,
+  type StreamEvent,
+  type StreamSink,
 } from "@teaselvalve/core";
+import { EventSplitter } from "@teaselvalve/core/routing";
 import { createParser } from "eventsource-parser";
 import type { Dispatcher } from "undici";
 import {
@@ -30,6 +31,8 @@
 }
 
 const REJECTED_STATUS = 409;
+/** The body of a rejection has a few short fields. */
+const REJECTION_LIMIT_BYTES = 64 * 1_024;
 
 /** Reads one stream until it ends, fails, times out or is detached. */
 export class HttpAttachment implements Attachment {
@@ -65,9 +68,7 @@
   /** Opens the stream and passes its events on; a failure becomes its last event. */
   async run(endpoint: EndpointRef): Promise<void> {
     this.#restartTimeout();
-    this.#connection = openConnection(endpoint.address, {
-      responseLimitBytes: -1,
-    });
+    this.#connection = openConnection(endpoint.address);
     try {
       await this.#read(this.#connection);
     } catch (error) {
@@ -86,7 +87,7 @@
       bodyTimeout: 0,
     });
     if (response.statusCode !== 200) {
-      const text = await response.body.text();
+      const text = await readRejection(response.body);
       const failure = response.statusCode === REJECTED_STATUS
         ? tryParseJson<EngineFailure>(text)
         : undefined;
@@ -97,18 +98,23 @@
   }
 
   #readEvents(body: Dispatcher.ResponseData["body"]): Promise<void> {
-    const decoder = new StringDecoder("utf8");
+    const splitter = new EventSplitter();
     const parser = createParser({
       onEvent: (event) => this.#handleEvent(event.data),
     });
     this.#body = body;
-    return new Promise((resolve, reject) => {
+    return new Promise<void>((resolve, reject) => {
       body.once("end", resolve);
       body.once("error", reject);
       body.once("close", resolve);
-      body.on("data", (chunk: Buffer) => parser.feed(decoder.write(chunk)));
+      body.on("data", (chunk: Buffer) => {
+        for (const { bytes } of splitter.push(chunk)) {
+          parser.feed(bytes.toString("utf8"));
+        }
+        if (splitter.overflowed) this.#fail({ kind: "lost" });
+      });
       if (this.#paused) body.pause();
-    });
+    }).finally(() => splitter.discard());
   }
 
   #handleEvent(data: string): void {
@@ -149,3 +155,17 @@
     this.#connection?.client.destroy().catch(() => {});
   }
 }
+
+async function readRejection(
+  body: Dispatcher.ResponseData["body"],
+): Promise<string> {
+  const collector = new ByteCollector({ limitBytes: REJECTION_LIMIT_BYTES });
+  try {
+    for await (const piece of body) {
+      if (!collector.add(piece)) break;
+    }
+    return collector.take()?.toString("utf8") ?? "";
+  } finally {
+    collector.discard();
+  }
+}
--- a/packages/daemon/src/gateway/answers.ts
+++ b/packages/daemon/src/gateway/answers.ts
@@ -1,8 +1,13 @@
 /** Reads the answers of endpoints, and maps them to the types of the router. */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import { err, ok, type Result } from "neverthrow";
-import type { AnswerHead, SendFailure } from "@teaselvalve/core/routing";
+import { ByteCollector } from "@teaselvalve/core";
+import {
+  type AnswerHead,
+  type SendFailure,
+  TOO_LARGE,
+} from "@teaselvalve/core/routing";
 import type {
   ExchangeFailure,
   ExchangeListener,
@@ -29,30 +34,34 @@
   readonly body: Buffer;
 }
 
-/** Reads a whole answer; fails as lost if it is larger than the limit. */
+/** Reads a whole answer; fails as lost if it exceeds the limit, or that of all messages. */
 export function readAnswer(
   open: (listener: ExchangeListener) => OutgoingExchange,
   limitBytes: number,
 ): Promise<Result<BufferedAnswer, SendFailure>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const collector = new ByteCollector({ limitBytes });
     let head: Pick<BufferedAnswer, "status" | "headers"> | null = null;
+    const settle = (result: Result<BufferedAnswer, SendFailure>) => {
+      collector.discard();
+      resolve(result);
+    };
     const exchange = open({
       onHead: (status, headers) => {
         head = { status, headers };
       },
       onData: (bytes) => {
-        sizeBytes += bytes.length;
-        chunks.push(bytes);
-        if (sizeBytes > limitBytes) {
-          resolve(err({ kind: "lost", detail: "The answer is too large" }));
+        if (!collector.add(bytes)) {
+          settle(err(TOO_LARGE));
           exchange.abort();
         }
         return true;
       },
-      onEnd: () => resolve(ok({ ...head!, body: Buffer.concat(chunks) })),
-      onFailure: (failure) => resolve(err(toSendFailure(failure))),
+      onEnd: () => {
+        const body = collector.take();
+        settle(body ? ok({ ...head!, body }) : err(TOO_LARGE));
+      },
+      onFailure: (failure) => settle(err(toSendFailure(failure))),
     });
   });
 }
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Observer } from "@teaselvalve/core";
 import {
+  ANSWER_LIMIT_BYTES,
   type AnswerHead,
   type CheckLinkOptions,
   type EndpointAnswer,
@@ -33,8 +34,6 @@
 
 /** A connection is established within a few milliseconds unless a packet is lost. */
 const CONNECT_TIMEOUT_MS = 250;
-/** Answers of plain services are buffered whole; a larger one fails as lost. */
-const ANSWER_LIMIT_BYTES = 8 * 1_024 * 1_024;
 /** Answers to the VM's own calls, prefills among them, have a few short fields. */
 const OWN_ANSWER_LIMIT_BYTES = 64 * 1_024;
 /** Releasing a reservation or handle is best effort and gets little time. */
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -14,6 +14,7 @@
 } from "@teaselvalve/core/routing";
 import { type Exchange, readBytes } from "../http/exchange.ts";
 import { sendProblem } from "../http/problem.ts";
+import { BatchedWriter } from "./batched_writer.ts";
 import { markAnswer, markRefusal, readHop, withoutHop } from "./hop.ts";
 import type { CallerFields, EndpointProtocol } from "./protocol.ts";
 
@@ -180,12 +181,14 @@
   },
 ): Promise<RoutedOutcome> {
   if (options.acceptsHops) markAnswer(response);
-  const sink = createSink(response, options);
-  return await options.router.handle(request, {
+  const writer = new BatchedWriter(response);
+  const outcome = await options.router.handle(request, {
     route,
-    sink,
+    sink: createSink(response, { writer, ...options }),
     signal,
   });
+  writer.flush();
+  return outcome;
 }
 
 // Returns a signal that is aborted when the caller leaves before its answer is written.
@@ -266,7 +269,10 @@
 
 function createSink(
   response: ServerResponse,
-  { acceptsHops }: Pick<GatewayHandlerOptions, "acceptsHops">,
+  { writer, acceptsHops = false }: {
+    writer: BatchedWriter;
+    acceptsHops?: boolean;
+  },
 ): AnswerSink {
   return {
     head: (head) => {
@@ -278,7 +284,7 @@
       );
       response.flushHeaders();
     },
-    write: (bytes) => response.destroyed || response.write(bytes),
+    write: (bytes) => writer.write(bytes),
     onDrain: (listener) => void response.once("drain", listener),
   };
 }
--- a/packages/daemon/src/http/calls.ts
+++ b/packages/daemon/src/http/calls.ts
@@ -6,8 +6,10 @@
  * undici never retries a request that it has started to write, because a
  * connection failure also fails that request.
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
+import { Writable } from "node:stream";
+import { ByteCollector } from "@teaselvalve/core";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, Client, type Dispatcher, errors } from "undici";
 
@@ -72,7 +74,7 @@
 const KEEP_ALIVE_MS = 10_000;
 /** TCP retransmits a lost handshake packet after one second. */
 const CONNECT_TIMEOUT_MS = 1_500;
-const DEFAULT_RESPONSE_LIMIT_BYTES = 64 * 1_024 * 1_024;
+const DEFAULT_RESPONSE_LIMIT_BYTES = 16 * 1_024 * 1_024;
 
 /**
  * Creates a client that reuses connections. After a call times out, none of the
@@ -228,31 +230,49 @@
     limit: CallLimit;
   },
 ): Promise<Result<HttpResponse, HttpFailure>> {
+  const { responseLimitBytes = DEFAULT_RESPONSE_LIMIT_BYTES } = options;
+  const collector = new ByteCollector({ limitBytes: responseLimitBytes });
+  let status = 0;
+  let headers: IncomingHttpHeaders = {};
   try {
-    const response = await dispatcher.request({
+    await dispatcher.stream({
       origin: originOf(call.address, options),
       method: call.method as Dispatcher.HttpMethod,
       path: call.path,
       headers: call.headers,
       body: call.body,
       signal: limit.signal,
+    }, (response) => {
+      status = response.statusCode;
+      headers = response.headers;
+      return collectInto(collector, () => limit.noteProgress());
     });
-    const parts: Buffer[] = [];
-    for await (const part of response.body) {
-      limit.noteProgress();
-      parts.push(part);
-    }
-    return ok({
-      status: response.statusCode,
-      headers: response.headers,
-      contentType: String(response.headers["content-type"] ?? ""),
-      text: Buffer.concat(parts).toString("utf8"),
-    });
+    const text = collector.take()?.toString("utf8");
+    if (text === undefined) return err({ kind: "lost" });
+    const contentType = String(headers["content-type"] ?? "");
+    return ok({ status, headers, contentType, text });
   } catch (error) {
     return err(classifyError(error));
+  } finally {
+    collector.discard();
   }
 }
 
+// Fails the response if it can't be collected.
+function collectInto(
+  collector: ByteCollector,
+  onProgress: () => void,
+): Writable {
+  return new Writable({
+    write(piece: Buffer, _encoding, callback) {
+      onProgress();
+      callback(
+        collector.add(piece) ? null : new Error("The response is too large"),
+      );
+    },
+  });
+}
+
 // Error codes such as EHOSTUNREACH also occur on established connections, when the
 // network reports them for bytes in transit. Only a failed connect or name lookup
 // proves that nothing was sent.
@@ -270,12 +290,11 @@
 }
 
 function connectionOptions(
-  { tls, responseLimitBytes: limitBytes }: HttpClientOptions,
+  { tls }: HttpClientOptions,
 ) {
   return {
     allowH2: false,
     connectTimeout: CONNECT_TIMEOUT_MS,
-    maxResponseSize: limitBytes ?? DEFAULT_RESPONSE_LIMIT_BYTES,
     ...(tls
       ? {
         connect: { ca: tls.authorities, cert: tls.certificate, key: tls.key },
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -1,7 +1,12 @@
 /** An incoming HTTP request with its response, and helpers to read and answer it. */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { type LogValue, notRun, type Refusal } from "@teaselvalve/core";
+import {
+  ByteCollector,
+  type LogValue,
+  notRun,
+  type Refusal,
+} from "@teaselvalve/core";
 import { err, ok, type Result } from "neverthrow";
 
 /** An incoming request that is being handled. */
@@ -39,22 +44,21 @@
     return Promise.resolve(err(tooLarge));
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const collector = new ByteCollector({ limitBytes });
     // Iterating over the stream would destroy the connection on an early exit; this
     // keeps it open so that the refusal can be sent.
     const finish = (result: Result<Buffer, Refusal>) => {
       incoming.removeAllListeners("data");
       incoming.resume();
+      collector.discard();
       resolve(result);
     };
     incoming.on("data", (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > limitBytes) return finish(err(tooLarge));
-      chunks.push(chunk);
+      if (!collector.add(chunk)) finish(err(tooLarge));
     });
     incoming.once("end", () => {
-      finish(ok(Buffer.concat(chunks)));
+      const body = collector.take();
+      finish(body ? ok(body) : err(tooLarge));
     });
     incoming.once("close", () => {
       finish(
