Run the streams of services without engines like all others

What callers saw: a stream of a plain service, without a length or chunks, that broke off inside an event arrived with status 200 and a fitting content length.

Cause: Router gave streams of plain services to CallRun, which takes the end of a connection for the end of an answer and knows nothing of events.

Change: the route decides, not the service. All streams go through StreamRun and its relay; PlainPlaces finds endpoints where nothing is reserved. A stream is not sent again after an event without an id, with engines either, and one of a route that isn't resumable is refused ("not-resumable") when a caller resumes it. A stream without a reservation takes a permit of endpoints that name a limit.

--- a/packages/cli/src/explain/reasons.ts
+++ b/packages/cli/src/explain/reasons.ts
@@ -40,6 +40,7 @@
   "no-links":
     "the VM lost its links to the endpoints, and no other VM took the request",
   "not-found": "no route matches its host and path",
+  "not-resumable": "its route's streams can't be resumed",
   "origin-unknown":
     "no reachable VM knew which software version began the resumed stream",
   "quota-exceeded": "the workspace has exceeded its quota",
--- a/packages/core/src/common/verdict.ts
+++ b/packages/core/src/common/verdict.ts
@@ -26,6 +26,7 @@
   "no-links",
   "version-unavailable",
   "origin-unknown",
+  "not-resumable",
   "endpoint-refused",
   "endpoint-limited",
   "convicted",
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -16,7 +16,8 @@
 import {
   type DecodeRequest,
   type DecodeReservation,
-  endLoad,
+  releasePlace,
+  type StreamPlaces,
 } from "./decode_reservation.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { DecodeAdmission } from "./placement/placement.ts";
@@ -65,7 +66,7 @@
 }
 
 /** Holds the waiting streams of one service at this VM, ordered by target. */
-export class DecodeQueue {
+export class DecodeQueue implements StreamPlaces {
   #context: RoutingContext;
   #service: ServiceName;
   #pool: () => EnginePool | null;
@@ -188,11 +189,7 @@
     if (isWaiting && !waiting.request.signal.aborted) {
       return waiting.settle(ok(reservation));
     }
-    this.#context.port.releaseReservation(
-      reservation.endpoint.entry,
-      reservation.reservationId,
-    );
-    endLoad(this.#context, reservation);
+    releasePlace(this.#context, reservation);
     waiting.settle(err(notRun("cancelled")));
   }
 
--- a/packages/core/src/routing/decode_reservation.ts
+++ b/packages/core/src/routing/decode_reservation.ts
@@ -1,5 +1,6 @@
-/** A place for a stream at a decode endpoint: what is needed, and what was reserved. */
+/** A place for a stream at an endpoint: what is needed, and what was reserved. */
 import type { EndpointId } from "../common/ids.ts";
+import type { Result } from "neverthrow";
 import type { NotRun } from "../common/verdict.ts";
 import type { RoutingContext } from "./context.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
@@ -7,10 +8,11 @@
 import type { RequestClock } from "./request_clock.ts";
 import type { AttemptId, ReservationId, SoftwareVersion } from "./types.ts";
 
-/** A slot and memory reserved for a stream at a decode endpoint. */
+/** A slot and memory reserved for a stream at a decode endpoint, or a plain endpoint. */
 export interface DecodeReservation {
   readonly endpoint: EndpointRecord;
-  readonly reservationId: ReservationId;
+  /** Null for plain endpoints, which reserve nothing. */
+  readonly reservationId: ReservationId | null;
   /** The stream among those of the endpoint, until {@link endLoad} is called. */
   readonly load: GrowingLoad;
   /** Whether a home forecast the memory; otherwise the reservation covers the output. */
@@ -22,6 +24,24 @@
   -readonly [Key in keyof StreamLoad]: StreamLoad[Key];
 };
 
+/** Where the streams of one service find their places. */
+export interface StreamPlaces {
+  /** Resolves with a place, or with a refusal if there is none in time. */
+  enqueue(request: DecodeRequest): Promise<Result<DecodeReservation, NotRun>>;
+}
+
+/** Returns a place that is not needed. */
+export function releasePlace(
+  context: Pick<RoutingContext, "placement" | "port">,
+  reservation: DecodeReservation,
+): void {
+  const { endpoint, reservationId } = reservation;
+  if (reservationId !== null) {
+    context.port.releaseReservation(endpoint.entry, reservationId);
+  }
+  endLoad(context, reservation);
+}
+
 /** Takes a stream off the load of its endpoint. */
 export function endLoad(
   { placement }: Pick<RoutingContext, "placement">,
@@ -30,7 +50,7 @@
   if (endpoint.streams.delete(load)) placement.noteStreamEnd(endpoint);
 }
 
-/** What a stream needs from a decode endpoint, and by when. */
+/** What a stream needs from an endpoint, and by when. */
 export interface DecodeRequest {
   readonly attempt: AttemptId;
   readonly clock: RequestClock;
--- a/packages/core/src/routing/limits/limited_port.ts
+++ b/packages/core/src/routing/limits/limited_port.ts
@@ -33,11 +33,12 @@
     return this.#ifPermitted(endpoint, () => this.#port.call(endpoint, send));
   }
 
-  // The permit came with the reservation; a pause may have begun since.
+  // The permit came with the reservation, if there is one; a pause may have begun since.
   stream(
     endpoint: EndpointEntry,
     send: Send & { listener: StreamListener },
   ): EndpointStream {
+    if (!send.reservation) return this.#streamIfPermitted(endpoint, send);
     const retryAfterMs = this.#limits.pausedForMs(endpoint);
     if (retryAfterMs > 0) {
       const ended = Promise.resolve(
@@ -94,6 +95,24 @@
     });
   }
 
+  #streamIfPermitted(
+    endpoint: EndpointEntry,
+    send: Send & { listener: StreamListener },
+  ): EndpointStream {
+    const cancellation = new AbortController();
+    const signal = AbortSignal.any([send.signal, cancellation.signal]);
+    let stream: EndpointStream | undefined;
+    const ended = this.#ifPermitted(endpoint, () => {
+      stream = this.#port.stream(endpoint, { ...send, signal });
+      return stream.ended;
+    });
+    return {
+      ended,
+      resume: () => stream?.resume(),
+      abort: () => cancellation.abort(),
+    };
+  }
+
   async #ifPermitted<T>(
     endpoint: EndpointEntry,
     send: () => Promise<Result<T, SendFailure>>,
--- /dev/null
+++ b/packages/core/src/routing/plain_places.ts
@@ -0,0 +1,71 @@
+/** Chooses endpoints for the streams of a service without engines, which reserve nothing. */
+import { err, ok, type Result } from "neverthrow";
+import type { ServiceName } from "../common/ids.ts";
+import { type NotRun, notRun } from "../common/verdict.ts";
+import type { RoutingContext } from "./context.ts";
+import type {
+  DecodeRequest,
+  DecodeReservation,
+  StreamPlaces,
+} from "./decode_reservation.ts";
+import type { EndpointRecord } from "./endpoint_record.ts";
+import { chooseEndpoint } from "./queries/choose_endpoint.ts";
+import { soonestPermitMs } from "./queries/soonest_permit.ts";
+import {
+  refusalOfLimit,
+  refusalOfLinks,
+  refusalOfMissingVersion,
+} from "./verdicts.ts";
+
+const NO_ENDPOINT_RETRY_MS = 200;
+/** Spreads the retries of streams that were refused because of limits. */
+const LIMIT_JITTER_MS = 1_000;
+
+/** Places at the plain endpoints of one service; a stream never waits for one. */
+export class PlainPlaces implements StreamPlaces {
+  #context: RoutingContext;
+  #service: ServiceName;
+
+  constructor(context: RoutingContext, options: { service: ServiceName }) {
+    this.#context = context;
+    this.#service = options.service;
+  }
+
+  async enqueue(
+    request: DecodeRequest,
+  ): Promise<Result<DecodeReservation, NotRun>> {
+    const { forwarding } = this.#context;
+    // Lost links may be why an earlier send has failed.
+    if (request.avoid.size > 0) await forwarding.settled(this.#service);
+    if (request.signal.aborted) return err(notRun("cancelled"));
+    const quarantine = request.findQuarantine();
+    if (quarantine) return err(quarantine);
+    if (forwarding.isLost(this.#service)) return err(refusalOfLinks());
+    return this.#choose(request).map((endpoint) => ({
+      endpoint,
+      reservationId: null,
+      load: { ...request.load },
+      isForecast: false,
+    }));
+  }
+
+  #choose({ avoid, version }: DecodeRequest): Result<EndpointRecord, NotRun> {
+    const { endpoints, dataCentre, random } = this.#context;
+    const nowMs = performance.now();
+    const usable = endpoints.usable(this.#service, null).filter(({ entry }) =>
+      version === null || entry.softwareVersion === version
+    );
+    if (usable.length === 0 && version !== null) {
+      return err(refusalOfMissingVersion());
+    }
+    const permitMs = soonestPermitMs(usable, nowMs);
+    if (permitMs > 0) {
+      return err(refusalOfLimit(permitMs + LIMIT_JITTER_MS * random()));
+    }
+    const options = { dataCentre, tried: avoid, nowMs, random };
+    const endpoint = chooseEndpoint(usable, options);
+    return endpoint ? ok(endpoint) : err(
+      notRun("no-endpoint", { retryAfterMs: NO_ENDPOINT_RETRY_MS }),
+    );
+  }
+}
--- a/packages/core/src/routing/resumption.ts
+++ b/packages/core/src/routing/resumption.ts
@@ -35,6 +35,7 @@
   if (route.kind !== "stream" || request.lastEventId === null) {
     return ok({ service: chooseService(route, request.id), version: null });
   }
+  if (!route.resumable) return err(refusalOfResumption());
   const receivedAtMs = performance.now();
   const known = request.hop?.origin ??
     (request.resumes === null
@@ -62,6 +63,13 @@
   return isDestination ? ok(origin) : err(refusalOfMissingVersion());
 }
 
+// A new run would begin with the first event, which the caller has already.
+function refusalOfResumption(): NotRun {
+  return notRun("not-resumable", {
+    detail: "The route's streams can't be resumed; send the request anew",
+  });
+}
+
 // A VM that was cut off or paused may have missed the version that began the stream.
 async function confirmOnlyOrigin(
   context: RoutingContext,
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -4,6 +4,7 @@
 import { CallRun } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
 import { DecodeQueue } from "./decode_queue.ts";
+import { PlainPlaces } from "./plain_places.ts";
 import type { EndpointAnswer } from "./port.ts";
 import { RouteIndex } from "./queries/match_route.ts";
 import { chooseDestination } from "./resumption.ts";
@@ -117,16 +118,12 @@
     const pool = this.#services.get(service)?.engines ?? null;
     const isTrial = admission === "trial";
     const common = { request, route, service, signal, isTrial };
-    if (route.kind === "stream" && pool) {
-      const queue = this.#queueOf(service);
-      const run = new StreamRun(this.#context, {
-        ...common,
-        pool,
-        queue,
-        version,
-        sink,
-      });
-      return await run.run();
+    if (route.kind === "stream") {
+      const places = pool
+        ? this.#queueOf(service)
+        : new PlainPlaces(this.#context, { service });
+      const options = { ...common, pool, places, version, sink };
+      return await new StreamRun(this.#context, options).run();
     }
     const verdict = await new CallRun(this.#context, common).run();
     return verdict.match<RoutedOutcome>(
--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -49,6 +49,7 @@
   #lastEventAtMs = NaN;
   #longestGapMs = 0;
   #events = 0;
+  #canContinue = true;
 
   constructor(options: StreamRelayOptions) {
     this.#sink = options.sink;
@@ -65,6 +66,14 @@
     return this.#lastEventId;
   }
 
+  /**
+   * Whether another answer can continue where the caller's ends: not after an event
+   * without an id, nor within an answer that is no stream of events.
+   */
+  get canContinue(): boolean {
+    return this.#canContinue;
+  }
+
   /** When the first event was passed on, on the monotonic clock; NaN before that. */
   get firstEventAtMs(): number {
     return this.#firstEventAtMs;
@@ -137,7 +146,10 @@
   }
 
   #pass(bytes: Uint8Array, splitter: EventSplitter): boolean {
-    if (!this.#passesEvents) return this.#sink.write(bytes);
+    if (!this.#passesEvents) {
+      this.#canContinue = false;
+      return this.#sink.write(bytes);
+    }
     let writable = true;
     const nowMs = performance.now();
     for (const event of splitter.push(bytes)) {
@@ -149,6 +161,7 @@
       this.#lastEventAtMs = nowMs;
       this.#events += 1;
       this.#lastEventId = event.id ?? this.#lastEventId;
+      this.#canContinue = event.id !== null;
       writable = this.#sink.write(event.bytes);
     }
     return writable;
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -1,6 +1,7 @@
 /**
- * Runs one stream: reserves a slot at a decode endpoint, prefills the prompt,
- * passes the events on, and continues at another endpoint after a failure.
+ * Runs one stream: finds a place at an endpoint, passes the events on, and continues
+ * at another endpoint after a failure. At engines, a slot is reserved for the decode,
+ * and the prompt is prefilled.
  */
 import { err, type Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
@@ -9,8 +10,11 @@
 import { forwardStream, mayHaveRunElsewhere } from "./links/forward_request.ts";
 import type { ForwardResult } from "./links/types.ts";
 import type { RoutingContext } from "./context.ts";
-import type { DecodeQueue } from "./decode_queue.ts";
-import { type DecodeReservation, endLoad } from "./decode_reservation.ts";
+import {
+  type DecodeReservation,
+  releasePlace,
+  type StreamPlaces,
+} from "./decode_reservation.ts";
 import type { StreamLoad } from "./placement/memory_forecast.ts";
 import { PrefillRun } from "./prefill_run.ts";
 import { RequestClock } from "./request_clock.ts";
@@ -40,8 +44,9 @@
   request: RoutedRequest;
   route: Route;
   service: ServiceName;
-  pool: EnginePool;
-  queue: DecodeQueue;
+  /** Null for services without engines. */
+  pool: EnginePool | null;
+  places: StreamPlaces;
   /** The software version that began a resumed stream; null for a new one. */
   version: SoftwareVersion | null;
   sink: AnswerSink;
@@ -65,6 +70,7 @@
   | "quarantined"
   | "deadline-passed"
   | "not-resumable"
+  | "no-event-id"
   | "other-service"
   | "attempts-used"
   | "sends-used"
@@ -99,14 +105,15 @@
       ? null
       : { service: options.service, version };
     this.#clock = new RequestClock(options.request, options.route);
-    const { request, service, isTrial = false } = options;
+    const { request, service, pool, isTrial = false } = options;
     this.#runs = request.hop?.runs ?? 0;
     this.#prefill = new PrefillRun(context, {
       request,
       service,
       clock: this.#clock,
       atDecode: () =>
-        isTrial || context.crashes.crashesOf(request) >= SUSPECT_CRASHES,
+        pool === null || isTrial ||
+        context.crashes.crashesOf(request) >= SUSPECT_CRASHES,
     });
     this.#relay = new StreamRelay({
       sink: options.sink,
@@ -116,8 +123,8 @@
 
   /** Sends the stream until it is complete or can't be continued. */
   async run(): Promise<StreamOutcome> {
-    const { service, signal } = this.#options;
-    if (!this.#context.forwarding.isLost(service)) {
+    const { service, pool, signal } = this.#options;
+    if (pool && !this.#context.forwarding.isLost(service)) {
       this.#context.noteArrival(service, this.#load());
     }
     let last: SendResult = err({ kind: "notSent" });
@@ -149,6 +156,7 @@
       this.#sends += 1;
       last = await this.#createRace().run(reservation.value);
       if (last.isOk()) return { kind: "complete" };
+      if (last.error.kind === "limited") this.#sends -= 1;
     }
   }
 
@@ -183,7 +191,7 @@
       mustBeOnTime: boolean;
     },
   ): Promise<Result<DecodeReservation, Refusal>> {
-    return this.#options.queue.enqueue({
+    return this.#options.places.enqueue({
       attempt: this.#options.request.id,
       clock: this.#clock,
       load: this.#load(),
@@ -232,7 +240,7 @@
       reserveBackup: (open, backupSignal) =>
         this.#reserveBackup(open, backupSignal),
       release: (reservation) => {
-        this.#release(reservation);
+        releasePlace(this.#context, reservation);
         budget.giveBack(service);
       },
       onEnd: (send, result) => {
@@ -252,9 +260,11 @@
 
   #recordDecode(send: StreamSend, result: SendResult): void {
     this.#decoding -= 1;
-    if (result.isOk() || provesNotRun(result.error)) return;
-    this.#runs += 1;
-    this.#avoid.add(send.endpoint.entry.id);
+    if (result.isOk()) return;
+    const isRun = !provesNotRun(result.error);
+    if (isRun) this.#runs += 1;
+    // A plain endpoint that refused once has no place that could be waited for.
+    if (isRun || !this.#options.pool) this.#avoid.add(send.endpoint.entry.id);
   }
 
   async #reserveBackup(
@@ -275,16 +285,10 @@
     if (takeRetry(this.#context, { service, reason: "silent" })) {
       return reservation.value;
     }
-    this.#release(reservation.value);
+    releasePlace(this.#context, reservation.value);
     return null;
   }
 
-  #release(reservation: DecodeReservation): void {
-    const { endpoint, reservationId } = reservation;
-    this.#context.port.releaseReservation(endpoint.entry, reservationId);
-    endLoad(this.#context, reservation);
-  }
-
   // Returns why no further send may follow a failed one, or null if one may.
   #findObstacle(): Obstacle | null {
     const { route, service, signal } = this.#options;
@@ -294,6 +298,7 @@
     if (this.#sends >= MAX_SENDS) return "sends-used";
     if (this.#runs === 0) return null;
     if (!route.resumable) return "not-resumable";
+    if (!this.#relay.canContinue) return "no-event-id";
     // Another VM may have had a newer routing table.
     if ((this.#origin?.service ?? service) !== service) return "other-service";
     return this.#runs < route.maxAttempts ? null : "attempts-used";
@@ -310,6 +315,7 @@
     if (this.#isStopped()) return "quarantined";
     if (this.#clock.leftMs() <= 0) return "deadline-passed";
     if (this.#sends >= MAX_SENDS) return "sends-used";
+    if (!this.#relay.canContinue) return "no-event-id";
     const runs = this.#runs + this.#decoding;
     if (runs >= route.maxAttempts) return "attempts-used";
     return this.#context.budget.left(service) < 1 ? "retry-budget-spent" : null;
@@ -386,7 +392,7 @@
     const { outputs } = this.#context;
     return {
       promptTokens: this.#prefill.tokens,
-      generatedTokens: this.#relay.events * pool.tokensPerEvent,
+      generatedTokens: this.#relay.events * (pool?.tokensPerEvent ?? 0),
       ...outputs.expect(service, request.prompt),
     };
   }
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -1,9 +1,13 @@
-/** One send of a stream: the prefill of its prompt, and the decode at one endpoint. */
+/** One send of a stream: the prefill of its prompt, if there is one, and the answer of one endpoint. */
 import { err, type Result } from "neverthrow";
 import type { ServiceName } from "../common/ids.ts";
 import { noteOutcome } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
-import { type DecodeReservation, endLoad } from "./decode_reservation.ts";
+import {
+  type DecodeReservation,
+  endLoad,
+  releasePlace,
+} from "./decode_reservation.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import {
   type AnswerHead,
@@ -50,7 +54,8 @@
   relay: StreamRelay;
   prefill: PrefillRun;
   reservation: DecodeReservation;
-  pool: EnginePool;
+  /** Null for services without engines. */
+  pool: EnginePool | null;
   /** Position among the sends of the stream, from 1. */
   ordinal: number;
   /** Whether the request is now known to crash engines, and must not be decoded. */
@@ -132,8 +137,8 @@
     endpoint.inFlight -= 1;
     endpoint.inFlightTokens -= tokens;
     endLoad(this.#context, reservation);
-    if (usable) this.#recordOutcome({ source, outcome });
     const decodeMs = performance.now() - prefilledMs;
+    if (usable) this.#recordOutcome({ source, outcome, decodeMs });
     if (outcome.isOk()) this.#noteCost(decodeMs);
     this.#noteTimes({ startedMs, prefilledMs });
     this.#logOutcome(outcome, {
@@ -146,7 +151,7 @@
   }
 
   async #decode(source: KvSource | null): Promise<SendResult> {
-    const { request, clock, relay, reservation, signal, pool } = this.#options;
+    const { request, clock, relay, reservation, signal } = this.#options;
     if (signal.aborted) return err({ kind: "aborted" });
     const silence = this.#watchSilence();
     const listener = relay.listen({
@@ -185,7 +190,7 @@
           this.#options.onProgress();
           const isBegun = relay.events > 0;
           const writable = listener.onData(bytes);
-          reservation.load.generatedTokens = relay.events * pool.tokensPerEvent;
+          reservation.load.generatedTokens = this.#tokensIn(relay.events);
           this.#noteAnswering();
           if (!isBegun && relay.events > 0) this.#options.onFirstEvent();
           if (listener.overflowed) this.#stream?.abort();
@@ -211,7 +216,8 @@
   }
 
   #noteCost(decodeMs: number): void {
-    const { reservation, service, request } = this.#options;
+    const { reservation, service, request, pool } = this.#options;
+    if (!pool) return;
     const { promptTokens } = reservation.load;
     const generatedTokens = this.#generatedTokens();
     // The output grows evenly, so that half of it is held on average.
@@ -225,8 +231,11 @@
   }
 
   #generatedTokens(): number {
-    const { relay, pool } = this.#options;
-    return (relay.events - this.#eventsBefore) * pool.tokensPerEvent;
+    return this.#tokensIn(this.#options.relay.events - this.#eventsBefore);
+  }
+
+  #tokensIn(events: number): number {
+    return events * (this.#options.pool?.tokensPerEvent ?? 0);
   }
 
   #noteAnswering(): void {
@@ -258,16 +267,16 @@
     { source, failure }: { source: PrefillSource | null; failure: SendFailure },
   ): SendResult {
     const { reservation, prefill } = this.#options;
-    const { endpoint, reservationId } = reservation;
-    this.#context.port.releaseReservation(endpoint.entry, reservationId);
+    releasePlace(this.#context, reservation);
     if (source) prefill.discard(source, failure.kind);
     return err(failure);
   }
 
   #recordOutcome(
-    { source, outcome }: {
+    { source, outcome, decodeMs }: {
       source: PrefillSource | null;
       outcome: SendResult;
+      decodeMs: number;
     },
   ): void {
     const { reservation, prefill, request } = this.#options;
@@ -282,7 +291,8 @@
       endpoint,
       request,
       outcome,
-      tookMs: 0,
+      // The duration of a decode depends on its output, and says little of the engine.
+      tookMs: this.#options.pool ? 0 : decodeMs,
       wasAnswering: this.#wasAnswering,
     });
     const { crashes } = this.#context;
@@ -293,11 +303,12 @@
     if (outcome.isOk()) return crashes.noteAnswered(request);
     // A refusal despite the reservation counts as a failure, so that an endpoint
     // which keeps refusing for another reason than a pause is ejected.
-    if (refused && !endpoint.isLimited(performance.now())) {
+    const refusedDespite = refused && reservationId !== null;
+    if (refusedDespite && !endpoint.isLimited(performance.now())) {
       endpoint.noteFailure(performance.now());
     }
     if (provesNotRun(outcome.error) || outcome.error.kind === "aborted") {
-      this.#context.port.releaseReservation(endpoint.entry, reservationId);
+      releasePlace(this.#context, reservation);
       if (source) prefill.discard(source, outcome.error.kind);
     }
   }
--- a/packages/core/src/routing/testing/engine_pool.ts
+++ b/packages/core/src/routing/testing/engine_pool.ts
@@ -229,7 +229,7 @@
     const engine = this.engines.find(({ entry: { id } }) =>
       id === endpoint.entry.id
     )!;
-    const held = engine.streams.get(reservationId);
+    const held = engine.streams.get(reservationId!);
     const decodedAtMs = performance.now();
     const completed = held !== undefined &&
       await new Promise<boolean>((end) => {
--- a/packages/core/src/routing/testing/streams.ts
+++ b/packages/core/src/routing/testing/streams.ts
@@ -97,7 +97,7 @@
     service: SERVICE,
     pool: POOL,
     version: null,
-    queue,
+    places: queue,
     sink: {
       head: (head) => out.push(`head ${head.status}`),
       write: (bytes) => out.push(new TextDecoder().decode(bytes)) > 0,
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -26,12 +26,12 @@
 const INTERNAL_ERROR_STATUS = 500;
 const PROBLEM_TYPE = "application/problem+json";
 
-// Retrying these under the same idempotency key would only cancel the newer
-// request or return the same response.
+// Retrying these would only cancel the newer request or return the same response.
 const DO_NOT_RETRY = new Set<Refusal["reason"]>([
   "superseded",
   "already-answered",
   "cancelled",
+  "not-resumable",
 ]);
 
 /** The problem document that a caller receives for a refusal. */
