Reckon in one place how long endpoints are used after failed reads

What callers saw: for up to 0.9 s too long, calls went to an endpoint whose entry the store had removed after connections to it had become silent, or during a cut from it. Calls in progress would have been cut when it exited.

Cause: the feed spent the whole bound on noticing a silent connection, and the registry kept missing entries for another 2.2 s, as for an outage. After a cut, up to 1.8 s passed until the next read, before the 2.2 s.

Change: store_reads.ts plans waits and repeats of reads from the platform's bounds, and reckons until when a missing entry is used, by when the failed reads began. Repeated calls overlap while calls fail. After a stall of the process the feeds ask at once.

--- a/packages/core/src/routing/endpoint_registry.ts
+++ b/packages/core/src/routing/endpoint_registry.ts
@@ -2,6 +2,13 @@
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
 import { EndpointRecord } from "./endpoint_record.ts";
+import {
+  type ChangeBounds,
+  DEFAULT_BOUNDS,
+  keepAfterReturnMs,
+  keepMissingUntilMs,
+  type ReadTimes,
+} from "./store_reads.ts";
 import {
   type EndpointChange,
   type EndpointEntry,
@@ -10,11 +17,6 @@
   type Stage,
 } from "./types.ts";
 
-/**
- * How long missing entries are kept after the directory becomes reachable again:
- * entries that expired during the outage are rewritten within about two seconds.
- */
-const RECOVERY_GRACE_MS = 2_200;
 /**
  * Time after the directory has come back from an earlier copy in which it may list
  * endpoints that are gone: an entry expires after a few missed heartbeats.
@@ -35,8 +37,9 @@
   /** Entries of a copy for incarnations that were gone before the directory came back from it. */
   #doubtful: EndpointEntry[] = [];
   #returnedAtMs = -Infinity;
-  #directoryReachable = true;
-  #reachableSinceMs = -Infinity;
+  #bounds: ChangeBounds;
+  /** Until when entries are used that are found to be missing. */
+  #keepUntilMs = -Infinity;
 
   /**
    * `onIncarnationEnd` is called when an endpoint goes missing, restarts, or loses
@@ -45,8 +48,10 @@
   constructor(
     observer: Observer,
     onIncarnationEnd: (entry: EndpointEntry) => void = () => {},
+    { bounds = DEFAULT_BOUNDS }: { bounds?: ChangeBounds } = {},
   ) {
     this.#observer = observer;
+    this.#bounds = bounds;
     this.#onIncarnationEnd = onIncarnationEnd;
   }
 
@@ -80,12 +85,13 @@
     this.#observer.log({ event: "endpoint-leaving", endpoint: entry.id });
   }
 
-  /** Records whether the directory can be read. */
-  setDirectoryReachable(reachable: boolean): void {
-    if (reachable && !this.#directoryReachable) {
-      this.#reachableSinceMs = performance.now();
-    }
-    this.#directoryReachable = reachable;
+  /** Records that the directory can be read again, after the reads that failed. */
+  noteDirectoryRegained(reads: ReadTimes): void {
+    const regainedAtMs = performance.now();
+    this.#keepUntilMs = keepMissingUntilMs(this.#bounds, {
+      regainedAtMs,
+      reads,
+    });
   }
 
   /**
@@ -94,7 +100,7 @@
    */
   noteDirectoryReturn(): void {
     this.#returnedAtMs = performance.now();
-    this.#reachableSinceMs = this.#returnedAtMs;
+    this.#keepUntilMs = keepAfterReturnMs(this.#returnedAtMs);
   }
 
   /** Returns the record of an endpoint, or undefined if there is none. */
@@ -213,9 +219,8 @@
   #remove(id: EndpointId): void {
     const record = this.#records.get(id);
     if (!record || record.missing) return;
-    const graceEndsMs = this.#reachableSinceMs + RECOVERY_GRACE_MS;
     const nowMs = performance.now();
-    const removedAtMs = Math.max(nowMs, graceEndsMs);
+    const removedAtMs = Math.max(nowMs, this.#keepUntilMs);
     record.setMissing(removedAtMs);
     if (removedAtMs === nowMs) {
       remember(this.#gone, incarnationOf(record.entry));
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -5,6 +5,7 @@
 import type { EndpointId } from "../common/ids.ts";
 import { shuffle } from "../common/shuffle.ts";
 import { wait } from "../common/wait.ts";
+import { StallWatch } from "../common/stall_watch.ts";
 import { findOthers } from "../membership/queries/find_others.ts";
 import { MembershipTask } from "../membership/task.ts";
 import type { Member, MembershipContext } from "../membership/types.ts";
@@ -27,6 +28,11 @@
 } from "./queries/local_view.ts";
 import { Router } from "./router.ts";
 import { ServiceBudget } from "./service_budget.ts";
+import {
+  DEFAULT_BOUNDS,
+  planEndpointReads,
+  planTableReads,
+} from "./store_reads.ts";
 import { SharedOrigins } from "./stream_origins.ts";
 import {
   PEER_FETCH_LIMIT_MS,
@@ -63,7 +69,7 @@
   #options: RoutingVmOptions;
   #feeds: readonly Pick<
     TableFeed<unknown>,
-    "start" | "stop" | "ageMs" | "isFailing"
+    "start" | "stop" | "hurry" | "ageMs" | "isFailing"
   >[];
   #guard: EndpointGuard;
   #placement: PlacementClient;
@@ -76,6 +82,7 @@
   #originRecord: OriginRecord;
   #rewriteTimer: ReturnType<typeof setTimeout> | undefined;
   #stopListening: () => void;
+  #stallWatch: StallWatch;
 
   constructor(options: RoutingVmOptions) {
     this.#options = options;
@@ -113,6 +120,7 @@
     this.endpoints = new EndpointRegistry(
       observer,
       (entry) => this.#guard.noteEndpointEnd(entry),
+      { bounds: options.bounds ?? DEFAULT_BOUNDS },
     );
     const placementHome = new PlacementHome();
     this.#originRecord = new OriginRecord({
@@ -192,6 +200,9 @@
     });
     this.#stopListening = ports.store.eras.onReturn(() => this.#writeAgain());
     this.#feeds = [this.#createTableFeed(), this.#createEndpointFeed()];
+    this.#stallWatch = new StallWatch(() => {
+      for (const feed of this.#feeds) feed.hurry();
+    });
     this.peerHandlers = {
       ...createMembershipApp({
         answerProbe: (probe) => this.membership.answerProbe(probe),
@@ -274,6 +285,7 @@
     const { ports, identity } = this.#options;
     this.#originRecord.start();
     for (const feed of this.#feeds) void feed.start();
+    this.#stallWatch.start();
     void ports.store.register(identity);
     await this.#tables.start(async () => {
       await this.membership.seed();
@@ -292,6 +304,7 @@
     clearTimeout(this.#rewriteTimer);
     this.#stopListening();
     for (const feed of this.#feeds) feed.stop();
+    this.#stallWatch.stop();
     this.#stages.stop();
     this.router.stop();
     this.#placement.stop();
@@ -301,7 +314,7 @@
   }
 
   #createTableFeed(): TableFeed<RoutingTable> {
-    const { ports, observer, random } = this.#options;
+    const { ports, observer, random, bounds = DEFAULT_BOUNDS } = this.#options;
     const setTables = (tables: readonly RoutingTable[]) => {
       for (const table of tables) this.#setTable(table);
     };
@@ -312,12 +325,12 @@
       eras: ports.store.eras,
       observer,
       random,
-      waitMs: this.#options.feedWaitMs,
+      plan: planTableReads(bounds),
     });
   }
 
   #createEndpointFeed(): TableFeed<EndpointChange> {
-    const { ports, observer, random } = this.#options;
+    const { ports, observer, random, bounds = DEFAULT_BOUNDS } = this.#options;
     return new TableFeed({
       name: "endpoints",
       table: ports.endpoints,
@@ -331,14 +344,13 @@
             for (const change of changes) this.endpoints.apply(change);
           });
         },
-        onReachable: (reachable) =>
-          this.endpoints.setDirectoryReachable(reachable),
+        onRegained: (reads) => this.endpoints.noteDirectoryRegained(reads),
         onReturn: () => this.endpoints.noteDirectoryReturn(),
       },
       eras: ports.store.eras,
       observer,
       random,
-      waitMs: this.#options.feedWaitMs,
+      plan: planEndpointReads(bounds),
       batchMs: ENDPOINTS_BATCH_MS,
     });
   }
--- a/packages/core/src/routing/routing_vm_options.ts
+++ b/packages/core/src/routing/routing_vm_options.ts
@@ -1,4 +1,5 @@
 /** What a routing VM needs from its surroundings. */
+import type { ChangeBounds } from "./store_reads.ts";
 import type { Observer } from "../common/observe.ts";
 import type { VmIdentity } from "../membership/types.ts";
 import type { PeerPort } from "../ports/peers.ts";
@@ -42,8 +43,8 @@
   /** Peer addresses for first contact. */
   contacts: () => readonly string[];
   times?: RequestTimes;
-  /** How long the store may hold a call that waits for changes (long poll). */
-  feedWaitMs?: number;
+  /** Times within which changes in the store have to be in use; by default those of small deployments. */
+  bounds?: ChangeBounds;
   /** Called with each routing table that becomes active. */
   onTable?: (table: RoutingTable) => void;
 }
--- a/packages/core/src/routing/table_feed.ts
+++ b/packages/core/src/routing/table_feed.ts
@@ -4,15 +4,14 @@
 import type { StoreFailure } from "../ports/platform.ts";
 import type { StoreEras } from "../store/eras.ts";
 import type { StoreVersion } from "../store/version.ts";
+import {
+  ANSWER_MARGIN_MS,
+  type ReadPlan,
+  type ReadTimes,
+  RETRY_JITTER,
+} from "./store_reads.ts";
 
-/** Default time for which the store holds a call that waits for changes. */
-const DEFAULT_WAIT_MS = 2_500;
-/** Time beyond the wait after which a call without an answer has failed. */
-const ANSWER_MARGIN_MS = 900;
 const READ_TIMEOUT_MS = 1_500;
-/** Base delay before a failed call is retried; doubles with each failure, with jitter of ±50%. */
-const RETRY_DELAY_MS = 150;
-const MAX_RETRY_DELAY_MS = 600;
 
 /** Rows read from a table, and the version as of which they are complete. */
 export interface TableReading<Item> {
@@ -45,8 +44,8 @@
    * That may lack rows that were seen, and hold rows that were gone.
    */
   onReturn?(): void;
-  /** Called with false when calls start to fail, and with true when they succeed again. */
-  onReachable?(reachable: boolean): void;
+  /** Called when calls succeed again, before what they have read. */
+  onRegained?(reads: ReadTimes): void;
 }
 
 /** Options of {@link TableFeed}. */
@@ -59,15 +58,27 @@
   eras: StoreEras;
   observer: Observer;
   random: () => number;
-  /**
-   * How long the store may hold a call. An unresponsive connection is detected only
-   * after this time, so it limits how late a change may be noticed.
-   */
-  waitMs?: number;
+  /** How long calls wait for changes, and how soon failed ones are repeated. */
+  plan: ReadPlan;
   /** Delay before the next call, so that changes are read in batches; 0 (default) polls at once. */
   batchMs?: number;
 }
 
+/** One call of a feed. */
+interface FeedCall {
+  /** Whether it waits for changes. */
+  readonly waits: boolean;
+  /** When the call before it began, if this one repeats it; else minus infinity. */
+  readonly unansweredAtMs: number;
+  /** Whether its result still counts. */
+  readonly isCurrent: () => boolean;
+}
+
+const NO_FAILED_READS: ReadTimes = {
+  waitedSinceMs: -Infinity,
+  failedAtMs: -Infinity,
+};
+
 /** Keeps one call to the store open for the changes of one table. */
 export class TableFeed<Item> {
   #options: TableFeedOptions<Item>;
@@ -76,6 +87,13 @@
   /** Counts the whole reads; the result of a call from before the last one is dropped. */
   #beginning = 0;
   #failures = 0;
+  /** When the last call began that doesn't wait for changes. */
+  #calledAtMs = -Infinity;
+  /** Number of calls under way, without those whose result is dropped. */
+  #calls = 0;
+  #reads: ReadTimes = NO_FAILED_READS;
+  /** Whether the next call asks for the changes so far, without waiting for one. */
+  #isHurried = false;
   #stopped = false;
   #lastSuccessAtMs = performance.now();
   #timer: ReturnType<typeof setTimeout> | undefined;
@@ -107,39 +125,82 @@
     return performance.now() - this.#lastSuccessAtMs;
   }
 
-  // A call that waits at the store may have lost it without noticing, and would delay
-  // the read.
+  /**
+   * Asks for the changes so far at once, as the process or its machine stood still: the
+   * connection of a call that waits may have become silent meanwhile.
+   */
+  hurry(): void {
+    if (this.#stopped || this.#failures > 0) return;
+    this.#isHurried = true;
+    this.#dropCalls();
+    this.#schedule(0);
+  }
+
   #beginAnew(): void {
     if (this.#stopped) return;
     this.#options.listener.onReturn?.();
     this.#version = null;
+    // A call that waits at the store may have lost it without noticing, and would delay
+    // the read.
+    this.#dropCalls();
+    // The caller may be handling an answer of this feed.
+    this.#schedule(0);
+  }
+
+  #dropCalls(): void {
     this.#beginning += 1;
+    this.#calls = 0;
+  }
+
+  #schedule(delayMs: number): void {
     clearTimeout(this.#timer);
-    // The caller may be handling an answer of this feed.
-    this.#timer = setTimeout(() => void this.#step(), 0);
+    this.#timer = setTimeout(() => void this.#step(), delayMs);
   }
 
   async #step(): Promise<void> {
     const beginning = this.#beginning;
     const isCurrent = () => !this.#stopped && beginning === this.#beginning;
+    const startedAtMs = performance.now();
+    // While calls fail, the next one doesn't wait for the end of this one, so that the
+    // end of a fault is noticed within the interval.
+    const isRepeated = this.#failures > 0;
+    if (isRepeated) this.#schedule(this.#retryMs());
+    const maxCalls = this.#version === null ? 1 : this.#options.plan.maxCalls;
+    if (this.#calls >= maxCalls) return;
+    this.#calls += 1;
+    const waits = !isRepeated && !this.#isHurried && this.#version !== null;
+    this.#isHurried = false;
+    // If this call is answered first, the one before it was lost.
+    const unansweredAtMs = isRepeated ? this.#calledAtMs : -Infinity;
+    this.#calledAtMs = waits ? -Infinity : startedAtMs;
+    const call = { waits, unansweredAtMs, isCurrent };
     const failure = this.#version === null
-      ? await this.#readAll(isCurrent)
-      : await this.#readChanges(this.#version, isCurrent);
+      ? await this.#readAll(call)
+      : await this.#readChanges(this.#version, call);
     if (!isCurrent()) return;
-    this.#noteReachability(failure);
-    this.#timer = setTimeout(() => void this.#step(), this.#delayMs());
+    this.#calls -= 1;
+    if (failure) {
+      this.#noteFailure(failure, { startedAtMs, waits });
+      // A call that was rejected at once would be again.
+      const isSilent = performance.now() - startedAtMs >= ANSWER_MARGIN_MS;
+      if (!isRepeated) this.#schedule(isSilent ? 0 : this.#retryMs());
+      return;
+    }
+    this.#noteSuccess(call);
+    this.#dropCalls();
+    this.#schedule(this.#version === null ? 0 : this.#options.batchMs ?? 0);
   }
 
-  async #readAll(isCurrent: () => boolean): Promise<StoreFailure | null> {
+  async #readAll(call: FeedCall): Promise<StoreFailure | null> {
     const { table, listener, observer, name } = this.#options;
     const read = await table.readAll({ timeoutMs: READ_TIMEOUT_MS });
     if (read.isErr()) return read.error;
-    if (!isCurrent()) return null;
+    if (!call.isCurrent()) return null;
     const { version, items } = read.value;
     this.#version = version;
     // Reported before the rows: entries that expired during the outage may still be
     // rewritten, and the listener must know that when it sees them missing.
-    this.#noteReachability(null);
+    this.#noteSuccess(call);
     observer.log({
       event: "feed-began",
       table: name,
@@ -152,22 +213,20 @@
 
   async #readChanges(
     after: StoreVersion,
-    isCurrent: () => boolean,
+    call: FeedCall,
   ): Promise<StoreFailure | null> {
-    const { table, listener, observer, name } = this.#options;
+    const { table, listener, observer, name, plan } = this.#options;
     // After a failure the call doesn't wait, so that recovery is noticed at once
     // and not with the next change. Rows missing at that moment may have expired
     // during the outage; rows that go missing later were removed.
-    const waitMs = this.#failures > 0
-      ? 0
-      : this.#options.waitMs ?? DEFAULT_WAIT_MS;
+    const waitMs = call.waits ? plan.waitMs : 0;
     const read = await table.readChanges({
       after,
       waitMs,
       timeoutMs: waitMs + ANSWER_MARGIN_MS,
     });
     if (read.isErr()) return read.error;
-    if (!isCurrent()) return null;
+    if (!call.isCurrent()) return null;
     if (read.value === "expired" || !read.value.version.continues(after)) {
       observer.log({
         event: "feed-restarted",
@@ -179,36 +238,52 @@
       return null;
     }
     this.#version = read.value.version;
-    this.#noteReachability(null);
+    this.#noteSuccess(call);
     if (read.value.items.length > 0) listener.onChanges(read.value.items);
     return null;
   }
 
-  #noteReachability(failure: StoreFailure | null): void {
+  #noteFailure(
+    failure: StoreFailure,
+    { startedAtMs, waits }: { startedAtMs: number; waits: boolean },
+  ): void {
+    const { observer, name } = this.#options;
+    const isFirst = this.#failures === 0;
+    this.#failures += 1;
+    this.#reads = waits
+      ? { ...NO_FAILED_READS, waitedSinceMs: startedAtMs }
+      : { ...this.#reads, failedAtMs: startedAtMs };
+    observer.count("store_failures", failure.kind);
+    if (!isFirst) return;
+    observer.log({
+      event: "store-lost",
+      level: "warn",
+      table: name,
+      detail: failure.detail,
+      sinceMs: Math.round(performance.now() - startedAtMs),
+    });
+  }
+
+  #noteSuccess({ unansweredAtMs }: FeedCall): void {
     const { listener, observer, name } = this.#options;
-    const before = this.#failures;
-    if (!failure) this.#lastSuccessAtMs = performance.now();
-    this.#failures = failure ? before + 1 : 0;
-    if (failure) observer.count("store_failures", failure.kind);
-    if ((before > 0) === (this.#failures > 0)) return;
-    listener.onReachable?.(failure === null);
+    this.#lastSuccessAtMs = performance.now();
+    if (this.#failures === 0) return;
     observer.log({
-      event: failure ? "store-lost" : "store-regained",
-      level: failure ? "warn" : "info",
+      event: "store-regained",
       table: name,
-      detail: failure?.detail,
-      failures: before,
+      failures: this.#failures,
+    });
+    this.#failures = 0;
+    const { waitedSinceMs, failedAtMs } = this.#reads;
+    listener.onRegained?.({
+      waitedSinceMs,
+      failedAtMs: Math.max(failedAtMs, unansweredAtMs),
     });
+    this.#reads = NO_FAILED_READS;
   }
 
-  #delayMs(): number {
-    if (this.#failures === 0) {
-      return this.#version === null ? 0 : this.#options.batchMs ?? 0;
-    }
-    const limitMs = Math.min(
-      MAX_RETRY_DELAY_MS,
-      RETRY_DELAY_MS * 2 ** Math.min(this.#failures - 1, 4),
-    );
-    return limitMs * (0.5 + this.#options.random());
+  #retryMs(): number {
+    const { plan, random } = this.#options;
+    return plan.retryMs * (1 - RETRY_JITTER * random());
   }
 }
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -99,9 +99,6 @@
 
 /** A starting VM has its tables within 100 ms if the store responds. */
 const START_WAIT_MS = 250;
-/** Time from detecting an unresponsive connection until a change is active. */
-const FEED_RECOVERY_MS = 1_200;
-const MIN_FEED_WAIT_MS = 1_000;
 
 /** Creates a gateway without starting it. */
 export function createGateway(options: GatewayOptions): Gateway {
@@ -253,7 +250,7 @@
       budget: () => this.#settings.retries,
       contacts: () => this.#settings.peers.contacts,
       times: this.#options.metrics,
-      feedWaitMs: feedWaitMs(settings.bounds),
+      bounds: settings.bounds,
       onTable: ({ limits }) => this.#callers.setTimeouts(limits),
     });
   }
@@ -315,11 +312,3 @@
     sendText(response, await registry.metrics(), registry.contentType);
   }
 }
-
-// A connection may become unresponsive just as a fault ends, which is when the
-// time bounds start to run.
-function feedWaitMs(bounds: RoutingSettings["bounds"]): number {
-  const { contactMs, configMs, drainMs } = bounds;
-  const boundMs = contactMs + Math.min(configMs, drainMs);
-  return Math.max(MIN_FEED_WAIT_MS, boundMs - FEED_RECOVERY_MS);
-}
