Send nothing in a planned stop that can't be finished, and answer what is cut

What callers saw: in a planned stop in calm, requests that had become complete between 3 and 6 s after the signal were passed on and ended without an answer at the end of the grace period, among them calls that may not be repeated.

Cause: whether the VM takes work was checked when the head of a request had been read. A body that comes slowly, a wait for a place and a retry took it beyond that, and at the end nobody answered what was open.

Change: StopGate decides by the time until the cut, before the body is read and before each send: what is sure to end is always taken, what is likely to while callers may still arrive. All else is refused as not run. At the cut, open requests are answered with their verdict. A second SIGTERM has no effect.

--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import {
+  type NotRun,
   notRun,
   type Refusal,
   refuse,
@@ -85,6 +86,10 @@
       if (last && this.#isQuarantined()) break;
       if (last && !this.#takeRetry(last)) break;
       if (this.#clock.leftMs() < MIN_SEND_MS) break;
+      const stopping = this.#refusalOfStop();
+      if (stopping) {
+        return refuse(last ? this.#withEarlierSends(stopping) : stopping);
+      }
       if (await this.#hasLostLinks(last)) {
         const forwarded = await this.#forward();
         // The other VM has made the retries that the route allows.
@@ -167,6 +172,7 @@
     const { route, service } = this.#options;
     if (this.#runs + openSends >= route.maxAttempts) return null;
     if (this.#sends >= MAX_SENDS || this.#isQuarantined()) return null;
+    if (this.#refusalOfStop()) return null;
     if (this.#clock.leftMs() < MIN_SEND_MS) return null;
     const endpoint = this.#choose();
     if (!endpoint?.isHealthy(performance.now())) return null;
@@ -175,6 +181,11 @@
       : null;
   }
 
+  #refusalOfStop(): NotRun | null {
+    const { route } = this.#options;
+    return this.#context.stop.refusalOf(route, this.#clock.leftMs());
+  }
+
   #isQuarantined(): boolean {
     const { request, isTrial } = this.#options;
     return isTrial || this.#context.crashes.refusalOf(request) !== null;
@@ -212,7 +223,10 @@
     silence.end();
     endpoint.inFlight -= 1;
     const tookMs = performance.now() - startedMs;
-    if (outcome.isOk() || !provesNotRun(outcome.error)) this.#runs += 1;
+    if (outcome.isOk() || !provesNotRun(outcome.error)) {
+      this.#runs += 1;
+      this.#context.stop.noteDuration(route, tookMs);
+    }
     if (isLimited(outcome)) this.#sends -= 1;
     noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
     if (outcome.isOk()) {
@@ -294,7 +308,10 @@
       const permitMs = soonestPermitMs(usable, performance.now());
       return refusalOfLimit(permitMs + LIMIT_JITTER_MS * random());
     }
-    const refusal = refusalOfFailure(last);
+    return this.#withEarlierSends(refusalOfFailure(last));
+  }
+
+  #withEarlierSends(refusal: Refusal): Refusal {
     if (refusal.kind === "mayHaveRun" || this.#runs === 0) return refusal;
     return refusalOfEarlierSend();
   }
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -9,6 +9,7 @@
 import type { Placement } from "./placement/placement.ts";
 import type { PrefillTimes } from "./prefill_times.ts";
 import type { ServiceBudget } from "./service_budget.ts";
+import type { StopGate } from "./stop_gate.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 import type { RouteKind } from "./types.ts";
 import type { ExpectedCost, StreamCost } from "./stages/demand.ts";
@@ -45,6 +46,8 @@
   readonly origins: StreamOrigins;
   /** The way of requests whose service this VM has lost its links to. */
   readonly forwarding: Forwarding;
+  /** What is still sent while this VM is stopping. */
+  readonly stop: Pick<StopGate, "refusalOf" | "noteDuration">;
   readonly observer: Observer;
   readonly times: RequestTimes;
   /** Called with what each stream that arrives is expected to need. */
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -243,8 +243,8 @@
   #findRefusal(request: DecodeRequest): NotRun | null {
     const retryAfterMs = this.#retryAfterMs();
     if (request.signal.aborted) return notRun("cancelled", { retryAfterMs });
-    const quarantine = request.findQuarantine();
-    if (quarantine) return quarantine;
+    const refusal = request.findRefusal();
+    if (refusal) return refusal;
     if (this.#context.forwarding.isLost(this.#service)) return refusalOfLinks();
     if (!this.#hasVersion(request.version)) return refusalOfMissingVersion();
     const spareMs = timeToSpareMs(request);
--- a/packages/core/src/routing/decode_queue_test.ts
+++ b/packages/core/src/routing/decode_queue_test.ts
@@ -74,7 +74,7 @@
     avoid: new Set(),
     version: null,
     mustBeOnTime: true,
-    findQuarantine: () => null,
+    findRefusal: () => null,
     signal: new AbortController().signal,
     ...options,
   };
--- a/packages/core/src/routing/decode_reservation.ts
+++ b/packages/core/src/routing/decode_reservation.ts
@@ -64,7 +64,7 @@
   readonly version: SoftwareVersion | null;
   /** False for a stream that continues, even if it is late. */
   readonly mustBeOnTime: boolean;
-  /** Returns the refusal of a stream that crashes engines, or null. */
-  readonly findQuarantine: () => NotRun | null;
+  /** Returns why the stream may no longer be sent to any endpoint, or null. */
+  readonly findRefusal: () => NotRun | null;
   readonly signal: AbortSignal;
 }
--- a/packages/core/src/routing/plain_places.ts
+++ b/packages/core/src/routing/plain_places.ts
@@ -38,8 +38,8 @@
     // Lost links may be why an earlier send has failed.
     if (request.avoid.size > 0) await forwarding.settled(this.#service);
     if (request.signal.aborted) return err(notRun("cancelled"));
-    const quarantine = request.findQuarantine();
-    if (quarantine) return err(quarantine);
+    const refusal = request.findRefusal();
+    if (refusal) return err(refusal);
     if (forwarding.isLost(this.#service)) return err(refusalOfLinks());
     return this.#choose(request).map((endpoint) => ({
       endpoint,
--- a/packages/core/src/routing/plain_streams_test.ts
+++ b/packages/core/src/routing/plain_streams_test.ts
@@ -168,7 +168,7 @@
     {
       avoid: new Set(),
       version: null,
-      findQuarantine: () => null,
+      findRefusal: () => null,
       signal: new AbortController().signal,
     } as unknown as Parameters<PlainPlaces["enqueue"]>[0],
   );
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -132,6 +132,16 @@
     );
   }
 
+  /** Returns the refusal of a request that a VM which is stopping can't finish, or null. */
+  refusalOfStop(route: Route, leftMs: number): Refusal | null {
+    return this.#context.stop.refusalOf(route, leftMs);
+  }
+
+  /** Refuses the waiting streams that may no longer be sent. */
+  refuseLate(): void {
+    for (const queue of this.#queues.values()) queue.refuseLate();
+  }
+
   /** Refuses the waiting streams of a service whose links are lost, so that they are sent on. */
   noteLostLinks(service: ServiceName): void {
     this.#queues.get(service)?.refuseLate();
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -39,6 +39,7 @@
   PEER_FETCH_TIMEOUT_MS,
   TableExchange,
 } from "./table_exchange.ts";
+import { StopGate, type StopOptions } from "./stop_gate.ts";
 import { TableFeed } from "./table_feed.ts";
 import type { RoutingVmOptions } from "./routing_vm_options.ts";
 import { ServiceStages } from "./stages/service_stages.ts";
@@ -83,6 +84,8 @@
   #rewriteTimer: ReturnType<typeof setTimeout> | undefined;
   #stopListening: () => void;
   #stallWatch: StallWatch;
+  #stopGate = new StopGate();
+  #stopTimer: ReturnType<typeof setTimeout> | undefined;
 
   constructor(options: RoutingVmOptions) {
     this.#options = options;
@@ -171,6 +174,7 @@
         observer,
         random,
       }),
+      stop: this.#stopGate,
       port: this.#guard.calls,
       observer,
       random,
@@ -299,8 +303,19 @@
     );
   }
 
+  /** From now on takes only what can be finished before the cut. */
+  beginStop(options: StopOptions): void {
+    this.#stopGate.begin(options);
+    this.router.refuseLate();
+    this.#stopTimer = setTimeout(
+      () => this.router.refuseLate(),
+      options.servingMs,
+    );
+  }
+
   stop(): void {
     clearInterval(this.#peerPollTimer);
+    clearTimeout(this.#stopTimer);
     clearTimeout(this.#rewriteTimer);
     this.#stopListening();
     for (const feed of this.#feeds) feed.stop();
--- a/packages/core/src/routing/shutdown.ts
+++ b/packages/core/src/routing/shutdown.ts
@@ -40,11 +40,6 @@
     return this.#machine.snapshot.value !== "serving";
   }
 
-  /** True once new requests are refused. */
-  get refusesWork(): boolean {
-    return this.leaving && this.#machine.snapshot.value !== "leaving";
-  }
-
   /** Starts the shutdown; resolves once no request is in progress, or after {@link cut}. */
   begin(): Promise<void> {
     this.#machine.send({ type: "stop", servingMs: this.#options.servingMs });
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -68,6 +68,7 @@
 type Obstacle =
   | "caller-left"
   | "quarantined"
+  | "stopping"
   | "deadline-passed"
   | "not-resumable"
   | "no-event-id"
@@ -134,6 +135,8 @@
         this.#logNotContinued(obstacle, last);
         return this.#outcomeOf(last);
       }
+      const refusal = this.#refusalOfStop();
+      if (refusal) return this.#endWithRefusal(refusal);
       const reservation = await this.#reserve({
         signal,
         avoid: this.#avoid,
@@ -153,6 +156,12 @@
         if (this.#ordinal > 0) this.#logNotContinued(reason, last);
         return this.#endWithRefusal(reservation.error);
       }
+      // The stop may have begun during the wait for the place.
+      const stopping = this.#refusalOfStop();
+      if (stopping) {
+        releasePlace(this.#context, reservation.value);
+        return this.#endWithRefusal(stopping);
+      }
       this.#sends += 1;
       last = await this.#createRace().run(reservation.value);
       if (last.isOk()) return { kind: "complete" };
@@ -197,7 +206,7 @@
       load: this.#load(),
       prefillMs: this.#prefill.expectedMs(),
       version: this.#origin?.version ?? null,
-      findQuarantine: () => this.#findQuarantine(),
+      findRefusal: () => this.#findQuarantine() ?? this.#refusalOfStop(),
       ...options,
     });
   }
@@ -207,8 +216,13 @@
     return isTrial ? null : this.#context.crashes.refusalOf(request);
   }
 
+  #refusalOfStop(): NotRun | null {
+    const { route } = this.#options;
+    return this.#context.stop.refusalOf(route, this.#clock.leftMs());
+  }
+
   #createRace(): SendRace {
-    const { service, signal } = this.#options;
+    const { route, service, signal } = this.#options;
     const { budget } = this.#context;
     const unsentBackups = new Set<StreamSend>();
     return new SendRace({
@@ -246,6 +260,9 @@
       onEnd: (send, result) => {
         if (unsentBackups.has(send)) budget.giveBack(service);
         if (send.decodeBegun) this.#recordDecode(send, result);
+        if (result.isOk()) {
+          this.#context.stop.noteDuration(route, this.#clock.elapsedMs());
+        }
       },
     });
   }
@@ -313,6 +330,7 @@
   #findBackupObstacle(): Obstacle | null {
     const { route, service } = this.#options;
     if (this.#isStopped()) return "quarantined";
+    if (this.#refusalOfStop()) return "stopping";
     if (this.#clock.leftMs() <= 0) return "deadline-passed";
     if (this.#sends >= MAX_SENDS) return "sends-used";
     if (!this.#relay.canContinue) return "no-event-id";
--- a/packages/core/src/routing/testing/engine_pool.ts
+++ b/packages/core/src/routing/testing/engine_pool.ts
@@ -220,7 +220,7 @@
       avoid: new Set(),
       version: null,
       mustBeOnTime: true,
-      findQuarantine: () => null,
+      findRefusal: () => null,
       signal: new AbortController().signal,
     });
     if (reserved.isErr()) return record("refused");
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -29,6 +29,7 @@
 import { OutputEstimates } from "../output_estimates.ts";
 import { PrefillTimes } from "../prefill_times.ts";
 import { ServiceBudget } from "../service_budget.ts";
+import { StopGate } from "../stop_gate.ts";
 import type {
   EndpointEntry,
   EnginePool,
@@ -278,6 +279,7 @@
     crashes: new CrashTracker(),
     origins: createOrigins(entries),
     forwarding: NO_FORWARDING,
+    stop: new StopGate(),
     port,
     observer: SILENT_OBSERVER,
     times: NO_TIMES,
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -73,8 +73,11 @@
 /** How long callers may keep an address; some keep it three times as long. */
 const ADDRESS_TTL_MS = 1_000;
 const MAX_ADDRESS_TTLS = 3;
+const SERVING_MS = ADDRESS_TTL_MS * MAX_ADDRESS_TTLS;
 /** Time before the end of the grace period when remaining requests are cut off. */
-const CUT_OFF_MARGIN_MS = 400;
+const CUT_OFF_MARGIN_MS = 600;
+/** Time after which the process exits although callers have not read their refusals. */
+const CUT_ANSWER_MS = 200;
 const MS_PER_S = 1_000;
 /** Above the limit for callers, so that larger headers can be refused with a response. */
 const HEADER_BYTES = 65_536;
@@ -114,6 +117,10 @@
   #inProgress: InProgressCounter;
   #manager: LifecycleManager;
   #callers: HttpComponent;
+  /** Listeners of the requests in progress, which cut them off. */
+  #cutListeners = new Set<() => void>();
+  /** Resolves once the stop is complete; undefined before it begins. */
+  #stopped: Promise<void> | undefined;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -124,7 +131,7 @@
     this.#vm = this.#createVm();
     this.#shutdown = new RoutingShutdown({
       observer: this.#observer,
-      servingMs: ADDRESS_TTL_MS * MAX_ADDRESS_TTLS,
+      servingMs: SERVING_MS,
       announce: () => this.#vm.membership.leave(),
       inProgress: () => this.#inProgress.count,
     });
@@ -189,14 +196,25 @@
     this.#observer.log({ event: "settings-reloaded", needsRestart });
   }
 
-  async stopGracefully(): Promise<void> {
+  stopGracefully(): Promise<void> {
+    this.#stopped ??= this.#runStop();
+    return this.#stopped;
+  }
+
+  async #runStop(): Promise<void> {
     const graceMs = this.#settings.stop.graceS * MS_PER_S;
-    const cutOffTimer = setTimeout(
+    const cutMs = Math.max(0, graceMs - CUT_OFF_MARGIN_MS);
+    const cutTimer = setTimeout(() => {
+      for (const cut of [...this.#cutListeners]) cut();
+    }, cutMs);
+    const endTimer = setTimeout(
       () => this.#shutdown.cut("time-limit"),
-      graceMs - CUT_OFF_MARGIN_MS,
+      cutMs + CUT_ANSWER_MS,
     );
+    this.#vm.beginStop({ servingMs: Math.min(SERVING_MS, cutMs), cutMs });
     await this.#shutdown.begin();
-    clearTimeout(cutOffTimer);
+    clearTimeout(cutTimer);
+    clearTimeout(endTimer);
     this.#observer.log({
       event: "gateway-stopped",
       inProgress: this.#inProgress.count,
@@ -284,7 +302,10 @@
       formatRetryAfter: interfaces.formatRetryAfter,
       acceptsHops,
       waitReady: () => this.#vm.waitReady(START_WAIT_MS),
-      refusesWork: () => this.#shutdown.refusesWork,
+      onCut: (listener) => {
+        this.#cutListeners.add(listener);
+        return () => this.#cutListeners.delete(listener);
+      },
       track: () => this.#inProgress.track(),
     });
   }
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -1,7 +1,13 @@
 /** Handles requests of callers that are routed by host and path. */
 import type { ServerResponse } from "node:http";
 import { setImmediate } from "node:timers/promises";
-import { asId, notRun, type Observer, type Refusal } from "@teaselvalve/core";
+import {
+  asId,
+  mayHaveRun,
+  notRun,
+  type Observer,
+  type Refusal,
+} from "@teaselvalve/core";
 import type {
   AnswerHead,
   AnswerSink,
@@ -29,8 +35,11 @@
   acceptsHops?: boolean;
   /** Resolves when requests can be served, or after a short timeout. */
   waitReady: () => Promise<void>;
-  /** True once new requests are refused. */
-  refusesWork: () => boolean;
+  /**
+   * Registers a listener for the moment when requests in progress are cut off; returns
+   * a function that removes it.
+   */
+  onCut: (listener: () => void) => () => void;
   /**
    * Called when a request begins. The returned function is called once it has been
    * handled and its response was written to the connection, or this was closed.
@@ -107,9 +116,9 @@
   if (!("prefix" in route)) return refuse(route);
   exchange.logFields.route = route.name;
   exchange.logFields.table = router.table?.version;
-  if (options.refusesWork()) {
-    return refuse(notRun("stopping", { retryAfterMs: 50 }));
-  }
+  const timeoutMs = Math.min(fields.timeoutMs ?? Infinity, route.timeoutMs);
+  const stopping = router.refusalOfStop(route, timeoutMs);
+  if (stopping) return refuse(stopping);
   if (fields.attemptId === null) {
     return refuse(notRun("bad-request", { detail: "The request has no id" }));
   }
@@ -135,13 +144,28 @@
   const signal = watchCaller(exchange);
   await readPendingCloses();
   if (signal.aborted) return refuse(notRun("cancelled"));
+  const cut = new AbortController();
+  const removeListener = options.onCut(() => cut.abort());
   const outcome = await routeRequest(exchange, {
     request,
     route,
-    signal,
+    signal: AbortSignal.any([signal, cut.signal]),
     options,
   });
-  sendOutcome(exchange, { outcome, options });
+  removeListener();
+  sendOutcome(exchange, {
+    outcome: cut.signal.aborted ? nameCut(outcome) : outcome,
+    options,
+  });
+}
+
+// The run was cancelled by this VM, not by its caller.
+function nameCut(outcome: RoutedOutcome): RoutedOutcome {
+  if (outcome.kind !== "refused") return outcome;
+  const refusal = outcome.refusal.kind === "notRun"
+    ? notRun("stopping")
+    : mayHaveRun("cut-by-stop");
+  return { kind: "refused", refusal };
 }
 
 // On a busy VM, the close of a connection may have arrived together with its request.
--- a/packages/daemon/src/gateway/handler_test.ts
+++ b/packages/daemon/src/gateway/handler_test.ts
@@ -50,13 +50,14 @@
     router: {
       table: null,
       match: () => ({ name: "r", prefix: "/" }) as unknown as Route,
+      refusalOfStop: () => null,
       handle,
     } as unknown as Router,
     protocol: PROTOCOL,
     observer: SILENT_OBSERVER,
     formatRetryAfter: String,
     waitReady: () => Promise.resolve(),
-    refusesWork: () => false,
+    onCut: () => () => {},
     track: () => counter.track(),
   });
   const address = { host: "127.0.0.1", port: await freePort() };
