Let the expected speed of prefills recover while none is measured

Cause: PrefillTimes takes the speed from the last prefills. If the first ones met silent engines, the VM expected more time for a prefill than a stream has, refused all of them, and so never measured another one. Only the delay on top decayed.

Change: a speed below the assumed one returns to it while nothing is measured, after one second and with the half-life of the delay; after four seconds earlier slow prefills don't count any more.

Evidence: "Slow prefills don't make a VM refuse all streams for good" failed before (1,009 ms expected after ten seconds, 150 allowed).

--- a/packages/core/src/routing/prefill_times.ts
+++ b/packages/core/src/routing/prefill_times.ts
@@ -6,10 +6,15 @@
 /** Weight of the newest prefill in the moving average of the delay. */
 const DELAY_WEIGHT = 0.15;
 /**
- * Half-life of the delay while no prefill is measured. Without it, a VM that refuses
- * all streams because of a high estimate would never measure a lower one.
+ * Half-life of the delay, and of a speed below the assumed one, while no prefill is
+ * measured. Without it, a VM that refuses all streams because of a high estimate would
+ * never measure a lower one.
  */
-const DELAY_HALF_LIFE_MS = 2_000;
+const HALF_LIFE_MS = 2_000;
+/** Time without a measurement for which a slow speed is kept as it is. */
+const SPEED_KEPT_MS = 1_000;
+/** Time without a measurement after which earlier slow prefills don't count any more. */
+const FORGET_SLOW_MS = 2 * HALF_LIFE_MS;
 /** Recent prefills from which the speed is taken, and how many are needed. */
 const SPEED_SAMPLES = 24;
 const MIN_SPEED_SAMPLES = 4;
@@ -41,6 +46,7 @@
   ): void {
     const { tokens, tookMs, completed } = prefill;
     const estimate = this.#estimateOf(service);
+    forgetSlow(estimate);
     if (completed && tokens >= MIN_SPEED_SAMPLE_TOKENS && tookMs > 0) {
       noteSpeed(estimate, tokens / tookMs);
     }
@@ -54,12 +60,12 @@
   /** Estimated duration of a prefill, including the current queueing delay. */
   expectedMs(service: ServiceName, tokens: number): number {
     const estimate = this.#estimateOf(service);
-    return tokens / estimate.tokensPerMs + currentDelayMs(estimate);
+    return tokens / currentSpeed(estimate) + currentDelayMs(estimate);
   }
 
   /** Estimated prefill speed of one endpoint of the service. */
   tokensPerMs(service: ServiceName): number {
-    return this.#estimateOf(service).tokensPerMs;
+    return currentSpeed(this.#estimateOf(service));
   }
 
   #estimateOf(service: ServiceName): Estimate {
@@ -77,8 +83,26 @@
 }
 
 function currentDelayMs({ delayMs, measuredAtMs }: Estimate): number {
+  return delayMs * remainder(performance.now() - measuredAtMs);
+}
+
+function currentSpeed({ tokensPerMs, measuredAtMs }: Estimate): number {
+  const missing = Math.max(0, INITIAL_TOKENS_PER_MS - tokensPerMs);
   const ageMs = performance.now() - measuredAtMs;
-  return delayMs * 2 ** (-ageMs / DELAY_HALF_LIFE_MS);
+  return tokensPerMs + missing * (1 - remainder(ageMs - SPEED_KEPT_MS));
+}
+
+// The part of a value that is left after a time without a measurement.
+function remainder(ageMs: number): number {
+  return 2 ** (-Math.max(0, ageMs) / HALF_LIFE_MS);
+}
+
+function forgetSlow(estimate: Estimate): void {
+  const isFast = estimate.tokensPerMs >= INITIAL_TOKENS_PER_MS;
+  const ageMs = performance.now() - estimate.measuredAtMs;
+  if (isFast || ageMs < FORGET_SLOW_MS) return;
+  estimate.speeds.length = 0;
+  estimate.tokensPerMs = INITIAL_TOKENS_PER_MS;
 }
 
 function noteSpeed(estimate: Estimate, speed: number): void {
--- a/packages/core/src/routing/prefill_times_test.ts
+++ b/packages/core/src/routing/prefill_times_test.ts
@@ -38,3 +38,26 @@
   await vi.advanceTimersByTimeAsync(10_000);
   expect(times.expectedMs(SERVICE, 3_000)).toBeLessThan(before + 50);
 });
+
+// Guards against a VM whose first prefills meet silent engines, and that refuses all streams from then on.
+test("Slow prefills don't make a VM refuse all streams for good", async () => {
+  const times = new PrefillTimes();
+  const before = times.expectedMs(SERVICE, 3_000);
+  for (let n = 0; n < 4; n += 1) {
+    times.note(SERVICE, { tokens: 3_000, tookMs: 1_000, completed: true });
+  }
+  expect(times.expectedMs(SERVICE, 3_000)).toBeGreaterThan(900);
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect(times.expectedMs(SERVICE, 3_000)).toBeLessThan(before + 50);
+  times.note(SERVICE, { tokens: 3_000, tookMs: 100, completed: true });
+  expect(times.expectedMs(SERVICE, 3_000)).toBeLessThan(before + 50);
+});
+
+test("The speed of slow engines is kept while prefills are measured", async () => {
+  const times = new PrefillTimes();
+  for (let n = 0; n < 30; n += 1) {
+    times.note(SERVICE, { tokens: 3_000, tookMs: 600, completed: true });
+    await vi.advanceTimersByTimeAsync(200);
+  }
+  expect(times.expectedMs(SERVICE, 3_000)).toBeGreaterThan(500);
+});
