Let other requests go on while an answer comes in tiny pieces

Cause: all that a connection had received was read in one turn of the event loop, at times several megabytes, in chunks of one byte for hundreds of milliseconds. The soak's endless answers showed requests that their VM had read half a second late ("held").

Change: an exchange reads 10,000 pieces in a turn, and goes on in the next one.

--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -15,6 +15,9 @@
 /** Bytes of framing allowed for each byte of a body; a chunk of one byte has five. */
 const OVERHEAD_PER_BODY_BYTE = 8;
 
+/** Pieces of a body that are read in one turn of the event loop. */
+const MAX_PIECES_PER_TURN = 10_000;
+
 /** How an exchange failed. */
 export type ExchangeFailure =
   /** The connection was never established. */
@@ -81,6 +84,7 @@
   #wholeLimit: TimeLimit | undefined;
   #connected = false;
   #bodyBytes = 0;
+  #piecesInTurn = 0;
   #socket: Socket | undefined;
   #socketError: Error | undefined;
   #endsAtClose = false;
@@ -185,7 +189,9 @@
       onResponseData: (controller, bytes) => {
         if (this.#settled) return;
         this.#bodyBytes += bytes.length;
+        this.#piecesInTurn += 1;
         if (!this.#listener.onData(bytes)) controller.pause();
+        else if (this.#piecesInTurn >= MAX_PIECES_PER_TURN) this.#yield();
       },
       onResponseEnd: () => {
         if (this.#endsAtClose && this.#wasReset()) {
@@ -198,6 +204,16 @@
     };
   }
 
+  // Several megabytes may have arrived. In tiny pieces, they would delay all other
+  // requests for hundreds of milliseconds.
+  #yield(): void {
+    this.#piecesInTurn = 0;
+    this.#controller?.pause();
+    setImmediate(() => {
+      if (!this.#settled) this.#controller?.resume();
+    });
+  }
+
   // A reset that arrives with the last bytes appears as a normal end without an
   // error. A socket that was reset no longer has a remote address, unlike one that
   // the peer closed.
