Move the log lines of a stream's decisions out of StreamRun

No change of behaviour.

The checks of stream_end_test.ts are as before, for two services and both kinds of routes.

--- a/packages/core/src/routing/store_reads.ts
+++ b/packages/core/src/routing/store_reads.ts
@@ -16,6 +16,7 @@
   readonly drainMs: number;
 }
 
+/** The bounds of small deployments. */
 export const DEFAULT_BOUNDS: ChangeBounds = {
   contactMs: 3_000,
   drainMs: 2_000,
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -21,6 +21,7 @@
 import type { StreamOrigin } from "./stream_origins.ts";
 import { type AnswerSink, StreamRelay } from "./stream_relay.ts";
 import { SendRace } from "./send_race.ts";
+import { StreamLog } from "./stream_log.ts";
 import { type SendResult, StreamSend } from "./stream_send.ts";
 import type {
   EnginePool,
@@ -95,13 +96,13 @@
   #runs: number;
   /** Where the stream began and has to continue; null before. */
   #origin: StreamOrigin | null;
-  /** The silence that was logged last, and what was done about it. */
-  #loggedSilence = "";
+  #log: StreamLog;
 
   constructor(context: RoutingContext, options: StreamRunOptions) {
     this.#context = context;
     this.#options = options;
     const { version } = options;
+    this.#log = new StreamLog(context.observer, options);
     this.#origin = version === null
       ? null
       : { service: options.service, version };
@@ -290,7 +291,10 @@
   ): Promise<DecodeReservation | null> {
     const { service } = this.#options;
     const obstacle = this.#findBackupObstacle();
-    this.#logSilence(open.at(-1)!, obstacle);
+    this.#log.noteSilence(open.at(-1)!, {
+      events: this.#relay.events,
+      backup: obstacle ?? "started",
+    });
     if (obstacle) return null;
     const openIds = open.map(({ endpoint }) => endpoint.entry.id);
     const reservation = await this.#reserve({
@@ -339,36 +343,15 @@
     return this.#context.budget.left(service) < 1 ? "retry-budget-spent" : null;
   }
 
-  // One line for each change, as a long silence is reported again and again.
-  #logSilence(silent: StreamSend, obstacle: Obstacle | null): void {
-    const backup = obstacle ?? "started";
-    const silence = `${silent.ordinal} ${this.#relay.events} ${backup}`;
-    if (silence === this.#loggedSilence) return;
-    this.#loggedSilence = silence;
-    this.#context.observer.log({
-      event: "stream-silent",
-      attempt: this.#options.request.id,
-      endpoint: silent.endpoint.entry.id,
-      send: silent.ordinal,
-      silentMs: Math.round(silent.silentMs()),
-      events: this.#relay.events,
-      backup,
-    });
-  }
-
   #logNotContinued(
     reason: Obstacle | Refusal["reason"],
     last: SendResult,
   ): void {
-    const { request, service } = this.#options;
-    this.#context.observer.log({
-      event: "stream-not-continued",
-      attempt: request.id,
-      service,
+    this.#log.noteNotContinued({
       reason,
       lastOutcome: last.isErr() ? last.error.kind : undefined,
       runs: this.#runs,
-      retriesLeft: Math.floor(this.#context.budget.left(service)),
+      retriesLeft: Math.floor(this.#context.budget.left(this.#options.service)),
       leftMs: Math.round(this.#clock.leftMs()),
     });
   }
