Don't drop reads of the store that make progress when the process stalls

Cause: after each stall a feed dropped the call under way and asked anew.

Change: only a call that waits for changes is dropped. "A process that stalls again and again still reads what has changed" covers it.

--- a/packages/core/src/routing/table_feed.ts
+++ b/packages/core/src/routing/table_feed.ts
@@ -92,6 +92,8 @@
   /** Number of calls under way, without those whose result is dropped. */
   #calls = 0;
   #reads: ReadTimes = NO_FAILED_READS;
+  /** Whether a call waits for changes. */
+  #isWaiting = false;
   /** Whether the next call asks for the changes so far, without waiting for one. */
   #isHurried = false;
   #stopped = false;
@@ -127,10 +129,11 @@
 
   /**
    * Asks for the changes so far at once, as the process or its machine stood still: the
-   * connection of a call that waits may have become silent meanwhile.
+   * connection of a call that waits may have become silent meanwhile. Other calls are
+   * left to end, so that a process that stalls again and again makes progress.
    */
   hurry(): void {
-    if (this.#stopped || this.#failures > 0) return;
+    if (this.#stopped || !this.#isWaiting) return;
     this.#isHurried = true;
     this.#dropCalls();
     this.#schedule(0);
@@ -148,6 +151,7 @@
   }
 
   #dropCalls(): void {
+    this.#isWaiting = false;
     this.#beginning += 1;
     this.#calls = 0;
   }
@@ -170,6 +174,7 @@
     this.#calls += 1;
     const waits = !isRepeated && !this.#isHurried && this.#version !== null;
     this.#isHurried = false;
+    this.#isWaiting = waits;
     // If this call is answered first, the one before it was lost.
     const unansweredAtMs = isRepeated ? this.#calledAtMs : -Infinity;
     this.#calledAtMs = waits ? -Infinity : startedAtMs;
@@ -178,6 +183,7 @@
       ? await this.#readAll(call)
       : await this.#readChanges(this.#version, call);
     if (!isCurrent()) return;
+    this.#isWaiting = false;
     this.#calls -= 1;
     if (failure) {
       this.#noteFailure(failure, { startedAtMs, waits });
--- a/packages/core/src/routing/table_feed_test.ts
+++ b/packages/core/src/routing/table_feed_test.ts
@@ -154,6 +154,29 @@
   feed.stop();
 });
 
+test("A process that stalls again and again still reads what has changed", async () => {
+  let reads = 0;
+  const { feed, seen } = createFeed({
+    async readAll() {
+      reads += 1;
+      await wait(300);
+      return ok({ items: ["a"], version: version(1) });
+    },
+    async readChanges({ waitMs }) {
+      await wait(waitMs > 0 ? 60_000 : 300);
+      return ok({ items: ["b"], version: version(2) });
+    },
+  });
+  void feed.start();
+  for (let stall = 0; stall < 20; stall += 1) {
+    await vi.advanceTimersByTimeAsync(100);
+    feed.hurry();
+  }
+  expect(reads).toBe(1);
+  expect(seen.slice(0, 2)).toEqual(["all a", "changes b"]);
+  feed.stop();
+});
+
 test("After a failure a call doesn't wait for changes, so that recovery is noticed at once", async () => {
   const waits: number[] = [];
   const { feed, seen } = createFeed({
