Run the busiest tests after all others

Their processes keep all cores busy, and tests with tight bounds beside them were late: "An endpoint that asks for a pause gets no further calls in it" failed once in a whole run on, and passed in 4 of 4 runs alone.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,6 +1,12 @@
 import { defineConfig } from "vitest/config";
 
 const SOAK = "platform/src/testing/soak/soak_test.ts";
+/** Tests that keep many cores busy, and would delay all others. */
+const BUSY = [
+  "platform/src/endless_pieces_test.ts",
+  "platform/src/planned_stop_test.ts",
+  "platform/src/silent_store_test.ts",
+];
 
 export default defineConfig({
   test: {
@@ -18,7 +24,7 @@
         test: {
           name: "tests",
           include: ["packages/*/src/**/*_test.ts", "platform/src/**/*_test.ts"],
-          exclude: [SOAK],
+          exclude: [SOAK, ...BUSY],
         },
       },
       {
@@ -30,6 +36,15 @@
           sequence: { groupOrder: 1 },
         },
       },
+      {
+        extends: true,
+        test: {
+          name: "busy",
+          include: BUSY,
+          fileParallelism: false,
+          sequence: { groupOrder: 2 },
+        },
+      },
     ],
   },
 });
