Load of one VM from outside, and a red test of requests that get no answer

Callers saw: a VM with more calls than it can serve answers part of them never. Cause: not fixed here; the test measures what the VM serves at best, and offers four times of it from processes of their own, beside real replicas. `npm run overload` prints what became of the calls, kept and new connections, everybody's load and floods of one caller.

--- a/scripts/build.js
+++ b/scripts/build.js
@@ -24,6 +24,8 @@
   "packages/bench/dist/experiment": "packages/bench/src/experiment/main.ts",
   "packages/bench/dist/bench": "packages/bench/src/bench/main.ts",
   "platform/dist/soak": "platform/src/testing/soak/main.ts",
+  "platform/dist/overload": "platform/src/testing/load/main.ts",
+  "platform/dist/load_process": "platform/src/testing/load/load_process.ts",
 };
 
 // With the argument `platform`, only the programs that run on the platform are built.
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,6 +5,7 @@
 const BUSY = [
   "platform/src/accepted_memory_test.ts",
   "platform/src/endless_pieces_test.ts",
+  "platform/src/overload_test.ts",
   "platform/src/planned_stop_test.ts",
   "platform/src/silent_store_test.ts",
 ];
@@ -13,7 +14,7 @@
   test: {
     // Known red; see KNOWN-RED.txt.
     testNamePattern:
-      /^(?!(An endpoint that was slow once gets requests again, and one that stays slow gets few|An answer outlasts a silence of its engine when others wait for its place|Crashing prompt parts and limits of replicas are kept to by all VMs while these stop and reload|VMs without links serve their callers, and replicas that pause or leave get no requests, 'beside kills and freezes'|A stream that a killed VM broke goes on whole at another|handles no request that it refuses with a timeout, even under load|Callers are served and processes last while connections from outside are reset, not read, large or cut by signals|A VM whose port for callers is held by an outgoing connection waits for it, says so, and serves|A VM whose port for readiness is held by a listener waits for it, says so, and serves|No endpoint works on for a request behind a stream that isn't read, whose caller closes its half of the connection)$)/,
+      /^(?!(An endpoint that was slow once gets requests again, and one that stays slow gets few|An answer outlasts a silence of its engine when others wait for its place|Crashing prompt parts and limits of replicas are kept to by all VMs while these stop and reload|VMs without links serve their callers, and replicas that pause or leave get no requests, 'beside kills and freezes'|A stream that a killed VM broke goes on whole at another|handles no request that it refuses with a timeout, even under load|Callers are served and processes last while connections from outside are reset, not read, large or cut by signals|A VM whose port for callers is held by an outgoing connection waits for it, says so, and serves|A VM whose port for readiness is held by a listener waits for it, says so, and serves|No endpoint works on for a request behind a stream that isn't read, whose caller closes its half of the connection|A VM answers or refuses each request that reaches it, at several times what it can serve)$)/,
     pool: "forks",
     testTimeout: 180_000,
     hookTimeout: 180_000,
