Answer what waits in the kernel when a planned stop ends

Callers saw connections reset without an answer at the end of a planned stop. A VM ended its process at once when no request was in progress, so that connections that the kernel had completed and the process hadn't accepted were reset with the requests that they had sent. Node accepts one connection of a listener in a turn of the event loop, so that they queue on a busy machine. Callers that were being refused without a request in progress were cut as well.

At the end of the stop, within the grace period, each interface now refuses requests with 503 (stopping, not run), accepts and reads until some turns brought nothing, and only then closes its listener and idle connections. A closing interface no longer closes a connection whose request arrived while the process was held up.

--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -251,12 +251,16 @@
     const cutTimer = setTimeout(() => {
       for (const cut of [...this.#cutListeners]) cut();
     }, cutMs);
-    const endTimer = setTimeout(
-      () => this.#shutdown.cut("time-limit"),
-      cutMs + CUT_ANSWER_MS,
-    );
+    let endTimer: ReturnType<typeof setTimeout> | undefined;
+    const timeIsUp = new Promise<void>((resolve) => {
+      endTimer = setTimeout(() => {
+        this.#shutdown.cut("time-limit");
+        resolve();
+      }, cutMs + CUT_ANSWER_MS);
+    });
     this.#vm.beginStop({ servingMs: Math.min(SERVING_MS, cutMs), cutMs });
     await this.#shutdown.begin();
+    await Promise.race([this.#closeInterfaces(), timeIsUp]);
     clearTimeout(cutTimer);
     clearTimeout(endTimer);
     this.#observer.log({
@@ -265,6 +269,14 @@
     });
   }
 
+  // What had arrived before gets an answer.
+  async #closeInterfaces(): Promise<void> {
+    await Promise.all(this.#interfaces.map(async (component) => {
+      await component.refuseArrivals();
+      await component.stop();
+    }));
+  }
+
   #state(): GatewayState {
     return {
       vm: this.#vm,
--- a/packages/daemon/src/http/connection_sweep.ts
+++ b/packages/daemon/src/http/connection_sweep.ts
@@ -1,4 +1,5 @@
 /** Tracks open connections and closes those whose peer stops reading. */
+import type { Duplex } from "node:stream";
 import type { PacedConnection } from "./paced_connection.ts";
 
 /** Options of {@link ConnectionSweep}. */
@@ -9,6 +10,14 @@
   onStalled: () => void;
 }
 
+/** Options of {@link ConnectionSweep.closeUnused}. */
+export interface CloseUnusedOptions {
+  /** Returns the connections that have a request in progress. */
+  inUse: () => ReadonlySet<Duplex | null>;
+  /** Spares the connections that have sent anything. */
+  onlyWithoutBytes: boolean;
+}
+
 interface SendProgress {
   sentBytes: number;
   lastProgressMs: number;
@@ -60,6 +69,26 @@
     clearInterval(this.#timer);
   }
 
+  /**
+   * Closes the connections without a request, also those that have never had one, which
+   * Node counts as active.
+   */
+  closeUnused({ inUse, onlyWithoutBytes }: CloseUnusedOptions): void {
+    const before = this.connections().map((connection) =>
+      [connection, connection.bytesRead] as const
+    );
+    // After a freeze of the process, timers are due before what arrived is read.
+    setImmediate(() => {
+      const used = inUse();
+      for (const [connection, bytesRead] of before) {
+        const isUsed = used.has(connection) || connection.bytesRead > bytesRead;
+        if (!isUsed && !(onlyWithoutBytes && bytesRead > 0)) {
+          connection.destroy();
+        }
+      }
+    });
+  }
+
   #sweep(): void {
     const nowMs = performance.now();
     for (const [connection, progress] of this.#connections) {
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -19,6 +19,9 @@
 /** Large requests in progress take about this long; doubled at random to spread retries. */
 const MEMORY_RETRY_MS = 1_000;
 
+/** Another VM can take the request at once. */
+const STOP_RETRY_MS = 50;
+
 /** An incoming request that is being handled. */
 export interface Exchange {
   readonly incoming: IncomingMessage;
@@ -186,3 +189,16 @@
 export function bearerToken(incoming: IncomingMessage): string | undefined {
   return /^Bearer (.+)$/i.exec(header(incoming, "authorization") ?? "")?.[1];
 }
+
+/** Returns the refusal of a request that arrives once this VM takes no more. */
+export function refusalOfStop(): Refusal {
+  return notRun("stopping", { retryAfterMs: STOP_RETRY_MS });
+}
+
+/** Returns the URL of a request's target; null if it is malformed. */
+export function parseTarget(target: string | undefined): URL | null {
+  const base = "http://vm";
+  return URL.canParse(target ?? "/", base)
+    ? new URL(target ?? "/", base)
+    : null;
+}
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -1,13 +1,6 @@
 /** An HTTP server as a component of the daemon. */
 import { randomUUID } from "node:crypto";
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerOptions,
-  type ServerResponse,
-} from "node:http";
-import { createServer as createTlsServer } from "node:https";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import {
@@ -24,10 +17,17 @@
 import type { Limits } from "../settings/schema.ts";
 import { problemForClientError, type RawProblem } from "./client_errors.ts";
 import { ConnectionSweep } from "./connection_sweep.ts";
-import { type Exchange, refusalOfMemory } from "./exchange.ts";
+import {
+  type Exchange,
+  parseTarget,
+  refusalOfMemory,
+  refusalOfStop,
+} from "./exchange.ts";
 import { listenWhenFree } from "./listen.ts";
+import { createNodeServer } from "./node_server.ts";
 import { PacedConnection } from "./paced_connection.ts";
 import { sendProblem } from "./problem.ts";
+import { awaitQuietTurns } from "./quiet_turns.ts";
 import { RefusalQueue } from "./refusal_queue.ts";
 
 /** Options of {@link createHttpComponent}. */
@@ -68,13 +68,17 @@
 /** A component that serves one HTTP interface. */
 export interface HttpComponent extends Component {
   activity(): Activity;
+  /**
+   * Refuses requests from now on. Resolves once what has reached this host was accepted
+   * and read; what waits in the kernel when a listener closes is reset.
+   */
+  refuseArrivals(): Promise<void>;
   /** Changes the idle timeout and the header timeout for later requests. */
   setTimeouts(timeouts: { idleMs: number; headersMs: number }): void;
 }
 
 // Node's default backlog of 511 overflows when many callers connect at once.
 const LISTEN_BACKLOG = 4_096;
-const CHECK_INTERVAL_MS = 1_000;
 /** Time that a closing interface gives to request headers still in transit. */
 const CLOSE_UNUSED_INTERVAL_MS = 500;
 /** Memory that a request in progress takes, with its head and small bodies. */
@@ -94,6 +98,7 @@
     stop: () => httpInterface.close(),
     abort: () => httpInterface.abort(),
     activity: () => httpInterface.activity(),
+    refuseArrivals: () => httpInterface.refuseArrivals(),
     setTimeouts: (timeouts) => httpInterface.setTimeouts(timeouts),
   };
 }
@@ -106,6 +111,10 @@
   #responses = new Set<ServerResponse>();
   #refusals: RefusalQueue;
   #closing = false;
+  /** Connections and requests, up to now. */
+  #arrivals = 0;
+  /** What each request is refused with, if any. */
+  #refusal: Refusal | null = null;
   #closeTimer: ReturnType<typeof setInterval> | undefined;
 
   constructor(options: HttpComponentOptions) {
@@ -160,19 +169,25 @@
     });
   }
 
+  refuseArrivals(): Promise<void> {
+    this.#refusal = refusalOfStop();
+    return awaitQuietTurns(() => this.#arrivals);
+  }
+
   /** Stops accepting connections and waits for the requests in progress. */
   close(): Promise<void> {
     this.#closing = true;
+    const inUse = () => this.#connectionsInUse();
     return new Promise((resolve) => {
       this.#server.close(() => {
         this.#stopTimers();
         resolve();
       });
       this.#server.closeIdleConnections();
-      this.#closeUnusedConnections({ onlyWithoutBytes: true });
+      this.#sweep.closeUnused({ inUse, onlyWithoutBytes: true });
       // Node stops enforcing connection timeouts once the server is closing.
       this.#closeTimer = setInterval(
-        () => this.#closeUnusedConnections({ onlyWithoutBytes: false }),
+        () => this.#sweep.closeUnused({ inUse, onlyWithoutBytes: false }),
         CLOSE_UNUSED_INTERVAL_MS,
       );
     });
@@ -202,17 +217,6 @@
     clearInterval(this.#closeTimer);
   }
 
-  // Until its first request, Node counts a connection as active, however long that
-  // takes.
-  #closeUnusedConnections(options: { onlyWithoutBytes: boolean }): void {
-    const inUse = this.#connectionsInUse();
-    for (const connection of this.#sweep.connections()) {
-      if (inUse.has(connection)) continue;
-      if (options.onlyWithoutBytes && connection.bytesRead > 0) continue;
-      connection.destroy();
-    }
-  }
-
   #connectionsInUse(): Set<Duplex | null> {
     return new Set([...this.#responses].map(({ socket }) => socket));
   }
@@ -231,6 +235,7 @@
   }
 
   #open(socket: Socket, parse: readonly ParseListener[]): void {
+    this.#arrivals += 1;
     const connection = new PacedConnection(socket, {
       memory: PROCESS_MEMORY,
       onNoMemory: () => {
@@ -253,13 +258,14 @@
     // After a freeze of the process, a connection can time out just before its
     // request is read, and its refusal is already queued.
     const connection = pacedOf(incoming.socket);
+    this.#arrivals += 1;
     if (this.#refusals.has(connection)) return;
     connection.beginRequest(incoming);
     const id = randomUUID();
     const startedMs = performance.now();
     if (this.#options.omitDiagnosticHeaders) response.sendDate = false;
     else response.setHeader("request-id", id);
-    const isClosing = this.#closing ||
+    const isClosing = this.#closing || this.#refusal ||
       this.#options.shouldCloseConnections?.();
     // Requests that have been received get an answer first.
     if (isClosing && !connection.hasWaitingRequests) {
@@ -270,7 +276,7 @@
     incoming.on("error", () => {});
     response.on("error", () => {});
     this.#responses.add(response);
-    const url = parseUrl(incoming.url);
+    const url = parseTarget(incoming.url);
     const exchange = url &&
       { incoming, response, url, id, logFields: {} } satisfies Exchange;
     response.once("close", () => {
@@ -279,7 +285,8 @@
       connection.endRequest();
       this.#logRequest(exchange, { incoming, response, id, startedMs });
     });
-    const refusal = memory ? this.#checkHeaders(incoming) : refusalOfMemory();
+    const refusal = this.#refusal ??
+      (memory ? this.#checkHeaders(incoming) : refusalOfMemory());
     if (refusal) return this.#refuse(response, refusal);
     if (!exchange) {
       const detail = "The path is malformed";
@@ -368,33 +375,3 @@
 function pacedOf(connection: Duplex): PacedConnection {
   return connection as PacedConnection;
 }
-
-function createNodeServer(
-  { limits, tls }: HttpComponentOptions,
-  listener: (incoming: IncomingMessage, response: ServerResponse) => void,
-): Server {
-  const common: ServerOptions = {
-    maxHeaderSize: limits.headerBytes,
-    headersTimeout: Math.min(limits.headersMs, limits.requestMs),
-    requestTimeout: limits.requestMs,
-    keepAliveTimeout: limits.idleMs,
-    connectionsCheckingInterval: Math.min(CHECK_INTERVAL_MS, limits.headersMs),
-  };
-  if (!tls) return createServer(common, listener);
-  return createTlsServer({
-    ...common,
-    cert: tls.certificate,
-    key: tls.key,
-    ca: tls.authorities,
-    requestCert: tls.requireClientCertificate,
-    rejectUnauthorized: tls.requireClientCertificate,
-    handshakeTimeout: limits.headersMs,
-  }, listener);
-}
-
-function parseUrl(target: string | undefined): URL | null {
-  const base = "http://vm";
-  return URL.canParse(target ?? "/", base)
-    ? new URL(target ?? "/", base)
-    : null;
-}
