Suspect what was lost with the links where others saw a crash

A VM that sent requests with a crashing prompt part and then lost its links forgot all that it had lost.

Losses of that time are now kept for the usual 6 s as no sign of a crash by themselves; where another VM reports a crash of the same start of the endpoint within 500 ms of the loss, they are suspected with the rest. A line "losses-discounted" tells how many there are.

--- a/packages/core/src/routing/crashes/tracker.ts
+++ b/packages/core/src/routing/crashes/tracker.ts
@@ -23,6 +23,8 @@
 
 /** A crash is attributed to the connections lost within this time before it was noticed. */
 const LOSS_WINDOW_MS = 6_000;
+/** How far a loss may be from a crash that another VM reports if the links were lost, too. */
+const COINCIDENCE_MS = 500;
 /** Delay until an endpoint is checked that lost a connection; others break meanwhile. */
 const CHECK_DELAY_MS = 30;
 /** Time until the first trial of a culprit; multiplied with each further crash. */
@@ -56,6 +58,8 @@
   readonly wasAnswering: boolean;
   /** Whether the answer looked complete. */
   readonly isAnswered: boolean;
+  /** Whether the links were lost, too, so that it is no sign of a crash by itself. */
+  readonly isUnlinked: boolean;
   readonly atMs: number;
 }
 
@@ -121,12 +125,13 @@
 
   #addLoss(
     request: RoutedRequest,
-    loss: Omit<Loss, "request" | "atMs">,
+    loss: Omit<Loss, "request" | "atMs" | "isUnlinked">,
   ): void {
     const { entry } = loss;
     const endpoint = incarnationOf(entry);
     const losses = this.#recentLosses(endpoint);
-    losses.push({ ...loss, request, atMs: performance.now() });
+    const atMs = performance.now();
+    losses.push({ ...loss, request, isUnlinked: false, atMs });
     this.#losses.set(endpoint, losses);
     if (this.evidence.get(endpoint)) return this.noteEnd(entry);
     void this.#check(entry);
@@ -142,21 +147,49 @@
     if (!confirmLinks || await confirmLinks(entry)) this.noteEnd(entry);
   }
 
-  /** Forgets the connections to a group of endpoints that were lost together with the links. */
-  forgetLosses({ service, stage }: EndpointGroup): void {
+  /**
+   * Records that the links to a group of endpoints are lost, so that lost connections
+   * are no sign of a crash. If an endpoint crashed at that time all the same, another
+   * VM reports it, and what this VM lost there is suspected with the rest.
+   */
+  discountLosses({ service, stage }: EndpointGroup): void {
+    let [endpoints, requests] = [0, 0];
     for (const [endpoint, losses] of this.#losses) {
       const [{ entry }] = losses as [Loss];
       if (entry.service !== service || entry.stage !== stage) continue;
-      this.#losses.delete(endpoint);
+      const unlinked = this.#recentLosses(endpoint).map((loss) => ({
+        ...loss,
+        isAnswered: false,
+        isUnlinked: true,
+      }));
+      this.#setLosses(endpoint, unlinked);
+      endpoints += Number(unlinked.length > 0);
+      requests += unlinked.length;
     }
+    if (endpoints === 0) return;
+    const { observer = SILENT_OBSERVER } = this.#options;
+    observer.log({
+      event: "losses-discounted",
+      service,
+      stage: stage ?? undefined,
+      endpoints,
+      requests,
+    });
   }
 
   /** Records that an endpoint has ended; a draining one has not crashed. */
   noteEnd(entry: EndpointEntry): void {
     const endpoint = incarnationOf(entry);
-    const losses = this.#recentLosses(endpoint);
-    this.#losses.delete(endpoint);
-    if (losses.length === 0 || entry.state === "draining") return;
+    const recent = this.#recentLosses(endpoint);
+    const losses = recent.filter(({ isUnlinked }) => !isUnlinked);
+    const unlinked = recent.filter(({ isUnlinked }) => isUnlinked);
+    this.#setLosses(endpoint, unlinked);
+    if (entry.state !== "draining") this.#addCrash(entry, losses);
+  }
+
+  #addCrash(entry: EndpointEntry, losses: readonly Loss[]): void {
+    if (losses.length === 0) return;
+    const endpoint = incarnationOf(entry);
     const traits = losses.flatMap(suspectsOf);
     const { observer = SILENT_OBSERVER } = this.#options;
     observer.count("suspicions", "crash");
@@ -171,20 +204,30 @@
 
   /** Adds what this VM has lost at the endpoints of the reports, and then the reports. */
   addReports(reports: readonly CrashReport[]): void {
-    for (const { endpoint, refuted } of reports) {
-      const [loss] = this.#recentLosses(endpoint);
-      if (loss && !refuted) this.noteEnd(loss.entry);
+    for (const report of reports) {
+      const [loss] = this.#recentLosses(report.endpoint);
+      if (!loss || report.refuted) continue;
+      this.noteEnd(loss.entry);
+      this.#addUnlinked(loss.entry, report);
     }
     this.evidence.addReports(reports);
   }
 
+  #addUnlinked(entry: EndpointEntry, { endpoint, ageMs }: CrashReport): void {
+    const crashedAtMs = performance.now() - ageMs;
+    const unlinked = this.#recentLosses(endpoint);
+    const isNear = ({ atMs }: Loss) =>
+      Math.abs(atMs - crashedAtMs) <= COINCIDENCE_MS;
+    this.#setLosses(endpoint, unlinked.filter((loss) => !isNear(loss)));
+    if (entry.state === "draining") return;
+    this.#addCrash(entry, unlinked.filter(isNear));
+  }
+
   /** Records that an endpoint has answered a call made at `sentAtMs`, so that it was running. */
   noteRunning(entry: EndpointEntry, { sentAtMs }: { sentAtMs: number }): void {
     const endpoint = incarnationOf(entry);
     const losses = this.#losses.get(endpoint) ?? [];
-    const later = losses.filter(({ atMs }) => atMs >= sentAtMs);
-    if (later.length > 0) this.#losses.set(endpoint, later);
-    else this.#losses.delete(endpoint);
+    this.#setLosses(endpoint, losses.filter(({ atMs }) => atMs >= sentAtMs));
     for (const { request, isAnswered, atMs } of losses) {
       if (isAnswered && atMs < sentAtMs) this.noteAnswered(request);
     }
@@ -255,6 +298,11 @@
     );
   }
 
+  #setLosses(endpoint: EndpointIncarnation, losses: Loss[]): void {
+    if (losses.length > 0) this.#losses.set(endpoint, losses);
+    else this.#losses.delete(endpoint);
+  }
+
   #recentLosses(endpoint: EndpointIncarnation): Loss[] {
     const sinceMs = performance.now() - LOSS_WINDOW_MS;
     const losses = this.#losses.get(endpoint) ?? [];
--- a/packages/core/src/routing/crashes/tracker_test.ts
+++ b/packages/core/src/routing/crashes/tracker_test.ts
@@ -437,7 +437,7 @@
   await vi.advanceTimersByTimeAsync(100);
   expect(tracker.evidence.isEmpty).toBe(true);
   // What was lost then is no evidence when the endpoints end later.
-  tracker.forgetLosses({ service: ENDPOINTS[0]!.service, stage: null });
+  tracker.discountLosses({ service: ENDPOINTS[0]!.service, stage: null });
   linked = true;
   for (const endpoint of ENDPOINTS.slice(0, 5)) tracker.noteEnd(endpoint);
   expect(tracker.evidence.isEmpty).toBe(true);
--- a/packages/core/src/routing/endpoint_guard.ts
+++ b/packages/core/src/routing/endpoint_guard.ts
@@ -83,7 +83,7 @@
         this.#exchange.claimTrial(trait, intervalMs),
     });
     this.links.onChange((group, isLost) => {
-      if (isLost) this.crashes.forgetLosses(group);
+      if (isLost) this.crashes.discountLosses(group);
     });
     this.handlers = {
       ...this.#exchange.handlers,
