Spare shared prompt parts whose answers go on

An answer that has gone on for 250 ms now makes its parts trusted, at any VM, before a crash or after it: they need five crashes, three of them unexplained. It clears nothing, so that a part that crashes engines later in its answers is still found at its fifth crash. Messages between VMs stay as they are.

Without the change in evidence.ts, four of the new tests fail (a shared first part is quarantined at the third crash).

--- a/packages/core/src/routing/crashes/attribution_test.ts
+++ b/packages/core/src/routing/crashes/attribution_test.ts
@@ -36,6 +36,38 @@
   return tracker.refusalOf(request) !== null;
 }
 
+test("A shared first part whose answers had begun is spared by crashes that are noted without their causes", async () => {
+  const tracker = new CrashTracker();
+  tracker.noteBegun(promptWith("first"));
+  await vi.advanceTimersByTimeAsync(100);
+  for (let crashes = 0; crashes < 4; crashes += 1) {
+    crash(tracker, [promptWith("first")]);
+    expect(isQuarantined(tracker, promptWith("first"))).toBe(false);
+  }
+});
+
+test("A shared first part is spared once its answers go on elsewhere after the crashes", async () => {
+  const tracker = new CrashTracker();
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [promptWith("first")]);
+  }
+  expect(isQuarantined(tracker, promptWith("first"))).toBe(true);
+  await vi.advanceTimersByTimeAsync(300);
+  tracker.noteBegun(promptWith("first"));
+  expect(isQuarantined(tracker, promptWith("first"))).toBe(false);
+});
+
+test("A part whose answers begin but that crashes every engine is found after five crashes", async () => {
+  const tracker = new CrashTracker();
+  for (let crashes = 0; crashes < 5; crashes += 1) {
+    expect(isQuarantined(tracker, promptWith("bad"))).toBe(false);
+    tracker.noteBegun(promptWith("bad"));
+    await vi.advanceTimersByTimeAsync(100);
+    crash(tracker, [promptWith("bad")]);
+  }
+  expect(isQuarantined(tracker, promptWith("bad"))).toBe(true);
+});
+
 test("Requests that a VM lost together with its links are suspects of crashes that other VMs report", async () => {
   const sender = new CrashTracker({
     check: () => Promise.resolve(false),
--- a/packages/core/src/routing/crashes/evidence.ts
+++ b/packages/core/src/routing/crashes/evidence.ts
@@ -38,6 +38,7 @@
 export class CrashEvidence {
   #records = new Map<EndpointIncarnation, StoredRecord>();
   #answeredAtMs = new Map<TraitId, number>();
+  #begunAtMs = new Map<TraitId, number>();
   #culprits: ReadonlyMap<TraitId, Culprit> = new Map();
   #hash = 0;
   #nextExpiryMs = Infinity;
@@ -118,20 +119,14 @@
 
   /** Records that a request with these traits was answered. */
   noteAnswered(traits: readonly Trait[]): void {
-    const nowMs = performance.now();
-    for (const { id } of traits) {
-      this.#answeredAtMs.delete(id);
-      this.#answeredAtMs.set(id, nowMs);
-    }
-    while (this.#answeredAtMs.size > MAX_ANSWERED) {
-      const [oldest] = this.#answeredAtMs.keys();
-      this.#answeredAtMs.delete(oldest!);
-    }
-    this.#merge(
-      [...this.#records.values()].filter((record) =>
-        traits.some(({ id }) => isSuspect(record, id))
-      ),
-    );
+    noteTimes(this.#answeredAtMs, traits);
+    this.#mergeSuspects(traits);
+  }
+
+  /** Records that an answer to a request with these traits has begun and goes on. */
+  noteBegun(traits: readonly Trait[]): void {
+    noteTimes(this.#begunAtMs, traits);
+    this.#mergeSuspects(traits);
   }
 
   /** Records that an endpoint answered, although it had been taken for crashed. */
@@ -198,6 +193,14 @@
     return differing.length > 0 ? this.reports(new Set(differing)) : [];
   }
 
+  #mergeSuspects(traits: readonly Trait[]): void {
+    this.#merge(
+      [...this.#records.values()].filter((record) =>
+        traits.some(({ id }) => isSuspect(record, id))
+      ),
+    );
+  }
+
   #merge(added: readonly CrashRecord[]): void {
     const changed = new Set<EndpointIncarnation>();
     for (const record of added) {
@@ -219,14 +222,17 @@
     this.#onChange({ endpoints, culprits: this.#culprits });
   }
 
-  // Applies what this VM knows of answers before and after the crash.
+  // Applies what this VM knows of answers before and after the crash. One that has
+  // only begun clears nothing, as it may still crash its endpoint.
   #withAnswers(record: CrashRecord): CrashRecord {
     const cleared = new Set(record.cleared);
     const trusted = new Set(record.trusted);
     for (const id of record.traits.keys()) {
       const answeredAtMs = this.#answeredAtMs.get(id) ?? -Infinity;
+      const begunAtMs = this.#begunAtMs.get(id) ?? -Infinity;
+      const lastAtMs = Math.max(answeredAtMs, begunAtMs);
       if (answeredAtMs > record.atMs) cleared.add(id);
-      else if (answeredAtMs > record.atMs - TRUST_MS) trusted.add(id);
+      else if (lastAtMs > record.atMs - TRUST_MS) trusted.add(id);
     }
     return { ...record, cleared, trusted };
   }
@@ -245,6 +251,21 @@
   }
 }
 
+function noteTimes(
+  times: Map<TraitId, number>,
+  traits: readonly Trait[],
+): void {
+  const nowMs = performance.now();
+  for (const { id } of traits) {
+    times.delete(id);
+    times.set(id, nowMs);
+  }
+  while (times.size > MAX_ANSWERED) {
+    const [oldest] = times.keys();
+    times.delete(oldest!);
+  }
+}
+
 function mergeRecords(
   before: CrashRecord | undefined,
   added: CrashRecord,
--- a/packages/core/src/routing/crashes/tracker.ts
+++ b/packages/core/src/routing/crashes/tracker.ts
@@ -247,6 +247,11 @@
     this.evidence.noteAnswered(partTraitsOf(request));
   }
 
+  /** Records that a request is being answered, so that its parts rarely crash endpoints. */
+  noteBegun(request: RoutedRequest): void {
+    this.evidence.noteBegun(partTraitsOf(request));
+  }
+
   async #check(entry: EndpointEntry): Promise<void> {
     const endpoint = incarnationOf(entry);
     const { check } = this.#options;
--- a/packages/core/src/routing/crashes/types.ts
+++ b/packages/core/src/routing/crashes/types.ts
@@ -28,7 +28,7 @@
   readonly partsOf: ReadonlyMap<TraitId, readonly TraitId[]>;
   /** Traits of requests that were answered after the crash. */
   readonly cleared: ReadonlySet<TraitId>;
-  /** Traits of requests that had been answered not long before the crash. */
+  /** Traits of requests that had been answered not long before the crash, or began to be. */
   readonly trusted: ReadonlySet<TraitId>;
   /** True if the endpoint answered afterwards, so that it did not crash. */
   readonly refuted: boolean;
--- a/packages/core/src/routing/stream_crash_test.ts
+++ b/packages/core/src/routing/stream_crash_test.ts
@@ -8,7 +8,7 @@
   EVENT_HEAD,
   FakeEndpoints,
 } from "./testing/fake_endpoints.ts";
-import { shareEngines, startStream } from "./testing/streams.ts";
+import { PROMPT, shareEngines, startStream } from "./testing/streams.ts";
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
@@ -89,3 +89,19 @@
   expect(await startStream(again).ended).toEqual({ kind: "complete" });
   expect(shared.context.crashes.evidence.culprits.size).toBe(0);
 });
+
+test("A prompt part whose answers have begun is not quarantined after three crashes", async () => {
+  const { shared, crashed, noteCrashes } = startEngines({ crashAfterMs: 500 });
+  for (const name of ["x", "y", "z"]) {
+    const parts = ["first", name].map((id) => ({ id, tokens: 10 }));
+    const { ended } = startStream(shared, {
+      route: { resumable: false },
+      request: { target: `/a/${name}`, prompt: { ...PROMPT, parts } },
+    });
+    await vi.advanceTimersByTimeAsync(1_000);
+    noteCrashes();
+    await ended;
+  }
+  expect(crashed).toHaveLength(3);
+  expect([...shared.context.crashes.evidence.culprits.keys()]).toEqual([]);
+});
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -29,6 +29,8 @@
 /** Minimum of that silence; an engine recomputes a preempted stream within this time. */
 const MIN_SILENCE_MS = 1_500;
 
+/** An answer that has gone on for this time is a sign that its prompt's parts are sound. */
+const BEGUN_MS = 250;
 /** An engine crashes within this time after it begins to answer on a part that crashes engines. */
 const ANSWERING_MS = 1_000;
 
@@ -76,6 +78,7 @@
   #decodeBegun = false;
   #eventsBefore = 0;
   #answeringSinceMs: number | undefined;
+  #isBegun = false;
   /** Whether the endpoint has been answering for so long that no part of the prompt crashes it. */
   #wasAnswering = false;
   #endsWithConnection = false;
@@ -242,6 +245,10 @@
     if (this.#options.relay.events === this.#eventsBefore) return;
     this.#answeringSinceMs ??= performance.now();
     const answeringMs = performance.now() - this.#answeringSinceMs;
+    if (!this.#isBegun && answeringMs >= BEGUN_MS) {
+      this.#isBegun = true;
+      this.#context.crashes.noteBegun(this.#options.request);
+    }
     if (this.#wasAnswering || answeringMs < ANSWERING_MS) return;
     this.#wasAnswering = true;
     this.#context.crashes.noteAnswering(this.#options.request);
--- a/packages/core/src/routing/testing/streams.ts
+++ b/packages/core/src/routing/testing/streams.ts
@@ -3,7 +3,7 @@
 import type { RoutingContext } from "../context.ts";
 import type { AnswerSink } from "../stream_relay.ts";
 import { type StreamOutcome, StreamRun } from "../stream_run.ts";
-import type { EndpointEntry, Route } from "../types.ts";
+import type { EndpointEntry, Route, RoutedRequest } from "../types.ts";
 import {
   context,
   entry,
@@ -27,7 +27,8 @@
   entry("p2", { stage: "prefill", address: "10.0.0.4:1" }),
 ];
 
-const PROMPT = {
+/** Prompt of the streams. */
+export const PROMPT = {
   model: "m",
   promptTokens: 3_000,
   maxOutputTokens: 500,
@@ -61,6 +62,7 @@
 /** Options of {@link startStream}. */
 export interface StartOptions {
   route?: Partial<Route>;
+  request?: Partial<RoutedRequest>;
   sink?: Partial<AnswerSink>;
 }
 
@@ -85,7 +87,11 @@
   const startedMs = performance.now();
   const times = { endedAfterMs: Infinity };
   const ended = new StreamRun(context, {
-    request: request({ callerTimeoutMs: DEADLINE_MS, prompt: PROMPT }),
+    request: request({
+      callerTimeoutMs: DEADLINE_MS,
+      prompt: PROMPT,
+      ...options.request,
+    }),
     route: route({
       kind: "stream",
       resumable: true,
