Don't blame streams that are taken up again for crashes of a part

A request counts as common as long as another suspect of several crashes is beside it in all but one or two of them. It then needs five crashes, three of them unexplained, or two if it was the only request in two.

The new test "A stream that is resumed after crashes ..." failed before: the part was not quarantined.

--- a/packages/core/src/routing/crashes/attribution_test.ts
+++ b/packages/core/src/routing/crashes/attribution_test.ts
@@ -68,6 +68,28 @@
   expect(isQuarantined(tracker, promptWith("bad"))).toBe(true);
 });
 
+test("A stream that is resumed after crashes is not quarantined while a part explains most of them", () => {
+  const tracker = new CrashTracker();
+  const resumed = promptWith("first");
+  crash(tracker, [resumed, promptWith("first")]);
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [resumed, promptWith("first", "bad")]);
+  }
+  expect(isQuarantined(tracker, promptWith("first", "bad"))).toBe(true);
+  expect(isQuarantined(tracker, resumed)).toBe(false);
+});
+
+test("A request that crashes engines beside a crashing part is quarantined after five crashes", () => {
+  const tracker = new CrashTracker();
+  const poison = promptWith("first");
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [poison, promptWith("first", "bad")]);
+  }
+  crash(tracker, [poison]);
+  crash(tracker, [poison]);
+  expect(isQuarantined(tracker, poison)).toBe(true);
+});
+
 test("Requests that a VM lost together with its links are suspects of crashes that other VMs report", async () => {
   const sender = new CrashTracker({
     check: () => Promise.resolve(false),
--- a/packages/core/src/routing/crashes/queries/find_culprits.ts
+++ b/packages/core/src/routing/crashes/queries/find_culprits.ts
@@ -10,11 +10,14 @@
 /**
  * The same for a trait that many crashes may have in common without being caused by
  * it: one of requests that were answered shortly before, a part that is rarely the
- * last suspected one, or a request whose crashes another trait explains as well.
+ * last suspected one, or a request that has another suspect beside it in all
+ * but one or two crashes.
  */
 const COMMON_CULPRIT_CRASHES = 5;
 /** Crashes of a common trait that no other culprit explains. */
 const COMMON_UNEXPLAINED_CRASHES = 3;
+/** The same for a request that was the only one in so many crashes. */
+const ALONE_UNEXPLAINED_CRASHES = 2;
 
 /** A trait that crashes endpoints. */
 export interface Culprit {
@@ -47,13 +50,20 @@
     const { id } = candidate;
     const rest = unexplained.filter((crash) => !isSuspect(crash, id));
     const explained = unexplained.length - rest.length;
-    if (explained < (isCommon ? COMMON_UNEXPLAINED_CRASHES : 1)) continue;
+    if (explained < (isCommon ? unexplainedToBlame(candidate) : 1)) continue;
     unexplained = rest;
     culprits.set(candidate.id, candidate);
   }
   return culprits;
 }
 
+function unexplainedToBlame({ position, unaccompanied }: Candidate): number {
+  return position === WHOLE_REQUEST_POSITION &&
+      unaccompanied >= ALONE_UNEXPLAINED_CRASHES
+    ? ALONE_UNEXPLAINED_CRASHES
+    : COMMON_UNEXPLAINED_CRASHES;
+}
+
 /** Whether a trait may have caused a crash. */
 export function isSuspect(crash: CrashRecord, id: TraitId): boolean {
   return crash.traits.has(id) && !crash.cleared.has(id);
@@ -88,7 +98,6 @@
   if (candidate.position < WHOLE_REQUEST_POSITION) {
     return candidate.unaccompanied < CULPRIT_CRASHES;
   }
-  if (candidate.unaccompanied > 0) return false;
   // Requests that only ran beside it differ from crash to crash.
   const own = crashes.filter((crash) => isSuspect(crash, candidate.id));
   const parts = new Set(
@@ -96,7 +105,8 @@
   );
   return others.some(({ id, isTrusted }) =>
     id !== candidate.id && !parts.has(id) && !isTrusted &&
-    own.every((crash) => isSuspect(crash, id))
+    own.filter((crash) => !isSuspect(crash, id)).length < CULPRIT_CRASHES &&
+    own.some((crash) => isSuspect(crash, id))
   );
 }
 
