--- /dev/null
+++ b/packages/core/src/routing/crashes/attribution_test.ts
@@ -0,0 +1,128 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { entry, request } from "../testing/fake_endpoints.ts";
+import { incarnationOf, type RoutedRequest } from "../types.ts";
+import { CrashTracker } from "./tracker.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+let count = 0;
+
+/** A request like no other, whose prompt has the given parts before its own. */
+function promptWith(...parts: string[]): RoutedRequest {
+  count += 1;
+  return request({
+    target: `/a/${count}`,
+    prompt: {
+      model: "m",
+      promptTokens: 100,
+      maxOutputTokens: 10,
+      expectedOutputTokens: null,
+      parts: [...parts, `own-${count}`].map((id) => ({ id, tokens: 10 })),
+    },
+  });
+}
+
+function crash(
+  tracker: CrashTracker,
+  requests: readonly RoutedRequest[],
+  endpoint = entry(`e-${count += 1}`),
+): void {
+  for (const request of requests) tracker.noteLost(request, endpoint);
+  tracker.noteEnd(endpoint);
+}
+
+function isQuarantined(tracker: CrashTracker, request: RoutedRequest) {
+  return tracker.refusalOf(request) !== null;
+}
+
+test("A shared first part whose answers had begun is spared by crashes that are noted without their causes", async () => {
+  const tracker = new CrashTracker();
+  tracker.noteBegun(promptWith("first"));
+  await vi.advanceTimersByTimeAsync(100);
+  for (let crashes = 0; crashes < 4; crashes += 1) {
+    crash(tracker, [promptWith("first")]);
+    expect(isQuarantined(tracker, promptWith("first"))).toBe(false);
+  }
+});
+
+test("A shared first part is spared once its answers go on elsewhere after the crashes", async () => {
+  const tracker = new CrashTracker();
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [promptWith("first")]);
+  }
+  expect(isQuarantined(tracker, promptWith("first"))).toBe(true);
+  await vi.advanceTimersByTimeAsync(300);
+  tracker.noteBegun(promptWith("first"));
+  expect(isQuarantined(tracker, promptWith("first"))).toBe(false);
+});
+
+test("A part whose answers begin but that crashes every engine is found after five crashes", async () => {
+  const tracker = new CrashTracker();
+  for (let crashes = 0; crashes < 5; crashes += 1) {
+    expect(isQuarantined(tracker, promptWith("bad"))).toBe(false);
+    tracker.noteBegun(promptWith("bad"));
+    await vi.advanceTimersByTimeAsync(100);
+    crash(tracker, [promptWith("bad")]);
+  }
+  expect(isQuarantined(tracker, promptWith("bad"))).toBe(true);
+});
+
+test("A stream that is resumed after crashes is not quarantined while a part explains most of them", () => {
+  const tracker = new CrashTracker();
+  const resumed = promptWith("first");
+  crash(tracker, [resumed, promptWith("first")]);
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [resumed, promptWith("first", "bad")]);
+  }
+  expect(isQuarantined(tracker, promptWith("first", "bad"))).toBe(true);
+  expect(isQuarantined(tracker, resumed)).toBe(false);
+});
+
+test("A request that crashes engines beside a crashing part is quarantined after five crashes", () => {
+  const tracker = new CrashTracker();
+  const poison = promptWith("first");
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [poison, promptWith("first", "bad")]);
+  }
+  crash(tracker, [poison]);
+  crash(tracker, [poison]);
+  expect(isQuarantined(tracker, poison)).toBe(true);
+});
+
+test("Requests that a VM lost together with its links are suspects of crashes that other VMs report", async () => {
+  const sender = new CrashTracker({
+    check: () => Promise.resolve(false),
+    confirmLinks: () => Promise.resolve(false),
+  });
+  const crashed = ["a", "b", "c"].map((id) => entry(id));
+  for (const endpoint of crashed) {
+    sender.noteLost(promptWith("first", "bad"), endpoint);
+  }
+  await vi.advanceTimersByTimeAsync(100);
+  const linked = new CrashTracker();
+  for (const endpoint of crashed) {
+    crash(linked, [promptWith("first")], endpoint);
+  }
+  sender.discountLosses({ service: crashed[0]!.service, stage: null });
+  expect(sender.evidence.isEmpty).toBe(true);
+  sender.addReports(linked.evidence.reports());
+  linked.addReports(sender.evidence.reports());
+  for (const tracker of [sender, linked]) {
+    expect(isQuarantined(tracker, promptWith("first", "bad"))).toBe(true);
+    expect(isQuarantined(tracker, promptWith("first"))).toBe(false);
+  }
+});
+
+test("Requests lost together with the links are no suspects of a crash that others see much later", async () => {
+  const tracker = new CrashTracker();
+  const endpoint = entry("a");
+  tracker.noteLost(promptWith("sound"), endpoint);
+  tracker.discountLosses({ service: endpoint.service, stage: null });
+  await vi.advanceTimersByTimeAsync(2_000);
+  const other = new CrashTracker();
+  crash(other, [promptWith("first", "bad")], endpoint);
+  tracker.addReports(other.evidence.reports());
+  const { traits } = tracker.evidence.get(incarnationOf(endpoint))!;
+  expect([...traits.keys()]).not.toContain("part/m/sound");
+});
