Let resumed streams wait for a software version that has crashed

Such a stream can go nowhere else, and its callers have seconds left.

A VM now remembers which versions lost endpoints that hadn't been drained. For ten seconds after that, a stream bound to the version waits for it, at engines and at plain endpoints, for half of its time at most, so that it can be tried at another VM. After that, and at once where the version was drained, was lost long ago or was never seen, it is refused as not run, as before.

The four waits of version_wait_test.ts failed on the unchanged code (refused as version-unavailable after 0 ms); the two refusals at once pass on both. With the change, 304 tests of packages/core/src/routing pass, one is skipped.

--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -25,12 +25,13 @@
 import type { RankDecodeOptions } from "./queries/rank_decode_endpoints.ts";
 import { soonestPermitMs } from "./queries/soonest_permit.ts";
 import { detailOf, type SendFailure } from "./port.ts";
-import type { EnginePool, SoftwareVersion } from "./types.ts";
+import type { EnginePool } from "./types.ts";
 import {
   refusalOfLimit,
   refusalOfLinks,
   refusalOfMissingVersion,
 } from "./verdicts.ts";
+import { VersionWait } from "./version_wait.ts";
 
 /** Delay until the next round after one that left streams waiting. */
 const FULL_RETRY_MS = 40;
@@ -58,6 +59,7 @@
 
 interface WaitingStream {
   readonly request: DecodeRequest;
+  readonly versionWait: VersionWait;
   /** Whether no home answers, so that it takes its turn among this VM's streams. */
   isLocal: boolean;
   /** Whether a round has already tried to reserve for it. */
@@ -102,7 +104,14 @@
         request.signal.removeEventListener("abort", refuseLate);
         resolve(result);
       };
-      const waiting = { request, isLocal: false, tried: false, settle };
+      const versionWait = new VersionWait();
+      const waiting = {
+        request,
+        versionWait,
+        isLocal: false,
+        tried: false,
+        settle,
+      };
       this.#insert(waiting);
       void this.#admit(waiting);
     });
@@ -231,8 +240,9 @@
 
   /** Refuses the streams that no longer have a reason to wait. */
   refuseLate(): void {
-    this.#waiting = this.#waiting.filter(({ request, settle }) => {
-      const refusal = this.#findRefusal(request);
+    this.#waiting = this.#waiting.filter((waiting) => {
+      const { request, settle } = waiting;
+      const refusal = this.#findRefusal(waiting);
       if (!refusal) return true;
       this.#logRefusal(request, refusal);
       settle(err(refusal));
@@ -240,24 +250,29 @@
     });
   }
 
-  #findRefusal(request: DecodeRequest): NotRun | null {
+  #findRefusal({ request, versionWait }: WaitingStream): NotRun | null {
     const retryAfterMs = this.#retryAfterMs();
     if (request.signal.aborted) return notRun("cancelled", { retryAfterMs });
     const refusal = request.findRefusal();
     if (refusal) return refusal;
     if (this.#context.forwarding.isLost(this.#service)) return refusalOfLinks();
-    if (!this.#hasVersion(request.version)) return refusalOfMissingVersion();
     const spareMs = timeToSpareMs(request);
+    if (this.#isGone(request, versionWait)) return refusalOfMissingVersion();
     if (spareMs <= 0) return notRun("no-capacity", { retryAfterMs });
     const usable = this.#context.endpoints.usable(this.#service, "decode");
     const permitMs = soonestPermitMs(usable, performance.now());
     return permitMs > spareMs ? refusalOfLimit(permitMs + retryAfterMs) : null;
   }
 
-  #hasVersion(version: SoftwareVersion | null): boolean {
-    return version === null ||
-      this.#context.endpoints.usable(this.#service, "decode")
-        .some(({ entry }) => entry.softwareVersion === version);
+  #isGone(request: DecodeRequest, versionWait: VersionWait): boolean {
+    const { version } = request;
+    return version !== null &&
+      versionWait.check(this.#context.endpoints, {
+          service: this.#service,
+          stage: "decode",
+          version,
+          spareMs: timeToSpareMs(request),
+        }) === "gone";
   }
 
   #logRefusal(request: DecodeRequest, { reason, retryAfterMs }: NotRun): void {
--- a/packages/core/src/routing/endpoint_registry.ts
+++ b/packages/core/src/routing/endpoint_registry.ts
@@ -2,6 +2,7 @@
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
 import { EndpointRecord } from "./endpoint_record.ts";
+import { LostVersions, type StagedVersion } from "./lost_versions.ts";
 import {
   type ChangeBounds,
   DEFAULT_BOUNDS,
@@ -38,6 +39,7 @@
   #doubtful: EndpointEntry[] = [];
   #returnedAtMs = -Infinity;
   #bounds: ChangeBounds;
+  #lostVersions = new LostVersions();
   /** Until when entries are used that are found to be missing. */
   #keepUntilMs = -Infinity;
 
@@ -132,6 +134,11 @@
     return usable;
   }
 
+  /** Whether a version lost an endpoint to a crash a moment ago, which may be back soon. */
+  mayReturn(version: StagedVersion): boolean {
+    return this.#lostVersions.mayReturn(version);
+  }
+
   /** Whether an endpoint of a service is about to change its stage. */
   isReconfiguring(service: ServiceName): boolean {
     const nowMs = performance.now();
@@ -234,6 +241,7 @@
     const nowMs = performance.now();
     const removedAtMs = Math.max(nowMs, this.#keepUntilMs);
     record.setMissing(removedAtMs);
+    this.#lostVersions.note(record.entry, removedAtMs);
     if (removedAtMs === nowMs) {
       remember(this.#gone, incarnationOf(record.entry));
     }
--- a/packages/core/src/routing/plain_places.ts
+++ b/packages/core/src/routing/plain_places.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { ServiceName } from "../common/ids.ts";
 import { type NotRun, notRun } from "../common/verdict.ts";
+import { wait } from "../common/wait.ts";
 import type { RoutingContext } from "./context.ts";
 import type {
   DecodeRequest,
@@ -16,12 +17,19 @@
   refusalOfLinks,
   refusalOfMissingVersion,
 } from "./verdicts.ts";
+import { VersionWait } from "./version_wait.ts";
 
 const NO_ENDPOINT_RETRY_MS = 200;
 /** Spreads the retries of streams that were refused because of limits. */
 const LIMIT_JITTER_MS = 1_000;
 
-/** Places at the plain endpoints of one service; a stream never waits for one. */
+/** Interval at which it is found out whether a version has returned. */
+const VERSION_POLL_MS = 40;
+
+/**
+ * Places at the plain endpoints of one service. A stream never waits for one, but only
+ * for an endpoint of its software version to return.
+ */
 export class PlainPlaces implements StreamPlaces {
   #context: RoutingContext;
   #service: ServiceName;
@@ -37,6 +45,7 @@
     const { forwarding } = this.#context;
     // Lost links may be why an earlier send has failed.
     if (request.avoid.size > 0) await forwarding.settled(this.#service);
+    await this.#awaitVersion(request);
     if (request.signal.aborted) return err(notRun("cancelled"));
     const refusal = request.findRefusal();
     if (refusal) return err(refusal);
@@ -49,6 +58,25 @@
     }));
   }
 
+  async #awaitVersion(request: DecodeRequest): Promise<void> {
+    const { version, clock, signal, findRefusal } = request;
+    if (version === null) return;
+    const { endpoints, forwarding } = this.#context;
+    const versionWait = new VersionWait();
+    const isAwaited = () =>
+      versionWait.check(endpoints, {
+        service: this.#service,
+        stage: null,
+        version,
+        spareMs: clock.leftMs(),
+      }) === "awaited";
+    while (isAwaited()) {
+      if (signal.aborted || findRefusal()) return;
+      if (forwarding.isLost(this.#service)) return;
+      await wait(VERSION_POLL_MS);
+    }
+  }
+
   #choose({ avoid, version }: DecodeRequest): Result<EndpointRecord, NotRun> {
     const { endpoints, dataCentre, random } = this.#context;
     const nowMs = performance.now();
--- /dev/null
+++ b/packages/core/src/routing/version_wait_test.ts
@@ -0,0 +1,125 @@
+// Guards against resumed streams that are refused while their software version restarts.
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { asId } from "../common/ids.ts";
+import { Router } from "./router.ts";
+import {
+  context,
+  entry,
+  FakeEndpoints,
+  POOL,
+  request,
+  route,
+  SERVICE,
+  table,
+} from "./testing/fake_endpoints.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+const DEADLINE_MS = 3_000;
+const ROUTE = route({
+  kind: "stream",
+  resumable: true,
+  timeoutMs: DEADLINE_MS,
+  targetLatencyMs: 500,
+});
+
+type Kind = "engines" | "plain";
+const KINDS: Kind[] = ["engines", "plain"];
+
+function replica(kind: Kind, id: string, version: string) {
+  return entry(id, {
+    stage: kind === "engines" ? "decode" : null,
+    address: `${id}:1`,
+    softwareVersion: asId(version),
+  });
+}
+
+/** A VM that knows a stream of `v2`, whose replicas are b1 and b2. */
+function setUp(kind: Kind) {
+  const port = new FakeEndpoints();
+  const entries = ["a1 v1", "b1 v2", "b2 v2"].map((known) => {
+    const [id, version] = known.split(" ");
+    return replica(kind, id!, version!);
+  });
+  const shared = context(port, entries);
+  const router = new Router(shared);
+  const engines = kind === "engines" ? POOL : null;
+  router.setTable(table(1, { routes: [ROUTE], engines }));
+  shared.origins.note(asId("first"), { service: SERVICE, version: asId("v2") });
+  const gone = (id: string) =>
+    shared.endpoints.apply({ id: asId(id), entry: null });
+  const resume = () => {
+    const startedMs = performance.now();
+    const resumed = request({
+      callerTimeoutMs: DEADLINE_MS,
+      lastEventId: "2",
+      resumes: asId("first"),
+    });
+    return router.handle(resumed, {
+      route: ROUTE,
+      sink: { head() {}, write: () => true, onDrain() {} },
+      signal: new AbortController().signal,
+    }).then((outcome) => ({
+      outcome,
+      tookMs: performance.now() - startedMs,
+    }));
+  };
+  const streams = () => port.log.filter((line) => line.startsWith("stream"));
+  return { shared, gone, resume, streams, entries };
+}
+
+const MISSING = {
+  kind: "refused",
+  refusal: { kind: "notRun", reason: "version-unavailable" },
+};
+
+for (const kind of KINDS) {
+  test(`A resumed stream isn't refused while crashed replicas of its version come back (${kind})`, async () => {
+    const { shared, gone, resume, streams } = setUp(kind);
+    gone("b1");
+    gone("b2");
+    const resumed = resume();
+    await vi.advanceTimersByTimeAsync(400);
+    const back = replica(kind, "b3", "v2");
+    shared.endpoints.apply({ id: back.id, entry: back });
+    await vi.advanceTimersByTimeAsync(100);
+    expect((await resumed).outcome).toEqual({ kind: "complete" });
+    expect(streams()).toEqual(["stream b3 after 2"]);
+  });
+
+  test(`A resumed stream is refused as not run with half of its time left if no replica of its version comes back (${kind})`, async () => {
+    const { gone, resume, streams } = setUp(kind);
+    gone("b1");
+    gone("b2");
+    const resumed = resume();
+    await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+    const { outcome, tookMs } = await resumed;
+    expect(outcome).toMatchObject(MISSING);
+    expect(tookMs).toBeGreaterThan(0.4 * DEADLINE_MS);
+    expect(tookMs).toBeLessThan(0.52 * DEADLINE_MS);
+    expect(streams()).toEqual([]);
+  });
+
+  test(`A resumed stream is refused at once if the replicas of its version were drained or crashed long ago (${kind})`, async () => {
+    const drained = setUp(kind);
+    for (const known of drained.entries.slice(1)) {
+      drained.shared.endpoints.apply({
+        id: known.id,
+        entry: { ...known, state: "draining" },
+      });
+      drained.gone(known.id);
+    }
+    const crashed = setUp(kind);
+    crashed.gone("b1");
+    crashed.gone("b2");
+    await vi.advanceTimersByTimeAsync(20_000);
+    for (const { resume } of [drained, crashed]) {
+      const resumed = resume();
+      await vi.advanceTimersByTimeAsync(1);
+      const { outcome, tookMs } = await resumed;
+      expect(outcome).toMatchObject(MISSING);
+      expect(tookMs).toBeLessThan(1);
+    }
+  });
+}
