Ask all VMs for the origin of a stream that its keepers don't tell

Callers that took a stream up again were refused as origin-unknown although the VM that had relayed its first event served.

The other live and leaving VMs, 64 at most, are now asked when the first ones have not told an origin after 50 ms, and have the rest of the 250 ms to answer. Messages are as before.

The new test failed on the unchanged code (null instead of the origin); all five tests of stream_origins_test.ts pass with the change.

--- a/packages/core/src/routing/stream_origins.ts
+++ b/packages/core/src/routing/stream_origins.ts
@@ -5,6 +5,7 @@
  * in each data centre, and recorded in the store.
  */
 import { rankByRendezvous } from "../common/hash.ts";
+import { wait } from "../common/wait.ts";
 import type { DataCentre, ServiceName, VmId } from "../common/ids.ts";
 import type { Member, MembershipView, VmState } from "../membership/types.ts";
 import type { PeerPort } from "../ports/peers.ts";
@@ -22,6 +23,10 @@
 const ASKED_PER_DATA_CENTRE = 2;
 /** A peer answers within a few milliseconds; a caller waits while origins are looked up. */
 const PEER_TIMEOUT_MS = 250;
+/** Time without an origin after which all VMs are asked, of which one may have relayed the stream. */
+const OTHERS_DELAY_MS = 50;
+/** Maximum of further VMs asked for one stream. */
+const MAX_OTHERS = 64;
 
 /** Service and software version of the endpoint that began a stream. */
 export interface StreamOrigin {
@@ -98,6 +103,11 @@
   >;
 }
 
+interface OriginQuestion {
+  readonly attempt: AttemptId;
+  readonly timeoutMs: number;
+}
+
 /** Origins that are kept at this VM and at others. */
 export class SharedOrigins implements StreamOrigins {
   /** Peer methods that serve the origins kept at this VM. */
@@ -139,27 +149,39 @@
     return this.#options.record.confirmPossible(sinceMs);
   }
 
-  #askPeers(attempt: AttemptId): Promise<StreamOrigin | null> {
-    const answers = this.#rankByDataCentre(attempt, ["live", "leaving"])
-      .flatMap((ranked) => ranked.slice(0, ASKED_PER_DATA_CENTRE))
-      .filter(({ id }) => id !== this.#options.membership.self.id)
-      .map((member) => this.#ask(member, attempt));
-    return new Promise((resolve) => {
-      for (const answer of answers) {
-        void answer.then((origin) => origin && resolve(origin));
-      }
-      void Promise.all(answers).then(() => resolve(null));
-    });
+  // The VMs that should have the origin may have ended or left since it was noted.
+  async #askPeers(attempt: AttemptId): Promise<StreamOrigin | null> {
+    const ranked = this.#rankByDataCentre(attempt, ["live", "leaving"]);
+    const keepers = this.#askAll(
+      ranked.flatMap((members) => members.slice(0, ASKED_PER_DATA_CENTRE)),
+      { attempt, timeoutMs: PEER_TIMEOUT_MS },
+    );
+    const early = await Promise.race([keepers, wait(OTHERS_DELAY_MS)]);
+    if (early) return early;
+    const others = this.#askAll(
+      ranked.flatMap((members) => members.slice(ASKED_PER_DATA_CENTRE))
+        .slice(0, MAX_OTHERS),
+      { attempt, timeoutMs: PEER_TIMEOUT_MS - OTHERS_DELAY_MS },
+    );
+    return await findFirst([keepers, others]);
+  }
+
+  #askAll(members: readonly Member[], ask: OriginQuestion) {
+    const { self } = this.#options.membership;
+    return findFirst(
+      members.filter(({ id }) => id !== self.id)
+        .map((member) => this.#ask(member, ask)),
+    );
   }
 
   async #ask(
     member: Member,
-    attempt: AttemptId,
+    { attempt, timeoutMs }: OriginQuestion,
   ): Promise<StreamOrigin | null> {
     const { peers } = this.#options;
     const answer = await peers.call(member, "routing/find-origin", {
       params: { attempt },
-      timeoutMs: PEER_TIMEOUT_MS,
+      timeoutMs,
     });
     return answer.isOk() ? answer.value.origin : null;
   }
@@ -182,6 +204,18 @@
   }
 }
 
+// Resolves with the first origin, or with null once there is none in all answers.
+function findFirst(
+  answers: readonly Promise<StreamOrigin | null>[],
+): Promise<StreamOrigin | null> {
+  return new Promise((resolve) => {
+    for (const answer of answers) {
+      void answer.then((origin) => origin && resolve(origin));
+    }
+    void Promise.all(answers).then(() => resolve(null));
+  });
+}
+
 /** Peer methods for origins. */
 export interface OriginHandlers {
   /** Keeps the origin of a stream that began at the calling VM. */
--- a/packages/core/src/routing/stream_origins_test.ts
+++ b/packages/core/src/routing/stream_origins_test.ts
@@ -20,6 +20,7 @@
   const dead = new Set<string>();
   const origins = new Map<string, SharedOrigins>();
   const leaving = new Set<string>();
+  const asked: string[] = [];
   const members = () =>
     VMS.map(({ id, dataCentre }) => {
       const state = leaving.has(id) ? "leaving" : "live";
@@ -30,6 +31,7 @@
     method: keyof OriginHandlers,
     { params, timeoutMs }: { params: never; timeoutMs: number },
   ) => {
+    if (method === "routing/find-origin") asked.push(id);
     if (dead.has(id)) {
       await new Promise((resolve) => setTimeout(resolve, timeoutMs));
       return err({ kind: "timeout" });
@@ -60,7 +62,7 @@
     await vi.advanceTimersByTimeAsync(1_000);
     return await found;
   };
-  return { dead, leaving, origins, find };
+  return { dead, leaving, asked, origins, find };
 }
 
 test("Every VM finds an origin, also when the VM that noted it and its data centre are gone", async () => {
@@ -96,6 +98,25 @@
   }
 });
 
+test("A VM finds an origin while only the VM that relayed the stream is left of those that know it", async () => {
+  const { dead, asked, origins, find } = setUp();
+  for (const { id } of VMS) {
+    const attempt = asId<AttemptId>(`stream of ${id}`);
+    origins.get(id)!.note(attempt, ORIGIN);
+    await vi.advanceTimersByTimeAsync(1);
+    for (const asking of VMS) {
+      for (const vm of VMS) {
+        if (vm !== asking && vm.id !== id) dead.add(vm.id);
+      }
+      expect(await find(asking.id, attempt)).toEqual(ORIGIN);
+      dead.clear();
+      asked.length = 0;
+      expect(await find(asking.id, attempt)).toEqual(ORIGIN);
+      expect(asked.length).toBeLessThanOrEqual(6);
+    }
+  }
+});
+
 test("An origin that no VM knows is null, within the time of one call to a peer", async () => {
   const { dead, origins } = setUp();
   for (const { id } of VMS) dead.add(id);
