Let resumed streams wait for links that come back

Callers that took a stream up again were refused at once as no-links while no VM had links to its endpoints.

A stream that has begun, and can't begin anew elsewhere, now waits for half of its time at most: it looks for its own VM's links each 50 ms, and asks the other VMs again after 0.2, 0.4, 0.8 s and so on. Then it is refused as not run, as before. New streams and calls are refused at once, as before, and a request that came from another VM is never held by its links.

--- a/packages/core/src/routing/links/forward_request.ts
+++ b/packages/core/src/routing/links/forward_request.ts
@@ -1,7 +1,9 @@
 /** Lets another VM serve a call, or continue a stream. */
 import { err, type Result } from "neverthrow";
 import { ByteCollector } from "../../common/byte_collector.ts";
+import type { ServiceName } from "../../common/ids.ts";
 import { freeMemory } from "../../common/memory_budget.ts";
+import { wait } from "../../common/wait.ts";
 import {
   ANSWER_LIMIT_BYTES,
   type AnswerHead,
@@ -13,13 +15,20 @@
 import type { StreamRelay } from "../stream_relay.ts";
 import type { RoutedRequest } from "../types.ts";
 import { refusalOfLinks } from "../verdicts.ts";
-import type { Forwarding } from "./forwarder.ts";
+import { type Forwarding, mayTryOther } from "./forwarder.ts";
 import type {
   ForwardedStream,
   ForwardFailure,
   ForwardResult,
 } from "./types.ts";
 
+/** Largest share of its time for which a continued stream waits for a VM with links. */
+const MAX_WAIT_SHARE = 0.5;
+/** Time until the other VMs are asked again; doubles with each time. */
+const ASK_AGAIN_BASE_MS = 200;
+/** Interval at which it is found out whether this VM's links are back. */
+const LINK_POLL_MS = 50;
+
 /** A request that this VM can't send to endpoints. */
 export interface UnreachableRequest {
   readonly request: RoutedRequest;
@@ -69,6 +78,7 @@
 
 /** A stream that this VM can't send to endpoints. */
 export interface UnreachableStream extends UnreachableRequest {
+  readonly service: ServiceName;
   readonly relay: StreamRelay;
   /** Where the stream began; null before its first event. */
   readonly origin: StreamOrigin | null;
@@ -76,13 +86,37 @@
   readonly onFirstEvent: (origin: StreamOrigin) => void;
 }
 
-/** Passes the events on that another VM receives, after the last one of the relay. */
+/**
+ * Passes the events on that another VM receives, after the last one of the relay. A
+ * stream that has begun can't begin anew at other endpoints, so that it waits for a part
+ * of its time while no VM takes it. Fails as `notSent` if this VM's links are back.
+ */
 export async function forwardStream(
+  forwarding: Forwarding,
+  stream: UnreachableStream,
+): Promise<ForwardResult> {
+  const { request, clock, signal, origin, service } = stream;
+  if (request.hop) return refuseSecondHop();
+  const untilMs = performance.now() + MAX_WAIT_SHARE * clock.leftMs();
+  for (let pauseMs = ASK_AGAIN_BASE_MS;; pauseMs *= 2) {
+    const result = await forwardOnce(forwarding, stream);
+    if (result.isOk() || origin === null) return result;
+    if (!mayTryOther(result.error)) return result;
+    const askAtMs = Math.min(performance.now() + pauseMs, untilMs);
+    while (performance.now() < askAtMs && forwarding.isLost(service)) {
+      if (signal.aborted) return result;
+      await wait(LINK_POLL_MS);
+    }
+    if (!forwarding.isLost(service)) return err({ kind: "notSent" });
+    if (performance.now() >= untilMs) return result;
+  }
+}
+
+async function forwardOnce(
   forwarding: Forwarding,
   { request, clock, runs, signal, relay, origin, onFirstEvent }:
     UnreachableStream,
 ): Promise<ForwardResult> {
-  if (request.hop) return refuseSecondHop();
   const { lastEventId } = relay;
   let stream: ForwardedStream | undefined;
   let continues = true;
--- a/packages/core/src/routing/links/forwarder.ts
+++ b/packages/core/src/routing/links/forwarder.ts
@@ -162,7 +162,8 @@
     reason === "too-many-connections";
 }
 
-function mayTryOther(failure: ForwardFailure): boolean {
+/** Whether another VM may be asked, as the one that failed so has not run the request. */
+export function mayTryOther(failure: ForwardFailure): boolean {
   if (failure.kind === "notSent") return true;
   return failure.kind === "refused" && failure.refusal.kind === "notRun" &&
     isPeerFailure(failure);
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -171,14 +171,12 @@
   }
 
   async #forward(): Promise<ForwardResult> {
-    const { request, signal } = this.#options;
     this.#ordinal += 1;
     this.#sends += 1;
     const result = await forwardStream(this.#context.forwarding, {
-      request,
+      ...this.#options,
       clock: this.#clock,
       runs: this.#runs,
-      signal,
       relay: this.#relay,
       origin: this.#origin,
       onFirstEvent: (origin) => this.#noteOrigin(origin),
