Refuse a resumed stream at once if its version's limits end too late

A stream bound to a software version waited at engines until its time was over, and was then refused as no-capacity, when all engines of its version had limits or pauses that ended after that, as the time until the next permit was taken over the engines of all versions. Its callers had no time left to try a VM that may ask these engines (a pause is for one VM). Plain endpoints had it right.

The new test failed on the unchanged code at engines (sent at once, as the test's fake endpoints don't keep limits themselves). The 23 tests of version_wait_test, decode_queue_test and limited_sends_test pass with the change.

--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -18,6 +18,7 @@
   type DecodeReservation,
   releasePlace,
   type StreamPlaces,
+  timeToSpareMs,
 } from "./decode_reservation.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { DecodeAdmission } from "./placement/placement.ts";
@@ -54,8 +55,6 @@
  * preempt a stream while it holds no more than was reserved for it.
  */
 const UNFORECAST_OUTPUT_FACTOR = 1.3;
-/** Minimum time for the handover after the prefill, when estimating the first event. */
-const MIN_HANDOVER_MS = 20;
 
 interface WaitingStream {
   readonly request: DecodeRequest;
@@ -259,7 +258,11 @@
     const spareMs = timeToSpareMs(request);
     if (this.#isGone(request, versionWait)) return refusalOfMissingVersion();
     if (spareMs <= 0) return notRun("no-capacity", { retryAfterMs });
-    const usable = this.#context.endpoints.usable(this.#service, "decode");
+    const { version } = request;
+    const usable = this.#context.endpoints.usable(this.#service, "decode")
+      .filter(({ entry }) =>
+        (version ?? entry.softwareVersion) === entry.softwareVersion
+      );
     const permitMs = soonestPermitMs(usable, performance.now());
     return permitMs > spareMs ? refusalOfLimit(permitMs + retryAfterMs) : null;
   }
@@ -389,11 +392,3 @@
 function isRestricted({ avoid, version }: DecodeRequest): boolean {
   return avoid.size > 0 || version !== null;
 }
-
-// Time that the stream may still wait; negative once it can't be in time.
-function timeToSpareMs(request: DecodeRequest): number {
-  const leftMs = request.mustBeOnTime
-    ? request.clock.targetLeftMs()
-    : request.clock.leftMs();
-  return leftMs - request.prefillMs - MIN_HANDOVER_MS;
-}
--- a/packages/core/src/routing/decode_reservation.ts
+++ b/packages/core/src/routing/decode_reservation.ts
@@ -8,6 +8,9 @@
 import type { RequestClock } from "./request_clock.ts";
 import type { AttemptId, ReservationId, SoftwareVersion } from "./types.ts";
 
+/** Minimum time for the handover after the prefill, when estimating the first event. */
+const MIN_HANDOVER_MS = 20;
+
 /** A slot and memory reserved for a stream at a decode endpoint, or a plain endpoint. */
 export interface DecodeReservation {
   readonly endpoint: EndpointRecord;
@@ -68,3 +71,11 @@
   readonly findRefusal: () => NotRun | null;
   readonly signal: AbortSignal;
 }
+
+/** Time that a stream may still wait for its place; negative once it can't be in time. */
+export function timeToSpareMs(request: DecodeRequest): number {
+  const leftMs = request.mustBeOnTime
+    ? request.clock.targetLeftMs()
+    : request.clock.leftMs();
+  return leftMs - request.prefillMs - MIN_HANDOVER_MS;
+}
--- a/packages/core/src/routing/version_wait_test.ts
+++ b/packages/core/src/routing/version_wait_test.ts
@@ -123,3 +123,21 @@
     }
   });
 }
+
+test("A resumed stream is refused at once if the limits of its version end too late for it, whatever others allow", async () => {
+  for (const kind of KINDS) {
+    const { shared, resume, streams } = setUp(kind);
+    for (const id of ["b1", "b2"]) {
+      shared.endpoints.get(asId(id))!.noteLimited(performance.now() + 5_000);
+    }
+    const resumed = resume();
+    await vi.advanceTimersByTimeAsync(1);
+    const { outcome, tookMs } = await resumed;
+    expect(outcome).toMatchObject({
+      kind: "refused",
+      refusal: { kind: "notRun", reason: "endpoint-limited" },
+    });
+    expect(tookMs).toBeLessThan(1);
+    expect(streams()).toEqual([]);
+  }
+});
