Send resumed streams again while plain replicas of their version are away

A stream that callers took up again at plain endpoints was refused as no-endpoint within milliseconds when the replicas of its version refused connections: each was tried once, although a replica that has crashed is listed until its entry expires and is back after some seconds.

A stream of plain endpoints that one version has begun now tries those that it couldn't reach again each 100 ms for half of its time at most, beside the usual four sends. No retry is taken for a send that reached nobody, as before. The type of obstacles moves to stream_log.ts, which logs them.

--- a/packages/core/src/routing/stream_log.ts
+++ b/packages/core/src/routing/stream_log.ts
@@ -4,6 +4,19 @@
 import type { StreamSend } from "./stream_send.ts";
 import type { RoutedRequest } from "./types.ts";
 
+/** Why a stream is not sent again, or why a silent send gets no backup. */
+export type Obstacle =
+  | "caller-left"
+  | "quarantined"
+  | "stopping"
+  | "deadline-passed"
+  | "not-resumable"
+  | "no-event-id"
+  | "other-service"
+  | "attempts-used"
+  | "sends-used"
+  | "retry-budget-spent";
+
 /** Logs the decisions on one stream. */
 export class StreamLog {
   #observer: Observer;
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -21,8 +21,9 @@
 import type { StreamOrigin } from "./stream_origins.ts";
 import { type AnswerSink, StreamRelay } from "./stream_relay.ts";
 import { SendRace } from "./send_race.ts";
-import { StreamLog } from "./stream_log.ts";
+import { type Obstacle, StreamLog } from "./stream_log.ts";
 import { type SendResult, StreamSend } from "./stream_send.ts";
+import { UnsentPauses } from "./unsent_pauses.ts";
 import type {
   EnginePool,
   Route,
@@ -65,19 +66,6 @@
   /** The answer was passed on in part, and can't be continued. */
   | { readonly kind: "broken"; readonly reason: string };
 
-/** Why a stream is not sent again, or why a silent send gets no backup. */
-type Obstacle =
-  | "caller-left"
-  | "quarantined"
-  | "stopping"
-  | "deadline-passed"
-  | "not-resumable"
-  | "no-event-id"
-  | "other-service"
-  | "attempts-used"
-  | "sends-used"
-  | "retry-budget-spent";
-
 /** Sends one stream, with retries and backups, until it has an outcome. */
 export class StreamRun {
   #context: RoutingContext;
@@ -97,6 +85,7 @@
   /** Where the stream began and has to continue; null before. */
   #origin: StreamOrigin | null;
   #log: StreamLog;
+  #unsentPauses: UnsentPauses;
 
   constructor(context: RoutingContext, options: StreamRunOptions) {
     this.#context = context;
@@ -107,6 +96,7 @@
       ? null
       : { service: options.service, version };
     this.#clock = new RequestClock(options.request, options.route);
+    this.#unsentPauses = new UnsentPauses(this.#clock);
     const { request, service, pool, isTrial = false } = options;
     this.#runs = request.hop?.runs ?? 0;
     this.#prefill = new PrefillRun(context, {
@@ -166,7 +156,10 @@
       this.#sends += 1;
       last = await this.#createRace().run(reservation.value);
       if (last.isOk()) return { kind: "complete" };
-      if (last.error.kind === "limited") this.#sends -= 1;
+      const { error } = last;
+      const isExtra = error.kind === "limited" ||
+        this.#isBound() && await this.#unsentPauses.wait(error);
+      if (isExtra) this.#sends -= 1;
     }
   }
 
@@ -274,13 +267,21 @@
     this.#context.origins.note(request.resumes ?? request.id, origin);
   }
 
+  // Other endpoints of the service can't take a stream that one version has begun.
+  #isBound(): boolean {
+    return this.#options.pool === null && this.#origin !== null;
+  }
+
   #recordDecode(send: StreamSend, result: SendResult): void {
     this.#decoding -= 1;
     if (result.isOk()) return;
     const isRun = !provesNotRun(result.error);
     if (isRun) this.#runs += 1;
     // A plain endpoint that refused once has no place that could be waited for.
-    if (isRun || !this.#options.pool) this.#avoid.add(send.endpoint.entry.id);
+    const mayRetry = this.#isBound() && result.error.kind === "notSent";
+    if (isRun || !this.#options.pool && !mayRetry) {
+      this.#avoid.add(send.endpoint.entry.id);
+    }
   }
 
   async #reserveBackup(
--- a/packages/core/src/routing/version_wait_test.ts
+++ b/packages/core/src/routing/version_wait_test.ts
@@ -1,10 +1,14 @@
 // Guards against resumed streams that are refused while their software version restarts.
+import { err, ok } from "neverthrow";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId } from "../common/ids.ts";
 import { Router } from "./router.ts";
 import {
   context,
   entry,
+  event,
+  EVENT_HEAD,
+  type FakeBehaviour,
   FakeEndpoints,
   POOL,
   request,
@@ -36,8 +40,8 @@
 }
 
 /** A VM that knows a stream of `v2`, whose replicas are b1 and b2. */
-function setUp(kind: Kind) {
-  const port = new FakeEndpoints();
+function setUp(kind: Kind, behaviour: Partial<FakeBehaviour> = {}) {
+  const port = new FakeEndpoints(behaviour);
   const entries = ["a1 v1", "b1 v2", "b2 v2"].map((known) => {
     const [id, version] = known.split(" ");
     return replica(kind, id!, version!);
@@ -141,3 +145,39 @@
     expect(streams()).toEqual([]);
   }
 });
+
+test("A resumed stream isn't refused while listed plain replicas of its version refuse connections and come back", async () => {
+  let isBack = false;
+  const { resume, streams } = setUp("plain", {
+    stream: (_endpoint, { listener }) => {
+      if (!isBack) return Promise.resolve(err({ kind: "notSent" }));
+      listener.onHead(EVENT_HEAD);
+      listener.onData(event(3));
+      return Promise.resolve(ok(undefined));
+    },
+  });
+  const resumed = resume();
+  await vi.advanceTimersByTimeAsync(700);
+  isBack = true;
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  const { outcome, tookMs } = await resumed;
+  expect(outcome).toEqual({ kind: "complete" });
+  expect(tookMs).toBeLessThan(900);
+  expect(streams().every((line) => /^stream b/.test(line))).toBe(true);
+});
+
+test("A resumed stream is refused as not run with half of its time left if listed plain replicas stay away", async () => {
+  const { resume, streams } = setUp("plain", {
+    stream: () => Promise.resolve(err({ kind: "notSent" })),
+  });
+  const resumed = resume();
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  const { outcome, tookMs } = await resumed;
+  expect(outcome).toMatchObject({
+    kind: "refused",
+    refusal: { kind: "notRun", reason: "no-endpoint" },
+  });
+  expect(tookMs).toBeGreaterThan(0.45 * DEADLINE_MS);
+  expect(tookMs).toBeLessThan(0.55 * DEADLINE_MS);
+  expect(streams().length).toBeLessThanOrEqual(20);
+});
