Tests: a port is given to one process only

Cause: the first port followed from the process id modulo 120, so that processes 120 ids apart were given the same ports, and a port is free until its VM listens. The bench's tests drew their ports from the same range.

--- a/packages/bench/src/processes/process_group.ts
+++ b/packages/bench/src/processes/process_group.ts
@@ -2,9 +2,9 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { createWriteStream } from "node:fs";
-import { createServer, type Server } from "node:net";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
+import { freePort } from "@teaselvalve/daemon/gateway";
 
 /** Paths of the bundled programs. */
 export const PROGRAMS = {
@@ -72,30 +72,11 @@
   }
 }
 
-// Below the kernel's range for outgoing connections, which could otherwise take a
-// chosen port before it is used.
-const FIRST_PORT = 10_000;
-const LAST_PORT = 30_000;
-
-/** Picks random ports that are free on loopback. */
+/** Picks ports that are free on loopback, and that no other process is given. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = new Map<number, Server>();
-  while (servers.size < count) {
-    const port = FIRST_PORT +
-      Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
-    const server = createServer();
-    const listening = await new Promise<boolean>((resolve) => {
-      server.once("error", () => resolve(false));
-      server.listen(port, "127.0.0.1", () => resolve(true));
-    });
-    if (listening) servers.set(port, server);
-  }
-  await Promise.all(
-    [...servers.values()].map((server) =>
-      new Promise((resolve) => server.close(resolve))
-    ),
-  );
-  return [...servers.keys()];
+  const ports: number[] = [];
+  while (ports.length < count) ports.push(await freePort());
+  return ports;
 }
 
 // Works from the source and from the bundle, which are at different depths.
--- a/packages/daemon/src/testing/ports_test.ts
+++ b/packages/daemon/src/testing/ports_test.ts
@@ -1,4 +1,4 @@
-import { expect, test } from "vitest";
+import { expect, test, vi } from "vitest";
 import { freePort } from "./ports.ts";
 
 test("Test ports are never ones that fetch refuses to connect to", async () => {
@@ -9,3 +9,14 @@
     expect(failure).not.toContain("bad port");
   }
 });
+
+// Stands for two processes whose ids led to the same ports.
+test("Test processes are never given the same port", async () => {
+  vi.resetModules();
+  const other = await import("./ports.ts");
+  const own = await Promise.all(Array.from({ length: 100 }, freePort));
+  const others = await Promise.all(
+    Array.from({ length: 100 }, () => other.freePort()),
+  );
+  expect(own.filter((port) => others.includes(port))).toEqual([]);
+});
