--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -260,7 +260,7 @@
     const connection = pacedOf(incoming.socket);
     this.#arrivals += 1;
     if (this.#refusals.has(connection)) return;
-    connection.beginRequest(incoming);
+    connection.beginRequest(incoming, response);
     const id = randomUUID();
     const startedMs = performance.now();
     if (this.#options.omitDiagnosticHeaders) response.sendDate = false;
