Begin no more requests than a VM can serve, and refuse the rest at once

What callers saw: a VM with more requests than it can serve refused none and answered part of them never.

Cause: each request was begun as it was read, whatever work was open, so turns of the event loop became long; Node 20 accepts one connection of a listener in a turn, so new connections waited unread in the kernel for seconds. Nothing decided how much a VM takes on.

Change: Admission begins a few requests in each turn and lets the others wait in a queue (RequestQueue) in which flows (an address, its new and its kept connections) take turns, and in a flow the connections that asked for least go first. A request whose wait, by its place and the measured time between begins, would be too long is refused as overloaded (503, not run, Retry-After by how much more is offered than begun). While connections come, turns that begin nothing accept them; new ones whose request would be refused get the refusal without being parsed. Requests that other VMs send on are admitted by the same queue. Large bodies give others their turn after each read of 64 KiB. One line when a VM becomes busy and when it is free again, gauges of what waits to be begun and to be accepted, and of the longest turn.

--- a/packages/cli/src/explain/reasons.ts
+++ b/packages/cli/src/explain/reasons.ts
@@ -36,6 +36,7 @@
   "model-not-allowed": "the workspace is not allowed to use this model",
   "no-capacity": "no endpoint had free capacity for it in time",
   "no-configuration": "the VM had no configuration yet",
+  "overloaded": "The VM had more requests than it can begin in time",
   "no-memory":
     "the VM had no memory for it, beside the requests that it had accepted",
   "no-endpoint": "no endpoint of its service could be reached",
--- a/packages/core/src/common/verdict.ts
+++ b/packages/core/src/common/verdict.ts
@@ -38,6 +38,7 @@
   "already-answered",
   "too-many-connections",
   "no-memory",
+  "overloaded",
 ] as const;
 
 /** Reasons why it is unknown whether a request ran; counted by reason too. */
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -1,4 +1,5 @@
 /** Core of teaselvalve: its decision logic, without network code. */
+export * from "./admission/request_queue.ts";
 export { CALLS_TABLE } from "./calls/commands/claim_store.ts";
 export * from "./calls/policies.ts";
 export * from "./calls/task.ts";
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -19,9 +19,14 @@
   type RoutingTable,
   RoutingVm,
 } from "@teaselvalve/core/routing";
+import { Admission } from "../http/admission.ts";
 import type { Exchange } from "../http/exchange.ts";
 import { sendJson, sendText } from "../http/exchange.ts";
-import { createHttpComponent, type HttpComponent } from "../http/server.ts";
+import {
+  type AdmittedRequests,
+  createHttpComponent,
+  type HttpComponent,
+} from "../http/server.ts";
 import { LifecycleManager } from "../lifecycle/manager.ts";
 import { describeInterfaces } from "../observe/interfaces.ts";
 import type { Metrics } from "../observe/metrics.ts";
@@ -31,7 +36,7 @@
 import { createRoutedEndpointPort } from "./endpoint_port.ts";
 import { createForwardPort } from "./forward_port.ts";
 import { createGatewayHandler } from "./handler.ts";
-import { isForwarded } from "./hop.ts";
+import { isForwarded, markRefusal, readHop } from "./hop.ts";
 import type { EndpointProtocol } from "./protocol.ts";
 
 /** Handlers and formats that the platform defines for the VM's interfaces. */
@@ -135,6 +140,7 @@
   #vm: RoutingVm;
   #shutdown: RoutingShutdown;
   #inProgress: InProgressCounter;
+  #admission: Admission;
   #manager: LifecycleManager;
   #callers: HttpComponent;
   #interfaces: HttpComponent[] = [];
@@ -152,6 +158,10 @@
     this.#manager = new LifecycleManager(this.#observer);
     PROCESS_MEMORY.setLimit(messageMemoryBytes(options.settings));
     this.#inProgress = new InProgressCounter(() => this.#shutdown.checkIdle());
+    this.#admission = new Admission({
+      observer: this.#observer,
+      track: () => this.#inProgress.track(),
+    });
     this.#vm = this.#createVm();
     this.#shutdown = new RoutingShutdown({
       observer: this.#observer,
@@ -177,6 +187,12 @@
         isForwarded(exchange.incoming.headers)
           ? handleForwarded(exchange)
           : callPeerMethod(exchange),
+      {
+        ...this.#admitted(),
+        applies: isForwarded,
+        timeoutMs: (headers) => readHop(headers)?.fields.timeoutMs ?? null,
+        mark: markRefusal,
+      },
     );
     // While one waits for its port, those before it show a VM that isn't ready, and
     // callers are turned away by the closed port.
@@ -210,6 +226,7 @@
     const { metrics } = this.#options;
     metrics.watchInterfaces(this.#interfaces);
     metrics.watchHeldMemory(PROCESS_MEMORY);
+    metrics.watchAdmission(this.#admission, settings.listen.callers);
     metrics.watchLostLinks(() => this.#vm.lostLinkGroups);
     metrics.watchViewAges(() => ({ ...this.#vm.viewAgesMs() }));
     await this.#manager.start(components);
@@ -313,6 +330,7 @@
       contacts: () => this.#settings.peers.contacts,
       times: this.#options.metrics,
       bounds: settings.bounds,
+      isBusy: () => this.#admission.isBusy,
       onTable: ({ limits }) => this.#callers.setTimeouts(limits),
     });
   }
@@ -331,10 +349,24 @@
       requestLogLevel: "info",
       omitDiagnosticHeaders: true,
       shouldCloseConnections: () => this.#shutdown.leaving,
+      admission: this.#admitted(),
       handle: this.#createHandler(),
     });
   }
 
+  #admitted(): AdmittedRequests {
+    const { protocol, interfaces } = this.#options;
+    return {
+      gate: this.#admission,
+      timeoutMs: (headers) => protocol.readTimeoutMs(headers),
+      describe: (headers) => {
+        const { attemptId } = protocol.readCallerHeaders(headers);
+        return { attempt: attemptId ?? undefined };
+      },
+      formatRetryAfter: interfaces.formatRetryAfter,
+    };
+  }
+
   #createHandler(
     { acceptsHops = false } = {},
   ): ReturnType<typeof createGatewayHandler> {
@@ -357,6 +389,7 @@
   #createComponent(
     name: keyof RoutingSettings["listen"],
     handle: (exchange: Exchange) => Promise<void> | void,
+    admission?: AdmittedRequests,
   ): HttpComponent {
     return createHttpComponent({
       name,
@@ -367,6 +400,7 @@
       requestMemoryUse: "internal",
       requestLogLevel: "debug",
       omitDiagnosticHeaders: true,
+      admission,
       handle,
     });
   }
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -90,8 +90,7 @@
   exchange: Exchange,
   options: GatewayHandlerOptions,
 ): Promise<void> {
-  const { incoming } = exchange;
-  const receivedAtMs = performance.now();
+  const { incoming, receivedAtMs } = exchange;
   const { router, protocol } = options;
   const hop = options.acceptsHops ? readHop(incoming.headers) : null;
   const callerFields = protocol.readCallerHeaders(incoming.headers);
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -56,6 +56,8 @@
 
 /** Translates between the router's types and the HTTP messages of the endpoints. */
 export interface EndpointProtocol {
+  /** Reads how long a caller waits for its response, in milliseconds; null if it didn't say. */
+  readTimeoutMs(headers: IncomingHttpHeaders): number | null;
   /** Reads the headers of a caller's request. */
   readCallerHeaders(headers: IncomingHttpHeaders): CallerFields;
   /** Builds the headers of a request to an endpoint, as alternating names and values. */
--- a/packages/daemon/src/http/client_errors.ts
+++ b/packages/daemon/src/http/client_errors.ts
@@ -15,7 +15,7 @@
   { refusal, status }: RawProblem,
 ): void {
   if (!connection.writable) return void connection.destroy();
-  connection.write(formatRawProblem(refusal, status));
+  connection.write(formatRawProblem(refusal, { status }));
   connection.destroySoon();
 }
 
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -24,6 +24,8 @@
   readonly incoming: IncomingMessage;
   readonly response: ServerResponse;
   readonly url: URL;
+  /** When its head was received, by the monotonic clock. */
+  readonly receivedAtMs: number;
   /**
    * Identifies the request in log lines and in the `request-id` header, which is
    * not sent if `omitDiagnosticHeaders` is set.
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -12,6 +12,8 @@
 const MAX_SLICE_BYTES = 16 * 1_024;
 /** Slices that a connection gets parsed before others have their turn. */
 const MAX_SLICES_PER_TURN = 64;
+/** Bytes of a read after which other connections have their turn. */
+const LARGE_READ_BYTES = 64 * 1_024;
 /** Bytes behind a request in progress that are read, so that a close is noticed. */
 const MAX_BYTES_BEHIND = 4 * 1_024;
 /** Memory that a byte of an unfinished head takes, as text and in the parser's tables. */
@@ -56,6 +58,8 @@
   #lastRequest: IncomingMessage | undefined;
   #wantsBytes = false;
   #isFeeding = false;
+  /** Whether the socket isn't read in this turn of the event loop any more. */
+  #hasReadEnough = false;
   #hasEnded = false;
   #lingers = false;
   #closesAfterResponse = false;
@@ -176,12 +180,16 @@
     pieces: { chunk: Buffer | string; encoding: BufferEncoding }[],
     callback: (error?: Error | null) => void,
   ): void {
-    this.#socket.cork();
-    for (const [index, { chunk, encoding }] of pieces.entries()) {
-      if (index < pieces.length - 1) this.#socket.write(chunk, encoding);
-      else this.#socket.write(chunk, encoding, callback);
+    // Node ends each response with an empty piece.
+    const filled = pieces.filter(({ chunk }) => chunk.length > 0);
+    const last = filled.pop();
+    if (!last) return callback();
+    if (filled.length > 0) this.#socket.cork();
+    for (const { chunk, encoding } of filled) {
+      this.#socket.write(chunk, encoding);
     }
-    this.#socket.uncork();
+    this.#socket.write(last.chunk, last.encoding, callback);
+    if (filled.length > 0) this.#socket.uncork();
   }
 
   override _final(callback: (error?: Error | null) => void): void {
@@ -219,6 +227,7 @@
 
   #receive(bytes: Buffer): void {
     if (this.destroyed || this.#isClosing()) return;
+    if (bytes.length >= LARGE_READ_BYTES) this.#giveTurn();
     this.#unparsed = this.#unparsed.length === 0
       ? bytes
       : Buffer.concat([this.#unparsed, bytes]);
@@ -226,6 +235,17 @@
     if (this.#unparsed.length > MAX_BYTES_BEHIND) this.#holdUnparsed();
   }
 
+  // Otherwise a socket is read until it is empty, and many large bodies at once would
+  // delay all other connections.
+  #giveTurn(): void {
+    this.#hasReadEnough = true;
+    this.#socket.pause();
+    setImmediate(() => {
+      this.#hasReadEnough = false;
+      if (!this.destroyed) this.#readOn();
+    });
+  }
+
   // No more can be sent, so that a request would be run without an answer.
   #isClosing(): boolean {
     return this.writableEnded;
@@ -312,6 +332,7 @@
   }
 
   #readOn(): void {
+    if (this.#hasReadEnough) return;
     if (this.#hasEnded && (this.#isHeld() || this.#unparsed.length === 0)) {
       // Its caller has left, so that what waits isn't handled.
       this.#unparsed = EMPTY;
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -96,19 +96,38 @@
   if (DO_NOT_RETRY.has(refusal.reason)) headers["x-should-retry"] = "false";
   // The caller may have disconnected, or the response may have begun.
   if (response.headersSent || response.destroyed) return;
+  const body = JSON.stringify(problem);
+  // Without it, the body would be sent in chunks.
+  headers["content-length"] = String(Buffer.byteLength(body));
   response.writeHead(problem.status, headers);
-  response.end(JSON.stringify(problem));
+  response.end(body);
 }
 
 function toWholeSeconds(retryAfterMs: number): string {
   return String(Math.max(1, Math.ceil(retryAfterMs / 1_000)));
 }
 
+/** Options of {@link formatRawProblem}. */
+export interface RawProblemOptions {
+  /** The status of the response; by default that of the refusal. */
+  status?: number;
+  /** Formats the `retry-after` header; there is none by default. */
+  formatRetryAfter?: (retryAfterMs: number) => string;
+}
+
 /** Formats a complete HTTP response for a connection without a readable request. */
-export function formatRawProblem(refusal: Refusal, status: number): string {
+export function formatRawProblem(
+  refusal: Refusal,
+  { status = problemOf(refusal).status, formatRetryAfter }: RawProblemOptions =
+    {},
+): string {
   const body = JSON.stringify({ ...problemOf(refusal), status });
+  const retryAfter = refusal.kind === "notRun" && formatRetryAfter
+    ? [`Retry-After: ${formatRetryAfter(refusal.retryAfterMs)}`]
+    : [];
   return [
     `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+    ...retryAfter,
     `Content-Type: ${PROBLEM_TYPE}`,
     `Content-Length: ${Buffer.byteLength(body)}`,
     "Connection: close",
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -1,58 +1,35 @@
 /** An HTTP server as a component of the daemon. */
 import { randomUUID } from "node:crypto";
 import {
-  createServer,
   type IncomingMessage,
   type Server,
-  type ServerOptions,
   type ServerResponse,
 } from "node:http";
-import { createServer as createTlsServer } from "node:https";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import {
   mayHaveRun,
   type MemoryLease,
-  type MemoryUse,
   notRun,
-  type Observer,
   PROCESS_MEMORY,
   type Refusal,
 } from "@teaselvalve/core";
 import type { Component } from "../lifecycle/manager.ts";
-import type { TlsCredentials } from "../settings/load.ts";
-import type { Limits } from "../settings/schema.ts";
 import { problemForClientError, type RawProblem } from "./client_errors.ts";
 import { ConnectionSweep } from "./connection_sweep.ts";
 import { type Exchange, refusalOfMemory } from "./exchange.ts";
 import { listenWhenFree } from "./listen.ts";
+import { createNodeServer } from "./node_server.ts";
 import { PacedConnection } from "./paced_connection.ts";
-import { sendProblem } from "./problem.ts";
+import { formatRawProblem, sendProblem } from "./problem.ts";
 import { RefusalQueue } from "./refusal_queue.ts";
+import type { HttpComponentOptions } from "./server_options.ts";
+import { UnreadRefusals } from "./unread_refusal.ts";
 
-/** Options of {@link createHttpComponent}. */
-export interface HttpComponentOptions {
-  name: string;
-  /** Address to listen on, as `host:port`. */
-  address: string;
-  handle: (exchange: Exchange) => Promise<void> | void;
-  observer: Observer;
-  limits: Limits;
-  /** Plain HTTP when absent. */
-  tls?: TlsCredentials | undefined;
-  /** Level of the log line that is written for each request. */
-  requestLogLevel: "debug" | "info";
-  /**
-   * Leaves out the `date` and `request-id` headers, which are only used for
-   * diagnosis; calls between VMs are too frequent to send them each time.
-   */
-  omitDiagnosticHeaders?: boolean;
-  /** What the memory of requests is reserved for; `request` by default. */
-  requestMemoryUse?: MemoryUse;
-  /** True while each response closes its connection, for example before a shutdown. */
-  shouldCloseConnections?: () => boolean;
-  stopTimeoutMs?: number;
-}
+export type {
+  AdmittedRequests,
+  HttpComponentOptions,
+} from "./server_options.ts";
 
 /** Node's listener that attaches the HTTP parser to a connection. */
 type ParseListener = (this: Server, connection: Duplex) => void;
@@ -74,7 +51,6 @@
 
 // Node's default backlog of 511 overflows when many callers connect at once.
 const LISTEN_BACKLOG = 4_096;
-const CHECK_INTERVAL_MS = 1_000;
 /** Time that a closing interface gives to request headers still in transit. */
 const CLOSE_UNUSED_INTERVAL_MS = 500;
 /** Memory that a request in progress takes, with its head and small bodies. */
@@ -105,6 +81,7 @@
   #sweep: ConnectionSweep;
   #responses = new Set<ServerResponse>();
   #refusals: RefusalQueue;
+  #unread = new UnreadRefusals();
   #closing = false;
   #closeTimer: ReturnType<typeof setInterval> | undefined;
 
@@ -113,7 +90,7 @@
     const { limits, observer } = options;
     this.#refusals = new RefusalQueue(observer);
     this.#server = createNodeServer(options, (incoming, response) => {
-      void this.#handleRequest(incoming, response);
+      this.#receive(incoming, response);
     });
     this.#sweep = new ConnectionSweep({
       stalledMs: limits.slowReaderMs,
@@ -180,6 +157,7 @@
 
   abort(): void {
     this.#stopTimers();
+    this.#unread.abort();
     this.#server.closeAllConnections();
   }
 
@@ -231,6 +209,7 @@
   }
 
   #open(socket: Socket, parse: readonly ParseListener[]): void {
+    if (this.#refuseUnread(socket)) return;
     const connection = new PacedConnection(socket, {
       memory: PROCESS_MEMORY,
       onNoMemory: () => {
@@ -246,38 +225,94 @@
     this.#refusals.add(connection, { refusal, status: 503 });
   }
 
-  async #handleRequest(
-    incoming: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
+  // Some interfaces admit only part of their requests, and have to read each.
+  #refuseUnread(socket: Socket): boolean {
+    const { admission } = this.#options;
+    if (!admission || admission.applies) return false;
+    const { gate, formatRetryAfter } = admission;
+    gate.noteConnection();
+    if (!gate.refusesNew(socket.remoteAddress)) return false;
+    this.#unread.add(
+      socket,
+      () => formatRawProblem(gate.refuseConnection(), { formatRetryAfter }),
+    );
+    return true;
+  }
+
+  #receive(incoming: IncomingMessage, response: ServerResponse): void {
     // After a freeze of the process, a connection can time out just before its
     // request is read, and its refusal is already queued.
     const connection = pacedOf(incoming.socket);
     if (this.#refusals.has(connection)) return;
     connection.beginRequest(incoming);
-    const id = randomUUID();
-    const startedMs = performance.now();
+    const receivedAtMs = performance.now();
+    // A broken connection is handled by the response's close event.
+    incoming.on("error", () => {});
+    response.on("error", () => {});
     if (this.#options.omitDiagnosticHeaders) response.sendDate = false;
-    else response.setHeader("request-id", id);
+    this.#responses.add(response);
+    response.once("close", () => {
+      this.#responses.delete(response);
+      connection.endRequest();
+    });
+    const begin = () =>
+      void this.#handleRequest(incoming, { response, receivedAtMs });
+    const { admission } = this.#options;
+    const isAdmitted = admission?.applies?.(incoming.headers) ?? true;
+    if (!admission || !isAdmitted) return begin();
+    admission.gate.receive({
+      connection,
+      timeoutMs: () => admission.timeoutMs(incoming.headers),
+      describe: () => admission.describe(incoming.headers),
+      begin: () => {
+        if (!response.destroyed) begin();
+      },
+      refuse: (refusal) => this.#refuseUnbegun(response, refusal),
+    });
+  }
+
+  // Costs much less than handling the request.
+  #refuseUnbegun(response: ServerResponse, refusal: Refusal): void {
+    this.#setClosing(response);
+    const { formatRetryAfter, mark } = this.#options.admission!;
+    mark?.(response, refusal);
+    sendProblem(response, refusal, { formatRetryAfter });
+  }
+
+  // Requests that have been received get an answer first.
+  #setClosing(response: ServerResponse): void {
     const isClosing = this.#closing ||
       this.#options.shouldCloseConnections?.();
-    // Requests that have been received get an answer first.
-    if (isClosing && !connection.hasWaitingRequests) {
+    if (isClosing && !pacedOf(response.req.socket).hasWaitingRequests) {
       response.setHeader("connection", "close");
     }
+  }
+
+  async #handleRequest(
+    incoming: IncomingMessage,
+    { response, receivedAtMs }: {
+      response: ServerResponse;
+      receivedAtMs: number;
+    },
+  ): Promise<void> {
+    const id = randomUUID();
+    if (!this.#options.omitDiagnosticHeaders) {
+      response.setHeader("request-id", id);
+    }
+    this.#setClosing(response);
     const memory = this.#reserveMemory();
-    // A broken connection is handled by the response's close event.
-    incoming.on("error", () => {});
-    response.on("error", () => {});
-    this.#responses.add(response);
     const url = parseUrl(incoming.url);
-    const exchange = url &&
-      { incoming, response, url, id, logFields: {} } satisfies Exchange;
+    const exchange = url && {
+      incoming,
+      response,
+      url,
+      id,
+      receivedAtMs,
+      logFields: {},
+    } satisfies Exchange;
     response.once("close", () => {
-      this.#responses.delete(response);
       memory?.release();
-      connection.endRequest();
-      this.#logRequest(exchange, { incoming, response, id, startedMs });
+      this.#logRequest(exchange, { incoming, response, id, receivedAtMs });
     });
     const refusal = memory ? this.#checkHeaders(incoming) : refusalOfMemory();
     if (refusal) return this.#refuse(response, refusal);
@@ -345,10 +380,10 @@
       incoming: IncomingMessage;
       response: ServerResponse;
       id: string;
-      startedMs: number;
+      receivedAtMs: number;
     },
   ): void {
-    const { incoming, response, id, startedMs } = details;
+    const { incoming, response, id, receivedAtMs } = details;
     this.#options.observer.log({
       event: "request",
       level: this.#options.requestLogLevel,
@@ -358,7 +393,7 @@
       path: exchange?.url.pathname,
       status: response.headersSent ? response.statusCode : undefined,
       complete: response.writableFinished,
-      durationMs: Math.round(performance.now() - startedMs),
+      durationMs: Math.round(performance.now() - receivedAtMs),
       ...exchange?.logFields,
     });
   }
@@ -369,29 +404,6 @@
   return connection as PacedConnection;
 }
 
-function createNodeServer(
-  { limits, tls }: HttpComponentOptions,
-  listener: (incoming: IncomingMessage, response: ServerResponse) => void,
-): Server {
-  const common: ServerOptions = {
-    maxHeaderSize: limits.headerBytes,
-    headersTimeout: Math.min(limits.headersMs, limits.requestMs),
-    requestTimeout: limits.requestMs,
-    keepAliveTimeout: limits.idleMs,
-    connectionsCheckingInterval: Math.min(CHECK_INTERVAL_MS, limits.headersMs),
-  };
-  if (!tls) return createServer(common, listener);
-  return createTlsServer({
-    ...common,
-    cert: tls.certificate,
-    key: tls.key,
-    ca: tls.authorities,
-    requestCert: tls.requireClientCertificate,
-    rejectUnauthorized: tls.requireClientCertificate,
-    handshakeTimeout: limits.headersMs,
-  }, listener);
-}
-
 function parseUrl(target: string | undefined): URL | null {
   const base = "http://vm";
   return URL.canParse(target ?? "/", base)
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -18,7 +18,9 @@
 } from "prom-client";
 import type { MemoryLimits } from "./memory.ts";
 import type { TrafficCounter } from "./traffic.ts";
+import type { Admission } from "../http/admission.ts";
 import type { HttpComponent } from "../http/server.ts";
+import { countUnaccepted } from "./unaccepted.ts";
 
 const COUNTER_HELP: Record<CounterName, string> = {
   refusals: "Requests refused, by verdict and reason",
@@ -162,6 +164,46 @@
     });
   }
 
+  /**
+   * Exports how busy the event loop is with requests, and how many connections to the
+   * interface at `address` the kernel holds for it, read at each scrape.
+   */
+  watchAdmission(admission: Admission, address: string): void {
+    const gauges: Record<string, [help: string, read: () => number | null]> = {
+      waiting_requests: [
+        "Requests that were received and not begun",
+        () => admission.waiting,
+      ],
+      begin_interval_ms: [
+        "Average time between the begins of two requests while others waited",
+        () => admission.intervalMs,
+      ],
+      longest_turn_ms: [
+        "Longest turn of the event loop with requests since the last scrape",
+        () => admission.takeLongestTurnMs(),
+      ],
+      busy: [
+        "1 while requests are refused because there are too many",
+        () => Number(admission.isBusy),
+      ],
+      unaccepted_connections: [
+        "Connections of callers that the kernel has completed and nobody accepted",
+        () => countUnaccepted(address),
+      ],
+    };
+    for (const [name, [help, read]] of Object.entries(gauges)) {
+      new Gauge({
+        name: `teaselvalve_${name}`,
+        help,
+        registers: [this.registry],
+        collect() {
+          const value = read();
+          if (value !== null) this.set(value);
+        },
+      });
+    }
+  }
+
   /** Exports socket and byte counts, read at each scrape. */
   watchTraffic(traffic: TrafficCounter): void {
     new Gauge({
