Leave busy VMs out of the addresses that callers get

While most VMs aren't busy, the directory names only those, so that refused callers turn to VMs with room.

--- a/packages/core/src/directory/addresses.ts
+++ b/packages/core/src/directory/addresses.ts
@@ -26,19 +26,25 @@
   /** Hash key that spreads callers over VMs. */
   spreadBy: string;
   ttlMs: number;
+  /** Whether a VM has more requests than it can serve; none by default. */
+  isBusy?: (vm: VmId) => boolean;
 }
 
+/** Share of the VMs that must not be busy, so that callers don't all turn to a few. */
+const MIN_FREE_SHARE = 0.5;
+
 /**
  * Lists up to four usable VMs: first those in the caller's data centre, then the
  * others in its region, then the rest, each group ordered by a hash with `spreadBy`.
  * If the caller's data centre is known, one address is reserved for another one, so
- * that the caller keeps an address when its whole data centre is lost.
+ * that the caller keeps an address when its whole data centre is lost. Busy VMs are left
+ * out while most are not.
  */
 export function listAddresses(
   view: MembershipView,
   options: AddressOptions,
 ): AddressAnswer {
-  const usable = view.members().filter(isUsable);
+  const usable = withoutBusy(view.members().filter(isUsable), options.isBusy);
   const region =
     usable.find((member) => member.dataCentre === options.dataCentre)?.region ??
       view.self.region;
@@ -67,6 +73,14 @@
   return { addresses, ttlMs: options.ttlMs };
 }
 
+function withoutBusy(
+  members: readonly Member[],
+  isBusy: (vm: VmId) => boolean = () => false,
+): readonly Member[] {
+  const free = members.filter(({ id }) => !isBusy(id));
+  return free.length >= MIN_FREE_SHARE * members.length ? free : members;
+}
+
 // A VM without an incarnation is known from the platform's list only; it may have
 // departed long ago.
 function isUsable(member: Member): boolean {
--- a/packages/core/src/directory/addresses_test.ts
+++ b/packages/core/src/directory/addresses_test.ts
@@ -77,3 +77,18 @@
   expect(counts.size).toBe(5);
   expect(Math.max(...counts.values())).toBeLessThan(260);
 });
+
+test("Busy VMs are left out while most are not", () => {
+  const busy = new Set(["vm-1", "vm-4", "vm-7"]);
+  const listed = (isBusy: (vm: string) => boolean) =>
+    listAddresses(viewOf(fifteenVms), {
+      dataCentre: asId("espoo-b"),
+      spreadBy: "caller-1",
+      ttlMs: 10_000,
+      isBusy,
+    }).addresses.map(({ vm }) => vm);
+  const withBusy = listed((vm) => busy.has(vm));
+  expect(withBusy).toHaveLength(4);
+  expect(withBusy.filter((vm) => busy.has(vm))).toEqual([]);
+  expect(listed(() => true)).toEqual(listed(() => false));
+});
--- a/packages/core/src/membership/app.ts
+++ b/packages/core/src/membership/app.ts
@@ -13,6 +13,8 @@
   readonly configurationVersion: number;
   /** Equal on VMs that have the same evidence on crashes; absent where none is kept. */
   readonly evidenceHash?: number;
+  /** Whether the sender refuses requests because it has too many; absent if not. */
+  readonly busy?: boolean;
   /** Equal on VMs whose views agree. */
   readonly viewHash: number;
   /** Set in an answer if the answering VM doesn't know the one that sent the probe. */
--- a/packages/core/src/membership/gossip_exchange.ts
+++ b/packages/core/src/membership/gossip_exchange.ts
@@ -14,6 +14,8 @@
   configurationVersion: () => number;
   /** Hash of the evidence on crashes that this VM has. */
   evidenceHash?: () => number;
+  /** Whether this VM refuses requests because it has too many. */
+  isBusy?: () => boolean;
 }
 
 /** Keeps the table up to date by exchanging updates with other VMs. */
@@ -71,6 +73,7 @@
       leaving: own.announced === "leaving",
       configurationVersion: this.#options.configurationVersion(),
       evidenceHash: this.#options.evidenceHash?.(),
+      ...(this.#options.isBusy?.() ? { busy: true } : {}),
       viewHash: this.#table.hash(),
       ...(received && !known ? { unknown: true } : {}),
       news,
--- a/packages/core/src/membership/task.ts
+++ b/packages/core/src/membership/task.ts
@@ -71,6 +71,8 @@
   configurationVersion: () => number;
   /** Hash of the evidence on crashes, sent with probes. */
   evidenceHash?: () => number;
+  /** Whether this VM refuses requests because it has too many, sent with probes. */
+  isBusy?: () => boolean;
   /** Called for each received probe and answer, with the versions that it carries. */
   onProbe?: (probe: Probe) => void;
   /**
@@ -114,6 +116,7 @@
       table: this.#table,
       configurationVersion: options.configurationVersion,
       evidenceHash: options.evidenceHash,
+      ...(options.isBusy ? { isBusy: options.isBusy } : {}),
     });
     this.#prober = new Prober(context, {
       table: this.#table,
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -2,7 +2,8 @@
  * One VM that routes requests by host and path. The home of a key (a placement
  * shard, or the stages of a service) is the VM that rendezvous hashing picks.
  */
-import type { EndpointId } from "../common/ids.ts";
+import type { EndpointId, VmId } from "../common/ids.ts";
+import { BusyVms } from "../directory/busy_vms.ts";
 import { shuffle } from "../common/shuffle.ts";
 import { wait } from "../common/wait.ts";
 import { StallWatch } from "../common/stall_watch.ts";
@@ -87,6 +88,7 @@
   #stopListening: () => void;
   #stallWatch: StallWatch;
   #stopGate = new StopGate();
+  #busyVms = new BusyVms();
   #stopTimer: ReturnType<typeof setTimeout> | undefined;
 
   constructor(options: RoutingVmOptions) {
@@ -101,6 +103,7 @@
     this.membership = new MembershipTask(context, {
       configurationVersion: () => this.#tables.version,
       evidenceHash: () => this.#guard.evidenceHash,
+      isBusy: () => this.#isBusy,
       onProbe: (probe) => this.#compareWith(probe),
       contacts: options.contacts,
       listIntervalMs: LIST_INTERVAL_MS,
@@ -403,10 +406,22 @@
     this.#originRecord.noteEndpoints();
   }
 
+  get #isBusy(): boolean {
+    return this.#options.isBusy?.() ?? false;
+  }
+
+  /** Whether a VM, this one included, has more requests than it can serve. */
+  isBusy(vm: VmId): boolean {
+    return vm === this.membership.self.id
+      ? this.#isBusy
+      : this.#busyVms.has(vm);
+  }
+
   // Fetches what the VM that sent a probe has and this one lacks.
   #compareWith(probe: Probe): void {
     const peer = this.membership.member(probe.from);
     this.#guard.noteProbe(peer, probe.evidenceHash);
+    this.#busyVms.note(probe.from, probe.busy === true);
     this.#tables.compare(probe);
   }
 
--- a/packages/core/src/routing/routing_vm_options.ts
+++ b/packages/core/src/routing/routing_vm_options.ts
@@ -43,6 +43,8 @@
   /** Peer addresses for first contact. */
   contacts: () => readonly string[];
   times?: RequestTimes;
+  /** Whether this VM refuses requests because it has too many. */
+  isBusy?: () => boolean;
   /** Times within which changes in the store have to be in use; by default those of small deployments. */
   bounds?: ChangeBounds;
   /** Called with each routing table that becomes active. */
