--- a/packages/daemon/src/http/node_server.ts
+++ b/packages/daemon/src/http/node_server.ts
@@ -7,7 +7,7 @@
   type ServerResponse,
 } from "node:http";
 import { createServer as createTlsServer } from "node:https";
-import type { HttpComponentOptions } from "./server.ts";
+import type { HttpComponentOptions } from "./server_options.ts";
 
 const CHECK_INTERVAL_MS = 1_000;
 
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -6,15 +6,11 @@
 import {
   mayHaveRun,
   type MemoryLease,
-  type MemoryUse,
   notRun,
-  type Observer,
   PROCESS_MEMORY,
   type Refusal,
 } from "@teaselvalve/core";
 import type { Component } from "../lifecycle/manager.ts";
-import type { TlsCredentials } from "../settings/load.ts";
-import type { Limits } from "../settings/schema.ts";
 import { problemForClientError, type RawProblem } from "./client_errors.ts";
 import { ConnectionSweep } from "./connection_sweep.ts";
 import {
@@ -26,33 +22,16 @@
 import { listenWhenFree } from "./listen.ts";
 import { createNodeServer } from "./node_server.ts";
 import { PacedConnection } from "./paced_connection.ts";
-import { sendProblem } from "./problem.ts";
+import { formatRawProblem, sendProblem } from "./problem.ts";
 import { awaitQuietTurns } from "./quiet_turns.ts";
 import { RefusalQueue } from "./refusal_queue.ts";
+import type { HttpComponentOptions } from "./server_options.ts";
+import { UnreadRefusals } from "./unread_refusal.ts";
 
-/** Options of {@link createHttpComponent}. */
-export interface HttpComponentOptions {
-  name: string;
-  /** Address to listen on, as `host:port`. */
-  address: string;
-  handle: (exchange: Exchange) => Promise<void> | void;
-  observer: Observer;
-  limits: Limits;
-  /** Plain HTTP when absent. */
-  tls?: TlsCredentials | undefined;
-  /** Level of the log line that is written for each request. */
-  requestLogLevel: "debug" | "info";
-  /**
-   * Leaves out the `date` and `request-id` headers, which are only used for
-   * diagnosis; calls between VMs are too frequent to send them each time.
-   */
-  omitDiagnosticHeaders?: boolean;
-  /** What the memory of requests is reserved for; `request` by default. */
-  requestMemoryUse?: MemoryUse;
-  /** True while each response closes its connection, for example before a shutdown. */
-  shouldCloseConnections?: () => boolean;
-  stopTimeoutMs?: number;
-}
+export type {
+  AdmittedRequests,
+  HttpComponentOptions,
+} from "./server_options.ts";
 
 /** Node's listener that attaches the HTTP parser to a connection. */
 type ParseListener = (this: Server, connection: Duplex) => void;
@@ -110,6 +89,7 @@
   #sweep: ConnectionSweep;
   #responses = new Set<ServerResponse>();
   #refusals: RefusalQueue;
+  #unread = new UnreadRefusals();
   #closing = false;
   /** Connections and requests, up to now. */
   #arrivals = 0;
@@ -122,7 +102,7 @@
     const { limits, observer } = options;
     this.#refusals = new RefusalQueue(observer);
     this.#server = createNodeServer(options, (incoming, response) => {
-      void this.#handleRequest(incoming, response);
+      this.#receive(incoming, response);
     });
     this.#sweep = new ConnectionSweep({
       stalledMs: limits.slowReaderMs,
@@ -195,6 +175,7 @@
 
   abort(): void {
     this.#stopTimers();
+    this.#unread.abort();
     this.#server.closeAllConnections();
   }
 
@@ -236,6 +217,7 @@
 
   #open(socket: Socket, parse: readonly ParseListener[]): void {
     this.#arrivals += 1;
+    if (this.#refuseUnread(socket)) return;
     const connection = new PacedConnection(socket, {
       memory: PROCESS_MEMORY,
       onNoMemory: () => {
@@ -251,39 +233,95 @@
     this.#refusals.add(connection, { refusal, status: 503 });
   }
 
-  async #handleRequest(
-    incoming: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
+  // Some interfaces admit only part of their requests, and have to read each.
+  #refuseUnread(socket: Socket): boolean {
+    const { admission } = this.#options;
+    if (!admission || admission.applies || this.#refusal) return false;
+    const { gate, formatRetryAfter } = admission;
+    gate.noteConnection();
+    if (!gate.refusesNew(socket.remoteAddress)) return false;
+    this.#unread.add(
+      socket,
+      () => formatRawProblem(gate.refuseConnection(), { formatRetryAfter }),
+    );
+    return true;
+  }
+
+  #receive(incoming: IncomingMessage, response: ServerResponse): void {
     // After a freeze of the process, a connection can time out just before its
     // request is read, and its refusal is already queued.
     const connection = pacedOf(incoming.socket);
     this.#arrivals += 1;
     if (this.#refusals.has(connection)) return;
     connection.beginRequest(incoming, response);
-    const id = randomUUID();
-    const startedMs = performance.now();
+    const receivedAtMs = performance.now();
+    // A broken connection is handled by the response's close event.
+    incoming.on("error", () => {});
+    response.on("error", () => {});
     if (this.#options.omitDiagnosticHeaders) response.sendDate = false;
-    else response.setHeader("request-id", id);
+    this.#responses.add(response);
+    response.once("close", () => {
+      this.#responses.delete(response);
+      connection.endRequest();
+    });
+    const begin = () =>
+      void this.#handleRequest(incoming, { response, receivedAtMs });
+    const { admission } = this.#options;
+    const isAdmitted = admission?.applies?.(incoming.headers) ?? true;
+    if (!admission || !isAdmitted || this.#refusal) return begin();
+    admission.gate.receive({
+      connection,
+      timeoutMs: () => admission.timeoutMs(incoming.headers),
+      describe: () => admission.describe(incoming.headers),
+      begin: () => {
+        if (!response.destroyed) begin();
+      },
+      refuse: (refusal) => this.#refuseUnbegun(response, refusal),
+    });
+  }
+
+  // Costs much less than handling the request.
+  #refuseUnbegun(response: ServerResponse, refusal: Refusal): void {
+    this.#setClosing(response);
+    const { formatRetryAfter, mark } = this.#options.admission!;
+    mark?.(response, refusal);
+    sendProblem(response, refusal, { formatRetryAfter });
+  }
+
+  // Requests that have been received get an answer first.
+  #setClosing(response: ServerResponse): void {
     const isClosing = this.#closing || this.#refusal ||
       this.#options.shouldCloseConnections?.();
-    // Requests that have been received get an answer first.
-    if (isClosing && !connection.hasWaitingRequests) {
+    if (isClosing && !pacedOf(response.req.socket).hasWaitingRequests) {
       response.setHeader("connection", "close");
     }
+  }
+
+  async #handleRequest(
+    incoming: IncomingMessage,
+    { response, receivedAtMs }: {
+      response: ServerResponse;
+      receivedAtMs: number;
+    },
+  ): Promise<void> {
+    const id = randomUUID();
+    if (!this.#options.omitDiagnosticHeaders) {
+      response.setHeader("request-id", id);
+    }
+    this.#setClosing(response);
     const memory = this.#reserveMemory();
-    // A broken connection is handled by the response's close event.
-    incoming.on("error", () => {});
-    response.on("error", () => {});
-    this.#responses.add(response);
     const url = parseTarget(incoming.url);
-    const exchange = url &&
-      { incoming, response, url, id, logFields: {} } satisfies Exchange;
+    const exchange = url && {
+      incoming,
+      response,
+      url,
+      id,
+      receivedAtMs,
+      logFields: {},
+    } satisfies Exchange;
     response.once("close", () => {
-      this.#responses.delete(response);
       memory?.release();
-      connection.endRequest();
-      this.#logRequest(exchange, { incoming, response, id, startedMs });
+      this.#logRequest(exchange, { incoming, response, id, receivedAtMs });
     });
     const refusal = this.#refusal ??
       (memory ? this.#checkHeaders(incoming) : refusalOfMemory());
@@ -352,10 +390,10 @@
       incoming: IncomingMessage;
       response: ServerResponse;
       id: string;
-      startedMs: number;
+      receivedAtMs: number;
     },
   ): void {
-    const { incoming, response, id, startedMs } = details;
+    const { incoming, response, id, receivedAtMs } = details;
     this.#options.observer.log({
       event: "request",
       level: this.#options.requestLogLevel,
@@ -365,7 +403,7 @@
       path: exchange?.url.pathname,
       status: response.headersSent ? response.statusCode : undefined,
       complete: response.writableFinished,
-      durationMs: Math.round(performance.now() - startedMs),
+      durationMs: Math.round(performance.now() - receivedAtMs),
       ...exchange?.logFields,
     });
   }
