Say after how long another try of a body without memory is worth it

A body beyond the room is refused as no-memory, with a Retry-After of 1 to 2 s whatever held the memory. Now it follows from the size of the body and of those that wait before it, and from how fast memory was given back in the last second; spread by a factor of two. Before, refused callers were told the same whether memory comes back in 200 ms or in seconds.

--- a/packages/core/src/admission/request_queue.ts
+++ b/packages/core/src/admission/request_queue.ts
@@ -1,11 +1,10 @@
 /** Requests that wait to be begun, in a fair order and for a bounded time. */
+import { DecayingCount } from "../common/decaying_count.ts";
 
 /** Weight of the newest sample in the average time between two begins. */
 const INTERVAL_WEIGHT = 0.05;
 /** Longer pauses are stalls of the process, and say nothing of what it can serve. */
 const MAX_INTERVAL_SAMPLE_MS = 100;
-/** Half-life of the counts of what was offered and begun. */
-const HALF_LIFE_MS = 1_000;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 2_000;
 
@@ -21,22 +20,6 @@
   readonly maxWaitMs: number;
 }
 
-/** A count in which older events weigh less. */
-export class DecayingCount {
-  #value = 0;
-  #atMs = performance.now();
-
-  add(amount = 1): void {
-    this.#value = this.current() + amount;
-    this.#atMs = performance.now();
-  }
-
-  current(): number {
-    const elapsedMs = performance.now() - this.#atMs;
-    return this.#value * 2 ** (-elapsedMs / HALF_LIFE_MS);
-  }
-}
-
 /**
  * The requests of a busy VM that it has received and not begun. Flows take turns, so
  * that one which asks for much only lengthens its own wait. How long a request will wait
--- a/packages/core/src/common/memory_budget.ts
+++ b/packages/core/src/common/memory_budget.ts
@@ -1,4 +1,5 @@
 /** One budget for the memory of everything that a process has accepted. */
+import { DecayingCount } from "./decaying_count.ts";
 
 const MIB = 1_024 * 1_024;
 /** Messages up to this size are served before larger ones that wait. */
@@ -79,6 +80,8 @@
   #limitBytes: number;
   #usedBytes = 0;
   #usedBy = new Map<MemoryUse, number>();
+  /** Bytes that were given back lately. */
+  #freed = new DecayingCount();
   /** How many messages beyond the size of small ones hold memory, by use. */
   #largeMessages = new Map<MemoryUse, number>(
     LARGE_MESSAGES.map((use) => [use, 0]),
@@ -140,6 +143,19 @@
     });
   }
 
+  /**
+   * Returns after how long there will be room for a message behind those that wait, in
+   * milliseconds, if memory is given back as fast as lately; infinite if none was.
+   */
+  estimateWaitMs(use: MemoryUse, sizeBytes: number): number {
+    let aheadBytes = 0;
+    for (const waiter of this.#waiters.get(use) ?? []) {
+      aheadBytes += waiter.sizeBytes;
+    }
+    const neededBytes = aheadBytes + sizeBytes;
+    return neededBytes === 0 ? 0 : neededBytes / this.#freed.ratePerMs();
+  }
+
   #isBehind(use: MemoryUse, sizeBytes: number): boolean {
     const waiting = this.#waiters.get(use)?.size ?? 0;
     return sizeBytes > SMALL_BYTES && waiting > 0;
@@ -191,6 +207,7 @@
   #add(use: MemoryUse, { fromBytes, toBytes }: SizeChange): void {
     const moreBytes = toBytes - fromBytes;
     this.#usedBytes += moreBytes;
+    if (moreBytes < 0) this.#freed.add(-moreBytes);
     this.#usedBy.set(use, this.usedBytes(use) + moreBytes);
     const large = this.#largeMessages.get(use);
     if (large === undefined) return;
--- a/packages/core/src/common/memory_budget_test.ts
+++ b/packages/core/src/common/memory_budget_test.ts
@@ -1,4 +1,4 @@
-import { expect, test } from "vitest";
+import { expect, test, vi } from "vitest";
 import { MemoryBudget } from "./memory_budget.ts";
 
 function createMemory() {
@@ -78,3 +78,21 @@
   for (let index = 0; index < 64; index += 1) void waitFor(memory, 600_000);
   expect(await waitFor(memory, 600_000)).toBeNull();
 });
+
+test("The wait for memory follows from how fast it is given back, and who waits before", () => {
+  vi.useFakeTimers({ toFake: ["performance"] });
+  const memory = createMemory();
+  expect(memory.estimateWaitMs("body", 100_000)).toBe(Infinity);
+  for (let messages = 0; messages < 100; messages += 1) {
+    const lease = memory.reserve("body", 100_000)!;
+    vi.advanceTimersByTime(100);
+    lease.release();
+  }
+  const aloneMs = memory.estimateWaitMs("body", 200_000);
+  expect(aloneMs).toBeGreaterThan(150);
+  expect(aloneMs).toBeLessThan(250);
+  memory.reserve("body", 400_000);
+  void waitFor(memory, 200_000);
+  expect(memory.estimateWaitMs("body", 200_000)).toBeCloseTo(2 * aloneMs, 0);
+  vi.useRealTimers();
+});
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./common/app.ts";
 export * from "./common/byte_collector.ts";
 export * from "./common/memory_budget.ts";
+export * from "./common/decaying_count.ts";
 export * from "./common/hash.ts";
 export * from "./common/ids.ts";
 export * from "./common/machine_task.ts";
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -16,8 +16,9 @@
 const UNPAID_BODY_BYTES = 8 * 1_024;
 /** How long a body waits for memory; callers that aren't read for a second leave. */
 const MAX_MEMORY_WAIT_MS = 250;
-/** Large requests in progress take about this long; doubled at random to spread retries. */
-const MEMORY_RETRY_MS = 1_000;
+/** Shortest and longest time after which a request without memory is to be sent again. */
+const MIN_MEMORY_RETRY_MS = 200;
+const MAX_MEMORY_RETRY_MS = 2_000;
 
 /** Another VM can take the request at once. */
 const STOP_RETRY_MS = 50;
@@ -74,7 +75,7 @@
   const lease = declaredBytes > UNPAID_BODY_BYTES
     ? await waitForMemory(incoming, declaredBytes)
     : undefined;
-  if (lease === null) return err(refusalOfMemory());
+  if (lease === null) return err(refusalOfMemory(declaredBytes));
   const collector = new ByteCollector({
     use: "body",
     limitBytes: lease ? declaredBytes : limitBytes,
@@ -90,17 +91,28 @@
   clearTimeout(timer);
   collector.discard();
   if (signal.aborted) return err(notRun("request-timeout"));
-  if (collector.failure === "no-memory") return err(refusalOfMemory());
+  if (collector.failure === "no-memory") {
+    return err(refusalOfMemory(limitBytes));
+  }
   if (collector.failure === "too-large") return err(tooLarge);
   return body
     ? ok(body)
     : err(notRun("bad-request", { detail: "The body ended early" }));
 }
 
-/** Returns the refusal of a request for which the VM has no memory now. */
-export function refusalOfMemory(): Refusal {
-  const jitterMs = Math.random() * MEMORY_RETRY_MS;
-  return notRun("no-memory", { retryAfterMs: MEMORY_RETRY_MS + jitterMs });
+/**
+ * Returns the refusal of a request for which the VM has no memory now; `sizeBytes` is
+ * what its body may need. The time after which it may return is spread, so that refused
+ * callers don't return together.
+ */
+export function refusalOfMemory(sizeBytes = 0): Refusal {
+  const waitMs = Math.max(
+    MIN_MEMORY_RETRY_MS,
+    PROCESS_MEMORY.estimateWaitMs("body", sizeBytes),
+  );
+  const retryAfterMs = Math.min(waitMs, MAX_MEMORY_RETRY_MS) *
+    (1 + Math.random());
+  return notRun("no-memory", { retryAfterMs });
 }
 
 // Bodies wait unread, so that their callers are slowed down.
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -103,7 +103,8 @@
   response.end(body);
 }
 
-function toWholeSeconds(retryAfterMs: number): string {
+/** Formats the time of a `retry-after` header in whole seconds, at least 1. */
+export function toWholeSeconds(retryAfterMs: number): string {
   return String(Math.max(1, Math.ceil(retryAfterMs / 1_000)));
 }
 
