--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,7 +11,9 @@
 import { createAdminHandler } from "./admin/handler.ts";
 import { createCallerHandler } from "./callers/handler.ts";
 import { createEnginePort } from "./engines/port.ts";
+import { Admission } from "./http/admission.ts";
 import { splitAddress } from "./http/listen.ts";
+import { toWholeSeconds } from "./http/problem.ts";
 import { createHttpComponent } from "./http/server.ts";
 import { LifecycleManager } from "./lifecycle/manager.ts";
 import { describeInterfaces } from "./observe/interfaces.ts";
@@ -98,6 +100,13 @@
     tls: tls.callers,
     requestLogLevel: "info",
     stopTimeoutMs: limits.stopTimeoutMs,
+    admission: {
+      gate: new Admission({ observer }),
+      // Callers don't say how long they wait.
+      timeoutMs: () => null,
+      describe: () => ({}),
+      formatRetryAfter: toWholeSeconds,
+    },
     handle: createCallerHandler({ vm, observer, bodyLimitBytes }),
   });
   metrics.watchInterfaces([peers, admin, callers]);
