Begin no request late whose caller has closed its half, and accept sooner in long turns

A request goes on for 250 ms after the close now, and isn't begun with less than half of that left.

While connections come, two requests are begun for every sixteen connections or 10 ms, also in long turns: on a machine without free cores, each turn is long.

--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -57,7 +57,9 @@
  * How long a request goes on whose caller has closed its half of the connection. Work
  * for callers that have left ends within half a second.
  */
-const HALF_OPEN_MS = 300;
+const HALF_OPEN_MS = 250;
+/** Part of that time that a request needs when it begins. */
+const MIN_HALF_OPEN_SHARE = 0.5;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
@@ -256,7 +258,8 @@
     const { halfClosedAtMs } = connection;
     logFields.halfClosed = true;
     const leftMs = halfClosedAtMs! + halfOpenMs - performance.now();
-    if (leftMs <= 0) noteLeft();
+    // What begins late would hardly be answered in time.
+    if (leftMs <= MIN_HALF_OPEN_SHARE * halfOpenMs) noteLeft();
     else timer = setTimeout(noteLeft, leftMs);
   };
   const unwatch = () => {
--- a/packages/daemon/src/http/admission.ts
+++ b/packages/daemon/src/http/admission.ts
@@ -18,6 +18,8 @@
  * nothing come between.
  */
 const ACCEPTS_PER_BEGIN = 8;
+/** Requests that are begun in a turn while new connections come. */
+const BEGINS_BETWEEN_ACCEPTS = 2;
 /** Turns that begin nothing may take this long together. */
 const MAX_ACCEPT_MS = 10;
 /** A request that waits for longer than this is refused; callers turn to other VMs soon. */
@@ -181,7 +183,7 @@
     this.#hasNewConnection = false;
     this.#accepts += 1;
     this.#acceptMs += turnMs;
-    const begins = this.#beginsOfTurn(turnMs);
+    const begins = this.#beginsOfTurn();
     if (begins > 0) {
       this.#accepts = 0;
       this.#acceptMs = 0;
@@ -190,12 +192,12 @@
     if (this.#queue.size > 0 || this.#isAccepting) this.#planTurn();
   }
 
-  #beginsOfTurn(turnMs: number): number {
-    // In long turns, accepting isn't what takes the time.
-    if (!this.#isAccepting || turnMs > MAX_ACCEPT_MS) return BEGINS_PER_TURN;
-    const hasAccepted = this.#accepts > ACCEPTS_PER_BEGIN ||
+  #beginsOfTurn(): number {
+    if (!this.#isAccepting) return BEGINS_PER_TURN;
+    const hasAccepted =
+      this.#accepts >= ACCEPTS_PER_BEGIN * BEGINS_BETWEEN_ACCEPTS ||
       this.#acceptMs > MAX_ACCEPT_MS;
-    return hasAccepted ? 1 : 0;
+    return hasAccepted ? BEGINS_BETWEEN_ACCEPTS : 0;
   }
 
   #beginNext(count: number): void {
--- a/packages/daemon/src/http/admission_test.ts
+++ b/packages/daemon/src/http/admission_test.ts
@@ -9,8 +9,6 @@
 import { createHttpComponent, type HttpComponent } from "./server.ts";
 
 const CONNECTIONS = 300;
-/** Time that a request keeps the event loop. */
-const REQUEST_MS = 5;
 const ANSWER_LIMIT_MS = 6_000;
 
 let component: HttpComponent;
@@ -22,7 +20,10 @@
   await component.stop();
 });
 
-async function serve(): Promise<{ host: string; port: number }> {
+/** Starts an interface each of whose requests keeps the event loop for a time. */
+async function serve(
+  { requestMs = 5 } = {},
+): Promise<{ host: string; port: number }> {
   const address = { host: "127.0.0.1", port: await freePort() };
   component = createHttpComponent({
     name: "callers",
@@ -39,7 +40,7 @@
     handle: async ({ response }) => {
       // Most of a request's work follows after its begin.
       await wait(1);
-      const untilMs = performance.now() + REQUEST_MS;
+      const untilMs = performance.now() + requestMs;
       while (performance.now() < untilMs);
       sendText(response, "served", "text/plain");
     },
@@ -78,7 +79,7 @@
 });
 
 test("A refusal reaches a caller that is still sending its body", async () => {
-  const address = await serve();
+  const address = await serve({ requestMs: 20 });
   const body = "x".repeat(500_000);
   const statuses = await Promise.all(
     Array.from({ length: CONNECTIONS }, () => send(address, { body })),
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -28,7 +28,7 @@
  * How long a request whose caller has closed its half of the connection may take. The
  * caller may wait for its answer, or have left.
  */
-const HALF_OPEN_MS = 400;
+const HALF_OPEN_MS = 350;
 
 /** Options of {@link PacedConnection}. */
 export interface PacedConnectionOptions {
