Decide which waiting requests are late by one reading of the clock

Cause: the clock was read for each comparison, so that a request which became late in between was neither refused nor kept, and the queue's size never came back to 0.

--- a/packages/core/src/admission/request_queue.ts
+++ b/packages/core/src/admission/request_queue.ts
@@ -113,15 +113,17 @@
 
   /** Removes and returns the requests that have waited for too long. */
   removeLate(): WaitingRequest<T>[] {
-    const isLate = (request: WaitingRequest<T>) =>
-      this.waitedMs(request) > request.maxWaitMs;
+    // One moment for all, so that each is either late or not.
+    const nowMs = this.#nowMs();
     const late: WaitingRequest<T>[] = [];
     for (const [name, flow] of this.#flows) {
-      if (!flow.some(isLate)) continue;
-      late.push(...flow.filter(isLate));
-      const others = flow.filter((request) => !isLate(request));
-      if (others.length > 0) this.#flows.set(name, others);
-      else this.#flows.delete(name);
+      const others: WaitingRequest<T>[] = [];
+      for (const request of flow) {
+        const isLate = nowMs - request.sinceMs > request.maxWaitMs;
+        (isLate ? late : others).push(request);
+      }
+      if (others.length === 0) this.#flows.delete(name);
+      else if (others.length < flow.length) this.#flows.set(name, others);
     }
     this.#size -= late.length;
     return late;
--- a/packages/core/src/admission/request_queue_test.ts
+++ b/packages/core/src/admission/request_queue_test.ts
@@ -117,6 +117,24 @@
   expect(queue.size).toBe(0);
 });
 
+test("Each request is taken or refused once, also while the clock goes on", () => {
+  const queue = measuredQueue();
+  const now = vi.spyOn(performance, "now");
+  let nowMs = performance.now();
+  now.mockImplementation(() => nowMs += 0.3);
+  let ended = 0;
+  for (let index = 0; index < 3_000; index += 1) {
+    ended += add(queue, `r${index}`, { maxWaitMs: 5 + index % 7 }).length;
+    nowMs += 0.5;
+    ended += queue.removeLate().length;
+    if (index % 3 === 0 && queue.take()) ended += 1;
+  }
+  ended += takeAll(queue).length;
+  now.mockRestore();
+  expect(ended).toBe(3_000);
+  expect(queue.size).toBe(0);
+});
+
 test("A stall of the process counts neither as a wait nor as the time that a request needs", () => {
   const queue = measuredQueue();
   const { waiting } = queue.add(request("stalled"));
