Take a half close that waited unread for as old as it may be

The review showed requests with bodies of 200 kB that were begun 500 to 783 ms after their callers had closed their half: the socket isn't read while such a body waits, so the close was read late and taken for new. The time in which a request's socket wasn't read now counts.

--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -1,6 +1,5 @@
 /** Handles requests of callers that are routed by host and path. */
 import type { ServerResponse } from "node:http";
-import type { Duplex } from "node:stream";
 import { setImmediate } from "node:timers/promises";
 import {
   asId,
@@ -21,7 +20,7 @@
   Router,
 } from "@teaselvalve/core/routing";
 import { type Exchange, readBytes } from "../http/exchange.ts";
-import type { PacedConnection } from "../http/paced_connection.ts";
+import { pacedOf } from "../http/paced_connection.ts";
 import { sendProblem } from "../http/problem.ts";
 import { PROCESS_UNREAD_TIME } from "../http/unread_time.ts";
 import { BatchedWriter } from "./batched_writer.ts";
@@ -193,10 +192,6 @@
   await setImmediate();
 }
 
-function pacedOf(socket: Duplex): PacedConnection {
-  return socket as PacedConnection;
-}
-
 // The peer interface logs no line for each request.
 function noteHop(
   exchange: Exchange,
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -4,11 +4,9 @@
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
 import type { MemoryBudget, MemoryLease } from "@teaselvalve/core";
+import { BLANK_LINE, endOfBlankLine } from "./blank_line.ts";
 import { PROCESS_UNREAD_TIME } from "./unread_time.ts";
 
-const BLANK_LINE = "\n\r\n";
-/** Node's parser accepts it as well. */
-const BARE_BLANK_LINE = "\n\n";
 const EMPTY = Buffer.alloc(0);
 const MAX_SLICE_BYTES = 16 * 1_024;
 /** Slices that a connection gets parsed before others have their turn. */
@@ -70,6 +68,9 @@
   #isFeeding = false;
   /** Whether the socket isn't read in this turn of the event loop any more. */
   #hasReadEnough = false;
+  /** Since when the socket isn't read, and for how long it wasn't in this request. */
+  #pausedAtMs: number | null = null;
+  #unreadMs = 0;
   #halfClosedAtMs: number | null = null;
   #halfOpenTimer: ReturnType<typeof setTimeout> | undefined;
   #isHalfOpenOver = false;
@@ -147,6 +148,7 @@
   beginRequest(incoming: IncomingMessage, response: ServerResponse): void {
     this.#openRequests += 1;
     this.#lastRequest = incoming;
+    this.#unreadMs = 0;
     this.#lastResponse = response;
     this.#bodyBytesLeft = Number(incoming.headers["content-length"] ?? 0);
     this.#isBehindRequest = false;
@@ -240,7 +242,8 @@
   }
 
   #noteHalfClose(): void {
-    this.#halfClosedAtMs = performance.now() - PROCESS_UNREAD_TIME.boundMs();
+    this.#halfClosedAtMs = performance.now() -
+      Math.max(this.#unreadMs, PROCESS_UNREAD_TIME.boundMs());
     this.#halfOpenTimer = setTimeout(() => {
       this.#isHalfOpenOver = true;
       this.#readOn();
@@ -266,11 +269,24 @@
     if (this.#unparsed.length > MAX_BYTES_BEHIND) this.#holdUnparsed();
   }
 
+  #pause(): void {
+    this.#pausedAtMs ??= performance.now();
+    this.#socket.pause();
+  }
+
+  #resume(): void {
+    if (this.#pausedAtMs !== null) {
+      this.#unreadMs += performance.now() - this.#pausedAtMs;
+    }
+    this.#pausedAtMs = null;
+    this.#socket.resume();
+  }
+
   // Otherwise a socket is read until it is empty, and many large bodies at once would
   // delay all other connections.
   #giveTurn(): void {
     this.#hasReadEnough = true;
-    this.#socket.pause();
+    this.#pause();
     setImmediate(() => {
       this.#hasReadEnough = false;
       if (!this.destroyed) this.#readOn();
@@ -290,7 +306,7 @@
   // What waits has been read at once. Without memory it is dropped, and the connection
   // is closed after the response, which tells the caller that it wasn't handled.
   #holdUnparsed(): void {
-    this.#socket.pause();
+    this.#pause();
     const { memory } = this.#options;
     this.#unparsedLease ??= memory.reserve("head", this.#unparsed.length);
     if (this.#unparsedLease || !this.#isHeld()) return;
@@ -377,24 +393,12 @@
     } else if (this.#unparsed.length <= MAX_BYTES_BEHIND) {
       this.#unparsedLease?.release();
       this.#unparsedLease = null;
-      if (this.#unparsed.length === 0 || this.#isHeld()) this.#socket.resume();
+      if (this.#unparsed.length === 0 || this.#isHeld()) this.#resume();
     }
   }
 }
 
-// Returns the index after the first blank line, which may begin in the bytes before;
-// infinite if there is none.
-function endOfBlankLine(before: Buffer, bytes: Buffer): number {
-  if (before.length > 0) {
-    const joined = Buffer.concat([
-      before,
-      bytes.subarray(0, BLANK_LINE.length - 1),
-    ]);
-    const end = endOfBlankLine(EMPTY, joined);
-    if (end < Infinity) return end - before.length;
-  }
-  const lineAt = bytes.indexOf(BLANK_LINE);
-  const end = lineAt < 0 ? Infinity : lineAt + BLANK_LINE.length;
-  const bareAt = bytes.subarray(0, end).indexOf(BARE_BLANK_LINE);
-  return bareAt < 0 ? end : bareAt + BARE_BLANK_LINE.length;
+/** Returns the connection of a request, whose class Node's types don't know. */
+export function pacedOf(connection: Duplex): PacedConnection {
+  return connection as PacedConnection;
 }
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -21,7 +21,7 @@
 } from "./exchange.ts";
 import { listenWhenFree } from "./listen.ts";
 import { createNodeServer } from "./node_server.ts";
-import { PacedConnection } from "./paced_connection.ts";
+import { PacedConnection, pacedOf } from "./paced_connection.ts";
 import { formatRawProblem, sendProblem } from "./problem.ts";
 import { awaitQuietTurns } from "./quiet_turns.ts";
 import { RefusalQueue } from "./refusal_queue.ts";
@@ -419,8 +419,3 @@
     });
   }
 }
-
-// Node's types name the class of socket that its own listener creates.
-function pacedOf(connection: Duplex): PacedConnection {
-  return connection as PacedConnection;
-}
