--- a/packages/core/src/routing/crashes/attribution_test.ts
+++ b/packages/core/src/routing/crashes/attribution_test.ts
@@ -126,3 +126,17 @@
   const { traits } = tracker.evidence.get(incarnationOf(endpoint))!;
   expect([...traits.keys()]).not.toContain("part/m/sound");
 });
+
+test("A part that crashes engines once an answer has begun doesn't cost the first part that it shares", async () => {
+  const tracker = new CrashTracker();
+  crash(tracker, [promptWith("first")]);
+  for (let crashes = 0; crashes < 8; crashes += 1) {
+    const crashing = promptWith("first", "crashing");
+    tracker.noteBegun(crashing);
+    await vi.advanceTimersByTimeAsync(100);
+    crash(tracker, [crashing]);
+    await vi.advanceTimersByTimeAsync(400);
+  }
+  expect(isQuarantined(tracker, promptWith("first", "crashing"))).toBe(true);
+  expect(isQuarantined(tracker, promptWith("first"))).toBe(false);
+});
--- a/packages/core/src/routing/links/link_wait_test.ts
+++ b/packages/core/src/routing/links/link_wait_test.ts
@@ -86,7 +86,7 @@
   expect(tookMs).toBeLessThan(0.5 * DEADLINE_MS);
 });
 
-test("A resumed stream goes on at once when the links of its own VM come back", async () => {
+test("A resumed stream is sent at once when the links of its own VM come back", async () => {
   const { port, state, start } = setUp();
   const resumed = start({ resumed: true });
   await vi.advanceTimersByTimeAsync(500);
