An endpoint is tried again within two seconds after an answer that was slow

The pause test counts calls for just these 2 s. In it, the record of an endpoint holds no latency at the end of its pause (a refusal isn't measured); its first answer after it sets the average. In the unit test, the one answer in 2 s moved the average by a fifth only.

Change: an average is stale after 1.5 s, and begins anew with the next answer. Choices among fresh averages are the same.

--- a/packages/core/src/routing/endpoint_record.ts
+++ b/packages/core/src/routing/endpoint_record.ts
@@ -6,7 +6,7 @@
 /** Weight of the newest answer in the moving average of latencies. */
 const LATENCY_WEIGHT = 0.2;
 /** Age from which an endpoint's latency says little about it. */
-const STALE_LATENCY_MS = 2_000;
+const STALE_LATENCY_MS = 1_500;
 /** Duration of an endpoint's first ejection; doubles with each further failure in a row. */
 const EJECTION_BASE_MS = 500;
 const EJECTION_MAX_MS = 8_000;
@@ -60,7 +60,10 @@
     return this.#ejectedUntilMs;
   }
 
-  /** Moving average of answer times, or null before the first answer. */
+  /**
+   * Moving average of answer times, or null before the first answer. It begins anew with
+   * an answer before which it was stale.
+   */
   get latencyMs(): number | null {
     return this.#latencyMs;
   }
@@ -145,10 +148,12 @@
   noteSuccess(tookMs: number): void {
     this.#failuresInRow = 0;
     this.#ejectedUntilMs = -Infinity;
-    this.#latencyAtMs = performance.now();
-    this.#latencyMs = this.#latencyMs === null
+    const nowMs = performance.now();
+    const freshMs = this.freshLatencyMs(nowMs);
+    this.#latencyAtMs = nowMs;
+    this.#latencyMs = freshMs === null
       ? tookMs
-      : this.#latencyMs + LATENCY_WEIGHT * (tookMs - this.#latencyMs);
+      : freshMs + LATENCY_WEIGHT * (tookMs - freshMs);
   }
 
   /** Counts a failure; returns true if the endpoint is ejected from now on. */
