Tests: requests that time out in a stall are made certain, not left to load

Requests that are written in a stall are read before timeouts are checked if the stall is in a timer, and on a starved machine the callers' writes are due in the same turn. In 6 of 16 runs no connection timed out.

Change: 20 connections that were accepted write their requests in a stall that lasts five times their timeout, in the phase of the event loop behind which timers come first. All of them have to time out, and none may be handled. The requests under random load stay, and all checks of before with them.

With the check for refused connections taken out of server.ts, the test fails on these 20. Green in seven of seven runs, five of them beside six busy processes (load average 31 to 36), one of these with the whole file. The sixteen runs beside eight weren't repeated.

--- a/packages/daemon/src/http/server_test.ts
+++ b/packages/daemon/src/http/server_test.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
 import { connect, Server, type Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import { SILENT_OBSERVER, wait } from "@teaselvalve/core";
 import { afterEach, expect, test, vi } from "vitest";
 import { deferred } from "../testing/deferred.ts";
@@ -167,13 +168,46 @@
   expect(body).toMatch(/HTTP\/1.1 4\d\d /);
 });
 
+interface LateAnswer {
+  readonly path: string;
+  readonly timedOut: boolean;
+}
+
+/** Sends requests on open connections, and stalls until these have timed out unread. */
+async function sendInStall(
+  count: number,
+  { headersMs }: { headersMs: number },
+): Promise<LateAnswer[]> {
+  const { idleMs } = DEFAULT_LIMITS;
+  component.setTimeouts({ idleMs, headersMs: DEFAULT_LIMITS.headersMs });
+  const sockets = Array.from({ length: count }, open);
+  await Promise.all(sockets.map((socket) => once(socket, "connect")));
+  await expect.poll(() => component.activity().connections).toBe(count);
+  // Timers come first in the turn after this, so that timeouts do.
+  await setImmediate();
+  component.setTimeouts({ idleMs, headersMs });
+  const answers = sockets.map(async (socket, index) => {
+    const path = `/late-${index}`;
+    let text = "";
+    socket.on("data", (chunk) => text += chunk);
+    socket.write(post("{}").replace("POST /", `POST ${path}`));
+    await once(socket, "close");
+    return { path, timedOut: text.startsWith("HTTP/1.1 408") };
+  });
+  block(5 * headersMs);
+  return await Promise.all(answers);
+}
+
 test("handles no request that it refuses with a timeout, even under load", async () => {
   const handled = new Set<string>();
-  await serve({ headersMs: 200 }, async ({ url, response }) => {
+  const headersMs = 200;
+  await serve({ headersMs }, async ({ url, response }) => {
     handled.add(url.pathname);
     await wait(50);
     sendJson(response, {});
   });
+  const late = await sendInStall(20, { headersMs });
+  expect(late.filter((answer) => !answer.timedOut)).toEqual([]);
   const busy = setInterval(() => block(40), 50);
   const answers = await Promise.all(
     Array.from({ length: 300 }, async (_, index) => {
@@ -192,7 +226,7 @@
     }),
   );
   clearInterval(busy);
-  const timedOut = answers.filter((answer) => answer.timedOut);
+  const timedOut = [...late, ...answers].filter((answer) => answer.timedOut);
   expect(timedOut.length).toBeGreaterThan(0);
   expect(handled.size).toBeGreaterThan(0);
   expect(timedOut.filter(({ path }) => handled.has(path))).toEqual([]);
