A half close counts from when its socket last had nothing to read

Causes of the listed red, in which requests were begun over 500 ms after the close: - The close's age was the larger of the time without reads and the last stall of the event loop. They add up, and the time from a turn's end to the read in the next one was in neither. With turns of 100 ms, a close behind 200 kB counted 180 and 175 ms too new. Change: ArrivalBound keeps the one time at which the socket was last certain to be empty; the close came after that. - A body was complete before its caller's close was read. Traced in two red runs: all 17 late requests were begun so. Only the gateway's handler waits a turn for it. Change: readBytes does that for each large body.

--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -1,5 +1,6 @@
 /** An incoming HTTP request with its response, and helpers to read and answer it. */
 import type { Buffer } from "node:buffer";
+import { setImmediate } from "node:timers/promises";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
   ByteCollector,
@@ -89,6 +90,7 @@
   const { signal } = timeLimit;
   const body = await collectBody(incoming, { collector, signal });
   clearTimeout(timer);
+  if (lease) await readPendingClose();
   collector.discard();
   if (signal.aborted) return err(notRun("request-timeout"));
   if (collector.failure === "no-memory") {
@@ -131,6 +133,13 @@
   return lease;
 }
 
+// A large body may have waited unread with its caller's close behind it, which is read in
+// the next turn of the event loop.
+async function readPendingClose(): Promise<void> {
+  await setImmediate();
+  await setImmediate();
+}
+
 // Null if the body ended early, the collector gave it up, or it was aborted. Iterating
 // over the stream would destroy the connection on an early exit; this keeps it open so
 // that a refusal can be sent.
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -4,8 +4,8 @@
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
 import type { MemoryBudget, MemoryLease } from "@teaselvalve/core";
+import { ArrivalBound } from "./arrival_bound.ts";
 import { BLANK_LINE, endOfBlankLine } from "./blank_line.ts";
-import { PROCESS_UNREAD_TIME } from "./unread_time.ts";
 
 const EMPTY = Buffer.alloc(0);
 const MAX_SLICE_BYTES = 16 * 1_024;
@@ -68,9 +68,7 @@
   #isFeeding = false;
   /** Whether the socket isn't read in this turn of the event loop any more. */
   #hasReadEnough = false;
-  /** Since when the socket isn't read, and for how long it wasn't in this request. */
-  #pausedAtMs: number | null = null;
-  #unreadMs = 0;
+  readonly #arrival = new ArrivalBound();
   #halfClosedAtMs: number | null = null;
   #halfOpenTimer: ReturnType<typeof setTimeout> | undefined;
   #isHalfOpenOver = false;
@@ -148,7 +146,6 @@
   beginRequest(incoming: IncomingMessage, response: ServerResponse): void {
     this.#openRequests += 1;
     this.#lastRequest = incoming;
-    this.#unreadMs = 0;
     this.#lastResponse = response;
     this.#bodyBytesLeft = Number(incoming.headers["content-length"] ?? 0);
     this.#isBehindRequest = false;
@@ -242,8 +239,8 @@
   }
 
   #noteHalfClose(): void {
-    this.#halfClosedAtMs = performance.now() -
-      Math.max(this.#unreadMs, PROCESS_UNREAD_TIME.boundMs());
+    this.#arrival.noteRead();
+    this.#halfClosedAtMs = this.#arrival.earliestMs;
     this.#halfOpenTimer = setTimeout(() => {
       this.#isHalfOpenOver = true;
       this.#readOn();
@@ -260,6 +257,7 @@
   }
 
   #receive(bytes: Buffer): void {
+    this.#arrival.noteRead();
     if (this.destroyed || this.#isClosing()) return;
     if (bytes.length >= LARGE_READ_BYTES) this.#giveTurn();
     this.#unparsed = this.#unparsed.length === 0
@@ -270,15 +268,12 @@
   }
 
   #pause(): void {
-    this.#pausedAtMs ??= performance.now();
+    this.#arrival.notePause();
     this.#socket.pause();
   }
 
   #resume(): void {
-    if (this.#pausedAtMs !== null) {
-      this.#unreadMs += performance.now() - this.#pausedAtMs;
-    }
-    this.#pausedAtMs = null;
+    this.#arrival.noteResume();
     this.#socket.resume();
   }
 
