Crashes: blame the part that mostly follows a first part before that one

A part has at least as many crashes as any part that follows it. Where both had been answered shortly before, or both hadn't, the one with the most crashes was blamed first: a single further crash made the shared first part the culprit, and left nothing to blame the crashing part for.

--- a/packages/core/src/routing/crashes/queries/find_culprits.ts
+++ b/packages/core/src/routing/crashes/queries/find_culprits.ts
@@ -33,11 +33,18 @@
   readonly unaccompanied: number;
 }
 
+interface RankedCandidate extends Candidate {
+  readonly isCommon: boolean;
+  /** Whether one more specific part is suspected in most of its crashes. */
+  readonly isFollowed: boolean;
+}
+
 /**
  * Returns the traits that best explain the crashes. A trait is a candidate where
  * no request with it was answered after the crash. Those that explain the most
- * crashes are chosen first, of several the most specific one; common ones are blamed
- * only for crashes that nothing else explains.
+ * crashes are chosen first, of several the most specific one; common ones, and parts
+ * that a more specific one mostly follows, are blamed only for crashes that nothing
+ * else explains.
  */
 export function findCulprits(
   records: Iterable<CrashRecord>,
@@ -46,18 +53,21 @@
   const candidates = rankCandidates(crashes);
   const culprits = new Map<TraitId, Culprit>();
   let unexplained = crashes;
-  for (const { isCommon, ...candidate } of candidates) {
+  for (const candidate of candidates) {
     const { id } = candidate;
     const rest = unexplained.filter((crash) => !isSuspect(crash, id));
     const explained = unexplained.length - rest.length;
-    if (explained < (isCommon ? unexplainedToBlame(candidate) : 1)) continue;
+    if (explained < unexplainedToBlame(candidate)) continue;
     unexplained = rest;
-    culprits.set(candidate.id, candidate);
+    culprits.set(id, candidate);
   }
   return culprits;
 }
 
-function unexplainedToBlame({ position, unaccompanied }: Candidate): number {
+function unexplainedToBlame(
+  { isCommon, isFollowed, position, unaccompanied }: RankedCandidate,
+): number {
+  if (!isCommon && !isFollowed) return 1;
   return position === WHOLE_REQUEST_POSITION &&
       unaccompanied >= ALONE_UNEXPLAINED_CRASHES
     ? ALONE_UNEXPLAINED_CRASHES
@@ -70,23 +80,40 @@
 }
 
 // Those with enough crashes, in the order in which they are blamed.
-function rankCandidates(crashes: readonly CrashRecord[]) {
+function rankCandidates(crashes: readonly CrashRecord[]): RankedCandidate[] {
   const frequent = [...countCandidates(crashes).values()]
     .filter((candidate) => candidate.crashes >= CULPRIT_CRASHES);
   return frequent
     .map((candidate) => ({
       ...candidate,
       isCommon: isCommon(candidate, { crashes, others: frequent }),
+      isFollowed: isFollowed(candidate, { crashes, others: frequent }),
     }))
     .filter(({ isCommon, crashes }) =>
       !isCommon || crashes >= COMMON_CULPRIT_CRASHES
     )
     .sort((a, b) =>
-      Number(a.isCommon) - Number(b.isCommon) || b.crashes - a.crashes ||
+      Number(a.isCommon) - Number(b.isCommon) ||
+      Number(a.isFollowed) - Number(b.isFollowed) || b.crashes - a.crashes ||
       b.position - a.position || (a.id < b.id ? -1 : 1)
     );
 }
 
+// A part has at least as many crashes as any part that follows it.
+function isFollowed(
+  { id, position }: Candidate,
+  { crashes, others }: {
+    crashes: readonly CrashRecord[];
+    others: readonly Candidate[];
+  },
+): boolean {
+  const own = crashes.filter((crash) => isSuspect(crash, id));
+  return others.some((other) =>
+    other.position > position && other.position < WHOLE_REQUEST_POSITION &&
+    own.filter((crash) => isSuspect(crash, other.id)).length > own.length / 2
+  );
+}
+
 function isCommon(
   candidate: Candidate,
   { crashes, others }: {
