Crashes: a shared first part needs five crashes that nothing else explains

Crashes whose causing requests went through a VM that is paused, killed or slow to tell are known by the requests beside them.

A part that requests answered shortly before had, and one that a more specific suspected part follows in most of its crashes, now need five crashes that nothing else explains. A first part that crashes engines itself is found once it has as many crashes of its own as with the part that follows it, or five.

--- a/packages/core/src/routing/crashes/attribution_test.ts
+++ b/packages/core/src/routing/crashes/attribution_test.ts
@@ -140,3 +140,53 @@
   expect(isQuarantined(tracker, promptWith("first", "crashing"))).toBe(true);
   expect(isQuarantined(tracker, promptWith("first"))).toBe(false);
 });
+
+test("A first part that is alone in three crashes isn't blamed in place of the part that explains most of its crashes", () => {
+  const tracker = new CrashTracker();
+  const alone = () => crash(tracker, [promptWith("first")]);
+  const crashing = () => crash(tracker, [promptWith("first", "bad")]);
+  for (const next of [crashing, alone, crashing, alone, crashing, crashing]) {
+    next();
+  }
+  expect(isQuarantined(tracker, promptWith("first", "bad"))).toBe(true);
+  alone();
+  expect(isQuarantined(tracker, promptWith("first", "bad"))).toBe(true);
+  expect(isQuarantined(tracker, promptWith("first"))).toBe(false);
+});
+
+test("The quarantine of a first part ends once a part that follows it explains most of its crashes", () => {
+  const tracker = new CrashTracker();
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [promptWith("first")]);
+  }
+  expect(isQuarantined(tracker, promptWith("first"))).toBe(true);
+  for (let crashes = 0; crashes < 4; crashes += 1) {
+    crash(tracker, [promptWith("first", "bad")]);
+  }
+  expect(isQuarantined(tracker, promptWith("first", "bad"))).toBe(true);
+  expect(isQuarantined(tracker, promptWith("first"))).toBe(false);
+});
+
+test("A shared first part whose answers go on is spared by three crashes without their cause beside a part that explains three", async () => {
+  const tracker = new CrashTracker();
+  tracker.noteBegun(promptWith("first"));
+  await vi.advanceTimersByTimeAsync(100);
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [promptWith("first", "bad")]);
+    crash(tracker, [promptWith("first")]);
+  }
+  expect(isQuarantined(tracker, promptWith("first", "bad"))).toBe(true);
+  expect(isQuarantined(tracker, promptWith("first"))).toBe(false);
+});
+
+test("A first part that crashes engines is found although one that follows it explains as many crashes", () => {
+  const tracker = new CrashTracker();
+  for (let crashes = 0; crashes < 4; crashes += 1) {
+    crash(tracker, [promptWith("bad", "specific")]);
+  }
+  for (let crashes = 0; crashes < 4; crashes += 1) {
+    expect(isQuarantined(tracker, promptWith("bad"))).toBe(false);
+    crash(tracker, [promptWith("bad")]);
+  }
+  expect(isQuarantined(tracker, promptWith("bad"))).toBe(true);
+});
--- a/packages/core/src/routing/crashes/queries/find_culprits.ts
+++ b/packages/core/src/routing/crashes/queries/find_culprits.ts
@@ -16,6 +16,11 @@
 const COMMON_CULPRIT_CRASHES = 5;
 /** Crashes of a common trait that no other culprit explains. */
 const COMMON_UNEXPLAINED_CRASHES = 3;
+/**
+ * The same for a part that sound requests are known to share, or that a more specific
+ * one mostly follows: some crashes are noted without the requests that caused them.
+ */
+const SHARED_UNEXPLAINED_CRASHES = 5;
 /** The same for a request that was the only one in so many crashes. */
 const ALONE_UNEXPLAINED_CRASHES = 2;
 
@@ -65,9 +70,12 @@
 }
 
 function unexplainedToBlame(
-  { isCommon, isFollowed, position, unaccompanied }: RankedCandidate,
+  { isCommon, isFollowed, isTrusted, position, unaccompanied }: RankedCandidate,
 ): number {
   if (!isCommon && !isFollowed) return 1;
+  if (position < WHOLE_REQUEST_POSITION && (isTrusted || isFollowed)) {
+    return SHARED_UNEXPLAINED_CRASHES;
+  }
   return position === WHOLE_REQUEST_POSITION &&
       unaccompanied >= ALONE_UNEXPLAINED_CRASHES
     ? ALONE_UNEXPLAINED_CRASHES
