Crashes: tell others of a change after 20 ms, not after 100

VMs note one crash within a few milliseconds of each other, each with what it has lost there itself.

The first change is sent after 20 ms; batches still have 100 ms between them.

--- a/packages/core/src/routing/crashes/exchange.ts
+++ b/packages/core/src/routing/crashes/exchange.ts
@@ -14,7 +14,9 @@
 import type { CrashTracker } from "./tracker.ts";
 import type { CrashReport, TraitId } from "./types.ts";
 
-/** Delay that batches changes. */
+/** Delay until a change is sent, in which further requests are lost in the same crash. */
+const FIRST_BATCH_MS = 20;
+/** Minimum time between two batches. */
 const BATCH_MS = 100;
 /** VMs to which a VM passes on what is new to it. */
 const FANOUT = 4;
@@ -59,6 +61,7 @@
   #options: CrashExchangeOptions;
   #changed = new Set<EndpointIncarnation>();
   #timer: ReturnType<typeof setTimeout> | undefined;
+  #sentAtMs = -Infinity;
   #fetching = false;
   #trialsAtMs = new Map<TraitId, number>();
   #quarantined: ReadonlySet<TraitId> = new Set();
@@ -87,7 +90,11 @@
     this.#logQuarantines(culprits);
     if (endpoints.size === 0) return;
     for (const endpoint of endpoints) this.#changed.add(endpoint);
-    this.#timer ??= setTimeout(() => this.#send(), BATCH_MS);
+    const dueInMs = this.#sentAtMs + BATCH_MS - performance.now();
+    this.#timer ??= setTimeout(
+      () => this.#send(),
+      Math.max(FIRST_BATCH_MS, dueInMs),
+    );
   }
 
   /** Fetches evidence from a VM whose hash differs. */
@@ -153,6 +160,7 @@
 
   #send(): void {
     this.#timer = undefined;
+    this.#sentAtMs = performance.now();
     const { membership, peers, tracker } = this.#options;
     const reports = tracker().evidence.reports(this.#changed);
     this.#changed = new Set();
--- a/packages/core/src/routing/crashes/exchange_test.ts
+++ b/packages/core/src/routing/crashes/exchange_test.ts
@@ -4,6 +4,7 @@
 import type { Member, VmIdentity } from "../../membership/types.ts";
 import type { PeerPort } from "../../ports/peers.ts";
 import { entry, request } from "../testing/fake_endpoints.ts";
+import type { RoutedRequest } from "../types.ts";
 import { CrashExchange, type CrashHandlers } from "./exchange.ts";
 import { CrashTracker } from "./tracker.ts";
 
@@ -12,6 +13,7 @@
 
 const PROBE_INTERVAL_MS = 1_000;
 const CONTACT_MS = 3_000;
+let requestCount = 0;
 const POISON = request({ target: "/a/poison" });
 
 /** VMs whose calls may be lost; each probes one random VM in every interval. */
@@ -90,6 +92,22 @@
   }
 }
 
+/** A request like no other, whose prompt has the given parts before its own. */
+function promptWith(parts: readonly string[]): RoutedRequest {
+  requestCount += 1;
+  const own = `own-${requestCount}`;
+  return request({
+    target: `/a/${own}`,
+    prompt: {
+      model: "m",
+      promptTokens: 100,
+      maxOutputTokens: 10,
+      expectedOutputTokens: null,
+      parts: [...parts, own].map((id) => ({ id, tokens: 10 })),
+    },
+  });
+}
+
 /** Three VMs each see one crash. */
 function crashAtThree(vms: Vms): void {
   for (const index of [0, 1, 2]) {
@@ -107,6 +125,26 @@
   expect(vms.calls / 400).toBeLessThan(40);
 });
 
+test("A first part that is alone in the crashes of one VM is spared at all once another VM has noted their cause", async () => {
+  const vms = new Vms(7);
+  const engines = [1, 2, 3, 4].map((index) => entry(`engine-${index}`));
+  const noteCrashes = (vm: string, parts: readonly string[]) => {
+    for (const engine of engines) {
+      const tracker = vms.trackers.get(vm)!;
+      tracker.noteLost(promptWith(parts), engine);
+      tracker.noteEnd(engine);
+    }
+  };
+  noteCrashes("vm-4", ["first"]);
+  await vi.advanceTimersByTimeAsync(15);
+  noteCrashes("vm-1", ["first", "bad"]);
+  await vi.advanceTimersByTimeAsync(60);
+  for (const tracker of vms.trackers.values()) {
+    expect(tracker.refusalOf(promptWith(["first"]))).toBeNull();
+    expect(tracker.refusalOf(promptWith(["first", "bad"]))).not.toBeNull();
+  }
+});
+
 test("VMs that were cut off, and VMs that start later, learn of crashes within the time to contact", async () => {
   const vms = new Vms(30);
   for (let index = 20; index < 30; index += 1) vms.down.add(`vm-${index}`);
