--- a/packages/core/src/routing/crashes/attribution_test.ts
+++ b/packages/core/src/routing/crashes/attribution_test.ts
@@ -190,3 +190,49 @@
   }
   expect(isQuarantined(tracker, promptWith("bad"))).toBe(true);
 });
+
+/** A crash of the endpoint with the given id, as this VM learns of it. */
+function crashAt(
+  tracker: CrashTracker,
+  { id, requests }: { id: string; requests: readonly RoutedRequest[] },
+): void {
+  crash(tracker, requests, entry(id));
+}
+
+test("A stream broken off in three crashes, one of them alone, is spared while a part was at more of them (soak 42123)", () => {
+  const tracker = new CrashTracker();
+  const resumed = promptWith("aa02");
+  const other = promptWith("aa01");
+  crashAt(tracker, { id: "i-6", requests: [resumed] });
+  crashAt(tracker, { id: "i-9", requests: [other] });
+  crashAt(tracker, { id: "i-7", requests: [promptWith("aa01")] });
+  crashAt(tracker, {
+    id: "i-8",
+    requests: [resumed, other, promptWith("aa01")],
+  });
+  crashAt(tracker, {
+    id: "i-10",
+    requests: [promptWith("aa02", "bad0"), promptWith("aa02")],
+  });
+  crashAt(tracker, {
+    id: "i-13",
+    requests: [resumed, promptWith("aa02", "bad0")],
+  });
+  expect(isQuarantined(tracker, resumed)).toBe(false);
+});
+
+test("A first part that was alone in three crashes is free again once the VM that sent the crashing requests reports, however late (soak 42123)", async () => {
+  const ids = ["i-7", "i-8", "i-9"];
+  const paused = new CrashTracker();
+  const tracker = new CrashTracker();
+  for (const id of ids) {
+    paused.noteLost(promptWith("aa01", "bad1"), entry(id));
+    crashAt(tracker, { id, requests: [promptWith("aa01")] });
+  }
+  paused.discountLosses({ service: entry("i-7").service, stage: null });
+  await vi.advanceTimersByTimeAsync(1_300);
+  paused.addReports(tracker.evidence.reports());
+  tracker.addReports(paused.evidence.reports());
+  expect(isQuarantined(tracker, promptWith("aa01", "bad1"))).toBe(true);
+  expect(isQuarantined(tracker, promptWith("aa01"))).toBe(false);
+});
