Crashes: trials of a part prefer requests without a further unknown part

Where a part was alone in a crash, requests without a further part exist. For a second after a trial is due, it is kept for a request whose further parts were answered lately, or that has none.

The new test in attribution_test.ts ("The trial of a part that was alone ...") failed before; the folder's tests and stream_crash_test.ts pass.

--- a/packages/core/src/routing/crashes/attribution_test.ts
+++ b/packages/core/src/routing/crashes/attribution_test.ts
@@ -236,3 +236,25 @@
   expect(isQuarantined(tracker, promptWith("aa01", "bad1"))).toBe(true);
   expect(isQuarantined(tracker, promptWith("aa01"))).toBe(false);
 });
+
+test("The trial of a part that was alone in crashes goes to a request without a further unknown part, for a second (soak 42123)", async () => {
+  const tracker = new CrashTracker();
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [promptWith("first")]);
+  }
+  await vi.advanceTimersByTimeAsync(10_500);
+  expect(await tracker.admit(promptWith("first", "new"))).not.toBe("trial");
+  expect(await tracker.admit(promptWith("first"))).toBe("trial");
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(await tracker.admit(promptWith("first", "new"))).toBe("trial");
+});
+
+test("A further part that is answered elsewhere doesn't delay the trial of a part", async () => {
+  const tracker = new CrashTracker();
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [promptWith("first")]);
+  }
+  tracker.noteBegun(promptWith("other", "sound"));
+  await vi.advanceTimersByTimeAsync(10_100);
+  expect(await tracker.admit(promptWith("first", "sound"))).toBe("trial");
+});
--- a/packages/core/src/routing/crashes/evidence.ts
+++ b/packages/core/src/routing/crashes/evidence.ts
@@ -78,6 +78,11 @@
       .filter((record) => !record.refuted && isSuspect(record, id)).length;
   }
 
+  /** Whether a request with a trait was answered here not long ago, or began to be. */
+  wasAnswered(id: TraitId): boolean {
+    return this.#lastAnswerAtMs(id) > performance.now() - TRUST_MS;
+  }
+
   /** Counts the crashes with a trait, and those that no longer count against it. */
   countCrashes(
     id: TraitId,
@@ -229,14 +234,21 @@
     const trusted = new Set(record.trusted);
     for (const id of record.traits.keys()) {
       const answeredAtMs = this.#answeredAtMs.get(id) ?? -Infinity;
-      const begunAtMs = this.#begunAtMs.get(id) ?? -Infinity;
-      const lastAtMs = Math.max(answeredAtMs, begunAtMs);
       if (answeredAtMs > record.atMs) cleared.add(id);
-      else if (lastAtMs > record.atMs - TRUST_MS) trusted.add(id);
+      else if (this.#lastAnswerAtMs(id) > record.atMs - TRUST_MS) {
+        trusted.add(id);
+      }
     }
     return { ...record, cleared, trusted };
   }
 
+  #lastAnswerAtMs(id: TraitId): number {
+    return Math.max(
+      this.#answeredAtMs.get(id) ?? -Infinity,
+      this.#begunAtMs.get(id) ?? -Infinity,
+    );
+  }
+
   #deleteOld(): void {
     const expiredMs = performance.now() - RETENTION_MS;
     const byAge = [...this.#records.values()].sort((a, b) => a.atMs - b.atMs);
--- a/packages/core/src/routing/crashes/queries/find_culprits.ts
+++ b/packages/core/src/routing/crashes/queries/find_culprits.ts
@@ -30,12 +30,12 @@
   readonly position: number;
   readonly crashes: number;
   readonly lastCrashAtMs: number;
+  /** Crashes in which no more specific part, or no other request, is suspected. */
+  readonly unaccompanied: number;
 }
 
 interface Candidate extends Culprit {
   readonly isTrusted: boolean;
-  /** Crashes in which no more specific part, or no other request, is suspected. */
-  readonly unaccompanied: number;
 }
 
 interface RankedCandidate extends Candidate {
--- a/packages/core/src/routing/crashes/tracker.ts
+++ b/packages/core/src/routing/crashes/tracker.ts
@@ -19,7 +19,12 @@
 import { CrashEvidence, type EvidenceListener } from "./evidence.ts";
 import { type Culprit, CULPRIT_CRASHES } from "./queries/find_culprits.ts";
 import { partTraitsOf, traitsOf, wholeTraitOf } from "./traits.ts";
-import type { CrashReport, Trait, TraitId } from "./types.ts";
+import {
+  type CrashReport,
+  type Trait,
+  type TraitId,
+  WHOLE_REQUEST_POSITION,
+} from "./types.ts";
 
 /** A crash is attributed to the connections lost within this time before it was noticed. */
 const LOSS_WINDOW_MS = 6_000;
@@ -31,6 +36,8 @@
 const FIRST_TRIAL_MS = 10_000;
 const TRIAL_FACTOR = 4;
 const MAX_TRIAL_MS = 10 * 60_000;
+/** For how long a trial is kept for a request whose further parts are known to be sound. */
+const KEPT_TRIAL_MS = 1_000;
 /** How long a trait is refused without asking again whether a trial may take place. */
 const DENIAL_MS = 1_000;
 const MIN_RETRY_MS = 1_000;
@@ -273,7 +280,7 @@
     const culprits = this.#findCulprits(request);
     const nowMs = performance.now();
     const isDue = culprits.every((culprit) =>
-      nowMs >= trialDueAtMs(culprit) &&
+      nowMs >= trialDueAtMs(culprit) + this.#trialDelayMs(request, culprit) &&
       nowMs >= (this.#deniedUntilMs.get(culprit.id) ?? -Infinity)
     );
     if (!isDue || this.#hasOtherSuspects(request, culprits)) return false;
@@ -289,6 +296,20 @@
     return granted.every(Boolean);
   }
 
+  // Where a part was alone in a crash, requests without another one exist, and their
+  // trial doesn't depend on a part that nobody knows.
+  #trialDelayMs(
+    request: RoutedRequest,
+    { position, unaccompanied }: Culprit,
+  ): number {
+    if (position === WHOLE_REQUEST_POSITION || unaccompanied === 0) return 0;
+    const hasUnknown = partTraitsOf(request).some((part) =>
+      part.position > position && !this.evidence.culprits.has(part.id) &&
+      !this.evidence.wasAnswered(part.id)
+    );
+    return hasUnknown ? KEPT_TRIAL_MS : 0;
+  }
+
   // A crash in a trial has to say something about the culprits, and not about a more
   // specific trait that is also suspected.
   #hasOtherSuspects(
