Crashes: a part follows another only in the same request

What follows is now taken from the parts of each suspected request, and the five crashes are asked of a part answered shortly before only if a more specific suspected part was at one of its crashes.

Two new tests in attribution_test.ts failed on the code before; the folder's tests and stream_crash_test.ts pass.

--- a/packages/core/src/routing/crashes/attribution_test.ts
+++ b/packages/core/src/routing/crashes/attribution_test.ts
@@ -258,3 +258,28 @@
   await vi.advanceTimersByTimeAsync(10_100);
   expect(await tracker.admit(promptWith("first", "sound"))).toBe("trial");
 });
+
+test("A first part that crashes engines is found although requests with a further part run beside it most times", async () => {
+  const tracker = new CrashTracker();
+  tracker.noteBegun(promptWith("hot", "popular"));
+  await vi.advanceTimersByTimeAsync(100);
+  for (let crashes = 0; crashes < 5; crashes += 1) {
+    crash(tracker, [promptWith("bad"), promptWith("hot", "popular")]);
+  }
+  crash(tracker, [promptWith("bad")]);
+  expect(isQuarantined(tracker, promptWith("bad"))).toBe(true);
+  expect(isQuarantined(tracker, promptWith("hot", "popular"))).toBe(false);
+});
+
+test("Two parts whose answers begin, and that crash engines together and alone, are both found", async () => {
+  const tracker = new CrashTracker();
+  for (const part of ["bad-1", "bad-2"]) tracker.noteBegun(promptWith(part));
+  await vi.advanceTimersByTimeAsync(100);
+  for (let crashes = 0; crashes < 3; crashes += 1) {
+    crash(tracker, [promptWith("bad-1"), promptWith("bad-2")]);
+    crash(tracker, [promptWith("bad-1")]);
+    crash(tracker, [promptWith("bad-2")]);
+  }
+  expect(isQuarantined(tracker, promptWith("bad-1"))).toBe(true);
+  expect(isQuarantined(tracker, promptWith("bad-2"))).toBe(true);
+});
--- a/packages/core/src/routing/crashes/queries/find_culprits.ts
+++ b/packages/core/src/routing/crashes/queries/find_culprits.ts
@@ -17,8 +17,9 @@
 /** Crashes of a common trait that no other culprit explains. */
 const COMMON_UNEXPLAINED_CRASHES = 3;
 /**
- * The same for a part that sound requests are known to share, or that a more specific
- * one mostly follows: some crashes are noted without the requests that caused them.
+ * The same for a part that sound requests are known to share and that has a more
+ * specific one beside it in some crash, or that one mostly follows: crashes may be
+ * noted without the requests that caused them.
  */
 const SHARED_UNEXPLAINED_CRASHES = 5;
 /** The same for a request that was the only one in so many crashes. */
@@ -69,15 +70,15 @@
   return culprits;
 }
 
-function unexplainedToBlame(
-  { isCommon, isFollowed, isTrusted, position, unaccompanied }: RankedCandidate,
-): number {
+function unexplainedToBlame(candidate: RankedCandidate): number {
+  const { isCommon, isFollowed, isTrusted, unaccompanied } = candidate;
   if (!isCommon && !isFollowed) return 1;
-  if (position < WHOLE_REQUEST_POSITION && (isTrusted || isFollowed)) {
+  const isPart = candidate.position < WHOLE_REQUEST_POSITION;
+  const isAccompanied = unaccompanied < candidate.crashes;
+  if (isPart && (isFollowed || isTrusted && isAccompanied)) {
     return SHARED_UNEXPLAINED_CRASHES;
   }
-  return position === WHOLE_REQUEST_POSITION &&
-      unaccompanied >= ALONE_UNEXPLAINED_CRASHES
+  return !isPart && unaccompanied >= ALONE_UNEXPLAINED_CRASHES
     ? ALONE_UNEXPLAINED_CRASHES
     : COMMON_UNEXPLAINED_CRASHES;
 }
@@ -91,11 +92,12 @@
 function rankCandidates(crashes: readonly CrashRecord[]): RankedCandidate[] {
   const frequent = [...countCandidates(crashes).values()]
     .filter((candidate) => candidate.crashes >= CULPRIT_CRASHES);
+  const followed = findFollowed(crashes, frequent);
   return frequent
     .map((candidate) => ({
       ...candidate,
       isCommon: isCommon(candidate, { crashes, others: frequent }),
-      isFollowed: isFollowed(candidate, { crashes, others: frequent }),
+      isFollowed: followed.has(candidate.id),
     }))
     .filter(({ isCommon, crashes }) =>
       !isCommon || crashes >= COMMON_CULPRIT_CRASHES
@@ -107,19 +109,44 @@
     );
 }
 
-// A part has at least as many crashes as any part that follows it.
-function isFollowed(
-  { id, position }: Candidate,
-  { crashes, others }: {
-    crashes: readonly CrashRecord[];
-    others: readonly Candidate[];
-  },
-): boolean {
-  const own = crashes.filter((crash) => isSuspect(crash, id));
-  return others.some((other) =>
-    other.position > position && other.position < WHOLE_REQUEST_POSITION &&
-    own.filter((crash) => isSuspect(crash, other.id)).length > own.length / 2
-  );
+// Parts that a more specific one follows, in the same requests, in most of their crashes.
+function findFollowed(
+  crashes: readonly CrashRecord[],
+  frequent: readonly Candidate[],
+): Set<TraitId> {
+  const indexes = new Map(frequent.map(({ id }, index) => [id, index]));
+  const counts = new Map<number, number>();
+  const followed = new Set<TraitId>();
+  for (const crash of crashes) {
+    for (const pair of followedPairs(crash, indexes)) {
+      const count = (counts.get(pair) ?? 0) + 1;
+      counts.set(pair, count);
+      const { id, crashes } = frequent[Math.floor(pair / frequent.length)]!;
+      if (count > crashes / 2) followed.add(id);
+    }
+  }
+  return followed;
+}
+
+// Each pair of parts of one suspected request, as the first one's index times the number
+// of candidates, plus the second one's.
+function followedPairs(
+  crash: CrashRecord,
+  indexes: ReadonlyMap<TraitId, number>,
+): Set<number> {
+  const pairs = new Set<number>();
+  for (const [request, parts] of crash.partsOf) {
+    if (parts.length < 2 || !isSuspect(crash, request)) continue;
+    const suspects = parts.flatMap((id) =>
+      isSuspect(crash, id) ? indexes.get(id) ?? [] : []
+    );
+    for (const [position, index] of suspects.entries()) {
+      for (const other of suspects.slice(position + 1)) {
+        pairs.add(index * indexes.size + other);
+      }
+    }
+  }
+  return pairs;
 }
 
 function isCommon(
