--- a/packages/core/src/routing/crashes/queries/find_culprits.ts
+++ b/packages/core/src/routing/crashes/queries/find_culprits.ts
@@ -16,6 +16,12 @@
 const COMMON_CULPRIT_CRASHES = 5;
 /** Crashes of a common trait that no other culprit explains. */
 const COMMON_UNEXPLAINED_CRASHES = 3;
+/**
+ * The same for a part that sound requests are known to share and that has a more
+ * specific one beside it in some crash, or that one mostly follows: crashes may be
+ * noted without the requests that caused them.
+ */
+const SHARED_UNEXPLAINED_CRASHES = 5;
 /** The same for a request that was the only one in so many crashes. */
 const ALONE_UNEXPLAINED_CRASHES = 2;
 
@@ -25,19 +31,26 @@
   readonly position: number;
   readonly crashes: number;
   readonly lastCrashAtMs: number;
+  /** Crashes in which no more specific part, or no other request, is suspected. */
+  readonly unaccompanied: number;
 }
 
 interface Candidate extends Culprit {
   readonly isTrusted: boolean;
-  /** Crashes in which no more specific part, or no other request, is suspected. */
-  readonly unaccompanied: number;
+}
+
+interface RankedCandidate extends Candidate {
+  readonly isCommon: boolean;
+  /** Whether one more specific part is suspected in most of its crashes. */
+  readonly isFollowed: boolean;
 }
 
 /**
  * Returns the traits that best explain the crashes. A trait is a candidate where
  * no request with it was answered after the crash. Those that explain the most
- * crashes are chosen first, of several the most specific one; common ones are blamed
- * only for crashes that nothing else explains.
+ * crashes are chosen first, of several the most specific one; common ones, and parts
+ * that a more specific one mostly follows, are blamed only for crashes that nothing
+ * else explains.
  */
 export function findCulprits(
   records: Iterable<CrashRecord>,
@@ -46,20 +59,26 @@
   const candidates = rankCandidates(crashes);
   const culprits = new Map<TraitId, Culprit>();
   let unexplained = crashes;
-  for (const { isCommon, ...candidate } of candidates) {
+  for (const candidate of candidates) {
     const { id } = candidate;
     const rest = unexplained.filter((crash) => !isSuspect(crash, id));
     const explained = unexplained.length - rest.length;
-    if (explained < (isCommon ? unexplainedToBlame(candidate) : 1)) continue;
+    if (explained < unexplainedToBlame(candidate)) continue;
     unexplained = rest;
-    culprits.set(candidate.id, candidate);
+    culprits.set(id, candidate);
   }
   return culprits;
 }
 
-function unexplainedToBlame({ position, unaccompanied }: Candidate): number {
-  return position === WHOLE_REQUEST_POSITION &&
-      unaccompanied >= ALONE_UNEXPLAINED_CRASHES
+function unexplainedToBlame(candidate: RankedCandidate): number {
+  const { isCommon, isFollowed, isTrusted, unaccompanied } = candidate;
+  if (!isCommon && !isFollowed) return 1;
+  const isPart = candidate.position < WHOLE_REQUEST_POSITION;
+  const isAccompanied = unaccompanied < candidate.crashes;
+  if (isPart && (isFollowed || isTrusted && isAccompanied)) {
+    return SHARED_UNEXPLAINED_CRASHES;
+  }
+  return !isPart && unaccompanied >= ALONE_UNEXPLAINED_CRASHES
     ? ALONE_UNEXPLAINED_CRASHES
     : COMMON_UNEXPLAINED_CRASHES;
 }
@@ -70,23 +89,66 @@
 }
 
 // Those with enough crashes, in the order in which they are blamed.
-function rankCandidates(crashes: readonly CrashRecord[]) {
+function rankCandidates(crashes: readonly CrashRecord[]): RankedCandidate[] {
   const frequent = [...countCandidates(crashes).values()]
     .filter((candidate) => candidate.crashes >= CULPRIT_CRASHES);
+  const followed = findFollowed(crashes, frequent);
   return frequent
     .map((candidate) => ({
       ...candidate,
       isCommon: isCommon(candidate, { crashes, others: frequent }),
+      isFollowed: followed.has(candidate.id),
     }))
     .filter(({ isCommon, crashes }) =>
       !isCommon || crashes >= COMMON_CULPRIT_CRASHES
     )
     .sort((a, b) =>
-      Number(a.isCommon) - Number(b.isCommon) || b.crashes - a.crashes ||
+      Number(a.isCommon) - Number(b.isCommon) ||
+      Number(a.isFollowed) - Number(b.isFollowed) || b.crashes - a.crashes ||
       b.position - a.position || (a.id < b.id ? -1 : 1)
     );
 }
 
+// Parts that a more specific one follows, in the same requests, in most of their crashes.
+function findFollowed(
+  crashes: readonly CrashRecord[],
+  frequent: readonly Candidate[],
+): Set<TraitId> {
+  const indexes = new Map(frequent.map(({ id }, index) => [id, index]));
+  const counts = new Map<number, number>();
+  const followed = new Set<TraitId>();
+  for (const crash of crashes) {
+    for (const pair of followedPairs(crash, indexes)) {
+      const count = (counts.get(pair) ?? 0) + 1;
+      counts.set(pair, count);
+      const { id, crashes } = frequent[Math.floor(pair / frequent.length)]!;
+      if (count > crashes / 2) followed.add(id);
+    }
+  }
+  return followed;
+}
+
+// Each pair of parts of one suspected request, as the first one's index times the number
+// of candidates, plus the second one's.
+function followedPairs(
+  crash: CrashRecord,
+  indexes: ReadonlyMap<TraitId, number>,
+): Set<number> {
+  const pairs = new Set<number>();
+  for (const [request, parts] of crash.partsOf) {
+    if (parts.length < 2 || !isSuspect(crash, request)) continue;
+    const suspects = parts.flatMap((id) =>
+      isSuspect(crash, id) ? indexes.get(id) ?? [] : []
+    );
+    for (const [position, index] of suspects.entries()) {
+      for (const other of suspects.slice(position + 1)) {
+        pairs.add(index * indexes.size + other);
+      }
+    }
+  }
+  return pairs;
+}
+
 function isCommon(
   candidate: Candidate,
   { crashes, others }: {
