Routing: a silent prefill engine leaves half of a stream's time to the decode

Cause: a prefill is waited for at least 600 ms, as prompts that arrive together queue for about this long, and up to the deadline.

Change: that minimum is at most half of the time that is left. A prompt whose prefill is expected to take longer keeps its limit of four times that.

--- a/packages/core/src/routing/prefill_run.ts
+++ b/packages/core/src/routing/prefill_run.ts
@@ -15,6 +15,8 @@
 const PREFILL_TIMEOUT_FACTOR = 4;
 /** Prompts that arrive together queue for about this long. */
 const MIN_PREFILL_TIMEOUT_MS = 600;
+/** Largest share of a request's time for which that is waited; the rest is left for the decode. */
+const MAX_QUEUE_SHARE = 0.5;
 
 /** KV cache, and the prefill endpoint that computed it. */
 export interface PrefillSource extends KvSource {
@@ -127,7 +129,7 @@
     const { port, budget, prefillTimes, placement, observer } = this.#context;
     const { tokens } = this;
     const expectedMs = this.expectedMs();
-    const limitMs = Math.min(timeoutMs(expectedMs), clock.leftMs());
+    const limitMs = timeoutMs(expectedMs, clock.leftMs());
     const startedMs = performance.now();
     endpoint.inFlightTokens += tokens;
     const outcome = await port.prefill(endpoint.entry, {
@@ -177,6 +179,10 @@
   }
 }
 
-function timeoutMs(expectedMs: number): number {
-  return Math.max(MIN_PREFILL_TIMEOUT_MS, PREFILL_TIMEOUT_FACTOR * expectedMs);
+function timeoutMs(expectedMs: number, leftMs: number): number {
+  const queueMs = Math.min(MIN_PREFILL_TIMEOUT_MS, MAX_QUEUE_SHARE * leftMs);
+  return Math.min(
+    Math.max(queueMs, PREFILL_TIMEOUT_FACTOR * expectedMs),
+    leftMs,
+  );
 }
--- a/packages/core/src/routing/prefill_run_test.ts
+++ b/packages/core/src/routing/prefill_run_test.ts
@@ -87,3 +87,8 @@
   expect(failures).toBe(0);
   expect(expectedMs).toBe(UNMEASURED_MS);
 });
+
+test("A prefill endpoint that doesn't answer leaves half of a request's time to the decode endpoint", async () => {
+  const { sends } = await prefillSilently(TIMEOUT_MS - 1_000, TIMEOUT_MS);
+  expect(sends.map(({ wholeMs }) => wholeMs)).toEqual([500]);
+});
