Routing: resumed streams leave half of their time where their version fails

Cause: a stream that has to go on at one version waited with half of its time left only if none of its replicas was listed. If they were listed but refused connections, or some did and the others' limits or pauses ended too late, it was kept to its deadline and refused as no-capacity, when its caller had no time for another VM.

Change: replicas count as present only if they are not ejected and their limits end in time. Otherwise the stream goes on trying for half of its time.

--- a/packages/core/src/routing/version_wait.ts
+++ b/packages/core/src/routing/version_wait.ts
@@ -10,20 +10,24 @@
   #untilMs: number | null = null;
 
   /**
-   * Returns whether endpoints of the version accept work, may do so within the wait of
-   * a stream that has `spareMs` left, or don't.
+   * Returns whether endpoints of the version accept work in time for a stream that has
+   * `spareMs` left, are listed but don't, may return, or none of that is so. The last
+   * three are the same once the stream's wait is over.
    */
   check(
     endpoints: Pick<EndpointRegistry, "usable" | "mayReturn">,
     { spareMs, ...version }: StagedVersion & { spareMs: number },
-  ): "present" | "awaited" | "gone" {
-    const isPresent = endpoints.usable(version.service, version.stage)
-      .some(({ entry }) => entry.softwareVersion === version.version);
-    if (isPresent) return "present";
+  ): "present" | "failing" | "awaited" | "gone" {
     const nowMs = performance.now();
+    const listed = endpoints.usable(version.service, version.stage)
+      .filter(({ entry }) => entry.softwareVersion === version.version);
+    const isPresent = listed.some((endpoint) =>
+      endpoint.isHealthy(nowMs) && endpoint.limitedUntilMs <= nowMs + spareMs
+    );
+    if (isPresent) return "present";
     this.#untilMs ??= nowMs + MAX_WAIT_SHARE * spareMs;
-    return nowMs < this.#untilMs && endpoints.mayReturn(version)
-      ? "awaited"
-      : "gone";
+    if (nowMs >= this.#untilMs) return "gone";
+    if (listed.length > 0) return "failing";
+    return endpoints.mayReturn(version) ? "awaited" : "gone";
   }
 }
--- a/packages/core/src/routing/version_wait_test.ts
+++ b/packages/core/src/routing/version_wait_test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId } from "../common/ids.ts";
 import { Router } from "./router.ts";
+import type { ReservationId } from "./types.ts";
 import {
   context,
   entry,
@@ -181,3 +182,68 @@
   expect(tookMs).toBeLessThan(0.55 * DEADLINE_MS);
   expect(streams().length).toBeLessThanOrEqual(20);
 });
+
+test("A resumed stream is refused as not run with half of its time left if listed engines of its version refuse connections", async () => {
+  const { resume, streams } = setUp("engines", {
+    reserve: ({ softwareVersion }) =>
+      softwareVersion === "v2"
+        ? err({ kind: "notSent" })
+        : ok(asId<ReservationId>("hold")),
+  });
+  const resumed = resume();
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  const { outcome, tookMs } = await resumed;
+  expect(outcome).toMatchObject(MISSING);
+  expect(tookMs).toBeGreaterThan(0.4 * DEADLINE_MS);
+  expect(tookMs).toBeLessThan(0.55 * DEADLINE_MS);
+  expect(streams()).toEqual([]);
+});
+
+test("A resumed stream isn't refused while listed engines of its version refuse connections and come back", async () => {
+  let isBack = false;
+  const { resume, streams } = setUp("engines", {
+    reserve: () =>
+      isBack ? ok(asId<ReservationId>("hold")) : err({ kind: "notSent" }),
+  });
+  const resumed = resume();
+  await vi.advanceTimersByTimeAsync(1_200);
+  isBack = true;
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  const { outcome, tookMs } = await resumed;
+  expect(outcome).toEqual({ kind: "complete" });
+  expect(tookMs).toBeLessThan(1_400);
+  expect(streams()).toHaveLength(1);
+  expect(streams()[0]).toMatch(/^stream b/);
+});
+
+test("A resumed stream waits on for a place at engines of its version that are full", async () => {
+  let isFull = true;
+  const { resume } = setUp("engines", {
+    reserve: () =>
+      isFull
+        ? err({ kind: "notExecuted", status: 503 })
+        : ok(asId<ReservationId>("hold")),
+  });
+  const resumed = resume();
+  await vi.advanceTimersByTimeAsync(2_000);
+  isFull = false;
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  expect((await resumed).outcome).toEqual({ kind: "complete" });
+});
+
+test("A resumed stream is refused as not run with half of its time left if engines of its version refuse connections and the limits of the others end too late", async () => {
+  const { shared, resume } = setUp("engines", {
+    reserve: ({ id }) =>
+      id === "b1"
+        ? err({ kind: "limited", retryAfterMs: 5_000 })
+        : err({ kind: "notSent" }),
+  });
+  const limited = shared.endpoints.get(asId("b1"))!;
+  limited.noteLimited(performance.now() + 5_000);
+  const resumed = resume();
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  const { outcome, tookMs } = await resumed;
+  expect(outcome).toMatchObject(MISSING);
+  expect(tookMs).toBeGreaterThan(0.4 * DEADLINE_MS);
+  expect(tookMs).toBeLessThan(0.55 * DEADLINE_MS);
+});
