Routing: resumed streams go on while their prefill engines are silent

Cause: two prefills that aren't answered end a send as not sent, so that decode engines don't prefill for busy ones. A prefill that was expected to take long, as after unanswered ones, still had the whole rest of the time.

Change: a stream that goes on and has no time to wait for another prefill leaves it to its decode engine. A prefill gets at most half of the time left, unless it's expected to take longer. New streams are held to the prefill engines as before.

The test of a late backup had a script for one decode and threw at the second, which this change brings; it has one now that lasts as long as it may, and the bound is as it was.

--- a/packages/core/src/routing/prefill_run.ts
+++ b/packages/core/src/routing/prefill_run.ts
@@ -15,8 +15,8 @@
 const PREFILL_TIMEOUT_FACTOR = 4;
 /** Prompts that arrive together queue for about this long. */
 const MIN_PREFILL_TIMEOUT_MS = 600;
-/** Largest share of a request's time for which that is waited; the rest is left for the decode. */
-const MAX_QUEUE_SHARE = 0.5;
+/** Largest share of a request's time for a prefill that isn't expected to take longer. */
+const MAX_TIME_SHARE = 0.5;
 
 /** KV cache, and the prefill endpoint that computed it. */
 export interface PrefillSource extends KvSource {
@@ -30,6 +30,8 @@
   clock: RequestClock;
   /** Whether the prefill is left to the decode endpoint. */
   atDecode?: () => boolean;
+  /** Whether the request continues a stream, which nobody can begin anew. */
+  mustGoOn?: () => boolean;
 }
 
 /** Prefills the prompt of one stream, again for each send of it. */
@@ -62,7 +64,8 @@
    * the decode endpoint then prefills the prompt itself. That delays all streams
    * there, so if several prefill endpoints are merely busy, this fails with
    * `notSent` instead. A single busy one still gives null, since the pool is then
-   * short of prefill capacity. Fails with `aborted` once `signal` is.
+   * short of prefill capacity. A stream that goes on and has no time to wait for another
+   * one doesn't. Fails with `aborted` once `signal` is.
    */
   async run(
     decode: EndpointRecord,
@@ -88,10 +91,18 @@
         attempts -= 1;
       }
       if (kind === "timeout" || kind === "notExecuted") busyEngines += 1;
+      if (this.#isLastChance()) return ok(null);
     }
     return busyEngines > 1 ? err({ kind: "notSent" }) : ok(null);
   }
 
+  #isLastChance(): boolean {
+    const { clock, mustGoOn } = this.#options;
+    const mayWaitAgain =
+      MAX_TIME_SHARE * clock.leftMs() >= MIN_PREFILL_TIMEOUT_MS;
+    return !mayWaitAgain && (mustGoOn?.() ?? false);
+  }
+
   #choose(
     decode: EndpointRecord,
     tried: ReadonlySet<EndpointId>,
@@ -180,9 +191,10 @@
 }
 
 function timeoutMs(expectedMs: number, leftMs: number): number {
-  const queueMs = Math.min(MIN_PREFILL_TIMEOUT_MS, MAX_QUEUE_SHARE * leftMs);
-  return Math.min(
-    Math.max(queueMs, PREFILL_TIMEOUT_FACTOR * expectedMs),
-    leftMs,
+  const patientMs = Math.max(
+    MIN_PREFILL_TIMEOUT_MS,
+    PREFILL_TIMEOUT_FACTOR * expectedMs,
   );
+  const shareMs = Math.min(patientMs, MAX_TIME_SHARE * leftMs);
+  return Math.min(Math.max(expectedMs, shareMs), leftMs);
 }
--- a/packages/core/src/routing/stream_backup_test.ts
+++ b/packages/core/src/routing/stream_backup_test.ts
@@ -252,6 +252,11 @@
       await wait(send.wholeMs!);
       return "lost";
     },
+    // The backup, whose decode endpoint prefills it after all.
+    async (send) => {
+      await wait(send.wholeMs!);
+      return "lost";
+    },
   ], {
     reserve: (target) =>
       target.id === "d1" || performance.now() - startedMs > 13_600
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -90,14 +90,11 @@
   constructor(context: RoutingContext, options: StreamRunOptions) {
     this.#context = context;
     this.#options = options;
-    const { version } = options;
+    const { request, service, version, pool, isTrial = false } = options;
     this.#log = new StreamLog(context.observer, options);
-    this.#origin = version === null
-      ? null
-      : { service: options.service, version };
+    this.#origin = version === null ? null : { service, version };
     this.#clock = new RequestClock(options.request, options.route);
     this.#unsentPauses = new UnsentPauses(this.#clock);
-    const { request, service, pool, isTrial = false } = options;
     this.#runs = request.hop?.runs ?? 0;
     this.#prefill = new PrefillRun(context, {
       request,
@@ -106,6 +103,7 @@
       atDecode: () =>
         pool === null || isTrial ||
         context.crashes.crashesOf(request) >= SUSPECT_CRASHES,
+      mustGoOn: () => this.#origin !== null,
     });
     this.#relay = new StreamRelay({
       sink: options.sink,
--- a/packages/core/src/routing/testing/streams.ts
+++ b/packages/core/src/routing/testing/streams.ts
@@ -3,7 +3,12 @@
 import type { RoutingContext } from "../context.ts";
 import type { AnswerSink } from "../stream_relay.ts";
 import { type StreamOutcome, StreamRun } from "../stream_run.ts";
-import type { EndpointEntry, Route, RoutedRequest } from "../types.ts";
+import type {
+  EndpointEntry,
+  Route,
+  RoutedRequest,
+  SoftwareVersion,
+} from "../types.ts";
 import {
   context,
   entry,
@@ -64,6 +69,8 @@
   route?: Partial<Route>;
   request?: Partial<RoutedRequest>;
   sink?: Partial<AnswerSink>;
+  /** The software version that began the stream, if it is resumed. */
+  version?: SoftwareVersion;
 }
 
 /** A stream that was started, and what its caller has received. */
@@ -102,7 +109,7 @@
     }),
     service: SERVICE,
     pool: POOL,
-    version: null,
+    version: options.version ?? null,
     places: queue,
     sink: {
       head: (head) => out.push(`head ${head.status}`),
