Routing: resumed streams wait for a crashed replica while the others are limited

Cause: a stream that has to go on at one version was refused at once as endpoint-limited when the limits or pauses of the replicas left ended too late, also while a crashed one was about to come back.

Change: limits count only once no replica is failing or may return; until then the stream waits for half of its time, as without limits. Replicas that were drained are not waited for, and without a crash it is refused at once as before.

--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -256,26 +256,30 @@
     if (refusal) return refusal;
     if (this.#context.forwarding.isLost(this.#service)) return refusalOfLinks();
     const spareMs = timeToSpareMs(request);
-    if (this.#isGone(request, versionWait)) return refusalOfMissingVersion();
+    const presence = this.#presenceOf(request, versionWait);
+    if (presence === "gone") return refusalOfMissingVersion();
     if (spareMs <= 0) return notRun("no-capacity", { retryAfterMs });
+    if (presence === "failing" || presence === "awaited") return null;
     const { version } = request;
+    const nowMs = performance.now();
     const usable = this.#context.endpoints.usable(this.#service, "decode")
-      .filter(({ entry }) =>
-        (version ?? entry.softwareVersion) === entry.softwareVersion
+      .filter((endpoint) =>
+        version === null ||
+        endpoint.entry.softwareVersion === version && endpoint.isHealthy(nowMs)
       );
-    const permitMs = soonestPermitMs(usable, performance.now());
+    const permitMs = soonestPermitMs(usable, nowMs);
     return permitMs > spareMs ? refusalOfLimit(permitMs + retryAfterMs) : null;
   }
 
-  #isGone(request: DecodeRequest, versionWait: VersionWait): boolean {
-    const { version } = request;
-    return version !== null &&
-      versionWait.check(this.#context.endpoints, {
-          service: this.#service,
-          stage: "decode",
-          version,
-          spareMs: timeToSpareMs(request),
-        }) === "gone";
+  // Streams that may begin at any version wait for none.
+  #presenceOf({ version, ...request }: DecodeRequest, wait: VersionWait) {
+    if (version === null) return "present";
+    return wait.check(this.#context.endpoints, {
+      service: this.#service,
+      stage: "decode",
+      version,
+      spareMs: timeToSpareMs({ version, ...request }),
+    });
   }
 
   #logRefusal(request: DecodeRequest, { reason, retryAfterMs }: NotRun): void {
--- a/packages/core/src/routing/version_wait.ts
+++ b/packages/core/src/routing/version_wait.ts
@@ -11,23 +11,26 @@
 
   /**
    * Returns whether endpoints of the version accept work in time for a stream that has
-   * `spareMs` left, are listed but don't, may return, or none of that is so. The last
-   * three are the same once the stream's wait is over.
+   * `spareMs` left. While the stream waits, they may also be listed but fail, or be
+   * awaited after a crash; otherwise all have limits that end too late, or are gone.
    */
   check(
     endpoints: Pick<EndpointRegistry, "usable" | "mayReturn">,
     { spareMs, ...version }: StagedVersion & { spareMs: number },
-  ): "present" | "failing" | "awaited" | "gone" {
+  ): "present" | "failing" | "awaited" | "limited" | "gone" {
     const nowMs = performance.now();
     const listed = endpoints.usable(version.service, version.stage)
       .filter(({ entry }) => entry.softwareVersion === version.version);
-    const isPresent = listed.some((endpoint) =>
-      endpoint.isHealthy(nowMs) && endpoint.limitedUntilMs <= nowMs + spareMs
-    );
-    if (isPresent) return "present";
+    const healthy = listed.filter((endpoint) => endpoint.isHealthy(nowMs));
+    const untilMs = nowMs + spareMs;
+    if (healthy.some(({ limitedUntilMs }) => limitedUntilMs <= untilMs)) {
+      return "present";
+    }
     this.#untilMs ??= nowMs + MAX_WAIT_SHARE * spareMs;
-    if (nowMs >= this.#untilMs) return "gone";
-    if (listed.length > 0) return "failing";
-    return endpoints.mayReturn(version) ? "awaited" : "gone";
+    if (nowMs < this.#untilMs) {
+      if (healthy.length < listed.length) return "failing";
+      if (endpoints.mayReturn(version)) return "awaited";
+    }
+    return healthy.length > 0 ? "limited" : "gone";
   }
 }
