Routing: an engine that failed is tried before one that is limited

Cause: decode engines were ranked by health first, and after its first round a stream tries one engine a round: while a limited engine of its version was healthy, one that had failed was never tried again. Whether it would have answered before isn't shown.

Change: engines whose limits or pauses have not ended, which turn a stream away for certain, come last.

Test: the new one fails without the change.

--- a/packages/core/src/routing/queries/rank_decode_endpoints.ts
+++ b/packages/core/src/routing/queries/rank_decode_endpoints.ts
@@ -14,9 +14,9 @@
 }
 
 /**
- * Sorts endpoints by health, then by free capacity, then by the tokens of this
- * VM's streams there, with ties broken at random. Leaves out those in `avoid` and those of
- * other versions than `version`.
+ * Sorts endpoints by their limits, which turn a stream away for certain, then by health,
+ * then by free capacity, then by the tokens of this VM's streams there, with ties broken
+ * at random. Leaves out those in `avoid` and those of other versions than `version`.
  */
 export function rankDecodeEndpoints(
   usable: readonly EndpointRecord[],
@@ -30,14 +30,15 @@
     )
     .map((endpoint) => ({
       endpoint,
+      limited: endpoint.isLimited(nowMs) ? 1 : 0,
       unhealthy: endpoint.isHealthy(nowMs) ? 0 : 1,
       full: endpoint.isFull(nowMs) ? 1 : 0,
       tokens: endpoint.inFlightTokens,
       tieBreaker: random(),
     }))
     .sort((a, b) =>
-      a.unhealthy - b.unhealthy || a.full - b.full || a.tokens - b.tokens ||
-      a.tieBreaker - b.tieBreaker
+      a.limited - b.limited || a.unhealthy - b.unhealthy ||
+      a.full - b.full || a.tokens - b.tokens || a.tieBreaker - b.tieBreaker
     )
     .map(({ endpoint }) => endpoint);
 }
--- a/packages/core/src/routing/version_wait_test.ts
+++ b/packages/core/src/routing/version_wait_test.ts
@@ -288,3 +288,25 @@
     expect(streams()).toEqual([]);
   });
 }
+
+test("A resumed stream tries an engine that failed again while the others of its version are limited", async () => {
+  let isBack = false;
+  const { shared, resume, streams } = setUp("engines", {
+    reserve: ({ id }) => {
+      if (id === "b1") return err({ kind: "limited", retryAfterMs: 5_000 });
+      return isBack
+        ? ok(asId<ReservationId>("hold"))
+        : err({ kind: "notSent" });
+    },
+  });
+  const limited = shared.endpoints.get(asId("b1"))!;
+  limited.noteLimited(performance.now() + 5_000);
+  const resumed = resume();
+  await vi.advanceTimersByTimeAsync(700);
+  isBack = true;
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS);
+  const { outcome, tookMs } = await resumed;
+  expect(outcome).toEqual({ kind: "complete" });
+  expect(tookMs).toBeLessThan(900);
+  expect(streams()).toEqual(["stream b2 after 2"]);
+});
