--- a/packages/core/src/routing/version_wait.ts
+++ b/packages/core/src/routing/version_wait.ts
@@ -10,20 +10,27 @@
   #untilMs: number | null = null;
 
   /**
-   * Returns whether endpoints of the version accept work, may do so within the wait of
-   * a stream that has `spareMs` left, or don't.
+   * Returns whether endpoints of the version accept work in time for a stream that has
+   * `spareMs` left. While the stream waits, they may also be listed but fail, or be
+   * awaited after a crash; otherwise all have limits that end too late, or are gone.
    */
   check(
     endpoints: Pick<EndpointRegistry, "usable" | "mayReturn">,
     { spareMs, ...version }: StagedVersion & { spareMs: number },
-  ): "present" | "awaited" | "gone" {
-    const isPresent = endpoints.usable(version.service, version.stage)
-      .some(({ entry }) => entry.softwareVersion === version.version);
-    if (isPresent) return "present";
+  ): "present" | "failing" | "awaited" | "limited" | "gone" {
     const nowMs = performance.now();
+    const listed = endpoints.usable(version.service, version.stage)
+      .filter(({ entry }) => entry.softwareVersion === version.version);
+    const healthy = listed.filter((endpoint) => endpoint.isHealthy(nowMs));
+    const untilMs = nowMs + spareMs;
+    if (healthy.some(({ limitedUntilMs }) => limitedUntilMs <= untilMs)) {
+      return "present";
+    }
     this.#untilMs ??= nowMs + MAX_WAIT_SHARE * spareMs;
-    return nowMs < this.#untilMs && endpoints.mayReturn(version)
-      ? "awaited"
-      : "gone";
+    if (nowMs < this.#untilMs) {
+      if (healthy.length < listed.length) return "failing";
+      if (endpoints.mayReturn(version)) return "awaited";
+    }
+    return healthy.length > 0 ? "limited" : "gone";
   }
 }
