Refuse requests of kept connections before they are parsed

Cause: a VM parsed each request of a kept connection before it refused it, with a request, a response and a place in the queue. A new connection was closed with its refusal, so that its caller had to open another.

Change: while another request of a connection's flow would be refused, with its connection's use, a whole request without a large body is answered with a raw 503 between two requests, and the parser doesn't see it. Whatever only the parser can delimit goes the usual way. Connections whose first request was refused stay open, for as long as idle ones, within the limit of connections. The place of a request in its flow is found by bisection. Parts of server.ts and paced_connection.ts moved to modules of their own.

--- a/packages/core/src/admission/request_queue.ts
+++ b/packages/core/src/admission/request_queue.ts
@@ -90,8 +90,7 @@
     const waiting = { ...request, sinceMs: this.#nowMs() };
     const flow = this.#flows.get(request.flow) ?? [];
     this.#flows.set(request.flow, flow);
-    const after = flow.findIndex(({ use }) => use > request.use);
-    const index = after < 0 ? flow.length : after;
+    const index = placeOf(flow, request.use);
     flow.splice(index, 0, waiting);
     this.#size += 1;
     const refused: WaitingRequest<T>[] = [];
@@ -129,9 +128,12 @@
     return late;
   }
 
-  /** Returns how long another request of a flow would wait behind the others, in milliseconds. */
-  waitOfNext(flow: string): number {
-    const place = (this.#flows.get(flow)?.length ?? 0) + 1;
+  /**
+   * Returns how long another request of a flow would wait, in milliseconds: behind the
+   * others, or behind those whose connections have asked for no more than `use`.
+   */
+  waitOfNext(flow: string, use = Infinity): number {
+    const place = placeOf(this.#flows.get(flow) ?? [], use) + 1;
     return this.#size === 0 ? 0 : this.#waitAt(place);
   }
 
@@ -209,3 +211,14 @@
     return performance.now() - this.#stalledMs;
   }
 }
+
+/** Returns the number of requests that go before another, by their connections' use. */
+function placeOf(flow: readonly { use: number }[], use: number): number {
+  let [low, high] = [0, flow.length];
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (flow[middle]!.use > use) high = middle;
+    else low = middle + 1;
+  }
+  return low;
+}
--- a/packages/daemon/src/http/admission.ts
+++ b/packages/daemon/src/http/admission.ts
@@ -136,6 +136,21 @@
     return this.#createRefusal();
   }
 
+  /** Whether the next request of a connection would be refused. */
+  refusesNext(connection: PacedConnection): boolean {
+    if (this.#queue.size === 0) return false;
+    const count = this.#uses.get(connection);
+    const flow = flowOf(connection.remoteAddress, { isNew: !count });
+    const use = 1 + (count?.current() ?? 0);
+    return this.#queue.waitOfNext(flow, use) > UNREAD_SHARE * MAX_WAIT_MS;
+  }
+
+  /** Returns the refusal of a connection's next request, which isn't parsed. */
+  refuseNext(connection: PacedConnection): NotRun {
+    this.#useOf(connection);
+    return this.refuseConnection();
+  }
+
   /** Begins a request now or later, or refuses it. */
   receive(request: ReceivedRequest): void {
     const use = this.#useOf(request.connection);
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -1,22 +1,20 @@
 /** Hands the bytes of a connection to the HTTP parser one request at a time. */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
 import type { MemoryBudget, MemoryLease } from "@teaselvalve/core";
-import { BLANK_LINE, endOfBlankLine } from "./blank_line.ts";
+import { HeadMemory } from "./head_memory.ts";
+import { plainRequestAt } from "./plain_request.ts";
+import { UnparsedBytes } from "./unparsed_bytes.ts";
 import { PROCESS_UNREAD_TIME } from "./unread_time.ts";
 
-const EMPTY = Buffer.alloc(0);
-const MAX_SLICE_BYTES = 16 * 1_024;
 /** Slices that a connection gets parsed before others have their turn. */
 const MAX_SLICES_PER_TURN = 64;
 /** Bytes of a read after which other connections have their turn. */
 const LARGE_READ_BYTES = 64 * 1_024;
 /** Bytes behind a request in progress that are read, so that a close is noticed. */
 const MAX_BYTES_BEHIND = 4 * 1_024;
-/** Memory that a byte of an unfinished head takes, as text and in the parser's tables. */
-const MEMORY_PER_HEAD_BYTE = 2;
 /**
  * How long a closed connection is still read. A connection that is closed with unread
  * bytes is reset, and its peer may lose the answer that was sent before.
@@ -28,9 +26,21 @@
  */
 const HALF_OPEN_MS = 350;
 
+/** Refuses requests of a busy VM before they are parsed. */
+export interface UnparsedRefusals {
+  /** Whether the next request of a connection would be refused. */
+  refusesNext(connection: PacedConnection): boolean;
+  /** Notes that it is refused, and returns its answer. */
+  refuseNext(
+    connection: PacedConnection,
+    options: { isHead: boolean },
+  ): string;
+}
+
 /** Options of {@link PacedConnection}. */
 export interface PacedConnectionOptions {
   memory: MemoryBudget;
+  refusals: UnparsedRefusals;
   /** Called when there is no memory for the head of a request. */
   onNoMemory: (connection: PacedConnection) => void;
 }
@@ -52,15 +62,9 @@
 export class PacedConnection extends Duplex {
   readonly #socket: Socket;
   readonly #options: PacedConnectionOptions;
-  /** Bytes that were received and not parsed. */
-  #unparsed: Buffer = EMPTY;
+  readonly #unparsed = new UnparsedBytes();
   #unparsedLease: MemoryLease | null = null;
-  #headBytes = 0;
-  #headLease: MemoryLease | null = null;
-  /** The last bytes that were parsed, if a blank line may go on from them. */
-  #lineEnd: Buffer = EMPTY;
-  /** Bytes of the body that is being received, if its length is known. */
-  #bodyBytesLeft = 0;
+  readonly #head: HeadMemory;
   #openRequests = 0;
   #lastRequest: IncomingMessage | undefined;
   #lastResponse: ServerResponse | undefined;
@@ -87,6 +91,7 @@
     });
     this.#socket = socket;
     this.#options = options;
+    this.#head = new HeadMemory(options.memory);
     // A close follows each error; a connection that Node has handed over has no
     // other listener.
     this.on("error", () => {});
@@ -131,7 +136,7 @@
 
   /** Whether others were received behind the request that is in progress. */
   get hasWaitingRequests(): boolean {
-    return this.#unparsed.length > this.#bodyBytesLeft &&
+    return this.#unparsed.length > this.#unparsed.bodyBytesLeft &&
       this.#lastRequest?.headers["transfer-encoding"] === undefined;
   }
 
@@ -150,9 +155,11 @@
     this.#lastRequest = incoming;
     this.#unreadMs = 0;
     this.#lastResponse = response;
-    this.#bodyBytesLeft = Number(incoming.headers["content-length"] ?? 0);
+    this.#unparsed.bodyBytesLeft = Number(
+      incoming.headers["content-length"] ?? 0,
+    );
     this.#isBehindRequest = false;
-    this.#releaseHead();
+    this.#head.release();
   }
 
   /** Called when the response of a request was sent. */
@@ -224,9 +231,9 @@
     callback: (error?: Error | null) => void,
   ): void {
     clearTimeout(this.#halfOpenTimer);
-    this.#unparsed = EMPTY;
+    this.#unparsed.drop();
     this.#unparsedLease?.release();
-    this.#releaseHead();
+    this.#head.release();
     if (this.#lingers && this.#halfClosedAtMs === null) this.#linger();
     else this.#socket.destroy();
     callback(error);
@@ -262,9 +269,7 @@
   #receive(bytes: Buffer): void {
     if (this.destroyed || this.#isClosing()) return;
     if (bytes.length >= LARGE_READ_BYTES) this.#giveTurn();
-    this.#unparsed = this.#unparsed.length === 0
-      ? bytes
-      : Buffer.concat([this.#unparsed, bytes]);
+    this.#unparsed.add(bytes);
     this.#feed();
     if (this.#unparsed.length > MAX_BYTES_BEHIND) this.#holdUnparsed();
   }
@@ -299,7 +304,7 @@
   }
 
   #dropUnparsed(): void {
-    this.#unparsed = EMPTY;
+    this.#unparsed.drop();
     this.#readOn();
   }
 
@@ -310,7 +315,7 @@
     const { memory } = this.#options;
     this.#unparsedLease ??= memory.reserve("head", this.#unparsed.length);
     if (this.#unparsedLease || !this.#isHeld()) return;
-    this.#unparsed = EMPTY;
+    this.#unparsed.drop();
     this.#closesAfterResponse = true;
   }
 
@@ -336,59 +341,44 @@
         setImmediate(() => this.#feed());
         break;
       }
+      if (this.#refuseNext()) continue;
       const isHead = this.#lastRequest?.complete ?? true;
-      const slice = this.#takeSlice();
-      if (isHead) this.#headBytes += slice.length;
+      const slice = this.#unparsed.takeSlice();
+      if (isHead) this.#head.add(slice.length);
       this.#wantsBytes = this.push(slice);
-      if (isHead && !this.#holdHead()) break;
+      if (isHead && !this.#head.hold()) {
+        this.#options.onNoMemory(this);
+        break;
+      }
     }
     this.#isFeeding = false;
     this.#readOn();
   }
 
-  // Ends at the end of the body, or at a blank line, which may end a head.
-  #takeSlice(): Buffer {
-    const unparsed = this.#unparsed;
-    let sizeBytes = Math.min(unparsed.length, MAX_SLICE_BYTES);
-    if (this.#bodyBytesLeft > 0) {
-      sizeBytes = Math.min(unparsed.length, this.#bodyBytesLeft);
-      this.#bodyBytesLeft -= sizeBytes;
-      this.#lineEnd = EMPTY;
-    } else {
-      const end = endOfBlankLine(this.#lineEnd, unparsed);
-      sizeBytes = Math.min(sizeBytes, end);
-      this.#lineEnd = sizeBytes === end ? EMPTY : Buffer.concat([
-        this.#lineEnd,
-        unparsed.subarray(0, sizeBytes),
-      ]).subarray(1 - BLANK_LINE.length);
+  // Answers a request before it is parsed, if nothing before it is left to answer.
+  #refuseNext(): boolean {
+    const { refusals } = this.#options;
+    const isBetweenRequests = this.#openRequests === 0 &&
+      this.#head.sizeBytes === 0 && (this.#lastRequest?.complete ?? true) &&
+      this.readableLength === 0;
+    // A caller that doesn't read its answers gets no more of them.
+    if (!isBetweenRequests || this.unsentBytes > 0 || !this.writable) {
+      return false;
     }
-    this.#unparsed = unparsed.subarray(sizeBytes);
-    return unparsed.subarray(0, sizeBytes);
-  }
-
-  // Pays for a head that is still incomplete; returns false if that is impossible.
-  #holdHead(): boolean {
-    if (this.#headBytes === 0) return true;
-    const { memory, onNoMemory } = this.#options;
-    const sizeBytes = MEMORY_PER_HEAD_BYTE * this.#headBytes;
-    if (this.#headLease?.resize(sizeBytes)) return true;
-    this.#headLease ??= memory.reserve("head", sizeBytes);
-    if (this.#headLease) return true;
-    onNoMemory(this);
-    return false;
-  }
-
-  #releaseHead(): void {
-    this.#headBytes = 0;
-    this.#headLease?.release();
-    this.#headLease = null;
+    if (!refusals.refusesNext(this)) return false;
+    const request = plainRequestAt(this.#unparsed.bytes);
+    if (!request) return false;
+    this.write(refusals.refuseNext(this, request), "latin1");
+    this.#unparsed.skip(request.sizeBytes);
+    this.#isBehindRequest &&= this.#unparsed.length > 0;
+    return true;
   }
 
   #readOn(): void {
     if (this.#hasReadEnough) return;
     if (this.#halfClosedAtMs !== null) {
       if (!this.#hasAnsweredAll() || this.readableEnded) return;
-      this.#unparsed = EMPTY;
+      this.#unparsed.drop();
       this.push(null);
     } else if (this.#unparsed.length <= MAX_BYTES_BEHIND) {
       this.#unparsedLease?.release();
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -114,13 +114,21 @@
   status?: number;
   /** Formats the `retry-after` header; there is none by default. */
   formatRetryAfter?: (retryAfterMs: number) => string;
+  /** Whether the connection stays open; it is closed by default. */
+  keepsOpen?: boolean;
+  /** Whether the request asked for the head alone. */
+  isHead?: boolean;
 }
 
 /** Formats a complete HTTP response for a connection without a readable request. */
 export function formatRawProblem(
   refusal: Refusal,
-  { status = problemOf(refusal).status, formatRetryAfter }: RawProblemOptions =
-    {},
+  {
+    status = problemOf(refusal).status,
+    formatRetryAfter,
+    keepsOpen = false,
+    isHead = false,
+  }: RawProblemOptions = {},
 ): string {
   const body = JSON.stringify({ ...problemOf(refusal), status });
   const retryAfter = refusal.kind === "notRun" && formatRetryAfter
@@ -131,8 +139,8 @@
     ...retryAfter,
     `Content-Type: ${PROBLEM_TYPE}`,
     `Content-Length: ${Buffer.byteLength(body)}`,
-    "Connection: close",
+    `Connection: ${keepsOpen ? "keep-alive" : "close"}`,
     "",
-    body,
+    isHead ? "" : body,
   ].join("\r\n");
 }
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -10,7 +10,6 @@
   PROCESS_MEMORY,
   type Refusal,
 } from "@teaselvalve/core";
-import type { Component } from "../lifecycle/manager.ts";
 import { problemForClientError, type RawProblem } from "./client_errors.ts";
 import { ConnectionSweep } from "./connection_sweep.ts";
 import {
@@ -19,15 +18,17 @@
   refusalOfMemory,
   refusalOfStop,
 } from "./exchange.ts";
+import type { Activity, HttpComponent } from "./http_component.ts";
 import { listenWhenFree } from "./listen.ts";
 import { createNodeServer } from "./node_server.ts";
+import { OverloadRefusals } from "./overload_refusals.ts";
 import { PacedConnection, pacedOf } from "./paced_connection.ts";
-import { formatRawProblem, sendProblem } from "./problem.ts";
+import { sendProblem } from "./problem.ts";
 import { awaitQuietTurns } from "./quiet_turns.ts";
 import { RefusalQueue } from "./refusal_queue.ts";
 import type { HttpComponentOptions } from "./server_options.ts";
-import { UnreadRefusals } from "./unread_refusal.ts";
 
+export type { Activity, HttpComponent } from "./http_component.ts";
 export type {
   AdmittedRequests,
   HttpComponentOptions,
@@ -36,26 +37,6 @@
 /** Node's listener that attaches the HTTP parser to a connection. */
 type ParseListener = (this: Server, connection: Duplex) => void;
 
-/** Current load of an interface. */
-export interface Activity {
-  readonly connections: number;
-  readonly requests: number;
-  /** Responses whose headers were sent but that haven't ended. */
-  readonly streams: number;
-}
-
-/** A component that serves one HTTP interface. */
-export interface HttpComponent extends Component {
-  activity(): Activity;
-  /**
-   * Refuses requests from now on. Resolves once what has reached this host was accepted
-   * and read; what waits in the kernel when a listener closes is reset.
-   */
-  refuseArrivals(): Promise<void>;
-  /** Changes the idle timeout and the header timeout for later requests. */
-  setTimeouts(timeouts: { idleMs: number; headersMs: number }): void;
-}
-
 // Node's default backlog of 511 overflows when many callers connect at once.
 const LISTEN_BACKLOG = 4_096;
 /** Time that a closing interface gives to request headers still in transit. */
@@ -89,7 +70,7 @@
   #sweep: ConnectionSweep;
   #responses = new Set<ServerResponse>();
   #refusals: RefusalQueue;
-  #unread: UnreadRefusals | undefined;
+  #overload: OverloadRefusals;
   #closing = false;
   /** Connections and requests, up to now. */
   #arrivals = 0;
@@ -116,6 +97,13 @@
     const opened = options.tls ? "secureConnection" : "connection";
     const parse = this.#server.listeners(opened) as ParseListener[];
     this.#server.removeAllListeners(opened);
+    this.#overload = new OverloadRefusals({
+      admission: options.admission,
+      isStopping: () => this.#isStopping(),
+      mayKeep: (kept) => this.#sweep.size + kept < limits.connections,
+      idleMs: () => this.#server.keepAliveTimeout,
+      admit: (socket) => this.#admit(socket, parse),
+    });
     this.#server.on(opened, (socket: Socket) => this.#open(socket, parse));
     this.#server.on(
       "drop",
@@ -164,6 +152,7 @@
         resolve();
       });
       this.#server.closeIdleConnections();
+      this.#overload.close();
       this.#sweep.closeUnused({ inUse, onlyWithoutBytes: true });
       // Node stops enforcing connection timeouts once the server is closing.
       this.#closeTimer = setInterval(
@@ -175,7 +164,7 @@
 
   abort(): void {
     this.#stopTimers();
-    this.#unread?.abort();
+    this.#overload.abort();
     this.#server.closeAllConnections();
   }
 
@@ -219,14 +208,13 @@
     this.#arrivals += 1;
     const { admission } = this.#options;
     if (!admission?.applies) admission?.gate.noteConnection();
-    if (!this.#refusesNew(socket)) return this.#admit(socket, parse);
-    this.#unread ??= this.#createUnreadRefusals(parse);
-    this.#unread.add(socket);
+    if (!this.#overload.takesNew(socket)) this.#admit(socket, parse);
   }
 
   #admit(socket: Socket, parse: readonly ParseListener[]): void {
     const connection = new PacedConnection(socket, {
       memory: PROCESS_MEMORY,
+      refusals: this.#overload,
       onNoMemory: () => {
         const problem = { refusal: refusalOfMemory(), status: 503 };
         this.#refusals.add(connection, problem);
@@ -240,24 +228,6 @@
     this.#refusals.add(connection, { refusal, status: 503 });
   }
 
-  #refusesNew(socket: Socket): boolean {
-    const { admission } = this.#options;
-    // Some interfaces admit only part of their requests, and have to read each.
-    if (!admission || admission.applies || this.#refusal) return false;
-    return admission.gate.refusesNew(socket.remoteAddress);
-  }
-
-  #createUnreadRefusals(parse: readonly ParseListener[]): UnreadRefusals {
-    return new UnreadRefusals({
-      isRefused: (socket) => this.#refusesNew(socket),
-      format: () => {
-        const { gate, formatRetryAfter } = this.#options.admission!;
-        return formatRawProblem(gate.refuseConnection(), { formatRetryAfter });
-      },
-      admit: (socket) => this.#admit(socket, parse),
-    });
-  }
-
   #receive(incoming: IncomingMessage, response: ServerResponse): void {
     // After a freeze of the process, a connection can time out just before its
     // request is read, and its refusal is already queued.
@@ -287,23 +257,23 @@
       begin: () => {
         if (!response.destroyed) begin();
       },
-      refuse: (refusal) => this.#refuseUnbegun(response, refusal),
+      refuse: (refusal) => {
+        this.#setClosing(response);
+        this.#overload.refuseParsed(response, refusal);
+      },
     });
   }
 
-  // Costs much less than handling the request.
-  #refuseUnbegun(response: ServerResponse, refusal: Refusal): void {
-    this.#setClosing(response);
-    const { formatRetryAfter, mark } = this.#options.admission!;
-    mark?.(response, refusal);
-    sendProblem(response, refusal, { formatRetryAfter });
+  #isStopping(): boolean {
+    return this.#closing || this.#refusal !== null ||
+      this.#options.shouldCloseConnections?.() === true;
   }
 
   // Requests that have been received get an answer first.
   #setClosing(response: ServerResponse): void {
-    const isClosing = this.#closing || this.#refusal ||
-      this.#options.shouldCloseConnections?.();
-    if (isClosing && !pacedOf(response.req.socket).hasWaitingRequests) {
+    if (
+      this.#isStopping() && !pacedOf(response.req.socket).hasWaitingRequests
+    ) {
       response.setHeader("connection", "close");
     }
   }
--- /dev/null
+++ b/packages/daemon/src/http/unparsed_bytes.ts
@@ -0,0 +1,59 @@
+/** Bytes of a connection that were received and not parsed. */
+import { Buffer } from "node:buffer";
+import { BLANK_LINE, endOfBlankLine } from "./blank_line.ts";
+
+const EMPTY = Buffer.alloc(0);
+const MAX_SLICE_BYTES = 16 * 1_024;
+
+/** Cuts what was received, so that the head of a request ends a slice. */
+export class UnparsedBytes {
+  #bytes: Buffer = EMPTY;
+  /** The last bytes that were taken, if a blank line may go on from them. */
+  #lineEnd: Buffer = EMPTY;
+  /** Bytes of the body that is being received, if its length is known. */
+  bodyBytesLeft = 0;
+
+  get length(): number {
+    return this.#bytes.length;
+  }
+
+  /** The bytes, without taking any. */
+  get bytes(): Buffer {
+    return this.#bytes;
+  }
+
+  add(bytes: Buffer): void {
+    this.#bytes = this.#bytes.length === 0
+      ? bytes
+      : Buffer.concat([this.#bytes, bytes]);
+  }
+
+  drop(): void {
+    this.#bytes = EMPTY;
+  }
+
+  /** Leaves out bytes that the parser needn't see. */
+  skip(sizeBytes: number): void {
+    this.#bytes = this.#bytes.subarray(sizeBytes);
+  }
+
+  /** Takes a slice, which ends at the end of the body, or at a blank line. */
+  takeSlice(): Buffer {
+    const bytes = this.#bytes;
+    let sizeBytes = Math.min(bytes.length, MAX_SLICE_BYTES);
+    if (this.bodyBytesLeft > 0) {
+      sizeBytes = Math.min(bytes.length, this.bodyBytesLeft);
+      this.bodyBytesLeft -= sizeBytes;
+      this.#lineEnd = EMPTY;
+    } else {
+      const end = endOfBlankLine(this.#lineEnd, bytes);
+      sizeBytes = Math.min(sizeBytes, end);
+      this.#lineEnd = sizeBytes === end ? EMPTY : Buffer.concat([
+        this.#lineEnd,
+        bytes.subarray(0, sizeBytes),
+      ]).subarray(1 - BLANK_LINE.length);
+    }
+    this.skip(sizeBytes);
+    return bytes.subarray(0, sizeBytes);
+  }
+}
--- a/packages/daemon/src/http/unread_refusal.ts
+++ b/packages/daemon/src/http/unread_refusal.ts
@@ -1,7 +1,9 @@
-/** Refuses connections of which no request is read, at a small part of a served one's cost. */
+/** Refuses connections of which no request is parsed, at a small part of a served one's cost. */
+import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import { plainRequestAt } from "./plain_request.ts";
 
-/** How long a connection is kept that was refused, or sent nothing. */
+/** How long a connection is kept that sent nothing, or is closed after its refusal. */
 const MAX_OPEN_MS = 1_000;
 
 /** Options of {@link UnreadRefusals}. */
@@ -9,65 +11,126 @@
   /** Whether the first request of a connection would be refused now. */
   isRefused: (socket: Socket) => boolean;
   /** Formats the refusal. */
-  format: () => string;
+  format: (options: { keepsOpen: boolean; isHead: boolean }) => string;
+  /** Whether another connection may be kept open, besides this number of others. */
+  mayKeep: (kept: number) => boolean;
+  /** How long a connection is kept after a refusal, in milliseconds. */
+  idleMs: () => number;
   /** Takes over a connection that isn't refused any more. */
   admit: (socket: Socket) => void;
 }
 
+interface OpenConnection {
+  /** When it came, or was refused and kept last. */
+  sinceMs: number;
+  /** Whether it was refused and may send further requests. */
+  isKept: boolean;
+  readonly handOver: () => void;
+}
+
 /**
- * Answers the first bytes of each connection with a refusal, and closes it once its caller
- * has. A connection that is closed with unread bytes is reset, and its caller may lose the
- * refusal.
+ * Answers requests of new connections with refusals, as long as they would be refused. A
+ * connection whose bytes hold whole requests stays open for the next, so that its caller
+ * need not open another. The others are closed once their callers have: a connection that
+ * is closed with unread bytes is reset, and its caller may lose the refusal.
  */
 export class UnreadRefusals {
   #options: UnreadRefusalsOptions;
-  /** What hands each over, and the time when it came, the oldest first. */
-  #open = new Map<Socket, { sinceMs: number; handOver: () => void }>();
+  #open = new Map<Socket, OpenConnection>();
+  #kept = 0;
   #timer: ReturnType<typeof setTimeout> | undefined;
 
   constructor(options: UnreadRefusalsOptions) {
     this.#options = options;
   }
 
-  /** Refuses a connection once its first bytes come, unless the VM is free by then. */
+  /** Refuses what a connection sends, unless the VM is free by then. */
   add(socket: Socket): void {
-    const { isRefused, format, admit } = this.#options;
-    const onData = (bytes: Uint8Array) => {
+    const { isRefused, admit } = this.#options;
+    const onData = (bytes: Buffer) => {
       if (!isRefused(socket)) return handOver(bytes);
+      if (this.#refuseAll(socket, bytes)) return;
       socket.off("data", onData);
-      socket.end(format());
+      this.#setKept(socket, false);
+      socket.end(this.#options.format({ keepsOpen: false, isHead: false }));
       socket.resume();
     };
     const onEnd = () => socket.end();
-    const onClose = () => this.#open.delete(socket);
-    const handOver = (bytes?: Uint8Array) => {
+    const onClose = () => {
+      this.#setKept(socket, false);
       this.#open.delete(socket);
+    };
+    const handOver = (bytes?: Buffer) => {
+      onClose();
       socket.off("data", onData).off("end", onEnd).off("close", onClose);
       socket.pause();
       if (bytes) socket.unshift(bytes);
       admit(socket);
     };
-    this.#open.set(socket, { sinceMs: performance.now(), handOver });
+    const sinceMs = performance.now();
+    this.#open.set(socket, { sinceMs, isKept: false, handOver });
     socket.on("error", () => {});
     socket.on("data", onData).once("end", onEnd).once("close", onClose);
     this.#checkLater();
   }
 
+  /** Closes the connections that wait for another request, unless one is there already. */
+  close(): void {
+    const before = [...this.#open].map(([socket]) =>
+      [socket, socket.bytesRead] as const
+    );
+    // After a freeze of the process, what arrived is read after this.
+    setImmediate(() => {
+      for (const [socket, bytesRead] of before) {
+        const isUnused = socket.bytesRead === bytesRead;
+        if (isUnused && this.#open.get(socket)?.isKept) socket.destroy();
+      }
+    });
+  }
+
   /** Closes all connections at once. */
   abort(): void {
     clearTimeout(this.#timer);
     for (const socket of this.#open.keys()) socket.destroy();
   }
 
+  // Returns false if the connection can't be kept.
+  #refuseAll(socket: Socket, bytes: Buffer): boolean {
+    const { format, mayKeep } = this.#options;
+    // A caller that doesn't read its answers gets no more of them.
+    if (socket.writableLength > 0 || !mayKeep(this.#kept)) return false;
+    let rest = bytes;
+    const answers = [];
+    while (rest.length > 0) {
+      const request = plainRequestAt(rest);
+      if (!request) break;
+      answers.push(format({ keepsOpen: true, isHead: request.isHead }));
+      rest = rest.subarray(request.sizeBytes);
+    }
+    if (answers.length > 0) socket.write(answers.join(""), "latin1");
+    if (rest.length > 0) return false;
+    this.#setKept(socket, true);
+    return true;
+  }
+
+  #setKept(socket: Socket, isKept: boolean): void {
+    const open = this.#open.get(socket);
+    if (!open) return;
+    if (isKept !== open.isKept) this.#kept += isKept ? 1 : -1;
+    open.isKept = isKept;
+    open.sinceMs = performance.now();
+  }
+
   #checkLater(): void {
     this.#timer ??= setTimeout(() => this.#checkOld(), MAX_OPEN_MS).unref();
   }
 
   #checkOld(): void {
     this.#timer = undefined;
-    const untilMs = performance.now() - MAX_OPEN_MS;
-    for (const [socket, { sinceMs, handOver }] of this.#open) {
-      if (sinceMs > untilMs) break;
+    const nowMs = performance.now();
+    for (const [socket, { sinceMs, isKept, handOver }] of this.#open) {
+      const limitMs = isKept ? this.#options.idleMs() : MAX_OPEN_MS;
+      if (nowMs - sinceMs < limitMs) continue;
       const isIdle = socket.bytesRead === 0;
       if (isIdle && !this.#options.isRefused(socket)) handOver();
       else socket.destroy();
