Begin requests of connections with equal use in their order

Cause: the use of a connection is a count that decays, so that two connections with one request each differ by the microseconds between them. Requests were put in the queue in a random order, and each that went before others cost the last one its place: it had been parsed, and was refused at the full price.

Change: uses are compared in steps of two times.

--- a/packages/daemon/src/http/admission.ts
+++ b/packages/daemon/src/http/admission.ts
@@ -141,7 +141,7 @@
     if (this.#queue.size === 0) return false;
     const count = this.#uses.get(connection);
     const flow = flowOf(connection.remoteAddress, { isNew: !count });
-    const use = 1 + (count?.current() ?? 0);
+    const use = useOf(1 + (count?.current() ?? 0));
     return this.#queue.waitOfNext(flow, use) > UNREAD_SHARE * MAX_WAIT_MS;
   }
 
@@ -199,7 +199,7 @@
     const count = known ?? new DecayingCount();
     if (!known) this.#uses.set(connection, count);
     count.add();
-    return { isNew: !known, recent: count.current() };
+    return { isNew: !known, recent: useOf(count.current()) };
   }
 
   #planTurn(): void {
@@ -329,6 +329,12 @@
   }
 }
 
+// Connections that have asked for about as much have their turns in the order of their
+// requests; otherwise each request that goes before others costs one of them its place.
+function useOf(count: number): number {
+  return Math.round(Math.log2(count));
+}
+
 function flowOf(
   remoteAddress: string | undefined,
   { isNew }: { isNew: boolean },
