Let the parser see the first request of each connection that it has

Cause: Node counts the time for a head from the moment at which a connection is given to its parser. A connection whose first request came once the VM was busy was refused without the parser, and closed with 408 after that time, though its caller went on sending.

Change: a request is refused unparsed only behind one that was parsed. Connections that come to a busy VM aren't given to the parser at all, as before.

--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -355,11 +355,12 @@
     this.#readOn();
   }
 
-  // Answers a request before it is parsed, if nothing before it is left to answer.
+  // Answers a request before it is parsed, if nothing before it is left to answer. The
+  // parser has to see the first one, or it closes the connection as too slow.
   #refuseNext(): boolean {
     const { refusals } = this.#options;
     const isBetweenRequests = this.#openRequests === 0 &&
-      this.#head.sizeBytes === 0 && (this.#lastRequest?.complete ?? true) &&
+      this.#head.sizeBytes === 0 && this.#lastRequest?.complete === true &&
       this.readableLength === 0;
     // A caller that doesn't read its answers gets no more of them.
     if (!isBetweenRequests || this.unsentBytes > 0 || !this.writable) {
--- a/packages/daemon/src/http/refused_kept_test.ts
+++ b/packages/daemon/src/http/refused_kept_test.ts
@@ -14,6 +14,7 @@
 const REFUSED = /HTTP\/1\.1 503 [^\r]*\r\nRetry-After: [\d.]+\r\n/gi;
 const SERVED = /HTTP\/1\.1 200 /g;
 const IDLE_MS = 1_500;
+const HEADERS_MS = 800;
 
 let component: HttpComponent;
 let socket: Socket;
@@ -36,6 +37,7 @@
     address: `127.0.0.1:${port}`,
     limits: SettingsSchema.shape.limits.parse({
       idleMs: String(IDLE_MS),
+      headersMs: String(HEADERS_MS),
     }),
     observer: SILENT_OBSERVER,
     requestLogLevel: "info",
@@ -134,7 +136,10 @@
 });
 
 test("A refusal of a request for a head has no body", async () => {
+  socket.write(REQUEST);
+  await expectAnswers({ refused: 0, served: 1 });
   isBusy = true;
+  received = "";
   socket.write(`${REQUEST.replace("GET", "HEAD")}${REQUEST}`);
   await expectAnswers({ refused: 2, served: 0 });
   expect(received.split("\r\n\r\n")[1]).toMatch(/^HTTP\/1\.1 503/);
@@ -166,6 +171,8 @@
 });
 
 test("A caller that reads no answers gets a bounded number of them", async () => {
+  socket.write(REQUEST);
+  await expectAnswers({ refused: 0, served: 1 });
   socket.pause();
   isBusy = true;
   const before = process.memoryUsage().arrayBuffers +
@@ -181,6 +188,17 @@
   expect(after - before - socket.writableLength).toBeLessThan(64 * 2 ** 20);
 });
 
+test("A connection whose first request is refused later isn't closed as too slow", async () => {
+  isBusy = true;
+  const endMs = performance.now() + 3 * HEADERS_MS;
+  while (performance.now() < endMs) {
+    socket.write(REQUEST);
+    await wait(100);
+  }
+  expect(received).not.toMatch(/HTTP\/1\.1 408/);
+  expect(socket.destroyed).toBe(false);
+});
+
 test("A connection that is refused while the VM leaves is closed by its answer", async () => {
   isBusy = true;
   leaving = true;
