--- a/packages/daemon/src/http/admission.ts
+++ b/packages/daemon/src/http/admission.ts
@@ -136,6 +136,21 @@
     return this.#createRefusal();
   }
 
+  /** Whether the next request of a connection would be refused. */
+  refusesNext(connection: PacedConnection): boolean {
+    if (this.#queue.size === 0) return false;
+    const count = this.#uses.get(connection);
+    const flow = flowOf(connection.remoteAddress, { isNew: !count });
+    const use = useOf(1 + (count?.current() ?? 0));
+    return this.#queue.waitOfNext(flow, use) > UNREAD_SHARE * MAX_WAIT_MS;
+  }
+
+  /** Returns the refusal of a connection's next request, which isn't parsed. */
+  refuseNext(connection: PacedConnection): NotRun {
+    this.#useOf(connection);
+    return this.refuseConnection();
+  }
+
   /** Begins a request now or later, or refuses it. */
   receive(request: ReceivedRequest): void {
     const use = this.#useOf(request.connection);
@@ -184,7 +199,7 @@
     const count = known ?? new DecayingCount();
     if (!known) this.#uses.set(connection, count);
     count.add();
-    return { isNew: !known, recent: count.current() };
+    return { isNew: !known, recent: useOf(count.current()) };
   }
 
   #planTurn(): void {
@@ -314,6 +329,12 @@
   }
 }
 
+// Connections that have asked for about as much have their turns in the order of their
+// requests; otherwise each request that goes before others costs one of them its place.
+function useOf(count: number): number {
+  return Math.round(Math.log2(count));
+}
+
 function flowOf(
   remoteAddress: string | undefined,
   { isNew }: { isNew: boolean },
