Let a request wait as long as its refused caller would

A request that would wait for a sixth of its caller's time was refused. Clients wait for Retry-After before they try again, for up to a third of the time that they have left, so a refusal after a shorter wait costs them more than the wait. Of 100 ms, a sixth is over in one turn of a VM that has just started, and such a caller has no time for another VM. The bound is a third, and for callers without 100 ms for another try three quarters of their time; 600 ms at most as before.

--- a/packages/daemon/src/http/admission.ts
+++ b/packages/daemon/src/http/admission.ts
@@ -28,8 +28,15 @@
 const LATE_CHECK_INTERVAL_MS = 25;
 /** Part of that wait from which on the requests of new connections aren't read. */
 const UNREAD_SHARE = 0.75;
-/** Part of its caller's time that a request may wait. */
-const MAX_WAIT_SHARE = 1 / 6;
+/**
+ * Part of its caller's time that a request may wait. A refused caller waits as long before
+ * its next try, so that a shorter wait helps it more than a refusal.
+ */
+const MAX_WAIT_SHARE = 1 / 3;
+/** What another try takes; callers without time for it can only be served here. */
+const NEXT_TRY_MS = 100;
+/** Part of such a caller's time that its request may wait. */
+const HURRIED_WAIT_SHARE = 3 / 4;
 /** A VM without refusals for this long isn't busy any more. */
 const BUSY_MS = 1_000;
 /** Refusals of one busy interval that get a log line each. */
@@ -172,7 +179,7 @@
       },
       flow: flowOf(connection.remoteAddress, use),
       use: use.recent,
-      maxWaitMs: Math.min(MAX_WAIT_MS, MAX_WAIT_SHARE * timeoutMs),
+      maxWaitMs: maxWaitOf(timeoutMs),
     });
     if (connection.halfClosedAtMs === null) connection.on("halfClose", hurry);
     else hurry();
@@ -314,6 +321,12 @@
   }
 }
 
+/** Returns how long a request may wait before another VM would serve its caller sooner. */
+export function maxWaitOf(timeoutMs: number): number {
+  const hurriedMs = Math.min(NEXT_TRY_MS, HURRIED_WAIT_SHARE * timeoutMs);
+  return Math.min(MAX_WAIT_MS, Math.max(MAX_WAIT_SHARE * timeoutMs, hurriedMs));
+}
+
 function flowOf(
   remoteAddress: string | undefined,
   { isNew }: { isNew: boolean },
