Begin single requests sooner while a VM accepts a burst of connections

overload_test.ts, 'beside 400 connections that send requests and read no answers': callers on 50 addresses were refused after waits of 290 to 510 ms in the queue of Admission (the VM's request-refused lines), all with 503. While connections wait to be accepted, one request is begun for each eight accepted. On a VM whose turns also refuse the requests behind others, that was about one in 8 to 12 ms, shared among all flows, so that callers that had asked for one request each waited for the whole burst. For two accepted connections, a request that waits alone in its flow is begun now; longer flows keep their pace.

--- a/packages/core/src/admission/request_queue.ts
+++ b/packages/core/src/admission/request_queue.ts
@@ -152,6 +152,17 @@
     return request;
   }
 
+  /** Takes the first request that is the only one of its flow; null if there is none. */
+  takeSingle(): WaitingRequest<T> | null {
+    for (const [name, flow] of this.#flows) {
+      if (flow.length > 1) continue;
+      this.#flows.delete(name);
+      this.#size -= 1;
+      return flow[0]!;
+    }
+    return null;
+  }
+
   /** Notes that a request which waited is begun. */
   noteTaken(): void {
     this.#begun.add();
--- a/packages/core/src/admission/request_queue_test.ts
+++ b/packages/core/src/admission/request_queue_test.ts
@@ -73,6 +73,16 @@
   expect(order.indexOf("steady")).toBeLessThanOrEqual(1);
 });
 
+test("A request that waits alone in its flow can be taken before the turns of longer flows", () => {
+  const queue = measuredQueue();
+  for (const item of ["f1", "f2"]) add(queue, item, { flow: "flood" });
+  add(queue, "steady", { flow: "steady" });
+  expect(queue.takeSingle()?.item).toBe("steady");
+  expect(queue.takeSingle()).toBeNull();
+  expect(queue.size).toBe(2);
+  expect(takeAll(queue)).toEqual(["f1", "f2"]);
+});
+
 test("Within a flow, connections that ask for less go first, and the greediest is refused", () => {
   const queue = measuredQueue();
   const refused: string[] = [];
--- a/packages/daemon/src/http/admission.ts
+++ b/packages/daemon/src/http/admission.ts
@@ -19,6 +19,8 @@
  * nothing come between.
  */
 const ACCEPTS_PER_BEGIN = 8;
+/** The same for a request that is the only one of its flow that waits. */
+const ACCEPTS_PER_SINGLE = 2;
 /** Turns that begin nothing may take this long together. */
 const MAX_ACCEPT_MS = 30;
 /** A request that waits for longer than this is refused; callers turn to other VMs soon. */
@@ -214,13 +216,16 @@
     this.#accepts += 1;
     this.#acceptMs += turnMs;
     const begins = this.#beginsOfTurn();
-    this.#queue.noteTurn({ turnMs, accepted: begins === 0 });
+    const beginsSingle = begins === 0 &&
+      this.#accepts % ACCEPTS_PER_SINGLE === 0;
+    const accepted = begins === 0 && !beginsSingle;
+    this.#queue.noteTurn({ turnMs, accepted });
     this.#refuseLate();
     if (begins > 0) {
       this.#accepts = 0;
       this.#acceptMs = 0;
       this.#beginNext(begins);
-    }
+    } else if (beginsSingle) this.#beginNext(1, { onlySingle: true });
     if (this.#queue.size > 0 || this.#isAccepting) this.#planTurn();
   }
 
@@ -231,9 +236,9 @@
     return hasAccepted ? 1 : 0;
   }
 
-  #beginNext(count: number): void {
+  #beginNext(count: number, { onlySingle = false } = {}): void {
     while (this.#begun < count) {
-      const next = this.#queue.take();
+      const next = onlySingle ? this.#queue.takeSingle() : this.#queue.take();
       if (!next) return;
       const { item, maxWaitMs } = next;
       const waitedMs = this.#queue.waitedMs(next);
--- a/packages/daemon/src/http/admission_load_test.ts
+++ b/packages/daemon/src/http/admission_load_test.ts
@@ -15,6 +15,11 @@
 };
 /** Time at the replicas. */
 const AWAY_MS = 30;
+const FLOOD_ADDRESS = "127.0.0.1";
+const FLOOD = { connections: 400, requestsEach: 5, timeoutMs: 3_000 };
+const STEADY = { everyMs: 1_000 / 60, addresses: 50, timeoutMs: 1_500 };
+const FOR_MS = 3_000;
+const ROUND_MS = 1_000;
 
 /** A connection with the requests that its caller sent at once. */
 interface Arrival {
@@ -141,6 +146,50 @@
   }
 }
 
+test.each([1, 1.2])(
+  "Callers are served beside bursts of connections that each send several requests, at %d times the usual costs",
+  (factor) => {
+    const flood = Array.from(
+      { length: FOR_MS / ROUND_MS },
+      (_, round) =>
+        Array.from(
+          { length: FLOOD.connections },
+          () =>
+            arrival(round * ROUND_MS, {
+              address: FLOOD_ADDRESS,
+              timeoutMs: FLOOD.timeoutMs,
+              requests: FLOOD.requestsEach,
+            }),
+        ),
+    ).flat();
+    const steady = Array.from(
+      { length: Math.floor(FOR_MS / STEADY.everyMs) },
+      (_, index) =>
+        arrival(index * STEADY.everyMs, {
+          address: `127.0.1.${index % STEADY.addresses}`,
+          timeoutMs: STEADY.timeoutMs,
+          requests: 1,
+        }),
+    );
+    const loop = new EventLoop({
+      accept: factor * COSTS_MS.accept,
+      receive: factor * COSTS_MS.receive,
+      begin: factor * COSTS_MS.begin,
+      serve: factor * COSTS_MS.serve,
+      refuse: factor * COSTS_MS.refuse,
+    });
+    loop.play([...flood, ...steady]);
+    const calls = loop.outcomes.filter(({ address }) =>
+      address !== FLOOD_ADDRESS
+    );
+    expect(calls).toHaveLength(steady.length);
+    const inTime = calls.filter(({ served, tookMs }) =>
+      served && tookMs <= STEADY.timeoutMs
+    );
+    expect(inTime.length / calls.length).toBeGreaterThan(0.95);
+  },
+);
+
 test("Callers without time to try another VM are served by one whose turns take long", () => {
   const loop = new EventLoop({ ...COSTS_MS, serve: 25 });
   const hurried = { timeoutMs: 100, requests: 1 };
