--- a/packages/daemon/src/http/admission.ts
+++ b/packages/daemon/src/http/admission.ts
@@ -19,6 +19,8 @@
  * nothing come between.
  */
 const ACCEPTS_PER_BEGIN = 8;
+/** The same for a request that is the only one of its flow that waits. */
+const ACCEPTS_PER_SINGLE = 2;
 /** Turns that begin nothing may take this long together. */
 const MAX_ACCEPT_MS = 30;
 /** A request that waits for longer than this is refused; callers turn to other VMs soon. */
@@ -28,8 +30,15 @@
 const LATE_CHECK_INTERVAL_MS = 25;
 /** Part of that wait from which on the requests of new connections aren't read. */
 const UNREAD_SHARE = 0.75;
-/** Part of its caller's time that a request may wait. */
-const MAX_WAIT_SHARE = 1 / 6;
+/**
+ * Part of its caller's time that a request may wait. A refused caller waits as long before
+ * its next try, so that a shorter wait helps it more than a refusal.
+ */
+const MAX_WAIT_SHARE = 1 / 3;
+/** What another try takes; callers without time for it can only be served here. */
+const NEXT_TRY_MS = 100;
+/** Part of such a caller's time that its request may wait. */
+const HURRIED_WAIT_SHARE = 3 / 4;
 /** A VM without refusals for this long isn't busy any more. */
 const BUSY_MS = 1_000;
 /** Refusals of one busy interval that get a log line each. */
@@ -187,7 +196,7 @@
       },
       flow: flowOf(connection.remoteAddress, use),
       use: use.recent,
-      maxWaitMs: Math.min(MAX_WAIT_MS, MAX_WAIT_SHARE * timeoutMs),
+      maxWaitMs: maxWaitOf(timeoutMs),
     });
     if (connection.halfClosedAtMs === null) connection.on("halfClose", hurry);
     else hurry();
@@ -222,13 +231,16 @@
     this.#accepts += 1;
     this.#acceptMs += turnMs;
     const begins = this.#beginsOfTurn();
-    this.#queue.noteTurn({ turnMs, accepted: begins === 0 });
+    const beginsSingle = begins === 0 &&
+      this.#accepts % ACCEPTS_PER_SINGLE === 0;
+    const accepted = begins === 0 && !beginsSingle;
+    this.#queue.noteTurn({ turnMs, accepted });
     this.#refuseLate();
     if (begins > 0) {
       this.#accepts = 0;
       this.#acceptMs = 0;
       this.#beginNext(begins);
-    }
+    } else if (beginsSingle) this.#beginNext(1, { onlySingle: true });
     if (this.#queue.size > 0 || this.#isAccepting) this.#planTurn();
   }
 
@@ -239,9 +251,9 @@
     return hasAccepted ? 1 : 0;
   }
 
-  #beginNext(count: number): void {
+  #beginNext(count: number, { onlySingle = false } = {}): void {
     while (this.#begun < count) {
-      const next = this.#queue.take();
+      const next = onlySingle ? this.#queue.takeSingle() : this.#queue.take();
       if (!next) return;
       const { item, maxWaitMs } = next;
       const waitedMs = this.#queue.waitedMs(next);
@@ -335,6 +347,12 @@
   return Math.round(Math.log2(count));
 }
 
+/** Returns how long a request may wait before another VM would serve its caller sooner. */
+export function maxWaitOf(timeoutMs: number): number {
+  const hurriedMs = Math.min(NEXT_TRY_MS, HURRIED_WAIT_SHARE * timeoutMs);
+  return Math.min(MAX_WAIT_MS, Math.max(MAX_WAIT_SHARE * timeoutMs, hurriedMs));
+}
+
 function flowOf(
   remoteAddress: string | undefined,
   { isNew }: { isNew: boolean },
