End a planned stop beside arrivals that don't cease, and answer what came before

What callers saw: while a VM stopped under a flood of 1,000 calls a second, part of the calls ended with a closed connection, also some that had been sent seconds before, and the stop lasted to the end of its grace.

Cause: a stop waited for turns of the event loop in which nothing arrives, which a flood doesn't leave, until its grace was over and all was reset. Between two pipelined requests a connection counted as idle, and was closed with those that waited behind.

--- a/packages/daemon/src/http/arrival_bound.ts
+++ b/packages/daemon/src/http/arrival_bound.ts
@@ -19,6 +19,11 @@
     return this.#emptyAtMs;
   }
 
+  /** Whether the socket may have something to read that arrived while it was paused. */
+  get hasUnread(): boolean {
+    return !this.#isIdle;
+  }
+
   /** Called when bytes or the end were read. */
   noteRead(): void {
     this.#reads += 1;
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -138,6 +138,11 @@
       this.#lastRequest?.headers["transfer-encoding"] === undefined;
   }
 
+  /** Whether requests may wait behind the one in progress, also in the kernel. */
+  get hasUnread(): boolean {
+    return this.hasWaitingRequests || this.#arrival.hasUnread;
+  }
+
   /**
    * Whether the bytes that are parsed now came before the last request was answered, or
    * belong to its body.
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -72,8 +72,8 @@
   #refusals: RefusalQueue;
   #overload: OverloadRefusals;
   #closing = false;
-  /** Connections and requests, up to now. */
-  #arrivals = 0;
+  /** Up to now. */
+  #arrivals = { connections: 0, requests: 0 };
   /** What each request is refused with, if any. */
   #refusal: Refusal | null = null;
   #closeTimer: ReturnType<typeof setInterval> | undefined;
@@ -139,7 +139,11 @@
 
   refuseArrivals(): Promise<void> {
     this.#refusal = refusalOfStop();
-    return awaitQuietTurns(() => this.#arrivals);
+    return awaitQuietTurns(() => ({
+      ...this.#arrivals,
+      hasUnread: () =>
+        this.#sweep.connections().some((connection) => connection.hasUnread),
+    }));
   }
 
   /** Stops accepting connections and waits for the requests in progress. */
@@ -205,7 +209,7 @@
   }
 
   #open(socket: Socket, parse: readonly ParseListener[]): void {
-    this.#arrivals += 1;
+    this.#arrivals.connections += 1;
     const { admission } = this.#options;
     if (!admission?.applies) admission?.gate.noteConnection();
     if (!this.#overload.takesNew(socket)) this.#admit(socket, parse);
@@ -232,7 +236,7 @@
     // After a freeze of the process, a connection can time out just before its
     // request is read, and its refusal is already queued.
     const connection = pacedOf(incoming.socket);
-    this.#arrivals += 1;
+    this.#arrivals.requests += 1;
     if (this.#refusals.has(connection)) return;
     connection.beginRequest(incoming, response);
     const receivedAtMs = performance.now();
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,6 +8,7 @@
   "platform/src/overload_test.ts",
   "platform/src/planned_stop_test.ts",
   "platform/src/silent_store_test.ts",
+  "platform/src/stop_flood_test.ts",
 ];
 
 export default defineConfig({
