Refuse pipelined requests that waited for too long behind others

Cause: requests of a connection wait for one another, without a bound, where nobody counted their time; the VM isn't busy meanwhile, so that nothing was refused.

Change: a connection keeps when each piece arrived, in a paused socket when it may have. A request that has waited for over a third of its caller's time is refused at its turn: 503, not run. This doesn't make the VM count as busy. Callers that name no time wait.

--- a/packages/daemon/src/http/admission.ts
+++ b/packages/daemon/src/http/admission.ts
@@ -51,6 +51,8 @@
   readonly timeoutMs: () => number | null;
   /** Fields that identify it in a log line. */
   readonly describe: () => Record<string, LogValue>;
+  /** How long it has waited behind others on its connection, in milliseconds. */
+  readonly waitedMs?: number;
   readonly begin: () => void;
   readonly refuse: (refusal: Refusal) => void;
 }
@@ -99,6 +101,8 @@
   #acceptMs = 0;
   #busy: BusyInterval | null = null;
   #busyTimer: ReturnType<typeof setTimeout> | undefined;
+  /** Log lines of refused requests that had waited behind others. */
+  #behindLines = new DecayingCount();
 
   constructor(options: AdmissionOptions) {
     this.#options = options;
@@ -162,6 +166,10 @@
 
   /** Begins a request now or later, or refuses it. */
   receive(request: ReceivedRequest): void {
+    const { waitedMs = 0, timeoutMs } = request;
+    if (waitedMs > MAX_WAIT_SHARE * (timeoutMs() ?? Infinity)) {
+      return this.#refuseBehind(request, waitedMs);
+    }
     const use = this.#useOf(request.connection);
     const mayBegin = !this.#isAccepting && this.#begun < BEGINS_PER_TURN;
     if (this.#queue.size === 0 && mayBegin) {
@@ -295,9 +303,28 @@
     });
   }
 
+  // It waited for its own connection, so that the VM needn't be busy.
+  #refuseBehind(request: ReceivedRequest, waitedMs: number): void {
+    const refusal = this.#formRefusal();
+    request.refuse(refusal);
+    if (this.#behindLines.current() > MAX_REFUSAL_LINES) return;
+    this.#behindLines.add();
+    this.#options.observer.log({
+      event: "request-refused",
+      reason: refusal.reason,
+      waitedBehindMs: Math.round(waitedMs),
+      retryAfterMs: Math.round(refusal.retryAfterMs),
+      ...request.describe(),
+    });
+  }
+
   #createRefusal(): NotRun {
-    const { observer, random = Math.random } = this.#options;
     this.#noteBusy().refused += 1;
+    return this.#formRefusal();
+  }
+
+  #formRefusal(): NotRun {
+    const { observer, random = Math.random } = this.#options;
     observer.count("refusals", "overloaded");
     const retryAfterMs = this.#queue.retryAfterMs({
       waitMs: MAX_WAIT_MS,
--- a/packages/daemon/src/http/arrival_bound.ts
+++ b/packages/daemon/src/http/arrival_bound.ts
@@ -19,6 +19,13 @@
     return this.#emptyAtMs;
   }
 
+  /**
+   * Since when what is read now may have waited for a paused socket, by `performance.now()`.
+   */
+  get waitingSinceMs(): number {
+    return this.#isIdle ? performance.now() : this.#emptyAtMs;
+  }
+
   /** Whether the socket may have something to read that arrived while it was paused. */
   get hasUnread(): boolean {
     return !this.#isIdle;
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -6,6 +6,7 @@
 import type { MemoryBudget, MemoryLease } from "@teaselvalve/core";
 import { ArrivalBound } from "./arrival_bound.ts";
 import { HeadMemory } from "./head_memory.ts";
+import type { OverloadRefusals } from "./overload_refusals.ts";
 import { plainRequestAt } from "./plain_request.ts";
 import { UnparsedBytes } from "./unparsed_bytes.ts";
 
@@ -26,21 +27,10 @@
  */
 const HALF_OPEN_MS = 350;
 
-/** Refuses requests of a busy VM before they are parsed. */
-export interface UnparsedRefusals {
-  /** Whether the next request of a connection would be refused. */
-  refusesNext(connection: PacedConnection): boolean;
-  /** Notes that it is refused, and returns its answer. */
-  refuseNext(
-    connection: PacedConnection,
-    options: { isHead: boolean },
-  ): string;
-}
-
 /** Options of {@link PacedConnection}. */
 export interface PacedConnectionOptions {
   memory: MemoryBudget;
-  refusals: UnparsedRefusals;
+  refusals: Pick<OverloadRefusals, "refusesNext" | "refuseNext">;
   /** Called when there is no memory for the head of a request. */
   onNoMemory: (connection: PacedConnection) => void;
 }
@@ -65,6 +55,7 @@
   readonly #unparsed = new UnparsedBytes();
   #unparsedLease: MemoryLease | null = null;
   readonly #head: HeadMemory;
+  #headArrivedAtMs = 0;
   #openRequests = 0;
   #lastRequest: IncomingMessage | undefined;
   #lastResponse: ServerResponse | undefined;
@@ -138,6 +129,11 @@
       this.#lastRequest?.headers["transfer-encoding"] === undefined;
   }
 
+  /** How long the last request has waited behind others, in milliseconds. */
+  get waitedMs(): number {
+    return performance.now() - this.#headArrivedAtMs;
+  }
+
   /** Whether requests may wait behind the one in progress, also in the kernel. */
   get hasUnread(): boolean {
     return this.hasWaitingRequests || this.#arrival.hasUnread;
@@ -272,7 +268,7 @@
     this.#arrival.noteRead();
     if (this.destroyed || this.#isClosing()) return;
     if (bytes.length >= LARGE_READ_BYTES) this.#giveTurn();
-    this.#unparsed.add(bytes);
+    this.#unparsed.add(bytes, this.#arrival.waitingSinceMs);
     this.#feed();
     if (this.#unparsed.length > MAX_BYTES_BEHIND) this.#holdUnparsed();
   }
@@ -343,6 +339,9 @@
       }
       if (this.#refuseNext()) continue;
       const isHead = this.#lastRequest?.complete ?? true;
+      if (this.#head.sizeBytes === 0) {
+        this.#headArrivedAtMs = this.#unparsed.arrivedAtMs;
+      }
       const slice = this.#unparsed.takeSlice();
       if (isHead) this.#head.add(slice.length);
       this.#wantsBytes = this.push(slice);
--- a/packages/daemon/src/http/refused_kept_test.ts
+++ b/packages/daemon/src/http/refused_kept_test.ts
@@ -218,3 +218,16 @@
   await component.stop();
   expect(performance.now() - startedMs).toBeLessThan(500);
 });
+
+test("Requests that waited for a third of their time behind others on their connection are refused", async () => {
+  const calls = 60;
+  socket.write(REQUEST.repeat(calls));
+  await expect.poll(() => count(/HTTP\/1\.1 (?:200|503) /g)).toBe(calls);
+  expect(count(/HTTP\/1\.1 503 /g)).toBeGreaterThan(0);
+  // Each takes 30 ms, and their callers have 3 s.
+  expect(handled).toBeGreaterThan(10);
+  expect(handled).toBeLessThanOrEqual(1_000 / 30 + 1);
+  const served = count(SERVED);
+  socket.write(REQUEST);
+  await expect.poll(() => count(SERVED)).toBe(served + 1);
+});
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -258,6 +258,7 @@
       connection,
       timeoutMs: () => admission.timeoutMs(incoming.headers),
       describe: () => admission.describe(incoming.headers),
+      waitedMs: connection.waitedMs,
       begin: () => {
         if (!response.destroyed) begin();
       },
--- a/packages/daemon/src/http/unparsed_bytes.ts
+++ b/packages/daemon/src/http/unparsed_bytes.ts
@@ -10,6 +10,9 @@
   #bytes: Buffer = EMPTY;
   /** The last bytes that were taken, if a blank line may go on from them. */
   #lineEnd: Buffer = EMPTY;
+  /** When each piece arrived, and how many bytes came up to its end. */
+  #pieces: { readonly endBytes: number; readonly arrivedAtMs: number }[] = [];
+  #takenBytes = 0;
   /** Bytes of the body that is being received, if its length is known. */
   bodyBytesLeft = 0;
 
@@ -22,19 +25,31 @@
     return this.#bytes;
   }
 
-  add(bytes: Buffer): void {
+  /** When the first of the bytes arrived, by `performance.now()`. */
+  get arrivedAtMs(): number {
+    return this.#pieces[0]?.arrivedAtMs ?? performance.now();
+  }
+
+  /** Adds what was read, and arrived at the given time. */
+  add(bytes: Buffer, arrivedAtMs: number): void {
+    const endBytes = this.#takenBytes + this.#bytes.length + bytes.length;
+    this.#pieces.push({ endBytes, arrivedAtMs });
     this.#bytes = this.#bytes.length === 0
       ? bytes
       : Buffer.concat([this.#bytes, bytes]);
   }
 
   drop(): void {
-    this.#bytes = EMPTY;
+    this.skip(this.#bytes.length);
   }
 
   /** Leaves out bytes that the parser needn't see. */
   skip(sizeBytes: number): void {
     this.#bytes = this.#bytes.subarray(sizeBytes);
+    this.#takenBytes += sizeBytes;
+    while (
+      this.#pieces.length > 0 && this.#pieces[0]!.endBytes <= this.#takenBytes
+    ) this.#pieces.shift();
   }
 
   /** Takes a slice, which ends at the end of the body, or at a blank line. */
