Refused connections whose requests came in a freeze get an answer

Cause: UnreadRefusals closed connections from its timer as soon as they had sent nothing for a second, or were idle after a refusal. After a freeze of the process (or a turn as long), timers are due before the sockets are read, so that connections whose whole requests waited in the kernel were reset.

Change: such a connection is closed only if it has still sent nothing after the next turn's reads, as at a stop and at idle timeouts of other connections.

--- a/packages/daemon/src/http/refused_kept_test.ts
+++ b/packages/daemon/src/http/refused_kept_test.ts
@@ -218,3 +218,28 @@
   await component.stop();
   expect(performance.now() - startedMs).toBeLessThan(500);
 });
+
+// Longer than a refused connection that sends nothing is kept, and than an idle one.
+function freeze(durationMs: number): void {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+}
+
+test.each([
+  { name: "A new connection", first: "" },
+  { name: "A new connection that was refused before", first: REQUEST },
+])(
+  "$name whose request arrives while the process is frozen gets an answer",
+  async ({ first }) => {
+    socket.destroy();
+    isBusy = true;
+    await open();
+    socket.write(first);
+    const before = first ? 1 : 0;
+    await expectAnswers({ refused: before, served: 0 });
+    await wait(100);
+    socket.write(REQUEST);
+    freeze(2 * IDLE_MS);
+    await expectAnswers({ refused: before + 1, served: 0 });
+  },
+);
--- a/packages/daemon/src/http/unread_refusal.ts
+++ b/packages/daemon/src/http/unread_refusal.ts
@@ -76,16 +76,10 @@
 
   /** Closes the connections that wait for another request, unless one is there already. */
   close(): void {
-    const before = [...this.#open].map(([socket]) =>
-      [socket, socket.bytesRead] as const
+    this.#closeUnused(
+      [...this.#open.keys()],
+      (socket) => this.#open.get(socket)?.isKept === true,
     );
-    // After a freeze of the process, what arrived is read after this.
-    setImmediate(() => {
-      for (const [socket, bytesRead] of before) {
-        const isUnused = socket.bytesRead === bytesRead;
-        if (isUnused && this.#open.get(socket)?.isKept) socket.destroy();
-      }
-    });
   }
 
   /** Closes all connections at once. */
@@ -128,13 +122,30 @@
   #checkOld(): void {
     this.#timer = undefined;
     const nowMs = performance.now();
+    const old: Socket[] = [];
     for (const [socket, { sinceMs, isKept, handOver }] of this.#open) {
       const limitMs = isKept ? this.#options.idleMs() : MAX_OPEN_MS;
       if (nowMs - sinceMs < limitMs) continue;
       const isIdle = socket.bytesRead === 0;
       if (isIdle && !this.#options.isRefused(socket)) handOver();
-      else socket.destroy();
+      else old.push(socket);
     }
+    this.#closeUnused(old, (socket) => this.#open.has(socket));
     if (this.#open.size > 0) this.#checkLater();
   }
+
+  // After a freeze of the process, timers are due before what arrived meanwhile is read.
+  #closeUnused(
+    sockets: readonly Socket[],
+    mayClose: (socket: Socket) => boolean,
+  ): void {
+    const before = sockets.map((socket) => [socket, socket.bytesRead] as const);
+    setImmediate(() => {
+      for (const [socket, bytesRead] of before) {
+        if (socket.bytesRead === bytesRead && mayClose(socket)) {
+          socket.destroy();
+        }
+      }
+    });
+  }
 }
