Refusals of HEAD requests that close their connection have no body

Cause: a new connection whose request isn't one that can be skipped whole (Connection: close, in pieces, too many kept) got its refusal with a body, also for HEAD: bytes that are no answer follow the head.

Change: the refusal that closes such a connection leaves its body out if the bytes that it answers begin with HEAD.

--- a/packages/daemon/src/http/refused_kept_test.ts
+++ b/packages/daemon/src/http/refused_kept_test.ts
@@ -243,3 +243,23 @@
     await expectAnswers({ refused: before + 1, served: 0 });
   },
 );
+
+test.each(["HEAD", "GET"])(
+  "The refusal of a new connection's %s request that closes it has a body only if asked for",
+  async (method) => {
+    socket.destroy();
+    isBusy = true;
+    await open();
+    const closed = once(socket, "close");
+    socket.write(
+      `${REQUEST}${HEAD.replace("GET", method)}Connection: close\r\n\r\n`,
+    );
+    await closed;
+    expect(count(REFUSED)).toBe(2);
+    const last = received.slice(received.lastIndexOf("HTTP/1.1 503"));
+    const [, body] = last.split("\r\n\r\n");
+    expect(last).toMatch(/connection: close/i);
+    if (method === "HEAD") expect(body).toBe("");
+    else expect(JSON.parse(body!).reason).toBe("overloaded");
+  },
+);
--- a/packages/daemon/src/http/unread_refusal.ts
+++ b/packages/daemon/src/http/unread_refusal.ts
@@ -5,6 +5,8 @@
 
 /** How long a connection is kept that sent nothing, or is closed after its refusal. */
 const MAX_OPEN_MS = 1_000;
+/** How a request for the head of an answer alone begins. */
+const HEAD_METHOD = "HEAD ";
 
 /** Options of {@link UnreadRefusals}. */
 export interface UnreadRefusalsOptions {
@@ -49,10 +51,13 @@
     const { isRefused, admit } = this.#options;
     const onData = (bytes: Buffer) => {
       if (!isRefused(socket)) return handOver(bytes);
-      if (this.#refuseAll(socket, bytes)) return;
+      const rest = this.#refuseAll(socket, bytes);
+      if (rest.length === 0) return;
       socket.off("data", onData);
       this.#setKept(socket, false);
-      socket.end(this.#options.format({ keepsOpen: false, isHead: false }));
+      const isHead = rest.toString("latin1", 0, HEAD_METHOD.length) ===
+        HEAD_METHOD;
+      socket.end(this.#options.format({ keepsOpen: false, isHead }));
       socket.resume();
     };
     const onEnd = () => socket.end();
@@ -88,11 +93,11 @@
     for (const socket of this.#open.keys()) socket.destroy();
   }
 
-  // Returns false if the connection can't be kept.
-  #refuseAll(socket: Socket, bytes: Buffer): boolean {
+  // Returns the bytes after whose refusal the connection has to be closed.
+  #refuseAll(socket: Socket, bytes: Buffer): Buffer {
     const { format, mayKeep } = this.#options;
     // A caller that doesn't read its answers gets no more of them.
-    if (socket.writableLength > 0 || !mayKeep(this.#kept)) return false;
+    if (socket.writableLength > 0 || !mayKeep(this.#kept)) return bytes;
     let rest = bytes;
     const answers = [];
     while (rest.length > 0) {
@@ -102,9 +107,8 @@
       rest = rest.subarray(request.sizeBytes);
     }
     if (answers.length > 0) socket.write(answers.join(""), "latin1");
-    if (rest.length > 0) return false;
-    this.#setKept(socket, true);
-    return true;
+    if (rest.length === 0) this.#setKept(socket, true);
+    return rest;
   }
 
   #setKept(socket: Socket, isKept: boolean): void {
