Requests with Proxy-Connection are left to the parser

Cause: Node's parser takes proxy-connection for connection, so that a request with "Proxy-Connection: close" ends its connection, and what follows it isn't read. Refused before it was parsed, it left the connection open.

Change: the field counts as one that decides on the use of the connection.

Test: the new one fails without the change; plain_request_test.ts passes with it (26).

--- a/packages/daemon/src/http/plain_request.ts
+++ b/packages/daemon/src/http/plain_request.ts
@@ -7,9 +7,12 @@
 /** Whatever else the parser accepts is left to it. */
 const HEAD =
   /^(?:GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS) [!-~]+ HTTP\/1\.1\r\n(?:[!#$%&'*+.^`|~\w-]+:[\t -~\x80-\xff]*\r\n)+\r\n$/;
-/** Fields on which the end of the request or the use of its connection depends. */
+/**
+ * Fields on which the end of the request or the use of its connection depends. To the
+ * parser, `proxy-connection` is another name of `connection`.
+ */
 const FRAMING =
-  /\r\n(?:content-length|transfer-encoding|expect|upgrade|connection):[^\r]*/gi;
+  /\r\n(?:content-length|transfer-encoding|expect|upgrade|(?:proxy-)?connection):[^\r]*/gi;
 const CONTENT_LENGTH = /^\r\ncontent-length: *(\d{1,4})$/i;
 const KEEP_ALIVE = /^\r\nconnection: *keep-alive$/i;
 
--- a/packages/daemon/src/http/plain_request_test.ts
+++ b/packages/daemon/src/http/plain_request_test.ts
@@ -48,6 +48,8 @@
     `${HEAD}Expect: 100-continue\r\n\r\n`,
   "that changes the protocol": `${HEAD}Upgrade: websocket\r\n\r\n`,
   "that closes its connection": `${HEAD}Connection: close\r\n\r\n`,
+  "that closes its connection by an old name":
+    `${HEAD}Proxy-Connection: close\r\n\r\n`,
   "of an older protocol": "GET /a HTTP/1.0\r\nHost: vm\r\n\r\n",
   "for a tunnel": "CONNECT vm:80 HTTP/1.1\r\nHost: vm\r\n\r\n",
   "with a folded line": `${HEAD}X-A: b\r\n c\r\n\r\n`,
