Connections that are kept after refusals give way to new ones

Cause: as many connections as an interface may have were kept open after refusals, and weren't counted when others were admitted. Node drops connections over the limit and 100 more: after a flood, new callers of a VM that was free again were reset, until the kept ones had been idle for their timeout (30 s).

Change: a new connection that is admitted closes one that waits after its refusal, if all places are taken, unless it has sent a request by then.

--- a/packages/daemon/src/http/overload_refusals.ts
+++ b/packages/daemon/src/http/overload_refusals.ts
@@ -62,6 +62,12 @@
     sendProblem(response, refusal, { formatRetryAfter });
   }
 
+  /** Closes a connection of which no request was parsed if it takes the place of another. */
+  makeRoom(): void {
+    const unread = this.#unread;
+    if (unread && !this.#options.mayKeep(unread.kept)) unread.makeRoom();
+  }
+
   /** Closes the connections of which no request was parsed and that aren't in use. */
   close(): void {
     this.#unread?.close();
--- a/packages/daemon/src/http/refused_kept_test.ts
+++ b/packages/daemon/src/http/refused_kept_test.ts
@@ -15,6 +15,7 @@
 const SERVED = /HTTP\/1\.1 200 /g;
 const IDLE_MS = 1_500;
 const HEADERS_MS = 800;
+const CONNECTIONS = 300;
 
 let component: HttpComponent;
 let socket: Socket;
@@ -36,6 +37,7 @@
     name: "callers",
     address: `127.0.0.1:${port}`,
     limits: SettingsSchema.shape.limits.parse({
+      connections: String(CONNECTIONS),
       idleMs: String(IDLE_MS),
       headersMs: String(HEADERS_MS),
     }),
@@ -263,3 +265,31 @@
     else expect(JSON.parse(body!).reason).toBe("overloaded");
   },
 );
+
+test.each([
+  { state: "free", expected: /^HTTP\/1\.1 200/ },
+  { state: "busy", expected: /^HTTP\/1\.1 503/ },
+])(
+  "Connections that are kept after a flood leave room for others while the VM is $state",
+  async ({ state, expected }) => {
+    isBusy = true;
+    const sockets: Socket[] = [];
+    const connectOne = async () => {
+      const other = connect(port, "127.0.0.1").on("error", () => {});
+      sockets.push(other);
+      other.write(REQUEST);
+      const [answer] = await Promise.race([
+        once(other, "data"),
+        once(other, "close"),
+      ]);
+      return String(answer);
+    };
+    for (let opened = 0; opened < CONNECTIONS; opened += 1) await connectOne();
+    isBusy = state === "busy";
+    const others = Array.from({ length: CONNECTIONS / 2 }, () => connectOne());
+    for (const answer of await Promise.all(others)) {
+      expect(answer).toMatch(expected);
+    }
+    for (const other of sockets) other.destroy();
+  },
+);
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -221,7 +221,10 @@
       },
     });
     const isAdmitted = this.#sweep.size < this.#options.limits.connections;
-    if (isAdmitted) this.#sweep.add(connection);
+    if (isAdmitted) {
+      this.#overload.makeRoom();
+      this.#sweep.add(connection);
+    }
     for (const listener of parse) listener.call(this.#server, connection);
     if (isAdmitted) return;
     const refusal = notRun("too-many-connections");
--- a/packages/daemon/src/http/unread_refusal.ts
+++ b/packages/daemon/src/http/unread_refusal.ts
@@ -46,6 +46,11 @@
     this.#options = options;
   }
 
+  /** Number of connections that wait for another request. */
+  get kept(): number {
+    return this.#kept;
+  }
+
   /** Refuses what a connection sends, unless the VM is free by then. */
   add(socket: Socket): void {
     const { isRefused, admit } = this.#options;
@@ -87,6 +92,16 @@
     );
   }
 
+  /** Closes one of the connections that wait for another request, if there is one. */
+  makeRoom(): void {
+    if (this.#kept === 0) return;
+    for (const [socket, { isKept }] of this.#open) {
+      if (!isKept) continue;
+      this.#setKept(socket, false);
+      return this.#closeUnused([socket], () => this.#open.has(socket));
+    }
+  }
+
   /** Closes all connections at once. */
   abort(): void {
     clearTimeout(this.#timer);
