--- a/packages/daemon/src/http/refused_kept_test.ts
+++ b/packages/daemon/src/http/refused_kept_test.ts
@@ -15,6 +15,7 @@
 const SERVED = /HTTP\/1\.1 200 /g;
 const IDLE_MS = 1_500;
 const HEADERS_MS = 800;
+const CONNECTIONS = 300;
 
 let component: HttpComponent;
 let socket: Socket;
@@ -36,6 +37,7 @@
     name: "callers",
     address: `127.0.0.1:${port}`,
     limits: SettingsSchema.shape.limits.parse({
+      connections: String(CONNECTIONS),
       idleMs: String(IDLE_MS),
       headersMs: String(HEADERS_MS),
     }),
@@ -231,3 +233,76 @@
   socket.write(REQUEST);
   await expect.poll(() => count(SERVED)).toBe(served + 1);
 });
+
+// Longer than a refused connection that sends nothing is kept, and than an idle one.
+function freeze(durationMs: number): void {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+}
+
+test.each([
+  { name: "A new connection", first: "" },
+  { name: "A new connection that was refused before", first: REQUEST },
+])(
+  "$name whose request arrives while the process is frozen gets an answer",
+  async ({ first }) => {
+    socket.destroy();
+    isBusy = true;
+    await open();
+    socket.write(first);
+    const before = first ? 1 : 0;
+    await expectAnswers({ refused: before, served: 0 });
+    await wait(100);
+    socket.write(REQUEST);
+    freeze(2 * IDLE_MS);
+    await expectAnswers({ refused: before + 1, served: 0 });
+  },
+);
+
+test.each(["HEAD", "GET"])(
+  "The refusal of a new connection's %s request that closes it has a body only if asked for",
+  async (method) => {
+    socket.destroy();
+    isBusy = true;
+    await open();
+    const closed = once(socket, "close");
+    socket.write(
+      `${REQUEST}${HEAD.replace("GET", method)}Connection: close\r\n\r\n`,
+    );
+    await closed;
+    expect(count(REFUSED)).toBe(2);
+    const last = received.slice(received.lastIndexOf("HTTP/1.1 503"));
+    const [, body] = last.split("\r\n\r\n");
+    expect(last).toMatch(/connection: close/i);
+    if (method === "HEAD") expect(body).toBe("");
+    else expect(JSON.parse(body!).reason).toBe("overloaded");
+  },
+);
+
+test.each([
+  { state: "free", expected: /^HTTP\/1\.1 200/ },
+  { state: "busy", expected: /^HTTP\/1\.1 503/ },
+])(
+  "Connections that are kept after a flood leave room for others while the VM is $state",
+  async ({ state, expected }) => {
+    isBusy = true;
+    const sockets: Socket[] = [];
+    const connectOne = async () => {
+      const other = connect(port, "127.0.0.1").on("error", () => {});
+      sockets.push(other);
+      other.write(REQUEST);
+      const [answer] = await Promise.race([
+        once(other, "data"),
+        once(other, "close"),
+      ]);
+      return String(answer);
+    };
+    for (let opened = 0; opened < CONNECTIONS; opened += 1) await connectOne();
+    isBusy = state === "busy";
+    const others = Array.from({ length: CONNECTIONS / 2 }, () => connectOne());
+    for (const answer of await Promise.all(others)) {
+      expect(answer).toMatch(expected);
+    }
+    for (const other of sockets) other.destroy();
+  },
+);
--- a/packages/daemon/src/http/unread_refusal.ts
+++ b/packages/daemon/src/http/unread_refusal.ts
@@ -5,6 +5,8 @@
 
 /** How long a connection is kept that sent nothing, or is closed after its refusal. */
 const MAX_OPEN_MS = 1_000;
+/** How a request for the head of an answer alone begins. */
+const HEAD_METHOD = "HEAD ";
 
 /** Options of {@link UnreadRefusals}. */
 export interface UnreadRefusalsOptions {
@@ -44,15 +46,23 @@
     this.#options = options;
   }
 
+  /** Number of connections that wait for another request. */
+  get kept(): number {
+    return this.#kept;
+  }
+
   /** Refuses what a connection sends, unless the VM is free by then. */
   add(socket: Socket): void {
     const { isRefused, admit } = this.#options;
     const onData = (bytes: Buffer) => {
       if (!isRefused(socket)) return handOver(bytes);
-      if (this.#refuseAll(socket, bytes)) return;
+      const rest = this.#refuseAll(socket, bytes);
+      if (rest.length === 0) return;
       socket.off("data", onData);
       this.#setKept(socket, false);
-      socket.end(this.#options.format({ keepsOpen: false, isHead: false }));
+      const isHead = rest.toString("latin1", 0, HEAD_METHOD.length) ===
+        HEAD_METHOD;
+      socket.end(this.#options.format({ keepsOpen: false, isHead }));
       socket.resume();
     };
     const onEnd = () => socket.end();
@@ -76,16 +86,20 @@
 
   /** Closes the connections that wait for another request, unless one is there already. */
   close(): void {
-    const before = [...this.#open].map(([socket]) =>
-      [socket, socket.bytesRead] as const
+    this.#closeUnused(
+      [...this.#open.keys()],
+      (socket) => this.#open.get(socket)?.isKept === true,
     );
-    // After a freeze of the process, what arrived is read after this.
-    setImmediate(() => {
-      for (const [socket, bytesRead] of before) {
-        const isUnused = socket.bytesRead === bytesRead;
-        if (isUnused && this.#open.get(socket)?.isKept) socket.destroy();
-      }
-    });
+  }
+
+  /** Closes one of the connections that wait for another request, if there is one. */
+  makeRoom(): void {
+    if (this.#kept === 0) return;
+    for (const [socket, { isKept }] of this.#open) {
+      if (!isKept) continue;
+      this.#setKept(socket, false);
+      return this.#closeUnused([socket], () => this.#open.has(socket));
+    }
   }
 
   /** Closes all connections at once. */
@@ -94,11 +108,11 @@
     for (const socket of this.#open.keys()) socket.destroy();
   }
 
-  // Returns false if the connection can't be kept.
-  #refuseAll(socket: Socket, bytes: Buffer): boolean {
+  // Returns the bytes after whose refusal the connection has to be closed.
+  #refuseAll(socket: Socket, bytes: Buffer): Buffer {
     const { format, mayKeep } = this.#options;
     // A caller that doesn't read its answers gets no more of them.
-    if (socket.writableLength > 0 || !mayKeep(this.#kept)) return false;
+    if (socket.writableLength > 0 || !mayKeep(this.#kept)) return bytes;
     let rest = bytes;
     const answers = [];
     while (rest.length > 0) {
@@ -108,9 +122,8 @@
       rest = rest.subarray(request.sizeBytes);
     }
     if (answers.length > 0) socket.write(answers.join(""), "latin1");
-    if (rest.length > 0) return false;
-    this.#setKept(socket, true);
-    return true;
+    if (rest.length === 0) this.#setKept(socket, true);
+    return rest;
   }
 
   #setKept(socket: Socket, isKept: boolean): void {
@@ -128,13 +141,30 @@
   #checkOld(): void {
     this.#timer = undefined;
     const nowMs = performance.now();
+    const old: Socket[] = [];
     for (const [socket, { sinceMs, isKept, handOver }] of this.#open) {
       const limitMs = isKept ? this.#options.idleMs() : MAX_OPEN_MS;
       if (nowMs - sinceMs < limitMs) continue;
       const isIdle = socket.bytesRead === 0;
       if (isIdle && !this.#options.isRefused(socket)) handOver();
-      else socket.destroy();
+      else old.push(socket);
     }
+    this.#closeUnused(old, (socket) => this.#open.has(socket));
     if (this.#open.size > 0) this.#checkLater();
   }
+
+  // After a freeze of the process, timers are due before what arrived meanwhile is read.
+  #closeUnused(
+    sockets: readonly Socket[],
+    mayClose: (socket: Socket) => boolean,
+  ): void {
+    const before = sockets.map((socket) => [socket, socket.bytesRead] as const);
+    setImmediate(() => {
+      for (const [socket, bytesRead] of before) {
+        if (socket.bytesRead === bytesRead && mayClose(socket)) {
+          socket.destroy();
+        }
+      }
+    });
+  }
 }
