Count a request's wait from the last piece of its head

What callers would have seen: a request whose head comes slowly, in two pieces over a third of its caller's time, was refused as if it had waited behind others on its connection.

Cause: the time began with the first byte of the head.

Change: it begins with the piece that ends the head.

Result: the new test of refused_kept_test.ts was red before (no 200 in 20 s) and is green; 233 tests of the daemon's http and gateway folders and of pipelined and half-closed requests are green.

--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -55,6 +55,7 @@
   readonly #unparsed = new UnparsedBytes();
   #unparsedLease: MemoryLease | null = null;
   readonly #head: HeadMemory;
+  /** When the last piece of a head arrived. */
   #headArrivedAtMs = 0;
   #openRequests = 0;
   #lastRequest: IncomingMessage | undefined;
@@ -339,9 +340,7 @@
       }
       if (this.#refuseNext()) continue;
       const isHead = this.#lastRequest?.complete ?? true;
-      if (this.#head.sizeBytes === 0) {
-        this.#headArrivedAtMs = this.#unparsed.arrivedAtMs;
-      }
+      if (isHead) this.#headArrivedAtMs = this.#unparsed.arrivedAtMs;
       const slice = this.#unparsed.takeSlice();
       if (isHead) this.#head.add(slice.length);
       this.#wantsBytes = this.push(slice);
--- a/packages/daemon/src/http/refused_kept_test.ts
+++ b/packages/daemon/src/http/refused_kept_test.ts
@@ -23,12 +23,15 @@
 let port: number;
 let isBusy: boolean;
 let leaving: boolean;
+/** How long callers wait. */
+let timeoutMs: number;
 let handled: number;
 let received: string;
 
 beforeEach(async () => {
   isBusy = false;
   leaving = false;
+  timeoutMs = 3_000;
   handled = 0;
   port = await freePort();
   const gate = new Admission({ observer: SILENT_OBSERVER });
@@ -47,7 +50,7 @@
     shouldCloseConnections: () => leaving,
     admission: {
       gate,
-      timeoutMs: () => 3_000,
+      timeoutMs: () => timeoutMs,
       describe: () => ({}),
       formatRetryAfter: (retryAfterMs) => String(retryAfterMs / 1_000),
     },
@@ -310,3 +313,11 @@
     for (const other of sockets) other.destroy();
   },
 );
+
+test("A request whose head comes slowly hasn't waited behind others", async () => {
+  timeoutMs = 900;
+  socket.write(HEAD);
+  await wait(500);
+  socket.write("\r\n");
+  await expectAnswers({ refused: 0, served: 1 });
+});
