--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,6 +7,7 @@
   "platform/src/endless_pieces_test.ts",
   "platform/src/overload_test.ts",
   "platform/src/planned_stop_test.ts",
+  "platform/src/reset_answers_test.ts",
   "platform/src/silent_store_test.ts",
   "platform/src/stop_flood_test.ts",
 ];
@@ -15,7 +16,7 @@
   test: {
     // Known red; see KNOWN-RED.txt.
     testNamePattern:
-      /^(?!(An answer outlasts a silence of its engine when others wait for its place|Crashing prompt parts and limits of replicas are kept to by all VMs while these stop and reload|VMs without links serve their callers, and replicas that pause or leave get no requests, 'beside kills and freezes'|A stream that a killed VM broke goes on whole at another|Callers are served and processes last while connections from outside are reset, not read, large or cut by signals|A VM whose port for callers is held by an outgoing connection waits for it, says so, and serves|A VM whose port for readiness is held by a listener waits for it, says so, and serves|No endpoint works on for a request behind a stream that isn't read, whose caller closes its half of the connection|Each request of floods, bursts of connections and callers that half-close is answered in time|A VM that is offered four times what it can serve serves at least 0.8 of that|64 large bodies at a time, sent over 1500 ms, in chunks: true, exhaust no VM's memory)$)/,
+      /^(?!(An answer outlasts a silence of its engine when others wait for its place|Crashing prompt parts and limits of replicas are kept to by all VMs while these stop and reload|VMs without links serve their callers, and replicas that pause or leave get no requests, 'beside kills and freezes'|A stream that a killed VM broke goes on whole at another|Callers are served and processes last while connections from outside are reset, not read, large or cut by signals|A VM whose port for callers is held by an outgoing connection waits for it, says so, and serves|A VM whose port for readiness is held by a listener waits for it, says so, and serves|No endpoint works on for a request behind a stream that isn't read, whose caller closes its half of the connection|Each request of floods, bursts of connections and callers that half-close is answered in time|A VM that is offered four times what it can serve serves at least 0.8 of that|64 large bodies at a time, sent over 1500 ms, in chunks: true, exhaust no VM's memory|An endpoint that resets its connection while it sends (chunks of one byte|events in chunks of one byte|100,000 chunks of one byte) ends no VM's process)$)/,
     pool: "forks",
     testTimeout: 180_000,
     hookTimeout: 180_000,
