Errors of an outgoing connection end its exchange, not the VM

Cause: undici's parser is told to finish on ECONNRESET, end and close, asserts that it isn't paused, and throws within an event of the socket, where nothing catches it.

ClientConnection now stands between socket and parser, for exchanges, calls to peers and store, and engines' streams. The parser learns of an end or an error only once it has read what came before, never of ECONNRESET itself, so that a reset is no end of an answer without a length and a complete answer before it is delivered. An exception of any listener of it destroys only this connection; exceptions of an exchange's own listener end the exchange. Each is logged as connection-fault with call, endpoint, attempt, the event or callback that threw and the phase (paused by its reader, or for a turn), and counted.

--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -29,6 +29,7 @@
   | "link_changes"
   | "listener_errors"
   | "memory_warnings"
+  | "connection_faults"
   | "forwards"
   | "store_calls"
   | "store_returns";
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -175,12 +175,13 @@
       peerAddress: settings.listen.peers,
     },
     ports: {
-      platform: createPlatformPort(settings.platform),
-      engines: createEnginePort(),
-      services: createServicePort(),
+      platform: createPlatformPort({ ...settings.platform, observer }),
+      engines: createEnginePort({ observer }),
+      services: createServicePort({ observer }),
       peers: createPeerPort({
         secret: secrets.peerSecret,
         tls: tls.peers,
+        observer,
         self: {
           peerAddress: settings.listen.peers,
           handlers: () => vm.peerHandlers,
--- a/packages/daemon/src/engines/attachment.ts
+++ b/packages/daemon/src/engines/attachment.ts
@@ -108,10 +108,14 @@
       body.once("error", reject);
       body.once("close", resolve);
       body.on("data", (chunk: Buffer) => {
-        for (const { bytes } of splitter.push(chunk)) {
-          parser.feed(bytes.toString("utf8"));
+        try {
+          for (const { bytes } of splitter.push(chunk)) {
+            parser.feed(bytes.toString("utf8"));
+          }
+          if (splitter.overflowed) this.#fail({ kind: "lost" });
+        } catch (error) {
+          reject(error);
         }
-        if (splitter.overflowed) this.#fail({ kind: "lost" });
       });
       if (this.#paused) body.pause();
     }).finally(() => splitter.discard());
--- a/packages/daemon/src/engines/port.ts
+++ b/packages/daemon/src/engines/port.ts
@@ -8,6 +8,7 @@
   EngineCallOptions,
   EngineFailure,
   EnginePort,
+  Observer,
 } from "@teaselvalve/core";
 import { err, ok, type Result } from "neverthrow";
 import { createFreshClient, createKeepAliveClient } from "../http/calls.ts";
@@ -23,9 +24,11 @@
 }
 
 /** Creates the port through which the VM calls model engines. */
-export function createEnginePort(): EnginePort {
-  const keepAlive = createKeepAliveClient();
-  const fresh = createFreshClient();
+export function createEnginePort(
+  { observer }: { observer?: Observer } = {},
+): EnginePort {
+  const keepAlive = createKeepAliveClient({ observer });
+  const fresh = createFreshClient({ observer });
 
   async function call<T>(
     endpoint: EndpointRef,
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -323,6 +323,7 @@
         store,
         peers: createPeerPort({
           secret: null,
+          observer: this.#observer,
           self: {
             peerAddress: listen.peers,
             handlers: () => this.#vm.peerHandlers,
@@ -334,7 +335,12 @@
             observer: this.#observer,
             onNotice,
           }),
-        forward: (onNotice) => createForwardPort({ protocol, onNotice }),
+        forward: (onNotice) =>
+          createForwardPort({
+            protocol,
+            observer: this.#observer,
+            onNotice,
+          }),
       },
       observer: this.#observer,
       random: Math.random,
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -25,6 +25,7 @@
   toHead,
   toSendFailure,
 } from "./answers.ts";
+import { logConnectionFault } from "../http/connection_faults.ts";
 import {
   type ExchangeListener,
   type ExchangeRequest,
@@ -297,12 +298,22 @@
 
   #open(
     endpoint: EndpointEntry,
-    { call, ...request }: ExchangeRequest & { call: CallKind },
+    { call, attemptId, ...request }: ExchangeRequest & {
+      call: CallKind;
+      attemptId?: string;
+    },
     listener: ExchangeListener,
   ): OutgoingExchange {
     const sentAtMs = performance.now();
     return openExchange(request, {
       ...listener,
+      onFault: ({ phase, ...fault }) =>
+        logConnectionFault(this.#observer, fault, {
+          call,
+          endpoint: endpoint.id,
+          attempt: attemptId,
+          phase,
+        }),
       onHead: (status, headers) => {
         this.#notice(endpoint, { call, status, headers, sentAtMs });
         return listener.onHead(status, headers);
@@ -346,6 +357,7 @@
     const { request } = send;
     return {
       address: endpoint.address,
+      attemptId: request.id,
       method: request.method,
       path: request.target,
       headers: this.#protocol.requestHeaders(send, {
--- a/packages/daemon/src/gateway/forward_port.ts
+++ b/packages/daemon/src/gateway/forward_port.ts
@@ -1,4 +1,5 @@
 /** Sends requests of callers on to other VMs, each on its own connection. */
+import type { Observer } from "@teaselvalve/core";
 import { err, ok } from "neverthrow";
 import type {
   ForwardedNoticeListener,
@@ -7,6 +8,7 @@
   ForwardPort,
   ForwardResult,
 } from "@teaselvalve/core/routing";
+import { logConnectionFault } from "../http/connection_faults.ts";
 import { CONNECTION_HEADERS, toHead, toSendFailure } from "./answers.ts";
 import { openExchange } from "./fresh_exchange.ts";
 import { formatHop, HOP_HEADER, readMark } from "./hop.ts";
@@ -17,6 +19,7 @@
 
 /** Options of {@link createForwardPort}. */
 export interface ForwardPortOptions {
+  observer: Observer;
   protocol: Pick<EndpointProtocol, "readAnswerHeaders">;
   /** Called for each answer of an endpoint. */
   onNotice: ForwardedNoticeListener;
@@ -32,7 +35,9 @@
 
 function forward(
   address: string,
-  { send, protocol, onNotice }: ForwardPortOptions & { send: ForwardedSend },
+  { send, protocol, observer, onNotice }: ForwardPortOptions & {
+    send: ForwardedSend;
+  },
 ): ForwardedStream {
   const { request, wholeMs, signal, listener } = send;
   const sentAtMs = performance.now();
@@ -79,6 +84,13 @@
     onData: (bytes) => listener.onData(bytes),
     onEnd: () => settle(ok(undefined)),
     onFailure: (failure) => settle(err(toSendFailure(failure))),
+    onFault: ({ phase, ...fault }) =>
+      logConnectionFault(observer, fault, {
+        call: "forward",
+        peer: address,
+        attempt: request.id,
+        phase,
+      }),
   });
   return {
     ended,
--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -7,16 +7,18 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
-import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import { Client, type Dispatcher } from "undici";
+import {
+  type ClientConnection,
+  createConnector,
+} from "../http/client_connection.ts";
+import type { ThrownError } from "../http/connection_faults.ts";
 
 /** Bytes of a response other than its body: head, framing of chunks, trailers. */
 const OVERHEAD_LIMIT_BYTES = 65_536;
 /** Bytes of framing allowed for each byte of a body; a chunk of one byte has five. */
 const OVERHEAD_PER_BODY_BYTE = 8;
 
-/** Bytes that are read from a connection while its response is paused. */
-const READ_BUFFER_BYTES = 16 * 1_024;
 /** Pieces of a body that are read in one turn of the event loop. */
 const MAX_PIECES_PER_TURN = 10_000;
 
@@ -44,6 +46,22 @@
   readonly signal?: AbortSignal;
 }
 
+/** How far an exchange has come. */
+export type ExchangePhase =
+  | "connecting"
+  | "sending"
+  | "body"
+  /** Its reader has not asked for more. */
+  | "paused by reader"
+  /** Other work of the process comes first. */
+  | "paused for a turn"
+  | "ended";
+
+/** An exception within an exchange, which ends it as `lost` unless it has ended. */
+export interface ExchangeFault extends ThrownError {
+  readonly phase: ExchangePhase;
+}
+
 /** Receives the response. Exactly one of `onEnd` and `onFailure` is called, once. */
 export interface ExchangeListener {
   /** Returning false pauses reading before the body. */
@@ -52,6 +70,8 @@
   onData(bytes: Buffer): boolean;
   onEnd(): void;
   onFailure(failure: ExchangeFailure): void;
+  /** Called before `onFailure`, or after the end. */
+  onFault?(fault: ExchangeFault): void;
 }
 
 /** An exchange in progress. */
@@ -85,12 +105,10 @@
   #connectLimit: TimeLimit;
   #firstByteLimit: TimeLimit;
   #wholeLimit: TimeLimit | undefined;
-  #connected = false;
+  #phase: ExchangePhase = "connecting";
+  #connection: ClientConnection | undefined;
   #bodyBytes = 0;
   #piecesInTurn = 0;
-  #socket: Socket | undefined;
-  #socketError: Error | undefined;
-  #endsAtClose = false;
   #settled = false;
 
   constructor(request: ExchangeRequest, listener: ExchangeListener) {
@@ -98,7 +116,11 @@
     this.#signal = request.signal;
     this.#client = new Client(originOf(request), {
       pipelining: 1,
-      connect: this.#connector(request.connectTimeoutMs),
+      connect: createConnector({
+        connectTimeoutMs: request.connectTimeoutMs,
+        onConnected: (connection) => this.#onConnected(connection),
+        onFault: (fault) => this.#onFault(fault),
+      }),
       // The first byte has its own timer; gaps between later bytes are up to the user
       // of the exchange.
       headersTimeout: 0,
@@ -123,41 +145,26 @@
   }
 
   resume(): void {
-    this.#controller?.resume();
+    if (this.#settled || !this.#controller?.paused) return;
+    this.#phase = "body";
+    this.#guard("resume", () => this.#controller?.resume());
   }
 
   abort(): void {
     this.#fail({ kind: "aborted" });
   }
 
-  // undici treats a reset as the end of a response without a length, so errors of
-  // the socket are recorded here.
-  #connector(timeoutMs: number): buildConnector.connector {
-    // Options that undici doesn't know are passed on to the socket.
-    const options = {
-      timeout: timeoutMs,
-      allowH2: false,
-      highWaterMark: READ_BUFFER_BYTES,
-    };
-    const connect = buildConnector(options);
-    return (options, callback) =>
-      connect(options, (...result) => {
-        const [error, socket] = result;
-        if (!error && socket) {
-          this.#connected = true;
-          this.#connectLimit.end();
-          this.#socket = socket;
-          socket.on("error", (reason) => (this.#socketError = reason));
-          socket.on("readable", () => this.#checkOverhead(socket));
-        }
-        callback(...result);
-      });
+  #onConnected(connection: ClientConnection): void {
+    this.#connection = connection;
+    this.#phase = "sending";
+    this.#connectLimit.end();
+    connection.on("readable", () => this.#checkOverhead(connection));
   }
 
   // The parser skips reason phrases, informational responses and chunk extensions
   // of any length.
-  #checkOverhead({ bytesRead, readableLength }: Socket): void {
-    const overheadBytes = bytesRead - readableLength - this.#bodyBytes;
+  #checkOverhead({ consumedBytes }: ClientConnection): void {
+    const overheadBytes = consumedBytes - this.#bodyBytes;
     const limitBytes = OVERHEAD_LIMIT_BYTES +
       OVERHEAD_PER_BODY_BYTE * this.#bodyBytes;
     if (overheadBytes <= limitBytes) return;
@@ -188,65 +195,81 @@
       onRequestStart: (controller) => {
         this.#controller = controller;
       },
-      onResponseStart: (controller, status, headers) => {
-        if (this.#settled || status < 200) return;
-        this.#firstByteLimit.end();
-        this.#endsAtClose = headers["content-length"] === undefined &&
-          headers["transfer-encoding"] === undefined;
-        const reads = this.#listener.onHead(
-          status,
-          headers as IncomingHttpHeaders,
-        );
-        if (reads === false) controller.pause();
-      },
-      onResponseData: (controller, bytes) => {
-        if (this.#settled) return;
-        this.#bodyBytes += bytes.length;
-        this.#piecesInTurn += 1;
-        if (!this.#listener.onData(bytes)) controller.pause();
-        else if (this.#piecesInTurn >= MAX_PIECES_PER_TURN) this.#yield();
-      },
+      onResponseStart: (_controller, status, headers) =>
+        this.#guard("onHead", () => {
+          this.#onHead(status, headers as IncomingHttpHeaders);
+        }),
+      onResponseData: (_controller, bytes) =>
+        this.#guard("onData", () => this.#onData(bytes)),
       onResponseEnd: () => {
-        if (this.#endsAtClose && this.#wasReset()) {
-          return this.#fail({ kind: "lost", detail: "ECONNRESET" });
-        }
-        if (this.#settle()) this.#listener.onEnd();
+        if (!this.#settle()) return;
+        this.#guard("onEnd", () => this.#listener.onEnd());
       },
       onResponseError: (_controller, error) =>
         this.#fail(this.#toFailure(error)),
     };
   }
 
+  #onHead(status: number, headers: IncomingHttpHeaders): void {
+    if (this.#settled || status < 200) return;
+    this.#firstByteLimit.end();
+    this.#phase = "body";
+    const reads = this.#listener.onHead(status, headers);
+    if (reads === false) this.#pause("paused by reader");
+  }
+
+  #onData(bytes: Buffer): void {
+    if (this.#settled) return;
+    this.#bodyBytes += bytes.length;
+    this.#piecesInTurn += 1;
+    if (!this.#listener.onData(bytes)) this.#pause("paused by reader");
+    else if (this.#piecesInTurn >= MAX_PIECES_PER_TURN) this.#yield();
+  }
+
+  #pause(phase: ExchangePhase): void {
+    if (this.#settled) return;
+    this.#phase = phase;
+    this.#controller?.pause();
+  }
+
   // Several megabytes may have arrived. In tiny pieces, they would delay all other
   // requests for hundreds of milliseconds.
   #yield(): void {
     this.#piecesInTurn = 0;
-    this.#controller?.pause();
+    this.#pause("paused for a turn");
     setImmediate(() => {
-      if (!this.#settled) this.#controller?.resume();
+      if (this.#phase === "paused for a turn") this.resume();
     });
   }
 
-  // A reset that arrives with the last bytes appears as a normal end without an
-  // error. A socket that was reset no longer has a remote address, unlike one that
-  // the peer closed.
-  #wasReset(): boolean {
-    return this.#socketError !== undefined ||
-      this.#socket?.remoteAddress === undefined;
+  #guard(thrownIn: string, run: () => void): void {
+    try {
+      run();
+    } catch (error) {
+      this.#onFault({ error, thrownIn });
+    }
+  }
+
+  #onFault(fault: ThrownError): void {
+    this.#listener.onFault?.({ ...fault, phase: this.#phase });
+    const kind = this.#connection ? "lost" : "notSent";
+    this.#fail({ kind, detail: String(fault.error) });
   }
 
   #toFailure(error: Error): ExchangeFailure {
     const detail = (error as { code?: string }).code ?? error.message;
-    return { kind: this.#connected ? "lost" : "notSent", detail };
+    return { kind: this.#connection ? "lost" : "notSent", detail };
   }
 
   #fail(failure: ExchangeFailure): void {
     if (!this.#settle()) return;
     // A request that timed out before the connection was established was not sent.
-    const notSent = failure.kind === "timeout" && !this.#connected;
-    this.#listener.onFailure(
-      notSent ? { kind: "notSent", detail: "connect timeout" } : failure,
-    );
+    const notSent = failure.kind === "timeout" && !this.#connection;
+    this.#guard("onFailure", () => {
+      this.#listener.onFailure(
+        notSent ? { kind: "notSent", detail: "connect timeout" } : failure,
+      );
+    });
   }
 
   #failLater(failure: ExchangeFailure): void {
@@ -256,6 +279,7 @@
   #settle(): boolean {
     if (this.#settled) return false;
     this.#settled = true;
+    this.#phase = "ended";
     this.#connectLimit.end();
     this.#firstByteLimit.end();
     this.#wholeLimit?.end();
--- a/packages/daemon/src/http/calls.ts
+++ b/packages/daemon/src/http/calls.ts
@@ -9,9 +9,15 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import { Writable } from "node:stream";
-import { ByteCollector } from "@teaselvalve/core";
+import {
+  ByteCollector,
+  type Observer,
+  SILENT_OBSERVER,
+} from "@teaselvalve/core";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, Client, type Dispatcher, errors } from "undici";
+import { createConnector } from "./client_connection.ts";
+import { logConnectionFault, type ThrownError } from "./connection_faults.ts";
 
 /** How a call failed. Only `notSent` proves that the server received nothing. */
 export type HttpFailure =
@@ -61,6 +67,8 @@
   tls?: ClientTls | undefined;
   /** Maximum size of a response body; a larger one fails with `lost`. */
   responseLimitBytes?: number;
+  /** Learns of exceptions within connections, whose calls fail as `lost`. */
+  observer?: Observer | undefined;
 }
 
 /** Sends HTTP requests. */
@@ -88,8 +96,11 @@
   const getAgent = (address: string): Agent => {
     const existing = agents.get(address);
     if (existing) return existing;
-    const agent = new Agent({
-      ...connectionOptions(options),
+    const agent: Agent = new Agent({
+      ...connectionOptions(options, {
+        address,
+        onFault: () => discardAgent(address, agent),
+      }),
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
     });
@@ -153,7 +164,7 @@
   options: HttpClientOptions = {},
 ): FreshConnection {
   const client = new Client(originOf(address, options), {
-    ...connectionOptions(options),
+    ...connectionOptions(options, { address }),
     pipelining: 0,
   });
   let connected = false;
@@ -295,15 +306,24 @@
 }
 
 function connectionOptions(
-  { tls }: HttpClientOptions,
+  { tls, observer = SILENT_OBSERVER }: HttpClientOptions,
+  { address, onFault }: { address: string; onFault?: () => void },
 ) {
   return {
-    allowH2: false,
-    connectTimeout: CONNECT_TIMEOUT_MS,
-    ...(tls
-      ? {
-        connect: { ca: tls.authorities, cert: tls.certificate, key: tls.key },
-      }
-      : {}),
+    // Each call has its own limits.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: createConnector({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      ...(tls
+        ? {
+          tls: { ca: tls.authorities, cert: tls.certificate, key: tls.key },
+        }
+        : {}),
+      onFault: (fault: ThrownError) => {
+        onFault?.();
+        logConnectionFault(observer, fault, { address });
+      },
+    }),
   };
 }
--- /dev/null
+++ b/packages/daemon/src/http/client_connection.ts
@@ -0,0 +1,216 @@
+/**
+ * The connection from which undici's parser reads a response.
+ *
+ * It stands between the socket and the parser, and owns how the connection ends:
+ * the parser learns of an end or an error only once it has read everything that
+ * came before, and an exception that it throws costs this connection alone.
+ */
+import { Buffer } from "node:buffer";
+import type { OnReadOpts, Socket } from "node:net";
+import process from "node:process";
+import { Duplex } from "node:stream";
+import { buildConnector } from "undici";
+import type { ThrownError } from "./connection_faults.ts";
+
+/** Bytes that are read from a connection while its response is paused. */
+const READ_BUFFER_BYTES = 16 * 1_024;
+/** Shared by all connections, as what was read is copied before the next read. */
+const READ_BUFFER = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES);
+
+/** Options of {@link createConnector}. */
+export interface ConnectorOptions {
+  /** Limit for connecting, in milliseconds. */
+  connectTimeoutMs: number;
+  /** Certificates in PEM, for connections over TLS. */
+  tls?: { ca?: string | undefined; cert?: string; key?: string };
+  /** Called when a connection is established, before anything is sent. */
+  onConnected?: (connection: ClientConnection) => void;
+  /** Called with an exception of a listener, once the connection is destroyed. */
+  onFault: (fault: ThrownError) => void;
+}
+
+/** Creates the function with which an undici client opens its connections. */
+export function createConnector(
+  { connectTimeoutMs, tls, onConnected, onFault }: ConnectorOptions,
+): buildConnector.connector {
+  return (target, callback) => {
+    const connection = new ClientConnection(onFault);
+    // Options that undici doesn't know are passed on to the socket.
+    const options = {
+      ...tls,
+      timeout: connectTimeoutMs,
+      allowH2: false,
+      onread: connection.reader,
+    };
+    buildConnector(options as buildConnector.BuildOptions)(
+      target,
+      (error, socket) => {
+        if (error || !socket) return callback(error!, null);
+        connection.attach(socket);
+        onConnected?.(connection);
+        // undici uses no more of a socket than a Duplex has.
+        callback(null, connection as unknown as Socket);
+      },
+    );
+  };
+}
+
+/** An error or an early end of a connection. */
+export class ConnectionEndedError extends Error {
+  override name = "ConnectionEndedError";
+}
+
+/** A stream over one socket; see the comment of this file. */
+export class ClientConnection extends Duplex {
+  #socket: Socket | undefined;
+  #onFault: (fault: ThrownError) => void;
+  #receivedBytes = 0;
+  #isStopped = false;
+  /** How the socket ended; `error` is null after a regular close of the peer. */
+  #ending: { readonly error: Error | null } | undefined;
+  #isEndTold = false;
+  #hasFault = false;
+
+  constructor(onFault: (fault: ThrownError) => void) {
+    super({ highWaterMark: READ_BUFFER_BYTES });
+    this.#onFault = onFault;
+  }
+
+  /** How the socket hands over what it reads. */
+  get reader(): OnReadOpts {
+    return {
+      buffer: READ_BUFFER,
+      callback: (sizeBytes, buffer) =>
+        this.#receive(Buffer.from(buffer.subarray(0, sizeBytes))),
+    };
+  }
+
+  /** Bytes that the parser has taken. */
+  get consumedBytes(): number {
+    return this.#receivedBytes - this.readableLength;
+  }
+
+  /** Takes over a connected socket, which was created with {@link reader}. */
+  attach(socket: Socket): void {
+    this.#socket = socket;
+    socket.on("end", () => this.#end(wasReset(socket) ? "ECONNRESET" : null));
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+      this.#end(error.code ?? error.message);
+    });
+    socket.on("close", () => this.#end("closed"));
+  }
+
+  /** Lets an idle connection not keep the process running. */
+  unref(): this {
+    this.#socket?.unref();
+    return this;
+  }
+
+  /** Reverses {@link unref}. */
+  ref(): this {
+    this.#socket?.ref();
+    return this;
+  }
+
+  // The parser calls it only while it isn't paused, and finds nothing when it has
+  // handled all that came before the end.
+  override read(size?: number): unknown {
+    const bytes = super.read(size);
+    if (bytes === null && this.#ending && !this.#isEndTold) {
+      this.#isEndTold = true;
+      process.nextTick(() => this.#tellEnd());
+    }
+    return bytes;
+  }
+
+  // Streams emit their events from ticks of their own, where an exception of a
+  // listener would end the process, and keep the event from the other listeners.
+  override emit(event: string | symbol, ...values: unknown[]): boolean {
+    const listeners = this.rawListeners(event);
+    for (const listener of listeners) {
+      try {
+        Reflect.apply(listener, this, values);
+      } catch (error) {
+        this.#fail({ error, thrownIn: String(event) });
+      }
+    }
+    return listeners.length > 0;
+  }
+
+  override _read(): void {
+    if (!this.#isStopped) return;
+    this.#isStopped = false;
+    this.#socket?.resume();
+  }
+
+  // Errors come as events of the socket, which may have received a response before.
+  override _write(
+    bytes: Buffer,
+    _encoding: BufferEncoding,
+    callback: () => void,
+  ): void {
+    this.#socket?.write(bytes, () => callback());
+  }
+
+  override _writev(
+    pieces: { chunk: Buffer }[],
+    callback: () => void,
+  ): void {
+    const socket = this.#socket;
+    socket?.cork();
+    pieces.forEach(({ chunk }, index) => {
+      const isLast = index === pieces.length - 1;
+      socket?.write(chunk, isLast ? () => callback() : undefined);
+    });
+    socket?.uncork();
+  }
+
+  override _final(callback: () => void): void {
+    this.#socket?.end(() => callback());
+  }
+
+  override _destroy(
+    error: Error | null,
+    callback: (error: Error | null) => void,
+  ): void {
+    const socket = this.#socket;
+    if (!socket || socket.closed) return callback(error);
+    socket.once("close", () => callback(error));
+    socket.destroy();
+  }
+
+  #receive(bytes: Buffer): boolean {
+    this.#receivedBytes += bytes.length;
+    const continues = this.push(bytes);
+    this.#isStopped = !continues;
+    return continues;
+  }
+
+  #end(reason: string | null): void {
+    if (this.#ending) return;
+    this.#ending = {
+      error: reason === null ? null : new ConnectionEndedError(reason),
+    };
+    this.emit("readable");
+  }
+
+  #tellEnd(): void {
+    if (this.destroyed) return;
+    const { error } = this.#ending!;
+    if (error) this.destroy(error);
+    else this.push(null);
+  }
+
+  #fail(fault: ThrownError): void {
+    if (this.#hasFault) return;
+    this.#hasFault = true;
+    this.destroy(new ConnectionEndedError(String(fault.error)));
+    this.#onFault(fault);
+  }
+}
+
+// A reset that arrives with the last bytes appears as a regular end. A socket that
+// was reset no longer has a remote address, unlike one that the peer closed.
+function wasReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -40,6 +40,8 @@
   link_changes:
     "Checks of the links to a group of endpoints, by outcome, and links lost and back",
   listener_errors: "Errors of listeners, by interface and code",
+  connection_faults:
+    "Exceptions that ended one outgoing exchange, by event or callback",
   memory_warnings: "Warnings of memory near its limit, by limit",
   forwards: "Requests sent on to other VMs, by outcome",
   store_calls: "Calls to the platform's store, by call",
--- a/packages/daemon/src/peers/port.ts
+++ b/packages/daemon/src/peers/port.ts
@@ -1,5 +1,10 @@
 /** The peer port: JSON-RPC 2.0 over HTTP. */
-import type { PeerFailure, PeerHandlers, PeerPort } from "@teaselvalve/core";
+import type {
+  Observer,
+  PeerFailure,
+  PeerHandlers,
+  PeerPort,
+} from "@teaselvalve/core";
 import { createJSONRPCRequest, type JSONRPCResponse } from "json-rpc-2.0";
 import { err, ok, type Result } from "neverthrow";
 import {
@@ -15,14 +20,16 @@
   secret: string | null;
   /** Plain HTTP when absent. */
   tls?: ClientTls | undefined;
+  observer?: Observer;
   /** This VM's peer address and handlers; calls to itself use no socket. */
   self: { peerAddress: string; handlers: () => Partial<PeerHandlers> };
 }
 
 /** Creates the port through which the VM calls other VMs and itself. */
 export function createPeerPort(options: PeerPortOptions): PeerPort {
-  const keepAlive = createKeepAliveClient({ tls: options.tls });
-  const fresh = createFreshClient({ tls: options.tls });
+  const { tls, observer } = options;
+  const keepAlive = createKeepAliveClient({ tls, observer });
+  const fresh = createFreshClient({ tls, observer });
   let lastId = 0;
   return {
     async call(peer, method, { params, timeoutMs, wholeMs, fresh: useFresh }) {
--- a/packages/daemon/src/platform/port.ts
+++ b/packages/daemon/src/platform/port.ts
@@ -5,6 +5,7 @@
   encodeWrite,
   type JsonOutcome,
   type JsonRow,
+  type Observer,
   type PlatformPort,
   type Row,
   SINGLE_ERA,
@@ -21,6 +22,7 @@
   address: string;
   /** Limit of a call that sets none itself. */
   timeoutMs: number;
+  observer?: Observer;
 }
 
 interface PlatformCall {
@@ -32,7 +34,9 @@
 
 /** Creates the port through which the VM calls the platform's services. */
 export function createPlatformPort(options: PlatformPortOptions): PlatformPort {
-  const keepAlive = createKeepAliveClient();
+  const keepAlive = createKeepAliveClient({
+    observer: options.observer,
+  });
 
   async function call<T>(
     request: PlatformCall,
--- a/packages/daemon/src/services/port.ts
+++ b/packages/daemon/src/services/port.ts
@@ -1,10 +1,12 @@
 /** The service port over HTTP; every call opens a new connection. */
-import type { ServicePort } from "@teaselvalve/core";
+import type { Observer, ServicePort } from "@teaselvalve/core";
 import { createFreshClient } from "../http/calls.ts";
 
 /** Creates the port through which the VM calls plain services. */
-export function createServicePort(): ServicePort {
-  const fresh = createFreshClient();
+export function createServicePort(
+  options: { observer?: Observer } = {},
+): ServicePort {
+  const fresh = createFreshClient(options);
   return {
     async call(endpoint, request, { timeoutMs }) {
       const hasBody = request.method !== "GET" && request.method !== "HEAD";
