Known red: exceptions while a connection is established end the process

ClientConnection guards its own events, but undici also runs code within the socket's connect and error events, before it has the connection: it sets up the parser, sends the request, or fails it. Nothing catches an exception there. No answer of an endpoint is known to cause one; the test throws from listeners of undici's client.

--- a/packages/daemon/src/http/client_connection_test.ts
+++ b/packages/daemon/src/http/client_connection_test.ts
@@ -46,3 +46,32 @@
     server.close();
   },
 );
+
+test.each(["connect", "connectionError"])(
+  "an exception of a client's listener for %s fails only its request",
+  async (event) => {
+    const server = createServer((socket) => socket.on("error", () => {}));
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    if (event === "connectionError") server.close();
+    const faults: ThrownError[] = [];
+    const client = new Client(`http://127.0.0.1:${port}`, {
+      connect: createConnector({
+        connectTimeoutMs: 1_000,
+        onFault: (fault) => void faults.push(fault),
+      }),
+    });
+    // undici's types know each event by itself.
+    client.once(event as "connect", () => {
+      throw new Error("broken listener");
+    });
+    await expect(client.request({ method: "GET", path: "/" })).rejects
+      .toThrow();
+    await expect.poll(() => faults).toEqual([
+      { error: new Error("broken listener"), thrownIn: "connect" },
+    ]);
+    await client.destroy();
+    server.close();
+  },
+);
