Guard what runs when a connection is established or refused

Cause: the connector called it outside of the guard of ClientConnection's events. It now runs within the guard: the connection is destroyed, its request fails, and connection-fault names connect.

--- a/packages/daemon/src/http/client_connection.ts
+++ b/packages/daemon/src/http/client_connection.ts
@@ -44,13 +44,15 @@
     };
     buildConnector(options as buildConnector.BuildOptions)(
       target,
-      (error, socket) => {
-        if (error || !socket) return callback(error!, null);
-        connection.attach(socket);
-        onConnected?.(connection);
-        // undici uses no more of a socket than a Duplex has.
-        callback(null, connection as unknown as Socket);
-      },
+      (error, socket) =>
+        // This is an event of the socket as well.
+        connection.guard("connect", () => {
+          if (error || !socket) return callback(error!, null);
+          connection.attach(socket);
+          onConnected?.(connection);
+          // undici uses no more of a socket than a Duplex has.
+          callback(null, connection as unknown as Socket);
+        }),
     );
   };
 }
@@ -128,15 +130,20 @@
   override emit(event: string | symbol, ...values: unknown[]): boolean {
     const listeners = this.rawListeners(event);
     for (const listener of listeners) {
-      try {
-        Reflect.apply(listener, this, values);
-      } catch (error) {
-        this.#fail({ error, thrownIn: String(event) });
-      }
+      this.guard(String(event), () => Reflect.apply(listener, this, values));
     }
     return listeners.length > 0;
   }
 
+  /** Runs a listener; an exception of it destroys the connection. */
+  guard(thrownIn: string, run: () => void): void {
+    try {
+      run();
+    } catch (error) {
+      this.#fail({ error, thrownIn });
+    }
+  }
+
   override _read(): void {
     if (!this.#isStopped) return;
     this.#isStopped = false;
