--- a/packages/daemon/src/peers/port.ts
+++ b/packages/daemon/src/peers/port.ts
@@ -5,7 +5,11 @@
   PeerHandlers,
   PeerPort,
 } from "@teaselvalve/core";
-import { createJSONRPCRequest, type JSONRPCResponse } from "json-rpc-2.0";
+import {
+  createJSONRPCRequest,
+  isJSONRPCResponse,
+  type JSONRPCResponse,
+} from "json-rpc-2.0";
 import { err, ok, type Result } from "neverthrow";
 import {
   type ClientTls,
@@ -37,6 +41,7 @@
         return await callSelf(options.self.handlers(), { method, params });
       }
       lastId += 1;
+      const id = lastId;
       const httpClient = useFresh ? fresh : keepAlive;
       const response = await httpClient.call({
         method: "POST",
@@ -45,7 +50,7 @@
         headers: options.secret === null
           ? {}
           : { authorization: `Bearer ${options.secret}` },
-        body: JSON.stringify(createJSONRPCRequest(lastId, method, params)),
+        body: JSON.stringify(createJSONRPCRequest(id, method, params)),
         timeoutMs,
         ...(wholeMs === undefined ? {} : { wholeMs }),
       });
@@ -55,7 +60,10 @@
         return err({ kind: "refused", message });
       }
       const reply = tryParseJson<JSONRPCResponse>(response.value.text);
-      if (!reply) return err({ kind: "lost" });
+      // Another server may have taken over the address.
+      if (!reply || !isJSONRPCResponse(reply) || reply.id !== id) {
+        return err({ kind: "lost" });
+      }
       return reply.error
         ? err({ kind: "refused", message: reply.error.message })
         : ok(reply.result as never);
