Parse nothing behind a request that was refused

What callers saw: beside 20 connections that sent 20,000 malformed requests each, a VM served less than half of what it serves beside sound ones, and refused others.

Cause: Node's parser fails for good at a malformed head. PacedConnection went on to hand it slice after slice, up to 64 in a turn, and each failed anew with an error, an event and a search of all responses, until the refusal had been written in a later turn.

Change: the connection is told when it is refused, by the queue of refusals and where earlier requests are still answered. It drops what it has and receives, and its parser gets nothing more; its socket is read on, so that a close is noticed. A refused connection whose caller has closed its half isn't ended by Node before its refusal was sent.

--- a/packages/daemon/src/http/client_errors.ts
+++ b/packages/daemon/src/http/client_errors.ts
@@ -1,5 +1,6 @@
 /** Refusals that are written to a socket directly, without a request to answer. */
 import { notRun, type Refusal } from "@teaselvalve/core";
+import { refusalOfMemory } from "./exchange.ts";
 import type { PacedConnection } from "./paced_connection.ts";
 import { formatRawProblem } from "./problem.ts";
 
@@ -9,6 +10,11 @@
   readonly status: number;
 }
 
+/** Returns the refusal of a request for whose head there is no memory. */
+export function problemForHead(): RawProblem {
+  return { refusal: refusalOfMemory(), status: 503 };
+}
+
 /** Writes a refusal and closes the connection. */
 export function endWithProblem(
   connection: PacedConnection,
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -5,9 +5,11 @@
 import { Duplex } from "node:stream";
 import type { MemoryBudget, MemoryLease } from "@teaselvalve/core";
 import { ArrivalBound } from "./arrival_bound.ts";
+import { problemForHead, type RawProblem } from "./client_errors.ts";
 import { HeadMemory } from "./head_memory.ts";
 import type { OverloadRefusals } from "./overload_refusals.ts";
 import { plainRequestAt } from "./plain_request.ts";
+import { linger, type WritePiece, writePieces } from "./socket_calls.ts";
 import { UnparsedBytes } from "./unparsed_bytes.ts";
 
 /** Slices that a connection gets parsed before others have their turn. */
@@ -16,11 +18,6 @@
 const LARGE_READ_BYTES = 64 * 1_024;
 /** Bytes behind a request in progress that are read, so that a close is noticed. */
 const MAX_BYTES_BEHIND = 4 * 1_024;
-/**
- * How long a closed connection is still read. A connection that is closed with unread
- * bytes is reset, and its peer may lose the answer that was sent before.
- */
-const LINGER_MS = 1_000;
 /**
  * How long a request whose caller has closed its half of the connection may take. The
  * caller may wait for its answer, or have left.
@@ -31,8 +28,8 @@
 export interface PacedConnectionOptions {
   memory: MemoryBudget;
   refusals: Pick<OverloadRefusals, "refusesNext" | "refuseNext">;
-  /** Called when there is no memory for the head of a request. */
-  onNoMemory: (connection: PacedConnection) => void;
+  /** Called when the head of a request isn't parsed on, with what is told to its caller. */
+  onRefused: (problem: RawProblem) => void;
 }
 
 /**
@@ -71,6 +68,7 @@
   #lingers = false;
   #closesAfterResponse = false;
   #isBehindRequest = false;
+  #isRefused = false;
 
   constructor(socket: Socket, options: PacedConnectionOptions) {
     // One slice at a time is buffered, as it may hold a whole request.
@@ -168,13 +166,20 @@
       return this.destroySoon();
     }
     // The response said that what comes behind it isn't handled.
-    if (this.#isClosing()) return this.#dropUnparsed();
+    if (this.#isClosing()) return this.stopParsing();
     this.#isBehindRequest = this.#unparsed.length > 0;
     // Other connections have their turn first.
     if (this.#isBehindRequest) setImmediate(() => this.#feed());
     else this.#feed();
   }
 
+  /** Called once no more is handled, so that the parser doesn't fail for each slice again. */
+  stopParsing(): void {
+    this.#isRefused = true;
+    this.#unparsed.drop();
+    this.#readOn();
+  }
+
   /** Closes the connection once all that was written has been sent. */
   destroySoon(): void {
     const close = () => {
@@ -206,19 +211,10 @@
   }
 
   override _writev(
-    pieces: { chunk: Buffer | string; encoding: BufferEncoding }[],
+    pieces: WritePiece[],
     callback: (error?: Error | null) => void,
   ): void {
-    // Node ends each response with an empty piece.
-    const filled = pieces.filter(({ chunk }) => chunk.length > 0);
-    const last = filled.pop();
-    if (!last) return callback();
-    if (filled.length > 0) this.#socket.cork();
-    for (const { chunk, encoding } of filled) {
-      this.#socket.write(chunk, encoding);
-    }
-    this.#socket.write(last.chunk, last.encoding, callback);
-    if (filled.length > 0) this.#socket.uncork();
+    writePieces(this.#socket, pieces, callback);
   }
 
   override _final(callback: (error?: Error | null) => void): void {
@@ -233,20 +229,11 @@
     this.#unparsed.drop();
     this.#unparsedLease?.release();
     this.#head.release();
-    if (this.#lingers && this.#halfClosedAtMs === null) this.#linger();
+    if (this.#lingers && this.#halfClosedAtMs === null) linger(this.#socket);
     else this.#socket.destroy();
     callback(error);
   }
 
-  // Reads on, and drops what it reads, until the peer closes.
-  #linger(): void {
-    const socket = this.#socket;
-    const timer = setTimeout(() => socket.destroy(), LINGER_MS);
-    socket.once("end", () => socket.destroy());
-    socket.once("close", () => clearTimeout(timer));
-    socket.resume();
-  }
-
   #noteHalfClose(): void {
     this.#arrival.noteRead();
     this.#halfClosedAtMs = this.#arrival.earliestMs;
@@ -295,14 +282,9 @@
     });
   }
 
-  // No more can be sent, so that a request would be run without an answer.
+  // A request would be run without an answer.
   #isClosing(): boolean {
-    return this.writableEnded;
-  }
-
-  #dropUnparsed(): void {
-    this.#unparsed.drop();
-    this.#readOn();
+    return this.writableEnded || this.#isRefused;
   }
 
   // What waits has been read at once. Without memory it is dropped, and the connection
@@ -322,7 +304,9 @@
 
   // Whether all that a peer sent before it closed its half was handled, or is given up.
   #hasAnsweredAll(): boolean {
-    if (!this.#isHeld()) return this.#unparsed.length === 0;
+    if (!this.#isHeld()) {
+      return this.#unparsed.length === 0 && !this.#isRefused;
+    }
     return this.#isHalfOpenOver && !this.#lastResponse!.writableEnded;
   }
 
@@ -345,7 +329,7 @@
       if (isHead) this.#head.add(slice.length);
       this.#wantsBytes = this.push(slice);
       if (isHead && !this.#head.hold()) {
-        this.#options.onNoMemory(this);
+        this.#options.onRefused(problemForHead());
         break;
       }
     }
--- a/packages/daemon/src/http/refusal_queue.ts
+++ b/packages/daemon/src/http/refusal_queue.ts
@@ -28,6 +28,7 @@
     if (this.has(connection)) return;
     this.#observer.count("refusals", problem.refusal.reason);
     this.#refused.add(connection);
+    connection.stopParsing();
     this.#waiting.push({ connection, problem });
     if (this.#waiting.length === 1) setImmediate(() => this.#send());
   }
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -120,8 +120,7 @@
     this.#server.on("clientError", (error, connection) => {
       // Before its handshake, nothing can be sent on a connection with TLS.
       if (!(connection instanceof PacedConnection)) return connection.destroy();
-      const problem = problemForClientError(error);
-      this.#refuseMalformed(pacedOf(connection), problem);
+      this.#refuseMalformed(connection, problemForClientError(error));
     });
   }
 
@@ -219,10 +218,7 @@
     const connection = new PacedConnection(socket, {
       memory: PROCESS_MEMORY,
       refusals: this.#overload,
-      onNoMemory: () => {
-        const problem = { refusal: refusalOfMemory(), status: 503 };
-        this.#refusals.add(connection, problem);
-      },
+      onRefused: (problem) => this.#refusals.add(connection, problem),
     });
     const isAdmitted = this.#sweep.size < this.#options.limits.connections;
     if (isAdmitted) {
@@ -368,6 +364,7 @@
       if (connection.isBehindRequest) return connection.destroySoon();
       return this.#refusals.add(connection, problem);
     }
+    connection.stopParsing();
     for (const response of received) {
       response.once("finish", () => connection.destroySoon());
     }
