Refuse heads with bare line feeds on every version of Node

What callers saw: a request with a line of its head that ends with a bare line feed was answered where the parser of Node takes it, and refused with 400 where it doesn't, as in 20.20.2 (llhttp 9.3.1: "Expected CRLF after version"); `engines` admits both. Behind a request it was closed without an answer there.

Cause: what is asked of such a head was left to the parser.

Change: PacedConnection checks the lines of each head before the parser sees it. A line that ends with a bare line feed is refused with 400, once, as soon as it has come, and the connection is closed; requests before it are answered first, none behind it is run. RFC 9112, section 2.2, lets a recipient take such a line or not. Refusing is the safer of both: recipients that differ in it see other fields, another length and another end of the request, which is how requests are smuggled, and a caller is told in the same way by each VM. Empty lines before a request, and line feeds in bodies, are no concern of it. Bytes behind a request that don't begin one get no answer, as before: their caller could take it for that of its next request.

The end of a body in chunks may still be unread by a parser that the body has paused; the head behind it was then handed over as part of the body, and wasn't checked. The next slice now waits for the one before to be read.

A test is replaced. "Pipelined requests are served one at a time, with heads that end with a bare line feed" expected 41 answers, which depends on the parser (0 on this one). bare_line_feeds_test.ts asks for what is decided instead, for seven places of the line feed: alone whole and in single bytes, and behind 41 requests, one of them in chunks, beside another connection: exactly one 400 that says not run, every earlier request answered, none behind it run, the other connection unharmed. That none gets around the pacing follows, as none reaches the parser.

--- a/packages/daemon/src/http/blank_line.ts
+++ b/packages/daemon/src/http/blank_line.ts
@@ -3,7 +3,7 @@
 
 /** The end of a line before it belongs to it. */
 export const BLANK_LINE = "\n\r\n";
-/** Node's parser accepts it as well. */
+/** The parsers of some Node versions accept it behind chunks. */
 const BARE_BLANK_LINE = "\n\n";
 const EMPTY = Buffer.alloc(0);
 
--- a/packages/daemon/src/http/client_errors.ts
+++ b/packages/daemon/src/http/client_errors.ts
@@ -10,9 +10,15 @@
   readonly status: number;
 }
 
-/** Returns the refusal of a request for whose head there is no memory. */
-export function problemForHead(): RawProblem {
-  return { refusal: refusalOfMemory(), status: 503 };
+/** Returns the refusal of a request whose head isn't parsed. */
+export function problemForHead(
+  reason: "no-memory" | "bare-line-feed",
+): RawProblem {
+  if (reason === "no-memory") {
+    return { refusal: refusalOfMemory(), status: 503 };
+  }
+  const detail = "A line of the head ends without a carriage return";
+  return { refusal: notRun("bad-request", { detail }), status: 400 };
 }
 
 /** Writes a refusal and closes the connection. */
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -6,6 +6,7 @@
 import type { MemoryBudget, MemoryLease } from "@teaselvalve/core";
 import { ArrivalBound } from "./arrival_bound.ts";
 import { problemForHead, type RawProblem } from "./client_errors.ts";
+import { HeadLines } from "./head_lines.ts";
 import { HeadMemory } from "./head_memory.ts";
 import type { OverloadRefusals } from "./overload_refusals.ts";
 import { plainRequestAt } from "./plain_request.ts";
@@ -52,6 +53,7 @@
   readonly #unparsed = new UnparsedBytes();
   #unparsedLease: MemoryLease | null = null;
   readonly #head: HeadMemory;
+  readonly #headLines = new HeadLines();
   /** When the last piece of a head arrived. */
   #headArrivedAtMs = 0;
   #openRequests = 0;
@@ -83,6 +85,7 @@
     // A close follows each error; a connection that Node has handed over has no
     // other listener.
     this.on("error", () => {});
+    this.on("resume", () => this.#feedLater());
     socket.on("error", () => {});
     socket.on("data", (bytes: Buffer) => this.#receive(bytes));
     socket.once("end", () => {
@@ -157,6 +160,7 @@
     );
     this.#isBehindRequest = false;
     this.#head.release();
+    this.#headLines.reset();
   }
 
   /** Called when the response of a request was sent. */
@@ -199,7 +203,7 @@
 
   override _read(): void {
     this.#wantsBytes = true;
-    this.#feed();
+    this.#feedLater();
   }
 
   override _write(
@@ -310,12 +314,19 @@
     return this.#isHalfOpenOver && !this.#lastResponse!.writableEnded;
   }
 
+  // What was pushed last may be the end of a request, and is parsed behind this call.
+  #feedLater(): void {
+    if (this.readableLength === 0) this.#feed();
+    else process.nextTick(() => this.#feed());
+  }
+
   #feed(): void {
     if (this.#isFeeding || this.destroyed) return;
     this.#isFeeding = true;
     for (
       let slices = 0;
-      this.#wantsBytes && this.#unparsed.length > 0 && !this.#isHeld();
+      this.#wantsBytes && this.#unparsed.length > 0 && !this.#isHeld() &&
+      this.readableLength === 0;
       slices += 1
     ) {
       if (slices === MAX_SLICES_PER_TURN) {
@@ -326,10 +337,14 @@
       const isHead = this.#lastRequest?.complete ?? true;
       if (isHead) this.#headArrivedAtMs = this.#unparsed.arrivedAtMs;
       const slice = this.#unparsed.takeSlice();
+      if (isHead && !this.#headLines.add(slice)) {
+        this.#refuseLines();
+        break;
+      }
       if (isHead) this.#head.add(slice.length);
       this.#wantsBytes = this.push(slice);
       if (isHead && !this.#head.hold()) {
-        this.#options.onRefused(problemForHead());
+        this.#options.onRefused(problemForHead("no-memory"));
         break;
       }
     }
@@ -337,13 +352,20 @@
     this.#readOn();
   }
 
+  // The parsers of some Node versions accept bare line feeds. Other bytes behind a request
+  // get no answer, as their caller might take it for that of its next request.
+  #refuseLines(): void {
+    this.stopParsing();
+    if (this.isBehindRequest && !this.#headLines.isRequest) this.destroySoon();
+    else this.#options.onRefused(problemForHead("bare-line-feed"));
+  }
+
   // Answers a request before it is parsed, if nothing before it is left to answer. The
   // parser has to see the first one, or it closes the connection as too slow.
   #refuseNext(): boolean {
     const { refusals } = this.#options;
     const isBetweenRequests = this.#openRequests === 0 &&
-      this.#head.sizeBytes === 0 && this.#lastRequest?.complete === true &&
-      this.readableLength === 0;
+      this.#head.sizeBytes === 0 && this.#lastRequest?.complete === true;
     // A caller that doesn't read its answers gets no more of them.
     if (!isBetweenRequests || this.unsentBytes > 0 || !this.writable) {
       return false;
