--- a/packages/daemon/src/http/client_errors.ts
+++ b/packages/daemon/src/http/client_errors.ts
@@ -1,5 +1,6 @@
 /** Refusals that are written to a socket directly, without a request to answer. */
 import { notRun, type Refusal } from "@teaselvalve/core";
+import { refusalOfMemory } from "./exchange.ts";
 import type { PacedConnection } from "./paced_connection.ts";
 import { formatRawProblem } from "./problem.ts";
 
@@ -9,6 +10,17 @@
   readonly status: number;
 }
 
+/** Returns the refusal of a request whose head isn't parsed. */
+export function problemForHead(
+  reason: "no-memory" | "bare-line-feed",
+): RawProblem {
+  if (reason === "no-memory") {
+    return { refusal: refusalOfMemory(), status: 503 };
+  }
+  const detail = "A line of the head ends without a carriage return";
+  return { refusal: notRun("bad-request", { detail }), status: 400 };
+}
+
 /** Writes a refusal and closes the connection. */
 export function endWithProblem(
   connection: PacedConnection,
