A message gives its memory back when it is freed, not when it is collected

What callers saw: a VM ended beyond its 200 MB under large bodies, or heads that never end, and every request in it got no answer. Cause: the budget counted a body as free at its request's outcome, but it stayed in memory as long as anything referred to it. A refused head kept what was read of it (30 KB, as an empty part of it) and the last three bytes of a slice kept 16 KB.

Large messages are now collected in a resizable buffer: it grows in place, without copies, and freeMemory gives its pages back at once, whatever refers to it. What the VM reads itself gives back its lease only. A refused head drops what was read; empty and small parts are copied.

--- a/packages/core/src/common/byte_collector.ts
+++ b/packages/core/src/common/byte_collector.ts
@@ -1,6 +1,7 @@
 /** Collects messages that arrive in pieces, within limits on the memory that they take. */
 import { Buffer } from "node:buffer";
 import {
+  freeMemory,
   holdMemory,
   type MemoryBudget,
   type MemoryLease,
@@ -8,6 +9,7 @@
   PROCESS_MEMORY,
 } from "./memory_budget.ts";
 
+const EMPTY = Buffer.alloc(0);
 const KIB = 1_024;
 const MIN_CAPACITY_BYTES = KIB;
 /** Part of a message that needs no lease, as it is paid for with its request. */
@@ -44,7 +46,7 @@
 export class ByteCollector {
   readonly #options: ByteCollectorOptions;
   readonly #memory: MemoryBudget;
-  #buffer: Buffer = Buffer.alloc(0);
+  #buffer: Buffer = EMPTY;
   #sizeBytes = 0;
   #expectedBytes = 0;
   #lease: MemoryLease | undefined;
@@ -124,13 +126,15 @@
       holdMemory(bytes, this.#lease);
       this.#lease = undefined;
     }
+    this.#buffer = EMPTY;
     this.discard();
     return bytes;
   }
 
   /** Drops the bytes and frees their memory. */
   discard(): void {
-    this.#buffer = Buffer.alloc(0);
+    freeMemory(this.#buffer);
+    this.#buffer = EMPTY;
     this.#sizeBytes = 0;
     this.#waiting = null;
     this.#wait?.abort();
@@ -196,9 +200,32 @@
     return "waiting";
   }
 
+  // A large message grows in place, and its memory can be given back at once.
   #grow(capacityBytes: number): void {
-    const larger = Buffer.allocUnsafeSlow(capacityBytes);
+    const { buffer } = this.#buffer;
+    if (isResizable(buffer) && capacityBytes <= buffer.maxByteLength) {
+      buffer.resize(capacityBytes);
+      this.#buffer = Buffer.from(buffer);
+      return;
+    }
+    const larger = capacityBytes > STEPWISE_BYTES
+      ? this.#createResizable(capacityBytes)
+      : Buffer.allocUnsafeSlow(capacityBytes);
     this.bytes.copy(larger);
+    freeMemory(this.#buffer);
     this.#buffer = larger;
   }
+
+  // What may be added to it takes addresses only.
+  #createResizable(sizeBytes: number): Buffer {
+    const { limitBytes } = this.#options;
+    const maxByteLength = this.#expectedBytes >= sizeBytes
+      ? this.#expectedBytes
+      : limitBytes;
+    return Buffer.from(new ArrayBuffer(sizeBytes, { maxByteLength }));
+  }
+}
+
+function isResizable(buffer: ArrayBufferLike): buffer is ArrayBuffer {
+  return buffer instanceof ArrayBuffer && buffer.resizable;
 }
--- a/packages/core/src/common/byte_collector_test.ts
+++ b/packages/core/src/common/byte_collector_test.ts
@@ -95,3 +95,29 @@
   for (const index of collectors.keys()) finish(index);
   await vi.waitFor(() => expect(done).toEqual([0, 1, 2]));
 });
+
+// Guards against bodies that stay in memory, beside the budget, as long as something refers to them.
+test("A large message gives its memory back when it is freed, though it is still referred to", () => {
+  const collector = createCollector(createMemory());
+  collector.add(Buffer.alloc(100 * KIB, "a"));
+  collector.add(Buffer.alloc(200 * KIB, "b"));
+  const message = collector.take()!;
+  expect(message.subarray(99 * KIB, 101 * KIB).toString()).toBe(
+    "a".repeat(KIB) + "b".repeat(KIB),
+  );
+  freeMemory(message);
+  expect(message.buffer.byteLength).toBe(0);
+});
+
+test("A message that exceeds its expected size is collected whole", () => {
+  const collector = createCollector(createMemory());
+  collector.expect(100 * KIB);
+  for (let sent = 0; sent < 300; sent += 1) {
+    collector.add(Buffer.alloc(KIB, sent));
+  }
+  const message = collector.take()!;
+  expect(message.length).toBe(300 * KIB);
+  expect([0, 99, 100, 299].map((at) => message[at * KIB])).toEqual(
+    [0, 99, 100, 299 - 256],
+  );
+});
--- a/packages/core/src/common/memory_budget.ts
+++ b/packages/core/src/common/memory_budget.ts
@@ -235,14 +235,24 @@
   lease.release()
 );
 
-/** Keeps a lease until {@link freeMemory} is called for the bytes, or they are garbage collected. */
+/** Keeps a lease until the bytes are freed or released, or garbage collected. */
 export function holdMemory(bytes: Uint8Array, lease: MemoryLease): void {
   LEASES.set(bytes, lease);
   COLLECTED.register(bytes, lease, bytes);
 }
 
-/** Releases the memory of bytes that are no longer needed, if any is held for them. */
+/**
+ * Frees the memory of bytes that are no longer needed. The pages of a resizable buffer
+ * are given back at once, whatever still refers to it; its bytes can't be read any more.
+ */
 export function freeMemory(bytes: Uint8Array): void {
+  releaseMemory(bytes);
+  const { buffer } = bytes;
+  if (buffer instanceof ArrayBuffer && buffer.resizable) buffer.resize(0);
+}
+
+/** Gives back the lease of bytes, if there is one, and leaves them as they are. */
+export function releaseMemory(bytes: Uint8Array): void {
   const lease = LEASES.get(bytes);
   if (!lease) return;
   COLLECTED.unregister(bytes);
--- a/packages/daemon/src/gateway/answers.ts
+++ b/packages/daemon/src/gateway/answers.ts
@@ -2,7 +2,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import { err, ok, type Result } from "neverthrow";
-import { ByteCollector, freeMemory } from "@teaselvalve/core";
+import { ByteCollector, releaseMemory } from "@teaselvalve/core";
 import {
   type AnswerHead,
   type SendFailure,
@@ -64,7 +64,7 @@
     const finish = () => {
       const body = collector.take();
       // The VM reads its own answers at once.
-      if (body && options.use === "internal") freeMemory(body);
+      if (body && options.use === "internal") releaseMemory(body);
       settle(body ? ok({ ...head!, body }) : err(TOO_LARGE));
     };
     const exchange = open({
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -47,8 +47,9 @@
 ): Promise<Result<string, Refusal>> {
   const bytes = await readBytes(incoming, limitBytes);
   return bytes.map((body) => {
+    const text = body.toString("utf8");
     freeMemory(body);
-    return body.toString("utf8");
+    return text;
   });
 }
 
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -345,6 +345,7 @@
       if (isHead) this.#head.add(slice.length);
       this.#wantsBytes = this.push(slice);
       if (isHead && !this.#head.hold()) {
+        this.#unparsed.drop();
         this.#options.onNoMemory(this);
         break;
       }
--- a/packages/daemon/src/http/unparsed_bytes.ts
+++ b/packages/daemon/src/http/unparsed_bytes.ts
@@ -5,6 +5,13 @@
 const EMPTY = Buffer.alloc(0);
 const MAX_SLICE_BYTES = 16 * 1_024;
 
+const LINE_END_BYTES = BLANK_LINE.length - 1;
+
+function lastBytes(before: Buffer, bytes: Buffer): Buffer {
+  return Buffer.concat([before, bytes.subarray(-LINE_END_BYTES)])
+    .subarray(-LINE_END_BYTES);
+}
+
 /** Cuts what was received, so that the head of a request ends a slice. */
 export class UnparsedBytes {
   #bytes: Buffer = EMPTY;
@@ -45,7 +52,10 @@
 
   /** Leaves out bytes that the parser needn't see. */
   skip(sizeBytes: number): void {
-    this.#bytes = this.#bytes.subarray(sizeBytes);
+    // An empty part would keep all that was read.
+    this.#bytes = sizeBytes === this.#bytes.length
+      ? EMPTY
+      : this.#bytes.subarray(sizeBytes);
     this.#takenBytes += sizeBytes;
     while (
       this.#pieces.length > 0 && this.#pieces[0]!.endBytes <= this.#takenBytes
@@ -63,10 +73,9 @@
     } else {
       const end = endOfBlankLine(this.#lineEnd, bytes);
       sizeBytes = Math.min(sizeBytes, end);
-      this.#lineEnd = sizeBytes === end ? EMPTY : Buffer.concat([
-        this.#lineEnd,
-        bytes.subarray(0, sizeBytes),
-      ]).subarray(1 - BLANK_LINE.length);
+      this.#lineEnd = sizeBytes === end
+        ? EMPTY
+        : lastBytes(this.#lineEnd, bytes.subarray(0, sizeBytes));
     }
     this.skip(sizeBytes);
     return bytes.subarray(0, sizeBytes);
