--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -344,6 +344,7 @@
       if (isHead) this.#head.add(slice.length);
       this.#wantsBytes = this.push(slice);
       if (isHead && !this.#head.hold()) {
+        this.stopParsing();
         this.#options.onRefused(problemForHead("no-memory"));
         break;
       }
