Calls read what arrived during a freeze of the process before they time out

What callers saw: after a freeze of a VM its calls to other VMs and to the store timed out, although the answers had arrived, and their connections were given up. Seen as slow_answers_test "arrives slowly over a narrow link", red once in the whole folder at load average 23. Cause: a timer that is due fires before what arrived meanwhile is read.

--- a/packages/daemon/src/http/calls.ts
+++ b/packages/daemon/src/http/calls.ts
@@ -207,6 +207,7 @@
   readonly #timeoutMs: number;
   readonly #endsAtMs: number;
   #timer: ReturnType<typeof setTimeout> | undefined;
+  #immediate: ReturnType<typeof setImmediate> | undefined;
 
   constructor({ timeoutMs, wholeMs = timeoutMs }: HttpCall) {
     this.#timeoutMs = timeoutMs;
@@ -219,17 +220,23 @@
   }
 
   noteProgress(): void {
-    clearTimeout(this.#timer);
+    this.end();
     const leftMs = this.#endsAtMs - performance.now();
     const delayMs = Math.min(this.#timeoutMs, leftMs);
-    this.#timer = setTimeout(
-      () => this.#controller.abort(new DOMException("", "TimeoutError")),
-      Math.max(1, Math.ceil(delayMs)),
-    );
+    // After a freeze of the process, the timer fires before what arrived meanwhile is
+    // read.
+    this.#timer = setTimeout(() => {
+      this.#immediate = setImmediate(() => this.#expire());
+    }, Math.max(1, Math.ceil(delayMs)));
   }
 
   end(): void {
     clearTimeout(this.#timer);
+    clearImmediate(this.#immediate);
+  }
+
+  #expire(): void {
+    this.#controller.abort(new DOMException("", "TimeoutError"));
   }
 }
 
--- a/packages/daemon/src/http/calls_test.ts
+++ b/packages/daemon/src/http/calls_test.ts
@@ -187,6 +187,19 @@
   },
 );
 
+test.each(KINDS)(
+  "the response to a %s call that arrived during a freeze of the process is read",
+  async (kind) => {
+    onRequest = (socket) => {
+      socket.write(RESPONSE);
+      const untilMs = performance.now() + 300;
+      while (performance.now() < untilMs);
+    };
+    const response = await client(kind).call(post({ timeoutMs: 200 }));
+    expect(response._unsafeUnwrap().text).toBe("ok");
+  },
+);
+
 test("after a timeout a keep-alive client reuses none of its connections", async () => {
   const keepAlive = client("keep-alive");
   const bothArrived = deferred();
