What is read only to be dropped takes turns as well

What callers saw: a VM beyond its memory while it refused large bodies. Cause: a connection that lingers after its refusal was read until its socket was empty, up to 2 MB in a turn, each read in a buffer of its own that waits for a garbage collection. Such a connection now gives turns like one whose body is kept.

--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -267,8 +267,8 @@
 
   #receive(bytes: Buffer): void {
     this.#arrival.noteRead();
-    if (this.destroyed || this.#isClosing()) return;
     if (bytes.length >= LARGE_READ_BYTES) this.#giveTurn();
+    if (this.destroyed || this.#isClosing()) return;
     this.#unparsed.add(bytes, this.#arrival.waitingSinceMs);
     this.#feed();
     if (this.#unparsed.length > MAX_BYTES_BEHIND) this.#holdUnparsed();
@@ -284,14 +284,16 @@
     this.#socket.resume();
   }
 
-  // Otherwise a socket is read until it is empty, and many large bodies at once would
-  // delay all other connections.
+  // Otherwise a socket is read until it is empty. Many large bodies at once would delay
+  // all other connections, and what was read of them, also to be dropped, would take
+  // memory until the next garbage collection.
   #giveTurn(): void {
     this.#hasReadEnough = true;
     this.#pause();
     setImmediate(() => {
       this.#hasReadEnough = false;
-      if (!this.destroyed) this.#readOn();
+      if (this.destroyed) this.#socket.resume();
+      else this.#readOn();
     });
   }
 
