The memory of what is accepted follows what the process measures

What callers saw: a VM ended beyond its memory though the budget held. Cause: the budget was a fixed share of the limit; what a process takes beside it differs between machines, and wasn't counted.

The budget now measures the resident memory, every 50 ms and before large reservations (at most every 10 ms): what is accepted and what the process takes beside it, the most of the last half to whole second, stay within 0.9 of memoryMb. A quarter of the budget remains whatever is measured, and large messages that were taken before the room became less cost no small request.

--- a/packages/core/src/common/memory_budget.ts
+++ b/packages/core/src/common/memory_budget.ts
@@ -1,11 +1,17 @@
 /** One budget for the memory of everything that a process has accepted. */
 import { DecayingCount } from "./decaying_count.ts";
+import {
+  MeasuredMemory,
+  type MeasuredMemoryOptions,
+} from "./measured_memory.ts";
 
 const MIB = 1_024 * 1_024;
 /** Messages up to this size are served before larger ones that wait. */
 const SMALL_BYTES = 64 * 1_024;
 /** What has been read of messages that wait isn't paid for, so that few may do so. */
 const MAX_WAITING_BODIES = 64;
+/** Share of the limit that can be used, however much the process takes beside it. */
+const MIN_SHARE = 0.25;
 
 /**
  * What memory is reserved for: `head` are heads that haven't arrived completely, and
@@ -78,10 +84,12 @@
 /** Reserves memory up to a limit, and lets large messages wait for it in turn. */
 export class MemoryBudget {
   #limitBytes: number;
+  #measured: MeasuredMemory | undefined;
   #usedBytes = 0;
   #usedBy = new Map<MemoryUse, number>();
   /** Bytes that were given back lately. */
   #freed = new DecayingCount();
+  #largeBytes = 0;
   /** How many messages beyond the size of small ones hold memory, by use. */
   #largeMessages = new Map<MemoryUse, number>(
     LARGE_MESSAGES.map((use) => [use, 0]),
@@ -94,8 +102,13 @@
     this.#limitBytes = limitBytes;
   }
 
+  /** What may be reserved in all; less than was set while the process takes much beside. */
   get limitBytes(): number {
-    return this.#limitBytes;
+    const roomBytes = this.#measured?.roomBytes(this.#usedBytes) ?? Infinity;
+    return Math.min(
+      this.#limitBytes,
+      Math.max(MIN_SHARE * this.#limitBytes, roomBytes),
+    );
   }
 
   /** Memory that is reserved for a use, or for all of them, in bytes. */
@@ -109,6 +122,19 @@
     this.#serveWaiters();
   }
 
+  /**
+   * Keeps what is reserved, together with what the process takes beside it, within a
+   * limit. {@link checkRoom} is to be called regularly then.
+   */
+  measureProcess(options: MeasuredMemoryOptions): void {
+    this.#measured = new MeasuredMemory(options);
+  }
+
+  /** Serves those that wait if the process takes less than before. */
+  checkRoom(): void {
+    this.#serveWaiters();
+  }
+
   /** Reserves memory at once; null if there is no room, or others wait for it. */
   reserve(use: MemoryUse, sizeBytes: number): MemoryLease | null {
     return this.#isBehind(use, sizeBytes) ? null : this.#take(use, sizeBytes);
@@ -194,14 +220,24 @@
     const isFirst = (this.#largeMessages.get(use) ?? 1) === 0;
     if (isFirst && toBytes > SMALL_BYTES) return true;
     const { share, group } = LIMITS[use];
-    const isSmall = group === LARGE_MESSAGES && toBytes <= SMALL_BYTES;
-    const groupShare = isSmall ? SMALL_GROUP_SHARE : LIMITS[use].groupShare;
+    const isMessage = group === LARGE_MESSAGES;
+    const isLarge = isMessage && toBytes > SMALL_BYTES;
+    const groupShare = isMessage && !isLarge
+      ? SMALL_GROUP_SHARE
+      : LIMITS[use].groupShare;
     const groupBytes = group.reduce((sum, other) => {
       return sum + this.usedBytes(other);
     }, 0);
     const moreBytes = toBytes - fromBytes;
-    return this.#usedBytes + moreBytes <= share * this.#limitBytes &&
-      groupBytes + moreBytes <= groupShare * this.#limitBytes;
+    const usedBytes = this.#usedBytes + moreBytes;
+    const { limitBytes } = this;
+    // Large messages that were taken before the room became less cost no small request.
+    if (!isLarge && usedBytes - this.#largeBytes > share * limitBytes) {
+      return false;
+    }
+    const fullBytes = isLarge ? limitBytes : this.#limitBytes;
+    return usedBytes <= share * fullBytes &&
+      groupBytes + moreBytes <= groupShare * fullBytes;
   }
 
   #add(use: MemoryUse, { fromBytes, toBytes }: SizeChange): void {
@@ -213,6 +249,7 @@
     if (large === undefined) return;
     const moreLarge = Number(toBytes > SMALL_BYTES) -
       Number(fromBytes > SMALL_BYTES);
+    this.#largeBytes += largePart(toBytes) - largePart(fromBytes);
     this.#largeMessages.set(use, large + moreLarge);
   }
 
@@ -227,6 +264,10 @@
   }
 }
 
+function largePart(messageBytes: number): number {
+  return messageBytes > SMALL_BYTES ? messageBytes : 0;
+}
+
 /** The budget of the whole process. */
 export const PROCESS_MEMORY = new MemoryBudget({ limitBytes: 32 * MIB });
 
--- a/packages/core/src/common/memory_budget_test.ts
+++ b/packages/core/src/common/memory_budget_test.ts
@@ -96,3 +96,56 @@
   expect(memory.estimateWaitMs("body", 200_000)).toBeCloseTo(2 * aloneMs, 0);
   vi.useRealTimers();
 });
+
+/** A budget of 1 MB in a process that takes a given memory beside it, of 3 MB. */
+function createMeasured(beside: { bytes: number }) {
+  const memory = createMemory();
+  memory.measureProcess({
+    limitBytes: 3_000_000,
+    readBytes: () => beside.bytes + memory.usedBytes(),
+  });
+  return memory;
+}
+
+// Guards against a process that goes over its limit though what it holds is within the budget.
+test("What the process takes beside the budget leaves less for messages", async () => {
+  vi.useFakeTimers({ toFake: ["performance"] });
+  const beside = { bytes: 1_000_000 };
+  const memory = createMeasured(beside);
+  expect(memory.limitBytes).toBe(1_000_000);
+  beside.bytes = 2_500_000;
+  vi.advanceTimersByTime(20);
+  expect(memory.limitBytes).toBe(500_000);
+  memory.reserve("body", 100_000);
+  expect(memory.reserve("body", 200_000)).toBeNull();
+  const waiting = waitFor(memory, 200_000);
+  beside.bytes = 1_500_000;
+  for (let checks = 0; checks < 3; checks += 1) {
+    vi.advanceTimersByTime(500);
+    memory.checkRoom();
+  }
+  expect(await waiting).not.toBeNull();
+  vi.useRealTimers();
+});
+
+test("Large messages that were taken before the process took more cost no small request", () => {
+  vi.useFakeTimers({ toFake: ["performance"] });
+  const beside = { bytes: 1_000_000 };
+  const memory = createMeasured(beside);
+  expect(memory.reserve("body", 450_000)).not.toBeNull();
+  expect(memory.reserve("answer", 150_000)).not.toBeNull();
+  beside.bytes = 5_000_000;
+  vi.advanceTimersByTime(20);
+  expect(memory.reserve("request", 100_000)).not.toBeNull();
+  expect(memory.reserve("request", 200_000)).toBeNull();
+  vi.useRealTimers();
+});
+
+test("Small requests and one large message are served however much the process takes", () => {
+  const memory = createMeasured({ bytes: 5_000_000 });
+  expect(memory.reserve("body", 400_000)).not.toBeNull();
+  expect(memory.reserve("body", 100_000)).toBeNull();
+  const other = createMeasured({ bytes: 5_000_000 });
+  expect(other.reserve("request", 100_000)).not.toBeNull();
+  expect(other.reserve("body", 40_000)).not.toBeNull();
+});
--- a/packages/daemon/src/lifecycle/guard.ts
+++ b/packages/daemon/src/lifecycle/guard.ts
@@ -1,10 +1,23 @@
 /** Watches a program's process until it ends. */
-import type { LogValue, Observer } from "@teaselvalve/core";
+import {
+  type LogValue,
+  type Observer,
+  PROCESS_MEMORY,
+} from "@teaselvalve/core";
 import type { FlushableLog } from "../observe/log.ts";
-import { memoryLimits, MemoryWatch } from "../observe/memory.ts";
+import {
+  type MemoryLimits,
+  memoryLimits,
+  MemoryWatch,
+  residentBytes,
+} from "../observe/memory.ts";
 import type { Metrics } from "../observe/metrics.ts";
 import { ProcessEnd } from "./process_end.ts";
 
+/** What has been accepted keeps the process below this share of its limit. */
+const MAX_SHARE_OF_MEMORY = 0.9;
+const ROOM_CHECK_MS = 50;
+
 /** Options of {@link guardProcess}. */
 export interface GuardOptions {
   readonly log: FlushableLog;
@@ -16,14 +29,27 @@
   readonly describe: () => Record<string, LogValue>;
 }
 
-/** Logs why the process ends, and warns before its memory does; returns what ends it. */
+/**
+ * Logs why the process ends, warns before its memory does, and keeps what it accepts
+ * within its memory; returns what ends it.
+ */
 export function guardProcess(options: GuardOptions): ProcessEnd {
   const { log, observer, metrics, memoryMb, describe } = options;
   const end = new ProcessEnd({ log, describe });
   end.watch();
   const limits = memoryLimits(memoryMb);
   metrics.watchMemoryLimits(limits);
+  boundAccepted(limits);
   const flush = () => void log.flush(0);
   new MemoryWatch({ limits, observer, describe, flush }).start();
   return end;
 }
+
+function boundAccepted(limits: MemoryLimits): void {
+  if (limits.process === null) return;
+  PROCESS_MEMORY.measureProcess({
+    limitBytes: MAX_SHARE_OF_MEMORY * limits.process,
+    readBytes: residentBytes,
+  });
+  setInterval(() => PROCESS_MEMORY.checkRoom(), ROOM_CHECK_MS).unref();
+}
--- a/packages/daemon/src/observe/memory.ts
+++ b/packages/daemon/src/observe/memory.ts
@@ -110,7 +110,8 @@
   }
 }
 
-function residentBytes(): number | null {
+/** Returns the resident memory of the process; null if it can't be read. */
+export function residentBytes(): number | null {
   try {
     return process.memoryUsage.rss();
   } catch {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,6 +7,7 @@
   "platform/src/endless_pieces_test.ts",
   "platform/src/overload_test.ts",
   "platform/src/planned_stop_test.ts",
+  "platform/src/process_memory_test.ts",
   "platform/src/reset_answers_test.ts",
   "platform/src/silent_store_test.ts",
   "platform/src/stop_flood_test.ts",
