--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -5,9 +5,12 @@
 import { Duplex } from "node:stream";
 import type { MemoryBudget, MemoryLease } from "@teaselvalve/core";
 import { ArrivalBound } from "./arrival_bound.ts";
+import { problemForHead, type RawProblem } from "./client_errors.ts";
+import { HeadLines } from "./head_lines.ts";
 import { HeadMemory } from "./head_memory.ts";
 import type { OverloadRefusals } from "./overload_refusals.ts";
 import { plainRequestAt } from "./plain_request.ts";
+import { linger, type WritePiece, writePieces } from "./socket_calls.ts";
 import { UnparsedBytes } from "./unparsed_bytes.ts";
 
 /** Slices that a connection gets parsed before others have their turn. */
@@ -16,11 +19,6 @@
 const LARGE_READ_BYTES = 64 * 1_024;
 /** Bytes behind a request in progress that are read, so that a close is noticed. */
 const MAX_BYTES_BEHIND = 4 * 1_024;
-/**
- * How long a closed connection is still read. A connection that is closed with unread
- * bytes is reset, and its peer may lose the answer that was sent before.
- */
-const LINGER_MS = 1_000;
 /**
  * How long a request whose caller has closed its half of the connection may take. The
  * caller may wait for its answer, or have left.
@@ -31,8 +29,8 @@
 export interface PacedConnectionOptions {
   memory: MemoryBudget;
   refusals: Pick<OverloadRefusals, "refusesNext" | "refuseNext">;
-  /** Called when there is no memory for the head of a request. */
-  onNoMemory: (connection: PacedConnection) => void;
+  /** Called when the head of a request isn't parsed on, with what is told to its caller. */
+  onRefused: (problem: RawProblem) => void;
 }
 
 /**
@@ -55,6 +53,7 @@
   readonly #unparsed = new UnparsedBytes();
   #unparsedLease: MemoryLease | null = null;
   readonly #head: HeadMemory;
+  readonly #headLines = new HeadLines();
   /** When the last piece of a head arrived. */
   #headArrivedAtMs = 0;
   #openRequests = 0;
@@ -71,6 +70,7 @@
   #lingers = false;
   #closesAfterResponse = false;
   #isBehindRequest = false;
+  #isRefused = false;
 
   constructor(socket: Socket, options: PacedConnectionOptions) {
     // One slice at a time is buffered, as it may hold a whole request.
@@ -85,6 +85,7 @@
     // A close follows each error; a connection that Node has handed over has no
     // other listener.
     this.on("error", () => {});
+    this.on("resume", () => this.#feedLater());
     socket.on("error", () => {});
     socket.on("data", (bytes: Buffer) => this.#receive(bytes));
     socket.once("end", () => {
@@ -159,6 +160,7 @@
     );
     this.#isBehindRequest = false;
     this.#head.release();
+    this.#headLines.reset();
   }
 
   /** Called when the response of a request was sent. */
@@ -168,13 +170,20 @@
       return this.destroySoon();
     }
     // The response said that what comes behind it isn't handled.
-    if (this.#isClosing()) return this.#dropUnparsed();
+    if (this.#isClosing()) return this.stopParsing();
     this.#isBehindRequest = this.#unparsed.length > 0;
     // Other connections have their turn first.
     if (this.#isBehindRequest) setImmediate(() => this.#feed());
     else this.#feed();
   }
 
+  /** Called once no more is handled, so that the parser doesn't fail for each slice again. */
+  stopParsing(): void {
+    this.#isRefused = true;
+    this.#unparsed.drop();
+    this.#readOn();
+  }
+
   /** Closes the connection once all that was written has been sent. */
   destroySoon(): void {
     const close = () => {
@@ -194,7 +203,7 @@
 
   override _read(): void {
     this.#wantsBytes = true;
-    this.#feed();
+    this.#feedLater();
   }
 
   override _write(
@@ -206,19 +215,10 @@
   }
 
   override _writev(
-    pieces: { chunk: Buffer | string; encoding: BufferEncoding }[],
+    pieces: WritePiece[],
     callback: (error?: Error | null) => void,
   ): void {
-    // Node ends each response with an empty piece.
-    const filled = pieces.filter(({ chunk }) => chunk.length > 0);
-    const last = filled.pop();
-    if (!last) return callback();
-    if (filled.length > 0) this.#socket.cork();
-    for (const { chunk, encoding } of filled) {
-      this.#socket.write(chunk, encoding);
-    }
-    this.#socket.write(last.chunk, last.encoding, callback);
-    if (filled.length > 0) this.#socket.uncork();
+    writePieces(this.#socket, pieces, callback);
   }
 
   override _final(callback: (error?: Error | null) => void): void {
@@ -233,20 +233,11 @@
     this.#unparsed.drop();
     this.#unparsedLease?.release();
     this.#head.release();
-    if (this.#lingers && this.#halfClosedAtMs === null) this.#linger();
+    if (this.#lingers && this.#halfClosedAtMs === null) linger(this.#socket);
     else this.#socket.destroy();
     callback(error);
   }
 
-  // Reads on, and drops what it reads, until the peer closes.
-  #linger(): void {
-    const socket = this.#socket;
-    const timer = setTimeout(() => socket.destroy(), LINGER_MS);
-    socket.once("end", () => socket.destroy());
-    socket.once("close", () => clearTimeout(timer));
-    socket.resume();
-  }
-
   #noteHalfClose(): void {
     this.#arrival.noteRead();
     this.#halfClosedAtMs = this.#arrival.earliestMs;
@@ -295,14 +286,9 @@
     });
   }
 
-  // No more can be sent, so that a request would be run without an answer.
+  // A request would be run without an answer.
   #isClosing(): boolean {
-    return this.writableEnded;
-  }
-
-  #dropUnparsed(): void {
-    this.#unparsed.drop();
-    this.#readOn();
+    return this.writableEnded || this.#isRefused;
   }
 
   // What waits has been read at once. Without memory it is dropped, and the connection
@@ -322,16 +308,25 @@
 
   // Whether all that a peer sent before it closed its half was handled, or is given up.
   #hasAnsweredAll(): boolean {
-    if (!this.#isHeld()) return this.#unparsed.length === 0;
+    if (!this.#isHeld()) {
+      return this.#unparsed.length === 0 && !this.#isRefused;
+    }
     return this.#isHalfOpenOver && !this.#lastResponse!.writableEnded;
   }
 
+  // What was pushed last may be the end of a request, and is parsed behind this call.
+  #feedLater(): void {
+    if (this.readableLength === 0) this.#feed();
+    else process.nextTick(() => this.#feed());
+  }
+
   #feed(): void {
     if (this.#isFeeding || this.destroyed) return;
     this.#isFeeding = true;
     for (
       let slices = 0;
-      this.#wantsBytes && this.#unparsed.length > 0 && !this.#isHeld();
+      this.#wantsBytes && this.#unparsed.length > 0 && !this.#isHeld() &&
+      this.readableLength === 0;
       slices += 1
     ) {
       if (slices === MAX_SLICES_PER_TURN) {
@@ -342,10 +337,15 @@
       const isHead = this.#lastRequest?.complete ?? true;
       if (isHead) this.#headArrivedAtMs = this.#unparsed.arrivedAtMs;
       const slice = this.#unparsed.takeSlice();
+      if (isHead && !this.#headLines.add(slice)) {
+        this.#refuseLines();
+        break;
+      }
       if (isHead) this.#head.add(slice.length);
       this.#wantsBytes = this.push(slice);
       if (isHead && !this.#head.hold()) {
-        this.#options.onNoMemory(this);
+        this.stopParsing();
+        this.#options.onRefused(problemForHead("no-memory"));
         break;
       }
     }
@@ -353,13 +353,20 @@
     this.#readOn();
   }
 
+  // The parsers of some Node versions accept bare line feeds. Other bytes behind a request
+  // get no answer, as their caller might take it for that of its next request.
+  #refuseLines(): void {
+    this.stopParsing();
+    if (this.isBehindRequest && !this.#headLines.isRequest) this.destroySoon();
+    else this.#options.onRefused(problemForHead("bare-line-feed"));
+  }
+
   // Answers a request before it is parsed, if nothing before it is left to answer. The
   // parser has to see the first one, or it closes the connection as too slow.
   #refuseNext(): boolean {
     const { refusals } = this.#options;
     const isBetweenRequests = this.#openRequests === 0 &&
-      this.#head.sizeBytes === 0 && this.#lastRequest?.complete === true &&
-      this.readableLength === 0;
+      this.#head.sizeBytes === 0 && this.#lastRequest?.complete === true;
     // A caller that doesn't read its answers gets no more of them.
     if (!isBetweenRequests || this.unsentBytes > 0 || !this.writable) {
       return false;
