The process is measured while messages wait, not all the time

A timer every 50 ms woke each VM although nothing waited. The budget now checks its room on its own while messages wait for memory.

--- a/packages/core/src/common/memory_budget.ts
+++ b/packages/core/src/common/memory_budget.ts
@@ -12,6 +12,8 @@
 const MAX_WAITING_BODIES = 64;
 /** Share of the limit that can be used, however much the process takes beside it. */
 const MIN_SHARE = 0.25;
+/** How often the process is measured while messages wait. */
+const ROOM_CHECK_MS = 50;
 
 /**
  * What memory is reserved for: `head` are heads that haven't arrived completely, and
@@ -90,6 +92,7 @@
   /** Bytes that were given back lately. */
   #freed = new DecayingCount();
   #largeBytes = 0;
+  #roomTimer: ReturnType<typeof setTimeout> | undefined;
   /** How many messages beyond the size of small ones hold memory, by use. */
   #largeMessages = new Map<MemoryUse, number>(
     LARGE_MESSAGES.map((use) => [use, 0]),
@@ -124,17 +127,12 @@
 
   /**
    * Keeps what is reserved, together with what the process takes beside it, within a
-   * limit. {@link checkRoom} is to be called regularly then.
+   * limit.
    */
   measureProcess(options: MeasuredMemoryOptions): void {
     this.#measured = new MeasuredMemory(options);
   }
 
-  /** Serves those that wait if the process takes less than before. */
-  checkRoom(): void {
-    this.#serveWaiters();
-  }
-
   /** Reserves memory at once; null if there is no room, or others wait for it. */
   reserve(use: MemoryUse, sizeBytes: number): MemoryLease | null {
     return this.#isBehind(use, sizeBytes) ? null : this.#take(use, sizeBytes);
@@ -166,6 +164,7 @@
       const waiter: Waiter = { sizeBytes, grant: end };
       waiters.add(waiter);
       signal.addEventListener("abort", onAbort);
+      this.#watchRoom();
     });
   }
 
@@ -182,6 +181,20 @@
     return neededBytes === 0 ? 0 : neededBytes / this.#freed.ratePerMs();
   }
 
+  // The process may take less beside the budget without any lease being given back.
+  #watchRoom(): void {
+    if (!this.#measured || this.#roomTimer || !this.#hasWaiters()) return;
+    this.#roomTimer = setTimeout(() => {
+      this.#roomTimer = undefined;
+      this.#serveWaiters();
+      this.#watchRoom();
+    }, ROOM_CHECK_MS);
+  }
+
+  #hasWaiters(): boolean {
+    return [...this.#waiters.values()].some(({ size }) => size > 0);
+  }
+
   #isBehind(use: MemoryUse, sizeBytes: number): boolean {
     const waiting = this.#waiters.get(use)?.size ?? 0;
     return sizeBytes > SMALL_BYTES && waiting > 0;
--- a/packages/core/src/common/memory_budget_test.ts
+++ b/packages/core/src/common/memory_budget_test.ts
@@ -109,7 +109,7 @@
 
 // Guards against a process that goes over its limit though what it holds is within the budget.
 test("What the process takes beside the budget leaves less for messages", async () => {
-  vi.useFakeTimers({ toFake: ["performance"] });
+  vi.useFakeTimers({ toFake: ["performance", "setTimeout"] });
   const beside = { bytes: 1_000_000 };
   const memory = createMeasured(beside);
   expect(memory.limitBytes).toBe(1_000_000);
@@ -120,10 +120,7 @@
   expect(memory.reserve("body", 200_000)).toBeNull();
   const waiting = waitFor(memory, 200_000);
   beside.bytes = 1_500_000;
-  for (let checks = 0; checks < 3; checks += 1) {
-    vi.advanceTimersByTime(500);
-    memory.checkRoom();
-  }
+  await vi.advanceTimersByTimeAsync(1_500);
   expect(await waiting).not.toBeNull();
   vi.useRealTimers();
 });
--- a/packages/daemon/src/lifecycle/guard.ts
+++ b/packages/daemon/src/lifecycle/guard.ts
@@ -16,7 +16,6 @@
 
 /** What has been accepted keeps the process below this share of its limit. */
 const MAX_SHARE_OF_MEMORY = 0.9;
-const ROOM_CHECK_MS = 50;
 
 /** Options of {@link guardProcess}. */
 export interface GuardOptions {
@@ -51,5 +50,4 @@
     limitBytes: MAX_SHARE_OF_MEMORY * limits.process,
     readBytes: residentBytes,
   });
-  setInterval(() => PROCESS_MEMORY.checkRoom(), ROOM_CHECK_MS).unref();
 }
