--- a/packages/daemon/src/http/client_connection.ts
+++ b/packages/daemon/src/http/client_connection.ts
@@ -33,11 +33,14 @@
 export function createConnector(
   { connectTimeoutMs, tls, onConnected, onFault }: ConnectorOptions,
 ): buildConnector.connector {
+  // undici's connector keeps sessions, but each connection has one of its own.
+  let session: Buffer | undefined;
   return (target, callback) => {
     const connection = new ClientConnection(onFault);
     // Options that undici doesn't know are passed on to the socket.
     const options = {
       ...tls,
+      session,
       timeout: connectTimeoutMs,
       allowH2: false,
       onread: connection.reader,
@@ -49,6 +52,7 @@
         connection.guard("connect", () => {
           if (error || !socket) return callback(error!, null);
           connection.attach(socket);
+          socket.on("session", (next: Buffer) => (session = next));
           onConnected?.(connection);
           // undici uses no more of a socket than a Duplex has.
           callback(null, connection as unknown as Socket);
--- a/packages/daemon/src/http/client_connection_test.ts
+++ b/packages/daemon/src/http/client_connection_test.ts
@@ -1,7 +1,10 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createServer as createTlsServer } from "node:tls";
+import { generate } from "selfsigned";
 import { Client } from "undici";
 import { expect, test } from "vitest";
+import { createKeepAliveClient } from "./calls.ts";
 import { type ClientConnection, createConnector } from "./client_connection.ts";
 import type { ThrownError } from "./connection_faults.ts";
 
@@ -75,3 +78,46 @@
     server.close();
   },
 );
+
+test("connections over TLS to an address resume the session of one before", async () => {
+  const pems = await generate([{ name: "commonName", value: "localhost" }], {
+    extensions: [
+      { name: "basicConstraints", cA: true },
+      { name: "subjectAltName", altNames: [{ type: 2, value: "localhost" }] },
+    ],
+  });
+  const reused: boolean[] = [];
+  const server = createTlsServer(
+    { cert: pems.cert, key: pems.private },
+    (socket) => {
+      reused.push(socket.isSessionReused());
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.end("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      });
+    },
+  );
+  server.listen(0, "localhost");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = createKeepAliveClient({
+    tls: {
+      authorities: pems.cert,
+      certificate: pems.cert,
+      key: pems.private,
+    },
+  });
+  for (let calls = 1; calls <= 2; calls += 1) {
+    const response = await client.call({
+      method: "GET",
+      address: `localhost:${port}`,
+      path: "/",
+      timeoutMs: 2_000,
+    });
+    expect(response.isOk()).toBe(true);
+    await expect.poll(() => reused.length).toBe(calls);
+  }
+  expect(reused).toEqual([false, true]);
+  await client.close();
+  server.close();
+});
