--- a/packages/daemon/src/gateway/exchange_faults_test.ts
+++ b/packages/daemon/src/gateway/exchange_faults_test.ts
@@ -158,3 +158,33 @@
     expect(told.faults).toEqual([]);
   },
 );
+
+test.each(["end", "reset"] as const)(
+  "an answer without a length whose reader pauses again at its %s is read to its true end",
+  async (end) => {
+    respond = (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\nok", () => {
+        setTimeout(() => {
+          if (end === "end") socket.end();
+          else socket.resetAndDestroy();
+        }, SETTLE_MS / 2);
+      });
+    };
+    let pauses = 0;
+    const { told, exchange } = open({
+      onData: () => {
+        pauses += 1;
+        if (pauses > 3) return true;
+        setTimeout(() => exchange.resume(), SETTLE_MS);
+        return false;
+      },
+    });
+    await expect.poll(() => told.ends).toEqual([
+      end === "end" ? "end" : "lost",
+    ]);
+    await wait(SETTLE_MS);
+    expect(told.ends.length).toBe(1);
+    expect(told.bytes).toBe(2);
+    expect(told.faults).toEqual([]);
+  },
+);
