Tell the end of a connection only to a parser that isn't paused

Cause: the end was told a tick after the parser had read nothing, but on resuming the parser may pause again within that tick, on a piece without bytes. The parser gives back what is left, if only no bytes, whenever it pauses; that now takes the end back until it reads again.

--- a/packages/daemon/src/http/client_connection.ts
+++ b/packages/daemon/src/http/client_connection.ts
@@ -74,7 +74,8 @@
   #isStopped = false;
   /** How the socket ended; `error` is null after a regular close of the peer. */
   #ending: { readonly error: Error | null } | undefined;
-  #isEndTold = false;
+  /** Whether the parser has read all that came before the end, and isn't paused. */
+  #isEndDue = false;
   #hasFault = false;
 
   constructor(onFault: (fault: ThrownError) => void) {
@@ -122,13 +123,20 @@
   // handled all that came before the end.
   override read(size?: number): unknown {
     const bytes = super.read(size);
-    if (bytes === null && this.#ending && !this.#isEndTold) {
-      this.#isEndTold = true;
+    if (bytes === null && this.#ending && !this.#isEndDue) {
+      this.#isEndDue = true;
       process.nextTick(() => this.#tellEnd());
     }
     return bytes;
   }
 
+  // The parser gives back what it hasn't handled, if only no bytes, when it pauses. On
+  // resuming it reads first, and may then pause again without having read any.
+  override unshift(bytes: unknown): void {
+    this.#isEndDue = false;
+    super.unshift(bytes);
+  }
+
   // Streams emit their events from ticks of their own, where an exception of a
   // listener would end the process, and keep the event from the other listeners.
   override emit(event: string | symbol, ...values: unknown[]): boolean {
@@ -206,7 +214,7 @@
   }
 
   #tellEnd(): void {
-    if (this.destroyed) return;
+    if (this.destroyed || !this.#isEndDue) return;
     const { error } = this.#ending!;
     if (error) this.destroy(error);
     else this.push(null);
