Exceptions of a sink end its engine's stream, not the VM

What callers saw: nothing yet; found by the fuzz of the clients. An exception of the receiver of an engine's events reached the process as an unhandled rejection (told when the connection ended) or as an uncaught exception (told by the timeout's timer), which ends the VM and every request in it. Cause: HttpAttachment called its sink within the catch of a promise that nobody waits for, and within a timer.

The sink is called in one place that catches: the stream is told as lost unless it has ended, and the exception is logged as connection-fault with the endpoint. Faults within a stream's connection are now logged by the observer too.

--- a/packages/daemon/src/engines/attachment.ts
+++ b/packages/daemon/src/engines/attachment.ts
@@ -5,6 +5,8 @@
   ByteCollector,
   type EndpointRef,
   type EngineFailure,
+  type Observer,
+  SILENT_OBSERVER,
   type StreamEvent,
   type StreamSink,
 } from "@teaselvalve/core";
@@ -16,6 +18,7 @@
   type FreshConnection,
   openConnection,
 } from "../http/calls.ts";
+import { logConnectionFault } from "../http/connection_faults.ts";
 import { tryParseJson } from "../http/json.ts";
 
 /** The request that opens a stream, and the receiver of its events. */
@@ -28,6 +31,8 @@
   sink: StreamSink;
   /** Maximum time without an event, unless the stream is paused. */
   timeoutMs: number;
+  /** Learns of exceptions within the stream, which fails as `lost`. */
+  observer?: Observer | undefined;
 }
 
 const REJECTED_STATUS = 409;
@@ -37,6 +42,7 @@
 /** Reads one stream until it ends, fails, times out or is detached. */
 export class HttpAttachment implements Attachment {
   #call: StreamCall;
+  #endpoint: EndpointRef | undefined;
   #connection: FreshConnection | undefined;
   #body: Dispatcher.ResponseData["body"] | undefined;
   #eventTimer: ReturnType<typeof setTimeout> | undefined;
@@ -67,8 +73,10 @@
 
   /** Opens the stream and passes its events on; a failure becomes its last event. */
   async run(endpoint: EndpointRef): Promise<void> {
+    const { observer } = this.#call;
+    this.#endpoint = endpoint;
     this.#restartTimeout();
-    this.#connection = openConnection(endpoint.address);
+    this.#connection = openConnection(endpoint.address, { observer });
     try {
       await this.#read(this.#connection);
     } catch (error) {
@@ -149,7 +157,21 @@
   #emit(event: StreamEvent): void {
     if (this.#ended) return;
     if (event.kind === "end" || event.kind === "failed") this.#end();
-    this.#call.sink(event);
+    try {
+      this.#call.sink(event);
+    } catch (error) {
+      this.#logFault(error);
+      this.#fail({ kind: "lost" });
+    }
+  }
+
+  #logFault(error: unknown): void {
+    const { observer = SILENT_OBSERVER } = this.#call;
+    logConnectionFault(observer, { error, thrownIn: "sink" }, {
+      call: "stream",
+      endpoint: this.#endpoint?.id,
+      phase: this.#ended ? "ended" : "body",
+    });
   }
 
   // After the end, nothing more is read from or sent on the connection.
--- a/packages/daemon/src/engines/attachment_test.ts
+++ b/packages/daemon/src/engines/attachment_test.ts
@@ -6,7 +6,13 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import { asId, type EndpointId, type StreamEvent } from "@teaselvalve/core";
+import {
+  asId,
+  type EndpointId,
+  type LogEvent,
+  SILENT_OBSERVER,
+  type StreamEvent,
+} from "@teaselvalve/core";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { deferred } from "../testing/deferred.ts";
 import { freePort } from "../testing/ports.ts";
@@ -172,3 +178,58 @@
   await expect.poll(() => events.length).toBeGreaterThan(3);
   attachment.detach();
 });
+
+test.each(
+  [
+    ["events", [TOKENS], ["tokens", "failed"], "body"],
+    ["the end", [END], ["end"], "ended"],
+  ] as const,
+)(
+  "an exception of the sink for %s ends its stream alone, and is logged",
+  async (_name, sent, kinds, phase) => {
+    respond = (response) => {
+      response.writeHead(200);
+      for (const event of sent) send(response, event);
+    };
+    const told: string[] = [];
+    const logged: LogEvent[] = [];
+    const attachment = new HttpAttachment({
+      method: "GET",
+      path: "/",
+      timeoutMs: 2_000,
+      observer: {
+        ...SILENT_OBSERVER,
+        log: (event) => void logged.push(event),
+      },
+      sink(event) {
+        told.push(event.kind);
+        throw new Error("broken sink");
+      },
+    });
+    await attachment.run({ id: asId<EndpointId>("decode-1"), address });
+    expect(told).toEqual(kinds);
+    expect(logged[0]).toMatchObject({
+      event: "connection-fault",
+      thrownIn: "sink",
+      call: "stream",
+      endpoint: "decode-1",
+      phase,
+    });
+  },
+);
+
+test("an exception of the sink for a timeout ends its stream alone", async () => {
+  respond = () => {};
+  const told: string[] = [];
+  const attachment = new HttpAttachment({
+    method: "GET",
+    path: "/",
+    timeoutMs: 50,
+    sink(event) {
+      told.push(event.kind);
+      throw new Error("broken sink");
+    },
+  });
+  await attachment.run({ id: asId<EndpointId>("decode-1"), address });
+  expect(told).toEqual(["failed"]);
+});
--- a/packages/daemon/src/engines/port.ts
+++ b/packages/daemon/src/engines/port.ts
@@ -55,7 +55,7 @@
   }
 
   function stream(endpoint: EndpointRef, request: StreamCall): Attachment {
-    const attachment = new HttpAttachment(request);
+    const attachment = new HttpAttachment({ ...request, observer });
     void attachment.run(endpoint);
     return attachment;
   }
