A detached stream whose answer had arrived whole gives its memory back

What callers saw: nothing; found by the fuzz of the clients. Of a paused stream whose answer had arrived whole, what was reserved for an incomplete event (1 MB at most) stayed so for good once its caller left, so that the VM's budget shrank. Cause: the connection was done with the body, so destroying it ended nothing, and the paused body never told its end, on which the memory was given back.

The stream now gives it back, and destroys its body, when it ends or is detached.

--- a/packages/daemon/src/engines/attachment.ts
+++ b/packages/daemon/src/engines/attachment.ts
@@ -46,6 +46,7 @@
   #connection: FreshConnection | undefined;
   #body: Dispatcher.ResponseData["body"] | undefined;
   #eventTimer: ReturnType<typeof setTimeout> | undefined;
+  #splitter = new EventSplitter();
   #paused = false;
   #ended = false;
 
@@ -106,7 +107,6 @@
   }
 
   #readEvents(body: Dispatcher.ResponseData["body"]): Promise<void> {
-    const splitter = new EventSplitter();
     const parser = createParser({
       onEvent: (event) => this.#handleEvent(event.data),
     });
@@ -116,17 +116,18 @@
       body.once("error", reject);
       body.once("close", resolve);
       body.on("data", (chunk: Buffer) => {
+        if (this.#ended) return;
         try {
-          for (const { bytes } of splitter.push(chunk)) {
+          for (const { bytes } of this.#splitter.push(chunk)) {
             parser.feed(bytes.toString("utf8"));
           }
-          if (splitter.overflowed) this.#fail({ kind: "lost" });
+          if (this.#splitter.overflowed) this.#fail({ kind: "lost" });
         } catch (error) {
           reject(error);
         }
       });
       if (this.#paused) body.pause();
-    }).finally(() => splitter.discard());
+    });
   }
 
   #handleEvent(data: string): void {
@@ -178,7 +179,10 @@
   #end(): void {
     this.#ended = true;
     clearTimeout(this.#eventTimer);
+    this.#splitter.discard();
     this.#connection?.client.destroy().catch(() => {});
+    // The connection no longer knows of a body that has arrived whole and isn't read.
+    this.#body?.destroy();
   }
 }
 
--- a/packages/daemon/src/engines/attachment_test.ts
+++ b/packages/daemon/src/engines/attachment_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import {
   createServer,
@@ -10,6 +11,7 @@
   asId,
   type EndpointId,
   type LogEvent,
+  PROCESS_MEMORY,
   SILENT_OBSERVER,
   type StreamEvent,
 } from "@teaselvalve/core";
@@ -179,6 +181,27 @@
   attachment.detach();
 });
 
+// Nothing of the connection is left that could end the body.
+test("a paused stream whose answer has arrived whole gives its memory back when detached", async () => {
+  const usedBytes = PROCESS_MEMORY.usedBytes();
+  const incomplete = `data: ${"x".repeat(20_000)}`;
+  const body = `data: ${JSON.stringify(TOKENS)}\n\n${incomplete}`;
+  const received = deferred();
+  respond = (response) => {
+    response.writeHead(200, { "content-length": Buffer.byteLength(body) + 1 });
+    response.write(body);
+    setTimeout(() => response.end("x", received.resolve), 50);
+  };
+  const { attachment, events } = attach();
+  await expect.poll(() => events).toEqual([TOKENS]);
+  attachment.pause();
+  expect(PROCESS_MEMORY.usedBytes()).toBeGreaterThan(usedBytes);
+  await received.promise;
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  attachment.detach();
+  await expect.poll(() => PROCESS_MEMORY.usedBytes()).toBe(usedBytes);
+});
+
 test.each(
   [
     ["events", [TOKENS], ["tokens", "failed"], "body"],
