Calls and streams to an address that can't be read were not sent

An address that is no URL's (a faulty directory entry) made a stream of an engine end the VM by an unhandled rejection, a call on a new connection throw in place of its result, and a call on a kept connection fail as lost, though nothing was sent. Cause: undici's client throws on it, before anything that catches.

All three now fail as notSent, as exchanges do.

Evidence: a test each in attachment_test.ts and calls_test.ts, red before, green now.

--- a/packages/daemon/src/engines/attachment.ts
+++ b/packages/daemon/src/engines/attachment.ts
@@ -77,11 +77,12 @@
     const { observer } = this.#call;
     this.#endpoint = endpoint;
     this.#restartTimeout();
-    this.#connection = openConnection(endpoint.address, { observer });
     try {
+      // Throws on an address that can't be read.
+      this.#connection = openConnection(endpoint.address, { observer });
       await this.#read(this.#connection);
     } catch (error) {
-      const connected = this.#connection.connected();
+      const connected = this.#connection?.connected() ?? false;
       this.#fail(connected ? classifyError(error) : { kind: "notSent" });
     }
   }
--- a/packages/daemon/src/engines/attachment_test.ts
+++ b/packages/daemon/src/engines/attachment_test.ts
@@ -256,3 +256,9 @@
   await attachment.run({ id: asId<EndpointId>("decode-1"), address });
   expect(told).toEqual(["failed"]);
 });
+
+test("a stream to an address that can't be read was not sent", async () => {
+  const { events, ended } = attach({ target: "no address" });
+  await ended;
+  expect(events).toEqual([{ kind: "failed", failure: { kind: "notSent" } }]);
+});
--- a/packages/daemon/src/http/calls.ts
+++ b/packages/daemon/src/http/calls.ts
@@ -114,6 +114,7 @@
   };
   return {
     async call(call) {
+      if (!hasAddress(call, options)) return err({ kind: "notSent" });
       const agent = getAgent(call.address);
       const response = await sendCall(agent, { call, options });
       if (response.isErr() && response.error.kind === "timeout") {
@@ -133,6 +134,7 @@
   const clients = new Set<Client>();
   return {
     async call(call) {
+      if (!hasAddress(call, options)) return err({ kind: "notSent" });
       const connection = openConnection(call.address, options);
       clients.add(connection.client);
       const response = await sendCall(connection.client, { call, options });
@@ -301,6 +303,11 @@
   return syscall === "connect" || syscall === "getaddrinfo";
 }
 
+// undici throws on an invalid address, which a faulty directory entry may have.
+function hasAddress({ address }: HttpCall, options: HttpClientOptions) {
+  return URL.canParse(originOf(address, options));
+}
+
 function originOf(address: string, { tls }: HttpClientOptions): string {
   return `${tls ? "https" : "http"}://${address}`;
 }
--- a/packages/daemon/src/http/calls_test.ts
+++ b/packages/daemon/src/http/calls_test.ts
@@ -280,3 +280,18 @@
     },
   };
 }
+
+test.each(KINDS)(
+  "a %s call to an address that can't be read was not sent",
+  async (kind) => {
+    for (const faulty of ["no address", "", "127.0.0.1:99999"]) {
+      const result = await client(kind).call({
+        method: "GET",
+        address: faulty,
+        path: "/",
+        timeoutMs: 1_000,
+      });
+      expect(result._unsafeUnwrapErr()).toEqual({ kind: "notSent" });
+    }
+  },
+);
