--- a/packages/daemon/src/engines/attachment.ts
+++ b/packages/daemon/src/engines/attachment.ts
@@ -5,6 +5,8 @@
   ByteCollector,
   type EndpointRef,
   type EngineFailure,
+  type Observer,
+  SILENT_OBSERVER,
   type StreamEvent,
   type StreamSink,
 } from "@teaselvalve/core";
@@ -16,6 +18,7 @@
   type FreshConnection,
   openConnection,
 } from "../http/calls.ts";
+import { logConnectionFault } from "../http/connection_faults.ts";
 import { tryParseJson } from "../http/json.ts";
 
 /** The request that opens a stream, and the receiver of its events. */
@@ -28,6 +31,8 @@
   sink: StreamSink;
   /** Maximum time without an event, unless the stream is paused. */
   timeoutMs: number;
+  /** Learns of exceptions within the stream, which fails as `lost`. */
+  observer?: Observer | undefined;
 }
 
 const REJECTED_STATUS = 409;
@@ -37,9 +42,11 @@
 /** Reads one stream until it ends, fails, times out or is detached. */
 export class HttpAttachment implements Attachment {
   #call: StreamCall;
+  #endpoint: EndpointRef | undefined;
   #connection: FreshConnection | undefined;
   #body: Dispatcher.ResponseData["body"] | undefined;
   #eventTimer: ReturnType<typeof setTimeout> | undefined;
+  #splitter = new EventSplitter();
   #paused = false;
   #ended = false;
 
@@ -67,12 +74,15 @@
 
   /** Opens the stream and passes its events on; a failure becomes its last event. */
   async run(endpoint: EndpointRef): Promise<void> {
+    const { observer } = this.#call;
+    this.#endpoint = endpoint;
     this.#restartTimeout();
-    this.#connection = openConnection(endpoint.address);
     try {
+      // Throws on an address that can't be read.
+      this.#connection = openConnection(endpoint.address, { observer });
       await this.#read(this.#connection);
     } catch (error) {
-      const connected = this.#connection.connected();
+      const connected = this.#connection?.connected() ?? false;
       this.#fail(connected ? classifyError(error) : { kind: "notSent" });
     }
   }
@@ -98,7 +108,6 @@
   }
 
   #readEvents(body: Dispatcher.ResponseData["body"]): Promise<void> {
-    const splitter = new EventSplitter();
     const parser = createParser({
       onEvent: (event) => this.#handleEvent(event.data),
     });
@@ -108,17 +117,18 @@
       body.once("error", reject);
       body.once("close", resolve);
       body.on("data", (chunk: Buffer) => {
+        if (this.#ended) return;
         try {
-          for (const { bytes } of splitter.push(chunk)) {
+          for (const { bytes } of this.#splitter.push(chunk)) {
             parser.feed(bytes.toString("utf8"));
           }
-          if (splitter.overflowed) this.#fail({ kind: "lost" });
+          if (this.#splitter.overflowed) this.#fail({ kind: "lost" });
         } catch (error) {
           reject(error);
         }
       });
       if (this.#paused) body.pause();
-    }).finally(() => splitter.discard());
+    });
   }
 
   #handleEvent(data: string): void {
@@ -149,14 +159,31 @@
   #emit(event: StreamEvent): void {
     if (this.#ended) return;
     if (event.kind === "end" || event.kind === "failed") this.#end();
-    this.#call.sink(event);
+    try {
+      this.#call.sink(event);
+    } catch (error) {
+      this.#logFault(error);
+      this.#fail({ kind: "lost" });
+    }
+  }
+
+  #logFault(error: unknown): void {
+    const { observer = SILENT_OBSERVER } = this.#call;
+    logConnectionFault(observer, { error, thrownIn: "sink" }, {
+      call: "stream",
+      endpoint: this.#endpoint?.id,
+      phase: this.#ended ? "ended" : "body",
+    });
   }
 
   // After the end, nothing more is read from or sent on the connection.
   #end(): void {
     this.#ended = true;
     clearTimeout(this.#eventTimer);
+    this.#splitter.discard();
     this.#connection?.client.destroy().catch(() => {});
+    // The connection no longer knows of a body that has arrived whole and isn't read.
+    this.#body?.destroy();
   }
 }
 
--- a/packages/daemon/src/engines/attachment_test.ts
+++ b/packages/daemon/src/engines/attachment_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import {
   createServer,
@@ -6,7 +7,14 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import { asId, type EndpointId, type StreamEvent } from "@teaselvalve/core";
+import {
+  asId,
+  type EndpointId,
+  type LogEvent,
+  PROCESS_MEMORY,
+  SILENT_OBSERVER,
+  type StreamEvent,
+} from "@teaselvalve/core";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { deferred } from "../testing/deferred.ts";
 import { freePort } from "../testing/ports.ts";
@@ -172,3 +180,85 @@
   await expect.poll(() => events.length).toBeGreaterThan(3);
   attachment.detach();
 });
+
+// Nothing of the connection is left that could end the body.
+test("a paused stream whose answer has arrived whole gives its memory back when detached", async () => {
+  const usedBytes = PROCESS_MEMORY.usedBytes();
+  const incomplete = `data: ${"x".repeat(20_000)}`;
+  const body = `data: ${JSON.stringify(TOKENS)}\n\n${incomplete}`;
+  const received = deferred();
+  respond = (response) => {
+    response.writeHead(200, { "content-length": Buffer.byteLength(body) + 1 });
+    response.write(body);
+    setTimeout(() => response.end("x", received.resolve), 50);
+  };
+  const { attachment, events } = attach();
+  await expect.poll(() => events).toEqual([TOKENS]);
+  attachment.pause();
+  expect(PROCESS_MEMORY.usedBytes()).toBeGreaterThan(usedBytes);
+  await received.promise;
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  attachment.detach();
+  await expect.poll(() => PROCESS_MEMORY.usedBytes()).toBe(usedBytes);
+});
+
+test.each(
+  [
+    ["events", [TOKENS], ["tokens", "failed"], "body"],
+    ["the end", [END], ["end"], "ended"],
+  ] as const,
+)(
+  "an exception of the sink for %s ends its stream alone, and is logged",
+  async (_name, sent, kinds, phase) => {
+    respond = (response) => {
+      response.writeHead(200);
+      for (const event of sent) send(response, event);
+    };
+    const told: string[] = [];
+    const logged: LogEvent[] = [];
+    const attachment = new HttpAttachment({
+      method: "GET",
+      path: "/",
+      timeoutMs: 2_000,
+      observer: {
+        ...SILENT_OBSERVER,
+        log: (event) => void logged.push(event),
+      },
+      sink(event) {
+        told.push(event.kind);
+        throw new Error("broken sink");
+      },
+    });
+    await attachment.run({ id: asId<EndpointId>("decode-1"), address });
+    expect(told).toEqual(kinds);
+    expect(logged[0]).toMatchObject({
+      event: "connection-fault",
+      thrownIn: "sink",
+      call: "stream",
+      endpoint: "decode-1",
+      phase,
+    });
+  },
+);
+
+test("an exception of the sink for a timeout ends its stream alone", async () => {
+  respond = () => {};
+  const told: string[] = [];
+  const attachment = new HttpAttachment({
+    method: "GET",
+    path: "/",
+    timeoutMs: 50,
+    sink(event) {
+      told.push(event.kind);
+      throw new Error("broken sink");
+    },
+  });
+  await attachment.run({ id: asId<EndpointId>("decode-1"), address });
+  expect(told).toEqual(["failed"]);
+});
+
+test("a stream to an address that can't be read was not sent", async () => {
+  const { events, ended } = attach({ target: "no address" });
+  await ended;
+  expect(events).toEqual([{ kind: "failed", failure: { kind: "notSent" } }]);
+});
