Cut streams that are longer than their request can have

Cause: a stream was bounded by its deadline and in its single events, not as a whole.

Change: StreamBound counts what an endpoint sends in one send. PROTOCOL's X-Token-Count names the most tokens of an answer (`maxOutputTokens`). It says that an event may contain several tokens, and leaves open whether there are events without any, or comments; the bound takes the wide side of this.

Beyond it, the stream is cut and not sent again (`overrun`): what came is no beginning that another endpoint could continue. The caller's connection breaks, so the answer is told as incomplete; the send is `lost`, with a detail in its log line, and counts against the endpoint, which is ejected after some. `stream_overruns` counts it, by events and bytes. The endpoint isn't suspected of having crashed.

--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -25,6 +25,7 @@
   | "vm_states"
   | "orders"
   | "broken_streams"
+  | "stream_overruns"
   | "ejections"
   | "link_changes"
   | "listener_errors"
--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -360,7 +360,9 @@
   const { crashes } = context;
   if (outcome.isOk()) return endpoint.noteSuccess(tookMs);
   const isLinkLost = context.forwarding.isLost(endpoint.entry.service);
-  if (outcome.error.kind === "lost" && !isLinkLost) {
+  const { error } = outcome;
+  // An endpoint whose answer was cut hasn't crashed.
+  if (error.kind === "lost" && !error.isCut && !isLinkLost) {
     crashes.noteLost(request, endpoint.entry, { wasAnswering });
   }
   if (outcome.error.kind === "notSent" && outcome.error.refused) {
--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -33,7 +33,12 @@
   /** The address belongs to another endpoint, which did not run the request. */
   | { readonly kind: "misdirected" }
   /** The connection ended early, or the answer was malformed. */
-  | { readonly kind: "lost"; readonly detail: string }
+  | {
+    readonly kind: "lost";
+    readonly detail: string;
+    /** True if this VM ended an answer that went on for too long. */
+    readonly isCut?: boolean;
+  }
   | { readonly kind: "timeout" }
   /** The caller disconnected, or the router cancelled the send. */
   | { readonly kind: "aborted" };
--- a/packages/core/src/routing/stream_log.ts
+++ b/packages/core/src/routing/stream_log.ts
@@ -10,6 +10,7 @@
   | "quarantined"
   | "stopping"
   | "deadline-passed"
+  | "overrun"
   | "not-resumable"
   | "no-event-id"
   | "other-service"
--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -2,6 +2,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { EventSplitter } from "./event_splitter.ts";
 import type { AnswerHead, SendFailure } from "./port.ts";
+import { type Overrun, StreamBound } from "./stream_bound.ts";
+import type { PromptFields } from "./types.ts";
 
 const EVENT_STREAM = "text/event-stream";
 
@@ -19,6 +21,8 @@
   sink: AnswerSink;
   /** Id of the event after which the caller itself resumes the stream; null for a new one. */
   lastEventId: string | null;
+  /** What the request says of its prompt and answer; null if it has no prompt. */
+  prompt: PromptFields | null;
 }
 
 /** Receives the answer of one send. */
@@ -27,7 +31,10 @@
   onHead(head: AnswerHead): boolean;
   /** Receives bytes; returns false to pause the answer until `resume` is called. */
   onData(bytes: Uint8Array): boolean;
-  /** True once an event was too large to be passed on; the answer has failed then. */
+  /**
+   * True once an event was too large to be passed on, or the answer is longer than its
+   * request can have; the answer has failed then.
+   */
   readonly overflowed: boolean;
   /**
    * Checks the end of the answer; fails with `lost` if it ended inside an event, or
@@ -50,8 +57,11 @@
   #longestGapMs = 0;
   #events = 0;
   #canContinue = true;
+  #prompt: PromptFields | null;
+  #overrun: Overrun | null = null;
 
   constructor(options: StreamRelayOptions) {
+    this.#prompt = options.prompt;
     this.#sink = options.sink;
     this.#lastEventId = options.lastEventId;
   }
@@ -74,6 +84,11 @@
     return this.#canContinue;
   }
 
+  /** What an answer went beyond; no other answer may continue it then. Null if none has. */
+  get overrun(): Overrun | null {
+    return this.#overrun;
+  }
+
   /** When the first event was passed on, on the monotonic clock; NaN before that. */
   get firstEventAtMs(): number {
     return this.#firstEventAtMs;
@@ -96,24 +111,33 @@
    */
   listen({ resume }: { resume: () => void }): RelaySource {
     const splitter = new EventSplitter();
+    const bound = new StreamBound(this.#prompt);
     const eventsBefore = this.#events;
     let head: AnswerHead;
     return {
       get overflowed() {
-        return splitter.overflowed;
+        return splitter.overflowed || bound.overrun !== null;
       },
       onHead: (received) => {
         head = received;
         return this.#mayContinueWith(head);
       },
       onData: (bytes) => {
+        if (!bound.addBytes(bytes)) return this.#noteOverrun(bound);
         this.#begin(head);
-        if (this.#pass(bytes, splitter)) return true;
+        const writable = this.#pass(bytes, { splitter, bound });
+        if (bound.overrun !== null) return this.#noteOverrun(bound);
+        if (writable) return true;
         this.#sink.onDrain(resume);
         return false;
       },
       discard: () => splitter.discard(),
       finish: () => {
+        if (bound.overrun !== null) {
+          const detail =
+            `The stream has more ${bound.overrun} than its request can have`;
+          return err({ kind: "lost", detail, isCut: true });
+        }
         if (splitter.overflowed) {
           return err({ kind: "lost", detail: "An event is too large" });
         }
@@ -138,6 +162,12 @@
       head.status === this.#head.status;
   }
 
+  // The send is about to be cancelled.
+  #noteOverrun({ overrun }: StreamBound): true {
+    this.#overrun ??= overrun;
+    return true;
+  }
+
   #begin(head: AnswerHead): void {
     if (this.#head) return;
     this.#head = head;
@@ -145,7 +175,10 @@
     this.#sink.head(head);
   }
 
-  #pass(bytes: Uint8Array, splitter: EventSplitter): boolean {
+  #pass(
+    bytes: Uint8Array,
+    { splitter, bound }: { splitter: EventSplitter; bound: StreamBound },
+  ): boolean {
     if (!this.#passesEvents) {
       this.#canContinue = false;
       return this.#sink.write(bytes);
@@ -153,6 +186,7 @@
     let writable = true;
     const nowMs = performance.now();
     for (const event of splitter.push(bytes)) {
+      if (!bound.addEvent(event)) break;
       if (this.#events === 0) this.#firstEventAtMs = nowMs;
       else {
         const gapMs = nowMs - this.#lastEventAtMs;
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -107,7 +107,8 @@
     });
     this.#relay = new StreamRelay({
       sink: options.sink,
-      lastEventId: options.request.lastEventId,
+      lastEventId: request.lastEventId,
+      prompt: request.prompt,
     });
   }
 
@@ -315,6 +316,7 @@
     if (this.#clock.leftMs() <= 0) return "deadline-passed";
     if (this.#sends >= MAX_SENDS) return "sends-used";
     if (this.#runs === 0) return null;
+    if (this.#relay.overrun) return "overrun";
     if (!route.resumable) return "not-resumable";
     if (!this.#relay.canContinue) return "no-event-id";
     // Another VM may have had a newer routing table.
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -210,6 +210,9 @@
       ? listener.finish()
       : ended.andThen(() => listener.finish());
     listener.discard();
+    if (listener.overflowed && relay.overrun) {
+      this.#context.observer.count("stream_overruns", relay.overrun);
+    }
     if (this.#replaced) return err({ kind: "timeout" });
     if (rejectedStatus !== null) {
       const detail = `Status ${rejectedStatus} does not continue the stream`;
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -48,6 +48,8 @@
   store_returns:
     "Returns of the platform's store from an earlier copy, by what was done",
   broken_streams: "Answers cut after they had begun, by reason",
+  stream_overruns:
+    "Streams cut because they were longer than their request can have, by events or bytes",
 };
 
 const INTERFACE_GAUGES = {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,6 +5,7 @@
 const BUSY = [
   "platform/src/accepted_memory_test.ts",
   "platform/src/endless_pieces_test.ts",
+  "platform/src/endless_streams_test.ts",
   "platform/src/overload_test.ts",
   "platform/src/planned_stop_test.ts",
   "platform/src/reset_answers_test.ts",
