An exception within a send fails its request, not the VM

What callers would see: an exception of ours within a send of a call, a stream or a backup was a rejection that nobody awaited; it ended the VM, and its own request got no answer. The review came upon it with an engine's reservation id that can't be encoded. Sends now hand a rejection on to their request, which is answered with 500 (may have run); its other sends are cancelled.

--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -147,8 +147,15 @@
   // A silent endpoint is not given up for another one: the first answer counts, and
   // the sends that are still open then are cancelled.
   #sendWithHedge(endpoint: EndpointRecord): Promise<SendResult> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const open = new Set<AbortController>();
+      const abortOpen = () => {
+        for (const cancellation of open) cancellation.abort();
+      };
+      const fail = (error: unknown) => {
+        abortOpen();
+        reject(error);
+      };
       let best: SendResult | null = null;
       const start = async (
         endpoint: EndpointRecord,
@@ -160,7 +167,7 @@
           cancelled: cancellation.signal,
           onSilent: () => {
             const next = this.#takeHedge(open.size);
-            if (next) void start(next, { isHedge: true });
+            if (next) start(next, { isHedge: true }).catch(fail);
           },
         });
         open.delete(cancellation);
@@ -168,9 +175,9 @@
         best = best?.isOk() ? best : result;
         if (open.size > 0 && !isFinal(result)) return;
         resolve(isFinal(result) ? result : best);
-        for (const other of open) other.abort();
+        abortOpen();
       };
-      void start(endpoint);
+      start(endpoint).catch(fail);
     });
   }
 
