--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -147,15 +147,8 @@
   // A silent endpoint is not given up for another one: the first answer counts, and
   // the sends that are still open then are cancelled.
   #sendWithHedge(endpoint: EndpointRecord): Promise<SendResult> {
-    return new Promise((resolve, reject) => {
+    return new Promise((resolve) => {
       const open = new Set<AbortController>();
-      const abortOpen = () => {
-        for (const cancellation of open) cancellation.abort();
-      };
-      const fail = (error: unknown) => {
-        abortOpen();
-        reject(error);
-      };
       let best: SendResult | null = null;
       const start = async (
         endpoint: EndpointRecord,
@@ -167,7 +160,7 @@
           cancelled: cancellation.signal,
           onSilent: () => {
             const next = this.#takeHedge(open.size);
-            if (next) start(next, { isHedge: true }).catch(fail);
+            if (next) void start(next, { isHedge: true });
           },
         });
         open.delete(cancellation);
@@ -175,9 +168,9 @@
         best = best?.isOk() ? best : result;
         if (open.size > 0 && !isFinal(result)) return;
         resolve(isFinal(result) ? result : best);
-        abortOpen();
+        for (const other of open) other.abort();
       };
-      start(endpoint).catch(fail);
+      void start(endpoint);
     });
   }
 
