Exceptions within a send end its request, not the VM

A send of a stream or call, a hedge, a backup's preparation and the report of a silence ran as promises or timers that nobody waited for: an exception of our own code in any of them (passing an empty answer's head on, noting an outcome, taking a place) reached the process as an unhandled rejection or uncaught exception and ended the VM with every request in it.

They now end the request whose send it is: its other sends are aborted, and the interface answers 500 and logs request-error, as for any exception of a handler.

Evidence: two tests of calls, two of streams and one of SilenceWatch, red before, green now; 389 tests of packages/core/src/routing green (one run, load average 31).

--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -25,7 +25,7 @@
 import { soonestPermitMs } from "./queries/soonest_permit.ts";
 import { ReceivedBodies } from "./received_bodies.ts";
 import { RequestClock } from "./request_clock.ts";
-import { SilenceWatch } from "./silence_watch.ts";
+import { SilenceWatch, type SilenceWatchOptions } from "./silence_watch.ts";
 import { isRetryable, type Route, type RoutedRequest } from "./types.ts";
 import {
   provesNotRun,
@@ -58,6 +58,7 @@
 }
 
 type SendResult = Result<EndpointAnswer, SendFailure>;
+type SendHooks = Pick<SilenceWatchOptions, "onSilent" | "onFault">;
 
 /** Sends one call, with retries, until it has a verdict. */
 export class CallRun {
@@ -147,9 +148,13 @@
   // A silent endpoint is not given up for another one: the first answer counts, and
   // the sends that are still open then are cancelled.
   #sendWithHedge(endpoint: EndpointRecord): Promise<SendResult> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const open = new Set<AbortController>();
       let best: SendResult | null = null;
+      const fail = (error: unknown) => {
+        reject(error);
+        for (const send of open) send.abort();
+      };
       const start = async (
         endpoint: EndpointRecord,
         { isHedge = false } = {},
@@ -160,8 +165,9 @@
           cancelled: cancellation.signal,
           onSilent: () => {
             const next = this.#takeHedge(open.size);
-            if (next) void start(next, { isHedge: true });
+            if (next) start(next, { isHedge: true }).catch(fail);
           },
+          onFault: fail,
         });
         open.delete(cancellation);
         if (isHedge && isLimited(result)) this.#giveBackRetry();
@@ -170,7 +176,7 @@
         resolve(isFinal(result) ? result : best);
         for (const other of open) other.abort();
       };
-      void start(endpoint);
+      start(endpoint).catch(fail);
     });
   }
 
@@ -211,7 +217,7 @@
 
   async #send(
     endpoint: EndpointRecord,
-    { cancelled, onSilent }: { cancelled: AbortSignal; onSilent: () => void },
+    { cancelled, ...hooks }: SendHooks & { cancelled: AbortSignal },
   ): Promise<SendResult> {
     const { request, route, signal } = this.#options;
     this.#tried.add(endpoint.entry.id);
@@ -220,7 +226,7 @@
     const startedMs = performance.now();
     const leftMs = this.#clock.leftMs();
     endpoint.inFlight += 1;
-    const silence = this.#watchSilence(endpoint, onSilent);
+    const silence = this.#watchSilence(endpoint, hooks);
     const outcome = await this.#context.port.call(endpoint.entry, {
       request,
       timeLeftMs: this.#clock.callerTimeLeftMs(),
@@ -260,7 +266,7 @@
   }
 
   // The silence counts as a failure of the endpoint, which an answer undoes.
-  #watchSilence(endpoint: EndpointRecord, onSilent: () => void): SilenceWatch {
+  #watchSilence(endpoint: EndpointRecord, hooks: SendHooks): SilenceWatch {
     const { request, route } = this.#options;
     let noted = false;
     const watch = new SilenceWatch({
@@ -271,8 +277,9 @@
           noteOutcome(this.#context, { endpoint, request, outcome, tookMs: 0 });
         }
         noted = true;
-        onSilent();
+        hooks.onSilent();
       },
+      onFault: hooks.onFault,
     });
     if (isRetryable(route)) watch.start();
     return watch;
--- a/packages/core/src/routing/call_run_test.ts
+++ b/packages/core/src/routing/call_run_test.ts
@@ -87,6 +87,26 @@
   expect(verdict._unsafeUnwrapErr().kind).toBe("mayHaveRun");
 });
 
+test.each([0, 1])(
+  "An exception within send %i of a call ends this call alone, and its other sends",
+  async (broken) => {
+    let sends = 0;
+    const aborted: boolean[] = [];
+    const port = new FakeEndpoints({
+      call: (_entry, { signal }) => {
+        const send = sends++;
+        if (send === broken) return Promise.reject(new Error("broken port"));
+        signal.addEventListener("abort", () => void aborted.push(true));
+        return new Promise(() => {});
+      },
+    });
+    const ended = expect(run(port)).rejects.toThrow("broken port");
+    await vi.advanceTimersByTimeAsync(30_000);
+    await ended;
+    expect(aborted).toHaveLength(broken);
+  },
+);
+
 test("No more endpoints run a call than the route allows", async () => {
   const port = failing(LOST, LOST, LOST);
   expect((await run(port, { route: { maxAttempts: 2 } })).isErr()).toBe(true);
--- a/packages/core/src/routing/send_race.ts
+++ b/packages/core/src/routing/send_race.ts
@@ -34,15 +34,20 @@
   #reserving: AbortController | null = null;
   #lastFailure: SendResult = err({ kind: "notSent" });
   #resolve: (result: SendResult) => void = () => {};
+  #reject: (error: unknown) => void = () => {};
 
   constructor(options: SendRaceOptions) {
     this.#options = options;
   }
 
-  /** Resolves with the completed send, or with the last failure once no send is open. */
+  /**
+   * Resolves with the completed send, or with the last failure once no send is open;
+   * rejects with an exception within a send, whose others are closed.
+   */
   run(reservation: DecodeReservation): Promise<SendResult> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       this.#resolve = resolve;
+      this.#reject = reject;
       this.#start(reservation, { isBackup: false });
     });
   }
@@ -57,10 +62,20 @@
       isBackup,
       signal: AbortSignal.any(signals),
       onProgress: () => this.#closeOthers(send),
-      onSilent: () => void this.#backUp(send),
+      onSilent: () => {
+        this.#backUp(send).catch((error) => this.#fail(error));
+      },
+      onFault: (error) => this.#fail(error),
     });
     this.#open.set(send, cancellation);
-    void send.run().then((result) => this.#end(send, result));
+    send.run().then((result) => this.#end(send, result))
+      .catch((error) => this.#fail(error));
+  }
+
+  #fail(error: unknown): void {
+    this.#reject(error);
+    this.#reserving?.abort();
+    for (const cancellation of this.#open.values()) cancellation.abort();
   }
 
   #end(send: StreamSend, result: SendResult): void {
--- a/packages/core/src/routing/silence_watch.ts
+++ b/packages/core/src/routing/silence_watch.ts
@@ -8,6 +8,8 @@
   /** Silence after which the first report is made. */
   limitMs: number;
   onSilent: () => void;
+  /** Called with an exception of `onSilent`, which would end the process. */
+  onFault: (error: unknown) => void;
 }
 
 /** A timer that arrivals restart. It does nothing until {@link start}. */
@@ -50,7 +52,11 @@
     this.#timer = setTimeout(() => {
       this.#immediate = setImmediate(() => {
         this.#wait(REPEAT_MS);
-        this.#options.onSilent();
+        try {
+          this.#options.onSilent();
+        } catch (error) {
+          this.#options.onFault(error);
+        }
       });
     }, delayMs);
   }
--- a/packages/core/src/routing/silence_watch_test.ts
+++ b/packages/core/src/routing/silence_watch_test.ts
@@ -8,7 +8,9 @@
 
 function createWatch() {
   const onSilent = vi.fn();
-  return { watch: new SilenceWatch({ limitMs: LIMIT_MS, onSilent }), onSilent };
+  const onFault = vi.fn();
+  const watch = new SilenceWatch({ limitMs: LIMIT_MS, onSilent, onFault });
+  return { watch, onSilent, onFault };
 }
 
 test("A silence is reported after its limit and then repeatedly, until the next arrival", async () => {
@@ -43,3 +45,15 @@
   await vi.advanceTimersByTimeAsync(2 * LIMIT_MS);
   expect(onSilent).not.toHaveBeenCalled();
 });
+
+test("An exception of a report is told, and ends no process", async () => {
+  const { watch, onSilent, onFault } = createWatch();
+  const error = new Error("broken report");
+  onSilent.mockImplementation(() => {
+    throw error;
+  });
+  watch.start();
+  await vi.advanceTimersByTimeAsync(2 * LIMIT_MS);
+  watch.end();
+  expect(onFault).toHaveBeenCalledWith(error);
+});
--- a/packages/core/src/routing/stream_backup_test.ts
+++ b/packages/core/src/routing/stream_backup_test.ts
@@ -77,6 +77,37 @@
   send.listener.onData(event(id));
 }
 
+test("An exception while an empty answer is passed on ends its stream alone", async () => {
+  const port = scripted([() => Promise.resolve("ok")]);
+  const { ended } = startStream(share(port), {
+    sink: {
+      head: () => {
+        throw new Error("broken sink");
+      },
+    },
+  });
+  const rejected = expect(ended).rejects.toThrow("broken sink");
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS + 1_000);
+  await rejected;
+});
+
+test("An exception while a backup is prepared ends its stream alone, and its sends", async () => {
+  const signals: AbortSignal[] = [];
+  const port = scripted([(send) => {
+    signals.push(send.signal);
+    deliver(send, 1);
+    return never();
+  }]);
+  const streams = share(port);
+  const { ended } = startStream(streams);
+  const rejected = expect(ended).rejects.toThrow("broken queue");
+  await vi.advanceTimersByTimeAsync(100);
+  streams.queue.enqueue = () => Promise.reject(new Error("broken queue"));
+  await vi.advanceTimersByTimeAsync(DEADLINE_MS + 1_000);
+  await rejected;
+  expect(signals.map(({ aborted }) => aborted)).toEqual([true]);
+});
+
 const never = () => new Promise<"ok">(() => {});
 
 test("No event is sent twice when the backup of a silent backup delivers before the first endpoint goes on", async () => {
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -43,6 +43,8 @@
   signal: AbortSignal;
   /** Called while a resumable stream receives nothing, after a silence and then repeatedly. */
   onSilent: () => void;
+  /** Called with an exception of `onSilent`. */
+  onFault: (error: unknown) => void;
   /** Called for each part of the body that arrives, before it is passed on. */
   onProgress: () => void;
 }
@@ -257,13 +259,14 @@
   // While the caller doesn't read, nothing is expected from the endpoint either:
   // the watch is stopped until the caller can be written to again.
   #watchSilence(): SilenceWatch {
-    const { route, onSilent } = this.#options;
+    const { route, onSilent, onFault } = this.#options;
     const watch = new SilenceWatch({
       limitMs: Math.max(
         MIN_SILENCE_MS,
         SILENCE_GAPS * (route.maxEventGapMs ?? 0),
       ),
       onSilent,
+      onFault,
     });
     if (route.resumable) watch.start();
     return watch;
--- a/packages/core/src/routing/testing/streams.ts
+++ b/packages/core/src/routing/testing/streams.ts
@@ -119,7 +119,9 @@
     },
     signal: caller.signal,
   }).run();
-  void ended.then(() => (times.endedAfterMs = performance.now() - startedMs));
+  // Tests look at `ended` itself.
+  ended.then(() => (times.endedAfterMs = performance.now() - startedMs))
+    .catch(() => {});
   return { ended, out, caller, times };
 }
 
