An exception of onFailure for an address that can't be read ends its exchange alone

The failure is told from a microtask, where an exception of the listener ended the process. It is now told to onFault, as that of any other callback.

Evidence: exchange_faults_test.ts, red before, green now.

--- a/packages/daemon/src/gateway/exchange_faults_test.ts
+++ b/packages/daemon/src/gateway/exchange_faults_test.ts
@@ -103,6 +103,14 @@
   expect(told.ends).toEqual(["lost"]);
 });
 
+test("an exception of a listener's onFailure for an address that can't be read ends nothing else", async () => {
+  address = "no address";
+  const { told } = open({ onFailure: throwError });
+  await expect.poll(() => told.faults.length).toBe(1);
+  expect(told.faults[0]).toMatchObject({ thrownIn: "onFailure" });
+  expect(told.ends).toEqual(["notSent"]);
+});
+
 const BODY = "x".repeat(LARGE_BYTES);
 const ANSWERS: Record<string, { text: string; end: "end" | "lost" }> = {
   "complete with a length": {
--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -90,7 +90,14 @@
   // undici throws on an invalid address, which a faulty directory entry may have.
   if (!URL.canParse(originOf(request))) {
     const failure = { kind: "notSent", detail: "invalid address" } as const;
-    queueMicrotask(() => listener.onFailure(failure));
+    queueMicrotask(() => {
+      try {
+        listener.onFailure(failure);
+      } catch (error) {
+        const thrownIn = "onFailure";
+        listener.onFault?.({ error, thrownIn, phase: "ended" });
+      }
+    });
     return { resume() {}, abort() {} };
   }
   return new SingleUseExchange(request, listener);
