An exception while an endpoint's answer is parsed makes the answer lost

Prefills, reservations and reports passed the exception of a parse function on as a rejected promise, to callers that expect a result (the queue for places, the watch of orders), some of which nobody waits for. It is now logged as connection-fault, and the answer counts as unreadable.

Evidence: endpoint_port_test.ts, red before, green now.

--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -248,10 +248,20 @@
     const fields = this.#protocol.readAnswerHeaders(status, headers);
     if (fields.misdirected) return err({ kind: "misdirected" });
     if (status !== SUCCESS) return err({ kind: "notExecuted", status });
-    const parsed = read(body.toString());
-    return parsed
-      ? ok(parsed)
-      : err({ kind: "lost", detail: `Unreadable ${description}` });
+    const unreadable = {
+      kind: "lost",
+      detail: `Unreadable ${description}`,
+    } as const;
+    try {
+      const parsed = read(body.toString());
+      return parsed ? ok(parsed) : err(unreadable);
+    } catch (error) {
+      logConnectionFault(this.#observer, { error, thrownIn: "parse" }, {
+        call: description,
+        phase: "ended",
+      });
+      return err(unreadable);
+    }
   }
 
   #send(
--- a/packages/daemon/src/gateway/endpoint_port_test.ts
+++ b/packages/daemon/src/gateway/endpoint_port_test.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server, type Socket } from "node:net";
-import { SILENT_OBSERVER, wait } from "@teaselvalve/core";
+import { type LogEvent, SILENT_OBSERVER, wait } from "@teaselvalve/core";
 import type { EndpointEntry } from "@teaselvalve/core/routing";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { listenAsEndpoint } from "../testing/endpoint_server.ts";
@@ -13,14 +13,16 @@
 let server: Server;
 let endpoint: EndpointEntry;
 let sockets: Socket[];
+let answer: string;
 
 beforeEach(async () => {
   sockets = [];
+  answer = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{";
   server = createServer((socket) => {
     sockets.push(socket);
     socket.on("error", () => {});
     socket.once("data", () => {
-      socket.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{");
+      socket.write(answer);
     });
   });
   endpoint = await listenAsEndpoint(server);
@@ -40,6 +42,9 @@
     isStamped: true,
   }),
   reserveCall: () => ({ method: "POST", path: "/reserve" }),
+  readReport: () => {
+    throw new Error("broken parser");
+  },
   reportCall: () => ({ method: "GET", path: "/report" }),
 } as unknown as EndpointProtocol;
 
@@ -70,3 +75,17 @@
   });
   expect(await outcomeOf(call)).toBe("failed");
 });
+
+test("An exception while an answer is parsed makes this answer lost, and is logged", async () => {
+  answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  const logged: LogEvent[] = [];
+  const port = createRoutedEndpointPort({
+    protocol: PROTOCOL,
+    observer: { ...SILENT_OBSERVER, log: (event) => void logged.push(event) },
+  });
+  const report = await port.report(endpoint, { timeoutMs: LIMIT_MS });
+  expect(report._unsafeUnwrapErr()).toMatchObject({ kind: "lost" });
+  expect(logged).toMatchObject([
+    { event: "connection-fault", thrownIn: "parse", call: "report" },
+  ]);
+});
