--- a/packages/daemon/src/gateway/endpoint_port_test.ts
+++ b/packages/daemon/src/gateway/endpoint_port_test.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type Socket } from "node:net";
-import { type LogEvent, SILENT_OBSERVER, wait } from "@teaselvalve/core";
-import type { EndpointEntry } from "@teaselvalve/core/routing";
+import { asId, type LogEvent, SILENT_OBSERVER, wait } from "@teaselvalve/core";
+import type { EndpointEntry, StageOrder } from "@teaselvalve/core/routing";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { listenAsEndpoint } from "../testing/endpoint_server.ts";
 import { createRoutedEndpointPort } from "./endpoint_port.ts";
@@ -45,6 +45,10 @@
   readReport: () => {
     throw new Error("broken parser");
   },
+  linkCheckCall: () => ({ method: "GET", path: "/health" }),
+  orderCall: () => ({ method: "POST", path: "/order" }),
+  readOrderStatus: () => "accepted",
+  releaseCall: () => ({ method: "DELETE", path: "/reserve" }),
   reportCall: () => ({ method: "GET", path: "/report" }),
 } as unknown as EndpointProtocol;
 
@@ -89,3 +93,34 @@
     { event: "connection-fault", thrownIn: "parse", call: "report" },
   ]);
 });
+
+test.each([
+  ["reset before its head", ""],
+  ["reset in its body", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"],
+])(
+  "A check, an order and a release whose answer is %s have failed, and end nothing else",
+  async (_name, text) => {
+    server.removeAllListeners("connection");
+    server.on("connection", (socket) => {
+      sockets.push(socket);
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.write(text);
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      });
+    });
+    const logged: LogEvent[] = [];
+    const port = createRoutedEndpointPort({
+      protocol: PROTOCOL,
+      observer: { ...SILENT_OBSERVER, log: (event) => void logged.push(event) },
+    });
+    const limits = { timeoutMs: WAIT_MS };
+    const check = { healthPath: "/health", ...limits };
+    expect(await port.checkLink(endpoint, check)).toBe(false);
+    expect(await port.orderStage(endpoint, limits as StageOrder)).toBe("lost");
+    port.releaseReservation(endpoint, asId("r-1"));
+    await expect.poll(() => logged).toMatchObject([
+      { event: "give-back-failed", reason: "lost" },
+    ]);
+  },
+);
