--- a/packages/daemon/src/testing/answers/answer_script.ts
+++ b/packages/daemon/src/testing/answers/answer_script.ts
@@ -79,7 +79,7 @@
       { maxLength: 8 },
     ),
     tinyPieces: fc.oneof(
-      { weight: 20, arbitrary: fc.constant(0) },
+      { weight: 9, arbitrary: fc.constant(0) },
       // More than a client reads in a turn.
       { weight: 1, arbitrary: fc.integer({ min: 10_000, max: 12_000 }) },
     ),
