--- a/packages/core/src/routing/stream_overrun_test.ts
+++ b/packages/core/src/routing/stream_overrun_test.ts
@@ -1,8 +1,9 @@
 // Guards against streams that go on without end because their endpoint does.
 import { Buffer } from "node:buffer";
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import type { CounterName } from "../common/observe.ts";
+import type { ForwardRequest } from "./links/forwarder.ts";
 import type { StreamListener } from "./port.ts";
 import { event, EVENT_HEAD, FakeEndpoints } from "./testing/fake_endpoints.ts";
 import {
@@ -174,3 +175,35 @@
   expect(await ended).toMatchObject({ kind: "broken" });
   expect(deliveredBytes).toBeLessThan(100_000_000);
 });
+
+test("A stream without end that another VM passes on is cut too", async () => {
+  const shared = shareEngines(new FakeEndpoints());
+  let delivered = 0;
+  const forwarding = {
+    isLost: () => true,
+    settled: () => Promise.resolve(),
+    send: ({ listener, onStream }: ForwardRequest) => {
+      let isAborted = false;
+      onStream?.({
+        ended: new Promise(() => {}),
+        resume() {},
+        abort: () => void (isAborted = true),
+      });
+      listener.onHead(EVENT_HEAD);
+      while (!isAborted && delivered < ENDLESS) {
+        delivered += 1;
+        listener.onData(event(delivered));
+      }
+      return Promise.resolve(err({ kind: "aborted" } as const));
+    },
+  };
+  Object.assign(shared.context, { forwarding });
+  const { ended, out } = startStream(
+    shared,
+    { request: { prompt: { ...PROMPT, maxOutputTokens: MAX_TOKENS } } },
+  );
+  await vi.advanceTimersByTimeAsync(13_000);
+  expect(await ended).toMatchObject({ kind: "broken" });
+  expect(eventsOf(out).length).toBeLessThan(1_000);
+  expect(delivered).toBeLessThan(1_000);
+});
