A reader isn't asked about the empty piece that follows each pause

What callers saw: a reader that has no room yet refused the empty piece that the parser flushes when it goes on, and the end that had been due was withheld until it asked again; one that had asked already never did.

--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -225,8 +225,9 @@
     if (reads === false) this.#pause("paused by reader");
   }
 
+  // The parser flushes an empty piece after each pause.
   #onData(bytes: Buffer): void {
-    if (this.#settled) return;
+    if (this.#settled || bytes.length === 0) return;
     this.#bodyBytes += bytes.length;
     this.#piecesInTurn += 1;
     if (!this.#listener.onData(bytes)) this.#pause("paused by reader");
