An end at V8's heap limit can be told from a kill

What operators saw: a VM's log that stops, without a line that says why. Cause: memory-high is checked twice a second, and a heap fills up faster; a full heap also brings the process near its limit, and the warning of that came last.

The memory is now checked after each major garbage collection as well, of which V8 does several before it gives up, and memory-high names the limit that is nearer. A heap that one turn of the event loop fills leaves V8's line only.

--- a/packages/daemon/src/observe/memory.ts
+++ b/packages/daemon/src/observe/memory.ts
@@ -1,4 +1,5 @@
 /** Memory of the process, and warnings before it reaches its limits. */
+import { constants, PerformanceObserver } from "node:perf_hooks";
 import process from "node:process";
 import { getHeapStatistics } from "node:v8";
 import type { LogValue, Observer } from "@teaselvalve/core";
@@ -56,6 +57,9 @@
 export class MemoryWatch {
   #options: MemoryWatchOptions;
   #timer: ReturnType<typeof setInterval> | undefined;
+  #collections = new PerformanceObserver((list) => {
+    if (list.getEntries().some(isMajorCollection)) this.check();
+  });
   #warnedBytes = { process: 0, heap: 0 };
   #warnedAtMs = { process: -Infinity, heap: -Infinity };
 
@@ -63,22 +67,30 @@
     this.#options = options;
   }
 
+  // The heap may fill up between two checks. V8 collects its garbage several times
+  // before it gives up.
   start(): void {
+    this.#collections.observe({ entryTypes: ["gc"] });
     this.#timer = setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
   }
 
   stop(): void {
     clearInterval(this.#timer);
+    this.#collections.disconnect();
   }
 
-  /** Compares the memory with its limits once. */
+  /**
+   * Compares the memory with the limit that it is nearest to, once. A full heap brings
+   * the process near its limit as well, and the last warning has to name the cause.
+   */
   check(): void {
     const { limits } = this.#options;
-    const heap = getHeapStatistics();
-    this.#compare("heap", heap.used_heap_size, limits.heap);
-    if (limits.process === null) return;
-    const rss = residentBytes();
-    if (rss !== null) this.#compare("process", rss, limits.process);
+    const heapBytes = getHeapStatistics().used_heap_size;
+    const processBytes = limits.process === null ? null : residentBytes();
+    const isHeapNearer = processBytes === null ||
+      heapBytes / limits.heap >= processBytes / limits.process!;
+    if (isHeapNearer) this.#compare("heap", heapBytes, limits.heap);
+    else this.#compare("process", processBytes, limits.process!);
   }
 
   #compare(
@@ -110,6 +122,12 @@
   }
 }
 
+// Node's types don't know the details of an entry.
+function isMajorCollection(entry: object): boolean {
+  const { detail } = entry as { detail: { kind: number } };
+  return detail.kind === constants.NODE_PERFORMANCE_GC_MAJOR;
+}
+
 /** Returns the resident memory of the process; null if it can't be read. */
 export function residentBytes(): number | null {
   try {
