Tests: endless answers to all calls of a VM at once

Each asks for no ended process, less than 200 MB, and an answer to each request; only streams may be cut.

Not played: orders, link checks, and a VM that is a member and answers hand-overs without end (an endpoint without end behind one is, in forwarding_test.ts).

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,6 +4,7 @@
 /** Tests that keep many cores busy, and would delay all others. */
 const BUSY = [
   "platform/src/accepted_memory_test.ts",
+  "platform/src/endless_answers_test.ts",
   "platform/src/endless_pieces_test.ts",
   "platform/src/endless_streams_test.ts",
   "platform/src/overload_test.ts",
