A complete answer isn't lost to a reader that pauses again while its end is told

An answer without a length, complete by its connection's end, was lost by "assert(!this.paused)" if its reader paused three times in a row at its end. Cause: when the parser goes on after a pause, it asks the connection for more before it handles what it was paused in, tells an empty piece for it, and may be paused by that: the end, promised by then, reached it paused. A reader that paused at each piece would also have gone on so without end.

The connection now tells the end only once the parser, told that there may be data, asks for more, which it doesn't while paused; and exchanges don't pass empty pieces on.

--- a/packages/daemon/src/gateway/exchange_faults_test.ts
+++ b/packages/daemon/src/gateway/exchange_faults_test.ts
@@ -183,3 +183,22 @@
     expect(told.bytes).toBe(LARGE_BYTES);
   },
 );
+
+test.each(["end", "lost"] as const)(
+  "an answer without a length whose reader pauses at each piece is read to its true end (%s)",
+  async (end) => {
+    respond = (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\nx");
+      if (end === "end") socket.end();
+      else setTimeout(() => socket.resetAndDestroy(), SETTLE_MS / 2);
+    };
+    const { told, exchange } = open({
+      onData: () => {
+        setTimeout(() => exchange.resume(), SETTLE_MS);
+        return false;
+      },
+    });
+    await expect.poll(() => told.ends).toEqual([end]);
+    expect(told).toMatchObject({ bytes: 1, faults: [] });
+  },
+);
--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -226,7 +226,8 @@
   }
 
   #onData(bytes: Buffer): void {
-    if (this.#settled) return;
+    // After a pause, the parser tells an empty piece, which may not pause it again.
+    if (this.#settled || bytes.length === 0) return;
     this.#bodyBytes += bytes.length;
     this.#piecesInTurn += 1;
     if (!this.#listener.onData(bytes)) this.#pause("paused by reader");
--- a/packages/daemon/src/http/client_connection.ts
+++ b/packages/daemon/src/http/client_connection.ts
@@ -69,6 +69,8 @@
   /** How the socket ended; `error` is null after a regular close of the peer. */
   #ending: { readonly error: Error | null } | undefined;
   #isEndTold = false;
+  /** Whether the parser has asked for more since it was told of data; null if it wasn't. */
+  #hasAsked: boolean | null = null;
   #hasFault = false;
 
   constructor(onFault: (fault: ThrownError) => void) {
@@ -113,14 +115,14 @@
   }
 
   // The parser calls it only while it isn't paused, and finds nothing when it has
-  // handled all that came before the end.
+  // handled all that came before the end, unless it goes on after a pause: then it has
+  // yet to handle what it was paused in, and may be paused again.
   override read(size?: number): unknown {
     const bytes = super.read(size);
-    if (bytes === null && this.#ending && !this.#isEndTold) {
-      this.#isEndTold = true;
-      process.nextTick(() => this.#tellEnd());
-    }
-    return bytes;
+    if (bytes !== null || !this.#ending || this.#isEndTold) return bytes;
+    if (this.#hasAsked === null) process.nextTick(() => this.#tellEnd());
+    else this.#hasAsked = true;
+    return null;
   }
 
   // Streams emit their events from ticks of their own, where an exception of a
@@ -194,8 +196,14 @@
     this.emit("readable");
   }
 
+  // A parser that is paused doesn't ask for more, but does so when it goes on.
   #tellEnd(): void {
-    if (this.destroyed) return;
+    if (this.destroyed || this.#isEndTold) return;
+    this.#hasAsked = false;
+    this.emit("readable");
+    this.#isEndTold = this.#hasAsked;
+    this.#hasAsked = null;
+    if (!this.#isEndTold) return;
     const { error } = this.#ending!;
     if (error) this.destroy(error);
     else this.push(null);
