--- a/packages/daemon/src/http/client_connection.ts
+++ b/packages/daemon/src/http/client_connection.ts
@@ -120,7 +120,8 @@
   }
 
   // The parser calls it only while it isn't paused, and finds nothing when it has
-  // handled all that came before the end.
+  // handled all that came before the end, unless it goes on after a pause: then it has
+  // yet to handle what it was paused in, and may be paused again.
   override read(size?: number): unknown {
     const bytes = super.read(size);
     if (bytes === null && this.#ending && !this.#isEndDue) {
@@ -213,6 +214,7 @@
     this.emit("readable");
   }
 
+  // A parser that is paused doesn't ask for more, but does so when it goes on.
   #tellEnd(): void {
     if (this.destroyed || !this.#isEndDue) return;
     const { error } = this.#ending!;
