A stream that another VM cut as too long isn't continued

Cause: an overrun is known only to the VM that counts first. A stream that breaks off near its bounds isn't continued now, whoever cut it.

Evidence: the new case of stream_overrun_test.ts, red without the change and green with it.

--- a/packages/core/src/routing/stream_bound.ts
+++ b/packages/core/src/routing/stream_bound.ts
@@ -13,6 +13,12 @@
 /** Bytes of a stream whose request doesn't say how many tokens it wants. */
 const UNKNOWN_LIMIT_BYTES = 64 * MAX_EVENT_BYTES;
 const MS_PER_S = 1_000;
+/**
+ * A stream that breaks off so near its bounds may have been cut by a VM that it was sent
+ * on to, which began to count later.
+ */
+const MARGIN_EVENTS = EXTRA_EVENTS_PER_S;
+const MARGIN_BYTES = 128 * 1_024;
 const DATA = "data";
 const DATA_LINE = `\n${DATA}`;
 
@@ -27,6 +33,7 @@
   #events = 0;
   #bytes = 0;
   #overrun: Overrun | null = null;
+  #isUsedUp = false;
 
   /** Without a number of tokens, only bytes are bounded. */
   constructor(prompt: PromptFields | null) {
@@ -41,10 +48,16 @@
     return this.#overrun;
   }
 
+  /** Whether the stream came so near to its bounds that it is not to be continued. */
+  get isUsedUp(): boolean {
+    return this.#isUsedUp;
+  }
+
   /** Adds bytes that arrived; returns false if the stream is beyond its bounds. */
   addBytes({ length }: Uint8Array): boolean {
     this.#bytes += length;
     if (this.#bytes > this.#limitBytes) this.#overrun ??= "bytes";
+    if (this.#bytes + MARGIN_BYTES > this.#limitBytes) this.#isUsedUp = true;
     return this.#overrun === null;
   }
 
@@ -52,7 +65,9 @@
   addEvent({ bytes }: RawEvent): boolean {
     if (this.#maxTokens > 0 && hasData(bytes)) {
       this.#events += 1;
-      if (this.#events > this.#limitEvents()) this.#overrun ??= "events";
+      const limitEvents = this.#limitEvents();
+      if (this.#events > limitEvents) this.#overrun ??= "events";
+      if (this.#events + MARGIN_EVENTS > limitEvents) this.#isUsedUp = true;
     }
     return this.#overrun === null;
   }
--- a/packages/core/src/routing/stream_overrun_test.ts
+++ b/packages/core/src/routing/stream_overrun_test.ts
@@ -207,3 +207,34 @@
   expect(eventsOf(out).length).toBeLessThan(1_000);
   expect(delivered).toBeLessThan(1_000);
 });
+
+test("A stream that the VM it was sent on to cut as too long isn't continued, and is told as incomplete", async () => {
+  const shared = shareEngines(new FakeEndpoints());
+  let sends = 0;
+  const forwarding = {
+    isLost: () => true,
+    settled: () => Promise.resolve(),
+    send: ({ listener, onStream }: ForwardRequest) => {
+      sends += 1;
+      onStream?.({ ended: new Promise(() => {}), resume() {}, abort() {} });
+      listener.onHead(EVENT_HEAD);
+      const count = sends === 1 ? 2 * MAX_TOKENS + 64 : 0;
+      for (let index = 1; index <= count; index += 1) {
+        listener.onData(event(index));
+      }
+      return Promise.resolve(
+        count > 0
+          ? err({ kind: "lost", detail: "other side closed" } as const)
+          : ok(undefined),
+      );
+    },
+  };
+  Object.assign(shared.context, { forwarding });
+  const { ended } = startStream(
+    shared,
+    { request: { prompt: { ...PROMPT, maxOutputTokens: MAX_TOKENS } } },
+  );
+  await vi.advanceTimersByTimeAsync(13_000);
+  expect(await ended).toMatchObject({ kind: "broken" });
+  expect(sends).toBe(1);
+});
--- a/packages/core/src/routing/stream_relay.ts
+++ b/packages/core/src/routing/stream_relay.ts
@@ -59,6 +59,7 @@
   #canContinue = true;
   #prompt: PromptFields | null;
   #overrun: Overrun | null = null;
+  #isUsedUp = false;
 
   constructor(options: StreamRelayOptions) {
     this.#prompt = options.prompt;
@@ -84,11 +85,16 @@
     return this.#canContinue;
   }
 
-  /** What an answer went beyond; no other answer may continue it then. Null if none has. */
+  /** What an answer went beyond; null if none has. */
   get overrun(): Overrun | null {
     return this.#overrun;
   }
 
+  /** Whether an answer had all that its request can have; no other may continue it then. */
+  get isUsedUp(): boolean {
+    return this.#isUsedUp;
+  }
+
   /** When the first event was passed on, on the monotonic clock; NaN before that. */
   get firstEventAtMs(): number {
     return this.#firstEventAtMs;
@@ -126,6 +132,7 @@
         if (!bound.addBytes(bytes)) return this.#noteOverrun(bound);
         this.#begin(head);
         const writable = this.#pass(bytes, { splitter, bound });
+        if (bound.isUsedUp) this.#isUsedUp = true;
         if (bound.overrun !== null) return this.#noteOverrun(bound);
         if (writable) return true;
         this.#sink.onDrain(resume);
@@ -165,6 +172,7 @@
   // The send is about to be cancelled.
   #noteOverrun({ overrun }: StreamBound): true {
     this.#overrun ??= overrun;
+    this.#isUsedUp = true;
     return true;
   }
 
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -316,7 +316,7 @@
     if (this.#clock.leftMs() <= 0) return "deadline-passed";
     if (this.#sends >= MAX_SENDS) return "sends-used";
     if (this.#runs === 0) return null;
-    if (this.#relay.overrun) return "overrun";
+    if (this.#relay.isUsedUp) return "overrun";
     if (!route.resumable) return "not-resumable";
     if (!this.#relay.canContinue) return "no-event-id";
     // Another VM may have had a newer routing table.
