Connections are read more slowly while memory is short

Cause, suspected: what is read, also to be dropped, waits for a garbage collection, whose threads get little time on a busy machine. While less than half of the budget is left, a connection now pauses for 10 ms after each read of 64 KiB.

--- a/packages/core/src/common/memory_budget.ts
+++ b/packages/core/src/common/memory_budget.ts
@@ -12,6 +12,8 @@
 const MAX_WAITING_BODIES = 64;
 /** Share of the limit that can be used, however much the process takes beside it. */
 const MIN_SHARE = 0.25;
+/** Share of the limit below which memory is short. */
+const SHORT_SHARE = 0.5;
 
 /**
  * What memory is reserved for: `head` are heads that haven't arrived completely, and
@@ -111,6 +113,11 @@
     );
   }
 
+  /** Whether the process takes so much beside that only a part of the limit is left. */
+  get isShort(): boolean {
+    return this.limitBytes < SHORT_SHARE * this.#limitBytes;
+  }
+
   /** Memory that is reserved for a use, or for all of them, in bytes. */
   usedBytes(use?: MemoryUse): number {
     return use ? this.#usedBy.get(use) ?? 0 : this.#usedBytes;
--- a/packages/core/src/common/memory_budget_test.ts
+++ b/packages/core/src/common/memory_budget_test.ts
@@ -116,6 +116,10 @@
   beside.bytes = 2_500_000;
   vi.advanceTimersByTime(20);
   expect(memory.limitBytes).toBe(500_000);
+  beside.bytes = 2_600_000;
+  vi.advanceTimersByTime(20);
+  expect(memory.isShort).toBe(true);
+  beside.bytes = 2_500_000;
   memory.reserve("body", 100_000);
   expect(memory.reserve("body", 200_000)).toBeNull();
   const waiting = waitFor(memory, 200_000);
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -14,6 +14,8 @@
 const MAX_SLICES_PER_TURN = 64;
 /** Bytes of a read after which other connections have their turn. */
 const LARGE_READ_BYTES = 64 * 1_024;
+/** How long a connection isn't read after such a read while memory is short. */
+const SHORT_PAUSE_MS = 10;
 /** Bytes behind a request in progress that are read, so that a close is noticed. */
 const MAX_BYTES_BEHIND = 4 * 1_024;
 /**
@@ -290,11 +292,13 @@
   #giveTurn(): void {
     this.#hasReadEnough = true;
     this.#pause();
-    setImmediate(() => {
+    const readOn = () => {
       this.#hasReadEnough = false;
       if (this.destroyed) this.#socket.resume();
       else this.#readOn();
-    });
+    };
+    if (this.#options.memory.isShort) setTimeout(readOn, SHORT_PAUSE_MS);
+    else setImmediate(readOn);
   }
 
   // No more can be sent, so that a request would be run without an answer.
