--- a/packages/core/src/common/memory_budget.ts
+++ b/packages/core/src/common/memory_budget.ts
@@ -14,6 +14,8 @@
 const MIN_SHARE = 0.25;
 /** How often the process is measured while messages wait. */
 const ROOM_CHECK_MS = 50;
+/** Share of the limit below which memory is short. */
+const SHORT_SHARE = 0.5;
 
 /**
  * What memory is reserved for: `head` are heads that haven't arrived completely, and
@@ -114,6 +116,11 @@
     );
   }
 
+  /** Whether the process takes so much beside that only a part of the limit is left. */
+  get isShort(): boolean {
+    return this.limitBytes < SHORT_SHARE * this.#limitBytes;
+  }
+
   /** Memory that is reserved for a use, or for all of them, in bytes. */
   usedBytes(use?: MemoryUse): number {
     return use ? this.#usedBy.get(use) ?? 0 : this.#usedBytes;
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,6 +7,7 @@
   "platform/src/endless_answers_test.ts",
   "platform/src/endless_pieces_test.ts",
   "platform/src/endless_streams_test.ts",
+  "platform/src/last_line_test.ts",
   "platform/src/overload_test.ts",
   "platform/src/planned_stop_test.ts",
   "platform/src/process_memory_test.ts",
