--- a/packages/daemon/src/testing/answers/run_answer_fuzz.ts
+++ b/packages/daemon/src/testing/answers/run_answer_fuzz.ts
@@ -41,7 +41,8 @@
   const timersBefore = countTimers();
   const usedBytes = PROCESS_MEMORY.usedBytes();
   try {
-    await Promise.all(
+    // The checks that go on after a failure would disturb the next test.
+    const results = await Promise.allSettled(
       Array.from({ length: Number(ANSWER_FUZZ_CHECKS) }, async (_, index) => {
         const server = await startAnswerServer();
         try {
@@ -73,11 +74,15 @@
         }
       }),
     );
+    for (const result of results) {
+      if (result.status === "rejected") throw result.reason;
+    }
     if (!await becomes(() => countTimers() <= timersBefore)) {
       throw new Error("a timer stays");
     }
     if (!await becomes(() => PROCESS_MEMORY.usedBytes() === usedBytes)) {
-      throw new Error("memory isn't given back");
+      const heldBytes = PROCESS_MEMORY.usedBytes() - usedBytes;
+      throw new Error(`${heldBytes} bytes aren't given back`);
     }
   } finally {
     process.off("uncaughtException", onEscaped);
