An end is due only once nothing is left to read

A read of no bytes also returns nothing while bytes are buffered. No caller makes one today (review).

--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -315,15 +315,11 @@
     listener: ExchangeListener,
   ): OutgoingExchange {
     const sentAtMs = performance.now();
+    const fields = { call, endpoint: endpoint.id, attempt: attemptId };
     return openExchange(request, {
       ...listener,
       onFault: ({ phase, ...fault }) =>
-        logConnectionFault(this.#observer, fault, {
-          call,
-          endpoint: endpoint.id,
-          attempt: attemptId,
-          phase,
-        }),
+        logConnectionFault(this.#observer, fault, { ...fields, phase }),
       onHead: (status, headers) => {
         this.#notice(endpoint, { call, status, headers, sentAtMs });
         return listener.onHead(status, headers);
--- a/packages/daemon/src/http/client_connection.ts
+++ b/packages/daemon/src/http/client_connection.ts
@@ -124,7 +124,8 @@
   // yet to handle what it was paused in, and may be paused again.
   override read(size?: number): unknown {
     const bytes = super.read(size);
-    if (bytes === null && this.#ending && !this.#isEndDue) {
+    const isDrained = bytes === null && this.readableLength === 0;
+    if (isDrained && this.#ending && !this.#isEndDue) {
       this.#isEndDue = true;
       process.nextTick(() => this.#tellEnd());
     }
