--- a/packages/daemon/src/http/client_connection.ts
+++ b/packages/daemon/src/http/client_connection.ts
@@ -11,6 +11,7 @@
 import { Duplex } from "node:stream";
 import { buildConnector } from "undici";
 import type { ThrownError } from "./connection_faults.ts";
+import { type WritePiece, writePieces } from "./socket_calls.ts";
 
 /** Bytes that are read from a connection while its response is paused. */
 const READ_BUFFER_BYTES = 16 * 1_024;
@@ -174,16 +175,10 @@
   }
 
   override _writev(
-    pieces: { chunk: Buffer }[],
+    pieces: WritePiece[],
     callback: () => void,
   ): void {
-    const socket = this.#socket;
-    socket?.cork();
-    pieces.forEach(({ chunk }, index) => {
-      const isLast = index === pieces.length - 1;
-      socket?.write(chunk, isLast ? () => callback() : undefined);
-    });
-    socket?.uncork();
+    writePieces(this.#socket!, pieces, () => callback());
   }
 
   override _final(callback: () => void): void {
--- a/packages/daemon/src/http/socket_calls.ts
+++ b/packages/daemon/src/http/socket_calls.ts
@@ -1,4 +1,4 @@
-/** Calls to the sockets of paced connections. */
+/** Calls to the sockets below connections of our own. */
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 
