Review: expire the entries of silent replicas, and let clients of case 10 try again

The store stand-in of cases 7 and 8 removes an entry three heartbeat intervals after the last one, and a stream that is taken up has the same body.

--- a/review/10/case.ts
+++ b/review/10/case.ts
@@ -26,6 +26,7 @@
 const CUT_MS = 12_000;
 /** 50 calls a second at the four VMs together, as on the sheet. */
 const INTERVAL_MS = 80;
+const DEADLINE_MS = 1_500;
 /** The rule: under two thirds of the others' share, and over 10 + 1 in 50 of all failed. */
 const MIN_RELATIVE_SHARE = 2 / 3;
 const ALLOWED_FAILURES = 10;
@@ -59,12 +60,27 @@
     await deployment.startVms(VMS, { views: new Map([[CUT, view]]) });
     await wait(4_000);
     const attempts: Promise<PlainAttempt & { vm: number }>[] = [];
+    // Once, at another VM, as the sheet has it: an unsafe call only after a promise, and
+    // after the time that a refusal asks for, up to a third of what is left.
+    const tryAgain = async (
+      { id, status, retryAfterMs, sentAtMs }: PlainAttempt,
+      { vm, kind }: { vm: number; kind: "safe" | "unsafe" },
+    ) => {
+      const leftMs = DEADLINE_MS - (performance.now() - sentAtMs);
+      const isPromise = status === 503 || status === 429;
+      if (status === 200 || kind === "unsafe" && !isPromise) return;
+      if (leftMs <= 0 || isPromise && !(retryAfterMs <= leftMs / 3)) return;
+      if (isPromise) await wait(retryAfterMs);
+      const { listen } = vms[(vm + 1 + Math.floor(3 * Math.random())) % VMS]!;
+      await sendCall({ id: `${id}-again`, address: listen.front, kind });
+    };
     const traffic = setInterval(() => {
       for (const [vm, { listen }] of vms.entries()) {
         const id = `vm${vm}-${attempts.length}`;
         const kind = attempts.length % 7 < 5 ? "unsafe" : "safe";
         const sent = sendCall({ id, address: listen.front, kind });
         attempts.push(sent.then((attempt) => ({ ...attempt, vm })));
+        void sent.then((attempt) => tryAgain(attempt, { vm, kind }));
       }
     }, INTERVAL_MS);
     await wait(2_000);
--- a/review/7/case.ts
+++ b/review/7/case.ts
@@ -6,7 +6,7 @@
  */
 import { type Attempt, sendStream } from "../lib-2/client.ts";
 import { BOUNDS, createConfig, Deployment, wait } from "../lib-2/deployment.ts";
-import { Engine, EngineJournal } from "../lib-2/engine.ts";
+import { Engine, EngineJournal, HEARTBEAT_MS } from "../lib-2/engine.ts";
 import { type CaseRecord, HAS_TROUBLE, runCase } from "../lib-2/record.ts";
 
 const VMS = 4;
@@ -20,8 +20,6 @@
 const TRAFFIC_MS = 25_000;
 /** "The replica is back after some seconds." */
 const DOWN_MS = 2_000;
-/** `heartbeat_ms`: a replica writes its entry about so often. */
-const HEARTBEAT_MS = Number(process.env.HEARTBEAT_MS ?? 1_200);
 const CRASHES = 5;
 const ALLOWED = 3;
 
@@ -33,6 +31,8 @@
   const journal = new EngineJournal();
   const engines = new Set<Engine>();
   const crashedAtMs: number[] = [];
+  /** When the store removes the entries of replicas that are silent. */
+  const expiries = new Map<string, ReturnType<typeof setTimeout>>();
   let isOver = false;
   const start = async (id: string, stage: "prefill" | "decode", port = 0) => {
     const engine = await Engine.start(journal, {
@@ -51,6 +51,13 @@
     const { id, port } = engine;
     crashedAtMs.push(performance.now());
     record.note(`${id} crashes (crash ${crashedAtMs.length})`);
+    if (engine.hasBeaten) {
+      const expire = () => {
+        record.note(`the entry of ${id} has expired`);
+        store.remove("servers", id);
+      };
+      expiries.set(id, setTimeout(expire, engine.expiresInMs()));
+    }
     engine.crash();
     await wait(DOWN_MS);
     if (isOver) return;
@@ -58,6 +65,7 @@
     record.note(`${id} is back, born ${next.born}`);
     await wait(HEARTBEAT_MS);
     if (isOver || next.isDown) return;
+    clearTimeout(expiries.get(id));
     next.beat(store);
     record.note(`${id} writes its entry, born ${next.born}`);
   };
@@ -101,6 +109,7 @@
     return judge(ended, { journal, record, crashedAtMs });
   } finally {
     isOver = true;
+    for (const expiry of expiries.values()) clearTimeout(expiry);
     for (const engine of engines) engine.crash();
     await deployment.stop();
   }
--- a/review/8/case.ts
+++ b/review/8/case.ts
@@ -52,10 +52,12 @@
   const replace = async (engine: Engine) => {
     crashedAtMs.push(performance.now());
     record.note(`${engine.id} crashes (crash ${crashedAtMs.length})`);
+    setTimeout(() => {
+      if (!isOver) store.remove("servers", engine.id);
+    }, engine.expiresInMs());
     engine.crash();
     await wait(DOWN_MS);
     if (isOver) return;
-    store.remove("servers", engine.id);
     await startDecode();
   };
   const attempts: Promise<Attempt>[] = [];
--- a/review/lib-2/client.ts
+++ b/review/lib-2/client.ts
@@ -100,7 +100,8 @@
       });
       incoming.on("close", end);
     });
-    outgoing.end(`{"prompt":"${id}"}`);
+    // A stream that is taken up is the same request.
+    outgoing.end(`{"prompt":"${path}"}`);
   });
 }
 
--- a/review/lib-2/engine.ts
+++ b/review/lib-2/engine.ts
@@ -12,6 +12,9 @@
 
 const PROMPT_TOKENS_PER_MS = 33.3;
 const HANDLE_TTL_MS = 500;
+/** `heartbeat_ms`, and the silence after which the store removes an entry. */
+export const HEARTBEAT_MS = 1_200;
+const EXPIRY_MS = 3 * HEARTBEAT_MS;
 
 /** A request that a replica received, with what it did. */
 export interface Arrival {
@@ -56,6 +59,8 @@
   #count = 0;
   #running = 0;
   isDown = false;
+  /** Its heartbeats go on from there; further ones only change `seq`. */
+  #firstBeatAtMs = NaN;
 
   private constructor(journal: EngineJournal, options: EngineOptions) {
     this.#journal = journal;
@@ -97,6 +102,7 @@
   /** Writes its entry; the store accepts it at once. */
   beat(store: FakeStore, state = "ready"): void {
     const { id, stage, version } = this.options;
+    this.#firstBeatAtMs = performance.now();
     store.put("servers", id, {
       service: ENGINES,
       address: this.address,
@@ -112,6 +118,17 @@
     });
   }
 
+  /** Whether it has written its entry. */
+  get hasBeaten(): boolean {
+    return !Number.isNaN(this.#firstBeatAtMs);
+  }
+
+  /** Time until its entry expires, if it has written it and is silent from now on. */
+  expiresInMs(): number {
+    const aliveMs = performance.now() - this.#firstBeatAtMs;
+    return EXPIRY_MS - aliveMs % HEARTBEAT_MS;
+  }
+
   /** Ends like a process that is killed. */
   crash(): void {
     if (this.isDown) return;
--- a/review/lib-2/plain.ts
+++ b/review/lib-2/plain.ts
@@ -108,6 +108,8 @@
   readonly sentAtMs: number;
   readonly status: number;
   readonly body: string;
+  /** Time that a refusal asks to wait; NaN if it doesn't say. */
+  readonly retryAfterMs: number;
 }
 
 /** Sends one call on a new connection; status 0 if there is no answer. */
@@ -121,7 +123,8 @@
   const sentAtMs = performance.now();
   const [host, port] = address.split(":");
   return new Promise((resolve) => {
-    const fail = () => resolve({ id, sentAtMs, status: 0, body: "" });
+    const fail = () =>
+      resolve({ id, sentAtMs, status: 0, body: "", retryAfterMs: NaN });
     const outgoing = request({
       host,
       port,
@@ -141,7 +144,15 @@
       incoming.on("error", fail);
       incoming.on(
         "end",
-        () => resolve({ id, sentAtMs, status: incoming.statusCode ?? 0, body }),
+        () =>
+          resolve({
+            id,
+            sentAtMs,
+            status: incoming.statusCode ?? 0,
+            body,
+            retryAfterMs: 1_000 *
+              Number(incoming.headers["retry-after"] ?? NaN),
+          }),
       );
     });
     outgoing.end(kind === "safe" ? undefined : `{"house":"${id}"}`);
