--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -6,9 +6,11 @@
   type Id,
   type ModelName,
   type ServiceName,
+  type WorkspaceId,
 } from "../common/ids.ts";
 
 import type { Hop } from "./links/types.ts";
+import type { RoutingWorkspace } from "./workspaces/types.ts";
 
 /** Name of a route. */
 export type RouteName = Id<"route">;
@@ -55,6 +57,8 @@
   readonly resumable: boolean;
   /** Target for the gap between events of a stream; null if there is none. */
   readonly maxEventGapMs: number | null;
+  /** Whether its requests need no key. */
+  readonly isPublic?: boolean;
 }
 
 /** Properties shared by all engines of a service. */
@@ -101,6 +105,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
+  /** Undefined if callers need no keys. */
+  readonly workspaces?: readonly RoutingWorkspace[];
 }
 
 /** Role of an engine: computing the KV cache of prompts, or generating tokens. */
@@ -170,6 +176,10 @@
   readonly resumes: AttemptId | null;
   /** Null if the request has no prompt. */
   readonly prompt: PromptFields | null;
+  /** The workspace of its key; undefined if it has none. */
+  readonly workspace?: WorkspaceId;
+  /** The priority of its workspace; undefined if its route's priority applies. */
+  readonly priority?: number;
   /** Set if another VM sent the request on to this one, which must serve it itself. */
   readonly hop?: Hop;
 }
