--- a/packages/cli/src/explain/reasons.ts
+++ b/packages/cli/src/explain/reasons.ts
@@ -57,6 +57,8 @@
     "an isolated run of the suspected request could not start in time",
   "too-many-connections": "the VM had too many connections",
   unauthenticated: "the token is unknown",
+  "unverified-key":
+    "the VM could not find out whether a newer configuration has the key",
   "unknown-model": "no model of this name is served",
   "version-unavailable":
     "no endpoint of the software version that began the stream accepts work",
--- a/packages/core/src/common/verdict.ts
+++ b/packages/core/src/common/verdict.ts
@@ -8,6 +8,7 @@
   "headers-too-large",
   "request-timeout",
   "unauthenticated",
+  "unverified-key",
   "forbidden",
   "not-found",
   "unknown-model",
--- a/packages/core/src/routing/links/forwarder.ts
+++ b/packages/core/src/routing/links/forwarder.ts
@@ -158,7 +158,8 @@
   if (failure.kind !== "refused") return failure.kind !== "aborted";
   const { reason } = failure.refusal;
   return reason === "no-links" || reason === "stopping" ||
-    reason === "no-configuration" || reason === "no-memory" ||
+    reason === "no-configuration" || reason === "unverified-key" ||
+    reason === "no-memory" ||
     reason === "too-many-connections" || reason === "overloaded";
 }
 
--- a/packages/core/src/routing/mod.ts
+++ b/packages/core/src/routing/mod.ts
@@ -16,6 +16,8 @@
 export type { StreamOrigin } from "./stream_origins.ts";
 export * from "./stream_relay.ts";
 export * from "./types.ts";
+export * from "./workspaces/authenticator.ts";
+export * from "./workspaces/key_index.ts";
 export * from "./workspaces/types.ts";
 export * from "./routing_vm.ts";
 export * from "./routing_vm_options.ts";
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -47,6 +47,7 @@
 import { OrderWatch } from "./stages/order_watch.ts";
 import { ServiceStages } from "./stages/service_stages.ts";
 import type { EndpointChange, EndpointEntry, RoutingTable } from "./types.ts";
+import { Authenticator } from "./workspaces/authenticator.ts";
 
 /** Delay that batches endpoint changes; far below the time allowed to stop using a draining endpoint. */
 const ENDPOINTS_BATCH_MS = 400;
@@ -69,6 +70,7 @@
   readonly membership: MembershipTask;
   readonly endpoints: EndpointRegistry;
   readonly router: Router;
+  readonly authenticator = new Authenticator();
   readonly peerHandlers;
   #options: RoutingVmOptions;
   #feeds: readonly Pick<
@@ -427,6 +429,7 @@
 
   #setTable(table: RoutingTable, options?: { source: string }): void {
     if (!this.router.setTable(table, options)) return;
+    this.authenticator.setTable(table);
     this.#stages.start(
       table.services.filter(({ engines }) => engines).map(({ name }) => name),
     );
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -2,6 +2,7 @@
 import {
   asId,
   type DataCentre,
+  type Digest,
   type EndpointId,
   type Id,
   type ModelName,
@@ -178,6 +179,8 @@
   readonly prompt: PromptFields | null;
   /** The workspace of its key; undefined if it has none. */
   readonly workspace?: WorkspaceId;
+  /** Digest of its key; undefined if it has no workspace. */
+  readonly keyDigest?: Digest;
   /** The priority of its workspace; undefined if its route's priority applies. */
   readonly priority?: number;
   /** Set if another VM sent the request on to this one, which must serve it itself. */
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -391,6 +391,7 @@
     const { protocol, interfaces } = this.#options;
     return createGatewayHandler({
       router: this.#vm.router,
+      authenticator: this.#vm.authenticator,
       protocol,
       observer: this.#observer,
       formatRetryAfter: interfaces.formatRetryAfter,
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -13,6 +13,7 @@
   AnswerHead,
   AnswerSink,
   AttemptId,
+  Authenticator,
   EndpointAnswer,
   Route,
   RoutedOutcome,
@@ -24,12 +25,15 @@
 import { sendProblem } from "../http/problem.ts";
 import { PROCESS_UNREAD_TIME } from "../http/unread_time.ts";
 import { BatchedWriter } from "./batched_writer.ts";
+import { identifyCaller } from "./identify_caller.ts";
 import { markAnswer, markRefusal, readHop, withoutHop } from "./hop.ts";
 import type { CallerFields, EndpointProtocol } from "./protocol.ts";
 
 /** Options of {@link createGatewayHandler}. */
 export interface GatewayHandlerOptions {
   router: Router;
+  /** Checks keys; by default, none are needed. */
+  authenticator?: Authenticator;
   protocol: EndpointProtocol;
   observer: Observer;
   /** Formats the `retry-after` header. */
@@ -132,6 +136,13 @@
   if (fields.attemptId === null) {
     return refuse(notRun("bad-request", { detail: "The request has no id" }));
   }
+  const identity = identifyCaller({
+    rawHeaders,
+    forwarded: hop?.forwardedKey,
+    route,
+    ...options,
+  });
+  if (identity.isErr()) return refuse(identity.error);
   const body = await readBytes(
     incoming,
     limits?.bodyBytes ?? DEFAULT_BODY_LIMIT_BYTES,
@@ -144,7 +155,7 @@
     method: incoming.method ?? "GET",
     host: incoming.headers.host ?? "",
     target: incoming.url ?? "/",
-    rawHeaders,
+    ...identity.value,
     body: body.value,
     receivedAtMs,
     callerTimeoutMs: fields.timeoutMs,
--- a/packages/daemon/src/gateway/hop.ts
+++ b/packages/daemon/src/gateway/hop.ts
@@ -6,8 +6,10 @@
 import { asId, type Refusal, type VmId } from "@teaselvalve/core";
 import type {
   AnswerHead,
+  ForwardedKey,
   ForwardedSend,
   Hop,
+  RoutedRequest,
   StreamOrigin,
 } from "@teaselvalve/core/routing";
 import { Result } from "neverthrow";
@@ -27,11 +29,16 @@
   timeLeftMs: z.number(),
   lastEventId: z.string().nullable(),
   resumes: z.string().nullable(),
+  /** These are absent if the request has no workspace, or the VM has the previous build. */
+  workspace: z.string().optional(),
+  keyDigest: z.string().regex(/^[0-9a-f]{64}$/).optional(),
 });
 
 /** The hop of a request, and the fields in which it differs from the caller's request. */
 export interface ReceivedHop {
   readonly hop: Hop;
+  /** The workspace and key that the other VM has checked. */
+  readonly forwardedKey?: ForwardedKey;
   readonly fields: Pick<
     CallerFields,
     "timeoutMs" | "lastEventId" | "resumes"
@@ -45,12 +52,19 @@
 
 /** Builds the header of a request that is sent on. */
 export function formatHop(
-  { hop, timeLeftMs, lastEventId, resumes }: Pick<
-    ForwardedSend,
-    "hop" | "timeLeftMs" | "lastEventId" | "resumes"
-  >,
+  { hop, timeLeftMs, lastEventId, resumes, request }:
+    & Pick<ForwardedSend, "hop" | "timeLeftMs" | "lastEventId" | "resumes">
+    & { request?: Pick<RoutedRequest, "workspace" | "keyDigest"> },
 ): string {
-  return formatValue({ ...hop, timeLeftMs, lastEventId, resumes });
+  const { workspace, keyDigest } = request ?? {};
+  return formatValue({
+    ...hop,
+    timeLeftMs,
+    lastEventId,
+    resumes,
+    workspace,
+    keyDigest,
+  });
 }
 
 /** Reads the hop of a request; null if there is none or it is malformed. */
@@ -58,7 +72,16 @@
   const parsed = HopSchema.safeParse(readValue(headers));
   if (!parsed.success) return null;
   const { from, runs, origin, timeLeftMs, lastEventId, resumes } = parsed.data;
+  const { workspace, keyDigest } = parsed.data;
   return {
+    ...(workspace !== undefined && keyDigest !== undefined
+      ? {
+        forwardedKey: {
+          workspace: asId(workspace),
+          keyDigest: asId(keyDigest),
+        },
+      }
+      : {}),
     hop: { from: asId<VmId>(from), runs, origin: toOrigin(origin) },
     fields: { timeoutMs: Math.max(0, timeLeftMs), lastEventId, resumes },
   };
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -1,5 +1,6 @@
 /** The protocol of the endpoints, as an interface that the platform implements. */
 import type { IncomingHttpHeaders } from "node:http";
+import type { WorkspaceId } from "@teaselvalve/core";
 import type {
   EndpointEntry,
   EngineReport,
@@ -58,6 +59,19 @@
 export interface EndpointProtocol {
   /** Reads how long a caller waits for its response, in milliseconds; null if it didn't say. */
   readTimeoutMs(headers: IncomingHttpHeaders): number | null;
+  /**
+   * Returns the bytes of a request's key; null if it has none, or not exactly one that
+   * can be read.
+   */
+  readKey(rawHeaders: readonly string[]): Uint8Array | null;
+  /**
+   * Removes a caller's key and what it says about its workspace from raw headers, and
+   * adds the name of its workspace, if it has one.
+   */
+  withWorkspace(
+    rawHeaders: readonly string[],
+    workspace: WorkspaceId | null,
+  ): string[];
   /** Reads the headers of a caller's request. */
   readCallerHeaders(headers: IncomingHttpHeaders): CallerFields;
   /** Builds the headers of a request to an endpoint, as alternating names and values. */
