Judge unknown keys by a table that may be outdated only with 503, not run

Cause: a VM that is cut off from the store, or has just started, answered 401 to a key that a newer configuration has; a VM that had stood still accepted keys that had been revoked meanwhile; a VM of the previous build gave tables without workspaces. Change: TableFeed says as of when the table was read; beyond the bound, a request with an unknown key has the store read at once and up to four VMs asked, all waiting requests together, and a failure holds for half a second. Tables of the previous build are not taken over. Forwarded requests carry the workspace, the digest and their age, and are checked against the keys and the recent revocations of the second VM.

--- a/packages/core/src/routing/app.ts
+++ b/packages/core/src/routing/app.ts
@@ -9,6 +9,18 @@
 import type { OriginHandlers } from "./stream_origins.ts";
 import type { EndpointEntry, RoutingTable } from "./types.ts";
 
+/** A routing table, from one VM to another. */
+export interface TableAnswer {
+  readonly table: RoutingTable | null;
+  /**
+   * Time since the active table of the VM is known to have been the newest one; null if
+   * it never was, absent in answers of the previous build.
+   */
+  readonly ageMs?: number | null;
+  /** Absent in answers of the previous build, whose tables lack the workspaces. */
+  readonly readsWorkspaces?: true;
+}
+
 /** Handlers of the peer methods, by method name. */
 export interface RoutingHandlers
   extends
@@ -20,7 +32,7 @@
   /** Returns the active table if its version is above `after`, otherwise null. */
   "routing/table": (
     params: { after: number },
-  ) => { table: RoutingTable | null };
+  ) => TableAnswer;
   /**
    * Returns all endpoints in this VM's registry, for a VM that can't read the
    * directory; null if this VM has not received a list yet.
--- a/packages/core/src/routing/mod.ts
+++ b/packages/core/src/routing/mod.ts
@@ -18,6 +18,7 @@
 export * from "./types.ts";
 export * from "./workspaces/authenticator.ts";
 export * from "./workspaces/key_index.ts";
+export type { TableAge } from "./workspaces/table_age.ts";
 export * from "./workspaces/types.ts";
 export * from "./routing_vm.ts";
 export * from "./routing_vm_options.ts";
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -31,7 +31,9 @@
 import { Router } from "./router.ts";
 import { ServiceBudget } from "./service_budget.ts";
 import {
+  ANSWER_MARGIN_MS,
   DEFAULT_BOUNDS,
+  DEFAULT_CONFIG_MS,
   planEndpointReads,
   planTableReads,
 } from "./store_reads.ts";
@@ -48,6 +50,7 @@
 import { ServiceStages } from "./stages/service_stages.ts";
 import type { EndpointChange, EndpointEntry, RoutingTable } from "./types.ts";
 import { Authenticator } from "./workspaces/authenticator.ts";
+import { TableAge } from "./workspaces/table_age.ts";
 
 /** Delay that batches endpoint changes; far below the time allowed to stop using a draining endpoint. */
 const ENDPOINTS_BATCH_MS = 400;
@@ -70,12 +73,12 @@
   readonly membership: MembershipTask;
   readonly endpoints: EndpointRegistry;
   readonly router: Router;
-  readonly authenticator = new Authenticator();
+  readonly authenticator: Authenticator;
   readonly peerHandlers;
   #options: RoutingVmOptions;
   #feeds: readonly Pick<
     TableFeed<unknown>,
-    "start" | "stop" | "hurry" | "ageMs" | "isFailing"
+    "start" | "stop" | "hurry" | "ageMs" | "asOfMs" | "isFailing"
   >[];
   #guard: EndpointGuard;
   #placement: PlacementClient;
@@ -84,6 +87,7 @@
   #prefillTimes = new PrefillTimes();
   #outputs = new OutputEstimates();
   #tables: TableExchange;
+  #tableAge: TableAge;
   #stages: ServiceStages;
   #originRecord: OriginRecord;
   #rewriteTimer: ReturnType<typeof setTimeout> | undefined;
@@ -117,6 +121,8 @@
       setTable: (table, setOptions) => this.#setTable(table, setOptions),
       isStoreFailing: () => this.#feeds[0]!.isFailing,
     });
+    this.#tableAge = this.#createTableAge();
+    this.authenticator = new Authenticator({ age: this.#tableAge, observer });
     this.#guard = new EndpointGuard({
       membership: this.membership,
       peers: ports.peers,
@@ -229,6 +235,8 @@
       ...createRoutingApp({
         "routing/table": ({ after }) => ({
           table: after < this.#tables.version ? this.router.table : null,
+          ageMs: toFinite(this.#tableAge.ageMs()),
+          readsWorkspaces: true,
         }),
         ...createPlacementHandlers(placementHome),
         ...origins.handlers,
@@ -342,6 +350,21 @@
     this.#guard.stop();
   }
 
+  #createTableAge(): TableAge {
+    const { ports, observer, random, bounds = DEFAULT_BOUNDS } = this.#options;
+    return new TableAge({
+      boundMs: bounds.configMs ?? DEFAULT_CONFIG_MS,
+      usualMs: planTableReads(bounds).waitMs + ANSWER_MARGIN_MS,
+      source: () => this.#feeds[0]!,
+      membership: this.membership,
+      peers: ports.peers,
+      version: () => this.#tables.version,
+      setTable: (table, options) => this.#setTable(table, options),
+      observer,
+      random,
+    });
+  }
+
   #createTableFeed(): TableFeed<RoutingTable> {
     const { ports, observer, random, bounds = DEFAULT_BOUNDS } = this.#options;
     const setTables = (tables: readonly RoutingTable[]) => {
@@ -490,3 +513,8 @@
       .filter(({ state }) => state === "live" || state === "leaving").length;
   }
 }
+
+// JSON has no infinite numbers.
+function toFinite(value: number): number | null {
+  return Number.isFinite(value) ? value : null;
+}
--- a/packages/core/src/routing/store_reads.ts
+++ b/packages/core/src/routing/store_reads.ts
@@ -14,6 +14,8 @@
   readonly contactMs: number;
   /** Time after which an endpoint that leaves gets no more requests. */
   readonly drainMs: number;
+  /** Time after which a configuration change must be in use; 3 s by default. */
+  readonly configMs?: number;
 }
 
 /** The bounds of small deployments. */
@@ -22,6 +24,9 @@
   drainMs: 2_000,
 };
 
+/** Default time after which a configuration change must be in use. */
+export const DEFAULT_CONFIG_MS = 3_000;
+
 /** How a table of the store is followed. */
 export interface ReadPlan {
   /** How long the store may hold a call that waits for changes. */
--- a/packages/core/src/routing/table_exchange.ts
+++ b/packages/core/src/routing/table_exchange.ts
@@ -30,6 +30,8 @@
   #options: TableExchangeOptions;
   #fetching: Promise<void> | null = null;
   #isStarting = true;
+  /** Versions of VMs whose tables could not be used. */
+  #refused = new Map<string, number>();
 
   constructor(options: TableExchangeOptions) {
     this.#options = options;
@@ -62,6 +64,7 @@
   compare({ from, configurationVersion }: Probe): void {
     const peer = this.#options.membership.member(from);
     if (!peer || this.#fetching || configurationVersion <= this.version) return;
+    if (this.#refused.get(refusedKey(peer)) === configurationVersion) return;
     this.#fetching = this.#fetch(peer, configurationVersion)
       .finally(() => (this.#fetching = null));
   }
@@ -76,7 +79,17 @@
       wholeMs: PEER_FETCH_LIMIT_MS,
     });
     if (answer.isErr()) return;
-    const { table } = answer.value;
+    const { table, readsWorkspaces } = answer.value;
+    // Without its workspaces, requests would run without keys. The VM of the previous
+    // build is not asked again for this version, as it would be with each probe.
+    if (table && !readsWorkspaces && !table.workspaces) {
+      this.#refused.set(refusedKey(peer), version);
+      return;
+    }
     if (table) setTable(table, { source: peer.id });
   }
 }
+
+function refusedKey({ id, incarnation }: Member): string {
+  return `${id} ${incarnation}`;
+}
--- a/packages/core/src/routing/table_feed.ts
+++ b/packages/core/src/routing/table_feed.ts
@@ -66,6 +66,7 @@
 
 /** One call of a feed. */
 interface FeedCall {
+  readonly startedAtMs: number;
   /** Whether it waits for changes. */
   readonly waits: boolean;
   /** When the call before it began, if this one repeats it; else minus infinity. */
@@ -98,6 +99,7 @@
   #isHurried = false;
   #stopped = false;
   #lastSuccessAtMs = performance.now();
+  #asOfMs = -Infinity;
   #timer: ReturnType<typeof setTimeout> | undefined;
   #stopListening: () => void;
 
@@ -127,6 +129,15 @@
     return performance.now() - this.#lastSuccessAtMs;
   }
 
+  /**
+   * When the table was certainly as it was last read, on the monotonic clock; minus
+   * infinity before the first read. The store holds a call without changes for as long
+   * as it may.
+   */
+  get asOfMs(): number {
+    return this.#asOfMs;
+  }
+
   /**
    * Asks for the changes so far at once, as the process or its machine stood still: the
    * connection of a call that waits may have become silent meanwhile. Other calls are
@@ -178,7 +189,7 @@
     // If this call is answered first, the one before it was lost.
     const unansweredAtMs = isRepeated ? this.#calledAtMs : -Infinity;
     this.#calledAtMs = waits ? -Infinity : startedAtMs;
-    const call = { waits, unansweredAtMs, isCurrent };
+    const call = { startedAtMs, waits, unansweredAtMs, isCurrent };
     const failure = this.#version === null
       ? await this.#readAll(call)
       : await this.#readChanges(this.#version, call);
@@ -214,6 +225,7 @@
       items: items.length,
     });
     listener.onSnapshot(items);
+    this.#asOfMs = call.startedAtMs;
     return null;
   }
 
@@ -245,7 +257,11 @@
     }
     this.#version = read.value.version;
     this.#noteSuccess(call);
-    if (read.value.items.length > 0) listener.onChanges(read.value.items);
+    const { items } = read.value;
+    if (items.length > 0) listener.onChanges(items);
+    const wasHeld = items.length === 0 &&
+      performance.now() - call.startedAtMs >= waitMs;
+    this.#asOfMs = call.startedAtMs + (wasHeld ? waitMs : 0);
     return null;
   }
 
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -21,13 +21,13 @@
   Router,
 } from "@teaselvalve/core/routing";
 import { type Exchange, readBytes } from "../http/exchange.ts";
-import { pacedOf } from "../http/paced_connection.ts";
 import { sendProblem } from "../http/problem.ts";
 import { PROCESS_UNREAD_TIME } from "../http/unread_time.ts";
 import { BatchedWriter } from "./batched_writer.ts";
-import { identifyCaller } from "./identify_caller.ts";
+import { findKeyedRoute, identifyCaller } from "./identify_caller.ts";
 import { markAnswer, markRefusal, readHop, withoutHop } from "./hop.ts";
 import type { CallerFields, EndpointProtocol } from "./protocol.ts";
+import { watchCaller } from "./watch_caller.ts";
 
 /** Options of {@link createGatewayHandler}. */
 export interface GatewayHandlerOptions {
@@ -56,13 +56,6 @@
 
 /** Body limit until the first routing table is received. */
 const DEFAULT_BODY_LIMIT_BYTES = 1_048_576;
-/**
- * How long a request goes on whose caller has closed its half of the connection. Work
- * for callers that have left ends within half a second.
- */
-const HALF_OPEN_MS = 250;
-/** Part of that time that a request needs when it begins. */
-const MIN_HALF_OPEN_SHARE = 0.5;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
@@ -120,13 +113,19 @@
     refuseRequest(exchange, { options, refusal });
   await options.waitReady();
   const limits = router.table?.limits;
-  if (limits && headerBytes(rawHeaders) > limits.headerBytes) {
+  const limitBytes = limits?.headerBytes ?? Infinity;
+  const isTooLarge = headerBytes(rawHeaders) > limitBytes;
+  // Headers that are too large because of their key are refused for the key.
+  if (isTooLarge && !isKeyTooLarge(rawHeaders, { limitBytes, options })) {
     return refuse(notRun("headers-too-large"));
   }
-  const route = router.match(
-    hostOf(incoming.headers.host),
-    incoming.url ?? "/",
-  );
+  const keyed = { rawHeaders, forwarded: hop?.forwardedKey };
+  const route = await findKeyedRoute(keyed, {
+    ...options,
+    timeoutMs: fields.timeoutMs,
+    match: () =>
+      router.match(hostOf(incoming.headers.host), incoming.url ?? "/"),
+  });
   if (!("prefix" in route)) return refuse(route);
   exchange.logFields.route = route.name;
   exchange.logFields.table = router.table?.version;
@@ -136,13 +135,9 @@
   if (fields.attemptId === null) {
     return refuse(notRun("bad-request", { detail: "The request has no id" }));
   }
-  const identity = identifyCaller({
-    rawHeaders,
-    forwarded: hop?.forwardedKey,
-    route,
-    ...options,
-  });
+  const identity = identifyCaller(keyed, { ...options, route });
   if (identity.isErr()) return refuse(identity.error);
+  if (isTooLarge) return refuse(notRun("headers-too-large"));
   const body = await readBytes(
     incoming,
     limits?.bodyBytes ?? DEFAULT_BODY_LIMIT_BYTES,
@@ -243,49 +238,6 @@
   return outcome;
 }
 
-// Returns a signal that is aborted when the caller leaves before its answer is written.
-// The connection is watched, since a response has no `close` while it waits behind an
-// earlier one. A caller that closes its half may have left; VMs that do have.
-function watchCaller(
-  { incoming, response, logFields }: Exchange,
-  { acceptsHops = false }: GatewayHandlerOptions,
-): AbortSignal {
-  const connection = pacedOf(incoming.socket);
-  const halfOpenMs = acceptsHops ? 0 : HALF_OPEN_MS;
-  const abort = new AbortController();
-  let timer: ReturnType<typeof setTimeout> | undefined;
-  const noteLeft = () => {
-    unwatch();
-    if (response.writableFinished) return;
-    logFields.callerLeft = true;
-    abort.abort();
-  };
-  const noteHalfClose = () => {
-    const { halfClosedAtMs } = connection;
-    logFields.halfClosed = true;
-    const leftMs = halfClosedAtMs! + halfOpenMs - performance.now();
-    // What begins late would hardly be answered in time.
-    if (leftMs <= MIN_HALF_OPEN_SHARE * halfOpenMs) noteLeft();
-    else timer = setTimeout(noteLeft, leftMs);
-  };
-  const unwatch = () => {
-    clearTimeout(timer);
-    connection.off("halfClose", noteHalfClose);
-    connection.off("close", noteLeft);
-    response.off("close", noteLeft);
-    response.off("finish", unwatch);
-  };
-  connection.setMaxListeners(0);
-  connection.once("halfClose", noteHalfClose);
-  connection.once("close", noteLeft);
-  response.once("close", noteLeft);
-  response.once("finish", unwatch);
-  if (response.destroyed || connection.destroyed || connection.readableEnded) {
-    noteLeft();
-  } else if (connection.halfClosedAtMs !== null) noteHalfClose();
-  return abort.signal;
-}
-
 function sendOutcome(
   exchange: Exchange,
   { outcome, options }: {
@@ -380,6 +332,17 @@
   return colonAt > 0 ? name.slice(0, colonAt) : name;
 }
 
+function isKeyTooLarge(
+  rawHeaders: readonly string[],
+  { limitBytes, options: { authenticator, protocol } }: {
+    limitBytes: number;
+    options: GatewayHandlerOptions;
+  },
+): boolean {
+  return authenticator?.isActive === true &&
+    headerBytes(protocol.withWorkspace(rawHeaders, null)) <= limitBytes;
+}
+
 function headerBytes(rawHeaders: readonly string[]): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
--- a/packages/daemon/src/gateway/hop.ts
+++ b/packages/daemon/src/gateway/hop.ts
@@ -32,6 +32,8 @@
   /** These are absent if the request has no workspace, or the VM has the previous build. */
   workspace: z.string().optional(),
   keyDigest: z.string().regex(/^[0-9a-f]{64}$/).optional(),
+  /** Time since the VM received the request. */
+  receivedAgoMs: z.number().nonnegative().default(0),
 });
 
 /** The hop of a request, and the fields in which it differs from the caller's request. */
@@ -54,9 +56,17 @@
 export function formatHop(
   { hop, timeLeftMs, lastEventId, resumes, request }:
     & Pick<ForwardedSend, "hop" | "timeLeftMs" | "lastEventId" | "resumes">
-    & { request?: Pick<RoutedRequest, "workspace" | "keyDigest"> },
+    & {
+      request?: Pick<
+        RoutedRequest,
+        "workspace" | "keyDigest" | "receivedAtMs"
+      >;
+    },
 ): string {
   const { workspace, keyDigest } = request ?? {};
+  const receivedAgoMs = request && workspace !== undefined
+    ? performance.now() - request.receivedAtMs
+    : undefined;
   return formatValue({
     ...hop,
     timeLeftMs,
@@ -64,6 +74,7 @@
     resumes,
     workspace,
     keyDigest,
+    receivedAgoMs,
   });
 }
 
@@ -72,13 +83,14 @@
   const parsed = HopSchema.safeParse(readValue(headers));
   if (!parsed.success) return null;
   const { from, runs, origin, timeLeftMs, lastEventId, resumes } = parsed.data;
-  const { workspace, keyDigest } = parsed.data;
+  const { workspace, keyDigest, receivedAgoMs } = parsed.data;
   return {
     ...(workspace !== undefined && keyDigest !== undefined
       ? {
         forwardedKey: {
           workspace: asId(workspace),
           keyDigest: asId(keyDigest),
+          receivedAgoMs,
         },
       }
       : {}),
