Count requests by workspace and priority, and read token counts strictly

Cause: operators need to see which workspace and priority is refused, and quotas need to know whether a request has a valid token count.

--- a/packages/core/src/routing/mod.ts
+++ b/packages/core/src/routing/mod.ts
@@ -16,6 +16,7 @@
 export type { StreamOrigin } from "./stream_origins.ts";
 export * from "./stream_relay.ts";
 export * from "./types.ts";
+export * from "./queries/effective_priority.ts";
 export * from "./workspaces/authenticator.ts";
 export * from "./workspaces/key_index.ts";
 export type { TableAge } from "./workspaces/table_age.ts";
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -177,6 +177,8 @@
   readonly resumes: AttemptId | null;
   /** Null if the request has no prompt. */
   readonly prompt: PromptFields | null;
+  /** Prompt tokens and maximum output tokens together; undefined without a valid count. */
+  readonly tokenCount?: number;
   /** The workspace of its key; undefined if it has none. */
   readonly workspace?: WorkspaceId;
   /** Digest of its key; undefined if it has no workspace. */
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -396,6 +396,8 @@
       observer: this.#observer,
       formatRetryAfter: interfaces.formatRetryAfter,
       acceptsHops,
+      // The VM of the caller counts the requests that it sends on.
+      ...(acceptsHops ? {} : { counters: this.#options.metrics.workspaces }),
       waitReady: () => this.#vm.waitReady(START_WAIT_MS),
       onCut: (listener) => {
         this.#cutListeners.add(listener);
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -21,12 +21,14 @@
   Router,
 } from "@teaselvalve/core/routing";
 import { type Exchange, readBytes } from "../http/exchange.ts";
+import type { WorkspaceMetrics } from "../observe/workspace_metrics.ts";
 import { sendProblem } from "../http/problem.ts";
 import { PROCESS_UNREAD_TIME } from "../http/unread_time.ts";
 import { BatchedWriter } from "./batched_writer.ts";
 import { findKeyedRoute, identifyCaller } from "./identify_caller.ts";
 import { markAnswer, markRefusal, readHop, withoutHop } from "./hop.ts";
 import type { CallerFields, EndpointProtocol } from "./protocol.ts";
+import { RequestTally } from "./request_tally.ts";
 import { watchCaller } from "./watch_caller.ts";
 
 /** Options of {@link createGatewayHandler}. */
@@ -38,6 +40,8 @@
   observer: Observer;
   /** Formats the `retry-after` header. */
   formatRetryAfter: (retryAfterMs: number) => string;
+  /** Counts requests by workspace and priority; by default they are not counted. */
+  counters?: Pick<WorkspaceMetrics, "note">;
   /** Whether the requests were sent on by other VMs; they then say so. */
   acceptsHops?: boolean;
   /** Resolves when requests can be served, or after a short timeout. */
@@ -54,6 +58,11 @@
   track: () => () => void;
 }
 
+/** Options of one request. */
+interface RequestOptions extends GatewayHandlerOptions {
+  readonly tally: RequestTally;
+}
+
 /** Body limit until the first routing table is received. */
 const DEFAULT_BODY_LIMIT_BYTES = 1_048_576;
 const STATUS_NO_CONTENT = 204;
@@ -66,8 +75,14 @@
   PROCESS_UNREAD_TIME.start();
   return async (exchange) => {
     const end = options.track();
+    const tally = new RequestTally(options.counters, exchange.receivedAtMs);
     try {
-      await handleRequest(exchange, options);
+      await handleRequest(exchange, { ...options, tally });
+      const { reason } = exchange.logFields;
+      tally.end(reason === undefined ? undefined : String(reason));
+    } catch (error) {
+      tally.end("internal-error");
+      throw error;
     } finally {
       afterResponse(exchange, end);
     }
@@ -95,10 +110,10 @@
 
 async function handleRequest(
   exchange: Exchange,
-  options: GatewayHandlerOptions,
+  options: RequestOptions,
 ): Promise<void> {
   const { incoming, receivedAtMs } = exchange;
-  const { router, protocol } = options;
+  const { router, protocol, tally } = options;
   const hop = options.acceptsHops ? readHop(incoming.headers) : null;
   const callerFields = protocol.readCallerHeaders(incoming.headers);
   const fields = hop ? { ...callerFields, ...hop.fields } : callerFields;
@@ -127,16 +142,19 @@
       router.match(hostOf(incoming.headers.host), incoming.url ?? "/"),
   });
   if (!("prefix" in route)) return refuse(route);
+  tally.noteRoute(route);
   exchange.logFields.route = route.name;
   exchange.logFields.table = router.table?.version;
   const timeoutMs = Math.min(fields.timeoutMs ?? Infinity, route.timeoutMs);
   const stopping = router.refusalOfStop(route, timeoutMs);
   if (stopping) return refuse(stopping);
+  const identity = identifyCaller(keyed, { ...options, route });
+  if (identity.isErr()) return refuse(identity.error);
+  tally.noteRoute(route, identity.value);
+  exchange.logFields.workspace = identity.value.workspace;
   if (fields.attemptId === null) {
     return refuse(notRun("bad-request", { detail: "The request has no id" }));
   }
-  const identity = identifyCaller(keyed, { ...options, route });
-  if (identity.isErr()) return refuse(identity.error);
   if (isTooLarge) return refuse(notRun("headers-too-large"));
   const body = await readBytes(
     incoming,
@@ -157,6 +175,7 @@
     lastEventId: fields.lastEventId,
     resumes: fields.resumes === null ? null : asId<AttemptId>(fields.resumes),
     prompt: fields.prompt,
+    ...(fields.tokenCount == null ? {} : { tokenCount: fields.tokenCount }),
     ...(hop ? { hop: hop.hop } : {}),
   };
   const signal = watchCaller(exchange, options);
@@ -224,7 +243,7 @@
     route: Route;
     /** Aborted when the caller leaves. */
     signal: AbortSignal;
-    options: GatewayHandlerOptions;
+    options: RequestOptions;
   },
 ): Promise<RoutedOutcome> {
   if (options.acceptsHops) markAnswer(response);
@@ -290,13 +309,15 @@
 
 function createSink(
   response: ServerResponse,
-  { writer, acceptsHops = false }: {
+  { writer, tally, acceptsHops = false }: {
     writer: BatchedWriter;
+    tally: RequestTally;
     acceptsHops?: boolean;
   },
 ): AnswerSink {
   return {
     head: (head) => {
+      tally.noteAnswer();
       if (response.destroyed) return;
       if (acceptsHops) markAnswer(response, head);
       response.writeHead(
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -24,6 +24,8 @@
   /** The attempt that brought the first event of a resumed stream; null if not given. */
   readonly resumes: string | null;
   readonly prompt: PromptFields | null;
+  /** Prompt tokens and maximum output tokens together; null if there is no valid count. */
+  readonly tokenCount?: number | null;
 }
 
 /** What the headers of an endpoint's answer say about it. */
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -21,6 +21,7 @@
 import type { Admission } from "../http/admission.ts";
 import type { HttpComponent } from "../http/server.ts";
 import { countUnaccepted } from "./unaccepted.ts";
+import { WorkspaceMetrics } from "./workspace_metrics.ts";
 
 const COUNTER_HELP: Record<CounterName, string> = {
   refusals: "Requests refused, by verdict and reason",
@@ -85,6 +86,8 @@
 /** Registers and updates the metrics of one daemon. */
 export class Metrics implements RequestTimes {
   readonly registry = new Registry();
+  /** Counters of requests by workspace and priority. */
+  readonly workspaces = new WorkspaceMetrics(this.registry);
   #requestTimes = new Histogram({
     name: "teaselvalve_request_ms",
     help: "Time that parts of requests took, by part and kind of route",
