--- a/packages/daemon/src/gateway/hop_test.ts
+++ b/packages/daemon/src/gateway/hop_test.ts
@@ -1,4 +1,4 @@
-import { asId } from "@teaselvalve/core";
+import { asId, digest } from "@teaselvalve/core";
 import { expect, test } from "vitest";
 import { formatHop, HOP_HEADER, readHop } from "./hop.ts";
 
@@ -29,3 +29,43 @@
     expect(readHop({ [HOP_HEADER]: header })).toBeNull();
   }
 });
+
+test("A hop carries the workspace and the digest of a key, and the age of the request", () => {
+  const header = formatHop({
+    hop: { from: asId<never>("vm-1"), runs: 0, origin: null },
+    timeLeftMs: 900,
+    lastEventId: null,
+    resumes: null,
+    request: {
+      workspace: asId("työ ☃"),
+      keyDigest: digest("k"),
+      receivedAtMs: performance.now() - 250,
+    },
+  });
+  const { forwardedKey } = readHop({ [HOP_HEADER]: header })!;
+  expect(forwardedKey).toMatchObject({
+    workspace: "työ ☃",
+    keyDigest: digest("k"),
+  });
+  expect(forwardedKey!.receivedAgoMs).toBeGreaterThanOrEqual(250);
+});
+
+// Guards against a malformed digest that is taken for a checked key.
+test("A hop without a whole key has none, and one with a malformed digest is none", () => {
+  const fields = {
+    from: "vm-1",
+    runs: 0,
+    origin: null,
+    timeLeftMs: 1,
+    lastEventId: null,
+    resumes: null,
+  };
+  const read = (more: object) =>
+    readHop({
+      [HOP_HEADER]: encodeURIComponent(JSON.stringify({ ...fields, ...more })),
+    });
+  expect(read({})!.forwardedKey).toBeUndefined();
+  expect(read({ workspace: "a" })!.forwardedKey).toBeUndefined();
+  expect(read({ keyDigest: digest("k") })!.forwardedKey).toBeUndefined();
+  expect(read({ workspace: "a", keyDigest: "k" })).toBeNull();
+});
