Ask other VMs about keys only if the store doesn't answer, and never 401 to a key of theirs

Cause: after a stall of a VM, one read of the store is enough, but four VMs were asked as well; a forwarded key that the second VM had never known got 401, although the first VM's newer table has it. Change: the store has 60 ms to answer unless it is known to fail; such a forwarded key is refused as unverified-key, so that the first VM tries another one.

--- a/packages/core/src/routing/workspaces/authenticator.ts
+++ b/packages/core/src/routing/workspaces/authenticator.ts
@@ -90,7 +90,8 @@
     const keyDigest = credentials.forwarded?.keyDigest ?? credentials.keyDigest;
     if (!this.#index || keyDigest === null || route.isPublic) return false;
     const { age } = this.#options;
-    return this.#find(credentials) ? age.isUnexpected : age.isOutdated;
+    if (this.#find(credentials)) return age.isUnexpected;
+    return this.#mayHaveKeyElsewhere(credentials) && age.isOutdated;
   }
 
   /** Waits for a newer table, for at most half of a request's time. */
@@ -110,13 +111,18 @@
     if (!this.#index) return ok(null);
     const workspace = this.#find(credentials);
     if (workspace || route.isPublic) return ok(workspace);
-    const { keyDigest, forwarded } = credentials;
-    const hasKey = keyDigest !== null || forwarded !== undefined;
-    return hasKey && this.#options.age.isOutdated
+    return this.#mayHaveKeyElsewhere(credentials)
       ? err(notRun("unverified-key", { retryAfterMs: UNVERIFIED_RETRY_MS }))
       : err(notRun("unauthenticated"));
   }
 
+  // Another VM has known a forwarded key, so that this VM's table is older unless it saw
+  // the key revoked.
+  #mayHaveKeyElsewhere({ keyDigest, forwarded }: Credentials): boolean {
+    if (forwarded) return !this.#revoked.has(forwarded.keyDigest);
+    return keyDigest !== null && this.#options.age.isOutdated;
+  }
+
   #find({ keyDigest, forwarded }: Credentials): RoutingWorkspace | null {
     if (!forwarded) return keyDigest && this.#index!.find(keyDigest);
     const known = this.#index!.find(forwarded.keyDigest);
--- a/packages/core/src/routing/workspaces/table_age.ts
+++ b/packages/core/src/routing/workspaces/table_age.ts
@@ -23,6 +23,8 @@
 /** How long no VM is asked again after none could tell. */
 const FAILURE_HOLDS_MS = 500;
 const POLL_INTERVAL_MS = 5;
+/** Time for a store without a known fault to answer before other VMs are asked. */
+const STORE_HEAD_START_MS = 60;
 
 /** The part of the VM's feed of tables that is needed here. */
 export interface TableSource {
@@ -94,15 +96,23 @@
 
   async #read(): Promise<void> {
     const { source, membership, random } = this.#options;
-    const endsAtMs = performance.now() + ASK_LIMIT_MS;
+    const startedAtMs = performance.now();
+    const tookMs = () => performance.now() - startedAtMs;
     source().hurry();
+    while (
+      this.isOutdated && !source().isFailing && tookMs() < STORE_HEAD_START_MS
+    ) {
+      await wait(POLL_INTERVAL_MS);
+    }
     let asked = 0;
-    const peers = shuffle(findOthers(membership), random).slice(0, ASKED_PEERS);
+    const peers = this.isOutdated
+      ? shuffle(findOthers(membership), random).slice(0, ASKED_PEERS)
+      : [];
     for (const peer of peers) {
       asked += 1;
       void this.#ask(peer).finally(() => (asked -= 1));
     }
-    while (this.isOutdated && performance.now() < endsAtMs) {
+    while (this.isOutdated && tookMs() < ASK_LIMIT_MS) {
       if (asked === 0 && source().isFailing) break;
       await wait(POLL_INTERVAL_MS);
     }
--- a/packages/core/src/routing/workspaces/table_age_test.ts
+++ b/packages/core/src/routing/workspaces/table_age_test.ts
@@ -153,7 +153,22 @@
   await vi.advanceTimersByTimeAsync(20);
   await updated;
   expect(age.isOutdated).toBe(false);
+  expect(asked).toEqual([]);
+});
+
+test("While the store doesn't answer, other VMs are asked after a short time", async () => {
+  const { age, asked } = createAge({
+    answer: () => ({ table: null, ageMs: 10, readsWorkspaces: true }),
+    isFailing: false,
+  });
+  await vi.advanceTimersByTimeAsync(BOUND_MS + 1);
+  const updated = age.update(400);
+  await vi.advanceTimersByTimeAsync(50);
+  expect(asked).toEqual([]);
+  await vi.advanceTimersByTimeAsync(50);
+  await updated;
   expect(asked).toHaveLength(4);
+  expect(age.isOutdated).toBe(false);
 });
 
 test("A request waits no longer than its own limit", async () => {
