Charge requests to quotas that hold over all VMs

Cause: nothing limits how much one workspace asks of all VMs together. Change: the home of a workspace grants credit from one account. VMs draw what waiting requests need, in one message at a time for each workspace, and get a lease where the account is far from its limit. A VM whose home doesn't answer uses its equal share; a home counts only VMs that it reaches, and just after a change of homes only those that draw from it. The router charges requests of workspaces with a quota, gives the charge of refused ones back if they did not run, and refuses those over the quota as quota-exceeded.

--- a/packages/core/src/routing/app.ts
+++ b/packages/core/src/routing/app.ts
@@ -1,6 +1,7 @@
 /** Methods that routing VMs call on each other. */
 import { type App, createApp } from "../common/app.ts";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
+import type { CreditHandlers } from "../quotas/credit/types.ts";
 import type { DemandSample } from "./stages/demand.ts";
 import type { PlacementHandlers } from "./placement/handlers.ts";
 import type { CrashHandlers } from "./crashes/exchange.ts";
@@ -16,7 +17,8 @@
     OriginHandlers,
     CrashHandlers,
     LimitHandlers,
-    LinkHandlers {
+    LinkHandlers,
+    CreditHandlers {
   /** Returns the active table if its version is above `after`, otherwise null. */
   "routing/table": (
     params: { after: number },
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -1,6 +1,7 @@
 /** Dependencies shared by the runs of all routed requests of a VM. */
 import type { DataCentre, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
+import type { CreditAdmission } from "../quotas/credit/types.ts";
 import type { CrashTracker } from "./crashes/tracker.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
@@ -45,6 +46,8 @@
   readonly port: RoutedEndpointPort;
   readonly crashes: CrashTracker;
   readonly origins: StreamOrigins;
+  /** Charges requests to the quotas of their workspaces. */
+  readonly credit: CreditAdmission;
   /** The way of requests whose service this VM has lost its links to. */
   readonly forwarding: Forwarding;
   /** What is still sent while this VM is stopping. */
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -1,20 +1,30 @@
 /** Routes callers' requests to services by the active routing table. */
-import type { ServiceName } from "../common/ids.ts";
-import { notRun, type Refusal } from "../common/verdict.ts";
+import type { ServiceName, WorkspaceId } from "../common/ids.ts";
+import { ok, type Result } from "neverthrow";
+import { type NotRun, notRun, type Refusal } from "../common/verdict.ts";
 import { CallRun } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
 import { DecodeQueue } from "./decode_queue.ts";
 import { PlainPlaces } from "./plain_places.ts";
 import type { EndpointAnswer } from "./port.ts";
 import { RouteIndex } from "./queries/match_route.ts";
-import { chooseDestination } from "./resumption.ts";
+import { chooseDestination, type ServiceChoice } from "./resumption.ts";
 import type { AnswerSink } from "./stream_relay.ts";
 import { type StreamOutcome, StreamRun } from "./stream_run.ts";
+import type { CreditCharge } from "../quotas/credit/types.ts";
 import type { Route, RoutedRequest, RoutingTable, Service } from "./types.ts";
+import type { RoutingWorkspace } from "./workspaces/types.ts";
 
 /** Retry delay given to callers while the VM has no routing table. */
 const NO_TABLE_RETRY_MS = 300;
 
+/**
+ * Share of a request's latency target for which it waits for credit of its workspace.
+ * A prefill of an average prompt takes another eighth of a stream's target, and the
+ * rest is needed to place a stream beside others.
+ */
+const CREDIT_WAIT_SHARE = 0.2;
+
 /** Outcome of a routed request. */
 export type RoutedOutcome =
   | { readonly kind: "answered"; readonly answer: EndpointAnswer }
@@ -36,6 +46,7 @@
   #services = new Map<ServiceName, Service>();
   #callServices: ReadonlySet<ServiceName> = new Set();
   #queues = new Map<ServiceName, DecodeQueue>();
+  #workspaces = new Map<WorkspaceId, RoutingWorkspace>();
 
   constructor(context: RoutingContext) {
     this.#context = context;
@@ -58,6 +69,9 @@
       table.services.map((service) => [service.name, service]),
     );
     this.#callServices = findCallServices(table);
+    this.#workspaces = new Map(
+      table.workspaces?.map((workspace) => [workspace.id, workspace]),
+    );
     this.#context.observer.count("configuration_changes", "in-force");
     this.#context.observer.log({
       event: "routing-table-in-force",
@@ -111,12 +125,52 @@
     if (destination.isErr()) {
       return { kind: "refused", refusal: destination.error };
     }
-    const { service, version } = destination.value;
+    const charge = await this.#charge(request, { route, signal });
+    if (charge.isErr()) return { kind: "refused", refusal: charge.error };
+    const outcome = await this.#send(request, {
+      route,
+      sink,
+      signal,
+      destination: destination.value,
+      isTrial: admission === "trial",
+    });
+    const isNotRun = outcome.kind === "refused" &&
+      outcome.refusal.kind === "notRun";
+    if (isNotRun) charge.value?.giveBack();
+    return outcome;
+  }
+
+  // A request that another VM sent on was charged there.
+  async #charge(
+    request: RoutedRequest,
+    { route, signal }: { route: Route; signal: AbortSignal },
+  ): Promise<Result<CreditCharge | null, NotRun>> {
+    const workspace = request.workspace === undefined
+      ? undefined
+      : this.#workspaces.get(request.workspace);
+    if (!workspace?.quota || request.hop) return ok(null);
+    return await this.#context.credit.admit({
+      workspace,
+      promptTokens: request.prompt?.promptTokens ?? null,
+      maxOutputTokens: request.prompt?.maxOutputTokens ?? null,
+      waitMs: CREDIT_WAIT_SHARE * route.targetLatencyMs,
+      signal,
+    });
+  }
+
+  async #send(
+    request: RoutedRequest,
+    { route, sink, signal, destination, isTrial }: HandleOptions & {
+      route: Route;
+      destination: ServiceChoice;
+      isTrial: boolean;
+    },
+  ): Promise<RoutedOutcome> {
+    const { service, version } = destination;
     // The VM that sends it on to an endpoint counts it.
     const { budget, forwarding } = this.#context;
     if (!forwarding.isLost(service)) budget.earn(service);
     const pool = this.#services.get(service)?.engines ?? null;
-    const isTrial = admission === "trial";
     const common = { request, route, service, signal, isTrial };
     if (route.kind === "stream") {
       const places = pool
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -8,6 +8,7 @@
 import { wait } from "../common/wait.ts";
 import { StallWatch } from "../common/stall_watch.ts";
 import { findOthers } from "../membership/queries/find_others.ts";
+import { CreditTask } from "../quotas/credit/task.ts";
 import { MembershipTask } from "../membership/task.ts";
 import type { Member, MembershipContext } from "../membership/types.ts";
 import { createMembershipApp, type Probe } from "../membership/app.ts";
@@ -76,6 +77,7 @@
     "start" | "stop" | "hurry" | "ageMs" | "isFailing"
   >[];
   #guard: EndpointGuard;
+  #credit: CreditTask;
   #placement: PlacementClient;
   #endpointsKnown = false;
   #peerPollTimer: ReturnType<typeof setInterval> | undefined;
@@ -115,6 +117,11 @@
       setTable: (table, setOptions) => this.#setTable(table, setOptions),
       isStoreFailing: () => this.#feeds[0]!.isFailing,
     });
+    this.#credit = new CreditTask({
+      membership: this.membership,
+      peers: ports.peers,
+      observer,
+    });
     this.#guard = new EndpointGuard({
       membership: this.membership,
       peers: ports.peers,
@@ -175,6 +182,7 @@
       outputs: this.#outputs,
       crashes: this.#guard.crashes,
       origins,
+      credit: this.#credit,
       forwarding: new Forwarder({
         membership: this.membership,
         links: this.#guard.links,
@@ -218,6 +226,7 @@
     this.#feeds = [this.#createTableFeed(), this.#createEndpointFeed()];
     this.#stallWatch = new StallWatch(() => {
       for (const feed of this.#feeds) feed.hurry();
+      this.#credit.noteStall();
     });
     this.peerHandlers = {
       ...createMembershipApp({
@@ -238,6 +247,7 @@
           return null;
         },
         ...this.#guard.handlers,
+        ...this.#credit.handlers,
         "routing/take-stages": ({ service }) => ({
           taken: this.#stages.takeOver(service),
         }),
@@ -335,6 +345,7 @@
     this.#stages.stop();
     this.router.stop();
     this.#placement.stop();
+    this.#credit.stop();
     this.#originRecord.stop();
     this.membership.stop();
     this.#guard.stop();
@@ -420,6 +431,7 @@
   // Fetches what the VM that sent a probe has and this one lacks.
   #compareWith(probe: Probe): void {
     const peer = this.membership.member(probe.from);
+    this.#credit.noteContact();
     this.#guard.noteProbe(peer, probe.evidenceHash);
     this.#busyVms.note(probe.from, probe.busy === true);
     this.#tables.compare(probe);
@@ -427,6 +439,7 @@
 
   #setTable(table: RoutingTable, options?: { source: string }): void {
     if (!this.router.setTable(table, options)) return;
+    this.#credit.setTable(table);
     this.#stages.start(
       table.services.filter(({ engines }) => engines).map(({ name }) => name),
     );
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -278,6 +278,7 @@
     outputs: new OutputEstimates(),
     crashes: new CrashTracker(),
     origins: createOrigins(entries),
+    credit: { admit: () => Promise.resolve(ok({ giveBack() {} })) },
     forwarding: NO_FORWARDING,
     stop: new StopGate(),
     port,
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -173,6 +173,7 @@
           known,
         }),
         "routing/limit-ended": () => null,
+        "routing/credit": () => null,
         "routing/take-stages": () => ({ taken: false }),
         "routing/check-links": () => Promise.resolve({ reached: null }),
         "routing/ordered": () => null,
--- a/packages/daemon/src/gateway/handler_test.ts
+++ b/packages/daemon/src/gateway/handler_test.ts
@@ -5,6 +5,7 @@
 import {
   InProgressCounter,
   mayHaveRun,
+  notRun,
   PROCESS_MEMORY,
   SILENT_OBSERVER,
   wait,
@@ -110,6 +111,19 @@
   expect(finishedWhenIdle).toEqual([true]);
 });
 
+test("A request over its workspace's quota gets 429 and the time to retry, and is told that it didn't run", async () => {
+  const refusal = notRun("quota-exceeded", { retryAfterMs: 1_234 });
+  await start(() => Promise.resolve({ kind: "refused", refusal }));
+  caller.write("GET / HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n");
+  let answer = "";
+  caller.on("data", (bytes: Buffer) => (answer += bytes.toString()));
+  await once(caller, "close");
+  expect(answer).toMatch(/^HTTP\/1.1 429 /);
+  expect(answer.toLowerCase()).toContain("\r\nretry-after: 1234\r\n");
+  expect(answer).toContain('"verdict":"notRun"');
+  expect(answer).toContain('"reason":"quota-exceeded"');
+});
+
 test("A connection that doesn't take its first answer is closed only after the limit", async () => {
   const slowReaderMs = 1_000;
   await start(answerLarge, { slowReaderMs });
