Let only entries that fit the configuration claim an address

Cause: an entry in the directory displaced the endpoint that had its address if it named a later start, whatever service it named. An entry of another writer thus took sound endpoints out of use, and streams of their software version could not be resumed. A later start in an entry of another writer under an endpoint's id also made its own entry outdated. Change: an entry claims an address only if it is ready and fits a service of the active configuration. Other entries are withheld while a valid one has their address. A new configuration settles all addresses again, and entries that lost their address are used again when its holder is gone.

--- a/packages/core/src/routing/endpoint_registry.ts
+++ b/packages/core/src/routing/endpoint_registry.ts
@@ -40,20 +40,28 @@
   #returnedAtMs = -Infinity;
   #bounds: ChangeBounds;
   #lostVersions = new LostVersions();
+  #isUsable: (entry: EndpointEntry) => boolean;
+  /** Entries that are listed, but whose address belongs to another endpoint. */
+  #withheld = new Map<EndpointId, EndpointEntry>();
   /** Until when entries are used that are found to be missing. */
   #keepUntilMs = -Infinity;
 
   /**
    * `onIncarnationEnd` is called when an endpoint goes missing, restarts, or loses
-   * its address to a newer endpoint.
+   * its address to a newer endpoint. `isUsable` returns whether an entry fits a service
+   * of the configuration; by default, all do.
    */
   constructor(
     observer: Observer,
     onIncarnationEnd: (entry: EndpointEntry) => void = () => {},
-    { bounds = DEFAULT_BOUNDS }: { bounds?: ChangeBounds } = {},
+    { bounds = DEFAULT_BOUNDS, isUsable = () => true }: {
+      bounds?: ChangeBounds;
+      isUsable?: (entry: EndpointEntry) => boolean;
+    } = {},
   ) {
     this.#observer = observer;
     this.#bounds = bounds;
+    this.#isUsable = isUsable;
     this.#onIncarnationEnd = onIncarnationEnd;
   }
 
@@ -61,6 +69,7 @@
   replace(entries: readonly EndpointEntry[]): void {
     const seen = new Set(entries.map((entry) => entry.id));
     this.#doubtful = [];
+    this.#withheld.clear();
     for (const entry of entries) {
       if (this.#isDoubtful(entry)) this.#doubtful.push(entry);
       else this.#upsert(entry);
@@ -68,13 +77,26 @@
     for (const id of [...this.#records.keys()]) {
       if (!seen.has(id)) this.#remove(id);
     }
+    this.#retryWithheld();
   }
 
   /** Applies one change of the directory. */
   apply(change: EndpointChange): void {
     this.#doubtful = this.#doubtful.filter(({ id }) => id !== change.id);
+    this.#withheld.delete(change.id);
     if (change.entry) this.#upsert(change.entry);
     else this.#remove(change.id);
+    this.#retryWithheld();
+  }
+
+  /** Records that the services of the configuration, which decide on addresses, have changed. */
+  noteServices(): void {
+    for (const record of [...this.#records.values()]) {
+      const { entry } = record;
+      if (this.#records.get(entry.id) !== record || record.missing) continue;
+      if (!this.#findHolder(entry)) this.#displaceOthers(entry);
+    }
+    this.#retryWithheld();
   }
 
   /** Records that an endpoint said itself that it is about to stop. */
@@ -189,15 +211,17 @@
 
   #upsert(entry: EndpointEntry): void {
     const existing = this.#records.get(entry.id);
-    if (existing && existing.entry.bornAtMs > entry.bornAtMs) return;
-    if (!this.#claimAddress(entry)) return;
-    this.#gone.delete(incarnationOf(entry));
+    if (existing && this.#isOutdated(entry, existing.entry)) return;
     const wasDraining = this.#drained.has(incarnationOf(entry));
     const draining = wasDraining || entry.state === "draining";
     if (draining) this.#recordDraining(entry);
     const effective: EndpointEntry = draining
       ? { ...entry, state: "draining" }
       : entry;
+    const holder = this.#findHolder(effective);
+    if (holder) return this.#withhold(entry, holder.entry);
+    this.#displaceOthers(effective);
+    this.#gone.delete(incarnationOf(entry));
     if (existing?.entry.bornAtMs === entry.bornAtMs) {
       this.#logChange(existing.entry, effective);
       existing.update(effective);
@@ -217,12 +241,35 @@
     });
   }
 
-  // An address belongs to one endpoint at a time: the one that started last.
-  // Returns false if the address belongs to an endpoint newer than the entry.
-  #claimAddress(entry: EndpointEntry): boolean {
-    for (const [id, { entry: other }] of this.#records) {
+  // An entry of another writer may have a later start time than the endpoint's own.
+  #isOutdated(entry: EndpointEntry, known: EndpointEntry): boolean {
+    if (known.bornAtMs <= entry.bornAtMs) return false;
+    return this.#isUsable(known) || !this.#isUsable(entry);
+  }
+
+  #mayClaim(entry: EndpointEntry): boolean {
+    return entry.state === "ready" && this.#isUsable(entry);
+  }
+
+  // An address belongs to one endpoint at a time: of those that may claim it, the one
+  // that started last. Returns it if that isn't the endpoint of the entry.
+  #findHolder(entry: EndpointEntry): EndpointRecord | undefined {
+    const nowMs = performance.now();
+    const mayClaim = this.#mayClaim(entry);
+    for (const record of this.#records.values()) {
+      const { entry: other } = record;
+      if (other.address !== entry.address || other.id === entry.id) continue;
+      if (record.isRemoved(nowMs) || !this.#mayClaim(other)) continue;
+      if (!mayClaim || other.bornAtMs > entry.bornAtMs) return record;
+    }
+    return undefined;
+  }
+
+  #displaceOthers(entry: EndpointEntry): void {
+    if (!this.#mayClaim(entry)) return;
+    for (const [id, record] of [...this.#records]) {
+      const { entry: other } = record;
       if (id === entry.id || other.address !== entry.address) continue;
-      if (other.bornAtMs > entry.bornAtMs) return false;
       this.#observer.log({
         event: "endpoint-replaced",
         endpoint: id,
@@ -230,9 +277,32 @@
         address: entry.address,
       });
       this.#records.delete(id);
+      if (!record.missing) this.#withheld.set(id, other);
       this.#onIncarnationEnd(other);
     }
-    return true;
+  }
+
+  #withhold(entry: EndpointEntry, holder: EndpointEntry): void {
+    const before = this.#withheld.get(entry.id);
+    this.#withheld.set(entry.id, entry);
+    if (before) return;
+    this.#observer.log({
+      event: "endpoint-withheld",
+      endpoint: entry.id,
+      service: entry.service,
+      address: entry.address,
+      holder: holder.id,
+      isUsable: this.#isUsable(entry),
+    });
+  }
+
+  // The endpoint that has the address may be gone by now.
+  #retryWithheld(): void {
+    for (const entry of [...this.#withheld.values()]) {
+      if (this.#findHolder(entry)) continue;
+      this.#withheld.delete(entry.id);
+      this.#upsert(entry);
+    }
   }
 
   #remove(id: EndpointId): void {
--- a/packages/core/src/routing/endpoint_registry_test.ts
+++ b/packages/core/src/routing/endpoint_registry_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { asId, type ServiceName } from "../common/ids.ts";
 import { SILENT_OBSERVER } from "../common/observe.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 import { entry, SERVICE } from "./testing/fake_endpoints.ts";
@@ -172,3 +173,83 @@
   returnTo(registry, "a", "b");
   expect(idsOf(registry)).toEqual(["a"]);
 });
+
+/** A registry where entries of other services than `SERVICE` aren't usable. */
+function createStrict(
+  isUsable: (service: string) => boolean = (service) => service === SERVICE,
+): EndpointRegistry {
+  return new EndpointRegistry(SILENT_OBSERVER, () => {}, {
+    isUsable: ({ service }) => isUsable(service),
+  });
+}
+
+const FOREIGN = { service: asId<ServiceName>("node-metrics"), bornAtMs: 99 };
+
+/** Guards against entries of another writer that take endpoints out of use. */
+test("An entry without a service of the configuration takes no address, by whatever message it comes", () => {
+  const registry = createStrict();
+  const { id, address } = entry("a");
+  const agent = entry("agent", { ...FOREIGN, address });
+  registry.replace([agent, entry("a")]);
+  expect(idsOf(registry)).toEqual(["a"]);
+  const record = registry.get(id);
+  registry.apply({ id: agent.id, entry: agent });
+  registry.apply({ id, entry: entry("a", { slots: 7 }) });
+  expect(idsOf(registry)).toEqual(["a"]);
+  expect(registry.get(id)).toBe(record);
+  registry.replace([entry("a"), agent]);
+  expect(idsOf(registry)).toEqual(["a"]);
+});
+
+test("An entry that offers no work takes no address of an older endpoint", () => {
+  const registry = createStrict();
+  const { address } = entry("a");
+  registry.replace([entry("a")]);
+  const drained = entry("d", { address, state: "draining", bornAtMs: 9 });
+  registry.apply({ id: drained.id, entry: drained });
+  expect(idsOf(registry)).toEqual(["a"]);
+});
+
+test("An address is settled once the services of the configuration are known", () => {
+  let isKnown = false;
+  const registry = createStrict((service) => isKnown && service === SERVICE);
+  const { address } = entry("a");
+  registry.replace([
+    entry("a"),
+    entry("agent", { ...FOREIGN, address }),
+    entry("new", { address, bornAtMs: 5 }),
+  ]);
+  isKnown = true;
+  registry.noteServices();
+  expect(idsOf(registry)).toEqual(["new"]);
+});
+
+test("An endpoint is used again when the one that took its address is gone", () => {
+  const registry = createStrict();
+  const { address } = entry("a");
+  const newer = entry("new", { address, bornAtMs: 9 });
+  registry.replace([entry("a"), newer]);
+  expect(idsOf(registry)).toEqual(["new"]);
+  registry.apply({ id: newer.id, entry: null });
+  expect(idsOf(registry)).toEqual(["a"]);
+});
+
+test("A removed entry whose address another endpoint took doesn't return", () => {
+  const registry = createStrict();
+  const { id, address } = entry("a");
+  const newer = entry("new", { address, bornAtMs: 9 });
+  registry.replace([entry("a"), newer]);
+  registry.apply({ id, entry: null });
+  registry.apply({ id: newer.id, entry: null });
+  expect(idsOf(registry)).toEqual([]);
+});
+
+test("An endpoint's own entry replaces one of another writer under its id with a later start", () => {
+  const registry = createStrict();
+  const { id } = entry("a");
+  registry.replace([entry("a")]);
+  registry.apply({ id, entry: entry("a", FOREIGN) });
+  expect(idsOf(registry)).toEqual([]);
+  registry.apply({ id, entry: entry("a") });
+  expect(idsOf(registry)).toEqual(["a"]);
+});
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -46,7 +46,12 @@
 import type { RoutingVmOptions } from "./routing_vm_options.ts";
 import { OrderWatch } from "./stages/order_watch.ts";
 import { ServiceStages } from "./stages/service_stages.ts";
-import type { EndpointChange, EndpointEntry, RoutingTable } from "./types.ts";
+import {
+  type EndpointChange,
+  type EndpointEntry,
+  fitsService,
+  type RoutingTable,
+} from "./types.ts";
 
 /** Delay that batches endpoint changes; far below the time allowed to stop using a draining endpoint. */
 const ENDPOINTS_BATCH_MS = 400;
@@ -128,7 +133,11 @@
     this.endpoints = new EndpointRegistry(
       observer,
       (entry) => this.#guard.noteEndpointEnd(entry),
-      { bounds: options.bounds ?? DEFAULT_BOUNDS },
+      {
+        bounds: options.bounds ?? DEFAULT_BOUNDS,
+        isUsable: (entry) =>
+          fitsService(entry, this.router.service(entry.service)),
+      },
     );
     const placementHome = new PlacementHome();
     this.#originRecord = new OriginRecord({
@@ -427,6 +436,7 @@
 
   #setTable(table: RoutingTable, options?: { source: string }): void {
     if (!this.router.setTable(table, options)) return;
+    this.#changeEndpoints(() => this.endpoints.noteServices());
     this.#stages.start(
       table.services.filter(({ engines }) => engines).map(({ name }) => name),
     );
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -134,6 +134,15 @@
   return asId(`${id} ${bornAtMs}`);
 }
 
+/** Whether an entry fits its service; `service` is undefined if the configuration has none of that name. */
+export function fitsService(
+  { stage }: EndpointEntry,
+  service: Service | undefined,
+): boolean {
+  return service !== undefined &&
+    (stage !== null) === (service.engines !== null);
+}
+
 /** A change in the directory of endpoints; a null entry was removed or can't be read. */
 export interface EndpointChange {
   readonly id: EndpointId;
