Count crashes of endpoints that return under their ids

Cause: an endpoint that crashed and started again under its id accepted reservations before the directory showed its new start. The VM took the answer for one of the incarnation that had crashed, and refuted the crash at all VMs, so that a crashing prompt part was never quarantined. Change: the answers to reservations and reports are asked for the start time that they state (`born`). Only an answer with the start time of the entry refutes a crash or forgets losses. Answers of plain endpoints, which state none, leave losses to expire after 6 s. The check of an engine after a loss compares the start time as well. No further calls or messages.

--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -246,7 +246,10 @@
     noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
     if (outcome.isOk()) {
       const { crashes } = this.#context;
-      crashes.noteRunning(endpoint.entry, { sentAtMs: startedMs });
+      crashes.noteAnswer(endpoint.entry, {
+        sentAtMs: startedMs,
+        bornAtMs: null,
+      });
       if (outcome.value.endsWithConnection) {
         crashes.noteEnded(request, endpoint.entry);
       } else crashes.noteAnswered(request);
--- a/packages/core/src/routing/crashes/tracker.ts
+++ b/packages/core/src/routing/crashes/tracker.ts
@@ -14,6 +14,7 @@
   type EndpointEntry,
   type EndpointIncarnation,
   incarnationOf,
+  isFromIncarnation,
   type RoutedRequest,
 } from "../types.ts";
 import { CrashEvidence, type EvidenceListener } from "./evidence.ts";
@@ -47,7 +48,7 @@
   observer?: Observer;
   /** Receives changes of the evidence, to pass to other VMs. */
   onChange?: EvidenceListener;
-  /** Returns whether an endpoint still accepts connections; undefined if that can't be checked. */
+  /** Returns whether an incarnation is still running; undefined if that can't be checked. */
   check?: (entry: EndpointEntry) => Promise<boolean | undefined>;
   /** Returns whether this VM's links work, so that an endpoint refuses connections itself. */
   confirmLinks?: (entry: EndpointEntry) => Promise<boolean>;
@@ -230,7 +231,38 @@
     this.#addCrash(entry, unlinked.filter(isNear));
   }
 
-  /** Records that an endpoint has answered a call made at `sentAtMs`, so that it was running. */
+  /**
+   * Records an answer to a call made at `sentAtMs`. If it states another start time than
+   * the entry, or none, it may come from an endpoint that has crashed and started again,
+   * and doesn't show that the incarnation of the entry was running.
+   */
+  noteAnswer(
+    entry: EndpointEntry,
+    { sentAtMs, bornAtMs }: { sentAtMs: number; bornAtMs: number | null },
+  ): void {
+    if (isFromIncarnation(entry, bornAtMs)) {
+      return this.noteRunning(entry, { sentAtMs });
+    }
+    if (bornAtMs === null) this.#noteSurvived(entry);
+  }
+
+  // The directory replaces or removes the entry of an incarnation that has ended within
+  // the window, so that a loss before it was no crash.
+  #noteSurvived(entry: EndpointEntry): void {
+    const endpoint = incarnationOf(entry);
+    const losses = this.#losses.get(endpoint);
+    if (!losses) return;
+    const recent = this.#recentLosses(endpoint);
+    this.#setLosses(endpoint, recent);
+    if (this.evidence.get(endpoint)) return;
+    for (const loss of losses) {
+      if (loss.isAnswered && !recent.includes(loss)) {
+        this.noteAnswered(loss.request);
+      }
+    }
+  }
+
+  /** Records that an incarnation has answered a call made at `sentAtMs`, so that it was running. */
   noteRunning(entry: EndpointEntry, { sentAtMs }: { sentAtMs: number }): void {
     const endpoint = incarnationOf(entry);
     const losses = this.#losses.get(endpoint) ?? [];
@@ -265,8 +297,10 @@
     if (!check || this.#checking.has(endpoint)) return;
     this.#checking.add(endpoint);
     await new Promise((resolve) => setTimeout(resolve, CHECK_DELAY_MS));
+    const sentAtMs = performance.now();
     const running = await check(entry);
     this.#checking.delete(endpoint);
+    if (running) this.noteRunning(entry, { sentAtMs });
     if (running === false) void this.noteRefused(entry);
   }
 
--- a/packages/core/src/routing/crashes/tracker_test.ts
+++ b/packages/core/src/routing/crashes/tracker_test.ts
@@ -7,7 +7,7 @@
   type RoutedRequest,
 } from "../types.ts";
 import { CrashTracker } from "./tracker.ts";
-import { fingerprintOf } from "./traits.ts";
+import { fingerprintOf, partTraitsOf } from "./traits.ts";
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
@@ -447,3 +447,62 @@
   }
   expect(isQuarantined(tracker, POISON)).toBe(true);
 });
+
+// Guards against endpoints that come back under their ids before the directory shows it:
+// their answers hid every crash.
+test.each([["another start time", 2], ["no start time", null]])(
+  "An answer with %s neither refutes a crash nor forgets what was lost before",
+  (_name, bornAtMs) => {
+    const tracker = new CrashTracker();
+    for (const endpoint of ENDPOINTS.slice(0, 3)) {
+      tracker.noteLost(POISON, endpoint);
+      vi.advanceTimersByTime(100);
+      const sentAtMs = performance.now() - 10;
+      tracker.noteAnswer(endpoint, { sentAtMs, bornAtMs });
+      tracker.noteEnd(endpoint);
+      tracker.noteAnswer(endpoint, { sentAtMs, bornAtMs });
+    }
+    expect(isQuarantined(tracker, POISON)).toBe(true);
+  },
+);
+
+test("An answer of the same start refutes a crash", () => {
+  const tracker = new CrashTracker();
+  for (const endpoint of ENDPOINTS.slice(0, 3)) {
+    crash(tracker, endpoint, POISON);
+    vi.advanceTimersByTime(100);
+    const sentAtMs = performance.now() - 10;
+    const { bornAtMs } = endpoint;
+    tracker.noteAnswer(endpoint, { sentAtMs, bornAtMs });
+  }
+  expect(isQuarantined(tracker, POISON)).toBe(false);
+});
+
+test("Crashes of several starts of one endpoint count together", () => {
+  const tracker = new CrashTracker();
+  for (const bornAtMs of [1, 2, 3]) {
+    const started = entry("a", { bornAtMs });
+    crash(tracker, started, promptWith("bad"));
+    tracker.noteAnswer(entry("a", { bornAtMs: bornAtMs + 1 }), {
+      sentAtMs: performance.now(),
+      bornAtMs: bornAtMs + 1,
+    });
+  }
+  expect(isQuarantined(tracker, promptWith("bad"))).toBe(true);
+});
+
+// The end of the connection is the end of such an answer, and of a crashed endpoint's.
+test("An answer that ended with its connection counts once its endpoint has outlasted it, if no answer states a start time", () => {
+  const tracker = new CrashTracker();
+  const [endpoint] = ENDPOINTS as [EndpointEntry];
+  const answered = promptWith("part");
+  tracker.noteEnded(answered, endpoint);
+  vi.advanceTimersByTime(1_000);
+  const sentAtMs = performance.now() - 10;
+  tracker.noteAnswer(endpoint, { sentAtMs, bornAtMs: null });
+  const [part] = partTraitsOf(answered);
+  expect(tracker.evidence.wasAnswered(part!.id)).toBe(false);
+  vi.advanceTimersByTime(6_000);
+  tracker.noteAnswer(endpoint, { sentAtMs, bornAtMs: null });
+  expect(tracker.evidence.wasAnswered(part!.id)).toBe(true);
+});
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -360,10 +360,11 @@
         signal: request.signal,
       });
       if (reserved.isOk()) {
-        crashes.noteRunning(endpoint.entry, { sentAtMs });
+        const { id, bornAtMs } = reserved.value;
+        crashes.noteAnswer(endpoint.entry, { sentAtMs, bornAtMs });
         const load = { ...request.load };
         endpoint.streams.add(load);
-        return { endpoint, reservationId: reserved.value, load, isForecast };
+        return { endpoint, reservationId: id, load, isForecast };
       }
       this.#noteReserveFailure(endpoint, reserved.error);
       if (request.signal.aborted) return null;
--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -1,13 +1,14 @@
 /** Interface through which the router calls endpoints. */
 import type { Result } from "neverthrow";
 import type { StreamOrigin } from "./stream_origins.ts";
-import type {
-  EndpointEntry,
-  EndpointIncarnation,
-  KvHandle,
-  ReservationId,
-  RoutedRequest,
-  Stage,
+import {
+  type EndpointEntry,
+  type EndpointIncarnation,
+  isFromIncarnation,
+  type KvHandle,
+  type ReservationId,
+  type RoutedRequest,
+  type Stage,
 } from "./types.ts";
 
 const CHECK_TIMEOUT_MS = 500;
@@ -129,6 +130,17 @@
   readonly tokens: number;
 }
 
+/** What an endpoint's answer to a call of the VM itself says about the endpoint. */
+export interface IncarnationFields {
+  /** Start time of the incarnation that answered; null if the answer doesn't state it. */
+  readonly bornAtMs: number | null;
+}
+
+/** Answer to a reservation. */
+export interface ReservationAnswer extends IncarnationFields {
+  readonly id: ReservationId;
+}
+
 /** Options of {@link RoutedEndpointPort.reserve}. */
 export interface ReserveOptions {
   readonly tokens: number;
@@ -174,8 +186,9 @@
   | "lost";
 
 /**
- * Returns whether an engine accepts connections: false if its address refuses them,
- * undefined if that isn't known, as for endpoints without reports.
+ * Returns whether this incarnation of an engine is running: false if its address refuses
+ * connections or another incarnation answers there, undefined if that isn't known, as for
+ * endpoints without reports.
  */
 export async function checkConnection(
   port: Pick<RoutedEndpointPort, "report">,
@@ -183,7 +196,11 @@
 ): Promise<boolean | undefined> {
   if (entry.stage === null) return undefined;
   const report = await port.report(entry, { timeoutMs: CHECK_TIMEOUT_MS });
-  if (report.isOk()) return true;
+  if (report.isOk()) {
+    const { bornAtMs } = report.value;
+    if (isFromIncarnation(entry, bornAtMs)) return true;
+    return bornAtMs === null ? undefined : false;
+  }
   const isRefused = report.error.kind === "notSent" && report.error.refused;
   return isRefused ? false : undefined;
 }
@@ -232,14 +249,14 @@
   reserve(
     endpoint: EndpointEntry,
     options: ReserveOptions,
-  ): Promise<Result<ReservationId, SendFailure>>;
+  ): Promise<Result<ReservationAnswer, SendFailure>>;
   /** Releases a reservation. Failures are only logged, since it expires by itself. */
   releaseReservation(endpoint: EndpointEntry, id: ReservationId): void;
   /** Fetches an engine's report. */
   report(
     endpoint: EndpointEntry,
     options: { timeoutMs: number },
-  ): Promise<Result<EngineReport, SendFailure>>;
+  ): Promise<Result<EngineReport & IncarnationFields, SendFailure>>;
   /**
    * Returns whether an endpoint answers anything at all; undefined if it can't be
    * asked, for lack of a permit or of a suitable call.
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -144,6 +144,8 @@
 export interface FakeBehaviour {
   call(endpoint: EndpointEntry, send: Send): Promise<Outcome<EndpointAnswer>>;
   reserve(endpoint: EndpointEntry, tokens: number): Outcome<ReservationId>;
+  /** Start time in the endpoint's answers; by default that of its entry. */
+  bornAtMs(endpoint: EndpointEntry): number | null;
   prefill(endpoint: EndpointEntry, send: Send): Promise<Outcome<PrefillAnswer>>;
   /** Streams to the listener, and resolves when the stream ends. */
   stream(
@@ -166,6 +168,7 @@
     this.#behaviour = {
       call: () => Promise.resolve(ok(answer())),
       reserve: () => ok(asId<ReservationId>("hold")),
+      bornAtMs: ({ bornAtMs }) => bornAtMs,
       prefill: () => Promise.resolve(ok({ handle: asId("kv"), tokens: 1 })),
       stream: (_endpoint, { listener }) => {
         listener.onHead(EVENT_HEAD);
@@ -211,7 +214,10 @@
 
   reserve(endpoint: EndpointEntry, { tokens }: { tokens: number }) {
     this.log.push(`reserve ${endpoint.id}`);
-    return Promise.resolve(this.#behaviour.reserve(endpoint, tokens));
+    const bornAtMs = this.#behaviour.bornAtMs(endpoint);
+    return Promise.resolve(
+      this.#behaviour.reserve(endpoint, tokens).map((id) => ({ id, bornAtMs })),
+    );
   }
 
   releaseReservation(_endpoint: EndpointEntry, id: string): void {
@@ -223,7 +229,11 @@
   }
 
   report(endpoint: EndpointEntry) {
-    return Promise.resolve(this.#behaviour.report(endpoint));
+    const bornAtMs = this.#behaviour.bornAtMs(endpoint);
+    return Promise.resolve(
+      this.#behaviour.report(endpoint)
+        .map((report) => ({ ...report, bornAtMs })),
+    );
   }
 
   checkLink(endpoint: EndpointEntry) {
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -127,6 +127,9 @@
   readonly bornAtMs: number;
 }
 
+/** Start time of endpoints whose entries state none. */
+export const NO_START_TIME = 0;
+
 /** Returns the key of one start of an endpoint. */
 export function incarnationOf(
   { id, bornAtMs }: Pick<EndpointEntry, "id" | "bornAtMs">,
@@ -134,6 +137,17 @@
   return asId(`${id} ${bornAtMs}`);
 }
 
+/**
+ * Whether an answer came from the incarnation of an entry, by the start time that it
+ * states; null if it states none. Endpoints whose entries state none have one incarnation.
+ */
+export function isFromIncarnation(
+  { bornAtMs }: Pick<EndpointEntry, "bornAtMs">,
+  answeredBornAtMs: number | null,
+): boolean {
+  return bornAtMs === NO_START_TIME || bornAtMs === answeredBornAtMs;
+}
+
 /** Whether an entry fits its service; `service` is undefined if the configuration has none of that name. */
 export function fitsService(
   { stage }: EndpointEntry,
--- a/packages/daemon/src/gateway/endless_answers_test.ts
+++ b/packages/daemon/src/gateway/endless_answers_test.ts
@@ -61,6 +61,7 @@
   readPrefillAnswer: () => ({}),
   readReservation: () => "r",
   readReport: () => ({}),
+  readStartTime: () => null,
   reserveCall: () => ({ method: "POST", path: "/reserve" }),
   reportCall: () => ({ method: "GET", path: "/report" }),
   orderCall: () => ({ method: "POST", path: "/order" }),
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -8,7 +8,6 @@
   type CheckLinkOptions,
   type EndpointAnswer,
   type EndpointEntry,
-  type EngineReport,
   incarnationOf,
   type NoticeListener,
   type OrderOutcome,
@@ -156,7 +155,10 @@
     });
     return answer.andThen((buffered) =>
       this.#parseAnswer(buffered, {
-        read: (text) => this.#protocol.readReservation(text),
+        read: (text) => {
+          const id = this.#protocol.readReservation(text);
+          return id && { id, bornAtMs: this.#protocol.readStartTime(text) };
+        },
         description: "answer to a reservation",
       })
     );
@@ -179,7 +181,7 @@
   async report(
     endpoint: EndpointEntry,
     options: { timeoutMs: number },
-  ): Promise<Result<EngineReport, SendFailure>> {
+  ): ReturnType<RoutedEndpointPort["report"]> {
     const answer = await this.#call(endpoint, {
       call: "report",
       ...this.#protocol.reportCall(),
@@ -187,7 +189,11 @@
     });
     return answer.andThen((buffered) =>
       this.#parseAnswer(buffered, {
-        read: (text) => this.#protocol.readReport(text),
+        read: (text) => {
+          const report = this.#protocol.readReport(text);
+          const bornAtMs = this.#protocol.readStartTime(text);
+          return report && { ...report, bornAtMs };
+        },
         description: "report",
       })
     );
--- a/packages/daemon/src/gateway/protocol.ts
+++ b/packages/daemon/src/gateway/protocol.ts
@@ -74,6 +74,11 @@
     options: { tokens: number; ttlMs: number },
     target: { endpointId: string },
   ): EndpointCall;
+  /**
+   * Reads the start time of the endpoint from an answer to a call of the VM itself, a
+   * prefill included; null if the answer doesn't state it.
+   */
+  readStartTime(body: string): number | null;
   /** Parses the answer to a reservation; null if it is malformed. */
   readReservation(body: string): ReservationId | null;
   /** Builds the call that releases a reservation. */
