--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -49,7 +49,12 @@
 import type { RoutingVmOptions } from "./routing_vm_options.ts";
 import { OrderWatch } from "./stages/order_watch.ts";
 import { ServiceStages } from "./stages/service_stages.ts";
-import type { EndpointChange, EndpointEntry, RoutingTable } from "./types.ts";
+import {
+  type EndpointChange,
+  type EndpointEntry,
+  fitsService,
+  type RoutingTable,
+} from "./types.ts";
 import { Authenticator } from "./workspaces/authenticator.ts";
 import { TableAge } from "./workspaces/table_age.ts";
 
@@ -143,7 +148,11 @@
     this.endpoints = new EndpointRegistry(
       observer,
       (entry) => this.#guard.noteEndpointEnd(entry),
-      { bounds: options.bounds ?? DEFAULT_BOUNDS },
+      {
+        bounds: options.bounds ?? DEFAULT_BOUNDS,
+        isUsable: (entry) =>
+          fitsService(entry, this.router.service(entry.service)),
+      },
     );
     const placementHome = new PlacementHome();
     this.#originRecord = new OriginRecord({
@@ -466,6 +475,7 @@
     if (!this.router.setTable(table, options)) return;
     this.authenticator.setTable(table);
     this.#credit.setTable(table);
+    this.#changeEndpoints(() => this.endpoints.noteServices());
     this.#stages.start(
       table.services.filter(({ engines }) => engines).map(({ name }) => name),
     );
