Place streams by priority, keep capacity for urgent ones, serve late ones

Cause: streams of all priorities waited for engines in the order of their latest starts, so that urgent ones waited for others to finish; a stream whose prefill left no time was refused even if engines were idle.

Change: a shard's home orders waiting streams by priority, then by whether their workspaces are within a fair share, then by latest start. It keeps the capacity that higher priorities will need before more becomes free, by their measured arrival rate. A priority that would be starved goes first. Streams that can't meet their target ask with isLate, and get a place only if no other stream needs it and a prefill engine is idle. Engines are told the urgency where the streams of a service have several priorities, and prefill delays are then measured by urgency.

--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -19,6 +19,7 @@
   | "claims"
   | "store_failures"
   | "prefills_wasted"
+  | "late_streams"
   | "configuration_changes"
   | "suspicions"
   | "convictions"
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -8,6 +8,7 @@
 import type { OutputEstimates } from "./output_estimates.ts";
 import type { RoutedEndpointPort } from "./port.ts";
 import type { Placement } from "./placement/placement.ts";
+import type { PrefillDelays } from "./prefill_delays.ts";
 import type { PrefillTimes } from "./prefill_times.ts";
 import type { ServiceBudget } from "./service_budget.ts";
 import type { StopGate } from "./stop_gate.ts";
@@ -41,6 +42,7 @@
   readonly budget: ServiceBudget;
   readonly placement: Placement;
   readonly prefillTimes: PrefillTimes;
+  readonly prefillDelays: PrefillDelays;
   readonly outputs: OutputEstimates;
   readonly port: RoutedEndpointPort;
   readonly crashes: CrashTracker;
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -20,12 +20,11 @@
   type StreamPlaces,
   timeToSpareMs,
 } from "./decode_reservation.ts";
-import type { EndpointRecord } from "./endpoint_record.ts";
+import { reserveAny, type ReserveOptions } from "./endpoint_reservations.ts";
 import type { DecodeAdmission } from "./placement/placement.ts";
 import { heldTokens } from "./placement/memory_forecast.ts";
 import type { RankDecodeOptions } from "./queries/rank_decode_endpoints.ts";
 import { soonestPermitMs } from "./queries/soonest_permit.ts";
-import { detailOf, type SendFailure } from "./port.ts";
 import type { EnginePool } from "./types.ts";
 import {
   refusalOfLimit,
@@ -36,8 +35,6 @@
 
 /** Delay until the next round after one that left streams waiting. */
 const FULL_RETRY_MS = 40;
-/** How long an endpoint that refused a reservation counts as full, and is ranked last. */
-const FULL_FOR_MS = 40;
 /** Endpoints tried for a stream in its first round. */
 const FIRST_ROUND_ENDPOINTS = 4;
 /** Endpoints tried in later rounds: the ranking puts those with newly freed capacity first. */
@@ -48,7 +45,6 @@
  */
 const RETRY_AFTER_MIN_MS = 1_500;
 const RETRY_AFTER_JITTER_MS = 3_000;
-const RESERVE_TIMEOUT_MS = 250;
 /**
  * Output for which memory is reserved where no home forecasts the growth of the
  * streams at an endpoint, as a multiple of the expected output. The endpoint doesn't
@@ -90,9 +86,13 @@
 
   /**
    * Resolves with a reservation, or with a refusal once the stream can't be on time,
-   * its caller disconnects or the queue is stopped.
+   * its caller disconnects or the queue is stopped. A stream that can't be on time from
+   * the start gets a place only if no other stream needs it.
    */
   enqueue(request: DecodeRequest): Promise<Result<DecodeReservation, NotRun>> {
+    if (request.mustBeOnTime && timeToSpareMs(request) <= 0) {
+      return this.#enqueueLate(request);
+    }
     return new Promise((resolve) => {
       // A round may be waiting for an engine that doesn't answer.
       const refuseLate = () => this.refuseLate();
@@ -125,10 +125,13 @@
   }
 
   #insert(waiting: WaitingStream): void {
-    const targetLeftMs = waiting.request.clock.targetLeftMs();
-    const index = this.#waiting.findIndex(
-      ({ request }) => request.clock.targetLeftMs() > targetLeftMs,
-    );
+    const { clock, priority = 0 } = waiting.request;
+    const targetLeftMs = clock.targetLeftMs();
+    const index = this.#waiting.findIndex(({ request }) => {
+      const other = request.priority ?? 0;
+      return other > priority ||
+        other === priority && request.clock.targetLeftMs() > targetLeftMs;
+    });
     this.#waiting.splice(index < 0 ? this.#waiting.length : index, 0, waiting);
   }
 
@@ -169,9 +172,42 @@
     }
   }
 
+  // Its target no longer counts, only the time for which its caller waits.
+  async #enqueueLate(
+    onTime: DecodeRequest,
+  ): Promise<Result<DecodeReservation, NotRun>> {
+    const request = { ...onTime, mustBeOnTime: false };
+    const refuse = (refusal: NotRun) => {
+      this.#logRefusal(request, refusal);
+      return err(refusal);
+    };
+    const refusal = this.#findRefusal(request, new VersionWait());
+    if (refusal) return refuse(refusal);
+    const pool = this.#pool();
+    const admission = pool &&
+      await this.#askHome(request, pool, { isLate: true });
+    const reservation = admission?.kind === "place"
+      ? await this.#reserveAny(request, {
+        endpoints: admission.engines.slice(0, 1),
+        tokens: heldTokens(request.load) + (pool?.tokensPerEvent ?? 0),
+        isForecast: true,
+      })
+      : null;
+    const { observer } = this.#context;
+    observer.count("late_streams", reservation ? "placed" : "refused");
+    if (reservation && !request.signal.aborted) {
+      return ok({ ...reservation, isLate: true });
+    }
+    if (reservation) releasePlace(this.#context, reservation);
+    const retryAfterMs = this.#retryAfterMs();
+    const reason = request.signal.aborted ? "cancelled" : "no-capacity";
+    return refuse(notRun(reason, { retryAfterMs }));
+  }
+
   #askHome(
     request: DecodeRequest,
     { slots, kvTokens }: EnginePool,
+    { isLate = false } = {},
   ): Promise<DecodeAdmission | null> {
     return this.#context.placement.admitDecode(this.#service, {
       ...this.#rankOptions(request),
@@ -179,6 +215,9 @@
       stream: request.load,
       capacity: { slots, kvTokens },
       spareMs: timeToSpareMs(request),
+      priority: request.priority,
+      workspace: request.workspace,
+      isLate,
     });
   }
 
@@ -241,7 +280,7 @@
   refuseLate(): void {
     this.#waiting = this.#waiting.filter((waiting) => {
       const { request, settle } = waiting;
-      const refusal = this.#findRefusal(waiting);
+      const refusal = this.#findRefusal(request, waiting.versionWait);
       if (!refusal) return true;
       this.#logRefusal(request, refusal);
       settle(err(refusal));
@@ -249,7 +288,10 @@
     });
   }
 
-  #findRefusal({ request, versionWait }: WaitingStream): NotRun | null {
+  #findRefusal(
+    request: DecodeRequest,
+    versionWait: VersionWait,
+  ): NotRun | null {
     const retryAfterMs = this.#retryAfterMs();
     if (request.signal.aborted) return notRun("cancelled", { retryAfterMs });
     const refusal = request.findRefusal();
@@ -342,53 +384,12 @@
 
   async #reserveAny(
     request: DecodeRequest,
-    { endpoints, tokens, isForecast }: {
-      endpoints: readonly EndpointRecord[];
-      tokens: number;
-      isForecast: boolean;
-    },
+    options: Omit<ReserveOptions, "pool">,
   ): Promise<DecodeReservation | null> {
     const pool = this.#pool();
-    if (!pool) return null;
-    const { port, crashes } = this.#context;
-    for (const endpoint of endpoints) {
-      const sentAtMs = performance.now();
-      const reserved = await port.reserve(endpoint.entry, {
-        tokens: Math.min(tokens, pool.kvTokens),
-        ttlMs: pool.reservationTtlMs,
-        timeoutMs: RESERVE_TIMEOUT_MS,
-        signal: request.signal,
-      });
-      if (reserved.isOk()) {
-        crashes.noteRunning(endpoint.entry, { sentAtMs });
-        const load = { ...request.load };
-        endpoint.streams.add(load);
-        return { endpoint, reservationId: reserved.value, load, isForecast };
-      }
-      this.#noteReserveFailure(endpoint, reserved.error);
-      if (request.signal.aborted) return null;
-    }
-    return null;
-  }
-
-  #noteReserveFailure(endpoint: EndpointRecord, failure: SendFailure): void {
-    const nowMs = performance.now();
-    const { kind } = failure;
-    if (kind === "notSent" && failure.refused) {
-      void this.#context.crashes.noteRefused(endpoint.entry);
-    }
-    if (kind === "notExecuted") return endpoint.noteFull(nowMs + FULL_FOR_MS);
-    if (kind === "aborted") return;
-    if (kind === "limited") {
-      return endpoint.noteLimited(nowMs + failure.retryAfterMs);
-    }
-    if (kind === "misdirected") return endpoint.setMissing(nowMs);
-    endpoint.noteFailure(nowMs);
-    this.#context.observer.log({
-      event: "reservation-failed",
-      endpoint: endpoint.entry.id,
-      reason: kind,
-      detail: detailOf(failure),
+    return pool && await reserveAny(this.#context, request, {
+      ...options,
+      pool,
     });
   }
 }
--- a/packages/core/src/routing/decode_reservation.ts
+++ b/packages/core/src/routing/decode_reservation.ts
@@ -1,5 +1,5 @@
 /** A place for a stream at an endpoint: what is needed, and what was reserved. */
-import type { EndpointId } from "../common/ids.ts";
+import type { EndpointId, WorkspaceId } from "../common/ids.ts";
 import type { Result } from "neverthrow";
 import type { NotRun } from "../common/verdict.ts";
 import type { RoutingContext } from "./context.ts";
@@ -20,6 +20,8 @@
   readonly load: GrowingLoad;
   /** Whether a home forecast the memory; otherwise the reservation covers the output. */
   readonly isForecast: boolean;
+  /** Whether the stream can't meet its target, and got what nobody else needed. */
+  readonly isLate?: boolean;
 }
 
 /** Load of a stream that is updated while its output grows. */
@@ -65,6 +67,10 @@
   readonly avoid: ReadonlySet<EndpointId>;
   /** The software version that began the stream, where it has to continue; null for a new one. */
   readonly version: SoftwareVersion | null;
+  /** Its priority, 0 being the highest, where the streams of its service have several. */
+  readonly priority?: number;
+  /** The workspace of its caller, if it has one. */
+  readonly workspace?: WorkspaceId;
   /** False for a stream that continues, even if it is late. */
   readonly mustBeOnTime: boolean;
   /** Returns why the stream may no longer be sent to any endpoint, or null. */
--- a/packages/core/src/routing/placement/client.ts
+++ b/packages/core/src/routing/placement/client.ts
@@ -112,11 +112,14 @@
     if (healthy.length === 0) return null;
     const open = healthy.filter((record) => !record.isFull(nowMs));
     if (open.length === 0) return { kind: "wait", askAgainMs: FULL_RETRY_MS };
-    const groups = this.#groupByShard(service, open);
+    const { isLate = false } = options;
+    const groups = this.#groupByShard(service, open)
+      .filter(({ shard }) => !isLate || this.#knowsPrefillQueues(shard));
+    if (groups.length === 0) return { kind: "full" };
     const waits: { group: ShardGroup; waitMs: number }[] = [];
     let answered = false;
     for (const group of groups) {
-      const joins = groups.length === 1;
+      const joins = groups.length === 1 && !isLate;
       const answer = await this.#askHome(group, { ...options, joins });
       if (!answer) continue;
       answered = true;
@@ -132,7 +135,7 @@
         : null;
     }
     const soonest = minimumBy(waits, ({ waitMs }) => waitMs);
-    if (!soonest) return { kind: "full" };
+    if (!soonest || isLate) return { kind: "full" };
     const { group } = soonest;
     const answer = await this.#askHome(group, { ...options, joins: true });
     return answer?.kind === "place" ? toPlace(answer, group) : answer;
@@ -228,6 +231,8 @@
     options: AdmitOptions & { joins: boolean },
   ): Promise<PlaceAnswer | null> {
     const { attempt, stream, capacity, spareMs, joins } = options;
+    const { priority, workspace, isLate } = options;
+    const prefillEngines = isLate ? this.#prefillEngines(shard) : undefined;
     this.#noteReported(shard);
     return await this.#callHome(shard, "routing/place-decode", {
       ...this.#loadReport(shard),
@@ -237,9 +242,26 @@
       spareMs,
       joins,
       engines: engines.map(({ entry }) => entry.id),
+      ...(priority === undefined ? {} : { priority }),
+      ...(workspace === undefined ? {} : { workspace }),
+      ...(isLate ? { isLate, prefillEngines } : {}),
     });
   }
 
+  // A home has the queues of the prefill engines of its shard in view, if there are
+  // several, between which it chooses.
+  #knowsPrefillQueues(shard: Shard): boolean {
+    const { endpoints } = this.#options;
+    return this.#prefillEngines(shard).length > 1 ||
+      endpoints.usable(shard.service, "prefill").length === 0;
+  }
+
+  #prefillEngines({ service, shard, shardCount }: Shard): EndpointId[] {
+    return this.#options.endpoints.usable(service, "prefill")
+      .filter((engine) => shardOfEngine(engine, shardCount) === shard)
+      .map(({ entry }) => entry.id);
+  }
+
   #mayAnswer(shard: Shard): boolean {
     const home = this.#options.membership.homeOf(homeKey(shard));
     return (this.#cooldownUntilMs.get(home.id) ?? 0) <= performance.now();
--- a/packages/core/src/routing/placement/home.ts
+++ b/packages/core/src/routing/placement/home.ts
@@ -7,15 +7,18 @@
  * is a hint, held in memory and rebuilt from new requests; the engine's answer to a
  * reservation is authoritative.
  */
-import type { EndpointId, VmId } from "../../common/ids.ts";
+import type { EndpointId, VmId, WorkspaceId } from "../../common/ids.ts";
 import { minimumBy } from "../queries/choose_endpoint.ts";
 import type { AttemptId } from "../types.ts";
+import { findStreamsToKeep } from "./kept_capacity.ts";
 import {
   type EngineCapacity,
   fitsEngine,
   heldTokens,
   type StreamLoad,
 } from "./memory_forecast.ts";
+import { StreamUse } from "./stream_use.ts";
+import { compareWaiting } from "./waiting_order.ts";
 
 /** A VM's load report expires after this time unless a newer one replaces it. */
 const LOAD_REPORT_TTL_MS = 5_000;
@@ -68,6 +71,17 @@
   readonly spareMs: number;
   /** Whether it joins the queue if there is no place. */
   readonly joins: boolean;
+  /** Its priority, 0 being the highest, where the streams of its service have several. */
+  readonly priority?: number;
+  /** The workspace of its caller, if it has one. */
+  readonly workspace?: WorkspaceId;
+  /**
+   * Whether it can't meet its target any more, so that it gets a place only if no other
+   * stream needs it.
+   */
+  readonly isLate?: boolean;
+  /** For late streams: the prefill engines that it may use; empty if the service has none. */
+  readonly prefillEngines?: readonly EndpointId[];
 }
 
 /** Where a stream goes, or how long it has to wait. */
@@ -95,6 +109,7 @@
   readonly engine: EndpointId;
   readonly stream: StreamLoad;
   readonly atMs: number;
+  readonly isLate: boolean;
 }
 
 interface WaitingStream {
@@ -112,6 +127,7 @@
   /** Streams placed so recently that the reports of their VMs may not include them. */
   #placed: PlacedStream[] = [];
   #waiting = new Map<AttemptId, WaitingStream>();
+  #use = new StreamUse();
   #meanPromptTokens = 0;
   #busyUntilMs = new Map<EndpointId, number>();
   /** Prefill engines that took longer than expected, in multiples of the expected time. */
@@ -137,8 +153,9 @@
   }
 
   /**
-   * Finds a place for a stream, after those that wait and must start sooner. A
-   * stream that is placed counts towards the first engine of the answer. Short prompts
+   * Finds a place for a stream, after those that wait and go first: by priority, then by
+   * the latest time at which they can start. A stream that is placed counts towards the
+   * first engine of the answer. Short prompts
    * need more room than they take; otherwise they would use up what is left piece by
    * piece, and long ones would be refused far more often.
    */
@@ -150,29 +167,42 @@
       promptTokens,
       SHORT_PROMPT_SHARE * this.#meanPromptTokens,
     );
-    return this.#place(
-      { ...request, stream: { ...request.stream, promptTokens: needed } },
-      request.stream,
-    );
-  }
-
-  #place(request: PlaceRequest, stream: StreamLoad): PlaceAnswer {
+    const sized = {
+      ...request,
+      stream: { ...request.stream, promptTokens: needed },
+    };
     const nowMs = performance.now();
     this.#expireWaiting(nowMs);
     this.#waiting.delete(request.attempt);
+    const answer = request.isLate
+      ? this.#placeLate(sized, nowMs)
+      : this.#place(sized, nowMs);
+    if (answer.kind === "place") {
+      const { vm, shard, stream, isLate = false } = request;
+      const [engine] = answer.engines as [EndpointId];
+      this.#placed.push({ vm, shard, engine, stream, atMs: nowMs, isLate });
+      if (!isLate) this.#use.notePlaced(request);
+    }
+    return answer;
+  }
+
+  #place(request: PlaceRequest, nowMs: number): PlaceAnswer {
+    this.#use.noteOffered(request);
     const loads = this.#collectLoads(request.engines, nowMs);
     const latestMs = nowMs + request.spareMs;
+    const order = this.#use.order();
+    const own = order(request, latestMs);
     const ahead = [...this.#waiting.values()]
-      .filter((waiting) => waiting.latestMs < latestMs)
-      .sort((a, b) => a.latestMs - b.latestMs);
+      .map((waiting) => ({
+        request: waiting.request,
+        order: order(waiting.request, waiting.latestMs),
+      }))
+      .filter((waiting) => compareWaiting(waiting.order, own) < 0)
+      .sort((a, b) => compareWaiting(a.order, b.order));
     for (const waiting of ahead) holdPlace(loads, waiting.request);
+    this.#keepCapacity(loads, request);
     const engines = rankFitting(loads, request);
-    const [first] = engines;
-    if (first) {
-      const { vm, shard } = request;
-      this.#placed.push({ vm, shard, engine: first, stream, atMs: nowMs });
-      return { kind: "place", engines };
-    }
+    if (engines.length > 0) return { kind: "place", engines };
     const waitMs = soonestPlace(loads, request)?.delayMs;
     if (waitMs === undefined) return { kind: "full" };
     if (request.joins) {
@@ -183,6 +213,41 @@
     return { kind: "wait", waitMs, askAgainMs };
   }
 
+  // A late stream waits for none, and takes nothing that others could use in time.
+  #placeLate(request: PlaceRequest, nowMs: number): PlaceAnswer {
+    if (!this.#hasIdlePrefill(request, nowMs)) return { kind: "full" };
+    const loads = this.#collectLoads(request.engines, nowMs);
+    for (const { request: waiting } of this.#waiting.values()) {
+      holdPlace(loads, waiting);
+    }
+    this.#keepCapacity(loads, request);
+    const engines = rankFitting(loads, request);
+    return engines.length > 0 ? { kind: "place", engines } : { kind: "full" };
+  }
+
+  // Late streams that were placed just now may not have chosen their prefill engines yet.
+  #hasIdlePrefill(
+    { shard, prefillEngines = [] }: PlaceRequest,
+    nowMs: number,
+  ): boolean {
+    if (prefillEngines.length === 0) return true;
+    const idle = prefillEngines.filter((engine) =>
+      (this.#busyUntilMs.get(engine) ?? 0) <= nowMs
+    );
+    const late = this.#placed.filter((placed) =>
+      placed.isLate && placed.shard === shard &&
+      nowMs - placed.atMs < PLACED_GRACE_MS
+    );
+    return idle.length > late.length;
+  }
+
+  // Keeps the capacity that streams which go first will need before more becomes free.
+  #keepCapacity(loads: EngineLoads, request: PlaceRequest): void {
+    const arrivals = this.#use.arrivalsBefore(request);
+    const kept = findStreamsToKeep(arrivals, { ...request, loads });
+    for (const stream of kept) holdPlace(loads, { ...request, stream });
+  }
+
   /**
    * Chooses the prefill engine that finishes the prompt first, `extraMs` included, and
    * adds the prompt to its queue. `waitMs` is the time until the engine starts
--- a/packages/core/src/routing/placement/home_test.ts
+++ b/packages/core/src/routing/placement/home_test.ts
@@ -220,6 +220,108 @@
   expect(well.get(A)!).toBeGreaterThan(0.2 * 3_000 / 30);
 });
 
+test("A waiting stream of higher priority goes before one of lower priority that must start sooner", () => {
+  const home = new PlacementHome();
+  fill(home, 20);
+  const higher = placeRequest({ engines: [A], priority: 0, spareMs: 800 });
+  const lower = placeRequest({ engines: [A], priority: 2, spareMs: 600 });
+  expect(home.place(lower).kind).toBe("wait");
+  expect(home.place(higher).kind).toBe("wait");
+  noteLoads(home, VMS[1], [[A, [STREAM]]]);
+  expect(home.place(lower).kind).not.toBe("place");
+  expect(home.place(higher).kind).toBe("place");
+});
+
+test("Streams that no VM tells a priority or workspace of are placed as those of one priority", () => {
+  const answersOf = (options: Partial<PlaceRequest>) => {
+    const home = new PlacementHome();
+    fill(home, 20);
+    const requests = [800, 600, 900, 700].map((spareMs) =>
+      placeRequest({ engines: [A], spareMs, ...options })
+    );
+    const answers = requests.map((request) => home.place(request));
+    noteLoads(home, VMS[1], [[A, [STREAM]]]);
+    return [...answers, ...requests.map((request) => home.place(request))];
+  };
+  const untold = answersOf({});
+  expect(answersOf({ priority: 3 })).toEqual(untold);
+  expect(answersOf({ workspace: asId("w") })).toEqual(untold);
+  expect(answersOf({ priority: 0, workspace: asId("w") })).toEqual(untold);
+});
+
+/** Engine A with one free slot, after streams of the highest priority have arrived for a while. */
+function busyWithUrgent() {
+  const home = new PlacementHome();
+  const place = (priority: number) =>
+    home.place(placeRequest({ engines: [A], priority, joins: false })).kind;
+  const setRunning = (running: number) => {
+    // What was placed before has ended.
+    vi.advanceTimersByTime(150);
+    noteLoads(home, VMS[0], []);
+    const streams = Array.from(
+      { length: running },
+      () => ({ ...STREAM, generatedTokens: 20 }),
+    );
+    noteLoads(home, VMS[1], [[A, streams]]);
+  };
+  for (let n = 0; n < 12; n += 1) {
+    setRunning(1);
+    expect(place(0)).toBe("place");
+  }
+  setRunning(1);
+  return { place, setRunning };
+}
+
+test("Capacity that streams of higher priority need before more becomes free isn't given to lower ones", async () => {
+  const { place, setRunning } = busyWithUrgent();
+  expect(place(2)).not.toBe("place");
+  expect(place(0)).toBe("place");
+  // Nothing is kept once no more of them arrive.
+  await vi.advanceTimersByTimeAsync(30_000);
+  setRunning(1);
+  expect(place(2)).toBe("place");
+});
+
+test("A lower priority that would be starved gets places before higher ones", () => {
+  const { place, setRunning } = busyWithUrgent();
+  setRunning(2);
+  for (let n = 0; n < 6; n += 1) expect(place(2)).not.toBe("place");
+  setRunning(1);
+  expect(place(2)).toBe("place");
+});
+
+test("A late stream is placed where there is room, but waits for none and takes no other's place", async () => {
+  const home = new PlacementHome();
+  const late = (options: Partial<PlaceRequest> = {}) =>
+    home.place(
+      placeRequest({ engines: [A], isLate: true, joins: false, ...options }),
+    ).kind;
+  expect(late()).toBe("place");
+  expect(late()).toBe("place");
+  expect(late()).toBe("full");
+  await vi.advanceTimersByTimeAsync(200);
+  fill(home, 20);
+  noteLoads(home, VMS[0], []);
+  const onTime = placeRequest({ engines: [A] });
+  expect(home.place(onTime).kind).toBe("wait");
+  noteLoads(home, VMS[1], [[A, [STREAM]]]);
+  expect(late()).toBe("full");
+  expect(home.place(onTime).kind).toBe("place");
+});
+
+test("A late stream doesn't queue for a prefill engine, nor do two take the same idle one", () => {
+  const home = new PlacementHome();
+  const late = () =>
+    home.place(placeRequest({
+      isLate: true,
+      joins: false,
+      prefillEngines: [A, B],
+    })).kind;
+  home.choosePrefill([A], { readMs: 300, extraMs: () => 0 });
+  expect(late()).toBe("place");
+  expect(late()).toBe("full");
+});
+
 test("An engine's shard depends on its id only, and shards are of similar size", () => {
   expect([0, 16, 17, 40].map(shardCountOf)).toEqual([1, 1, 2, 3]);
   const sizes = [0, 0, 0];
--- a/packages/core/src/routing/placement/memory_forecast.ts
+++ b/packages/core/src/routing/placement/memory_forecast.ts
@@ -108,7 +108,7 @@
 }
 
 /** Returns the probability that a stream still runs after generating more tokens. */
-function survivalOf(
+export function survivalOf(
   { generatedTokens, expectedTokens, maxTokens }: StreamLoad,
 ): (moreTokens: number) => number {
   const median = Math.max(1, expectedTokens);
--- a/packages/core/src/routing/placement/placement.ts
+++ b/packages/core/src/routing/placement/placement.ts
@@ -1,5 +1,5 @@
 /** How streams are placed on engines: the interface, and placement by a VM's own view. */
-import type { ServiceName } from "../../common/ids.ts";
+import type { ServiceName, WorkspaceId } from "../../common/ids.ts";
 import type { EndpointRecord } from "../endpoint_record.ts";
 import type { EndpointRegistry } from "../endpoint_registry.ts";
 import {
@@ -20,6 +20,12 @@
   readonly capacity: EngineCapacity;
   /** How long it may still wait for its place. */
   readonly spareMs: number;
+  /** Its priority, where the streams of its service have several. */
+  readonly priority?: number;
+  /** The workspace of its caller, if it has one. */
+  readonly workspace?: WorkspaceId;
+  /** Whether it can't meet its target, so that it may only take what nobody else needs. */
+  readonly isLate?: boolean;
 }
 
 /** Answer of a shard's home about a new stream. */
--- a/packages/core/src/routing/prefill_run.ts
+++ b/packages/core/src/routing/prefill_run.ts
@@ -28,6 +28,8 @@
   request: RoutedRequest;
   service: ServiceName;
   clock: RequestClock;
+  /** The urgency of the request, where the streams of its service have several. */
+  urgency?: number;
   /** Whether the prefill is left to the decode endpoint. */
   atDecode?: () => boolean;
   /** Whether the request continues a stream, which nobody can begin anew. */
@@ -55,8 +57,12 @@
 
   /** Estimated duration of the prefill, including the current queueing delay. */
   expectedMs(): number {
-    const { prefillTimes } = this.#context;
-    return prefillTimes.expectedMs(this.#options.service, this.tokens);
+    const { prefillTimes, prefillDelays } = this.#context;
+    const { service, urgency } = this.#options;
+    return urgency === undefined
+      ? prefillTimes.expectedMs(service, this.tokens)
+      : this.tokens / prefillTimes.tokensPerMs(service) +
+        prefillDelays.currentMs({ service, urgency });
   }
 
   /**
@@ -69,7 +75,7 @@
    */
   async run(
     decode: EndpointRecord,
-    { signal }: { signal: AbortSignal },
+    { signal, urgency }: { signal: AbortSignal; urgency?: number },
   ): Promise<Result<PrefillSource | null, SendFailure>> {
     if (this.#options.atDecode?.()) return ok(null);
     const tried = new Set<EndpointId>(this.#expired);
@@ -79,7 +85,7 @@
       if (!choice || !this.#takePrefill()) break;
       const { endpoint } = choice;
       tried.add(endpoint.entry.id);
-      const outcome = await this.#sendPrefill(choice, signal);
+      const outcome = await this.#sendPrefill(choice, { signal, urgency });
       if (outcome.isOk()) {
         const { handle } = outcome.value;
         return ok({ endpoint, address: endpoint.entry.address, handle });
@@ -133,11 +139,12 @@
 
   async #sendPrefill(
     choice: PrefillChoice,
-    signal: AbortSignal,
+    { signal, urgency }: { signal: AbortSignal; urgency?: number },
   ): Promise<Result<PrefillAnswer, SendFailure>> {
     const { endpoint } = choice;
     const { request, service, clock } = this.#options;
     const { port, budget, prefillTimes, placement, observer } = this.#context;
+    const { prefillDelays } = this.#context;
     const { tokens } = this;
     const expectedMs = this.expectedMs();
     const limitMs = timeoutMs(expectedMs, clock.leftMs());
@@ -149,6 +156,7 @@
       firstByteMs: limitMs,
       wholeMs: limitMs,
       signal,
+      urgency,
     });
     endpoint.inFlightTokens -= tokens;
     const tookMs = performance.now() - startedMs;
@@ -162,6 +170,10 @@
     if (kind === "ok" || (kind === "timeout" && isMeaningful)) {
       prefillTimes.note(service, { tokens, tookMs, completed: kind === "ok" });
       placement.notePrefill(choice, { tokens, tookMs });
+      if (urgency !== undefined) {
+        const readMs = tokens / prefillTimes.tokensPerMs(service);
+        prefillDelays.note({ service, urgency }, tookMs - readMs);
+      }
     }
     if (kind === "ok") return outcome;
     const wasSent = kind !== "notSent" && kind !== "limited";
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -6,10 +6,13 @@
 import { DecodeQueue } from "./decode_queue.ts";
 import { PlainPlaces } from "./plain_places.ts";
 import type { EndpointAnswer } from "./port.ts";
+import { effectivePriority } from "./queries/effective_priority.ts";
 import { RouteIndex } from "./queries/match_route.ts";
+import { findPrioritisedServices } from "./queries/stream_priorities.ts";
 import { chooseDestination } from "./resumption.ts";
 import type { AnswerSink } from "./stream_relay.ts";
-import { type StreamOutcome, StreamRun } from "./stream_run.ts";
+import type { StreamOutcome } from "./stream_outcome.ts";
+import { StreamRun } from "./stream_run.ts";
 import type { Route, RoutedRequest, RoutingTable, Service } from "./types.ts";
 
 /** Retry delay given to callers while the VM has no routing table. */
@@ -35,6 +38,8 @@
   #index = new RouteIndex([]);
   #services = new Map<ServiceName, Service>();
   #callServices: ReadonlySet<ServiceName> = new Set();
+  /** Services whose streams have several priorities. */
+  #prioritised: ReadonlySet<ServiceName> = new Set();
   #queues = new Map<ServiceName, DecodeQueue>();
 
   constructor(context: RoutingContext) {
@@ -58,6 +63,7 @@
       table.services.map((service) => [service.name, service]),
     );
     this.#callServices = findCallServices(table);
+    this.#prioritised = findPrioritisedServices(table);
     this.#context.observer.count("configuration_changes", "in-force");
     this.#context.observer.log({
       event: "routing-table-in-force",
@@ -122,7 +128,10 @@
       const places = pool
         ? this.#queueOf(service)
         : new PlainPlaces(this.#context, { service });
-      const options = { ...common, pool, places, version, sink };
+      const priority = this.#prioritised.has(service)
+        ? effectivePriority(request, route)
+        : undefined;
+      const options = { ...common, pool, places, version, sink, priority };
       return await new StreamRun(this.#context, options).run();
     }
     const verdict = await new CallRun(this.#context, common).run();
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -21,6 +21,7 @@
 import { OriginRecord } from "./origin_record.ts";
 import { PlacementHome } from "./placement/home.ts";
 import { OutputEstimates } from "./output_estimates.ts";
+import { PrefillDelays } from "./prefill_delays.ts";
 import { PrefillTimes } from "./prefill_times.ts";
 import {
   describeEndpoint,
@@ -172,6 +173,7 @@
       }),
       placement: this.#placement,
       prefillTimes: this.#prefillTimes,
+      prefillDelays: new PrefillDelays(),
       outputs: this.#outputs,
       crashes: this.#guard.crashes,
       origins,
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -22,6 +22,7 @@
 import { type AnswerSink, StreamRelay } from "./stream_relay.ts";
 import { SendRace } from "./send_race.ts";
 import { type Obstacle, StreamLog } from "./stream_log.ts";
+import type { StreamOutcome } from "./stream_outcome.ts";
 import { type SendResult, StreamSend } from "./stream_send.ts";
 import { UnsentPauses } from "./unsent_pauses.ts";
 import type {
@@ -51,6 +52,8 @@
   places: StreamPlaces;
   /** The software version that began a resumed stream; null for a new one. */
   version: SoftwareVersion | null;
+  /** Its priority, where the streams of the service have several. */
+  priority?: number;
   sink: AnswerSink;
   /** Aborted when the caller disconnects. */
   signal: AbortSignal;
@@ -58,14 +61,6 @@
   isTrial?: boolean;
 }
 
-/** Outcome of a stream for its caller. */
-export type StreamOutcome =
-  | { readonly kind: "complete" }
-  /** Nothing was passed on to the caller. */
-  | { readonly kind: "refused"; readonly refusal: Refusal }
-  /** The answer was passed on in part, and can't be continued. */
-  | { readonly kind: "broken"; readonly reason: string };
-
 /** Sends one stream, with retries and backups, until it has an outcome. */
 export class StreamRun {
   #context: RoutingContext;
@@ -100,6 +95,7 @@
       request,
       service,
       clock: this.#clock,
+      urgency: options.priority,
       atDecode: () =>
         pool === null || isTrial ||
         context.crashes.crashesOf(request) >= SUSPECT_CRASHES,
@@ -197,6 +193,8 @@
       load: this.#load(),
       prefillMs: this.#prefill.expectedMs(),
       version: this.#origin?.version ?? null,
+      priority: this.#options.priority,
+      workspace: this.#options.request.workspace,
       findRefusal: () => this.#findQuarantine() ?? this.#refusalOfStop(),
       ...options,
     });
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -34,6 +34,9 @@
 /** An engine crashes within this time after it begins to answer on a part that crashes engines. */
 const ANSWERING_MS = 1_000;
 
+/** Urgencies are from 0, served first, to this. */
+const LEAST_URGENT = 9;
+
 /** Result of a send; a failure says whether the endpoint may have run the request. */
 export type SendResult = Result<void, SendFailure>;
 
@@ -58,6 +61,8 @@
   relay: StreamRelay;
   prefill: PrefillRun;
   reservation: DecodeReservation;
+  /** Its priority, where the streams of the service have several. */
+  priority?: number;
   /** Null for services without engines. */
   pool: EnginePool | null;
   /** Position among the sends of the stream, from 1. */
@@ -100,6 +105,13 @@
     return this.#options.ordinal;
   }
 
+  // A late stream is served after all others.
+  get #urgency(): number | undefined {
+    const { priority, reservation } = this.#options;
+    if (priority === undefined) return undefined;
+    return reservation.isLate ? LEAST_URGENT : priority;
+  }
+
   /** Whether the request was sent to the decode endpoint. */
   get decodeBegun(): boolean {
     return this.#decodeBegun;
@@ -128,7 +140,7 @@
     const prefilled: Result<PrefillSource | null, SendFailure> =
       this.#options.isQuarantined()
         ? err({ kind: "notSent" })
-        : await prefill.run(endpoint, { signal });
+        : await prefill.run(endpoint, { signal, urgency: this.#urgency });
     const prefilledMs = performance.now();
     const source = prefilled.unwrapOr(null);
     // During the prefill, the endpoint may have started draining, or the request may
@@ -177,6 +189,7 @@
       firstByteMs: clock.leftMs(),
       wholeMs: clock.leftMs(),
       signal,
+      urgency: this.#urgency,
       lastEventId: this.#lastEventId,
       reservation: reservation.reservationId,
       kvSource: source && { address: source.address, handle: source.handle },
--- a/packages/core/src/routing/testing/engine_pool.ts
+++ b/packages/core/src/routing/testing/engine_pool.ts
@@ -1,6 +1,11 @@
 /** Simulates decode engines whose streams grow, and VMs that place streams on them, on fake timers. */
 import { err, ok, type Result } from "neverthrow";
-import { asId, type EndpointId, type VmId } from "../../common/ids.ts";
+import {
+  asId,
+  type EndpointId,
+  type VmId,
+  type WorkspaceId,
+} from "../../common/ids.ts";
 import { SILENT_OBSERVER } from "../../common/observe.ts";
 import { wait } from "../../common/wait.ts";
 import { rankByRendezvous } from "../../common/hash.ts";
@@ -37,6 +42,10 @@
   /** The caller's estimate of the output. */
   readonly expectedTokens: number;
   readonly maxTokens: number;
+  readonly priority?: number;
+  readonly workspace?: WorkspaceId;
+  /** Target for its first event, if it isn't that of all. */
+  readonly targetMs?: number;
 }
 
 /** What became of a stream; times are since its arrival. */
@@ -69,6 +78,8 @@
   tokensPerMs: number;
   /** Whether VMs ask the homes of the engines' shards. */
   hasHomes?: boolean;
+  /** Whether homes are told the priorities and workspaces of streams. */
+  tellsPriorities?: boolean;
 }
 
 class SimulatedEngine {
@@ -159,9 +170,11 @@
   #homes = new Map<VmId, PlacementHome>();
   #arrivals = 0;
   #pool: EnginePool;
+  #tellsPriorities: boolean;
 
   constructor(options: SimulatedPoolOptions) {
-    const { slots, kvTokens } = options;
+    const { slots, kvTokens, tellsPriorities = true } = options;
+    this.#tellsPriorities = tellsPriorities;
     this.#pool = { ...POOL, slots, kvTokens, tokensPerEvent: 10 };
     this.engines = Array.from(
       { length: options.engines },
@@ -209,13 +222,15 @@
       this.outcomes.push({ stream, kind, afterMs: atMs - arrivedAtMs });
     };
     const { promptTokens, expectedTokens, maxTokens } = stream;
+    const { priority, workspace, targetMs = TARGET_MS } = stream;
     const reserved = await queue.enqueue({
       attempt: asId(`attempt-${this.#arrivals}`),
       clock: new RequestClock(
         request({ callerTimeoutMs: 14_000 }),
-        route({ targetLatencyMs: TARGET_MS, timeoutMs: 14_000 }),
+        route({ targetLatencyMs: targetMs, timeoutMs: 14_000 }),
       ),
       load: { promptTokens, generatedTokens: 0, expectedTokens, maxTokens },
+      ...(this.#tellsPriorities ? { priority, workspace } : {}),
       prefillMs: PREFILL_MS,
       avoid: new Set(),
       version: null,
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -27,6 +27,7 @@
 } from "../port.ts";
 import { LocalPlacement } from "../placement/placement.ts";
 import { OutputEstimates } from "../output_estimates.ts";
+import { PrefillDelays } from "../prefill_delays.ts";
 import { PrefillTimes } from "../prefill_times.ts";
 import { ServiceBudget } from "../service_budget.ts";
 import { StopGate } from "../stop_gate.ts";
@@ -275,6 +276,7 @@
     }),
     placement: new LocalPlacement(endpoints),
     prefillTimes: new PrefillTimes(),
+    prefillDelays: new PrefillDelays(),
     outputs: new OutputEstimates(),
     crashes: new CrashTracker(),
     origins: createOrigins(entries),
--- a/packages/core/src/routing/testing/streams.ts
+++ b/packages/core/src/routing/testing/streams.ts
@@ -2,7 +2,8 @@
 import { DecodeQueue } from "../decode_queue.ts";
 import type { RoutingContext } from "../context.ts";
 import type { AnswerSink } from "../stream_relay.ts";
-import { type StreamOutcome, StreamRun } from "../stream_run.ts";
+import type { StreamOutcome } from "../stream_outcome.ts";
+import { StreamRun } from "../stream_run.ts";
 import type {
   EndpointEntry,
   Route,
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -31,6 +31,8 @@
   claims: "Moves of call claims, by outcome",
   store_failures: "Failed calls to the platform, by kind",
   prefills_wasted: "Prefills whose result was not decoded, by reason",
+  late_streams:
+    "Streams that could not meet their target when they asked for an engine, by outcome",
   configuration_changes: "Changes of the configuration in force, by kind",
   suspicions: "Suspicions raised and cleared, by kind",
   convictions: "Requests convicted of crashing engines, by kind",
