--- a/packages/core/src/routing/placement/contended_load_test.ts
+++ b/packages/core/src/routing/placement/contended_load_test.ts
@@ -166,6 +166,10 @@
     expect(after.higher).toBeGreaterThan(load.crashes ? 0.9 : 0.97);
     expect(after.lower).toBeGreaterThan(STARVED_SHARE * after.all);
     expect(after.all).toBeGreaterThan(before.all - LOST_SHARE);
+    if (load.lowerBurst > 1) return;
+    // Only the workspace that asks for more than usual loses.
+    expect(after.others).toBeGreaterThan(before.others);
+    expect(after.greedy).toBeLessThan(before.greedy - 0.04);
   },
 );
 
@@ -181,14 +185,6 @@
   },
 );
 
-test("A workspace that asks for far more than usual loses more than the others, which gain", async () => {
-  const load = { lowerBurst: 1, greedyBurst: 7.5 };
-  const before = await play(load, { tellsPriorities: false });
-  const after = await play(load);
-  expect(after.others).toBeGreaterThan(before.others);
-  expect(after.greedy).toBeLessThan(before.greedy - 0.04);
-});
-
 test("With one priority and one workspace, each stream is answered as without them", async () => {
   const load = { lowerBurst: 1, greedyBurst: 7.5, isUniform: true };
   const before = await play(load, { tellsPriorities: false });
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -367,6 +367,8 @@
       endpoint: this.endpoint.entry.id,
       version: this.endpoint.entry.softwareVersion,
       send: ordinal,
+      urgency: this.#urgency,
+      late: this.#options.reservation.isLate,
       placedBy: this.#options.reservation.isForecast ? "home" : "own-view",
       after: this.#lastEventId ?? undefined,
       outcome: outcome.isOk() ? "complete" : outcome.error.kind,
