Balance load by own recent sends and by loads that homes tell

Cause: each VM sent its calls to the replica whose answers had been fastest lately, which with few calls per VM is a matter of chance, and drew the shard that a stream asks first by its number of engines only.

Change: endpoints of a plain service with about the same latency are used in turns, by the VM's own sends of the last seconds. Answers of a shard's home to placements and load reports get an optional load figure, and shards are drawn by the free memory that it shows. No messages are added. `[balance] enabled` switches both off. The simulated pool of the tests keeps one set of handlers per home, and draws the VMs' random numbers from unrelated seeds: neighbouring ones begin alike, as if VMs had agreed.

--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -33,7 +33,8 @@
   | "connection_faults"
   | "forwards"
   | "store_calls"
-  | "store_returns";
+  | "store_returns"
+  | "shard_choices";
 
 /** Receives log events and counts. Both methods are cheap and never throw. */
 export interface Observer {
--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -21,7 +21,7 @@
   isAnswer,
   type SendFailure,
 } from "./port.ts";
-import { chooseEndpoint } from "./queries/choose_endpoint.ts";
+import { chooseEndpoint, chooseOptions } from "./queries/choose_endpoint.ts";
 import { soonestPermitMs } from "./queries/soonest_permit.ts";
 import { ReceivedBodies } from "./received_bodies.ts";
 import { RequestClock } from "./request_clock.ts";
@@ -206,12 +206,10 @@
   }
 
   #choose(): EndpointRecord | undefined {
-    const { endpoints, dataCentre, random } = this.#context;
+    const { endpoints } = this.#context;
     return chooseEndpoint(endpoints.usable(this.#options.service, null), {
-      dataCentre,
+      ...chooseOptions(this.#context),
       tried: this.#tried,
-      nowMs: performance.now(),
-      random,
     });
   }
 
@@ -226,6 +224,7 @@
     const startedMs = performance.now();
     const leftMs = this.#clock.leftMs();
     endpoint.inFlight += 1;
+    endpoint.recentSends.add();
     const silence = this.#watchSilence(endpoint, hooks);
     const outcome = await this.#context.port.call(endpoint.entry, {
       request,
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -49,6 +49,8 @@
   readonly forwarding: Forwarding;
   /** What is still sent while this VM is stopping. */
   readonly stop: Pick<StopGate, "refusalOf" | "noteDuration">;
+  /** Whether load is balanced by this VM's own sends and the loads that homes report. */
+  readonly isBalancing: () => boolean;
   readonly observer: Observer;
   readonly times: RequestTimes;
   /** Called when an engine refused a stream for which it had reserved a place. */
--- a/packages/core/src/routing/endpoint_record.ts
+++ b/packages/core/src/routing/endpoint_record.ts
@@ -1,4 +1,5 @@
 /** One endpoint: its directory entry, the work sent to it, and its health. */
+import { DecayingCount } from "../common/decaying_count.ts";
 import { hash48 } from "../common/hash.ts";
 import type { StreamLoad } from "./placement/memory_forecast.ts";
 import type { EndpointEntry } from "./types.ts";
@@ -32,6 +33,8 @@
   inFlight = 0;
   /** KV cache that this VM's requests use there, in tokens. */
   inFlightTokens = 0;
+  /** Requests that this VM has sent there lately. */
+  readonly recentSends = new DecayingCount();
   /** This VM's streams that decode there, or are about to. */
   readonly streams = new Set<StreamLoad>();
   /** Hash of its id, which decides on its shard. */
--- a/packages/core/src/routing/placement/client.ts
+++ b/packages/core/src/routing/placement/client.ts
@@ -7,6 +7,7 @@
 import { shuffle } from "../../common/shuffle.ts";
 import type { MembershipView } from "../../membership/types.ts";
 import type { PeerPort } from "../../ports/peers.ts";
+import { ShardLoads } from "../balance/shard_loads.ts";
 import type { EndpointRegistry } from "../endpoint_registry.ts";
 import type { EndpointRecord } from "../endpoint_record.ts";
 import type { OutputEstimates } from "../output_estimates.ts";
@@ -52,6 +53,8 @@
   outputs: OutputEstimates;
   observer: Observer;
   random: () => number;
+  /** Whether shards with more free memory are asked first. */
+  isBalancing: () => boolean;
 }
 
 interface Shard {
@@ -76,6 +79,7 @@
   /** Delayed reports by shard. */
   #pendingReports = new Map<string, ReturnType<typeof setTimeout>>();
   #timer: ReturnType<typeof setInterval> | undefined;
+  #shardLoads = new ShardLoads();
 
   constructor(options: PlacementClientOptions) {
     this.#options = options;
@@ -112,7 +116,10 @@
     if (healthy.length === 0) return null;
     const open = healthy.filter((record) => !record.isFull(nowMs));
     if (open.length === 0) return { kind: "wait", askAgainMs: FULL_RETRY_MS };
-    const groups = this.#groupByShard(service, open);
+    const groups = this.#orderShards(
+      this.#groupByShard(service, open),
+      options,
+    );
     const waits: { group: ShardGroup; waitMs: number }[] = [];
     let answered = false;
     for (const group of groups) {
@@ -120,7 +127,7 @@
       const answer = await this.#askHome(group, { ...options, joins });
       if (!answer) continue;
       answered = true;
-      if (answer.kind === "place") return toPlace(answer, group);
+      if (answer.kind === "place") return this.#toPlace(answer, group, options);
       if (answer.kind === "wait" && joins) return answer;
       if (answer.kind === "wait") waits.push({ group, ...answer });
     }
@@ -135,7 +142,9 @@
     if (!soonest) return { kind: "full" };
     const { group } = soonest;
     const answer = await this.#askHome(group, { ...options, joins: true });
-    return answer?.kind === "place" ? toPlace(answer, group) : answer;
+    return answer?.kind === "place"
+      ? this.#toPlace(answer, group, options)
+      : answer;
   }
 
   noteStreamEnd(engine: EndpointRecord): void {
@@ -196,6 +205,36 @@
     });
   }
 
+  #orderShards(
+    groups: readonly ShardGroup[],
+    { capacity: { kvTokens } }: AdmitOptions,
+  ): readonly ShardGroup[] {
+    const { random, isBalancing, observer } = this.#options;
+    if (groups.length < 2 || !isBalancing()) return groups;
+    const candidates = groups.map((group) => ({
+      group,
+      key: homeKey(group.shard),
+      engines: group.engines.length,
+    }));
+    const isKnown = this.#shardLoads.knows(candidates);
+    observer.count("shard_choices", isKnown ? "load" : "size");
+    return this.#shardLoads.order(candidates, { kvTokens, random })
+      .map(({ group }) => group);
+  }
+
+  #toPlace(
+    answer: PlaceAnswer & { kind: "place" },
+    { shard, engines }: ShardGroup,
+    { stream }: AdmitOptions,
+  ): DecodeAdmission {
+    this.#shardLoads.notePlaced(homeKey(shard), stream);
+    const byId = new Map(engines.map((record) => [record.entry.id, record]));
+    return {
+      kind: "place",
+      engines: answer.engines.flatMap((id) => byId.get(id) ?? []),
+    };
+  }
+
   // In random order, in which shards with more engines tend to come first.
   #groupByShard(
     service: ServiceName,
@@ -229,7 +268,7 @@
   ): Promise<PlaceAnswer | null> {
     const { attempt, stream, capacity, spareMs, joins } = options;
     this.#noteReported(shard);
-    return await this.#callHome(shard, "routing/place-decode", {
+    const answer = await this.#callHome(shard, "routing/place-decode", {
       ...this.#loadReport(shard),
       attempt,
       stream: roundLoad(stream),
@@ -238,6 +277,8 @@
       joins,
       engines: engines.map(({ entry }) => entry.id),
     });
+    this.#shardLoads.note(homeKey(shard), answer?.load);
+    return answer;
   }
 
   #mayAnswer(shard: Shard): boolean {
@@ -299,11 +340,14 @@
   #reportLoads(shard: Shard): void {
     const { membership, peers } = this.#options;
     this.#noteReported(shard);
+    const key = homeKey(shard);
     void peers.call(
-      membership.homeOf(homeKey(shard)),
+      membership.homeOf(key),
       "routing/note-streams",
       { params: this.#loadReport(shard), timeoutMs: HOME_TIMEOUT_MS },
-    );
+    ).then((answer) => {
+      if (answer.isOk()) this.#shardLoads.note(key, answer.value?.load);
+    });
   }
 
   #noteReported(shard: Shard): void {
@@ -332,17 +376,6 @@
   }
 }
 
-function toPlace(
-  answer: PlaceAnswer & { kind: "place" },
-  { engines }: ShardGroup,
-): DecodeAdmission {
-  const byId = new Map(engines.map((record) => [record.entry.id, record]));
-  return {
-    kind: "place",
-    engines: answer.engines.flatMap((id) => byId.get(id) ?? []),
-  };
-}
-
 function roundLoad(load: StreamLoad): StreamLoad {
   return {
     promptTokens: load.promptTokens,
--- a/packages/core/src/routing/placement/handlers.ts
+++ b/packages/core/src/routing/placement/handlers.ts
@@ -1,5 +1,6 @@
 /** Methods that VMs call on the home of a shard. */
 import type { EndpointId } from "../../common/ids.ts";
+import { ShardFigures, type ToldLoad } from "../balance/shard_figures.ts";
 import type {
   LoadReport,
   PlaceAnswer,
@@ -13,7 +14,9 @@
 /** Peer methods of placement. */
 export interface PlacementHandlers {
   /** Records the VM's loads, then finds a place for a stream or tells how long it has to wait. */
-  "routing/place-decode": (params: LoadReport & PlaceRequest) => PlaceAnswer;
+  "routing/place-decode": (
+    params: LoadReport & PlaceRequest,
+  ) => PlaceAnswer & ToldLoad;
   /** Chooses a prefill engine and adds the prompt to its queue. */
   "routing/choose-prefill": (params: {
     engines: readonly EndpointId[];
@@ -26,19 +29,21 @@
   "routing/note-slow-prefill": (
     params: { engine: EndpointId; factor: number },
   ) => null;
-  /** Records the streams that a VM has at the engines of a shard. */
-  "routing/note-streams": (params: LoadReport) => null;
+  /** Records the streams that a VM has at the engines of a shard; VMs of earlier builds answer null. */
+  "routing/note-streams": (params: LoadReport) => ToldLoad | null;
 }
 
 /** Creates the peer methods of placement, backed by a VM's load state. */
 export function createPlacementHandlers(
   home: PlacementHome,
 ): PlacementHandlers {
+  const figures = new ShardFigures((engines) => home.heldTokens(engines));
   return {
     "routing/place-decode": ({ loads, ...request }) => {
       const { vm, shard, tokensPerMs } = request;
       home.noteLoads({ vm, shard, loads, tokensPerMs });
-      return home.place(request);
+      const answer = home.place(request);
+      return { ...answer, ...figures.tellOf(shard, request.engines) };
     },
     "routing/choose-prefill": ({ engines, remote, readMs }) => {
       const remoteIds = new Set(remote);
@@ -54,7 +59,7 @@
     },
     "routing/note-streams": (report) => {
       home.noteLoads(report);
-      return null;
+      return figures.tell(report.shard);
     },
   };
 }
--- a/packages/core/src/routing/placement/home.ts
+++ b/packages/core/src/routing/placement/home.ts
@@ -122,6 +122,15 @@
     return this.#waiting.size;
   }
 
+  /** Returns the KV cache that streams use at the engines, in tokens. */
+  heldTokens(engines: readonly EndpointId[]): number {
+    const loads = this.#collectLoads(engines, performance.now());
+    return [...loads.values()].flat().reduce(
+      (sum, stream) => sum + heldTokens(stream),
+      0,
+    );
+  }
+
   /** Records a VM's load report, which replaces its previous one on the same shard. */
   noteLoads({ vm, shard, loads, tokensPerMs }: LoadReport): void {
     const atMs = performance.now();
--- a/packages/core/src/routing/plain_places.ts
+++ b/packages/core/src/routing/plain_places.ts
@@ -10,7 +10,7 @@
   StreamPlaces,
 } from "./decode_reservation.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
-import { chooseEndpoint } from "./queries/choose_endpoint.ts";
+import { chooseEndpoint, chooseOptions } from "./queries/choose_endpoint.ts";
 import { soonestPermitMs } from "./queries/soonest_permit.ts";
 import {
   refusalOfLimit,
@@ -78,7 +78,7 @@
   }
 
   #choose({ avoid, version }: DecodeRequest): Result<EndpointRecord, NotRun> {
-    const { endpoints, dataCentre, random } = this.#context;
+    const { endpoints, random } = this.#context;
     const nowMs = performance.now();
     const usable = endpoints.usable(this.#service, null).filter(({ entry }) =>
       version === null || entry.softwareVersion === version
@@ -90,8 +90,11 @@
     if (permitMs > 0) {
       return err(refusalOfLimit(permitMs + LIMIT_JITTER_MS * random()));
     }
-    const options = { dataCentre, tried: avoid, nowMs, random };
-    const endpoint = chooseEndpoint(usable, options);
+    const endpoint = chooseEndpoint(usable, {
+      ...chooseOptions(this.#context),
+      tried: avoid,
+    });
+    endpoint?.recentSends.add();
     return endpoint ? ok(endpoint) : err(
       notRun("no-endpoint", { retryAfterMs: NO_ENDPOINT_RETRY_MS }),
     );
--- a/packages/core/src/routing/queries/choose_endpoint.ts
+++ b/packages/core/src/routing/queries/choose_endpoint.ts
@@ -1,5 +1,7 @@
 /** Chooses the endpoint for a call to a plain service: many short calls, few slots per endpoint. */
 import type { DataCentre, EndpointId } from "../../common/ids.ts";
+import { balancedCost } from "../balance/plain_cost.ts";
+import type { RoutingContext } from "../context.ts";
 import type { EndpointRecord } from "../endpoint_record.ts";
 
 /** Extra cost of a call to another data centre: about one round trip. */
@@ -16,11 +18,24 @@
   /** Current time on the monotonic clock. */
   nowMs: number;
   random: () => number;
+  /** Whether this VM's recent sends are spread over endpoints of about the same latency. */
+  isBalancing?: boolean;
+}
+
+/** Returns the options that are the same for all requests of a VM at this moment. */
+export function chooseOptions(
+  { dataCentre, random, isBalancing }: Pick<
+    RoutingContext,
+    "dataCentre" | "random" | "isBalancing"
+  >,
+): Omit<ChooseEndpointOptions, "tried"> {
+  const nowMs = performance.now();
+  return { dataCentre, random, nowMs, isBalancing: isBalancing() };
 }
 
 /**
- * Returns the healthy endpoint with the shortest expected time, preferably one
- * that isn't full. If all are ejected after failures, returns the one whose
+ * Returns the healthy endpoint with the shortest expected time, or the one whose turn it
+ * is when balancing, preferably one that isn't full. If all are ejected after failures, returns the one whose
  * ejection ends first, so that a service never loses its last endpoints to
  * ejection. Undefined if every endpoint was tried or none is usable.
  */
@@ -34,6 +49,15 @@
     return minimumBy(untried, (record) => record.ejectedUntilMs);
   }
   const notFull = healthy.filter((record) => !record.isFull(options.nowMs));
+  const candidates = notFull.length > 0 ? notFull : healthy;
+  if (options.isBalancing) {
+    const costOptions = {
+      ...options,
+      defaultLatencyMs: DEFAULT_LATENCY_MS,
+      remoteMs: REMOTE_COST_MS,
+    };
+    return minimumBy(candidates, balancedCost(candidates, costOptions));
+  }
   const freshLatencies = healthy
     .map((record) => record.freshLatencyMs(options.nowMs))
     .filter((latencyMs) => latencyMs !== null);
@@ -41,7 +65,7 @@
     ? Math.min(...freshLatencies)
     : DEFAULT_LATENCY_MS;
   return minimumBy(
-    notFull.length > 0 ? notFull : healthy,
+    candidates,
     (record) => expectedMs(record, { ...options, lowestLatencyMs }),
   );
 }
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -94,6 +94,7 @@
   constructor(options: RoutingVmOptions) {
     this.#options = options;
     const { identity, ports, observer, random } = options;
+    const isBalancing = options.isBalancing ?? (() => true);
     const context: MembershipContext = {
       identity,
       ports: { platform: ports.store, peers: ports.peers },
@@ -157,6 +158,7 @@
       outputs: this.#outputs,
       observer,
       random,
+      isBalancing,
     });
     const orderWatch = new OrderWatch({
       port: this.#guard.calls,
@@ -186,6 +188,7 @@
       }),
       stop: this.#stopGate,
       port: this.#guard.calls,
+      isBalancing,
       observer,
       random,
       times: options.times ?? NO_TIMES,
--- a/packages/core/src/routing/testing/engine_pool.ts
+++ b/packages/core/src/routing/testing/engine_pool.ts
@@ -3,13 +3,16 @@
 import { asId, type EndpointId, type VmId } from "../../common/ids.ts";
 import { SILENT_OBSERVER } from "../../common/observe.ts";
 import { wait } from "../../common/wait.ts";
-import { rankByRendezvous } from "../../common/hash.ts";
+import { hash48, rankByRendezvous } from "../../common/hash.ts";
 import type { PeerPort } from "../../ports/peers.ts";
 import type { RoutingContext } from "../context.ts";
 import { DecodeQueue } from "../decode_queue.ts";
 import { endLoad } from "../decode_reservation.ts";
 import { PlacementClient } from "../placement/client.ts";
-import { createPlacementHandlers } from "../placement/handlers.ts";
+import {
+  createPlacementHandlers,
+  type PlacementHandlers,
+} from "../placement/handlers.ts";
 import { PlacementHome } from "../placement/home.ts";
 import type { SendFailure } from "../port.ts";
 import { RequestClock } from "../request_clock.ts";
@@ -69,6 +72,8 @@
   tokensPerMs: number;
   /** Whether VMs ask the homes of the engines' shards. */
   hasHomes?: boolean;
+  /** Whether VMs choose shards by the loads that homes tell. */
+  isBalancing?: boolean;
 }
 
 class SimulatedEngine {
@@ -156,7 +161,7 @@
   readonly silentHomes = new Set<VmId>();
   preempted = 0;
   #vms: SimulatedVm[];
-  #homes = new Map<VmId, PlacementHome>();
+  #homes = new Map<VmId, PlacementHandlers>();
   #arrivals = 0;
   #pool: EnginePool;
 
@@ -175,7 +180,9 @@
       { length: options.vms },
       (_, n) => asId<VmId>(`vm-${n}`),
     );
-    for (const id of ids) this.#homes.set(id, new PlacementHome());
+    for (const id of ids) {
+      this.#homes.set(id, createPlacementHandlers(new PlacementHome()));
+    }
     this.#vms = ids.map((id) => this.#createVm(id, { ids, ...options }));
     setInterval(() => {
       for (const engine of this.engines) this.preempted += engine.step();
@@ -262,7 +269,9 @@
 
   #createVm(
     id: VmId,
-    { ids, hasHomes = true }: SimulatedPoolOptions & { ids: readonly VmId[] },
+    { ids, hasHomes = true, isBalancing = true }: SimulatedPoolOptions & {
+      ids: readonly VmId[];
+    },
   ): SimulatedVm {
     const byId = new Map(
       this.engines.map((engine) => [engine.entry.id, engine]),
@@ -276,7 +285,8 @@
       );
     };
     const shared = context(port, this.engines.map((engine) => engine.entry));
-    const random = createRandom(ids.indexOf(id) + 1);
+    // The first numbers of seeds in a row are nearly the same, as if VMs had agreed.
+    const random = createRandom(hash48(id) % 2 ** 32);
     const client = new PlacementClient({
       endpoints: shared.endpoints,
       membership: {
@@ -288,6 +298,7 @@
       outputs: shared.outputs,
       observer: SILENT_OBSERVER,
       random,
+      isBalancing: () => isBalancing,
     });
     const placement = hasHomes ? client : shared.placement;
     const vm = { ...shared, placement, random };
@@ -308,7 +319,7 @@
           return err({ kind: "timeout" });
         }
         await wait(PEER_DELAY_MS);
-        const handlers = createPlacementHandlers(this.#homes.get(id)!);
+        const handlers = this.#homes.get(id)!;
         const handle = handlers[method as keyof typeof handlers];
         return ok(handle(params as never) as never);
       },
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -281,6 +281,7 @@
     forwarding: NO_FORWARDING,
     stop: new StopGate(),
     port,
+    isBalancing: () => true,
     observer: SILENT_OBSERVER,
     times: NO_TIMES,
     noteRefusal() {},
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -349,6 +349,7 @@
       times: this.#options.metrics,
       bounds: settings.bounds,
       isBusy: () => this.#admission.isBusy,
+      isBalancing: () => this.#settings.balance.enabled,
       onTable: ({ limits }) => this.#callers.setTimeouts(limits),
     });
   }
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -47,6 +47,8 @@
   store_calls: "Calls to the platform's store, by call",
   store_returns:
     "Returns of the platform's store from an earlier copy, by what was done",
+  shard_choices:
+    "Choices between shards of engines, by what decided (`load`, `size`)",
   broken_streams: "Answers cut after they had begun, by reason",
   stream_overruns:
     "Streams cut because they were longer than their request can have, by events or bytes",
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -139,6 +139,10 @@
     /** Time after which a draining endpoint gets no more work. */
     drainMs: durationMs({ min: 500 }).default(2_000),
   }).prefault({}),
+  balance: z.object({
+    /** Whether recent sends and the loads that homes tell decide between endpoints. */
+    enabled: z.boolean("Expected true or false").default(true),
+  }).prefault({}),
   directory: z.object({
     /** Maximum time that callers may cache a directory response. */
     ttlMaxS: durationS(),
