--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -35,7 +35,8 @@
   | "forwards"
   | "store_calls"
   | "store_returns"
-  | "quota_credit";
+  | "quota_credit"
+  | "shard_choices";
 
 /** Receives log events and counts. Both methods are cheap and never throw. */
 export interface Observer {
--- a/packages/core/src/routing/placement/client.ts
+++ b/packages/core/src/routing/placement/client.ts
@@ -7,6 +7,7 @@
 import { shuffle } from "../../common/shuffle.ts";
 import type { MembershipView } from "../../membership/types.ts";
 import type { PeerPort } from "../../ports/peers.ts";
+import { ShardLoads } from "../balance/shard_loads.ts";
 import type { EndpointRegistry } from "../endpoint_registry.ts";
 import type { EndpointRecord } from "../endpoint_record.ts";
 import type { OutputEstimates } from "../output_estimates.ts";
@@ -52,6 +53,8 @@
   outputs: OutputEstimates;
   observer: Observer;
   random: () => number;
+  /** Whether shards with more free memory are asked first. */
+  isBalancing: () => boolean;
 }
 
 interface Shard {
@@ -76,6 +79,7 @@
   /** Delayed reports by shard. */
   #pendingReports = new Map<string, ReturnType<typeof setTimeout>>();
   #timer: ReturnType<typeof setInterval> | undefined;
+  #shardLoads = new ShardLoads();
 
   constructor(options: PlacementClientOptions) {
     this.#options = options;
@@ -113,9 +117,10 @@
     const open = healthy.filter((record) => !record.isFull(nowMs));
     if (open.length === 0) return { kind: "wait", askAgainMs: FULL_RETRY_MS };
     const { isLate = false } = options;
-    const groups = this.#groupByShard(service, open)
+    const known = this.#groupByShard(service, open)
       .filter(({ shard }) => !isLate || this.#knowsPrefillQueues(shard));
-    if (groups.length === 0) return { kind: "full" };
+    if (known.length === 0) return { kind: "full" };
+    const groups = this.#orderShards(known, options);
     const waits: { group: ShardGroup; waitMs: number }[] = [];
     let answered = false;
     for (const group of groups) {
@@ -123,7 +128,7 @@
       const answer = await this.#askHome(group, { ...options, joins });
       if (!answer) continue;
       answered = true;
-      if (answer.kind === "place") return toPlace(answer, group);
+      if (answer.kind === "place") return this.#toPlace(answer, group, options);
       if (answer.kind === "wait" && joins) return answer;
       if (answer.kind === "wait") waits.push({ group, ...answer });
     }
@@ -138,7 +143,9 @@
     if (!soonest || isLate) return { kind: "full" };
     const { group } = soonest;
     const answer = await this.#askHome(group, { ...options, joins: true });
-    return answer?.kind === "place" ? toPlace(answer, group) : answer;
+    return answer?.kind === "place"
+      ? this.#toPlace(answer, group, options)
+      : answer;
   }
 
   noteStreamEnd(engine: EndpointRecord): void {
@@ -199,6 +206,36 @@
     });
   }
 
+  #orderShards(
+    groups: readonly ShardGroup[],
+    { capacity: { kvTokens } }: AdmitOptions,
+  ): readonly ShardGroup[] {
+    const { random, isBalancing, observer } = this.#options;
+    if (groups.length < 2 || !isBalancing()) return groups;
+    const candidates = groups.map((group) => ({
+      group,
+      key: homeKey(group.shard),
+      engines: group.engines.length,
+    }));
+    const isKnown = this.#shardLoads.knows(candidates);
+    observer.count("shard_choices", isKnown ? "load" : "size");
+    return this.#shardLoads.order(candidates, { kvTokens, random })
+      .map(({ group }) => group);
+  }
+
+  #toPlace(
+    answer: PlaceAnswer & { kind: "place" },
+    { shard, engines }: ShardGroup,
+    { stream }: AdmitOptions,
+  ): DecodeAdmission {
+    this.#shardLoads.notePlaced(homeKey(shard), stream);
+    const byId = new Map(engines.map((record) => [record.entry.id, record]));
+    return {
+      kind: "place",
+      engines: answer.engines.flatMap((id) => byId.get(id) ?? []),
+    };
+  }
+
   // In random order, in which shards with more engines tend to come first.
   #groupByShard(
     service: ServiceName,
@@ -234,7 +271,7 @@
     const { priority, workspace, isLate } = options;
     const prefillEngines = isLate ? this.#prefillEngines(shard) : undefined;
     this.#noteReported(shard);
-    return await this.#callHome(shard, "routing/place-decode", {
+    const answer = await this.#callHome(shard, "routing/place-decode", {
       ...this.#loadReport(shard),
       attempt,
       stream: roundLoad(stream),
@@ -246,6 +283,8 @@
       ...(workspace === undefined ? {} : { workspace }),
       ...(isLate ? { isLate, prefillEngines } : {}),
     });
+    this.#shardLoads.note(homeKey(shard), answer?.load);
+    return answer;
   }
 
   // A home has the queues of the prefill engines of its shard in view, if there are
@@ -321,11 +360,14 @@
   #reportLoads(shard: Shard): void {
     const { membership, peers } = this.#options;
     this.#noteReported(shard);
+    const key = homeKey(shard);
     void peers.call(
-      membership.homeOf(homeKey(shard)),
+      membership.homeOf(key),
       "routing/note-streams",
       { params: this.#loadReport(shard), timeoutMs: HOME_TIMEOUT_MS },
-    );
+    ).then((answer) => {
+      if (answer.isOk()) this.#shardLoads.note(key, answer.value?.load);
+    });
   }
 
   #noteReported(shard: Shard): void {
@@ -354,17 +396,6 @@
   }
 }
 
-function toPlace(
-  answer: PlaceAnswer & { kind: "place" },
-  { engines }: ShardGroup,
-): DecodeAdmission {
-  const byId = new Map(engines.map((record) => [record.entry.id, record]));
-  return {
-    kind: "place",
-    engines: answer.engines.flatMap((id) => byId.get(id) ?? []),
-  };
-}
-
 function roundLoad(load: StreamLoad): StreamLoad {
   return {
     promptTokens: load.promptTokens,
