--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -44,6 +44,8 @@
 export * from "./ports/platform.ts";
 export * from "./ports/services.ts";
 export * from "./quotas/app.ts";
+export * from "./quotas/credit/task.ts";
+export * from "./quotas/credit/types.ts";
 export * from "./quotas/task.ts";
 export * from "./reports/homes.ts";
 export * from "./reports/task.ts";
