Hand the account of a workspace over to its next home

Change: a home that sees another one in its view sends it what the account holds, and tells VMs that still ask it where to go. The next home grants the whole share at once. While a home gives no credit, requests wait until it is asked again, as far as their time allows. Result: with 20 VMs and six planned stops and starts, no refusal below the quota.

--- a/packages/core/src/quotas/credit/client.ts
+++ b/packages/core/src/quotas/credit/client.ts
@@ -6,11 +6,11 @@
  * message, and without an answer this VM uses its own equal share of the quota.
  */
 import { err, ok, type Result } from "neverthrow";
-import type { WorkspaceId } from "../../common/ids.ts";
+import { asId, type WorkspaceId } from "../../common/ids.ts";
 import type { Observer } from "../../common/observe.ts";
 import { type NotRun, notRun } from "../../common/verdict.ts";
 import type { MembershipView } from "../../membership/types.ts";
-import type { PeerPort } from "../../ports/peers.ts";
+import type { PeerFailure, PeerPort, PeerRef } from "../../ports/peers.ts";
 import type { WorkspaceQuota } from "../../routing/workspaces/types.ts";
 import { costOf } from "./cost.ts";
 import { type CreditHome, creditKeyOf } from "./home.ts";
@@ -21,6 +21,7 @@
   CreditCharge,
   CreditDraw,
   CreditGrant,
+  CreditMove,
   CreditRequest,
 } from "./types.ts";
 import type { VmShares } from "./vm_shares.ts";
@@ -33,6 +34,10 @@
 const OTHER_HOME_COOLDOWN_MS = 100;
 /** A grant that took longer, for instance because of a freeze, is not used. */
 const MAX_GRANT_AGE_MS = 250;
+/** How long a VM asks the home that another VM named, until its own view names it. */
+const MOVED_MS = 2_000;
+/** Maximum VMs asked for one draw, where homes have changed. */
+const MAX_HOMES = 3;
 /** Maximum requests in one draw. */
 const MAX_NEEDS = 64;
 
@@ -61,6 +66,9 @@
   readonly credit: LocalCredit;
   waiting: WaitingRequest[];
   isDrawing: boolean;
+  /** The home that the one in this VM's view named. */
+  movedTo: PeerRef | null;
+  movedUntilMs: number;
   timer: ReturnType<typeof setTimeout> | undefined;
 }
 
@@ -136,7 +144,7 @@
       const source = credit.take(cost);
       if (source !== null) this.#grant(workspace, first!, source);
       else if (credit.isAlone) {
-        const waitMs = credit.ownWaitMs(cost);
+        const waitMs = Math.min(credit.ownWaitMs(cost), credit.aloneForMs);
         if (this.#isInTime(first!, waitMs)) {
           return this.#serveIn(workspace, waitMs);
         }
@@ -227,28 +235,59 @@
 
   /** Asks the home; null if it has no credit to give, undefined if it doesn't answer. */
   async #ask(
-    { id, credit }: Workspace,
+    workspace: Workspace,
     draw: CreditDraw,
   ): Promise<CreditGrant | null | undefined> {
-    const { membership, peers, home, shares, observer } = this.#options;
-    const vm = membership.homeOf(creditKeyOf(id));
-    if (vm.id === membership.self.id) return home.grant(draw);
+    for (let asked = 0; asked < MAX_HOMES; asked += 1) {
+      const home = this.#homeOf(workspace);
+      const answer = await this.#askVm(home, draw);
+      const grant = answer.unwrapOr(null);
+      if (grant && "movedTo" in grant) {
+        workspace.movedTo = grant.movedTo;
+        workspace.movedUntilMs = performance.now() + MOVED_MS;
+        continue;
+      }
+      if (grant) return grant;
+      workspace.movedTo = null;
+      this.#logSilence(workspace, {
+        peer: home.id,
+        reason: answer.isErr() ? answer.error.kind : "no-account",
+      });
+      const isKnown = answer.isOk() || answer.error.kind === "refused";
+      return isKnown ? null : undefined;
+    }
+    workspace.movedTo = null;
+    return null;
+  }
+
+  async #askVm(
+    vm: PeerRef,
+    draw: CreditDraw,
+  ): Promise<Result<CreditGrant | CreditMove | null, PeerFailure>> {
+    const { membership, peers, home, shares } = this.#options;
+    if (vm.id === membership.self.id) return ok(home.grant(draw));
     const answer = await peers.call(vm, "routing/credit", {
       params: draw,
       timeoutMs: HOME_TIMEOUT_MS,
     });
     const isKnown = answer.isOk() || answer.error.kind === "refused";
-    shares.noteCall(vm.id, isKnown);
-    if (answer.isOk() && answer.value) return answer.value;
-    if (credit.aloneSinceMs === null) {
-      observer.log({
-        event: "quota-home-silent",
-        workspace: id,
-        peer: vm.id,
-        reason: answer.isErr() ? answer.error.kind : "no-account",
-      });
-    }
-    return isKnown ? null : undefined;
+    shares.noteCall(asId(vm.id), isKnown);
+    return answer;
+  }
+
+  #homeOf({ id, movedTo, movedUntilMs }: Workspace): PeerRef {
+    return movedTo && performance.now() < movedUntilMs
+      ? movedTo
+      : this.#options.membership.homeOf(creditKeyOf(id));
+  }
+
+  #logSilence(
+    { id, credit }: Workspace,
+    fields: { peer: string; reason: string },
+  ): void {
+    if (credit.aloneSinceMs !== null) return;
+    const event = "quota-home-silent";
+    this.#options.observer.log({ event, workspace: id, ...fields });
   }
 
   #noteHomeBack({ id, credit }: Workspace): void {
@@ -311,6 +350,8 @@
       credit: new LocalCredit(),
       waiting: [],
       isDrawing: false,
+      movedTo: null,
+      movedUntilMs: -Infinity,
       timer: undefined,
     };
     this.#workspaces.set(id, workspace);
--- a/packages/core/src/quotas/credit/credit_faults_test.ts
+++ b/packages/core/src/quotas/credit/credit_faults_test.ts
@@ -93,6 +93,26 @@
   expect(world.count("refused")).toBe(0);
 });
 
+test("VMs that start and stop as planned cause no refusals below the quota, and break no bound", async () => {
+  for (const share of [0.5, 2]) {
+    const world = await startWorld(20);
+    const load = loadsOf({ share });
+    await world.run(2_000, load);
+    for (let count = 0; count < 6; count += 1) {
+      world.leave(world.homeOf(WORKSPACES[count]!));
+      await world.run(1_500, load);
+      world.join(`new-${count}`);
+      await world.run(1_500, load);
+    }
+    expect(world.worstOf(WORKSPACES)).toBeLessThan(1);
+    if (share > 1) continue;
+    for (const workspace of WORKSPACES) {
+      const { refused, overQuota } = world.tally(workspace);
+      expect(refused, workspace.id).toBeLessThanOrEqual(overQuota);
+    }
+  }
+});
+
 test("A home of the previous build leaves each VM its own share", async () => {
   const world = await startWorld(9);
   for (const vm of world.vms) vm.isOld = true;
--- a/packages/core/src/quotas/credit/home.ts
+++ b/packages/core/src/quotas/credit/home.ts
@@ -6,10 +6,16 @@
  * time until it asks again, so that the number of messages doesn't grow with the load.
  */
 import type { Incarnation, VmId, WorkspaceId } from "../../common/ids.ts";
-import type { MembershipView } from "../../membership/types.ts";
+import type { Member, MembershipView } from "../../membership/types.ts";
 import type { WorkspaceQuota } from "../../routing/workspaces/types.ts";
 import { CreditAccount } from "./account.ts";
-import type { CreditDraw, CreditGrant, QuotaShare } from "./types.ts";
+import type {
+  CreditDraw,
+  CreditGrant,
+  CreditHandOver,
+  CreditMove,
+  QuotaShare,
+} from "./types.ts";
 import type { VmShares } from "./vm_shares.ts";
 
 /** Time in which all VMs notice that the home of a workspace has changed. */
@@ -48,6 +54,8 @@
 export interface CreditHomeOptions {
   membership: Pick<MembershipView, "self" | "homeOf">;
   shares: VmShares;
+  /** Called with what an account held when another VM became its home. */
+  onHandOver: (home: Member, handOver: CreditHandOver) => void;
 }
 
 /** The routing table's quotas, as far as the home needs them. */
@@ -60,8 +68,11 @@
   readonly account: CreditAccount;
   /** Changes whenever the account begins anew, so that old credit isn't returned to it. */
   id: string;
-  /** Since when this VM is the home; null while another one is. */
-  homeSinceMs: number | null;
+  isHome: boolean;
+  /** Until then, this VM is the home even if its view of the VMs doesn't say so yet. */
+  heldUntilMs: number;
+  /** Until then, other VMs may draw from the home before this one. */
+  settledAtMs: number;
   changedAtMs: number;
   readonly draws: Map<VmId, LastDraw>;
 }
@@ -106,13 +117,21 @@
     }
   }
 
-  /** Grants credit; null if this VM is not the home or doesn't know the quota. */
-  grant(draw: CreditDraw): CreditGrant | null {
+  /**
+   * Grants credit, or names the VM to which the account was handed over. Null if this
+   * VM is not the home or doesn't know the quota.
+   */
+  grant(draw: CreditDraw): CreditGrant | CreditMove | null {
     const quota = this.#known.quotas.get(draw.workspace);
     const entry = this.#accounts.get(draw.workspace);
     const isBehind = this.#known.version < draw.tableVersion;
-    if (!quota || !entry || entry.homeSinceMs === null || isBehind) return null;
-    if (!this.#isHomeOf(draw.workspace)) return null;
+    if (!quota || !entry || isBehind) return null;
+    if (!this.#isHomeOf(draw.workspace, entry)) {
+      if (entry.isHome) this.#handOver(draw.workspace, entry);
+      const { id, peerAddress } = this.#viewHomeOf(draw.workspace);
+      return { movedTo: { id, peerAddress } };
+    }
+    if (!entry.isHome) return null;
     const { account } = entry;
     const { demandPerSecond } = draw;
     entry.draws.set(draw.vm, { atMs: performance.now(), demandPerSecond });
@@ -178,7 +197,7 @@
   #fillAll(): void {
     for (const [workspace, entry] of this.#accounts) {
       const quota = this.#known.quotas.get(workspace);
-      if (!quota || entry.homeSinceMs === null) continue;
+      if (!quota || !entry.isHome) continue;
       this.#fill(entry, quota);
     }
   }
@@ -186,9 +205,8 @@
   // An account without draws is filled long after its home has settled.
   #fill(entry: HomeAccount, quota: WorkspaceQuota): number {
     const share = this.#shareOf(entry);
-    const settledAtMs = (entry.homeSinceMs ?? Infinity) + SETTLE_MS;
-    if (performance.now() > settledAtMs) {
-      entry.account.fill({ quota, share }, settledAtMs);
+    if (performance.now() > entry.settledAtMs) {
+      entry.account.fill({ quota, share }, entry.settledAtMs);
     }
     entry.account.fill({ quota, share });
     return share;
@@ -197,36 +215,61 @@
   #review(): void {
     const nowMs = performance.now();
     for (const [workspace, quota] of this.#known.quotas) {
-      const isHome = this.#isHomeOf(workspace);
       const entry = this.#accounts.get(workspace);
-      if (!isHome && entry && entry.homeSinceMs !== null) {
-        entry.homeSinceMs = null;
-        entry.changedAtMs = nowMs;
-      }
-      if (!isHome || entry && entry.homeSinceMs !== null) continue;
-      this.#becomeHome(workspace, quota);
+      const isHome = this.#isHomeOf(workspace, entry);
+      if (!isHome && entry?.isHome) this.#handOver(workspace, entry);
+      if (isHome && !entry?.isHome) this.#becomeHome(workspace, quota);
     }
     for (const [workspace, entry] of this.#accounts) {
       const isOver = !this.#known.quotas.has(workspace) ||
-        entry.homeSinceMs === null && nowMs - entry.changedAtMs > DEBT_MS;
+        !entry.isHome && nowMs - entry.changedAtMs > DEBT_MS;
       if (isOver) this.#accounts.delete(workspace);
     }
   }
 
-  #becomeHome(workspace: WorkspaceId, quota: WorkspaceQuota): void {
+  /** Takes over what the account of a workspace held at the home before. */
+  takeOver({ workspace, level }: CreditHandOver): void {
+    const quota = this.#known.quotas.get(workspace);
+    if (!quota) return;
+    const existing = this.#accounts.get(workspace);
+    const entry = existing?.isHome
+      ? existing
+      : this.#becomeHome(workspace, quota);
+    const nowMs = performance.now();
+    this.#fill(entry, quota);
+    entry.settledAtMs = nowMs;
+    entry.heldUntilMs = nowMs + SETTLE_MS;
+    this.#fill(entry, quota);
+    entry.account.giveBack(level);
+  }
+
+  #handOver(workspace: WorkspaceId, entry: HomeAccount): void {
+    const { shares, onHandOver } = this.#options;
+    const home = this.#viewHomeOf(workspace);
+    const { level } = entry.account;
+    entry.isHome = false;
+    entry.changedAtMs = performance.now();
+    onHandOver(home, { workspace, level, knownVms: shares.ownCount });
+  }
+
+  #becomeHome(workspace: WorkspaceId, quota: WorkspaceQuota): HomeAccount {
     const nowMs = performance.now();
     const existing = this.#accounts.get(workspace);
     const entry = existing ?? {
       account: new CreditAccount({ quota, share: 0 }),
       id: "",
-      homeSinceMs: nowMs,
+      isHome: true,
+      heldUntilMs: -Infinity,
+      settledAtMs: nowMs,
       changedAtMs: nowMs,
       draws: new Map(),
     };
-    entry.homeSinceMs = nowMs;
+    entry.isHome = true;
+    entry.settledAtMs = nowMs + SETTLE_MS;
     entry.draws.clear();
     this.#accounts.set(workspace, entry);
     this.#begin(entry, { quota, share: this.#shareOf(entry) });
+    return entry;
   }
 
   #begin(entry: HomeAccount, terms: QuotaShare): void {
@@ -236,18 +279,23 @@
     entry.account.restart(terms);
   }
 
-  #shareOf({ homeSinceMs, draws }: HomeAccount): number {
+  #shareOf({ isHome, settledAtMs, draws }: HomeAccount): number {
     const { shares, membership } = this.#options;
     const reached = shares.reachedShare();
-    if (homeSinceMs === null) return 0;
-    if (performance.now() - homeSinceMs > SETTLE_MS) return reached;
+    if (!isHome) return 0;
+    if (performance.now() >= settledAtMs) return reached;
     const others = draws.size - (draws.has(membership.self.id) ? 1 : 0);
     return Math.min(reached, (1 + others) / shares.known);
   }
 
-  #isHomeOf(workspace: WorkspaceId): boolean {
-    const { membership } = this.#options;
-    return membership.homeOf(creditKeyOf(workspace)).id === membership.self.id;
+  #isHomeOf(workspace: WorkspaceId, entry: HomeAccount | undefined): boolean {
+    const isHeld = entry?.isHome && performance.now() < entry.heldUntilMs;
+    const { self } = this.#options.membership;
+    return isHeld || this.#viewHomeOf(workspace).id === self.id;
+  }
+
+  #viewHomeOf(workspace: WorkspaceId): Member {
+    return this.#options.membership.homeOf(creditKeyOf(workspace));
   }
 }
 
--- a/packages/core/src/quotas/credit/local_credit.ts
+++ b/packages/core/src/quotas/credit/local_credit.ts
@@ -44,6 +44,11 @@
     return performance.now() < this.#aloneUntilMs;
   }
 
+  /** Time until the home is asked again; 0 if it is asked now. */
+  get aloneForMs(): number {
+    return Math.max(0, this.#aloneUntilMs - performance.now());
+  }
+
   /** Since when the home has not answered; null if it has. */
   get aloneSinceMs(): number | null {
     return this.#aloneSinceMs;
--- a/packages/core/src/quotas/credit/task.ts
+++ b/packages/core/src/quotas/credit/task.ts
@@ -14,6 +14,9 @@
 } from "./types.ts";
 import { VmShares } from "./vm_shares.ts";
 
+/** No request waits for it. */
+const HAND_OVER_TIMEOUT_MS = 500;
+
 /** Options of {@link CreditTask}. */
 export interface CreditTaskOptions {
   membership:
@@ -36,7 +39,15 @@
   constructor(options: CreditTaskOptions) {
     this.#shares = new VmShares(options);
     const shares = this.#shares;
-    this.#home = new CreditHome({ ...options, shares });
+    this.#home = new CreditHome({
+      ...options,
+      shares,
+      onHandOver: (home, handOver) =>
+        void options.peers.call(home, "routing/credit-handed-over", {
+          params: handOver,
+          timeoutMs: HAND_OVER_TIMEOUT_MS,
+        }),
+    });
     this.#client = new CreditClient({
       ...options,
       shares,
@@ -52,6 +63,11 @@
         shares.noteKnown(draw.knownVms);
         return this.#home.grant(draw);
       },
+      "routing/credit-handed-over": (handOver) => {
+        shares.noteKnown(handOver.knownVms);
+        this.#home.takeOver(handOver);
+        return null;
+      },
     };
   }
 
--- a/packages/core/src/quotas/credit/testing/credit_world.ts
+++ b/packages/core/src/quotas/credit/testing/credit_world.ts
@@ -18,7 +18,7 @@
   WorkspaceQuota,
 } from "../../../routing/workspaces/types.ts";
 import { CreditTask } from "../task.ts";
-import type { CreditDraw } from "../types.ts";
+import type { CreditHandlers } from "../types.ts";
 
 /** Window of the bound. */
 export const WINDOW_MS = 8_000;
@@ -29,6 +29,8 @@
 const SUSPICION_MS = { least: 700, most: 2_500 };
 /** The same for a VM that reaches no other one: it finds one after the other. */
 const LONE_SUSPICION_MS = 500;
+/** Time within which VMs learn of one that starts or stops as planned. */
+const NOTICE_MS = 1_000;
 /** Time after which VMs that can reach each other again know it. */
 const REUNION_MS = 500;
 const SLACK_TOKENS = 190_000;
@@ -39,6 +41,13 @@
   readonly cost: number;
 }
 
+/** A call of a peer method. */
+interface Message {
+  readonly peer: VmId;
+  readonly method: keyof CreditHandlers;
+  readonly params: never;
+}
+
 /** What became of the requests of one workspace. */
 export interface Tally {
   readonly runs: Run[];
@@ -62,7 +71,9 @@
   readonly changes: Map<VmId, { lost: boolean; atMs: number; delayMs: number }>;
   readonly counts: Map<string, number>;
   group: number;
+  /** Whether it doesn't know the peer methods of quotas. */
   isOld: boolean;
+  isLeaving: boolean;
   frozen: Promise<void> | null;
   thaw: () => void;
   view: string;
@@ -174,6 +185,24 @@
     this.#start(next);
   }
 
+  /** Starts a further VM, which the others learn of within a second. */
+  join(id: string): WorldVm {
+    const vm = this.#create(asId(id));
+    const atMs = performance.now();
+    for (const other of this.vms) {
+      const delayMs = NOTICE_MS * this.random();
+      other.changes.set(vm.id, { lost: false, atMs, delayMs });
+    }
+    this.vms.push(vm);
+    this.#start(vm);
+    return vm;
+  }
+
+  /** Lets a VM announce that it stops; it takes no further requests. */
+  leave(vm: WorldVm): void {
+    vm.isLeaving = true;
+  }
+
   /** Activates new quotas at some or all VMs. */
   setWorkspaces(
     workspaces: readonly RoutingWorkspace[],
@@ -268,6 +297,7 @@
       changes: new Map(),
       group: 0,
       isOld: false,
+      isLeaving: false,
       frozen: null,
       thaw() {},
       view: "",
@@ -286,9 +316,9 @@
         peers: {
           call: (
             peer: { id: VmId },
-            _method: string,
-            options: { params: CreditDraw; timeoutMs: number },
-          ) => this.#call(vm, { peer: peer.id, ...options }),
+            method: keyof CreditHandlers,
+            options: { params: never; timeoutMs: number },
+          ) => this.#call(vm, { peer: peer.id, method, ...options }),
         } as unknown as PeerPort,
         observer: {
           ...SILENT_OBSERVER,
@@ -314,22 +344,18 @@
 
   async #call(
     from: WorldVm,
-    { peer, params, timeoutMs }: {
-      peer: VmId;
-      params: CreditDraw;
-      timeoutMs: number;
-    },
+    { timeoutMs, ...message }: Message & { timeoutMs: number },
   ) {
     this.messages += 1;
     const timeout = wait(timeoutMs).then(() =>
       err({ kind: "timeout" as const })
     );
-    return await Promise.race([timeout, this.#deliver(from, { peer, params })]);
+    return await Promise.race([timeout, this.#deliver(from, message)]);
   }
 
   async #deliver(
     from: WorldVm,
-    { peer, params }: { peer: VmId; params: CreditDraw },
+    { peer, method, params }: Message,
   ) {
     const never = new Promise<never>(() => {});
     const isLost = () => this.random() < this.lossShare;
@@ -339,12 +365,10 @@
     while (vm.frozen) await vm.frozen;
     if (!this.vms.includes(vm)) return await never;
     if (vm.isOld) return err({ kind: "refused" as const, message: "unknown" });
-    const grant = vm.task.handlers["routing/credit"](
-      structuredClone(params),
-    );
+    const result = vm.task.handlers[method](structuredClone(params));
     await wait(MESSAGE_MS);
     while (from.frozen) await from.frozen;
-    return vm.group !== from.group || isLost() ? await never : ok(grant);
+    return vm.group !== from.group || isLost() ? await never : ok(result);
   }
 
   #offer(load: Load): void {
@@ -354,7 +378,7 @@
       (this.random() < expected % 1 ? 1 : 0);
     for (let index = 0; index < count; index += 1) {
       const vm = vms[Math.floor(this.random() * vms.length)]!;
-      if (!vm.frozen) void this.#request(vm, load);
+      if (!vm.frozen && !vm.isLeaving) void this.#request(vm, load);
     }
   }
 
@@ -393,8 +417,8 @@
 
   #updateViews(): void {
     const connections = this.vms
-      .map(({ identity, group, frozen }) =>
-        `${identity.incarnation} ${group} ${frozen !== null}`
+      .map(({ identity, group, frozen, isLeaving }) =>
+        `${identity.incarnation} ${group} ${frozen !== null} ${isLeaving}`
       ).join();
     const nowMs = performance.now();
     if (connections !== this.#connections) {
@@ -418,11 +442,14 @@
     let delayMs = 0;
     for (const other of this.vms) {
       if (other === vm) continue;
-      const lost = other.group !== vm.group || other.frozen !== null;
+      const lost = other.group !== vm.group || other.frozen !== null ||
+        other.isLeaving;
       const before = vm.changes.get(other.id);
       if ((before?.lost ?? false) === lost) continue;
       delayMs = !lost
         ? REUNION_MS
+        : other.isLeaving
+        ? NOTICE_MS * this.random()
         : isLone
         ? delayMs + LONE_SUSPICION_MS
         : least + this.random() * (most - least);
@@ -435,7 +462,8 @@
     const members = this.vms.map(({ id }) => {
       const change = vm.changes.get(id);
       const isKnown = change && nowMs - change.atMs >= change.delayMs;
-      const isLost = change && isKnown === change.lost;
+      const isLost = change && isKnown === change.lost ||
+        id === vm.id && vm.isLeaving;
       const state: VmState = isLost ? "suspected" : "live";
       return { id, region: "r", state } as unknown as Member;
     });
--- a/packages/core/src/quotas/credit/types.ts
+++ b/packages/core/src/quotas/credit/types.ts
@@ -1,6 +1,7 @@
 /** Types of workspace quotas that hold over all VMs together. */
 import type { Result } from "neverthrow";
 import type { VmId, WorkspaceId } from "../../common/ids.ts";
+import type { PeerRef } from "../../ports/peers.ts";
 import type { NotRun } from "../../common/verdict.ts";
 import type {
   RoutingWorkspace,
@@ -79,13 +80,29 @@
   readonly isReduced: boolean;
 }
 
+/** Names the VM that became home of a workspace in place of the one that was asked. */
+export interface CreditMove {
+  readonly movedTo: PeerRef;
+}
+
+/** What the account of a workspace holds when another VM becomes its home. */
+export interface CreditHandOver {
+  readonly workspace: WorkspaceId;
+  /** Negative while in debt. */
+  readonly level: number;
+  readonly knownVms: number;
+}
+
 /** Peer methods of workspace quotas. */
 export interface CreditHandlers {
   /**
-   * Grants credit for a workspace whose home is this VM; null if it isn't, or if it
-   * does not know the quota, so that the sender uses its own share.
+   * Grants credit for a workspace whose home is this VM, or names the home to which it
+   * handed the account over. Null if it is not the home or does not know the quota, so
+   * that the sender uses its own share.
    */
-  "routing/credit": (params: CreditDraw) => CreditGrant | null;
+  "routing/credit": (params: CreditDraw) => CreditGrant | CreditMove | null;
+  /** Notifies this VM that the home before it no longer grants a workspace's credit. */
+  "routing/credit-handed-over": (params: CreditHandOver) => null;
 }
 
 /** A quota and the part of it that an account grants. */
--- a/packages/core/src/vm/vm.ts
+++ b/packages/core/src/vm/vm.ts
@@ -174,6 +174,7 @@
         }),
         "routing/limit-ended": () => null,
         "routing/credit": () => null,
+        "routing/credit-handed-over": () => null,
         "routing/take-stages": () => ({ taken: false }),
         "routing/check-links": () => Promise.resolve({ reached: null }),
         "routing/ordered": () => null,
