Tie sends to the start of the endpoint that its entry names

Cause: a VM knew an engine by its id and took its software version from the entry that it read last. An engine that was back under its id with other software, before its new entry was read, gave places to streams that were bound to the version before, and these went on there. Change: answers to reservations, prefills and reports that state another start time than the entry fail as `restarted`. If it is a later one, the endpoint gets no work until its new entry is read, what was lost there counts as a crash, and its version may be awaited. The record of a start that another one follows takes no more work, also for a send that holds a place. The new tests fail without the comparison or without the registry's part.

--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -25,6 +25,7 @@
 import { soonestPermitMs } from "./queries/soonest_permit.ts";
 import { ReceivedBodies } from "./received_bodies.ts";
 import { RequestClock } from "./request_clock.ts";
+import { noteOutcome } from "./send_outcome.ts";
 import { SilenceWatch, type SilenceWatchOptions } from "./silence_watch.ts";
 import { isRetryable, type Route, type RoutedRequest } from "./types.ts";
 import {
@@ -40,8 +41,6 @@
 const MAX_SENDS = 4;
 /** Time without an answer after which a retryable request is hedged, in multiples of its target latency. */
 const HEDGE_AFTER_TARGETS = 2;
-/** How long an endpoint that refused a call for lack of capacity counts as full. */
-const FULL_FOR_MS = 50;
 /** Spreads the retries of requests that were refused because of limits. */
 const LIMIT_JITTER_MS = 1_000;
 const FIRST_SERVER_ERROR = 500;
@@ -246,10 +245,7 @@
     noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
     if (outcome.isOk()) {
       const { crashes } = this.#context;
-      crashes.noteAnswer(endpoint.entry, {
-        sentAtMs: startedMs,
-        bornAtMs: null,
-      });
+      crashes.noteAnswer(endpoint.entry, { sentAtMs: startedMs });
       if (outcome.value.endsWithConnection) {
         crashes.noteEnded(request, endpoint.entry);
       } else crashes.noteAnswered(request);
@@ -353,51 +349,3 @@
   observer.count("retries", taken ? reason : `spent-${reason}`);
   return taken;
 }
-
-/** Updates the endpoint's record and the crash tracker with the outcome of a send. */
-export function noteOutcome(
-  context: RoutingContext,
-  { endpoint, request, outcome, tookMs, wasAnswering = false }: {
-    endpoint: EndpointRecord;
-    request: RoutedRequest;
-    outcome: Result<unknown, SendFailure>;
-    tookMs: number;
-    /** Whether the endpoint had been answering for a while. */
-    wasAnswering?: boolean;
-  },
-): void {
-  const nowMs = performance.now();
-  const { crashes } = context;
-  if (outcome.isOk()) return endpoint.noteSuccess(tookMs);
-  const isLinkLost = context.forwarding.isLost(endpoint.entry.service);
-  const { error } = outcome;
-  // An endpoint whose answer was cut hasn't crashed.
-  if (error.kind === "lost" && !error.isCut && !isLinkLost) {
-    crashes.noteLost(request, endpoint.entry, { wasAnswering });
-  }
-  if (outcome.error.kind === "notSent" && outcome.error.refused) {
-    void crashes.noteRefused(endpoint.entry);
-  }
-  switch (outcome.error.kind) {
-    case "limited":
-      return endpoint.noteLimited(nowMs + outcome.error.retryAfterMs);
-    case "aborted":
-      return;
-    case "notExecuted":
-      return endpoint.noteFull(nowMs + FULL_FOR_MS);
-    case "misdirected":
-      // If the endpoint comes back, its next directory entry undoes this.
-      return endpoint.setMissing(nowMs);
-    default:
-      if (!endpoint.noteFailure(nowMs)) return;
-      context.observer.count("ejections", outcome.error.kind);
-      context.observer.log({
-        event: "endpoint-ejected",
-        level: "warn",
-        endpoint: endpoint.entry.id,
-        reason: outcome.error.kind,
-        failures: endpoint.failuresInRow,
-        forMs: Math.round(endpoint.ejectedUntilMs - nowMs),
-      });
-  }
-}
--- a/packages/core/src/routing/crashes/tracker.ts
+++ b/packages/core/src/routing/crashes/tracker.ts
@@ -238,7 +238,11 @@
    */
   noteAnswer(
     entry: EndpointEntry,
-    { sentAtMs, bornAtMs }: { sentAtMs: number; bornAtMs: number | null },
+    { sentAtMs, bornAtMs = null }: {
+      sentAtMs: number;
+      /** Start time that it states, if any. */
+      bornAtMs?: number | null;
+    },
   ): void {
     if (isFromIncarnation(entry, bornAtMs)) {
       return this.noteRunning(entry, { sentAtMs });
--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -375,19 +375,20 @@
   #noteReserveFailure(endpoint: EndpointRecord, failure: SendFailure): void {
     const nowMs = performance.now();
     const { kind } = failure;
-    if (kind === "notSent" && failure.refused) {
-      void this.#context.crashes.noteRefused(endpoint.entry);
-    }
+    const { entry } = endpoint;
+    const { crashes, endpoints, observer } = this.#context;
+    if (kind === "notSent" && failure.refused) void crashes.noteRefused(entry);
     if (kind === "notExecuted") return endpoint.noteFull(nowMs + FULL_FOR_MS);
     if (kind === "aborted") return;
     if (kind === "limited") {
       return endpoint.noteLimited(nowMs + failure.retryAfterMs);
     }
     if (kind === "misdirected") return endpoint.setMissing(nowMs);
+    if (kind === "restarted") return endpoints.noteRestarted(entry, failure);
     endpoint.noteFailure(nowMs);
-    this.#context.observer.log({
+    observer.log({
       event: "reservation-failed",
-      endpoint: endpoint.entry.id,
+      endpoint: entry.id,
       reason: kind,
       detail: detailOf(failure),
     });
--- a/packages/core/src/routing/endpoint_guard.ts
+++ b/packages/core/src/routing/endpoint_guard.ts
@@ -77,7 +77,11 @@
     this.crashes = new CrashTracker({
       observer,
       onChange: (change) => this.#exchange.announce(change),
-      check: (entry) => checkConnection(this.calls, entry),
+      check: (entry) =>
+        checkConnection(this.calls, entry, {
+          onRestart: (answer) =>
+            options.endpoints().noteRestarted(entry, answer),
+        }),
       confirmLinks: (entry) => this.links.confirmLinks(entry),
       claimTrial: (trait, intervalMs) =>
         this.#exchange.claimTrial(trait, intervalMs),
--- a/packages/core/src/routing/endpoint_registry.ts
+++ b/packages/core/src/routing/endpoint_registry.ts
@@ -35,6 +35,8 @@
   #drained = new Set<EndpointIncarnation>();
   /** Incarnations that are gone, oldest first. */
   #gone = new Set<EndpointIncarnation>();
+  /** Incarnations that another one of the same id has followed, oldest first. */
+  #followed = new Set<EndpointIncarnation>();
   /** Entries of a copy for incarnations that were gone before the directory came back from it. */
   #doubtful: EndpointEntry[] = [];
   #returnedAtMs = -Infinity;
@@ -109,6 +111,32 @@
     this.#observer.log({ event: "endpoint-leaving", endpoint: entry.id });
   }
 
+  /**
+   * Records that an endpoint answered with another start time than its entry states. If
+   * that is a later one, the incarnation of the entry has ended, and the endpoint is used
+   * again when the directory has its new entry.
+   */
+  noteRestarted(
+    entry: EndpointEntry,
+    { bornAtMs }: { bornAtMs: number },
+  ): void {
+    const incarnation = incarnationOf(entry);
+    if (bornAtMs < entry.bornAtMs || this.#followed.has(incarnation)) return;
+    remember(this.#followed, incarnation);
+    const record = this.#records.get(entry.id);
+    if (record?.entry.bornAtMs !== entry.bornAtMs) return;
+    const nowMs = performance.now();
+    record.setMissing(nowMs);
+    this.#lostVersions.note(record.entry, nowMs);
+    this.#onIncarnationEnd(record.entry);
+    this.#observer.log({
+      event: "endpoint-restarted",
+      endpoint: entry.id,
+      bornAtMs,
+      knownBornAtMs: entry.bornAtMs,
+    });
+  }
+
   /** Records that the directory can be read again, after the reads that failed. */
   noteDirectoryRegained(reads: ReadTimes): void {
     const regainedAtMs = performance.now();
@@ -212,6 +240,7 @@
   #upsert(entry: EndpointEntry): void {
     const existing = this.#records.get(entry.id);
     if (existing && this.#isOutdated(entry, existing.entry)) return;
+    if (this.#followed.has(incarnationOf(entry))) return;
     const wasDraining = this.#drained.has(incarnationOf(entry));
     const draining = wasDraining || entry.state === "draining";
     if (draining) this.#recordDraining(entry);
@@ -227,7 +256,7 @@
       existing.update(effective);
       return;
     }
-    if (existing) this.#onIncarnationEnd(existing.entry);
+    if (existing) this.#end(existing);
     this.#records.set(entry.id, new EndpointRecord(effective));
     this.#observer.log({
       event: "endpoint-known",
@@ -278,10 +307,17 @@
       });
       this.#records.delete(id);
       if (!record.missing) this.#withheld.set(id, other);
-      this.#onIncarnationEnd(other);
+      this.#end(record);
     }
   }
 
+  // A send that holds a place there and has not begun yet must not begin any more.
+  #end(record: EndpointRecord): void {
+    const nowMs = performance.now();
+    if (!record.isRemoved(nowMs)) record.setMissing(nowMs);
+    this.#onIncarnationEnd(record.entry);
+  }
+
   #withhold(entry: EndpointEntry, holder: EndpointEntry): void {
     const before = this.#withheld.get(entry.id);
     this.#withheld.set(entry.id, entry);
--- a/packages/core/src/routing/endpoint_registry_test.ts
+++ b/packages/core/src/routing/endpoint_registry_test.ts
@@ -253,3 +253,35 @@
   registry.apply({ id, entry: entry("a") });
   expect(idsOf(registry)).toEqual(["a"]);
 });
+
+// Guards against work for an endpoint by the entry of its previous start.
+test("An endpoint that answers with a later start gets no work until the directory has its new entry", () => {
+  const ended: string[] = [];
+  const registry = new EndpointRegistry(
+    SILENT_OBSERVER,
+    ({ id, bornAtMs }) => ended.push(`${id} ${bornAtMs}`),
+  );
+  registry.replace([entry("a", { bornAtMs: 5 }), entry("b")]);
+  const record = registry.get(entry("a").id)!;
+  registry.noteRestarted(record.entry, { bornAtMs: 4 });
+  expect(idsOf(registry)).toEqual(["a", "b"]);
+  registry.noteRestarted(record.entry, { bornAtMs: 6 });
+  registry.noteRestarted(record.entry, { bornAtMs: 6 });
+  expect(ended).toEqual(["a 5"]);
+  expect(idsOf(registry)).toEqual(["b"]);
+  // A whole read of the directory may still have the entry.
+  registry.replace([entry("a", { bornAtMs: 5 }), entry("b")]);
+  expect(idsOf(registry)).toEqual(["b"]);
+  const restarted = entry("a", { bornAtMs: 6 });
+  registry.apply({ id: restarted.id, entry: restarted });
+  expect(idsOf(registry)).toEqual(["a", "b"]);
+});
+
+test("The record of a start that another one follows takes no more work", () => {
+  const registry = new EndpointRegistry(SILENT_OBSERVER);
+  registry.replace([entry("a")]);
+  const record = registry.get(entry("a").id)!;
+  registry.apply({ id: entry("a").id, entry: entry("a", { bornAtMs: 2 }) });
+  expect(record.mayTakeWork(performance.now())).toBe(false);
+  expect(idsOf(registry)).toEqual(["a"]);
+});
--- a/packages/core/src/routing/port.ts
+++ b/packages/core/src/routing/port.ts
@@ -33,6 +33,8 @@
   | { readonly kind: "limited"; readonly retryAfterMs: number }
   /** The address belongs to another endpoint, which did not run the request. */
   | { readonly kind: "misdirected" }
+  /** Another incarnation of the endpoint answered, by its start time; a reservation there isn't used. */
+  | { readonly kind: "restarted"; readonly bornAtMs: number }
   /** The connection ended early, or the answer was malformed. */
   | {
     readonly kind: "lost";
@@ -57,7 +59,8 @@
 
 /** Whether a failure is the answer of an endpoint, which was therefore reached. */
 export function isAnswer({ kind }: SendFailure): boolean {
-  return kind === "notExecuted" || kind === "misdirected";
+  return kind === "notExecuted" || kind === "misdirected" ||
+    kind === "restarted";
 }
 
 /** One send of a request to one endpoint. */
@@ -188,18 +191,21 @@
 /**
  * Returns whether this incarnation of an engine is running: false if its address refuses
  * connections or another incarnation answers there, undefined if that isn't known, as for
- * endpoints without reports.
+ * endpoints without reports. `onRestart` gets the start time of the other incarnation.
  */
 export async function checkConnection(
   port: Pick<RoutedEndpointPort, "report">,
   entry: EndpointEntry,
+  { onRestart }: { onRestart?: (answer: { bornAtMs: number }) => void } = {},
 ): Promise<boolean | undefined> {
   if (entry.stage === null) return undefined;
   const report = await port.report(entry, { timeoutMs: CHECK_TIMEOUT_MS });
   if (report.isOk()) {
-    const { bornAtMs } = report.value;
-    if (isFromIncarnation(entry, bornAtMs)) return true;
-    return bornAtMs === null ? undefined : false;
+    return isFromIncarnation(entry, report.value.bornAtMs) || undefined;
+  }
+  if (report.error.kind === "restarted") {
+    onRestart?.(report.error);
+    return false;
   }
   const isRefused = report.error.kind === "notSent" && report.error.refused;
   return isRefused ? false : undefined;
--- a/packages/core/src/routing/prefill_run.ts
+++ b/packages/core/src/routing/prefill_run.ts
@@ -1,12 +1,12 @@
 /** Runs the prefills of one stream: chooses endpoints and tracks the resulting KV cache. */
 import { err, ok, type Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
-import { noteOutcome } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { PrefillChoice } from "./placement/placement.ts";
 import type { KvSource, PrefillAnswer, SendFailure } from "./port.ts";
 import type { RequestClock } from "./request_clock.ts";
+import { noteOutcome } from "./send_outcome.ts";
 import type { RoutedRequest } from "./types.ts";
 
 /** Maximum prefill endpoints tried for one send of a stream. */
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -1,7 +1,6 @@
 /** One send of a stream: the prefill of its prompt, if there is one, and the answer of one endpoint. */
 import { err, type Result } from "neverthrow";
 import type { ServiceName } from "../common/ids.ts";
-import { noteOutcome } from "./call_run.ts";
 import type { RoutingContext } from "./context.ts";
 import {
   type DecodeReservation,
@@ -19,6 +18,7 @@
 import { heldTokens } from "./placement/memory_forecast.ts";
 import type { PrefillRun, PrefillSource } from "./prefill_run.ts";
 import type { RequestClock } from "./request_clock.ts";
+import { noteOutcome } from "./send_outcome.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 import type { StreamRelay } from "./stream_relay.ts";
 import type { EnginePool, Route, RoutedRequest } from "./types.ts";
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -17,6 +17,7 @@
 import type {
   EndpointAnswer,
   EngineReport,
+  IncarnationFields,
   OrderOutcome,
   PrefillAnswer,
   RoutedEndpointPort,
@@ -30,14 +31,15 @@
 import { PrefillTimes } from "../prefill_times.ts";
 import { ServiceBudget } from "../service_budget.ts";
 import { StopGate } from "../stop_gate.ts";
-import type {
-  EndpointEntry,
-  EnginePool,
-  ReservationId,
-  Route,
-  RoutedRequest,
-  RoutingTable,
-  Stage,
+import {
+  type EndpointEntry,
+  type EnginePool,
+  isFromIncarnation,
+  type ReservationId,
+  type Route,
+  type RoutedRequest,
+  type RoutingTable,
+  type Stage,
 } from "../types.ts";
 
 export const SERVICE = asId<ServiceName>("readers");
@@ -214,9 +216,9 @@
 
   reserve(endpoint: EndpointEntry, { tokens }: { tokens: number }) {
     this.log.push(`reserve ${endpoint.id}`);
-    const bornAtMs = this.#behaviour.bornAtMs(endpoint);
     return Promise.resolve(
-      this.#behaviour.reserve(endpoint, tokens).map((id) => ({ id, bornAtMs })),
+      this.#behaviour.reserve(endpoint, tokens)
+        .andThen((id) => this.#answer(endpoint, { id })),
     );
   }
 
@@ -229,13 +231,22 @@
   }
 
   report(endpoint: EndpointEntry) {
-    const bornAtMs = this.#behaviour.bornAtMs(endpoint);
     return Promise.resolve(
       this.#behaviour.report(endpoint)
-        .map((report) => ({ ...report, bornAtMs })),
+        .andThen((report) => this.#answer(endpoint, report)),
     );
   }
 
+  #answer<T>(
+    endpoint: EndpointEntry,
+    value: T,
+  ): Outcome<T & IncarnationFields> {
+    const bornAtMs = this.#behaviour.bornAtMs(endpoint);
+    return bornAtMs === null || isFromIncarnation(endpoint, bornAtMs)
+      ? ok({ ...value, bornAtMs })
+      : err({ kind: "restarted", bornAtMs });
+  }
+
   checkLink(endpoint: EndpointEntry) {
     return this.#behaviour.checkLink(endpoint);
   }
--- a/packages/core/src/routing/verdicts.ts
+++ b/packages/core/src/routing/verdicts.ts
@@ -28,7 +28,8 @@
 /** Whether a failed send proves that the request did not run. */
 export function provesNotRun(failure: SendFailure): boolean {
   return failure.kind === "notSent" || failure.kind === "notExecuted" ||
-    failure.kind === "misdirected" || failure.kind === "limited";
+    failure.kind === "misdirected" || failure.kind === "restarted" ||
+    failure.kind === "limited";
 }
 
 /** Refusal of a request that an earlier send may have run, whatever the last send returned. */
@@ -52,6 +53,7 @@
       return refusalOfLimit(failure.retryAfterMs);
     case "notExecuted":
     case "misdirected":
+    case "restarted":
       return notRun("endpoint-refused", { retryAfterMs: RETRY_SOON_MS });
     case "lost":
       return mayHaveRun("connection-lost", failure.detail);
--- a/packages/daemon/src/gateway/endpoint_port.ts
+++ b/packages/daemon/src/gateway/endpoint_port.ts
@@ -31,6 +31,7 @@
   openExchange,
   type OutgoingExchange,
 } from "./fresh_exchange.ts";
+import { parseOwnAnswer } from "./own_answers.ts";
 import type { EndpointCall, EndpointProtocol } from "./protocol.ts";
 
 /** A connection is established within a few milliseconds unless a packet is lost. */
@@ -42,7 +43,6 @@
 };
 /** Releasing a reservation or handle is best effort and gets little time. */
 const RELEASE_TIMEOUT_MS = 500;
-const SUCCESS = 200;
 
 /** Options of {@link createRoutedEndpointPort}. */
 export interface RoutedEndpointPortOptions {
@@ -134,7 +134,9 @@
   ): ReturnType<RoutedEndpointPort["prefill"]> {
     const answer = await this.#send(endpoint, { send, prefill: true });
     return answer.andThen((buffered) =>
-      this.#parseAnswer(buffered, {
+      parseOwnAnswer(buffered, {
+        ...this.#parsing,
+        endpoint,
         read: (text) => this.#protocol.readPrefillAnswer(text),
         description: "answer to a prefill",
       })
@@ -154,10 +156,12 @@
       ...options,
     });
     return answer.andThen((buffered) =>
-      this.#parseAnswer(buffered, {
-        read: (text) => {
+      parseOwnAnswer(buffered, {
+        ...this.#parsing,
+        endpoint,
+        read: (text, fields) => {
           const id = this.#protocol.readReservation(text);
-          return id && { id, bornAtMs: this.#protocol.readStartTime(text) };
+          return id && { id, ...fields };
         },
         description: "answer to a reservation",
       })
@@ -188,11 +192,12 @@
       ...options,
     });
     return answer.andThen((buffered) =>
-      this.#parseAnswer(buffered, {
-        read: (text) => {
+      parseOwnAnswer(buffered, {
+        ...this.#parsing,
+        endpoint,
+        read: (text, fields) => {
           const report = this.#protocol.readReport(text);
-          const bornAtMs = this.#protocol.readStartTime(text);
-          return report && { ...report, bornAtMs };
+          return report && { ...report, ...fields };
         },
         description: "report",
       })
@@ -228,6 +233,10 @@
     );
   }
 
+  get #parsing() {
+    return { protocol: this.#protocol, observer: this.#observer };
+  }
+
   async #release(endpoint: EndpointEntry, call: EndpointCall): Promise<void> {
     const answer = await this.#call(endpoint, {
       call: "release",
@@ -243,33 +252,6 @@
     });
   }
 
-  /** Parses an answer to a call made by this VM itself, not for a caller. */
-  #parseAnswer<T>(
-    { status, headers, body }: BufferedAnswer,
-    { read, description }: {
-      read: (text: string) => T | null;
-      description: string;
-    },
-  ): Result<T, SendFailure> {
-    const fields = this.#protocol.readAnswerHeaders(status, headers);
-    if (fields.misdirected) return err({ kind: "misdirected" });
-    if (status !== SUCCESS) return err({ kind: "notExecuted", status });
-    const unreadable = {
-      kind: "lost",
-      detail: `Unreadable ${description}`,
-    } as const;
-    try {
-      const parsed = read(body.toString());
-      return parsed ? ok(parsed) : err(unreadable);
-    } catch (error) {
-      logConnectionFault(this.#observer, { error, thrownIn: "parse" }, {
-        call: description,
-        phase: "ended",
-      });
-      return err(unreadable);
-    }
-  }
-
   #send(
     endpoint: EndpointEntry,
     options: { send: Send; prefill: boolean },
--- a/packages/daemon/src/gateway/endpoint_port_test.ts
+++ b/packages/daemon/src/gateway/endpoint_port_test.ts
@@ -1,6 +1,10 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { asId, type LogEvent, SILENT_OBSERVER, wait } from "@teaselvalve/core";
-import type { EndpointEntry, StageOrder } from "@teaselvalve/core/routing";
+import type {
+  EndpointEntry,
+  Send,
+  StageOrder,
+} from "@teaselvalve/core/routing";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { listenAsEndpoint } from "../testing/endpoint_server.ts";
 import { createRoutedEndpointPort } from "./endpoint_port.ts";
@@ -50,6 +54,7 @@
   readOrderStatus: () => "accepted",
   releaseCall: () => ({ method: "DELETE", path: "/reserve" }),
   reportCall: () => ({ method: "GET", path: "/report" }),
+  readStartTime: () => null,
 } as unknown as EndpointProtocol;
 
 function createPort() {
@@ -80,6 +85,56 @@
   expect(await outcomeOf(call)).toBe("failed");
 });
 
+// Guards against an endpoint that is used by the entry of its previous start.
+test.each([["reservation"], ["prefill"], ["report"]] as const)(
+  "A %s by an endpoint that has started again fails with its start time",
+  async (call) => {
+    const { bornAtMs } = endpoint;
+    const send = {
+      request: {
+        id: asId("attempt-1"),
+        method: "GET",
+        target: "/",
+        body: null,
+      },
+      timeLeftMs: LIMIT_MS,
+      firstByteMs: LIMIT_MS,
+      signal: new AbortController().signal,
+    } as unknown as Send;
+    const port = createRoutedEndpointPort({
+      protocol: {
+        ...PROTOCOL,
+        readStartTime: (text) => JSON.parse(text).born ?? null,
+        readReservation: () => asId("r"),
+        readPrefillAnswer: () => ({ handle: asId("kv"), tokens: 1 }),
+        readReport: () => ({ stage: "decode", busy: false, orderSequence: 0 }),
+      },
+      observer: SILENT_OBSERVER,
+    });
+    const make = () => {
+      if (call === "report") {
+        return port.report(endpoint, { timeoutMs: LIMIT_MS });
+      }
+      if (call === "prefill") return port.prefill(endpoint, send);
+      return port.reserve(endpoint, {
+        tokens: 1,
+        ttlMs: 1_000,
+        timeoutMs: LIMIT_MS,
+        signal: send.signal,
+      });
+    };
+    const state = (body: string) =>
+      `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+    answer = state(`{"born":${bornAtMs + 7}}`);
+    expect((await make())._unsafeUnwrapErr())
+      .toEqual({ kind: "restarted", bornAtMs: bornAtMs + 7 });
+    for (const body of [`{"born":${bornAtMs}}`, "{}"]) {
+      answer = state(body);
+      expect((await make()).isOk()).toBe(true);
+    }
+  },
+);
+
 test("An exception while an answer is parsed makes this answer lost, and is logged", async () => {
   answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
   const logged: LogEvent[] = [];
