--- a/packages/core/src/routing/endpoint_reservations.ts
+++ b/packages/core/src/routing/endpoint_reservations.ts
@@ -49,24 +49,24 @@
 }
 
 function noteReserveFailure(
-  { crashes, observer }: RoutingContext,
+  { crashes, endpoints, observer }: RoutingContext,
   { endpoint, failure }: { endpoint: EndpointRecord; failure: SendFailure },
 ): void {
   const nowMs = performance.now();
   const { kind } = failure;
-  if (kind === "notSent" && failure.refused) {
-    void crashes.noteRefused(endpoint.entry);
-  }
+  const { entry } = endpoint;
+  if (kind === "notSent" && failure.refused) void crashes.noteRefused(entry);
   if (kind === "notExecuted") return endpoint.noteFull(nowMs + FULL_FOR_MS);
   if (kind === "aborted") return;
   if (kind === "limited") {
     return endpoint.noteLimited(nowMs + failure.retryAfterMs);
   }
   if (kind === "misdirected") return endpoint.setMissing(nowMs);
+  if (kind === "restarted") return endpoints.noteRestarted(entry, failure);
   endpoint.noteFailure(nowMs);
   observer.log({
     event: "reservation-failed",
-    endpoint: endpoint.entry.id,
+    endpoint: entry.id,
     reason: kind,
     detail: detailOf(failure),
   });
