Serve forwarded requests by no older routing table than their first VM's

Cause: a request that a VM without links sends on to another one didn't name the routing table under which it was accepted, and the other VM matched its route by its own table, however old.

Answers name the table that served them, so that later requests of the first VM don't go below it. VMs of the previous build ignore the version and get a request only if a probe shows that they have it. Adds the counter table_waits.

--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -32,6 +32,7 @@
   | "memory_warnings"
   | "connection_faults"
   | "forwards"
+  | "table_waits"
   | "store_calls"
   | "store_returns";
 
--- a/packages/core/src/membership/app.ts
+++ b/packages/core/src/membership/app.ts
@@ -15,6 +15,8 @@
   readonly evidenceHash?: number;
   /** Whether the sender refuses requests because it has too many; absent if not. */
   readonly busy?: boolean;
+  /** Whether the sender checks the table version of forwarded requests; absent if not. */
+  readonly checksHops?: boolean;
   /** Equal on VMs whose views agree. */
   readonly viewHash: number;
   /** Set in an answer if the answering VM doesn't know the one that sent the probe. */
--- a/packages/core/src/membership/gossip_exchange.ts
+++ b/packages/core/src/membership/gossip_exchange.ts
@@ -16,6 +16,8 @@
   evidenceHash?: () => number;
   /** Whether this VM refuses requests because it has too many. */
   isBusy?: () => boolean;
+  /** Whether this VM checks the table version of forwarded requests. */
+  checksHops?: boolean;
 }
 
 /** Keeps the table up to date by exchanging updates with other VMs. */
@@ -74,6 +76,7 @@
       configurationVersion: this.#options.configurationVersion(),
       evidenceHash: this.#options.evidenceHash?.(),
       ...(this.#options.isBusy?.() ? { busy: true } : {}),
+      ...(this.#options.checksHops ? { checksHops: true } : {}),
       viewHash: this.#table.hash(),
       ...(received && !known ? { unknown: true } : {}),
       news,
--- a/packages/core/src/membership/task.ts
+++ b/packages/core/src/membership/task.ts
@@ -73,6 +73,8 @@
   evidenceHash?: () => number;
   /** Whether this VM refuses requests because it has too many, sent with probes. */
   isBusy?: () => boolean;
+  /** Whether this VM checks the table version of forwarded requests, sent with probes. */
+  checksHops?: boolean;
   /** Called for each received probe and answer, with the versions that it carries. */
   onProbe?: (probe: Probe) => void;
   /**
@@ -117,6 +119,7 @@
       configurationVersion: options.configurationVersion,
       evidenceHash: options.evidenceHash,
       ...(options.isBusy ? { isBusy: options.isBusy } : {}),
+      ...(options.checksHops ? { checksHops: true } : {}),
     });
     this.#prober = new Prober(context, {
       table: this.#table,
--- a/packages/core/src/routing/links/forwarder.ts
+++ b/packages/core/src/routing/links/forwarder.ts
@@ -7,6 +7,7 @@
 import type { Member, MembershipView } from "../../membership/types.ts";
 import { minimumBy } from "../queries/choose_endpoint.ts";
 import type { StreamOrigin } from "../stream_origins.ts";
+import type { TableExchange } from "../table_exchange.ts";
 import type { LinkMonitor } from "./monitor.ts";
 import type {
   ForwardedSend,
@@ -24,8 +25,11 @@
 const NO_PEER_RETRY_MS = 300;
 
 /** A request to send on; `onStream` receives each attempt, so that it can be resumed. */
-export interface ForwardRequest
-  extends Omit<ForwardedSend, "hop" | "timeLeftMs" | "wholeMs"> {
+export interface ForwardRequest extends
+  Omit<
+    ForwardedSend,
+    "hop" | "timeLeftMs" | "wholeMs" | "onTableVersion"
+  > {
   readonly runs: number;
   /** Where a stream that is continued began; null for other requests. */
   readonly origin: StreamOrigin | null;
@@ -48,6 +52,8 @@
   membership: Pick<MembershipView, "self" | "members">;
   links: Pick<LinkMonitor, "isLost" | "settled">;
   port: ForwardPort;
+  /** Table versions of the other VMs. */
+  tables: Pick<TableExchange, "servedVersion" | "mayServe" | "noteServed">;
   observer: Observer;
   random: () => number;
 }
@@ -80,13 +86,19 @@
       const peer = this.#choose(tried);
       if (!peer) break;
       tried.add(peer.id);
-      last = await this.#sendTo(peer, request);
+      const { tables } = this.#options;
+      const tableVersion = Math.max(
+        request.request.tableVersion ?? 0,
+        tables.servedVersion,
+      );
+      if (!await tables.mayServe(peer, tableVersion)) {
+        this.#passOver(peer.id);
+        continue;
+      }
+      last = await this.#sendTo(peer, request, tableVersion);
       if (last.isOk()) return last;
       if (isPeerFailure(last.error)) {
-        this.#cooldownUntilMs.set(
-          peer.id,
-          performance.now() + PEER_COOLDOWN_MS,
-        );
+        this.#passOver(peer.id);
       }
       if (!mayTryOther(last.error)) return last;
     }
@@ -96,16 +108,18 @@
   async #sendTo(
     peer: Member,
     { runs, origin, leftMs, onStream, ...send }: ForwardRequest,
+    tableVersion: number,
   ): Promise<ForwardResult> {
-    const { membership, port, observer } = this.#options;
+    const { membership, port, tables, observer } = this.#options;
     const { caller, whole } = leftMs();
     const startedMs = performance.now();
     this.#addInFlight(peer.id, 1);
     const stream = port.forward(peer, {
       ...send,
-      hop: { from: membership.self.id, runs, origin },
+      hop: { from: membership.self.id, runs, origin, tableVersion },
       timeLeftMs: caller,
       wholeMs: whole,
+      onTableVersion: (version) => tables.noteServed(peer.id, version),
     });
     onStream?.(stream);
     const result = await stream.ended;
@@ -125,8 +139,14 @@
     return result;
   }
 
+  #passOver(id: VmId): void {
+    this.#cooldownUntilMs.set(id, performance.now() + PEER_COOLDOWN_MS);
+  }
+
   // A VM that is slow gets fewer requests, as its own stay open.
-  #choose(tried: ReadonlySet<VmId>): Member | undefined {
+  #choose(
+    tried: ReadonlySet<VmId>,
+  ): Member | undefined {
     const { membership, random } = this.#options;
     const nowMs = performance.now();
     const isRested = ({ id }: Member) =>
--- a/packages/core/src/routing/links/forwarder_test.ts
+++ b/packages/core/src/routing/links/forwarder_test.ts
@@ -5,8 +5,9 @@
 import { mayHaveRun, notRun } from "../../common/verdict.ts";
 import { wait } from "../../common/wait.ts";
 import type { Member, VmIdentity, VmState } from "../../membership/types.ts";
+import type { RoutedRequest } from "../types.ts";
 import { request } from "../testing/fake_endpoints.ts";
-import { Forwarder } from "./forwarder.ts";
+import { Forwarder, type ForwarderOptions } from "./forwarder.ts";
 import type { ForwardedSend, ForwardResult } from "./types.ts";
 
 beforeEach(() => void vi.useFakeTimers());
@@ -22,6 +23,7 @@
   answer: (vm: string, send: ForwardedSend) => Promise<ForwardResult>,
   vmCount = 4,
   stateOf: (index: number) => VmState = () => "live",
+  tables: Partial<ForwarderOptions["tables"]> = {},
 ) {
   const received: string[] = [];
   const members = Array.from(
@@ -41,12 +43,17 @@
         return { ended: answer(id, send), resume() {}, abort() {} };
       },
     },
+    tables: Object.assign(tables, {
+      servedVersion: tables.servedVersion ?? 0,
+      mayServe: tables.mayServe ?? (() => Promise.resolve(true)),
+      noteServed: tables.noteServed ?? (() => {}),
+    }),
     observer: SILENT_OBSERVER,
     random: Math.random,
   });
-  const send = () =>
+  const send = (options: Partial<RoutedRequest> = {}) =>
     forwarder.send({
-      request: request(),
+      request: request(options),
       runs: 1,
       origin: null,
       leftMs: () => ({ caller: 1_000, whole: 900 }),
@@ -154,3 +161,47 @@
   await send();
   expect(new Set(received).size).toBeGreaterThan(1);
 });
+
+// Guards against an older configuration at the VM that serves a forwarded request.
+test("A forwarded request carries the highest version that its VM has accepted or had served", async () => {
+  const versions: (number | undefined)[] = [];
+  const served: [string, number][] = [];
+  const tables = {
+    servedVersion: 3,
+    noteServed: (vm: VmId, version: number) => {
+      served.push([vm, version]);
+      tables.servedVersion = version;
+    },
+  };
+  const { send } = setUp(
+    (_vm, { hop, onTableVersion }) => {
+      versions.push(hop.tableVersion);
+      onTableVersion?.(8);
+      return Promise.resolve(ok(undefined));
+    },
+    2,
+    undefined,
+    tables,
+  );
+  await send({ tableVersion: 5 });
+  await send({ tableVersion: 5 });
+  expect(versions).toEqual([5, 8]);
+  expect(served[0]).toEqual(["vm-1", 8]);
+});
+
+test("A request isn't forwarded to a VM that may serve it by an older table", async () => {
+  const { received, send } = setUp(
+    () => Promise.resolve(ok(undefined)),
+    4,
+    undefined,
+    {
+      mayServe: ({ id }, version) =>
+        Promise.resolve(id === "vm-2" && version === 7),
+    },
+  );
+  for (let sent = 0; sent < 10; sent += 1) await send({ tableVersion: 7 });
+  expect(new Set(received)).toEqual(new Set(["vm-2"]));
+  expect((await send({ tableVersion: 8 }))._unsafeUnwrapErr()).toMatchObject({
+    refusal: { kind: "notRun", reason: "no-links" },
+  });
+});
--- a/packages/core/src/routing/links/types.ts
+++ b/packages/core/src/routing/links/types.ts
@@ -31,6 +31,11 @@
   readonly runs: number;
   /** Where a stream that is continued began; null for other requests. */
   readonly origin: StreamOrigin | null;
+  /**
+   * Lowest version of the routing table under which the request may be served; absent
+   * if a VM of an earlier build sent it.
+   */
+  readonly tableVersion?: number;
 }
 
 /** A request that is sent on to another VM. */
@@ -47,6 +52,8 @@
   readonly resumes: AttemptId | null;
   readonly signal: AbortSignal;
   readonly listener: StreamListener;
+  /** Called with the version of the table under which the other VM serves the request. */
+  readonly onTableVersion?: (version: number) => void;
 }
 
 /** How a request that was sent on failed; `refused` by the other VM. */
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -5,6 +5,7 @@
 import type { EndpointId, VmId } from "../common/ids.ts";
 import { BusyVms } from "../directory/busy_vms.ts";
 import { shuffle } from "../common/shuffle.ts";
+import type { Refusal } from "../common/verdict.ts";
 import { wait } from "../common/wait.ts";
 import { StallWatch } from "../common/stall_watch.ts";
 import { findOthers } from "../membership/queries/find_others.ts";
@@ -18,6 +19,7 @@
 import { PlacementClient } from "./placement/client.ts";
 import { createPlacementHandlers } from "./placement/handlers.ts";
 import { Forwarder } from "./links/forwarder.ts";
+import type { Hop } from "./links/types.ts";
 import { OriginRecord } from "./origin_record.ts";
 import { PlacementHome } from "./placement/home.ts";
 import { OutputEstimates } from "./output_estimates.ts";
@@ -104,6 +106,7 @@
       configurationVersion: () => this.#tables.version,
       evidenceHash: () => this.#guard.evidenceHash,
       isBusy: () => this.#isBusy,
+      checksHops: true,
       onProbe: (probe) => this.#compareWith(probe),
       contacts: options.contacts,
       listIntervalMs: LIST_INTERVAL_MS,
@@ -112,6 +115,7 @@
       membership: this.membership,
       peers: ports.peers,
       table: () => this.router.table,
+      probe: (vm) => this.membership.probeIndirect(vm),
       setTable: (table, setOptions) => this.#setTable(table, setOptions),
       isStoreFailing: () => this.#feeds[0]!.isFailing,
     });
@@ -181,6 +185,7 @@
         port: ports.forward((endpoint, notice) =>
           this.#guard.noteForwarded(endpoint, notice)
         ),
+        tables: this.#tables,
         observer,
         random,
       }),
@@ -296,6 +301,31 @@
     }
   }
 
+  /**
+   * Waits for the routing table under which another VM accepted a request, within a
+   * share of its time; returns the refusal if this VM doesn't get that table.
+   */
+  async awaitTable(
+    { from, tableVersion }: Hop,
+    leftMs: number,
+  ): Promise<Refusal | null> {
+    const version = tableVersion ?? 0;
+    if (version <= this.#tables.version) return null;
+    const startedMs = performance.now();
+    const refusal = await this.#tables.awaitVersion({ from, version, leftMs });
+    const outcome = refusal ? "refused" : "received";
+    const { observer } = this.#options;
+    observer.count("table_waits", outcome);
+    observer.log({
+      event: "table-awaited",
+      version,
+      from,
+      outcome,
+      tookMs: Math.round(performance.now() - startedMs),
+    });
+    return refusal;
+  }
+
   /** Starts the components. What the platform can't provide yet is read later. */
   async start(): Promise<void> {
     const { ports, identity } = this.#options;
@@ -427,6 +457,7 @@
 
   #setTable(table: RoutingTable, options?: { source: string }): void {
     if (!this.router.setTable(table, options)) return;
+    this.#tables.noteTable();
     this.#stages.start(
       table.services.filter(({ engines }) => engines).map(({ name }) => name),
     );
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -180,6 +180,8 @@
   readonly workspace?: WorkspaceId;
   /** The priority of its workspace; undefined if its route's priority applies. */
   readonly priority?: number;
+  /** Version of the routing table under which the request was accepted. */
+  readonly tableVersion?: number;
   /** Set if another VM sent the request on to this one, which must serve it itself. */
   readonly hop?: Hop;
 }
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -396,6 +396,7 @@
       formatRetryAfter: interfaces.formatRetryAfter,
       acceptsHops,
       waitReady: () => this.#vm.waitReady(START_WAIT_MS),
+      awaitTable: (hop, leftMs) => this.#vm.awaitTable(hop, leftMs),
       onCut: (listener) => {
         this.#cutListeners.add(listener);
         return () => this.#cutListeners.delete(listener);
--- a/packages/daemon/src/gateway/forward_port.ts
+++ b/packages/daemon/src/gateway/forward_port.ts
@@ -58,7 +58,8 @@
       const mark = readMark(headers);
       if (mark?.kind === "answer") {
         const { [HOP_HEADER]: _mark, ...others } = headers;
-        const { origin, endpoint } = mark;
+        const { origin, endpoint, tableVersion } = mark;
+        if (tableVersion !== undefined) send.onTableVersion?.(tableVersion);
         if (endpoint) {
           const fields = protocol.readAnswerHeaders(status, others);
           const { limitPerSecond, isLeaving } = fields;
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -14,6 +14,7 @@
   AnswerSink,
   AttemptId,
   EndpointAnswer,
+  Hop,
   Route,
   RoutedOutcome,
   RoutedRequest,
@@ -38,6 +39,11 @@
   acceptsHops?: boolean;
   /** Resolves when requests can be served, or after a short timeout. */
   waitReady: () => Promise<void>;
+  /**
+   * Waits for the routing table of a request that was sent on; returns the refusal if
+   * this VM doesn't get it. Absent where no such requests are accepted.
+   */
+  awaitTable?: (hop: Hop, leftMs: number) => Promise<Refusal | null>;
   /**
    * Registers a listener for the moment when requests in progress are cut off; returns
    * a function that removes it.
@@ -115,6 +121,11 @@
   const refuse = (refusal: Refusal) =>
     refuseRequest(exchange, { options, refusal });
   await options.waitReady();
+  const outdated = hop && await options.awaitTable?.(
+    hop.hop,
+    fields.timeoutMs ?? Infinity,
+  );
+  if (outdated) return refuse(outdated);
   const limits = router.table?.limits;
   if (limits && headerBytes(rawHeaders) > limits.headerBytes) {
     return refuse(notRun("headers-too-large"));
@@ -125,7 +136,8 @@
   );
   if (!("prefix" in route)) return refuse(route);
   exchange.logFields.route = route.name;
-  exchange.logFields.table = router.table?.version;
+  const tableVersion = router.table?.version;
+  exchange.logFields.table = tableVersion;
   const timeoutMs = Math.min(fields.timeoutMs ?? Infinity, route.timeoutMs);
   const stopping = router.refusalOfStop(route, timeoutMs);
   if (stopping) return refuse(stopping);
@@ -151,6 +163,7 @@
     lastEventId: fields.lastEventId,
     resumes: fields.resumes === null ? null : asId<AttemptId>(fields.resumes),
     prompt: fields.prompt,
+    ...(tableVersion === undefined ? {} : { tableVersion }),
     ...(hop ? { hop: hop.hop } : {}),
   };
   const signal = watchCaller(exchange, options);
@@ -172,6 +185,7 @@
   });
   sendOutcome(exchange, {
     outcome: cut.signal.aborted ? nameCut(outcome) : outcome,
+    tableVersion,
     options,
   });
 }
@@ -221,11 +235,12 @@
     options: GatewayHandlerOptions;
   },
 ): Promise<RoutedOutcome> {
-  if (options.acceptsHops) markAnswer(response);
+  const { tableVersion } = request;
+  if (options.acceptsHops) markAnswer(response, { tableVersion });
   const writer = new BatchedWriter(response);
   const outcome = await options.router.handle(request, {
     route,
-    sink: createSink(response, { writer, ...options }),
+    sink: createSink(response, { writer, tableVersion, ...options }),
     signal,
   });
   writer.flush();
@@ -277,8 +292,9 @@
 
 function sendOutcome(
   exchange: Exchange,
-  { outcome, options }: {
+  { outcome, tableVersion, options }: {
     outcome: RoutedOutcome;
+    tableVersion: number | undefined;
     options: GatewayHandlerOptions;
   },
 ): void {
@@ -286,7 +302,9 @@
   fields.end = outcome.kind;
   switch (outcome.kind) {
     case "answered":
-      if (options.acceptsHops) markAnswer(response, outcome.answer);
+      if (options.acceptsHops) {
+        markAnswer(response, { ...outcome.answer, tableVersion });
+      }
       return sendAnswer(response, outcome.answer);
     case "complete":
       return void response.end();
@@ -327,15 +345,16 @@
 
 function createSink(
   response: ServerResponse,
-  { writer, acceptsHops = false }: {
+  { writer, tableVersion, acceptsHops = false }: {
     writer: BatchedWriter;
+    tableVersion: number | undefined;
     acceptsHops?: boolean;
   },
 ): AnswerSink {
   return {
     head: (head) => {
       if (response.destroyed) return;
-      if (acceptsHops) markAnswer(response, head);
+      if (acceptsHops) markAnswer(response, { ...head, tableVersion });
       response.writeHead(
         head.status,
         flattenHeaders(withoutContentLength(head)),
--- a/packages/daemon/src/gateway/hop.ts
+++ b/packages/daemon/src/gateway/hop.ts
@@ -27,6 +27,7 @@
   timeLeftMs: z.number(),
   lastEventId: z.string().nullable(),
   resumes: z.string().nullable(),
+  tableVersion: z.number().int().nonnegative().optional().catch(undefined),
 });
 
 /** The hop of a request, and the fields in which it differs from the caller's request. */
@@ -57,9 +58,15 @@
 export function readHop(headers: IncomingHttpHeaders): ReceivedHop | null {
   const parsed = HopSchema.safeParse(readValue(headers));
   if (!parsed.success) return null;
-  const { from, runs, origin, timeLeftMs, lastEventId, resumes } = parsed.data;
+  const { from, runs, origin, timeLeftMs, lastEventId, resumes, tableVersion } =
+    parsed.data;
   return {
-    hop: { from: asId<VmId>(from), runs, origin: toOrigin(origin) },
+    hop: {
+      from: asId<VmId>(from),
+      runs,
+      origin: toOrigin(origin),
+      ...(tableVersion === undefined ? {} : { tableVersion }),
+    },
     fields: { timeoutMs: Math.max(0, timeLeftMs), lastEventId, resumes },
   };
 }
@@ -71,14 +78,20 @@
   );
 }
 
+/** What a VM says about an answer besides the answer itself. */
+export interface AnswerMark extends Pick<AnswerHead, "origin" | "endpoint"> {
+  /** Version of the routing table under which the request was served. */
+  readonly tableVersion?: number;
+}
+
 /** Marks a response as the answer of an endpoint, if that is known already. */
 export function markAnswer(
   response: ServerResponse,
-  { origin, endpoint }: Pick<AnswerHead, "origin" | "endpoint"> = {},
+  { origin, endpoint, tableVersion }: AnswerMark = {},
 ): void {
   response.setHeader(
     HOP_HEADER,
-    formatValue({ kind: "answer", origin, endpoint }),
+    formatValue({ kind: "answer", origin, endpoint, tableVersion }),
   );
 }
 
@@ -95,7 +108,7 @@
 
 /** Who answered a request that was sent on: an endpoint, or the VM, with a refusal. */
 export type Mark =
-  | { readonly kind: "answer" } & Pick<AnswerHead, "origin" | "endpoint">
+  | { readonly kind: "answer" } & AnswerMark
   | Refusal;
 
 /** Reads the mark of a response; undefined if it isn't known who answered. */
--- a/packages/daemon/src/gateway/hop_test.ts
+++ b/packages/daemon/src/gateway/hop_test.ts
@@ -6,6 +6,7 @@
   const hop = {
     from: asId<never>("vm-1"),
     runs: 1,
+    tableVersion: 12,
     origin: {
       service: asId<never>("yhteenveto-☃"),
       version: asId<never>('v"1%20'),
@@ -29,3 +30,23 @@
     expect(readHop({ [HOP_HEADER]: header })).toBeNull();
   }
 });
+
+// A VM of the previous build names no version, and one of a later build may name more.
+test("A hop without a valid table version is read without one", () => {
+  const fields = {
+    from: "vm-1",
+    runs: 0,
+    origin: null,
+    timeLeftMs: 900,
+    lastEventId: null,
+    resumes: null,
+  };
+  for (const other of [{}, { tableVersion: "x" }, { tableVersion: -1, x: 1 }]) {
+    const header = encodeURIComponent(JSON.stringify({ ...fields, ...other }));
+    expect(readHop({ [HOP_HEADER]: header })?.hop).toEqual({
+      from: "vm-1",
+      runs: 0,
+      origin: null,
+    });
+  }
+});
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -44,6 +44,8 @@
     "Exceptions that ended one outgoing exchange, by event or callback",
   memory_warnings: "Warnings of memory near its limit, by limit",
   forwards: "Requests sent on to other VMs, by outcome",
+  table_waits:
+    "Requests of other VMs that waited for their routing table, by outcome",
   store_calls: "Calls to the platform's store, by call",
   store_returns:
     "Returns of the platform's store from an earlier copy, by what was done",
