Find lost links where endpoints' limits leave no permits for checks

Cause: a check of the links needs a permit of its endpoint, and confirming a loss one at two VMs. Where all replicas of a plain service name a limit, the VM without links got none, took its links for sound, and spent its permits on calls that hang.

Change: if its own check finds nothing and endpoints limit or pause requests, a VM tells the others how long ago its failed sends began (an optional field of routing/check-links), and they name the endpoints that answered later sends of theirs. Two of these show the loss. A forwarded request that is refused for its endpoints' limits is sent on to one more VM, as it otherwise found fewer permits than requests that callers send there.

--- a/packages/core/src/routing/app.ts
+++ b/packages/core/src/routing/app.ts
@@ -5,7 +5,7 @@
 import type { PlacementHandlers } from "./placement/handlers.ts";
 import type { CrashHandlers } from "./crashes/exchange.ts";
 import type { LimitHandlers } from "./limits/endpoint_limits.ts";
-import type { LinkHandlers } from "./links/monitor.ts";
+import type { LinkHandlers } from "./links/types.ts";
 import type { OriginHandlers } from "./stream_origins.ts";
 import type { EndpointEntry, RoutingTable } from "./types.ts";
 
--- a/packages/core/src/routing/endpoint_guard.ts
+++ b/packages/core/src/routing/endpoint_guard.ts
@@ -13,7 +13,8 @@
 import { CrashExchange, type CrashHandlers } from "./crashes/exchange.ts";
 import { CrashTracker } from "./crashes/tracker.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
-import { type LinkHandlers, LinkMonitor } from "./links/monitor.ts";
+import { LinkMonitor } from "./links/monitor.ts";
+import type { LinkHandlers } from "./links/types.ts";
 import { ObservedEndpointPort } from "./links/observed_port.ts";
 import {
   EndpointLimits,
@@ -62,7 +63,11 @@
       onPause: (entry, untilMs) => this.#notePause(entry, untilMs),
     });
     membership.onChange(() => this.#limits.home.noteViewChange());
-    this.links = new LinkMonitor({ ...options, port: () => this.calls });
+    this.links = new LinkMonitor({
+      ...options,
+      port: () => this.calls,
+      isLimited: (entry) => this.#limits.isLimited(entry),
+    });
     this.calls = new LimitedEndpointPort(
       new ObservedEndpointPort(
         calls((entry, notice) => this.#note(entry, notice)),
--- a/packages/core/src/routing/limits/endpoint_limits.ts
+++ b/packages/core/src/routing/limits/endpoint_limits.ts
@@ -108,6 +108,12 @@
     this.#logLimit(endpoint, limitPerSecond);
   }
 
+  /** Whether requests to an endpoint need permits now, or have to wait for its pause. */
+  isLimited(entry: EndpointEntry): boolean {
+    return this.#limits.has(incarnationOf(entry)) ||
+      this.pausedForMs(entry) > 0;
+  }
+
   /** Time until an endpoint that asked for a pause accepts requests again; 0 for others. */
   pausedForMs(entry: EndpointEntry): number {
     return this.#pauses.leftMs(entry);
--- a/packages/core/src/routing/links/endpoint_checks.ts
+++ b/packages/core/src/routing/links/endpoint_checks.ts
@@ -74,6 +74,7 @@
       timeoutMs,
     });
     if (answers) links.noteAnswered(entry.id, sentAtMs);
+    else if (answers === false) links.sends.noteFailed(entry.id, sentAtMs);
     return answers;
   }
 
--- a/packages/core/src/routing/links/forwarder.ts
+++ b/packages/core/src/routing/links/forwarder.ts
@@ -21,6 +21,12 @@
 const MAX_PEERS = 40;
 /** How long a VM that could not take a request is passed over. */
 const PEER_COOLDOWN_MS = 2_000;
+/**
+ * Further VMs tried after one refused a request for its endpoints' limits: permits are
+ * shared, but each VM asks for them at moments of its own. Without it, requests that
+ * arrive by a hop get fewer permits than those that their VM receives directly.
+ */
+const MAX_LIMITED_RETRIES = 1;
 /** Retry delay given to callers while no VM takes the request. */
 const NO_PEER_RETRY_MS = 300;
 
@@ -82,6 +88,8 @@
       kind: "refused",
       refusal: notRun("no-links", { retryAfterMs: NO_PEER_RETRY_MS }),
     });
+    let limited: ForwardResult | null = null;
+    let limitedCount = 0;
     while (tried.size < MAX_PEERS && request.leftMs().whole > 0) {
       const peer = this.#choose(tried);
       if (!peer) break;
@@ -100,9 +108,13 @@
       if (isPeerFailure(last.error)) {
         this.#passOver(peer.id);
       }
-      if (!mayTryOther(last.error)) return last;
+      if (isLimited(last.error)) {
+        limited ??= last;
+        limitedCount += 1;
+        if (limitedCount > MAX_LIMITED_RETRIES) return limited;
+      } else if (!mayTryOther(last.error)) return last;
     }
-    return last;
+    return limited ?? last;
   }
 
   async #sendTo(
@@ -182,6 +194,11 @@
     reason === "too-many-connections" || reason === "overloaded";
 }
 
+function isLimited(failure: ForwardFailure): boolean {
+  return failure.kind === "refused" && failure.refusal.kind === "notRun" &&
+    failure.refusal.reason === "endpoint-limited";
+}
+
 /** Whether another VM may be asked, as the one that failed so has not run the request. */
 export function mayTryOther(failure: ForwardFailure): boolean {
   if (failure.kind === "notSent") return true;
--- a/packages/core/src/routing/links/forwarder_test.ts
+++ b/packages/core/src/routing/links/forwarder_test.ts
@@ -205,3 +205,24 @@
     refusal: { kind: "notRun", reason: "no-links" },
   });
 });
+
+// Guards against requests of a VM without links that get fewer permits than others.
+test("A request that a VM refused for its endpoints' limits is sent to one more", async () => {
+  const limited: ForwardResult = err({
+    kind: "refused",
+    refusal: notRun("endpoint-limited"),
+  });
+  const refused = setUp(() => Promise.resolve(limited), 8);
+  expect(await refused.send()).toEqual(limited);
+  expect(refused.received).toHaveLength(2);
+  let sent = 0;
+  const served = setUp(() => {
+    sent += 1;
+    return Promise.resolve(sent > 1 ? ok(undefined) : limited);
+  });
+  expect((await served.send()).isOk()).toBe(true);
+  const results = [limited, NO_LINKS, NO_LINKS];
+  const mixed = setUp(() => Promise.resolve(results.shift()!));
+  expect(await mixed.send()).toEqual(limited);
+  expect(mixed.received).toHaveLength(3);
+});
--- a/packages/core/src/routing/links/group_links.ts
+++ b/packages/core/src/routing/links/group_links.ts
@@ -2,6 +2,7 @@
 import type { EndpointId } from "../../common/ids.ts";
 import { MachineTask } from "../../common/machine_task.ts";
 import { linkMachine } from "./link_machine.ts";
+import { SendOutcomes } from "./send_outcomes.ts";
 import type { EndpointGroup } from "./types.ts";
 
 /** The state of the links to one group, and the evidence for it. */
@@ -10,6 +11,7 @@
     input: undefined,
     perform: () => {},
   });
+  readonly sends = new SendOutcomes();
   /** When the newest send began that was answered, and by which endpoint. */
   answeredSendMs = -Infinity;
   answeredBy: EndpointId | null = null;
@@ -38,12 +40,14 @@
   }
 
   noteAnswered(endpoint: EndpointId, sentAtMs: number): void {
+    this.sends.noteAnswered(endpoint, sentAtMs);
     if (sentAtMs < this.answeredSendMs) return;
     this.answeredSendMs = sentAtMs;
     this.answeredBy = endpoint;
   }
 
-  noteFailed(sentAtMs: number): void {
+  noteFailed(endpoint: EndpointId, sentAtMs: number): void {
+    this.sends.noteFailed(endpoint, sentAtMs);
     this.failures += 1;
     this.firstFailedSendMs = Math.min(this.firstFailedSendMs, sentAtMs);
     this.lastFailedSendMs = Math.max(this.lastFailedSendMs, sentAtMs);
--- a/packages/core/src/routing/links/monitor.ts
+++ b/packages/core/src/routing/links/monitor.ts
@@ -18,13 +18,14 @@
 } from "../../membership/types.ts";
 import type { PeerPort } from "../../ports/peers.ts";
 import type { EndpointEntry } from "../types.ts";
+import { findServedVm } from "./served_vm.ts";
 import {
   EndpointChecks,
   type EndpointChecksOptions,
 } from "./endpoint_checks.ts";
 import { GroupLinks } from "./group_links.ts";
 import type { LinkEvidence } from "./observed_port.ts";
-import type { EndpointGroup } from "./types.ts";
+import type { EndpointGroup, LinkHandlers } from "./types.ts";
 
 /** Failed sends in a row, none answered in between, after which the links are checked. */
 const FAILURES_TO_CHECK = 2;
@@ -50,18 +51,6 @@
 /** Called when links to a service's endpoints are lost, and when they are back. */
 export type LinkListener = (group: EndpointGroup, isLost: boolean) => void;
 
-/** Peer methods for links. */
-export interface LinkHandlers {
-  /**
-   * Returns an endpoint of a group that answers this VM, or has done so a moment ago;
-   * null if none does. If an endpoint is given, it is called now, and others only if it
-   * doesn't answer.
-   */
-  "routing/check-links": (
-    params: EndpointGroup & { endpoint: EndpointId | null },
-  ) => Promise<{ reached: EndpointId | null }>;
-}
-
 /** An endpoint that answers another VM. */
 interface Witness {
   readonly peer: Member;
@@ -73,6 +62,8 @@
   membership: Pick<MembershipView, "self" | "members"> & ViewChanges;
   peers: PeerPort;
   observer: Observer;
+  /** Whether an endpoint limits or pauses requests, so that it can't be checked at will. */
+  isLimited?: (entry: EndpointEntry) => boolean;
 }
 
 /** The links of this VM to all groups of endpoints. */
@@ -89,9 +80,19 @@
     this.#checks = new EndpointChecks(options);
     options.membership.onChange(() => this.#noteViewChange());
     this.handlers = {
-      "routing/check-links": async ({ service, stage, endpoint }) => ({
-        reached: await this.#checkForOthers({ service, stage }, endpoint),
-      }),
+      "routing/check-links": async (
+        { service, stage, endpoint, failedAgoMs },
+      ) => {
+        const group = { service, stage };
+        if (!failedAgoMs) {
+          return { reached: await this.#checkForOthers(group, endpoint) };
+        }
+        const { state, sends } = this.#linksOf(group);
+        return {
+          reached: null,
+          answered: state === "lost" ? [] : sends.answeredSince(failedAgoMs),
+        };
+      },
     };
   }
 
@@ -137,7 +138,7 @@
   noteFailure(entry: EndpointEntry, sentAtMs: number): void {
     const links = this.#linksOf(entry);
     if (sentAtMs < links.answeredSendMs) return;
-    links.noteFailed(sentAtMs);
+    links.noteFailed(entry.id, sentAtMs);
     const isDue = links.failures >= FAILURES_TO_CHECK &&
       performance.now() >= links.nextCheckAtMs;
     if (links.state === "linked" && isDue) this.#startCheck(links);
@@ -185,10 +186,12 @@
       onAnswer,
     });
     if (links.state !== "checking") return;
-    const reachedBy = await confirmed;
+    // Without an endpoint that could be checked nothing is known of the links, unless
+    // requests show it.
+    const reachedBy = answers === "none" && await confirmed ||
+      await this.#findServedVm(links);
     if (links.state !== "checking") return;
-    // Without an endpoint that could be checked nothing is known of the links.
-    if (answers === "none" && reachedBy) {
+    if (reachedBy) {
       return this.#noteLost(links, { failedForMs, reachedBy });
     }
     links.machine.send({ type: "notLost" });
@@ -221,6 +224,15 @@
     return null;
   }
 
+  // Checks need permits where endpoints name limits, and other VMs may have them all.
+  async #findServedVm(links: GroupLinks): Promise<Member | null> {
+    const { membership, peers, random, isLimited } = this.#options;
+    const usable = this.#checks.usable(links.group);
+    if (!usable.some(({ entry }) => isLimited?.(entry))) return null;
+    const others = shuffle(findOthers(membership), random);
+    return await findServedVm(links, { usable, others, peers });
+  }
+
   /** Finds a VM that an endpoint of the group answers; null if there is none. */
   async #findWitness(group: EndpointGroup): Promise<Witness | null> {
     const { membership, random } = this.#options;
--- a/packages/core/src/routing/links/monitor_test.ts
+++ b/packages/core/src/routing/links/monitor_test.ts
@@ -38,6 +38,9 @@
   /** What its connections to endpoints do; by default they are answered. */
   reach: (endpoint: EndpointEntry) => Reach;
   checks: number;
+  /** Whether endpoints name limits to it, and whether a check gets a permit. */
+  isLimited: boolean;
+  takesPermit: () => boolean;
   /** Its state as the others see it. */
   state: VmState;
   /** Called when its view of the others changes. */
@@ -71,6 +74,8 @@
       endpoints,
       reach: () => "answers",
       checks: 0,
+      isLimited: false,
+      takesPermit: () => true,
       state: "live",
       listeners,
       monitor: new LinkMonitor({
@@ -86,11 +91,13 @@
         endpoints: () => endpoints,
         port: () => ({
           checkLink: async (endpoint, { timeoutMs }) => {
+            if (!vm.takesPermit()) return undefined;
             vm.checks += 1;
             return await connect(vm, endpoint, timeoutMs);
           },
         }),
         healthPathOf: () => "/health",
+        isLimited: () => vm.isLimited,
         observer: SILENT_OBSERVER,
         random: Math.random,
       }),
@@ -316,3 +323,61 @@
   await vi.advanceTimersByTimeAsync(1_000);
   expect(cut!.monitor.isLost(OTHER_SERVICE)).toBe(false);
 });
+
+/** Permits for endpoints with a limit; what one VM takes, the others lack. */
+function limitEndpoints(vms: readonly Vm[], share = 1): void {
+  for (const vm of vms) {
+    vm.isLimited = true;
+    vm.takesPermit = () => Math.random() < share;
+  }
+}
+
+// Guards against a VM without links that keeps its requests, as it gets no permits for
+// checks where all endpoints name limits.
+test("A VM finds its links lost by its requests where limits leave no permits for checks", async () => {
+  const vms = createVms(4);
+  limitEndpoints(vms, 0);
+  vms[0]!.reach = () => "hangs";
+  await send(vms, 2_500);
+  expect(lostAt(vms)).toEqual(["vm-0"]);
+  vms[0]!.reach = () => "answers";
+  limitEndpoints(vms, 0.3);
+  await send(vms, 3_000);
+  expect(lostAt(vms)).toEqual([]);
+});
+
+test("No VM takes its links for lost where limits leave no permits and endpoints answer nobody", async () => {
+  const vms = createVms(4);
+  limitEndpoints(vms, 0);
+  for (const vm of vms) vm.reach = () => "hangs";
+  await send(vms, 3_000);
+  expect(lostAt(vms)).toEqual([]);
+});
+
+test("No VM takes its links for lost where limits leave no permits and one endpoint hangs for it", async () => {
+  const vms = createVms(4);
+  limitEndpoints(vms, 0);
+  vms[0]!.reach = ({ id }) => id === "a" ? "hangs" : "answers";
+  await send(vms, 3_000);
+  expect(lostAt(vms)).toEqual([]);
+});
+
+test("Requests alone don't show a loss where endpoints can be checked", async () => {
+  const vms = createVms(4);
+  for (const vm of vms) vm.takesPermit = () => false;
+  vms[0]!.reach = () => "hangs";
+  await send(vms, 2_500);
+  expect(lostAt(vms)).toEqual([]);
+});
+
+test("A VM of the previous build, which doesn't name the endpoints that answered, shows no loss", async () => {
+  const vms = createVms(2);
+  limitEndpoints(vms, 0);
+  const links = vms[1]!.monitor.handlers["routing/check-links"];
+  vms[1]!.monitor.handlers["routing/check-links"] = (
+    { failedAgoMs: _unknown, ...params },
+  ) => links(params);
+  vms[0]!.reach = () => "hangs";
+  await send(vms, 2_500);
+  expect(lostAt(vms)).toEqual([]);
+});
--- a/packages/core/src/routing/links/types.ts
+++ b/packages/core/src/routing/links/types.ts
@@ -1,6 +1,6 @@
 /** Types of the links from a VM to the endpoints, and of requests sent on to other VMs. */
 import type { Result } from "neverthrow";
-import type { ServiceName, VmId } from "../../common/ids.ts";
+import type { EndpointId, ServiceName, VmId } from "../../common/ids.ts";
 import type { Refusal } from "../../common/verdict.ts";
 import type { PeerRef } from "../../ports/peers.ts";
 import type {
@@ -23,6 +23,24 @@
   readonly stage: Stage | null;
 }
 
+/** Peer methods for links. */
+export interface LinkHandlers {
+  /**
+   * Returns an endpoint of a group that answers this VM, or has done so a moment ago;
+   * null if none does. If an endpoint is given, it is called now, and others only if it
+   * doesn't answer. With `failedAgoMs`, none is called: the answer names the endpoints
+   * that answered a send of this VM which began after the failed ones of the other VM.
+   */
+  "routing/check-links": (
+    params: EndpointGroup & {
+      endpoint: EndpointId | null;
+      failedAgoMs?: Readonly<Record<EndpointId, number>>;
+    },
+  ) => Promise<
+    { reached: EndpointId | null; answered?: readonly EndpointId[] }
+  >;
+}
+
 /** What a VM adds to a request that it sends on to another VM. */
 export interface Hop {
   /** The VM that received the request from its caller. */
