--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -33,6 +33,7 @@
   | "memory_warnings"
   | "connection_faults"
   | "forwards"
+  | "table_waits"
   | "store_calls"
   | "store_returns"
   | "quota_credit"
--- a/packages/core/src/routing/links/types.ts
+++ b/packages/core/src/routing/links/types.ts
@@ -1,6 +1,6 @@
 /** Types of the links from a VM to the endpoints, and of requests sent on to other VMs. */
 import type { Result } from "neverthrow";
-import type { ServiceName, VmId } from "../../common/ids.ts";
+import type { EndpointId, ServiceName, VmId } from "../../common/ids.ts";
 import type { Refusal } from "../../common/verdict.ts";
 import type { PeerRef } from "../../ports/peers.ts";
 import type {
@@ -23,6 +23,24 @@
   readonly stage: Stage | null;
 }
 
+/** Peer methods for links. */
+export interface LinkHandlers {
+  /**
+   * Returns an endpoint of a group that answers this VM, or has done so a moment ago;
+   * null if none does. If an endpoint is given, it is called now, and others only if it
+   * doesn't answer. With `failedAgoMs`, none is called: the answer names the endpoints
+   * that answered a send of this VM which began after the failed ones of the other VM.
+   */
+  "routing/check-links": (
+    params: EndpointGroup & {
+      endpoint: EndpointId | null;
+      failedAgoMs?: Readonly<Record<EndpointId, number>>;
+    },
+  ) => Promise<
+    { reached: EndpointId | null; answered?: readonly EndpointId[] }
+  >;
+}
+
 /** What a VM adds to a request that it sends on to another VM. */
 export interface Hop {
   /** The VM that received the request from its caller. */
@@ -31,6 +49,11 @@
   readonly runs: number;
   /** Where a stream that is continued began; null for other requests. */
   readonly origin: StreamOrigin | null;
+  /**
+   * Lowest version of the routing table under which the request may be served; absent
+   * if a VM of an earlier build sent it.
+   */
+  readonly tableVersion?: number;
 }
 
 /** A request that is sent on to another VM. */
@@ -47,6 +70,8 @@
   readonly resumes: AttemptId | null;
   readonly signal: AbortSignal;
   readonly listener: StreamListener;
+  /** Called with the version of the table under which the other VM serves the request. */
+  readonly onTableVersion?: (version: number) => void;
 }
 
 /** How a request that was sent on failed; `refused` by the other VM. */
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -400,6 +400,7 @@
       // The VM of the caller counts the requests that it sends on.
       ...(acceptsHops ? {} : { counters: this.#options.metrics.workspaces }),
       waitReady: () => this.#vm.waitReady(START_WAIT_MS),
+      awaitTable: (hop, leftMs) => this.#vm.awaitTable(hop, leftMs),
       onCut: (listener) => {
         this.#cutListeners.add(listener);
         return () => this.#cutListeners.delete(listener);
--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -15,6 +15,7 @@
   AttemptId,
   Authenticator,
   EndpointAnswer,
+  Hop,
   Route,
   RoutedOutcome,
   RoutedRequest,
@@ -46,6 +47,11 @@
   acceptsHops?: boolean;
   /** Resolves when requests can be served, or after a short timeout. */
   waitReady: () => Promise<void>;
+  /**
+   * Waits for the routing table of a request that was sent on; returns the refusal if
+   * this VM doesn't get it. Absent where no such requests are accepted.
+   */
+  awaitTable?: (hop: Hop, leftMs: number) => Promise<Refusal | null>;
   /**
    * Registers a listener for the moment when requests in progress are cut off; returns
    * a function that removes it.
@@ -127,6 +133,11 @@
   const refuse = (refusal: Refusal) =>
     refuseRequest(exchange, { options, refusal });
   await options.waitReady();
+  const outdated = hop && await options.awaitTable?.(
+    hop.hop,
+    fields.timeoutMs ?? Infinity,
+  );
+  if (outdated) return refuse(outdated);
   const limits = router.table?.limits;
   const limitBytes = limits?.headerBytes ?? Infinity;
   const isTooLarge = headerBytes(rawHeaders) > limitBytes;
@@ -144,7 +155,8 @@
   if (!("prefix" in route)) return refuse(route);
   tally.noteRoute(route);
   exchange.logFields.route = route.name;
-  exchange.logFields.table = router.table?.version;
+  const tableVersion = router.table?.version;
+  exchange.logFields.table = tableVersion;
   const timeoutMs = Math.min(fields.timeoutMs ?? Infinity, route.timeoutMs);
   const stopping = router.refusalOfStop(route, timeoutMs);
   if (stopping) return refuse(stopping);
@@ -176,6 +188,7 @@
     resumes: fields.resumes === null ? null : asId<AttemptId>(fields.resumes),
     prompt: fields.prompt,
     ...(fields.tokenCount == null ? {} : { tokenCount: fields.tokenCount }),
+    ...(tableVersion === undefined ? {} : { tableVersion }),
     ...(hop ? { hop: hop.hop } : {}),
   };
   const signal = watchCaller(exchange, options);
@@ -197,6 +210,7 @@
   });
   sendOutcome(exchange, {
     outcome: cut.signal.aborted ? nameCut(outcome) : outcome,
+    tableVersion,
     options,
   });
 }
@@ -246,11 +260,12 @@
     options: RequestOptions;
   },
 ): Promise<RoutedOutcome> {
-  if (options.acceptsHops) markAnswer(response);
+  const { tableVersion } = request;
+  if (options.acceptsHops) markAnswer(response, { tableVersion });
   const writer = new BatchedWriter(response);
   const outcome = await options.router.handle(request, {
     route,
-    sink: createSink(response, { writer, ...options }),
+    sink: createSink(response, { writer, tableVersion, ...options }),
     signal,
   });
   writer.flush();
@@ -259,8 +274,9 @@
 
 function sendOutcome(
   exchange: Exchange,
-  { outcome, options }: {
+  { outcome, tableVersion, options }: {
     outcome: RoutedOutcome;
+    tableVersion: number | undefined;
     options: GatewayHandlerOptions;
   },
 ): void {
@@ -268,7 +284,9 @@
   fields.end = outcome.kind;
   switch (outcome.kind) {
     case "answered":
-      if (options.acceptsHops) markAnswer(response, outcome.answer);
+      if (options.acceptsHops) {
+        markAnswer(response, { ...outcome.answer, tableVersion });
+      }
       return sendAnswer(response, outcome.answer);
     case "complete":
       return void response.end();
@@ -309,9 +327,10 @@
 
 function createSink(
   response: ServerResponse,
-  { writer, tally, acceptsHops = false }: {
+  { writer, tally, tableVersion, acceptsHops = false }: {
     writer: BatchedWriter;
     tally: RequestTally;
+    tableVersion: number | undefined;
     acceptsHops?: boolean;
   },
 ): AnswerSink {
@@ -319,7 +338,7 @@
     head: (head) => {
       tally.noteAnswer();
       if (response.destroyed) return;
-      if (acceptsHops) markAnswer(response, head);
+      if (acceptsHops) markAnswer(response, { ...head, tableVersion });
       response.writeHead(
         head.status,
         flattenHeaders(withoutContentLength(head)),
