Place less on engines that are measured as slow

Cause: homes assumed one speed for all engines of a service. Neither the permitted gap between events nor the time of the first event at an engine had a part in its choice, and a prefill engine counted as slow only from twice the expected time on.

Change: VMs measure the decode and prefill speed of each engine by their own requests, and report them in optional fields of the load reports. A home takes the median of the VMs' values of the last 3 s, relative to the typical engine, for the order of engines, the growth of streams, the time until there is room and the choice of the prefill engine. Engines at which events would come too late come last. Differences within measurement noise don't count. Without a home, a VM uses its own measurements, which the local view shows.

--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -171,13 +171,14 @@
 
   #askHome(
     request: DecodeRequest,
-    { slots, kvTokens }: EnginePool,
+    { slots, kvTokens, tokensPerEvent }: EnginePool,
   ): Promise<DecodeAdmission | null> {
     return this.#context.placement.admitDecode(this.#service, {
       ...this.#rankOptions(request),
       attempt: request.attempt,
       stream: request.load,
       capacity: { slots, kvTokens },
+      events: { tokensPerEvent, maxGapMs: request.clock.maxEventGapMs },
       spareMs: timeToSpareMs(request),
     });
   }
--- a/packages/core/src/routing/endpoint_record.ts
+++ b/packages/core/src/routing/endpoint_record.ts
@@ -1,6 +1,7 @@
 /** One endpoint: its directory entry, the work sent to it, and its health. */
 import { DecayingCount } from "../common/decaying_count.ts";
 import { hash48 } from "../common/hash.ts";
+import { MeasuredSpeed } from "./placement/measured_speed.ts";
 import type { StreamLoad } from "./placement/memory_forecast.ts";
 import type { EndpointEntry } from "./types.ts";
 
@@ -35,6 +36,10 @@
   inFlightTokens = 0;
   /** Requests that this VM has sent there lately. */
   readonly recentSends = new DecayingCount();
+  /** Tokens that each of this VM's streams there generates per millisecond. */
+  readonly decodeSpeed = new MeasuredSpeed();
+  /** Prompt tokens that it processes per millisecond, measured at this VM's prompts. */
+  readonly prefillSpeed = new MeasuredSpeed();
   /** This VM's streams that decode there, or are about to. */
   readonly streams = new Set<StreamLoad>();
   /** Hash of its id, which decides on its shard. */
--- a/packages/core/src/routing/placement/client.ts
+++ b/packages/core/src/routing/placement/client.ts
@@ -2,7 +2,7 @@
  * Asks a shard's home where to place a stream. If the home doesn't answer, this
  * VM's local view decides.
  */
-import type { EndpointId, ServiceName } from "../../common/ids.ts";
+import type { ServiceName } from "../../common/ids.ts";
 import type { Observer } from "../../common/observe.ts";
 import { shuffle } from "../../common/shuffle.ts";
 import type { MembershipView } from "../../membership/types.ts";
@@ -16,8 +16,13 @@
 import type { ChoosePrefillOptions } from "../queries/choose_prefill_endpoint.ts";
 import type { RankDecodeOptions } from "../queries/rank_decode_endpoints.ts";
 import type { PlacementHandlers } from "./handlers.ts";
-import type { LoadReport, PlaceAnswer, VmLoads } from "./home.ts";
-import type { StreamLoad } from "./memory_forecast.ts";
+import type { LoadReport, PlaceAnswer } from "./home.ts";
+import {
+  describeShard,
+  notePrefillSpeed,
+  roundLoad,
+  type Shard,
+} from "./load_reports.ts";
 import {
   type AdmitOptions,
   type DecodeAdmission,
@@ -57,12 +62,6 @@
   isBalancing: () => boolean;
 }
 
-interface Shard {
-  readonly service: ServiceName;
-  readonly shard: number;
-  readonly shardCount: number;
-}
-
 interface ShardGroup {
   readonly shard: Shard;
   readonly engines: EndpointRecord[];
@@ -196,6 +195,7 @@
     const { membership, peers, prefillTimes } = this.#options;
     const { id, service } = endpoint.entry;
     const readMs = tokens / prefillTimes.tokensPerMs(service);
+    notePrefillSpeed(endpoint, { tokens, tookMs: tookMs - waitMs });
     const factor = tookMs / (waitMs + readMs + PREFILL_SLACK_MS);
     if (factor < SLOW_PREFILL_FACTOR) return;
     const home = membership.homeOf(homeKey(this.#shardOf(endpoint)));
@@ -266,7 +266,7 @@
     { shard, engines }: ShardGroup,
     options: AdmitOptions & { joins: boolean },
   ): Promise<PlaceAnswer | null> {
-    const { attempt, stream, capacity, spareMs, joins } = options;
+    const { attempt, stream, capacity, spareMs, joins, events } = options;
     this.#noteReported(shard);
     const answer = await this.#callHome(shard, "routing/place-decode", {
       ...this.#loadReport(shard),
@@ -275,6 +275,7 @@
       capacity,
       spareMs,
       joins,
+      events,
       engines: engines.map(({ entry }) => entry.id),
     });
     this.#shardLoads.note(homeKey(shard), answer?.load);
@@ -359,30 +360,10 @@
     return {
       vm: membership.self.id,
       shard: homeKey(shard),
-      loads: this.#loads(shard),
+      ...describeShard(this.#options.endpoints, shard),
       tokensPerMs: outputs.tokensPerMs(shard.service),
     };
   }
-
-  #loads({ service, shard, shardCount }: Shard): VmLoads {
-    const loads: [EndpointId, readonly StreamLoad[]][] = [];
-    for (const engine of this.#options.endpoints.all()) {
-      const { entry, streams } = engine;
-      if (streams.size === 0 || entry.service !== service) continue;
-      if (shardOfEngine(engine, shardCount) !== shard) continue;
-      loads.push([entry.id, [...streams].map(roundLoad)]);
-    }
-    return loads;
-  }
-}
-
-function roundLoad(load: StreamLoad): StreamLoad {
-  return {
-    promptTokens: load.promptTokens,
-    generatedTokens: load.generatedTokens,
-    expectedTokens: Math.round(load.expectedTokens),
-    maxTokens: load.maxTokens,
-  };
 }
 
 function homeKey({ service, shard }: Shard): string {
--- a/packages/core/src/routing/placement/handlers.ts
+++ b/packages/core/src/routing/placement/handlers.ts
@@ -40,8 +40,8 @@
   const figures = new ShardFigures((engines) => home.heldTokens(engines));
   return {
     "routing/place-decode": ({ loads, ...request }) => {
-      const { vm, shard, tokensPerMs } = request;
-      home.noteLoads({ vm, shard, loads, tokensPerMs });
+      const { vm, shard, tokensPerMs, speeds } = request;
+      home.noteLoads({ vm, shard, loads, tokensPerMs, speeds });
       const answer = home.place(request);
       return { ...answer, ...figures.tellOf(shard, request.engines) };
     },
--- a/packages/core/src/routing/placement/home.ts
+++ b/packages/core/src/routing/placement/home.ts
@@ -9,6 +9,12 @@
  */
 import type { EndpointId, VmId } from "../../common/ids.ts";
 import { minimumBy } from "../queries/choose_endpoint.ts";
+import {
+  compareEngines,
+  type EventTimes,
+  preferenceOf,
+} from "./engine_preference.ts";
+import { type EngineSpeed, EngineSpeeds } from "./engine_speeds.ts";
 import type { AttemptId } from "../types.ts";
 import {
   type EngineCapacity,
@@ -51,6 +57,8 @@
   readonly loads: VmLoads;
   /** Tokens that each of them generates per millisecond. */
   readonly tokensPerMs: number;
+  /** Speeds of the shard's engines as the VM measured them lately. */
+  readonly speeds?: readonly EngineSpeed[];
 }
 
 /** A stream that needs a place. */
@@ -68,6 +76,8 @@
   readonly spareMs: number;
   /** Whether it joins the queue if there is no place. */
   readonly joins: boolean;
+  /** What its events are like; absent from VMs of earlier builds. */
+  readonly events?: EventTimes;
 }
 
 /** Where a stream goes, or how long it has to wait. */
@@ -104,6 +114,8 @@
 }
 
 type EngineLoads = Map<EndpointId, StreamLoad[]>;
+/** Speed of an engine as a multiple of the typical one. */
+type RelativeSpeed = (engine: EndpointId) => number;
 
 /** Holds the load state and the queues of the shards that one VM is home for. */
 export class PlacementHome {
@@ -113,6 +125,7 @@
   #placed: PlacedStream[] = [];
   #waiting = new Map<AttemptId, WaitingStream>();
   #meanPromptTokens = 0;
+  #speeds = new EngineSpeeds();
   #busyUntilMs = new Map<EndpointId, number>();
   /** Prefill engines that took longer than expected, in multiples of the expected time. */
   #slowdowns = new Map<EndpointId, { factor: number; atMs: number }>();
@@ -132,8 +145,9 @@
   }
 
   /** Records a VM's load report, which replaces its previous one on the same shard. */
-  noteLoads({ vm, shard, loads, tokensPerMs }: LoadReport): void {
+  noteLoads({ vm, shard, loads, tokensPerMs, speeds }: LoadReport): void {
     const atMs = performance.now();
+    this.#speeds.note(vm, speeds);
     this.#reports.set(`${vm} ${shard}`, {
       streams: new Map(loads),
       tokensPerMs,
@@ -174,15 +188,19 @@
     const ahead = [...this.#waiting.values()]
       .filter((waiting) => waiting.latestMs < latestMs)
       .sort((a, b) => a.latestMs - b.latestMs);
-    for (const waiting of ahead) holdPlace(loads, waiting.request);
-    const engines = rankFitting(loads, request);
+    const speeds = this.#speeds;
+    const speedOf = speeds.relative("decode", request.engines);
+    for (const waiting of ahead) {
+      holdPlace(loads, { request: waiting.request, speeds, speedOf });
+    }
+    const engines = rankFitting(loads, { request, speeds, speedOf });
     const [first] = engines;
     if (first) {
       const { vm, shard } = request;
       this.#placed.push({ vm, shard, engine: first, stream, atMs: nowMs });
       return { kind: "place", engines };
     }
-    const waitMs = soonestPlace(loads, request)?.delayMs;
+    const waitMs = soonestPlace(loads, { request, speedOf })?.delayMs;
     if (waitMs === undefined) return { kind: "full" };
     if (request.joins) {
       const waiting = { request, latestMs, askedAtMs: nowMs };
@@ -203,10 +221,12 @@
     options: { readMs: number; extraMs: (engine: EndpointId) => number },
   ): { engine: EndpointId; waitMs: number } | null {
     const nowMs = performance.now();
+    const speedOf = this.#speeds.relative("prefill", engines);
     const freeAtMs = (engine: EndpointId) =>
       Math.max(nowMs, this.#busyUntilMs.get(engine) ?? 0);
     const readMsAt = (engine: EndpointId) =>
-      options.readMs * this.#slowdownOf(engine, nowMs);
+      options.readMs *
+      Math.max(this.#slowdownOf(engine, nowMs), 1 / speedOf(engine));
     const best = minimumBy(
       engines,
       (engine) => freeAtMs(engine) + readMsAt(engine) + options.extraMs(engine),
@@ -249,6 +269,7 @@
     nowMs: number,
   ): EngineLoads {
     const loads: EngineLoads = new Map(engines.map((engine) => [engine, []]));
+    const speedOf = this.#speeds.relative("decode", engines);
     for (const [key, report] of this.#reports) {
       const ageMs = nowMs - report.atMs;
       if (ageMs > LOAD_REPORT_TTL_MS) {
@@ -257,7 +278,7 @@
       }
       for (const [engine, streams] of report.streams) {
         const grown = streams.flatMap((stream) =>
-          grow(stream, ageMs * report.tokensPerMs)
+          grow(stream, ageMs * report.tokensPerMs * speedOf(engine))
         );
         loads.get(engine)?.push(...grown);
       }
@@ -280,41 +301,51 @@
     : [{ ...stream, generatedTokens }];
 }
 
-function rankFitting(
-  loads: EngineLoads,
-  { engines, stream, capacity }: PlaceRequest,
-): EndpointId[] {
+interface Ranking {
+  readonly request: PlaceRequest;
+  readonly speeds: EngineSpeeds;
+  readonly speedOf: RelativeSpeed;
+}
+
+function rankFitting(loads: EngineLoads, ranking: Ranking): EndpointId[] {
+  const { engines, stream, capacity } = ranking.request;
   return engines
     .map((engine) => ({ engine, streams: loads.get(engine) ?? [] }))
     .filter(({ streams }) => fitsEngine(streams, { stream, capacity }))
     .map(({ engine, streams }) => ({
       engine,
-      tokens: streams.reduce((sum, running) => sum + heldTokens(running), 0),
+      ...preferenceOf(engine, { streams, ...ranking }),
     }))
-    .sort((a, b) => a.tokens - b.tokens)
+    .sort(compareEngines)
     .map(({ engine }) => engine);
 }
 
 // Keeps the place that a waiting stream will get, also where a smaller one would fit
 // sooner; otherwise small streams would keep large ones waiting.
-function holdPlace(loads: EngineLoads, waiting: PlaceRequest): void {
+function holdPlace(loads: EngineLoads, ranking: Ranking): void {
+  const { request: waiting } = ranking;
   // It may also wait for engines that are not in question, of other shards for instance.
   const engines = waiting.engines.filter((engine) => loads.has(engine));
   const request = { ...waiting, engines };
-  const [fitting] = rankFitting(loads, request);
-  const engine = fitting ?? soonestPlace(loads, request)?.engine;
+  const [fitting] = rankFitting(loads, { ...ranking, request });
+  const engine = fitting ??
+    soonestPlace(loads, { ...ranking, request })?.engine;
   if (engine) loads.get(engine)!.push(request.stream);
 }
 
 function soonestPlace(
   loads: EngineLoads,
-  { engines, stream, capacity, tokensPerMs, spareMs }: PlaceRequest,
+  { request, speedOf }: Pick<Ranking, "request" | "speedOf">,
 ): { engine: EndpointId; delayMs: number } | null {
+  const { engines, stream, capacity, tokensPerMs, spareMs } = request;
   for (const share of DELAY_SHARES) {
     const delayMs = share * spareMs;
-    const delayTokens = delayMs * tokensPerMs;
     const engine = engines.find((id) =>
-      fitsEngine(loads.get(id) ?? [], { stream, capacity, delayTokens })
+      fitsEngine(loads.get(id) ?? [], {
+        stream,
+        capacity,
+        delayTokens: delayMs * tokensPerMs * speedOf(id),
+      })
     );
     if (engine) return { engine, delayMs };
   }
--- a/packages/core/src/routing/placement/placement.ts
+++ b/packages/core/src/routing/placement/placement.ts
@@ -11,6 +11,7 @@
   type RankDecodeOptions,
 } from "../queries/rank_decode_endpoints.ts";
 import type { AttemptId } from "../types.ts";
+import type { EventTimes } from "./engine_preference.ts";
 import type { EngineCapacity, StreamLoad } from "./memory_forecast.ts";
 
 /** What a stream needs from a decode engine, for its placement. */
@@ -18,6 +19,7 @@
   readonly attempt: AttemptId;
   readonly stream: StreamLoad;
   readonly capacity: EngineCapacity;
+  readonly events: EventTimes;
   /** How long it may still wait for its place. */
   readonly spareMs: number;
 }
--- a/packages/core/src/routing/queries/choose_prefill_endpoint.ts
+++ b/packages/core/src/routing/queries/choose_prefill_endpoint.ts
@@ -1,5 +1,6 @@
 /** Chooses the prefill endpoint for a prompt. */
 import type { DataCentre, EndpointId } from "../../common/ids.ts";
+import { ownRelativeSpeeds } from "../placement/own_speeds.ts";
 import type { EndpointRecord } from "../endpoint_record.ts";
 import { minimumBy } from "./choose_endpoint.ts";
 
@@ -18,7 +19,8 @@
 }
 
 /**
- * Returns the healthy endpoint with the smallest prompt backlog that is not limited,
+ * Returns the healthy endpoint with the smallest prompt backlog, as a multiple for slow
+ * ones, that is not limited,
  * and prefers the decode endpoint's data centre if the difference is small. If there
  * is none, chooses among all untried ones; undefined if there are none.
  */
@@ -32,10 +34,12 @@
     record.isHealthy(nowMs) && record.keepsHandles(nowMs) &&
     !record.isLimited(nowMs)
   );
+  const speedOf = ownRelativeSpeeds("prefill", untried);
   return minimumBy(healthy.length > 0 ? healthy : untried, (record) => {
     const remoteTokens = record.entry.dataCentre === decodeDataCentre
       ? 0
       : REMOTE_PENALTY_TOKENS;
-    return record.inFlightTokens + remoteTokens + JITTER_TOKENS * random();
+    const tokens = record.inFlightTokens + JITTER_TOKENS * random();
+    return tokens / speedOf(record) + remoteTokens;
   });
 }
--- a/packages/core/src/routing/queries/local_view.ts
+++ b/packages/core/src/routing/queries/local_view.ts
@@ -3,6 +3,9 @@
 import type { Member, VmState } from "../../membership/types.ts";
 import type { TraitId } from "../crashes/types.ts";
 import type { EndpointRecord } from "../endpoint_record.ts";
+import type { MeasuredSpeed } from "../placement/measured_speed.ts";
+
+const MS_PER_S = 1_000;
 
 /** One VM's local view of routing, with the age of its sources. */
 export interface LocalRoutingView {
@@ -35,6 +38,10 @@
   readonly failuresInRow: number;
   /** Moving average of the response times seen by this VM; null before the first. */
   readonly latencyMs: number | null;
+  /** Tokens that a stream generates per second there, as measured by this VM; null if unknown. */
+  readonly decodeTokensPerS: number | null;
+  /** Prompt tokens processed per second, as measured by this VM; null if unknown. */
+  readonly prefillTokensPerS: number | null;
 }
 
 /** Describes an endpoint as of `nowMs`. */
@@ -43,6 +50,7 @@
   nowMs: number,
 ): LocalEndpointView {
   const { entry, inFlight, failuresInRow, latencyMs } = record;
+  const { decodeSpeed, prefillSpeed } = record;
   return {
     id: entry.id,
     service: entry.service,
@@ -53,9 +61,16 @@
     inFlight,
     failuresInRow,
     latencyMs: latencyMs === null ? null : Math.round(latencyMs),
+    decodeTokensPerS: tokensPerS(decodeSpeed),
+    prefillTokensPerS: tokensPerS(prefillSpeed),
   };
 }
 
+function tokensPerS(speed: MeasuredSpeed): number | null {
+  const tokensPerMs = speed.current();
+  return tokensPerMs === null ? null : Math.round(MS_PER_S * tokensPerMs);
+}
+
 /** Lists the members of a membership view with their states. */
 export function describeVms(
   members: readonly Member[],
--- a/packages/core/src/routing/queries/rank_decode_endpoints.ts
+++ b/packages/core/src/routing/queries/rank_decode_endpoints.ts
@@ -1,5 +1,6 @@
 /** Ranks decode endpoints for a new stream. */
 import type { DataCentre, EndpointId } from "../../common/ids.ts";
+import { ownRelativeSpeeds } from "../placement/own_speeds.ts";
 import type { EndpointRecord } from "../endpoint_record.ts";
 import type { SoftwareVersion } from "../types.ts";
 
@@ -15,14 +16,15 @@
 
 /**
  * Sorts endpoints by their limits, which turn a stream away for certain, then by health,
- * then by free capacity, then by the tokens of this VM's streams there, with ties broken
- * at random. Leaves out those in `avoid` and those of other versions than `version`.
+ * then by free capacity, then by the tokens of this VM's streams there, which weigh more
+ * at slow endpoints, with ties broken at random. Leaves out those in `avoid` and those of other versions than `version`.
  */
 export function rankDecodeEndpoints(
   usable: readonly EndpointRecord[],
   options: RankDecodeOptions,
 ): EndpointRecord[] {
   const { avoid, version, nowMs, random } = options;
+  const speedOf = ownRelativeSpeeds("decode", usable);
   return usable
     .filter(({ entry }) =>
       !avoid.has(entry.id) &&
@@ -33,7 +35,7 @@
       limited: endpoint.isLimited(nowMs) ? 1 : 0,
       unhealthy: endpoint.isHealthy(nowMs) ? 0 : 1,
       full: endpoint.isFull(nowMs) ? 1 : 0,
-      tokens: endpoint.inFlightTokens,
+      tokens: endpoint.inFlightTokens / speedOf(endpoint),
       tieBreaker: random(),
     }))
     .sort((a, b) =>
--- a/packages/core/src/routing/request_clock.ts
+++ b/packages/core/src/routing/request_clock.ts
@@ -4,12 +4,15 @@
 /** Deadlines of one request, counted from its `receivedAtMs` on the monotonic clock. */
 export class RequestClock {
   readonly startedAtMs: number;
+  /** Longest permitted gap between the events of a stream; null if there is none. */
+  readonly maxEventGapMs: number | null;
   readonly #endsAtMs: number;
   readonly #callerTimeoutAtMs: number;
   readonly #targetAtMs: number;
 
   constructor(request: RoutedRequest, route: Route) {
     this.startedAtMs = request.receivedAtMs;
+    this.maxEventGapMs = route.maxEventGapMs;
     this.#callerTimeoutAtMs = request.receivedAtMs +
       (request.callerTimeoutMs ?? route.timeoutMs);
     this.#endsAtMs = Math.min(
--- a/packages/core/src/routing/stream_send.ts
+++ b/packages/core/src/routing/stream_send.ts
@@ -17,6 +17,7 @@
   type SendFailure,
 } from "./port.ts";
 import { heldTokens } from "./placement/memory_forecast.ts";
+import { StreamMeter } from "./placement/measured_speed.ts";
 import type { PrefillRun, PrefillSource } from "./prefill_run.ts";
 import type { RequestClock } from "./request_clock.ts";
 import { SilenceWatch } from "./silence_watch.ts";
@@ -86,10 +87,12 @@
   #endsWithConnection = false;
   /** Id of the event after which the send begins. */
   #lastEventId: string | null = null;
+  #meter: StreamMeter;
 
   constructor(context: RoutingContext, options: StreamSendOptions) {
     this.#context = context;
     this.#options = options;
+    this.#meter = new StreamMeter(this.endpoint.decodeSpeed);
   }
 
   get endpoint(): EndpointRecord {
@@ -196,10 +199,14 @@
           const isBegun = relay.events > 0;
           const writable = listener.onData(bytes);
           reservation.load.generatedTokens = this.#tokensIn(relay.events);
+          this.#meter.note(this.#generatedTokens());
           this.#noteAnswering();
           if (!isBegun && relay.events > 0) this.#options.onFirstEvent();
           if (listener.overflowed) this.#stream?.abort();
-          if (!writable) silence.stop();
+          if (!writable) {
+            silence.stop();
+            this.#meter.pause();
+          }
           return writable;
         },
       },
--- a/packages/core/src/routing/testing/engine_pool.ts
+++ b/packages/core/src/routing/testing/engine_pool.ts
@@ -8,6 +8,7 @@
 import type { RoutingContext } from "../context.ts";
 import { DecodeQueue } from "../decode_queue.ts";
 import { endLoad } from "../decode_reservation.ts";
+import { StreamMeter } from "../placement/measured_speed.ts";
 import { PlacementClient } from "../placement/client.ts";
 import {
   createPlacementHandlers,
@@ -51,6 +52,8 @@
    */
   readonly kind: "served" | "interrupted" | "refused" | "lost";
   readonly afterMs: number;
+  /** Where it had its place. */
+  readonly engine?: EndpointId;
 }
 
 interface HeldStream {
@@ -72,6 +75,10 @@
   tokensPerMs: number;
   /** Whether VMs ask the homes of the engines' shards. */
   hasHomes?: boolean;
+  /** Whether VMs measure the speeds of engines. */
+  measuresSpeeds?: boolean;
+  /** Longest permitted gap between events; null if there is none. */
+  maxEventGapMs?: number | null;
   /** Whether VMs choose shards by the loads that homes tell. */
   isBalancing?: boolean;
 }
@@ -164,9 +171,11 @@
   #homes = new Map<VmId, PlacementHandlers>();
   #arrivals = 0;
   #pool: EnginePool;
+  #options: SimulatedPoolOptions;
 
   constructor(options: SimulatedPoolOptions) {
     const { slots, kvTokens } = options;
+    this.#options = options;
     this.#pool = { ...POOL, slots, kvTokens, tokensPerEvent: 10 };
     this.engines = Array.from(
       { length: options.engines },
@@ -209,18 +218,24 @@
     stream: LoadStream,
   ): Promise<void> {
     const arrivedAtMs = performance.now();
+    let engineId: EndpointId | undefined = undefined;
     const record = (
       kind: LoadOutcome["kind"],
       atMs = performance.now(),
     ) => {
-      this.outcomes.push({ stream, kind, afterMs: atMs - arrivedAtMs });
+      const afterMs = atMs - arrivedAtMs;
+      this.outcomes.push({ stream, kind, afterMs, engine: engineId });
     };
     const { promptTokens, expectedTokens, maxTokens } = stream;
     const reserved = await queue.enqueue({
       attempt: asId(`attempt-${this.#arrivals}`),
       clock: new RequestClock(
         request({ callerTimeoutMs: 14_000 }),
-        route({ targetLatencyMs: TARGET_MS, timeoutMs: 14_000 }),
+        route({
+          targetLatencyMs: TARGET_MS,
+          timeoutMs: 14_000,
+          maxEventGapMs: this.#options.maxEventGapMs ?? null,
+        }),
       ),
       load: { promptTokens, generatedTokens: 0, expectedTokens, maxTokens },
       prefillMs: PREFILL_MS,
@@ -232,6 +247,7 @@
     });
     if (reserved.isErr()) return record("refused");
     const { endpoint, reservationId, load } = reserved.value;
+    engineId = endpoint.entry.id;
     await wait(PREFILL_MS);
     const engine = this.engines.find(({ entry: { id } }) =>
       id === endpoint.entry.id
@@ -242,8 +258,10 @@
       await new Promise<boolean>((end) => {
         held.promptTokens = promptTokens;
         held.outputTokens = stream.outputTokens;
+        const meter = new StreamMeter(endpoint.decodeSpeed);
         held.onGrowth = (tokens) => {
           load.generatedTokens = tokens;
+          if (this.#options.measuresSpeeds ?? true) meter.note(tokens);
         };
         held.end = end;
       });
