--- a/packages/core/src/routing/decode_queue.ts
+++ b/packages/core/src/routing/decode_queue.ts
@@ -206,7 +206,7 @@
 
   #askHome(
     request: DecodeRequest,
-    { slots, kvTokens }: EnginePool,
+    { slots, kvTokens, tokensPerEvent }: EnginePool,
     { isLate = false } = {},
   ): Promise<DecodeAdmission | null> {
     return this.#context.placement.admitDecode(this.#service, {
@@ -214,6 +214,7 @@
       attempt: request.attempt,
       stream: request.load,
       capacity: { slots, kvTokens },
+      events: { tokensPerEvent, maxGapMs: request.clock.maxEventGapMs },
       spareMs: timeToSpareMs(request),
       priority: request.priority,
       workspace: request.workspace,
