Test as of when a followed table counts as read

Cause: the judgement of unknown keys rests on TableFeed.asOfMs, which had tests only through others. Change: a test on the paused clock: the start of a read, the end of a wait without a change, an answer with a change, and failures.

--- a/packages/core/src/routing/table_feed_test.ts
+++ b/packages/core/src/routing/table_feed_test.ts
@@ -256,3 +256,42 @@
   expect(reads).toBe(2);
   feed.stop();
 });
+
+// Guards against a table that counts as newer than the read that showed it.
+test("A table is as of the start of its read, or as of the end of a wait without a change", async () => {
+  const { waitMs } = planEndpointReads(DEFAULT_BOUNDS);
+  let answer: "held" | "changed" | "lost" = "held";
+  /** Start of the last call for changes. */
+  let startedAtMs = Infinity;
+  const { feed } = createFeed({
+    readAll: async () => {
+      await wait(100);
+      return ok({ items: ["a"], version: version(7) });
+    },
+    readChanges: async (options) => {
+      startedAtMs = performance.now();
+      const items = answer === "changed" ? ["b"] : [];
+      await wait(answer === "held" ? options.waitMs + 100 : 50);
+      return answer === "lost" ? err(LOST) : ok({ items, version: version(7) });
+    },
+  });
+  expect(feed.asOfMs).toBe(-Infinity);
+  const beganAtMs = performance.now();
+  void feed.start();
+  await vi.advanceTimersByTimeAsync(110);
+  expect(feed.asOfMs).toBe(beganAtMs);
+  const waitedFromMs = startedAtMs;
+  await vi.advanceTimersByTimeAsync(waitMs + 100);
+  expect(feed.asOfMs).toBe(waitedFromMs + waitMs);
+  answer = "changed";
+  feed.hurry();
+  await vi.advanceTimersByTimeAsync(10);
+  const hurriedAtMs = startedAtMs;
+  await vi.advanceTimersByTimeAsync(45);
+  expect(feed.asOfMs).toBe(hurriedAtMs);
+  answer = "lost";
+  await vi.advanceTimersByTimeAsync(10_000);
+  const readAtMs = feed.asOfMs;
+  expect(readAtMs).toBeLessThanOrEqual(hurriedAtMs + 100);
+  feed.stop();
+});
