Let calls wait for full endpoints by priority

Cause: a call that came while all endpoints of a plain service were full was sent to each at once and refused, whatever its priority, so that the calls that came just as a slot became free were served.

Change: a call waits before it is sent while all endpoints count as full at its VM or other calls wait there, in the order of priority and latest start. Each answer gives the next turn. A call whose turn would come too late is refused at once; none waits for more than half of its time. Parts of call_run.ts are moved to modules of their own.

--- a/packages/core/src/common/observe.ts
+++ b/packages/core/src/common/observe.ts
@@ -20,6 +20,7 @@
   | "store_failures"
   | "prefills_wasted"
   | "late_streams"
+  | "call_waits"
   | "configuration_changes"
   | "suspicions"
   | "convictions"
--- a/packages/core/src/routing/call_run.ts
+++ b/packages/core/src/routing/call_run.ts
@@ -3,7 +3,7 @@
  * request, retries where that is safe, and returns the answer or a refusal.
  */
 import { err, ok, type Result } from "neverthrow";
-import type { EndpointId, ServiceName } from "../common/ids.ts";
+import type { EndpointId } from "../common/ids.ts";
 import {
   type NotRun,
   notRun,
@@ -11,6 +11,9 @@
   refuse,
   type Verdict,
 } from "../common/verdict.ts";
+import { isFinal, isLimited, type SendResult } from "./call_results.ts";
+import type { CallRunOptions } from "./call_run_options.ts";
+import { CallTurns } from "./call_turns.ts";
 import type { RoutingContext } from "./context.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { forwardCall, mayHaveRunElsewhere } from "./links/forward_request.ts";
@@ -23,14 +26,17 @@
 } from "./port.ts";
 import { chooseEndpoint } from "./queries/choose_endpoint.ts";
 import { soonestPermitMs } from "./queries/soonest_permit.ts";
+import { effectivePriority } from "./queries/effective_priority.ts";
 import { ReceivedBodies } from "./received_bodies.ts";
 import { RequestClock } from "./request_clock.ts";
+import { takeRetry } from "./retries.ts";
 import { SilenceWatch, type SilenceWatchOptions } from "./silence_watch.ts";
-import { isRetryable, type Route, type RoutedRequest } from "./types.ts";
+import { isRetryable, type RoutedRequest } from "./types.ts";
 import {
   provesNotRun,
   refusalOfEarlierSend,
   refusalOfFailure,
+  refusalOfFullEndpoints,
   refusalOfLimit,
 } from "./verdicts.ts";
 
@@ -44,20 +50,7 @@
 const FULL_FOR_MS = 50;
 /** Spreads the retries of requests that were refused because of limits. */
 const LIMIT_JITTER_MS = 1_000;
-const FIRST_SERVER_ERROR = 500;
 
-/** Options of {@link CallRun}. */
-export interface CallRunOptions {
-  request: RoutedRequest;
-  route: Route;
-  service: ServiceName;
-  /** Aborted when the caller disconnects. */
-  signal: AbortSignal;
-  /** Sent once only, to find out whether the request still crashes endpoints. */
-  isTrial?: boolean;
-}
-
-type SendResult = Result<EndpointAnswer, SendFailure>;
 type SendHooks = Pick<SilenceWatchOptions, "onSilent" | "onFault">;
 
 /** Sends one call, with retries, until it has a verdict. */
@@ -66,6 +59,7 @@
   #options: CallRunOptions;
   #clock: RequestClock;
   #tried = new Set<EndpointId>();
+  #turns: CallTurns;
   #bodies = new ReceivedBodies();
   /** Number of sends that have begun. */
   #sends = 0;
@@ -79,6 +73,10 @@
     this.#options = options;
     this.#clock = new RequestClock(options.request, options.route);
     this.#runs = options.request.hop?.runs ?? 0;
+    const { request, route } = options;
+    const priority = effectivePriority(request, route);
+    const clock = this.#clock;
+    this.#turns = new CallTurns(context, { ...options, clock, priority });
   }
 
   /** Sends the call until it is answered, or no further send is possible or allowed. */
@@ -91,6 +89,9 @@
   async #run(): Promise<Verdict<EndpointAnswer>> {
     let last: SendResult | null = null;
     let answered: SendResult | null = null;
+    if (this.#turns.mustWait() && !await this.#turns.wait()) {
+      return refuse(refusalOfFullEndpoints());
+    }
     while (this.#sends < MAX_SENDS) {
       if (last && this.#isQuarantined()) break;
       if (last && !this.#takeRetry(last)) break;
@@ -243,6 +244,7 @@
       this.#context.stop.noteDuration(route, tookMs);
     }
     if (isLimited(outcome)) this.#sends -= 1;
+    this.#turns.noteSend(endpoint, outcome.isErr() ? outcome.error : null);
     noteOutcome(this.#context, { endpoint, request, outcome, tookMs });
     if (outcome.isOk()) {
       const { crashes } = this.#context;
@@ -333,24 +335,6 @@
   }
 }
 
-function isLimited(result: SendResult): boolean {
-  return result.isErr() && result.error.kind === "limited";
-}
-
-function isFinal(result: SendResult): boolean {
-  return result.isOk() && result.value.status < FIRST_SERVER_ERROR;
-}
-
-/** Takes a retry from the budget and counts it; returns false if the budget is spent. */
-export function takeRetry(
-  { budget, observer }: RoutingContext,
-  { service, reason }: { service: ServiceName; reason: string },
-): boolean {
-  const taken = budget.take(service);
-  observer.count("retries", taken ? reason : `spent-${reason}`);
-  return taken;
-}
-
 /** Updates the endpoint's record and the crash tracker with the outcome of a send. */
 export function noteOutcome(
   context: RoutingContext,
--- a/packages/core/src/routing/context.ts
+++ b/packages/core/src/routing/context.ts
@@ -1,6 +1,7 @@
 /** Dependencies shared by the runs of all routed requests of a VM. */
 import type { DataCentre, ServiceName } from "../common/ids.ts";
 import type { Observer } from "../common/observe.ts";
+import type { CallQueues } from "./call_queue.ts";
 import type { CrashTracker } from "./crashes/tracker.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
@@ -40,6 +41,7 @@
   readonly dataCentre: DataCentre;
   readonly endpoints: EndpointRegistry;
   readonly budget: ServiceBudget;
+  readonly callQueues: CallQueues;
   readonly placement: Placement;
   readonly prefillTimes: PrefillTimes;
   readonly prefillDelays: PrefillDelays;
--- a/packages/core/src/routing/endpoint_record.ts
+++ b/packages/core/src/routing/endpoint_record.ts
@@ -145,6 +145,11 @@
     this.#fullUntilMs = Math.max(this.#fullUntilMs, untilMs);
   }
 
+  /** Records that it has a free slot, as it has just answered a call. */
+  noteRoom(): void {
+    this.#fullUntilMs = -Infinity;
+  }
+
   noteSuccess(tookMs: number): void {
     this.#failuresInRow = 0;
     this.#ejectedUntilMs = -Infinity;
--- a/packages/core/src/routing/request_clock.ts
+++ b/packages/core/src/routing/request_clock.ts
@@ -19,6 +19,11 @@
     this.#targetAtMs = request.receivedAtMs + route.targetLatencyMs;
   }
 
+  /** Time from its arrival until the request times out. */
+  get wholeMs(): number {
+    return this.#endsAtMs - this.startedAtMs;
+  }
+
   /** Time since the request was received. */
   elapsedMs(): number {
     return performance.now() - this.startedAtMs;
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -12,6 +12,7 @@
 import type { Member, MembershipContext } from "../membership/types.ts";
 import { createMembershipApp, type Probe } from "../membership/app.ts";
 import { createRoutingApp } from "./app.ts";
+import { CallQueues } from "./call_queue.ts";
 import { NO_TIMES } from "./context.ts";
 import { EndpointGuard } from "./endpoint_guard.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
@@ -171,6 +172,7 @@
         limits: options.budget,
         vmCount: () => this.#liveCount(),
       }),
+      callQueues: new CallQueues(),
       placement: this.#placement,
       prefillTimes: this.#prefillTimes,
       prefillDelays: new PrefillDelays(),
--- a/packages/core/src/routing/stream_run.ts
+++ b/packages/core/src/routing/stream_run.ts
@@ -6,7 +6,7 @@
 import { err, type Result } from "neverthrow";
 import type { EndpointId, ServiceName } from "../common/ids.ts";
 import { type NotRun, notRun, type Refusal } from "../common/verdict.ts";
-import { takeRetry } from "./call_run.ts";
+import { takeRetry } from "./retries.ts";
 import { forwardStream, mayHaveRunElsewhere } from "./links/forward_request.ts";
 import type { ForwardResult } from "./links/types.ts";
 import type { RoutingContext } from "./context.ts";
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -10,6 +10,7 @@
 import { SILENT_OBSERVER } from "../../common/observe.ts";
 import { notRun } from "../../common/verdict.ts";
 import { NO_TIMES, type RoutingContext } from "../context.ts";
+import { CallQueues } from "../call_queue.ts";
 import { CrashTracker } from "../crashes/tracker.ts";
 import type { Forwarding } from "../links/forwarder.ts";
 import { OriginMemory, type StreamOrigins } from "../stream_origins.ts";
@@ -274,6 +275,7 @@
       }),
       vmCount: () => 1,
     }),
+    callQueues: new CallQueues(),
     placement: new LocalPlacement(endpoints),
     prefillTimes: new PrefillTimes(),
     prefillDelays: new PrefillDelays(),
--- a/packages/core/src/routing/verdicts.ts
+++ b/packages/core/src/routing/verdicts.ts
@@ -13,6 +13,9 @@
 /** Retry delay while a software version has no endpoint: one that crashed is back after some seconds. */
 const MISSING_VERSION_RETRY_MS = 2_000;
 
+/** Retry delay while all endpoints are full: several times the duration of a short call. */
+const FULL_RETRY_MS = 200;
+
 /** Refusal of a stream that no endpoint of its software version can continue. */
 export function refusalOfMissingVersion(): NotRun {
   return notRun("version-unavailable", {
@@ -43,6 +46,11 @@
   });
 }
 
+/** Refusal of a call that all endpoints would refuse for as long as it may wait. */
+export function refusalOfFullEndpoints(): NotRun {
+  return notRun("no-capacity", { retryAfterMs: FULL_RETRY_MS });
+}
+
 /** Refusal for the way in which the last send of a request failed. */
 export function refusalOfFailure(failure: SendFailure): Refusal {
   switch (failure.kind) {
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -33,6 +33,7 @@
   prefills_wasted: "Prefills whose result was not decoded, by reason",
   late_streams:
     "Streams that could not meet their target when they asked for an engine, by outcome",
+  call_waits: "Calls that waited because all endpoints were full, by outcome",
   configuration_changes: "Changes of the configuration in force, by kind",
   suspicions: "Suspicions raised and cleared, by kind",
   convictions: "Requests convicted of crashing engines, by kind",
