Keep evidence on crashing prompt parts in the store

Cause: the evidence was in the VMs' memory only. When all VMs were killed at once, each prompt part that crashes endpoints crashed as many of them again. Change: the home of the evidence writes the records with a part that is blamed, or would be after one more crash, to the table `crash-evidence`: one row per crash, up to four per write, at most one write in 0.1 s for the whole deployment, none for requests. Each VM reads the table at its start, and again after the store came back from an earlier copy. Rows of refuted, cleared and expired crashes are deleted.

--- a/packages/core/src/routing/crashes/evidence.ts
+++ b/packages/core/src/routing/crashes/evidence.ts
@@ -59,6 +59,11 @@
     return this.#hash;
   }
 
+  /** All records, also those that no longer count. */
+  get records(): Iterable<CrashRecord> {
+    return this.#records.values();
+  }
+
   get isEmpty(): boolean {
     return this.#records.size === 0;
   }
--- a/packages/core/src/routing/crashes/queries/find_culprits.ts
+++ b/packages/core/src/routing/crashes/queries/find_culprits.ts
@@ -13,7 +13,7 @@
  * last suspected one, or a request that has another suspect beside it in all
  * but one or two crashes.
  */
-const COMMON_CULPRIT_CRASHES = 5;
+export const COMMON_CULPRIT_CRASHES = 5;
 /** Crashes of a common trait that no other culprit explains. */
 const COMMON_UNEXPLAINED_CRASHES = 3;
 /**
--- a/packages/core/src/routing/endpoint_guard.ts
+++ b/packages/core/src/routing/endpoint_guard.ts
@@ -11,6 +11,10 @@
 } from "../membership/types.ts";
 import type { PeerPort } from "../ports/peers.ts";
 import { CrashExchange, type CrashHandlers } from "./crashes/exchange.ts";
+import {
+  type CrashTable,
+  LastingEvidence,
+} from "./crashes/lasting_evidence.ts";
 import { CrashTracker } from "./crashes/tracker.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import { type LinkHandlers, LinkMonitor } from "./links/monitor.ts";
@@ -29,6 +33,9 @@
 import type { LocalRoutingView } from "./queries/local_view.ts";
 import type { EndpointEntry, EndpointIncarnation } from "./types.ts";
 
+/** The home of this key writes the evidence on crashes to the store. */
+const EVIDENCE_HOME_KEY = "crash-evidence";
+
 /** Options of {@link EndpointGuard}. */
 export interface EndpointGuardOptions {
   membership: MembershipView & ViewChanges;
@@ -38,6 +45,8 @@
   endpoints: () => EndpointRegistry;
   /** Path at which the endpoints of a service report their health; null if there is none. */
   healthPathOf: (service: ServiceName) => string | null;
+  /** Where evidence on crashes outlasts the VMs. */
+  crashTable: CrashTable;
   observer: Observer;
   random: () => number;
 }
@@ -53,6 +62,7 @@
   #options: EndpointGuardOptions;
   #limits: EndpointLimits;
   #exchange: CrashExchange;
+  #lasting: LastingEvidence;
 
   constructor(options: EndpointGuardOptions) {
     this.#options = options;
@@ -61,7 +71,10 @@
       ...options,
       onPause: (entry, untilMs) => this.#notePause(entry, untilMs),
     });
-    membership.onChange(() => this.#limits.home.noteViewChange());
+    membership.onChange(() => {
+      this.#limits.home.noteViewChange();
+      this.#lasting.noteChange();
+    });
     this.links = new LinkMonitor({ ...options, port: () => this.calls });
     this.calls = new LimitedEndpointPort(
       new ObservedEndpointPort(
@@ -74,9 +87,20 @@
       ...options,
       tracker: () => this.crashes,
     });
+    this.#lasting = new LastingEvidence({
+      table: options.crashTable,
+      evidence: () => this.crashes.evidence,
+      addReports: (reports) => this.crashes.addReports(reports),
+      isHome: () =>
+        membership.homeOf(EVIDENCE_HOME_KEY).id === membership.self.id,
+      observer,
+    });
     this.crashes = new CrashTracker({
       observer,
-      onChange: (change) => this.#exchange.announce(change),
+      onChange: (change) => {
+        this.#exchange.announce(change);
+        this.#lasting.noteChange();
+      },
       check: (entry) =>
         checkConnection(this.calls, entry, {
           onRestart: (answer) =>
@@ -96,6 +120,16 @@
     };
   }
 
+  /** Reads the evidence on crashes that earlier VMs stored. */
+  start(): void {
+    this.#lasting.start();
+  }
+
+  /** Records that the store has come back from an earlier copy. */
+  noteStoreReturn(delayMs: number): void {
+    this.#lasting.noteReturn(delayMs);
+  }
+
   /** Hash of the evidence on crashes, for the probes of other VMs. */
   get evidenceHash(): number {
     return this.crashes.evidence.hash;
@@ -139,6 +173,7 @@
 
   stop(): void {
     this.#exchange.stop();
+    this.#lasting.stop();
     this.links.stop();
   }
 }
--- a/packages/core/src/routing/endpoint_guard_test.ts
+++ b/packages/core/src/routing/endpoint_guard_test.ts
@@ -1,3 +1,4 @@
+import { ok } from "neverthrow";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { SILENT_OBSERVER } from "../common/observe.ts";
 import type { Member, VmIdentity } from "../membership/types.ts";
@@ -32,6 +33,10 @@
     },
     endpoints: () => endpoints,
     healthPathOf: () => null,
+    crashTable: {
+      readAll: () => Promise.resolve(ok({ storeTimeMs: 0, rows: [] })),
+      write: () => Promise.resolve(ok(undefined)),
+    },
     observer: SILENT_OBSERVER,
     random: () => 0,
   });
--- a/packages/core/src/routing/mod.ts
+++ b/packages/core/src/routing/mod.ts
@@ -2,6 +2,7 @@
 export * from "./context.ts";
 export * from "./endpoint_registry.ts";
 export * from "./endpoint_record.ts";
+export type { CrashRow, CrashTable } from "./crashes/lasting_evidence.ts";
 export { EventSplitter } from "./event_splitter.ts";
 export * from "./links/types.ts";
 export type {
--- a/packages/core/src/routing/routing_vm.ts
+++ b/packages/core/src/routing/routing_vm.ts
@@ -124,6 +124,7 @@
       membership: this.membership,
       peers: ports.peers,
       calls: ports.calls,
+      crashTable: ports.crashes,
       endpoints: () => this.endpoints,
       healthPathOf: (service) =>
         this.router.service(service)?.healthPath ?? null,
@@ -309,6 +310,7 @@
   async start(): Promise<void> {
     const { ports, identity } = this.#options;
     this.#originRecord.start();
+    this.#guard.start();
     for (const feed of this.#feeds) void feed.start();
     this.#stallWatch.start();
     void ports.store.register(identity);
@@ -396,6 +398,7 @@
     const { ports, identity, random } = this.#options;
     const delayMs = REWRITE_SPREAD_MS * random();
     this.#originRecord.noteReturn(delayMs);
+    this.#guard.noteStoreReturn(delayMs);
     clearTimeout(this.#rewriteTimer);
     this.#rewriteTimer = setTimeout(
       () => void ports.store.register(identity),
--- a/packages/core/src/routing/routing_vm_options.ts
+++ b/packages/core/src/routing/routing_vm_options.ts
@@ -6,6 +6,7 @@
 import type { PlatformPort } from "../ports/platform.ts";
 import type { RequestTimes } from "./context.ts";
 import type { ForwardedNoticeListener, ForwardPort } from "./links/types.ts";
+import type { CrashTable } from "./crashes/lasting_evidence.ts";
 import type { OriginTable } from "./origin_record.ts";
 import type { NoticeListener, RoutedEndpointPort } from "./port.ts";
 import type { BudgetLimits } from "./service_budget.ts";
@@ -18,6 +19,8 @@
   readonly endpoints: FollowedTable<EndpointChange>;
   /** Where streams began, as far as VMs have recorded it. */
   readonly origins: OriginTable;
+  /** Crashes with prompt parts that may have caused them. */
+  readonly crashes: CrashTable;
   readonly store: RoutingStore;
   readonly peers: PeerPort;
   /** Creates the port to the endpoints; the listener is called for each answer. */
--- a/packages/daemon/src/gateway/daemon.ts
+++ b/packages/daemon/src/gateway/daemon.ts
@@ -11,6 +11,7 @@
   PROCESS_MEMORY,
 } from "@teaselvalve/core";
 import {
+  type CrashTable,
   type EndpointChange,
   type FollowedTable,
   type OriginTable,
@@ -64,6 +65,7 @@
   tables: FollowedTable<RoutingTable>;
   endpoints: FollowedTable<EndpointChange>;
   origins: OriginTable;
+  crashes: CrashTable;
   store: RoutingStore;
   protocol: EndpointProtocol;
   interfaces: GatewayInterfaces;
@@ -306,7 +308,7 @@
   }
 
   #createVm(): RoutingVm {
-    const { settings, tables, endpoints, origins, store, protocol } =
+    const { settings, tables, endpoints, origins, crashes, store, protocol } =
       this.#options;
     const { listen } = settings;
     return new RoutingVm({
@@ -320,6 +322,7 @@
         tables,
         endpoints,
         origins,
+        crashes,
         store,
         peers: createPeerPort({
           secret: null,
