Don't take a part of an answer for the whole when an upload is cut

Cause: an endpoint that answers without a length, closes its half and resets the connection while the request is still being written looked as if it had ended its answer regularly. And a stream that breaks off was closed regularly for a caller of HTTP/1.0, whose answer ends with its connection.

Change: while bytes of a request wait to be written, a close of the peer is kept back until they are written or the connection fails. Broken responses without chunks or a length reset their connection.

--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -23,6 +23,7 @@
 import { type Exchange, readBytes } from "../http/exchange.ts";
 import { pacedOf } from "../http/paced_connection.ts";
 import { sendProblem } from "../http/problem.ts";
+import { truncateResponse } from "../http/truncate_response.ts";
 import { PROCESS_UNREAD_TIME } from "../http/unread_time.ts";
 import { BatchedWriter } from "./batched_writer.ts";
 import { markAnswer, markRefusal, readHop, withoutHop } from "./hop.ts";
@@ -313,8 +314,7 @@
     case "broken":
       fields.reason = outcome.reason;
       options.observer.count("broken_streams", outcome.reason);
-      // A truncated response must not look complete.
-      return void response.destroy();
+      return truncateResponse(exchange);
   }
 }
 
--- a/packages/daemon/src/http/client_connection.ts
+++ b/packages/daemon/src/http/client_connection.ts
@@ -78,6 +78,10 @@
   /** Whether the parser has read all that came before the end, and isn't paused. */
   #isEndDue = false;
   #hasFault = false;
+  /** Whether bytes of the request wait to be written to the socket. */
+  #isWriting = false;
+  /** Whether the peer has closed its half, regularly, while the request was written. */
+  #hasPeerClosed = false;
 
   constructor(onFault: (fault: ThrownError) => void) {
     super({ highWaterMark: READ_BUFFER_BYTES });
@@ -101,7 +105,12 @@
   /** Takes over a connected socket, which was created with {@link reader}. */
   attach(socket: Socket): void {
     this.#socket = socket;
-    socket.on("end", () => this.#end(wasReset(socket) ? "ECONNRESET" : null));
+    socket.on("end", () => {
+      // A peer that doesn't read the rest of the request resets the connection for it;
+      // the close is then the end of a part of the response.
+      if (this.#isWriting && !wasReset(socket)) this.#hasPeerClosed = true;
+      else this.#endAtClose(socket);
+    });
     socket.on("error", (error: NodeJS.ErrnoException) => {
       this.#end(error.code ?? error.message);
     });
@@ -171,14 +180,20 @@
     _encoding: BufferEncoding,
     callback: () => void,
   ): void {
-    this.#socket?.write(bytes, () => callback());
+    this.#isWriting = true;
+    this.#socket?.write(bytes, (error) => this.#endWrite(error, callback));
   }
 
   override _writev(
     pieces: WritePiece[],
     callback: () => void,
   ): void {
-    writePieces(this.#socket!, pieces, () => callback());
+    this.#isWriting = true;
+    writePieces(
+      this.#socket!,
+      pieces,
+      (error) => this.#endWrite(error, callback),
+    );
   }
 
   override _final(callback: () => void): void {
@@ -210,6 +225,17 @@
     this.emit("readable");
   }
 
+  #endWrite(error: Error | null | undefined, callback: () => void): void {
+    this.#isWriting = false;
+    callback();
+    if (error || !this.#hasPeerClosed || this.writableLength > 0) return;
+    this.#endAtClose(this.#socket!);
+  }
+
+  #endAtClose(socket: Socket): void {
+    this.#end(wasReset(socket) ? "ECONNRESET" : null);
+  }
+
   // A parser that is paused doesn't ask for more, but does so when it goes on.
   #tellEnd(): void {
     if (this.destroyed || !this.#isEndDue) return;
--- a/packages/daemon/src/http/paced_connection.ts
+++ b/packages/daemon/src/http/paced_connection.ts
@@ -227,6 +227,12 @@
     this.#socket.end(() => callback());
   }
 
+  /** Resets the connection; bytes that the peer has not received may be lost. */
+  reset(): void {
+    this.#socket.resetAndDestroy();
+    this.destroy();
+  }
+
   override _destroy(
     error: Error | null,
     callback: (error?: Error | null) => void,
