Count statuses outside 100 to 599 as failures of their endpoint

Cause: the parser takes any three digits for a status, and 600 and 999 were passed on to callers as answers.

Change: such a status ends the exchange as lost, for all calls to endpoints and for answers over another VM, and for the daemon's own calls to VMs, the store and services.

--- a/packages/daemon/src/gateway/fresh_exchange.ts
+++ b/packages/daemon/src/gateway/fresh_exchange.ts
@@ -13,7 +13,10 @@
   createConnector,
 } from "../http/client_connection.ts";
 import type { ThrownError } from "../http/connection_faults.ts";
+import { isHttpStatus } from "../http/status.ts";
 
+/** Statuses below are those of informational responses, which a final one follows. */
+const FIRST_FINAL_STATUS = 200;
 /** Bytes of a response other than its body: head, framing of chunks, trailers. */
 const OVERHEAD_LIMIT_BYTES = 65_536;
 /** Bytes of framing allowed for each byte of a body; a chunk of one byte has five. */
@@ -218,7 +221,11 @@
   }
 
   #onHead(status: number, headers: IncomingHttpHeaders): void {
-    if (this.#settled || status < 200) return;
+    if (this.#settled) return;
+    if (!isHttpStatus(status)) {
+      return this.#fail({ kind: "lost", detail: `Invalid status ${status}` });
+    }
+    if (status < FIRST_FINAL_STATUS) return;
     this.#firstByteLimit.end();
     this.#phase = "body";
     const reads = this.#listener.onHead(status, headers);
--- a/packages/daemon/src/http/calls.ts
+++ b/packages/daemon/src/http/calls.ts
@@ -18,6 +18,7 @@
 import { Agent, Client, type Dispatcher, errors } from "undici";
 import { createConnector } from "./client_connection.ts";
 import { logConnectionFault, type ThrownError } from "./connection_faults.ts";
+import { isHttpStatus } from "./status.ts";
 
 /** How a call failed. Only `notSent` proves that the server received nothing. */
 export type HttpFailure =
@@ -271,7 +272,7 @@
       return collectInto(collector, () => limit.noteProgress());
     });
     const text = collector.failure ? null : collector.bytes.toString("utf8");
-    if (text === null) return err({ kind: "lost" });
+    if (text === null || !isHttpStatus(status)) return err({ kind: "lost" });
     const contentType = String(headers["content-type"] ?? "");
     return ok({ status, headers, contentType, text });
   } catch (error) {
--- a/packages/daemon/src/http/calls_test.ts
+++ b/packages/daemon/src/http/calls_test.ts
@@ -308,3 +308,18 @@
     }
   },
 );
+
+// The parser takes any three digits for a status.
+test.each(
+  KINDS.flatMap((kind) =>
+    ["000", "099", "600", "999"].map((status) => ({ kind, status }))
+  ),
+)(
+  "a response with status $status on a $kind connection is a failure",
+  async ({ kind, status }) => {
+    onRequest = (socket) =>
+      socket.write(`HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\n\r\nok`);
+    const result = await client(kind).call(post());
+    expect(result._unsafeUnwrapErr()).toEqual({ kind: "lost" });
+  },
+);
