--- a/packages/daemon/src/gateway/handler.ts
+++ b/packages/daemon/src/gateway/handler.ts
@@ -24,6 +24,7 @@
 import { type Exchange, readBytes } from "../http/exchange.ts";
 import type { WorkspaceMetrics } from "../observe/workspace_metrics.ts";
 import { sendProblem } from "../http/problem.ts";
+import { truncateResponse } from "../http/truncate_response.ts";
 import { PROCESS_UNREAD_TIME } from "../http/unread_time.ts";
 import { BatchedWriter } from "./batched_writer.ts";
 import { findKeyedRoute, identifyCaller } from "./identify_caller.ts";
@@ -295,8 +296,7 @@
     case "broken":
       fields.reason = outcome.reason;
       options.observer.count("broken_streams", outcome.reason);
-      // A truncated response must not look complete.
-      return void response.destroy();
+      return truncateResponse(exchange);
   }
 }
 
