--- a/packages/core/src/routing/table_exchange_test.ts
+++ b/packages/core/src/routing/table_exchange_test.ts
@@ -32,7 +32,10 @@
   const call = async () => {
     state.fetches += 1;
     await wait(delayMs);
-    return ok({ table: table(state.peer, { routes: [] }) });
+    return ok({
+      table: table(state.peer, { routes: [] }),
+      readsWorkspaces: true,
+    });
   };
   const setTable = (newer: RoutingTable) => {
     if (newer.version <= state.active.version) return;
--- a/packages/core/src/routing/table_without_workspaces_test.ts
+++ b/packages/core/src/routing/table_without_workspaces_test.ts
@@ -31,7 +31,11 @@
   /** Receives a probe with a version; returns the calls made up to then. */
   const compare = async (configurationVersion: number) => {
     exchange.compare(
-      { from: asId<VmId>("vm-9"), configurationVersion } as Probe,
+      {
+        from: asId<VmId>("vm-9"),
+        incarnation: asId<Incarnation>(incarnation),
+        configurationVersion,
+      } as Probe,
     );
     await new Promise((resolve) => setImmediate(resolve));
     return calls;
