Move the ranking of engines out of the shard's home

Change: the pure functions that rank engines for one stream are a module of their own; no behaviour changes.

--- a/packages/core/src/routing/placement/home.ts
+++ b/packages/core/src/routing/placement/home.ts
@@ -9,17 +9,20 @@
  */
 import type { EndpointId, VmId, WorkspaceId } from "../../common/ids.ts";
 import { minimumBy } from "../queries/choose_endpoint.ts";
-import {
-  compareEngines,
-  type EventTimes,
-  preferenceOf,
-} from "./engine_preference.ts";
+import type { EventTimes } from "./engine_preference.ts";
 import { type EngineSpeed, EngineSpeeds } from "./engine_speeds.ts";
 import type { AttemptId } from "../types.ts";
+import {
+  type EngineLoads,
+  grow,
+  holdPlace,
+  rankFitting,
+  type Ranking,
+  soonestPlace,
+} from "./engine_ranking.ts";
 import { findStreamsToKeep } from "./kept_capacity.ts";
 import {
   type EngineCapacity,
-  fitsEngine,
   heldTokens,
   type StreamLoad,
 } from "./memory_forecast.ts";
@@ -35,8 +38,6 @@
 /** Limits of the time after which a waiting stream asks again. */
 const MIN_ASK_MS = 40;
 const MAX_ASK_MS = 120;
-/** Delays at which a place is looked for, in shares of the time that a stream may wait. */
-const DELAY_SHARES = [0.1, 0.2, 0.35, 0.5, 0.75];
 
 /** Weight of the newest request in the average length of prompts. */
 const PROMPT_WEIGHT = 0.05;
@@ -128,10 +129,6 @@
   readonly askedAtMs: number;
 }
 
-type EngineLoads = Map<EndpointId, StreamLoad[]>;
-/** Speed of an engine as a multiple of the typical one. */
-type RelativeSpeed = (engine: EndpointId) => number;
-
 /** Holds the load state and the queues of the shards that one VM is home for. */
 export class PlacementHome {
   /** The newest report of each VM on each shard. */
@@ -366,62 +363,3 @@
     return loads;
   }
 }
-
-// Returns an empty list for a stream that must have ended.
-function grow(stream: StreamLoad, moreTokens: number): StreamLoad[] {
-  const generatedTokens = stream.generatedTokens + moreTokens;
-  return generatedTokens >= stream.maxTokens && moreTokens > 0
-    ? []
-    : [{ ...stream, generatedTokens }];
-}
-
-interface Ranking {
-  readonly request: PlaceRequest;
-  readonly speeds: EngineSpeeds;
-  readonly speedOf: RelativeSpeed;
-}
-
-function rankFitting(loads: EngineLoads, ranking: Ranking): EndpointId[] {
-  const { engines, stream, capacity } = ranking.request;
-  return engines
-    .map((engine) => ({ engine, streams: loads.get(engine) ?? [] }))
-    .filter(({ streams }) => fitsEngine(streams, { stream, capacity }))
-    .map(({ engine, streams }) => ({
-      engine,
-      ...preferenceOf(engine, { streams, ...ranking }),
-    }))
-    .sort(compareEngines)
-    .map(({ engine }) => engine);
-}
-
-// Keeps the place that a waiting stream will get, also where a smaller one would fit
-// sooner; otherwise small streams would keep large ones waiting.
-function holdPlace(loads: EngineLoads, ranking: Ranking): void {
-  const { request: waiting } = ranking;
-  // It may also wait for engines that are not in question, of other shards for instance.
-  const engines = waiting.engines.filter((engine) => loads.has(engine));
-  const request = { ...waiting, engines };
-  const [fitting] = rankFitting(loads, { ...ranking, request });
-  const engine = fitting ??
-    soonestPlace(loads, { ...ranking, request })?.engine;
-  if (engine) loads.get(engine)!.push(request.stream);
-}
-
-function soonestPlace(
-  loads: EngineLoads,
-  { request, speedOf }: Pick<Ranking, "request" | "speedOf">,
-): { engine: EndpointId; delayMs: number } | null {
-  const { engines, stream, capacity, tokensPerMs, spareMs } = request;
-  for (const share of DELAY_SHARES) {
-    const delayMs = share * spareMs;
-    const engine = engines.find((id) =>
-      fitsEngine(loads.get(id) ?? [], {
-        stream,
-        capacity,
-        delayTokens: delayMs * tokensPerMs * speedOf(id),
-      })
-    );
-    if (engine) return { engine, delayMs };
-  }
-  return null;
-}
