Pause between two draws of credit for the same request

Cause: a small request that waited behind a large one was told that credit for it was there at once, and the VM drew again without a pause: as fast as the home answered, and in an endless loop where the VM was the home itself. Change: at least 5 ms between two draws for a request. Result: the new test hangs without the change (ended after 12 s) and passes with it; 18 tests of quotas/credit with 9 VMs or planned changes, and the property test, pass. The tests with 71 and 300 VMs were not run again after this change.

--- a/packages/core/src/quotas/credit/client.ts
+++ b/packages/core/src/quotas/credit/client.ts
@@ -38,6 +38,11 @@
 const MOVED_MS = 2_000;
 /** Maximum VMs asked for one draw, where homes have changed. */
 const MAX_HOMES = 3;
+/**
+ * Minimum time between two draws for the same request. A small request behind a large
+ * one could be charged at once, and would otherwise be drawn for without a pause.
+ */
+const MIN_REDRAW_MS = 5;
 /** Maximum requests in one draw. */
 const MAX_NEEDS = 64;
 
@@ -219,7 +224,10 @@
       if (index < grant.granted) {
         return this.#grant(workspace, waiting, grant.account);
       }
-      const retryAfterMs = grant.retryAfterMs[index - grant.granted] ?? 0;
+      const retryAfterMs = Math.max(
+        MIN_REDRAW_MS,
+        grant.retryAfterMs[index - grant.granted] ?? 0,
+      );
       if (grant.pauseMs === 0 && this.#isInTime(waiting, retryAfterMs)) {
         waiting.notBeforeMs = performance.now() + retryAfterMs;
         return void kept.push(waiting);
--- a/packages/core/src/quotas/credit/credit_test.ts
+++ b/packages/core/src/quotas/credit/credit_test.ts
@@ -82,6 +82,25 @@
   expect(world.worstOf(WORKSPACES)).toBeLessThan(1);
 });
 
+test("A small request that waits behind a large one is not drawn for without a pause", async () => {
+  const world = await startWorld(1);
+  const workspace = LARGEST!;
+  const signal = new AbortController().signal;
+  const admit = (promptTokens: number) =>
+    world.vms[0]!.task.admit({
+      workspace,
+      promptTokens,
+      maxOutputTokens: 0,
+      waitMs: 1_000,
+      signal,
+    });
+  const { perSecond } = workspace.quota!;
+  const asked = [admit(0.9 * perSecond), admit(0.65 * perSecond)];
+  asked.push(admit(10));
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect((await Promise.all(asked)).some((each) => each.isOk())).toBe(true);
+});
+
 test("A refused request is admitted if it comes back at the time that it was told", async () => {
   const world = await startWorld(9);
   const [load] = loadsOf({ share: 1 });
