--- a/packages/core/src/routing/placement/client.ts
+++ b/packages/core/src/routing/placement/client.ts
@@ -17,6 +17,7 @@
 import type { RankDecodeOptions } from "../queries/rank_decode_endpoints.ts";
 import type { PlacementHandlers } from "./handlers.ts";
 import type { LoadReport, PlaceAnswer } from "./home.ts";
+import { JoinedQueues } from "./joined_queues.ts";
 import {
   describeShard,
   notePrefillSpeed,
@@ -30,6 +31,7 @@
   type Placement,
   type PrefillChoice,
 } from "./placement.ts";
+import { groupByShard, type ShardGroup } from "./shard_groups.ts";
 import { shardCountOf, shardOfEngine } from "./shards.ts";
 
 /** A home answers within a few milliseconds; after this time the stream is placed without it. */
@@ -42,6 +44,8 @@
 const REPORT_DELAY_MS = 50;
 /** How often the loads of streams that go on are reported again, before they expire at the homes. */
 const REPORT_INTERVAL_MS = 1_000;
+/** How often a home is told speeds, which would double the size of each call; it keeps them for seconds. */
+const SPEEDS_INTERVAL_MS = 500;
 /** Next request to a home after all engines of a shard refused one lately. */
 const FULL_RETRY_MS = 40;
 /** A prefill that takes this multiple of the expected time shows that its engine is slow. */
@@ -62,11 +66,6 @@
   isBalancing: () => boolean;
 }
 
-interface ShardGroup {
-  readonly shard: Shard;
-  readonly engines: EndpointRecord[];
-}
-
 /** Places streams by calls to the shards' homes, and reports this VM's loads to them. */
 export class PlacementClient implements Placement {
   #options: PlacementClientOptions;
@@ -75,10 +74,13 @@
   #unansweredCalls = new Map<string, number>();
   /** When the loads of a shard were last reported to its home. */
   #reportedAtMs = new Map<string, number>();
+  /** When the home of a shard was last told speeds. */
+  #speedsSentAtMs = new Map<string, number>();
   /** Delayed reports by shard. */
   #pendingReports = new Map<string, ReturnType<typeof setTimeout>>();
   #timer: ReturnType<typeof setInterval> | undefined;
   #shardLoads = new ShardLoads();
+  #joined = new JoinedQueues();
 
   constructor(options: PlacementClientOptions) {
     this.#options = options;
@@ -119,6 +121,8 @@
     const known = this.#groupByShard(service, open)
       .filter(({ shard }) => !isLate || this.#knowsPrefillQueues(shard));
     if (known.length === 0) return { kind: "full" };
+    const own = isLate ? null : await this.#askJoined(known, options);
+    if (own) return own;
     const groups = this.#orderShards(known, options);
     const waits: { group: ShardGroup; waitMs: number }[] = [];
     let answered = false;
@@ -140,7 +144,27 @@
     }
     const soonest = minimumBy(waits, ({ waitMs }) => waitMs);
     if (!soonest || isLate) return { kind: "full" };
-    const { group } = soonest;
+    const answer = await this.#join(soonest.group, options);
+    if (answer?.kind !== "wait") return answer;
+    this.#joined.note(options.attempt, homeKey(soonest.group.shard));
+    return answer;
+  }
+
+  // Asks the home whose queue a stream has joined; null if all have to be asked.
+  async #askJoined(
+    groups: readonly ShardGroup[],
+    options: AdmitOptions,
+  ): Promise<DecodeAdmission | null> {
+    const key = this.#joined.current(options.attempt);
+    const group = groups.find(({ shard }) => homeKey(shard) === key);
+    const answer = group && await this.#join(group, options);
+    return answer?.kind === "full" ? null : answer ?? null;
+  }
+
+  async #join(
+    group: ShardGroup,
+    options: AdmitOptions,
+  ): Promise<DecodeAdmission | null> {
     const answer = await this.#askHome(group, { ...options, joins: true });
     return answer?.kind === "place"
       ? this.#toPlace(answer, group, options)
@@ -241,16 +265,10 @@
     service: ServiceName,
     engines: readonly EndpointRecord[],
   ): ShardGroup[] {
-    const shardCount = this.#shardCount(service);
-    const groups = new Map<number, ShardGroup>();
-    for (const record of shuffle(engines, this.#options.random)) {
-      const shard = shardOfEngine(record, shardCount);
-      const group = groups.get(shard) ??
-        { shard: { service, shard, shardCount }, engines: [] };
-      group.engines.push(record);
-      groups.set(shard, group);
-    }
-    return [...groups.values()];
+    return groupByShard(shuffle(engines, this.#options.random), {
+      service,
+      shardCount: this.#shardCount(service),
+    });
   }
 
   #shardOf(engine: EndpointRecord): Shard {
@@ -376,11 +394,16 @@
   }
 
   #loadReport(shard: Shard): LoadReport {
-    const { membership, outputs } = this.#options;
+    const { endpoints, membership, outputs } = this.#options;
+    const key = homeKey(shard);
+    const nowMs = performance.now();
+    const withSpeeds = nowMs - (this.#speedsSentAtMs.get(key) ?? -Infinity) >=
+      SPEEDS_INTERVAL_MS;
+    if (withSpeeds) this.#speedsSentAtMs.set(key, nowMs);
     return {
       vm: membership.self.id,
-      shard: homeKey(shard),
-      ...describeShard(this.#options.endpoints, shard),
+      shard: key,
+      ...describeShard(endpoints, shard, { withSpeeds }),
       tokensPerMs: outputs.tokensPerMs(shard.service),
     };
   }
--- a/packages/core/src/routing/placement/load_reports.ts
+++ b/packages/core/src/routing/placement/load_reports.ts
@@ -19,10 +19,11 @@
   readonly shardCount: number;
 }
 
-/** Returns this VM's streams at the engines of a shard, and the speeds that it measured lately. */
+/** Returns this VM's streams at the engines of a shard, and the speeds that it measured lately if wanted. */
 export function describeShard(
   endpoints: Pick<EndpointRegistry, "all">,
   { service, shard, shardCount }: Shard,
+  { withSpeeds }: { withSpeeds: boolean },
 ): Pick<LoadReport, "loads" | "speeds"> {
   const loads: [EndpointId, readonly StreamLoad[]][] = [];
   const speeds: EngineSpeed[] = [];
@@ -33,7 +34,7 @@
     if (streams.size > 0) {
       loads.push([entry.id, [...streams].map(roundLoad)]);
     }
-    const speed = describeSpeed(engine);
+    const speed = withSpeeds ? describeSpeed(engine) : null;
     if (speed) speeds.push(speed);
   }
   return speeds.length === 0 ? { loads } : { loads, speeds };
