Charge quotas by the validated token count of a request

Cause: two parts read token counts; the quota summed numbers for which a malformed header gives 0, so that '3200' without a second number cost 3,200 instead of plain_tokens. Change: the sum that was read strictly is charged. Cases of the cost test that only distinguished the two numbers are gone with them; the strict reading has its own tests.

--- a/packages/core/src/quotas/credit/cost.ts
+++ b/packages/core/src/quotas/credit/cost.ts
@@ -20,16 +20,10 @@
 /** Returns what a request costs; without valid token counts that is `plainTokens`. */
 export function costOf(
   quota: WorkspaceQuota,
-  { promptTokens, maxOutputTokens }: Pick<
-    CreditRequest,
-    "promptTokens" | "maxOutputTokens"
-  >,
+  { tokens }: Pick<CreditRequest, "tokens">,
 ): number {
   if (quota.unit === "requests") return 1;
-  const tokens = (promptTokens ?? NaN) + (maxOutputTokens ?? NaN);
-  // Decoders give 0 for a number that is missing or malformed.
-  const isValid = Number.isFinite(tokens) && tokens > 0 &&
-    promptTokens! >= 0 && maxOutputTokens! >= 0;
+  const isValid = tokens !== null && Number.isFinite(tokens) && tokens > 0;
   return isValid ? tokens : quota.plainTokens;
 }
 
--- a/packages/core/src/quotas/credit/types.ts
+++ b/packages/core/src/quotas/credit/types.ts
@@ -11,9 +11,8 @@
 /** A request to charge to the quota of its workspace. */
 export interface CreditRequest {
   readonly workspace: RoutingWorkspace;
-  /** Null if the request has no valid count. */
-  readonly promptTokens: number | null;
-  readonly maxOutputTokens: number | null;
+  /** Prompt tokens and maximum output tokens together; null without a valid count. */
+  readonly tokens: number | null;
   /** How long the request may wait for credit. */
   readonly waitMs: number;
   /** Aborted when the caller leaves. */
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -157,8 +157,7 @@
     if (!workspace?.quota || request.hop) return ok(null);
     return await this.#context.credit.admit({
       workspace,
-      promptTokens: request.prompt?.promptTokens ?? null,
-      maxOutputTokens: request.prompt?.maxOutputTokens ?? null,
+      tokens: request.tokenCount ?? null,
       waitMs: CREDIT_WAIT_SHARE * route.targetLatencyMs,
       signal,
     });
