--- a/packages/daemon/src/peers/credit_over_sockets_test.ts
+++ b/packages/daemon/src/peers/credit_over_sockets_test.ts
@@ -100,7 +100,6 @@
   const admitted = await vm.task.admit({
     workspace: WORKSPACE,
     tokens: null,
-    maxOutputTokens: null,
     waitMs: 0,
     signal: new AbortController().signal,
   });
