Test the queues that waiting streams have joined, and forget them in order

Cause: a stream that joined a second queue kept its place among those that expire, so that others behind it expired late; the new test found it. Change: it moves to the end; the state of silent homes is a module of its own, and the fakes use the settings' default for calls.

--- a/packages/core/src/routing/placement/client.ts
+++ b/packages/core/src/routing/placement/client.ts
@@ -33,13 +33,10 @@
 } from "./placement.ts";
 import { groupByShard, type ShardGroup } from "./shard_groups.ts";
 import { shardCountOf, shardOfEngine } from "./shards.ts";
+import { SilentHomes } from "./silent_homes.ts";
 
 /** A home answers within a few milliseconds; after this time the stream is placed without it. */
 const HOME_TIMEOUT_MS = 80;
-/** Calls in a row without an answer after which a home counts as silent. */
-const SILENT_CALLS = 3;
-/** How long a silent home is not called again. */
-const HOME_COOLDOWN_MS = 1_000;
 /** Delay of the report that a stream has ended; streams that end meanwhile share it. */
 const REPORT_DELAY_MS = 50;
 /** How often the loads of streams that go on are reported again, before they expire at the homes. */
@@ -70,8 +67,7 @@
 export class PlacementClient implements Placement {
   #options: PlacementClientOptions;
   #local: LocalPlacement;
-  #cooldownUntilMs = new Map<string, number>();
-  #unansweredCalls = new Map<string, number>();
+  #silentHomes = new SilentHomes();
   /** When the loads of a shard were last reported to its home. */
   #reportedAtMs = new Map<string, number>();
   /** When the home of a shard was last told speeds. */
@@ -288,7 +284,7 @@
     const { attempt, stream, capacity, spareMs, joins, events } = options;
     const { priority, workspace, isLate } = options;
     const prefillEngines = isLate ? this.#prefillEngines(shard) : undefined;
-    this.#noteReported(shard);
+    this.#reportedAtMs.set(homeKey(shard), performance.now());
     const answer = await this.#callHome(shard, "routing/place-decode", {
       ...this.#loadReport(shard),
       attempt,
@@ -322,7 +318,7 @@
 
   #mayAnswer(shard: Shard): boolean {
     const home = this.#options.membership.homeOf(homeKey(shard));
-    return (this.#cooldownUntilMs.get(home.id) ?? 0) <= performance.now();
+    return this.#silentHomes.mayAnswer(home.id);
   }
 
   async #callHome<
@@ -339,23 +335,14 @@
       params: params as never,
       timeoutMs: HOME_TIMEOUT_MS,
     });
-    const unanswered = answer.isOk()
-      ? 0
-      : (this.#unansweredCalls.get(home.id) ?? 0) + 1;
-    this.#unansweredCalls.set(home.id, unanswered);
+    const calls = this.#silentHomes.note(home.id, { answered: answer.isOk() });
     if (answer.isOk()) return answer.value as never;
-    if (unanswered >= SILENT_CALLS) {
-      this.#cooldownUntilMs.set(
-        home.id,
-        performance.now() + HOME_COOLDOWN_MS,
-      );
-    }
     observer.log({
       event: "placement-home-silent",
       peer: home.id,
       service: shard.service,
       reason: answer.error.kind,
-      calls: unanswered,
+      calls,
     });
     return null;
   }
@@ -378,7 +365,7 @@
 
   #reportLoads(shard: Shard): void {
     const { membership, peers } = this.#options;
-    this.#noteReported(shard);
+    this.#reportedAtMs.set(homeKey(shard), performance.now());
     const key = homeKey(shard);
     void peers.call(
       membership.homeOf(key),
@@ -389,16 +376,12 @@
     });
   }
 
-  #noteReported(shard: Shard): void {
-    this.#reportedAtMs.set(homeKey(shard), performance.now());
-  }
-
   #loadReport(shard: Shard): LoadReport {
     const { endpoints, membership, outputs } = this.#options;
     const key = homeKey(shard);
     const nowMs = performance.now();
-    const withSpeeds = nowMs - (this.#speedsSentAtMs.get(key) ?? -Infinity) >=
-      SPEEDS_INTERVAL_MS;
+    const sentAtMs = this.#speedsSentAtMs.get(key) ?? -Infinity;
+    const withSpeeds = nowMs - sentAtMs >= SPEEDS_INTERVAL_MS;
     if (withSpeeds) this.#speedsSentAtMs.set(key, nowMs);
     return {
       vm: membership.self.id,
--- a/packages/core/src/routing/placement/home.ts
+++ b/packages/core/src/routing/placement/home.ts
@@ -175,9 +175,9 @@
   /**
    * Finds a place for a stream, after those that wait and go first: by priority, then by
    * the latest time at which they can start. A stream that is placed counts towards the
-   * first engine of the answer. Short prompts
-   * need more room than they take; otherwise they would use up what is left piece by
-   * piece, and long ones would be refused far more often.
+   * first engine of the answer. Short prompts need more room than they take; otherwise
+   * they would use up what is left piece by piece, and long ones would be refused far
+   * more often.
    */
   place(request: PlaceRequest): PlaceAnswer {
     const { promptTokens } = request.stream;
--- a/packages/core/src/routing/placement/joined_queues.ts
+++ b/packages/core/src/routing/placement/joined_queues.ts
@@ -18,6 +18,7 @@
   note(attempt: AttemptId, key: string): void {
     const atMs = performance.now();
     this.#expire(atMs);
+    this.#joined.delete(attempt);
     this.#joined.set(attempt, { key, atMs });
   }
 
--- a/packages/core/src/routing/queries/choose_endpoint.ts
+++ b/packages/core/src/routing/queries/choose_endpoint.ts
@@ -35,9 +35,9 @@
 
 /**
  * Returns the healthy endpoint with the shortest expected time, or the one whose turn it
- * is when balancing, preferably one that isn't full. If all are ejected after failures, returns the one whose
- * ejection ends first, so that a service never loses its last endpoints to
- * ejection. Undefined if every endpoint was tried or none is usable.
+ * is when balancing, preferably one that isn't full. If all are ejected after failures,
+ * returns the one whose ejection ends first, so that a service never loses its last
+ * endpoints to ejection. Undefined if every endpoint was tried or none is usable.
  */
 export function chooseEndpoint(
   usable: readonly EndpointRecord[],
--- a/packages/core/src/routing/testing/fake_endpoints.ts
+++ b/packages/core/src/routing/testing/fake_endpoints.ts
@@ -307,7 +307,7 @@
     forwarding: NO_FORWARDING,
     stop: new StopGate(),
     port,
-    isBalancing: () => true,
+    isBalancing: () => false,
     observer: SILENT_OBSERVER,
     times: NO_TIMES,
     noteRefusal() {},
