--- a/packages/core/src/routing/links/forwarder.ts
+++ b/packages/core/src/routing/links/forwarder.ts
@@ -156,9 +156,7 @@
   }
 
   // A VM that is slow gets fewer requests, as its own stay open.
-  #choose(
-    tried: ReadonlySet<VmId>,
-  ): Member | undefined {
+  #choose(tried: ReadonlySet<VmId>): Member | undefined {
     const { membership, random } = this.#options;
     const nowMs = performance.now();
     const isRested = ({ id }: Member) =>
--- a/packages/core/src/routing/placement/joined_queues.ts
+++ b/packages/core/src/routing/placement/joined_queues.ts
@@ -2,8 +2,7 @@
  * Remembers the home whose queue each waiting stream has joined.
  *
  * Handles overload of engines in several shards. If every waiting stream asks the homes
- * of all shards each time, these calls take more than the links of small VMs carry, and
- * homes no longer answer in time.
+ * of all shards each time, the calls to each home grow with the number of shards.
  */
 import type { AttemptId } from "../types.ts";
 
--- a/packages/core/src/routing/placement/joined_queues_test.ts
+++ b/packages/core/src/routing/placement/joined_queues_test.ts
@@ -1,5 +1,5 @@
-// Guards against waiting streams that ask the homes of all shards each time, which
-// overloads the links of the homes' VMs.
+// Guards against waiting streams that ask the homes of all shards each time, so that the
+// calls to each home grow with the number of shards.
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { asId } from "../../common/ids.ts";
 import type { AttemptId } from "../types.ts";
